--- /dev/null
+++ b/scripts/build.js
@@ -0,0 +1,33 @@
+/**
+Bundles each program into one file under `dist/`, so that an idle process loads no more code than it runs.
+*/
+import {chmod, rm} from 'node:fs/promises';
+import {readFileSync} from 'node:fs';
+import {build} from 'esbuild';
+
+const {version} = JSON.parse(readFileSync('package.json', 'utf8'));
+
+const programs = {
+	'citronyard-entry': 'src/entry/main.ts',
+	'citronyard-agent': 'src/agent/main.ts',
+	citronctl: 'src/ctl/main.ts',
+	'citronyard-load': 'src/load/main.ts',
+	'citronyard-standin': 'src/standins/main.ts',
+	'citronyard-demo': 'src/demo/main.ts',
+};
+
+await rm('dist', {recursive: true, force: true});
+await build({
+	entryPoints: programs,
+	outdir: 'dist',
+	bundle: true,
+	platform: 'node',
+	target: 'node20',
+	format: 'esm',
+	mainFields: ['module', 'main'],
+	external: ['unix-dgram'],
+	define: {CITRONYARD_VERSION: JSON.stringify(version)},
+	banner: {js: '#!/usr/bin/env node\nimport {createRequire as bundleRequire} from \'node:module\';\nconst require = bundleRequire(import.meta.url);'},
+	logLevel: 'warning',
+});
+await Promise.all(Object.keys(programs).map(async name => chmod(`dist/${name}.js`, 0o755)));
--- /dev/null
+++ b/xo.config.js
@@ -0,0 +1,29 @@
+/**
+XO's rules as they come, but for the users' house style, which goes before them.
+*/
+const houseStyle = {
+	// Control flow by array methods.
+	'unicorn/no-array-for-each': 'off',
+	'unicorn/no-array-reduce': 'off',
+	'unicorn/no-array-callback-reference': 'off',
+	// Short names where custom has them.
+	'unicorn/prevent-abbreviations': ['error', {
+		allowList: {
+			req: true, res: true, cfg: true, err: true, args: true, params: true, env: true, dir: true, src: true, ctl: true, fn: true, i: true, rpc: true,
+		},
+	}],
+	// The callers' API has snake_case fields and null values.
+	'@typescript-eslint/naming-convention': 'off',
+	'@typescript-eslint/no-restricted-types': 'off',
+	camelcase: 'off',
+	// Retries and ordered commits are sequential on purpose.
+	'no-await-in-loop': 'off',
+};
+
+/** @type {import('xo').FlatXoConfig} */
+const config = [
+	{ignores: ['dist/**', 'node_modules/**']},
+	{files: ['**/*.{js,ts}'], rules: houseStyle},
+];
+
+export default config;
