--- a/xo.config.js
+++ b/xo.config.js
@@ -12,12 +12,17 @@
 			req: true, res: true, cfg: true, err: true, args: true, params: true, env: true, dir: true, src: true, ctl: true, fn: true, i: true, rpc: true,
 		},
 	}],
+	'unicorn/catch-error-name': ['error', {name: 'err'}],
 	// The callers' API has snake_case fields and null values.
 	'@typescript-eslint/naming-convention': 'off',
 	'@typescript-eslint/no-restricted-types': 'off',
 	camelcase: 'off',
 	// Retries and ordered commits are sequential on purpose.
 	'no-await-in-loop': 'off',
+	// Prose at the head of a module is one line a paragraph.
+	'@stylistic/max-len': 'off',
+	// Parsed JSON is checked by a schema or comes from our own process; the assertion names its shape.
+	'@typescript-eslint/no-unsafe-type-assertion': 'off',
 };
 
 /** @type {import('xo').FlatXoConfig} */
