--- /dev/null
+++ b/src/platform/http-vm-list.ts
@@ -0,0 +1,47 @@
+/**
+The platform's VM list over HTTP.
+*/
+import {Left, Right, type Either} from 'purify-ts/Either';
+import type {VmList} from '../common/services.js';
+import type {ApiError, VmEntry} from '../common/types.js';
+import type {HttpClient, HttpFailure, HttpResponse} from './http-client.js';
+
+/** See {@link VmList}. */
+export class HttpVmList implements VmList {
+	readonly #client: HttpClient;
+	readonly #address: string;
+	readonly #timeoutMs: number;
+
+	/**
+	@param address - `ip:port` of the VM list.
+	@param timeoutMs - Milliseconds for one call.
+	*/
+	constructor(client: HttpClient, address: string, timeoutMs: number) {
+		this.#client = client;
+		this.#address = address;
+		this.#timeoutMs = timeoutMs;
+	}
+
+	async read(): Promise<Either<ApiError, readonly VmEntry[]>> {
+		const sent = await this.#client.send({
+			address: this.#address, method: 'GET', path: '/v1/vms', timeoutMs: this.#timeoutMs, signal: AbortSignal.timeout(2 * this.#timeoutMs),
+		});
+		if (sent.isLeft()) {
+			this.#client.renew(this.#address);
+			return Left({kind: 'unavailable', reason: (sent.extract()).reason});
+		}
+
+		return this.#parse(sent.extract() as HttpResponse);
+	}
+
+	async #parse(res: HttpResponse): Promise<Either<ApiError, readonly VmEntry[]>> {
+		try {
+			const {vms} = await res.body.json() as {vms?: VmEntry[]};
+			return res.status === 200 && vms
+				? Right(vms)
+				: Left({kind: 'unavailable', reason: `status ${res.status}`});
+		} catch (err) {
+			return Left({kind: 'unavailable', reason: String(err)});
+		}
+	}
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -19,6 +19,8 @@
 	camelcase: 'off',
 	// Retries and ordered commits are sequential on purpose.
 	'no-await-in-loop': 'off',
+	// The constructors of purify-ts are functions.
+	'new-cap': ['error', {newIsCap: true, capIsNewExceptions: ['Left', 'Right', 'Just', 'Maybe', 'Either', 'EitherAsync', 'Given', 'When', 'Then', 'Before', 'After', 'BeforeAll', 'AfterAll']}],
 	// Prose at the head of a module is one line a paragraph.
 	'@stylistic/max-len': 'off',
 	// Parsed JSON is checked by a schema or comes from our own process; the assertion names its shape.
