--- /dev/null
+++ b/src/common/protocol.ts
@@ -0,0 +1,142 @@
+/**
+The messages between an entry and an agent. An online request is one or more attempts; an attempt is one HTTP request to an agent, answered by an event stream whose events carry the index of the chunk, so that a stream that broke is taken up where it stopped.
+*/
+import type {
+	AccountName, BlockHash, Branded, Fence, FileId, JobId, RequestId, Revision, VmName,
+} from './ids.js';
+
+/** Names one run of an agent process; a restarted agent has another, and knows nothing of the requests before. */
+export type Incarnation = Branded<string, 'Incarnation'>;
+
+/** Online work goes before batch work everywhere. */
+export type WorkClass = 'online' | 'batch';
+
+/** What a refusal or failure says about the work: `notRun` only when it can not run any more. */
+export type RunState = 'notRun' | 'run' | 'unknown';
+
+/** A JSON object as it came from a caller. */
+export type JsonObject = Readonly<Record<string, unknown>>;
+
+/** How far an answer had come elsewhere. */
+export type ResumePoint = {
+	/** The text generated so far. */
+	readonly text: string;
+	/** The number of tokens in it. */
+	readonly tokens: number;
+};
+
+/** Which attempt of which request: the key of the agent's ledger. */
+export type AttemptKey = {
+	readonly id: RequestId;
+	/** Counts the attempts of one request from 1. */
+	readonly attempt: number;
+};
+
+/** An attempt that an entry sends to an agent. */
+export type AttemptRequest = AttemptKey & {
+	/** The incarnation the entry believes to reach; any other refuses. */
+	readonly incarnation: Incarnation;
+	readonly account: AccountName;
+	/** The account's weight among accounts. */
+	readonly share: number;
+	/** The engine's path, for instance `/v1/chat/completions`. */
+	readonly path: string;
+	/** The engine's request, without the fields that concern the stream. */
+	readonly body: JsonObject;
+	/** Milliseconds from now until the answer is of no use. */
+	readonly deadlineInMs: number;
+	/** Estimated tokens of the prompt that are not cached, and of the answer. */
+	readonly costTokens: number;
+	readonly resume?: ResumePoint;
+};
+
+/** Names of the events in an attempt's stream. */
+export const attemptEvents = ['chunk', 'end', 'refused', 'failed'] as const;
+
+/** One of {@link attemptEvents}. */
+export type AttemptEventName = (typeof attemptEvents)[number];
+
+/** The answer is whole. */
+export type AttemptEnd = {
+	/** Chunks in the whole attempt. */
+	readonly chunks: number;
+	readonly load: LoadReport;
+	/** Blocks of the prompt that the engine holds now. */
+	readonly cachedBlocks: readonly BlockHash[];
+};
+
+/** The attempt was not run and never will be. */
+export type AttemptRefusal = {
+	readonly reason: RefusalReason;
+	readonly retryAfterMs: number;
+	readonly load: LoadReport;
+};
+
+/** Why an agent refuses work. */
+export type RefusalReason = 'draining' | 'queueFull' | 'deadline' | 'revoked' | 'otherIncarnation' | 'notServed' | 'cancelled';
+
+/** The attempt was run and has no whole answer. */
+export type AttemptFailure = {
+	/** `rejected`: the backend server's own error, final. `backendLost`: it went away; another may answer. */
+	readonly kind: 'rejected' | 'backendLost';
+	readonly reason: string;
+	/** The backend server's status and body, for `rejected`. */
+	readonly status?: number;
+	readonly body?: string;
+};
+
+/** What an agent says of itself; rides on answers and on the answers to `agent.load`. */
+export type LoadReport = {
+	readonly vm: VmName;
+	readonly incarnation: Incarnation;
+	readonly draining: boolean;
+	/** What it serves, as `model:<name>` and `service:<name>`. */
+	readonly serves: readonly string[];
+	/** Online requests in the backend server. */
+	readonly running: number;
+	/** Online requests in the agent's queue. */
+	readonly queued: number;
+	/** Tokens of those still to be computed: prompts not yet read, and answers not yet written. */
+	readonly pendingTokens: number;
+	readonly batchRunning: number;
+	/** Chunks of batch work it would take now. */
+	readonly batchRoom: number;
+	/** Requests that the backend server runs at once. */
+	readonly maxRunning: number;
+	/** Blocks that the engine dropped since the last report to this entry. */
+	readonly configRevision: Revision;
+};
+
+/** What the ledger answers about an attempt. */
+export type LedgerAnswer = {
+	/** `revoked`: it had not begun and never will. `running`, `done`: take up its stream. `unknown`: this incarnation never had it. */
+	readonly state: 'revoked' | 'running' | 'done' | 'unknown';
+	readonly incarnation: Incarnation;
+};
+
+/** A part of a batch job that a coordinator gives to an agent. */
+export type ChunkGrant = {
+	readonly jobId: JobId;
+	readonly chunk: number;
+	readonly inputName: string;
+	readonly fileId: FileId;
+	readonly endpoint: string;
+	readonly model: string;
+	readonly account: AccountName;
+	readonly share: number;
+	/** The fencing number of the coordinator's lease. */
+	readonly fence: Fence;
+	/** Milliseconds after which the grant lapses unless renewed. */
+	readonly expiresInMs: number;
+	/** True runs the items one by one, after runs of this chunk took their agents down. */
+	readonly isolate: boolean;
+};
+
+/** How far an agent has come with a chunk. */
+export type ChunkReport = {
+	readonly jobId: JobId;
+	readonly chunk: number;
+	readonly state: 'running' | 'committing' | 'committed';
+	readonly completed: number;
+	readonly failed: number;
+};
