--- /dev/null
+++ b/src/platform/schema-messages.ts
@@ -0,0 +1,89 @@
+/**
+Turns what a schema finds into sentences for operators. The unit of a number is part of its key (`timeoutMs`, `limitBytes`), so a value such as "5s" is told which unit the key wants.
+*/
+import {type core} from 'zod';
+
+/** A problem at a path, in plain words. */
+export type PlainIssue = {
+	readonly path: Array<string | number>;
+	readonly message: string;
+};
+
+type Issue = core.$ZodIssue;
+type ValueAt = (path: Array<string | number>) => unknown;
+
+/** What a number means, by the ending of its key. */
+const units: ReadonlyArray<readonly [ending: string, unit: string]> = [
+	['Ms', 'milliseconds'],
+	['Bytes', 'bytes'],
+	['Hours', 'hours'],
+	['PerSecond', 'times a second'],
+];
+
+const typeNames: Readonly<Record<string, string>> = {
+	string: 'a string', number: 'a number', int: 'a whole number', boolean: 'true or false', array: 'a list', object: 'an object', record: 'an object', null: 'null',
+};
+
+/** A value in a message: lists and objects by their type alone, since they may be long. */
+const shown = (value: unknown): string => {
+	if (typeof value === 'string') {
+		return `the string ${JSON.stringify(value)}`;
+	}
+
+	return typeof value === 'object' && value !== null ? nameOf(Array.isArray(value) ? 'array' : 'object') : String(value);
+};
+
+const nameOf = (type: string): string => typeNames[type] ?? type;
+
+const wanted = (expected: string, path: Array<string | number>): string => {
+	const key = String(path.at(-1) ?? '');
+	const unit = units.find(([ending]) => key.endsWith(ending))?.[1];
+	const isNumber = expected === 'number' || expected === 'int';
+	return unit && isNumber ? `a number of ${unit}` : nameOf(expected);
+};
+
+const list = (values: readonly unknown[]): string => values.map(value => JSON.stringify(value)).join(', ');
+
+const bound = (issue: {origin: string; inclusive?: boolean}, limit: unknown, words: readonly [string, string]): string => {
+	const subject: Readonly<Record<string, string>> = {string: ' characters', array: ' entries'};
+	return `must ${subject[issue.origin] ? 'have' : 'be'} ${issue.inclusive === false ? words[1] : words[0]} ${String(limit)}${subject[issue.origin] ?? ''}`;
+};
+
+const depth = (issues: readonly PlainIssue[]): number => Math.max(...issues.map(({path}) => path.length));
+
+type Teller<Code extends Issue['code']> = (issue: Extract<Issue, {code: Code}>, path: Array<string | number>, valueAt: ValueAt) => PlainIssue[];
+type Tellers = {readonly [Code in Issue['code']]?: Teller<Code>};
+
+const tellers: Tellers = {
+	invalid_type(issue, path, valueAt) {
+		const value = valueAt(path);
+		const wants = `wants ${wanted(issue.expected, path)}`;
+		return [{path, message: value === undefined ? `is missing: ${wants}` : `${wants}, not ${shown(value)}`}];
+	},
+	unrecognized_keys: (issue, path) => issue.keys.map(key => ({path: [...path, key], message: 'is not a known key'})),
+	invalid_value(issue, path, valueAt) {
+		const value = valueAt(path);
+		const message = value === undefined ? `is missing: wants one of ${list(issue.values)}` : `wants one of ${list(issue.values)}, not ${JSON.stringify(value)}`;
+		return [{path, message}];
+	},
+	too_small: (issue, path) => [{path, message: bound(issue, issue.minimum, ['at least', 'more than'])}],
+	too_big: (issue, path) => [{path, message: bound(issue, issue.maximum, ['at most', 'less than'])}],
+	/** The shape that fits best is taken as the one meant: its problems lie deepest, and it has the fewest. */
+	invalid_union(issue, path, valueAt) {
+		const shapes = issue.errors.map(issues => issues.flatMap(inner => plainMessages({...inner, path: [...issue.path, ...inner.path]}, valueAt)));
+		const [closest] = shapes.filter(issues => issues.length > 0).toSorted((a, b) => depth(b) - depth(a) || a.length - b.length);
+		return closest ?? [{path, message: issue.message}];
+	},
+};
+
+/**
+@param issue - What a schema found.
+@param valueAt - Reads the value at a path, `undefined` when there is none.
+@returns The same in plain words; several when several keys are unknown.
+*/
+export const plainMessages = (issue: Issue, valueAt: ValueAt): PlainIssue[] => {
+	const path = issue.path.filter(part => typeof part !== 'symbol');
+	const teller = tellers[issue.code] as Teller<Issue['code']> | undefined;
+	const told = teller?.(issue, path, valueAt);
+	return told ?? [{path, message: valueAt(path) === undefined ? `is missing: ${issue.message}` : issue.message}];
+};
