Program frame: command line, log, metrics, signals, exit codes

Cause: each daemon would otherwise stop, fail and report in its own way.

Change: `runProgram` loads settings, makes the numbered log (pino), metrics (hot-shots, or none), clock and seeded chance, starts the program and follows it to its exit. The first signal drains, a second one cuts that short, and an error that nobody expected ends the process with 70.

--- /dev/null
+++ b/src/platform/program-run.ts
@@ -0,0 +1,100 @@
+/**
+The life of a daemon from its start to its exit: signals lead to a graceful shutdown, a broken invariant to an immediate stop.
+*/
+import process from 'node:process';
+import {type Disposable} from '../common/services.js';
+import {exitCodes, type ExitCode} from './exit-codes.js';
+import {platformEvents} from './log-events.js';
+import {type RunningProgram} from './program.js';
+import {type OwnedServices} from './program-services.js';
+import {version} from './version.js';
+
+const stopSignals = ['SIGTERM', 'SIGINT'] as const;
+
+/** One daemon in this process. */
+export class ProgramRun implements Disposable {
+	readonly #services: OwnedServices;
+	#running: RunningProgram | undefined;
+	#stopping = false;
+	readonly #onSignal: (signal: NodeJS.Signals) => void;
+
+	/** @param services - Released when the run ends. */
+	constructor(services: OwnedServices) {
+		this.#services = services;
+		this.#onSignal = signal => {
+			this.#stop(signal);
+		};
+	}
+
+	/** Stops the process on a broken invariant, and answers signals. Call it before the program starts. */
+	guard(): void {
+		// After an error that nobody expected, the state in memory cannot be trusted: going on could answer a caller twice or with
+		// another's answer. Peers see the process leave at once and recover its requests, as they do after a crash.
+		process.on('uncaughtException', err => {
+			this.#breakDown(err);
+		});
+		process.on('unhandledRejection', reason => {
+			this.#breakDown(reason);
+		});
+		stopSignals.forEach(signal => {
+			process.on(signal, this.#onSignal);
+		});
+	}
+
+	/** @param running - The program, now that it has started. */
+	follow(running: RunningProgram): void {
+		this.#running = running;
+		this.#services.log.emit(platformEvents.programStarted, {version, pid: process.pid, addresses: running.addresses ?? {}});
+		// A signal that came while the program started was only noted.
+		if (this.#stopping) {
+			void this.#drain(running);
+		}
+	}
+
+	/** Stops listening for signals and releases the program and its services. */
+	dispose(): void {
+		stopSignals.forEach(signal => {
+			process.off(signal, this.#onSignal);
+		});
+		this.#running?.dispose();
+		this.#services.dispose();
+	}
+
+	#stop(signal: NodeJS.Signals): void {
+		if (this.#stopping) {
+			this.#services.log.emit(platformEvents.shutdownCutShort, {signal});
+			this.#exit(exitCodes.ok);
+			return;
+		}
+
+		this.#stopping = true;
+		this.#services.log.emit(platformEvents.drainStarted, {signal});
+		if (this.#running) {
+			void this.#drain(this.#running);
+		}
+	}
+
+	async #drain(running: RunningProgram): Promise<void> {
+		await running.drain();
+		this.#services.log.emit(platformEvents.programStopped);
+		this.#exit(exitCodes.ok);
+	}
+
+	#breakDown(reason: unknown): void {
+		const {message, stack} = reason instanceof Error ? reason : new Error(String(reason));
+		this.#services.log.emit(platformEvents.invariantBroken, {reason: message, stack});
+		this.#services.dispose();
+		this.#leave(exitCodes.brokenInvariant);
+	}
+
+	#exit(code: ExitCode): void {
+		this.dispose();
+		this.#leave(code);
+	}
+
+	/** A socket or timer that a program forgot would keep the process alive after its shutdown, so it does not wait for them. */
+	#leave(code: ExitCode): void {
+		// eslint-disable-next-line unicorn/no-process-exit
+		process.exit(code);
+	}
+}
--- /dev/null
+++ b/src/platform/program-services.ts
@@ -0,0 +1,40 @@
+/**
+Makes the services that the frame hands to a program, from its common settings.
+*/
+import process from 'node:process';
+import {type Disposable} from '../common/services.js';
+import {parseAddress} from './address.js';
+import {DogstatsdMetrics} from './dogstatsd-metrics.js';
+import {NoMetrics} from './no-metrics.js';
+import {PinoEventLog} from './pino-event-log.js';
+import {type ProgramServices} from './program.js';
+import {SeededRandom} from './seeded-random.js';
+import {type CommonSettings} from './settings-schemas.js';
+import {SystemClock} from './system-clock.js';
+
+/** Services that the frame owns and releases. */
+export type OwnedServices = ProgramServices & Disposable;
+
+/** Processes that start together must not draw the same numbers: their retries would collide again and again. */
+const freshSeed = (): number => Number(process.hrtime.bigint() % (2n ** 31n)) + process.pid;
+
+/**
+@param program - The program's name; marks its log lines and metrics.
+@param settings - The common settings.
+@returns The services; `dispose` writes out what waits.
+*/
+export const createServices = (program: string, {logLevel, metrics}: CommonSettings): OwnedServices => {
+	const log = new PinoEventLog({program, level: logLevel});
+	const address = metrics && parseAddress(metrics.address);
+	const sink = metrics && address ? new DogstatsdMetrics({address, prefix: metrics.prefix, tags: {program}}) : undefined;
+	return {
+		log,
+		metrics: sink ?? new NoMetrics(),
+		clock: new SystemClock(),
+		random: new SeededRandom(freshSeed()),
+		dispose() {
+			sink?.dispose();
+			log.dispose();
+		},
+	};
+};
