--- /dev/null
+++ b/src/agent/agent.ts
@@ -0,0 +1,188 @@
+/**
+The agent: the one process beside a backend server, and the only way to it. It puts together admission, the ledger, online attempts and batch work, and serves entries over HTTP.
+*/
+import {randomUUID} from 'node:crypto';
+import type {Either} from 'purify-ts/Either';
+import {Admission} from '../common/admission.js';
+import {branded, type Revision} from '../common/ids.js';
+import type {AttemptKey, Incarnation, LoadReport} from '../common/protocol.js';
+import {RequestLedger} from '../common/request-ledger.js';
+import type {
+	Clock, Disposable, EventLog, Metrics, ObjectApi, RandomSource,
+} from '../common/services.js';
+import {HttpClient} from '../platform/http-client.js';
+import {HttpObjectApi} from '../platform/http-object-api.js';
+import {HttpServer, type ListenFailure} from '../platform/http-server.js';
+import {rpcRoute, type RpcMethods} from '../platform/rpc-route.js';
+import type {Backend} from './backend.js';
+import {BatchWorker, type GrantRequest, type RenewRequest} from './batch-worker.js';
+import {EngineBackend} from './engine-backend.js';
+import {agentEvents} from './log-events.js';
+import {OnlineAttempts} from './online-attempts.js';
+import {ResultWriter} from './result-writer.js';
+import {ServiceBackend} from './service-backend.js';
+import type {AgentSettings} from './settings.js';
+import {SoloGate} from './solo-gate.js';
+import {WorkRunner} from './work-runner.js';
+
+/** What the process around the agent provides. */
+export type AgentServices = {
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly log: EventLog;
+	readonly metrics: Metrics;
+};
+
+const servesPollMs = 500;
+const drainPollMs = 50;
+// Entries ask for the load several times a second; after this long all of them know that the agent is leaving.
+const drainNoticeMs = 1000;
+
+const backendMakers: {[Type in AgentSettings['backend']['type']]: (cfg: Extract<AgentSettings['backend'], {type: Type}>, http: HttpClient) => Backend} = {
+	engine: (cfg, http) => new EngineBackend(http, cfg.address),
+	service: (cfg, http) => new ServiceBackend(http, cfg.address, cfg.service),
+};
+
+/** One agent. */
+export class Agent implements Disposable {
+	readonly #cfg: AgentSettings;
+	readonly #services: AgentServices;
+	readonly #incarnation: Incarnation = branded(randomUUID());
+	readonly #http = new HttpClient();
+	readonly #backend: Backend;
+	readonly #admission: Admission;
+	readonly #runner: WorkRunner;
+	readonly #attempts: OnlineAttempts;
+	readonly #batch: BatchWorker;
+	readonly #server: HttpServer;
+	#serves: readonly string[] = [];
+	#draining = false;
+	#disposed = false;
+
+	constructor(cfg: AgentSettings, services: AgentServices) {
+		const {clock, log, metrics} = services;
+		this.#cfg = cfg;
+		this.#services = services;
+		this.#backend = (backendMakers[cfg.backend.type] as (backend: AgentSettings['backend'], http: HttpClient) => Backend)(cfg.backend, this.#http);
+		this.#admission = new Admission(clock, {...cfg.backend, maxQueued: cfg.limits.maxQueued});
+		this.#runner = new WorkRunner(this.#admission, log, metrics);
+		this.#attempts = new OnlineAttempts({
+			clock,
+			log,
+			ledger: new RequestLedger(clock, cfg.limits, this.#incarnation),
+			runner: this.#runner,
+			backend: this.#backend,
+			load: () => this.load(),
+			orphanMs: cfg.limits.orphanMs,
+			maxBodyBytes: cfg.limits.maxBodyBytes,
+		});
+		this.#batch = this.#makeBatchWorker();
+		this.#server = new HttpServer([...this.#attempts.routes, rpcRoute(this.#methods())], {
+			notFound(_req, res) {
+				res.writeHead(404).end();
+			},
+			wrongMethod(_req, res) {
+				res.writeHead(405).end();
+			},
+			broken(err) {
+				log.emit(agentEvents.handlerBroken, {reason: String(err)});
+			},
+		});
+	}
+
+	/** `ip:port` that it listens on. */
+	get address(): string {
+		return `${this.#cfg.listen.host}:${this.#server.port}`;
+	}
+
+	/** Starts to listen. */
+	async start(): Promise<Either<ListenFailure, number>> {
+		const listening = await this.#server.listen(this.#cfg.listen.host, this.#cfg.listen.port);
+		if (listening.isRight()) {
+			await this.#readServes();
+			void this.#pollServes();
+			this.#services.log.emit(agentEvents.listening, {address: this.address, vm: this.#cfg.vm, incarnation: this.#incarnation});
+		}
+
+		return listening;
+	}
+
+	/** The agent's state, as entries see it. */
+	load(): LoadReport {
+		return {
+			vm: branded(this.#cfg.vm),
+			incarnation: this.#incarnation,
+			draining: this.#draining,
+			serves: this.#serves,
+			running: this.#admission.onlineRunning,
+			queued: this.#admission.onlineQueued,
+			pendingTokens: this.#admission.pendingTokens,
+			batchRunning: this.#admission.batchRunning,
+			batchRoom: this.#batch.room,
+			maxRunning: this.#cfg.backend.maxRunning,
+			configRevision: branded<Revision>(0),
+		};
+	}
+
+	/** Takes no new work, lets what it has finish, and stops listening. */
+	async drain(): Promise<void> {
+		const {clock, log} = this.#services;
+		const until = clock.now() + this.#cfg.drainMs;
+		const noticeUntil = clock.now() + drainNoticeMs;
+		log.emit(agentEvents.drainBegun, {open: this.#attempts.open});
+		this.#draining = true;
+		this.#batch.drain();
+		while (clock.now() < until && (clock.now() < noticeUntil || this.#attempts.open > 0 || this.#batch.isCommitting)) {
+			await clock.sleep(drainPollMs);
+		}
+
+		log.emit(agentEvents.drainEnded, {open: this.#attempts.open});
+		await this.#server.close();
+	}
+
+	dispose(): void {
+		this.#disposed = true;
+		this.#batch.dispose();
+		this.#attempts.dispose();
+		this.#runner.dispose();
+		this.#server.dispose();
+		this.#http.dispose();
+	}
+
+	#methods(): RpcMethods {
+		return {
+			'agent.load': () => this.load(),
+			'ledger.revoke': (params: {key: AttemptKey; deadlineInMs: number}) => this.#attempts.revoke(params.key, params.deadlineInMs),
+			'attempt.cancel': (params: {key: AttemptKey}) => {
+				this.#attempts.cancel(params.key);
+				return true;
+			},
+			'batch.grant': (params: GrantRequest) => this.#batch.grant(params),
+			'batch.renew': (params: RenewRequest) => this.#batch.renew(params),
+		};
+	}
+
+	#makeBatchWorker(): BatchWorker {
+		const {clock, random} = this.#services;
+		const {platform, backend, limits} = this.#cfg;
+		const api: ObjectApi = new HttpObjectApi(this.#http, {address: platform.objectApi, timeoutMs: platform.timeoutMs});
+		const around = {
+			api, clock, gate: new SoloGate(), runner: this.#runner, backend: this.#backend, window: limits.batchWindow ?? 2 * backend.maxRunning,
+		};
+		const makeWriter = (isGranted: () => boolean) => new ResultWriter(`${this.#cfg.vm}-${randomUUID()}`, {
+			api, clock, random, isGranted,
+		});
+		return new BatchWorker(around, makeWriter, backend.type === 'engine' ? limits.batchChunks : 0);
+	}
+
+	async #readServes() {
+		this.#serves = await this.#backend.serves();
+	}
+
+	async #pollServes() {
+		while (!this.#disposed) {
+			await this.#services.clock.sleep(servesPollMs);
+			await this.#readServes();
+		}
+	}
+}
--- /dev/null
+++ b/src/agent/backend.ts
@@ -0,0 +1,32 @@
+/**
+What an agent can have beside it: one interface for model engines and plain services.
+*/
+import type {Either} from 'purify-ts/Either';
+import type {BackendWork} from '../common/protocol.js';
+
+/** Work for the backend server. */
+export type BackendRequest = {
+	/** The id under which the backend server knows the work. */
+	readonly key: string;
+	readonly work: BackendWork;
+	readonly signal: AbortSignal;
+	/** Receives each chunk of the answer, without a line break. */
+	readonly onChunk: (data: string) => void;
+};
+
+/**
+Why there is no whole answer. `rejected`: the backend server's own final error. `unreachable`: not a byte of the request was sent, so it was not run. `lost`: it may have been run. `cancelled`: the signal aborted.
+*/
+export type BackendFailure
+	= | {readonly kind: 'rejected'; readonly status: number; readonly body: string}
+		| {readonly kind: 'unreachable'; readonly reason: string}
+		| {readonly kind: 'lost'; readonly reason: string}
+		| {readonly kind: 'cancelled'};
+
+/** A backend server. */
+export type Backend = {
+	/** Resolves when the answer is whole, or with why it is not. Never rejects. */
+	run(req: BackendRequest): Promise<Either<BackendFailure, void>>;
+	/** What it can serve now, as `model:<name>` or `service:<name>`; empty when it does not answer. */
+	serves(): Promise<readonly string[]>;
+};
--- /dev/null
+++ b/src/agent/online-attempts.ts
@@ -0,0 +1,275 @@
+/**
+Online attempts at this agent: each is admitted, run once, and its answer kept in the ledger, from which any connection can read it.
+*/
+import type {Buffer} from 'node:buffer';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {branded} from '../common/ids.js';
+import type {Ticket} from '../common/admission.js';
+import type {
+	AttemptEnd, AttemptFailure, AttemptKey, AttemptRefusal, AttemptRequest, LedgerAnswer, LoadReport, RefusalReason,
+} from '../common/protocol.js';
+import type {LedgerReader, RequestLedger} from '../common/request-ledger.js';
+import type {Clock, Disposable, EventLog} from '../common/services.js';
+import {readBody} from '../platform/read-body.js';
+import type {Route} from '../platform/http-server.js';
+import {SseWriter} from '../platform/sse-writer.js';
+import type {Backend, BackendFailure} from './backend.js';
+import {agentEvents} from './log-events.js';
+import type {Work, WorkRunner} from './work-runner.js';
+
+/** What the attempts need of the agent. */
+export type AttemptSurroundings = {
+	readonly clock: Clock;
+	readonly log: EventLog;
+	readonly ledger: RequestLedger;
+	readonly runner: WorkRunner;
+	readonly backend: Backend;
+	/** The agent's state now. */
+	readonly load: () => LoadReport;
+	/** Milliseconds that an answer goes on after its reader's connection was lost. */
+	readonly orphanMs: number;
+	readonly maxBodyBytes: number;
+};
+
+const sweepMs = 1000;
+
+const tableKey = (key: AttemptKey) => `${key.id}/${key.attempt}`;
+
+/** Takes attempts, gives out their answers, revokes and cancels them. */
+export class OnlineAttempts implements Disposable {
+	readonly #around: AttemptSurroundings;
+	readonly #open = new Map<string, AttemptKey>();
+	readonly #timer: NodeJS.Timeout;
+
+	constructor(around: AttemptSurroundings) {
+		this.#around = around;
+		this.#timer = setInterval(() => {
+			around.ledger.sweep();
+		}, sweepMs);
+	}
+
+	/** Attempts whose answer is not whole yet. */
+	get open(): number {
+		return this.#open.size;
+	}
+
+	/** Rows for the agent's table of routes. */
+	get routes(): Route[] {
+		return [
+			{
+				method: 'POST',
+				pattern: /^\/v1\/attempts$/v,
+				handle: async (req, res) => this.#accept(req, res),
+			},
+			{
+				method: 'GET',
+				pattern: /^\/v1\/attempts\/(?<id>[^\/]+)\/(?<attempt>\d+)$/v,
+				handle: (req, res, {url, params}) => {
+					const key: AttemptKey = {id: branded(params.id ?? ''), attempt: Number(params.attempt)};
+					this.#resume(key, Number(url.searchParams.get('from') ?? 0), res);
+				},
+			},
+		];
+	}
+
+	/** See {@link RequestLedger.revoke}. Work that waits is taken out of the queue first. */
+	revoke(key: AttemptKey, deadlineInMs: number): LedgerAnswer {
+		this.#around.runner.withdraw(tableKey(key));
+		const answer = this.#around.ledger.revoke(key, deadlineInMs);
+		if (answer.state === 'revoked') {
+			this.#open.delete(tableKey(key));
+			this.#around.log.emit(agentEvents.revoked, {...key});
+		}
+
+		return answer;
+	}
+
+	/** Cancels an attempt whose caller has gone. */
+	cancel(key: AttemptKey): void {
+		if (this.#around.runner.withdraw(tableKey(key))) {
+			this.#refuse(key, 'cancelled', 0);
+			return;
+		}
+
+		this.#around.runner.cancel(tableKey(key));
+	}
+
+	dispose(): void {
+		clearInterval(this.#timer);
+	}
+
+	async #accept(req: IncomingMessage, res: ServerResponse) {
+		const body = await readBody(req, this.#around.maxBodyBytes);
+		if (body.isLeft()) {
+			res.writeHead(413, {connection: 'close'}).end();
+			return;
+		}
+
+		this.#begin(JSON.parse((body.extract() as Buffer).toString('utf8')) as AttemptRequest, res);
+	}
+
+	#begin(attempt: AttemptRequest, res: ServerResponse) {
+		const load = this.#around.load();
+		if (attempt.incarnation !== load.incarnation) {
+			// The entry addressed the process before this one; whatever that one did is unknown here, but this copy is not run.
+			this.#refuseUnrecorded(res, 'otherIncarnation');
+			return;
+		}
+
+		const begun = this.#around.ledger.begin(attempt, attempt.deadlineInMs);
+		if (begun === 'revoked') {
+			this.#refuseUnrecorded(res, 'revoked');
+			return;
+		}
+
+		this.#attach(attempt, 0, res);
+		if (begun === 'new') {
+			this.#submit(attempt, load);
+		}
+	}
+
+	#submit(attempt: AttemptRequest, load: LoadReport) {
+		this.#open.set(tableKey(attempt), attempt);
+		if (load.draining) {
+			this.#refuse(attempt, 'draining', 0);
+			return;
+		}
+
+		if (!load.serves.includes(`${attempt.work.kind === 'call' ? 'service' : 'model'}:${attempt.work.target}`)) {
+			this.#refuse(attempt, 'notServed', 0);
+			return;
+		}
+
+		this.#around.runner.submit(this.#workOf(attempt));
+	}
+
+	#workOf(attempt: AttemptRequest): Work {
+		const ticket: Ticket = {
+			key: tableKey(attempt),
+			workClass: 'online',
+			account: attempt.account,
+			share: attempt.share,
+			costTokens: attempt.costTokens,
+			deadlineAt: this.#around.clock.now() + attempt.deadlineInMs,
+		};
+		return {
+			ticket,
+			run: async signal => this.#run(attempt, signal),
+			refuse: (reason, retryAfterMs) => {
+				this.#refuse(attempt, reason, retryAfterMs);
+			},
+		};
+	}
+
+	async #run(attempt: AttemptRequest, signal: AbortSignal): Promise<'done'> {
+		const {ledger, backend} = this.#around;
+		let chunks = 0;
+		ledger.start(attempt);
+		const outcome = await backend.run({
+			key: tableKey(attempt),
+			work: attempt.work,
+			signal,
+			onChunk(data) {
+				chunks += 1;
+				ledger.append(attempt, data);
+			},
+		});
+		this.#open.delete(tableKey(attempt));
+		outcome
+			.ifRight(() => {
+				const end: AttemptEnd = {chunks, load: this.#around.load(), cachedBlocks: []};
+				ledger.end(attempt, {event: 'end', data: JSON.stringify(end)});
+			})
+			.ifLeft(failure => {
+				this.#fail(attempt, failure);
+			});
+		return 'done';
+	}
+
+	#fail(attempt: AttemptRequest, failure: BackendFailure) {
+		const handlers: {[Kind in BackendFailure['kind']]: (failure: Extract<BackendFailure, {kind: Kind}>) => void} = {
+			rejected: ({status, body}) => {
+				this.#endFailed(attempt, {
+					kind: 'rejected', reason: `backend server answered ${status}`, status, body,
+				});
+			},
+			unreachable: () => {
+				this.#refuse(attempt, 'backendUnreachable', 0);
+			},
+			lost: ({reason}) => {
+				this.#around.log.emit(agentEvents.backendLost, {id: attempt.id, attempt: attempt.attempt, reason});
+				this.#endFailed(attempt, {kind: 'backendLost', reason});
+			},
+			cancelled: () => {
+				this.#endFailed(attempt, {kind: 'backendLost', reason: 'cancelled'});
+			},
+		};
+		(handlers[failure.kind] as (failure: BackendFailure) => void)(failure);
+	}
+
+	#endFailed(key: AttemptKey, failure: AttemptFailure) {
+		this.#around.ledger.end(key, {event: 'failed', data: JSON.stringify(failure)});
+	}
+
+	#refuse(key: AttemptKey, reason: RefusalReason, retryAfterMs: number) {
+		this.#open.delete(tableKey(key));
+		const refusal: AttemptRefusal = {reason, retryAfterMs, load: this.#around.load()};
+		this.#around.ledger.end(key, {event: 'refused', data: JSON.stringify(refusal)});
+	}
+
+	#refuseUnrecorded(res: ServerResponse, reason: RefusalReason) {
+		const refusal: AttemptRefusal = {reason, retryAfterMs: 0, load: this.#around.load()};
+		const writer = new SseWriter(res);
+		writer.send('refused', JSON.stringify(refusal));
+		writer.end();
+	}
+
+	#resume(key: AttemptKey, from: number, res: ServerResponse) {
+		if (!this.#attach(key, from, res)) {
+			res.writeHead(404).end();
+		}
+	}
+
+	#attach(key: AttemptKey, from: number, res: ServerResponse): boolean {
+		const {ledger} = this.#around;
+		let writer: SseWriter | undefined;
+		const open = () => {
+			writer ??= new SseWriter(res);
+			return writer;
+		};
+
+		const reader: LedgerReader = {
+			chunk(index, data) {
+				open().send('chunk', data, index);
+			},
+			end(end) {
+				open().send(end.event, end.data);
+				open().end();
+			},
+		};
+		if (!ledger.read(key, from, reader)) {
+			return false;
+		}
+
+		open();
+		res.once('close', () => {
+			writer?.dispose();
+			if (ledger.leave(key, reader)) {
+				this.#watchOrphan(key);
+			}
+		});
+		return true;
+	}
+
+	// The entry may be about to ask again on another connection; if nobody does, the entry is gone and the engine's time is better spent elsewhere. A call of a plain service is let finish: cancelling it would leave its effect unknown.
+	#watchOrphan(key: AttemptKey) {
+		setTimeout(() => {
+			const isOrphan = this.#open.has(tableKey(key)) && !this.#around.ledger.isRead(key);
+			const work = (this.#open.get(tableKey(key)) as AttemptRequest | undefined)?.work;
+			if (isOrphan && work?.kind === 'generate') {
+				this.#around.log.emit(agentEvents.orphaned, {...key});
+				this.cancel(key);
+			}
+		}, this.#around.orphanMs).unref();
+	}
+}
--- a/src/common/admission.ts
+++ b/src/common/admission.ts
@@ -42,6 +42,7 @@
 	readonly #running = new Map<string, Ticket>();
 	readonly #preempting = new Set<string>();
 	#batchLimit: number;
+	#queuedTokens = 0;
 
 	constructor(clock: Clock, limits: AdmissionLimits) {
 		this.#clock = clock;
@@ -71,17 +72,15 @@
 		return [...this.#running.values()].filter(ticket => ticket.workClass === 'online').reduce((sum, ticket) => sum + ticket.costTokens, 0) + this.#queuedTokens;
 	}
 
-	#queuedTokens = 0;
-
 	/** Batch items that may run at once now, from 0 to the backend server's maximum. */
-	set batchLimit(limit: number) {
-		this.#batchLimit = Math.max(0, Math.min(limit, this.#limits.maxRunning));
-	}
-
 	get batchLimit(): number {
 		return this.#batchLimit;
 	}
 
+	set batchLimit(limit: number) {
+		this.#batchLimit = Math.max(0, Math.min(limit, this.#limits.maxRunning));
+	}
+
 	/**
 	Offers work. Call `steps` afterwards.
 
--- /dev/null
+++ b/src/common/answer-assembler.ts
@@ -0,0 +1,165 @@
+/**
+Puts the chunks of a streamed answer together: the whole object for a caller who did not ask for a stream, and the resume point for an engine that goes on where another stopped.
+*/
+import type {JsonObject, ResumePoint} from './protocol.js';
+
+type Delta = {role?: string; content?: string | null; refusal?: string | null; tool_calls?: ToolCallDelta[]};
+type ToolCallDelta = {index: number; id?: string; type?: string; function?: {name?: string; arguments?: string}};
+type ChunkChoice = {
+	index: number;
+	delta?: Delta;
+	text?: string;
+	finish_reason?: string | null;
+	logprobs?: {content?: unknown[]} | null;
+};
+
+/** A chunk as engines send it, the parts that are read here. */
+export type AnswerChunk = {
+	id?: string;
+	object?: string;
+	created?: number;
+	model?: string;
+	choices?: ChunkChoice[];
+	usage?: JsonObject | null;
+	system_fingerprint?: string;
+};
+
+type ToolCall = {id?: string; type: string; function: {name: string; arguments: string}};
+
+class ChoiceParts {
+	role = 'assistant';
+	text = '';
+	refusal: string | undefined;
+	finishReason: string | null = null;
+	readonly toolCalls: ToolCall[] = [];
+	readonly logprobs: unknown[] = [];
+	hasLogprobs = false;
+
+	add(choice: ChunkChoice) {
+		this.role = choice.delta?.role ?? this.role;
+		this.text += choice.delta?.content ?? choice.text ?? '';
+		this.finishReason = choice.finish_reason ?? this.finishReason;
+		this.refusal = choice.delta?.refusal ? (this.refusal ?? '') + choice.delta.refusal : this.refusal;
+		this.#addLogprobs(choice);
+		choice.delta?.tool_calls?.forEach(delta => {
+			this.#addToolCall(delta);
+		});
+	}
+
+	#addLogprobs(choice: ChunkChoice) {
+		if (choice.logprobs?.content) {
+			this.hasLogprobs = true;
+			this.logprobs.push(...choice.logprobs.content);
+		}
+	}
+
+	#addToolCall(delta: ToolCallDelta) {
+		const call = this.toolCalls[delta.index] ?? {id: delta.id, type: delta.type ?? 'function', function: {name: '', arguments: ''}};
+		this.toolCalls[delta.index] = call;
+		call.id ??= delta.id;
+		call.function.name += delta.function?.name ?? '';
+		call.function.arguments += delta.function?.arguments ?? '';
+	}
+}
+
+/** Collects one answer, over all attempts that contributed to it. */
+export class AnswerAssembler {
+	readonly #choices = new Map<number, ChoiceParts>();
+	#frame: AnswerChunk = {};
+	#usage: JsonObject | undefined;
+	#tokens = 0;
+
+	/** True once the engine gave a reason to finish for every choice seen. */
+	get isFinished(): boolean {
+		return this.#choices.size > 0 && [...this.#choices.values()].every(choice => choice.finishReason !== null);
+	}
+
+	/** The usage that the engine reported last, if it did. */
+	get usage(): JsonObject | undefined {
+		return this.#usage;
+	}
+
+	/** Chunks with text so far; engines send a chunk a token. */
+	get tokens(): number {
+		return this.#tokens;
+	}
+
+	/** True when nothing was generated yet. */
+	get isEmpty(): boolean {
+		return this.#tokens === 0;
+	}
+
+	/** Where another engine can go on; undefined when the answer holds more than the text of one choice. */
+	get resumePoint(): ResumePoint | undefined {
+		const first = this.#choices.get(0);
+		const isPlain = this.#choices.size <= 1 && (first?.toolCalls.length ?? 0) === 0 && !first?.hasLogprobs;
+		return isPlain ? {text: first?.text ?? '', tokens: this.#tokens} : undefined;
+	}
+
+	/** Adds one chunk. */
+	add(chunk: AnswerChunk): void {
+		if (this.#frame.id === undefined) {
+			this.#frame = chunk;
+		}
+
+		this.#usage = chunk.usage ?? this.#usage;
+		chunk.choices?.forEach(choice => {
+			this.#addChoice(choice);
+		});
+	}
+
+	/** Forgets what was collected, for an answer that starts again. */
+	clear(): void {
+		this.#choices.clear();
+		this.#frame = {};
+		this.#usage = undefined;
+		this.#tokens = 0;
+	}
+
+	/**
+	The whole answer as the engine would have given it without a stream.
+
+	@param id - The id the caller sees.
+	*/
+	result(id: string): JsonObject {
+		const isChat = (this.#frame.object ?? 'chat.completion.chunk').startsWith('chat');
+		return {
+			id,
+			object: isChat ? 'chat.completion' : 'text_completion',
+			created: this.#frame.created,
+			model: this.#frame.model,
+			choices: [...this.#choices].toSorted(([a], [b]) => a - b).map(([index, parts]) => isChat ? this.#chatChoice(index, parts) : this.#textChoice(index, parts)),
+			usage: this.#usage,
+		};
+	}
+
+	#addChoice(choice: ChunkChoice) {
+		const parts = this.#choices.get(choice.index) ?? new ChoiceParts();
+		this.#choices.set(choice.index, parts);
+		parts.add(choice);
+		const text = choice.delta?.content ?? choice.text ?? '';
+		if (text !== '' || choice.delta?.tool_calls) {
+			this.#tokens += 1;
+		}
+	}
+
+	#chatChoice(index: number, parts: ChoiceParts): JsonObject {
+		return {
+			index,
+			message: {
+				role: parts.role,
+				content: parts.text === '' && parts.toolCalls.length > 0 ? null : parts.text,
+				refusal: parts.refusal ?? null,
+				...(parts.toolCalls.length > 0 && {tool_calls: parts.toolCalls}),
+			},
+			logprobs: parts.hasLogprobs ? {content: parts.logprobs} : null,
+			finish_reason: parts.finishReason,
+		};
+	}
+
+	#textChoice(index: number, parts: ChoiceParts): JsonObject {
+		return {
+			index, text: parts.text, logprobs: null, finish_reason: parts.finishReason,
+		};
+	}
+}
--- /dev/null
+++ b/src/common/batch-types.ts
@@ -0,0 +1,89 @@
+/**
+Shapes of a batch job's objects. A file's items are packed into input chunks; each chunk's result is one object that is created once and never changed.
+*/
+import type {
+	AccountName, Fence, FileId, JobId,
+} from './ids.js';
+import type {JsonObject} from './protocol.js';
+
+/** One item of a batch, a line of the uploaded file. */
+export type BatchItem = {
+	/** The client's name for the item; unique in its file. */
+	readonly custom_id: string;
+	readonly method: string;
+	readonly url: string;
+	readonly body: JsonObject;
+};
+
+/** An input chunk: kind `InputChunk`, named by its content, so that an upload that is repeated writes nothing anew. */
+export type InputChunk = {readonly items: readonly BatchItem[]};
+
+/** An uploaded file: kind `File`, named by account and content. */
+export type FileRecord = {
+	readonly id: FileId;
+	readonly account: AccountName;
+	readonly filename: string;
+	readonly purpose: string;
+	readonly bytes: number;
+	/** Seconds since 1970. */
+	readonly createdAt: number;
+	/** The model that every item names. */
+	readonly model: string;
+	readonly endpoint: string;
+	readonly items: number;
+	/** Input chunks in order. */
+	readonly chunks: ReadonlyArray<{readonly name: string; readonly items: number}>;
+};
+
+/** What became of one item. Either `response` or `error` is set. */
+export type ItemResult = {
+	readonly id: string;
+	readonly custom_id: string;
+	readonly response: {readonly status_code: number; readonly request_id: string; readonly body: unknown} | null;
+	readonly error: {readonly code: string; readonly message: string} | null;
+};
+
+/** The result of a chunk: kind `Result`, named `<job>/<chunk>`. Its creation is the commit. */
+export type ChunkResult = {
+	/** Who wrote it: VM, incarnation and run, so that a writer whose answer was lost recognises its own. */
+	readonly writer: string;
+	readonly fence: Fence;
+	readonly completed: number;
+	readonly failed: number;
+	/** The items, in order; empty when they are in `parts`. */
+	readonly items: readonly ItemResult[];
+	/** Names of `ResultPart` objects, for results too large for one value. */
+	readonly parts: readonly string[];
+};
+
+/** A piece of a large result: kind `ResultPart`. */
+export type ResultPart = {readonly items: readonly ItemResult[]};
+
+/** States of a job as clients see them. */
+export type JobState = 'validating' | 'in_progress' | 'finalizing' | 'completed' | 'cancelling' | 'cancelled' | 'expired' | 'failed';
+
+/** Progress of a job: kind `JobStatus`, named by the job's id. */
+export type JobStatus = {
+	readonly jobId: JobId;
+	readonly state: JobState;
+	readonly total: number;
+	readonly completed: number;
+	readonly failed: number;
+	/** Chunks whose results belong to the job, once it has ended: a result committed later is not part of it. */
+	readonly sealedChunks?: readonly number[];
+	/** Seconds since 1970. */
+	readonly startedAt?: number;
+	readonly endedAt?: number;
+	/** Estimated end, seconds since 1970. */
+	readonly estimatedEndAt?: number;
+	/** Fencing number of the coordinator that wrote this. */
+	readonly fence: Fence;
+};
+
+const chunkDigits = 6;
+
+/** The name of a chunk's result. */
+export const resultName = (jobId: JobId, chunk: number) => `${jobId}/${String(chunk).padStart(chunkDigits, '0')}`;
+
+/** The chunk number in a result's name. */
+export const chunkOfResultName = (name: string) => Number(name.slice(-chunkDigits));
--- a/src/common/protocol.ts
+++ b/src/common/protocol.ts
@@ -25,6 +25,39 @@
 	readonly tokens: number;
 };
 
+/** A generation by a model engine. Its answer's chunks are the engine's own. */
+export type GenerateWork = {
+	readonly kind: 'generate';
+	/** The model's name as in {@link LoadReport.serves}, without its prefix. */
+	readonly target: string;
+	/** The engine's path, for instance `/v1/chat/completions`. */
+	readonly path: string;
+	/** The engine's request, without the fields that concern the stream. */
+	readonly body: JsonObject;
+	readonly resume?: ResumePoint;
+};
+
+/** A call of a plain service. Its answer's first chunk is a {@link CallHead}, the others are pieces of the body in base64. */
+export type CallWork = {
+	readonly kind: 'call';
+	/** The service's name. */
+	readonly target: string;
+	readonly method: string;
+	/** Path and query below the service. */
+	readonly path: string;
+	readonly headers: Readonly<Record<string, string | string[]>>;
+	readonly bodyBase64: string;
+};
+
+/** What an agent does for an attempt. */
+export type BackendWork = GenerateWork | CallWork;
+
+/** The head of a plain service's response. */
+export type CallHead = {
+	readonly status: number;
+	readonly headers: Readonly<Record<string, string | string[]>>;
+};
+
 /** Which attempt of which request: the key of the agent's ledger. */
 export type AttemptKey = {
 	readonly id: RequestId;
@@ -39,15 +72,11 @@
 	readonly account: AccountName;
 	/** The account's weight among accounts. */
 	readonly share: number;
-	/** The engine's path, for instance `/v1/chat/completions`. */
-	readonly path: string;
-	/** The engine's request, without the fields that concern the stream. */
-	readonly body: JsonObject;
+	readonly work: BackendWork;
 	/** Milliseconds from now until the answer is of no use. */
 	readonly deadlineInMs: number;
 	/** Estimated tokens of the prompt that are not cached, and of the answer. */
 	readonly costTokens: number;
-	readonly resume?: ResumePoint;
 };
 
 /** Names of the events in an attempt's stream. */
@@ -73,7 +102,7 @@
 };
 
 /** Why an agent refuses work. */
-export type RefusalReason = 'draining' | 'queueFull' | 'deadline' | 'revoked' | 'otherIncarnation' | 'notServed' | 'cancelled';
+export type RefusalReason = 'draining' | 'queueFull' | 'deadline' | 'revoked' | 'otherIncarnation' | 'notServed' | 'cancelled' | 'backendUnreachable';
 
 /** The attempt was run and has no whole answer. */
 export type AttemptFailure = {
@@ -103,7 +132,7 @@
 	readonly batchRoom: number;
 	/** Requests that the backend server runs at once. */
 	readonly maxRunning: number;
-	/** Blocks that the engine dropped since the last report to this entry. */
+	/** The newest configuration in force at the agent. */
 	readonly configRevision: Revision;
 };
 
--- /dev/null
+++ b/src/platform/sse-writer.ts
@@ -0,0 +1,49 @@
+/**
+Writes an event stream (`text/event-stream`) with heartbeats, so that its reader can tell a pause from a silent connection.
+*/
+import type {ServerResponse} from 'node:http';
+import type {Disposable} from '../common/services.js';
+
+/** Milliseconds between heartbeats on a stream on which nothing else is sent. */
+export const heartbeatMs = 250;
+
+/** One event stream on one response. */
+export class SseWriter implements Disposable {
+	readonly #res: ServerResponse;
+	readonly #timer: NodeJS.Timeout;
+	#sentSinceTick = true;
+
+	constructor(res: ServerResponse) {
+		this.#res = res;
+		res.writeHead(200, {'content-type': 'text/event-stream', 'cache-control': 'no-cache'});
+		res.flushHeaders();
+		this.#timer = setInterval(() => {
+			this.#beat();
+		}, heartbeatMs);
+	}
+
+	/** Sends one event. `data` must hold no line break. */
+	send(event: string, data: string, id?: number): void {
+		this.#sentSinceTick = true;
+		const idLine = id === undefined ? '' : `id: ${id}\n`;
+		this.#res.write(`event: ${event}\n${idLine}data: ${data}\n\n`);
+	}
+
+	/** Ends the stream. */
+	end(): void {
+		this.dispose();
+		this.#res.end();
+	}
+
+	dispose(): void {
+		clearInterval(this.#timer);
+	}
+
+	#beat() {
+		if (!this.#sentSinceTick) {
+			this.#res.write(':\n\n');
+		}
+
+		this.#sentSinceTick = false;
+	}
+}
