--- /dev/null
+++ b/src/common/replica-table.ts
@@ -0,0 +1,141 @@
+/**
+What this entry knows of the replicas: from the VM list, from their own reports, and from its own requests under way. All of it is late; each view carries the time it was heard.
+*/
+import type {FailureDomain, VmName} from './ids.js';
+import type {LoadReport} from './protocol.js';
+import type {Clock} from './services.js';
+import type {VmEntry} from './types.js';
+
+/** One replica as this entry sees it. */
+export type ReplicaView = {
+	readonly vm: VmName;
+	readonly address: string;
+	readonly failureDomain: FailureDomain;
+	/** Leaving by the VM list. */
+	readonly leaving: boolean;
+	readonly load: LoadReport | undefined;
+	/** The clock's `now` when the replica was last heard; negative infinity before the first time. */
+	readonly heardAt: number;
+	/** Requests of this entry that the replica has not answered yet. */
+	readonly ownInFlight: number;
+	/** Tokens of those that were sent after the last report, which the report can not count. */
+	readonly ownTokensSince: number;
+	/** Failures in a row. */
+	readonly failures: number;
+};
+
+type Row = {-readonly [Key in keyof ReplicaView]: ReplicaView[Key]} & {missed: number};
+
+// The list lags and may miss a VM for a read; one that still answers is dropped only after this many lists without it.
+const missesBeforeDrop = 2;
+
+/** The replicas, by VM. */
+export class ReplicaTable {
+	readonly #rows = new Map<VmName, Row>();
+	readonly #clock: Clock;
+	readonly #silentMs: number;
+
+	/** @param silentMs - Milliseconds without a report after which a replica gets no new work. */
+	constructor(clock: Clock, silentMs: number) {
+		this.#clock = clock;
+		this.#silentMs = silentMs;
+	}
+
+	/** All replicas. */
+	get all(): readonly ReplicaView[] {
+		return [...this.#rows.values()];
+	}
+
+	get(vm: VmName): ReplicaView | undefined {
+		return this.#rows.get(vm);
+	}
+
+	/** Takes over the VM list's backend server VMs. */
+	applyVmList(vms: readonly VmEntry[]): void {
+		const listed = new Map(vms.filter(vm => vm.role === 'backend').map(vm => [vm.name, vm]));
+		listed.forEach(vm => {
+			this.#applyVm(vm);
+		});
+		[...this.#rows.values()].filter(row => !listed.has(row.vm)).forEach(row => {
+			row.missed += 1;
+			// No more work from the first list on that lacks it.
+			row.leaving = true;
+			if (row.missed >= missesBeforeDrop && row.ownInFlight === 0) {
+				this.#rows.delete(row.vm);
+			}
+		});
+	}
+
+	/** Takes over a report that came by any way. */
+	heard(vm: VmName, load: LoadReport): void {
+		const row = this.#rows.get(vm);
+		if (row) {
+			row.load = load;
+			row.heardAt = this.#clock.now();
+			row.ownTokensSince = 0;
+			row.failures = 0;
+		}
+	}
+
+	/** Counts a failed exchange. */
+	failed(vm: VmName): void {
+		const row = this.#rows.get(vm);
+		if (row) {
+			row.failures += 1;
+		}
+	}
+
+	/** Counts a request of ours that goes to the replica. */
+	began(vm: VmName, tokens: number): void {
+		const row = this.#rows.get(vm);
+		if (row) {
+			row.ownInFlight += 1;
+			row.ownTokensSince += tokens;
+		}
+	}
+
+	/** Counts the end of a request of ours. */
+	ended(vm: VmName): void {
+		const row = this.#rows.get(vm);
+		if (row) {
+			row.ownInFlight -= 1;
+		}
+	}
+
+	/** The replicas that may get new work for `target`, for instance `model:tyre-scribe`. */
+	routable(target: string): ReplicaView[] {
+		const now = this.#clock.now();
+		return [...this.#rows.values()].filter(row => !row.leaving
+			&& row.load !== undefined
+			&& !row.load.draining
+			&& row.load.serves.includes(target)
+			&& now - row.heardAt <= this.#silentMs);
+	}
+
+	/** True when some replica serves the target, be it reachable now or not. */
+	isServed(target: string): boolean {
+		return [...this.#rows.values()].some(row => row.load?.serves.includes(target));
+	}
+
+	#applyVm(vm: VmEntry) {
+		const known = this.#rows.get(vm.name);
+		const isSame = known?.address === vm.address;
+		const row: Row = known && isSame
+			? known
+			: {
+				vm: vm.name,
+				address: vm.address,
+				failureDomain: vm.failureDomain,
+				leaving: false,
+				load: undefined,
+				heardAt: Number.NEGATIVE_INFINITY,
+				ownInFlight: 0,
+				ownTokensSince: 0,
+				failures: 0,
+				missed: 0,
+			};
+		row.missed = 0;
+		row.leaving = vm.state === 'leaving';
+		this.#rows.set(vm.name, row);
+	}
+}
--- /dev/null
+++ b/src/entry/answer-sink.ts
@@ -0,0 +1,114 @@
+/**
+Where the chunks of an answer go, and how an answer that stopped is continued at another replica.
+*/
+import {Buffer} from 'node:buffer';
+import {AnswerAssembler, type AnswerChunk} from '../common/answer-assembler.js';
+import type {BackendWork, CallHead, JsonObject} from '../common/protocol.js';
+
+/** Receives an answer. */
+export type AnswerSink = {
+	/** True once the caller has been sent a part of the answer. */
+	readonly hasBegun: boolean;
+	/** Whether another replica can complete the answer. */
+	readonly canContinue: boolean;
+	/** The work as another replica must get it to complete the answer; forgets what can not be continued. */
+	continued(work: BackendWork): BackendWork;
+	/** Takes one chunk, in order, each once. */
+	chunk(data: string): void;
+};
+
+const isOnlyRole = (chunk: AnswerChunk) => !chunk.usage && (chunk.choices ?? []).every(choice => (choice.delta?.content ?? choice.text ?? '') === '' && !choice.finish_reason && !choice.delta?.tool_calls);
+
+/** Collects a generation and hands each chunk on. */
+export class GenerationSink implements AnswerSink {
+	readonly #assembler = new AnswerAssembler();
+	readonly #onChunk: ((chunk: AnswerChunk) => void) | undefined;
+	#hasBegun = false;
+	#isContinued = false;
+
+	/** @param onChunk - Sends a chunk to the caller; left out when the caller wants the whole answer at once. */
+	constructor(onChunk?: (chunk: AnswerChunk) => void) {
+		this.#onChunk = onChunk;
+	}
+
+	get hasBegun(): boolean {
+		return this.#hasBegun;
+	}
+
+	get canContinue(): boolean {
+		return !this.#hasBegun || this.#assembler.resumePoint !== undefined;
+	}
+
+	/** Tokens received. */
+	get tokens(): number {
+		return this.#assembler.tokens;
+	}
+
+	continued(work: BackendWork): BackendWork {
+		const resume = this.#assembler.resumePoint;
+		if (work.kind !== 'generate' || !resume || resume.tokens === 0) {
+			this.#assembler.clear();
+			return work;
+		}
+
+		this.#isContinued = true;
+		return {...work, resume};
+	}
+
+	chunk(data: string): void {
+		const chunk = JSON.parse(data) as AnswerChunk;
+		// A replica that continues begins with the role again, which the caller has.
+		if (this.#isContinued && isOnlyRole(chunk)) {
+			return;
+		}
+
+		this.#assembler.add(chunk);
+		if (this.#onChunk) {
+			this.#hasBegun = true;
+			this.#onChunk(chunk);
+		}
+	}
+
+	/** The whole answer under the id the caller sees. */
+	result(id: string): JsonObject {
+		return this.#assembler.result(id);
+	}
+}
+
+/** Keeps a plain service's response until it is whole, so that a broken one is never passed on in part. */
+export class CallSink implements AnswerSink {
+	#head: CallHead | undefined;
+	#pieces: Buffer[] = [];
+
+	get hasBegun(): boolean {
+		return false;
+	}
+
+	get canContinue(): boolean {
+		return true;
+	}
+
+	/** The response's head, once it has come. */
+	get head(): CallHead | undefined {
+		return this.#head;
+	}
+
+	get body(): Buffer {
+		return Buffer.concat(this.#pieces);
+	}
+
+	continued(work: BackendWork): BackendWork {
+		this.#head = undefined;
+		this.#pieces = [];
+		return work;
+	}
+
+	chunk(data: string): void {
+		if (this.#head) {
+			this.#pieces.push(Buffer.from(data, 'base64'));
+			return;
+		}
+
+		this.#head = JSON.parse(data) as CallHead;
+	}
+}
--- /dev/null
+++ b/src/entry/attempt-client.ts
@@ -0,0 +1,145 @@
+/**
+The entry's side of attempts: starts one at an agent, takes up its stream on a new connection, revokes and cancels it.
+*/
+import type {Either} from 'purify-ts/Either';
+import type {EventSourceMessage} from 'eventsource-parser';
+import type {
+	AttemptEnd, AttemptEventName, AttemptFailure, AttemptKey, AttemptRefusal, AttemptRequest, LedgerAnswer,
+} from '../common/protocol.js';
+import type {HttpClient, HttpFailure, HttpResponse} from '../platform/http-client.js';
+import type {RpcClient, RpcFailure} from '../platform/rpc-client.js';
+import {followEvents} from '../platform/sse-reader.js';
+
+/** How following an attempt ended. Only the first three came from the agent. */
+export type AttemptOutcome
+	= | {readonly kind: 'end'; readonly end: AttemptEnd}
+		| {readonly kind: 'refused'; readonly refusal: AttemptRefusal}
+		| {readonly kind: 'failed'; readonly failure: AttemptFailure}
+	/** No connection was made: not a byte was sent. */
+		| {readonly kind: 'notSent'; readonly reason: string}
+	/** The connection ended or went silent: what became of the attempt is not known. */
+		| {readonly kind: 'lost'; readonly reason: string}
+	/** The agent has no stream to take up. */
+		| {readonly kind: 'noStream'}
+		| {readonly kind: 'aborted'};
+
+/** Receives the chunks of an attempt, in order from the index asked for. */
+export type ChunkHandler = (index: number, data: string) => void;
+
+/** How to reach an attempt. */
+export type AttemptPlace = {
+	/** The agent's `ip:port`. */
+	readonly address: string;
+	readonly signal: AbortSignal;
+	readonly onChunk: ChunkHandler;
+};
+
+const cancelTimeoutMs = 1000;
+
+/** Talks with agents about attempts. */
+export class AttemptClient {
+	readonly #http: HttpClient;
+	readonly #rpc: RpcClient;
+	readonly #silenceMs: number;
+
+	/** @param silenceMs - Milliseconds without a byte after which a connection is taken for lost; a few heartbeats. */
+	constructor(http: HttpClient, rpc: RpcClient, silenceMs: number) {
+		this.#http = http;
+		this.#rpc = rpc;
+		this.#silenceMs = silenceMs;
+	}
+
+	/** Starts an attempt and follows it to its end. */
+	async begin(attempt: AttemptRequest, place: AttemptPlace): Promise<AttemptOutcome> {
+		const sent = await this.#http.send({
+			address: place.address,
+			method: 'POST',
+			path: '/v1/attempts',
+			headers: {'content-type': 'application/json'},
+			body: JSON.stringify(attempt),
+			timeoutMs: this.#silenceMs,
+			signal: place.signal,
+		});
+		return this.#follow(sent, place);
+	}
+
+	/** Takes up an attempt's stream from a chunk on, over a connection of its own. */
+	async resume(key: AttemptKey, from: number, place: AttemptPlace): Promise<AttemptOutcome> {
+		const sent = await this.#http.send({
+			address: place.address,
+			method: 'GET',
+			path: `/v1/attempts/${key.id}/${key.attempt}?from=${from}`,
+			timeoutMs: this.#silenceMs,
+			signal: place.signal,
+			fresh: true,
+		});
+		return this.#follow(sent, place);
+	}
+
+	/** Asks the agent's ledger, over a connection of its own; see {@link RequestLedger.revoke}. */
+	async revoke(address: string, key: AttemptKey, deadlineInMs: number): Promise<Either<RpcFailure, LedgerAnswer>> {
+		return this.#rpc.call<LedgerAnswer>({address, timeoutMs: this.#silenceMs, fresh: true}, 'ledger.revoke', {key, deadlineInMs});
+	}
+
+	/** Tells the agent that nobody waits for the attempt any more. */
+	cancel(address: string, key: AttemptKey): void {
+		void this.#rpc.call({address, timeoutMs: cancelTimeoutMs}, 'attempt.cancel', {key});
+	}
+
+	async #follow(sent: Either<HttpFailure, HttpResponse>, place: AttemptPlace): Promise<AttemptOutcome> {
+		if (sent.isLeft()) {
+			return this.#outcomeOf(sent.extract(), place);
+		}
+
+		const res = sent.extract() as HttpResponse;
+		if (res.status !== 200) {
+			void res.body.dump().catch(() => undefined);
+			return res.status === 404 ? {kind: 'noStream'} : {kind: 'lost', reason: `status ${res.status}`};
+		}
+
+		let outcome: AttemptOutcome | undefined;
+		const handlers: Record<AttemptEventName, (event: EventSourceMessage) => void> = {
+			chunk(event) {
+				place.onChunk(Number(event.id), event.data);
+			},
+			end(event) {
+				outcome = {kind: 'end', end: JSON.parse(event.data) as AttemptEnd};
+			},
+			refused(event) {
+				outcome = {kind: 'refused', refusal: JSON.parse(event.data) as AttemptRefusal};
+			},
+			failed(event) {
+				outcome = {kind: 'failed', failure: JSON.parse(event.data) as AttemptFailure};
+			},
+		};
+		const streamEnd = await followEvents(res.body, this.#silenceMs, event => {
+			handlers[event.event as AttemptEventName](event);
+		});
+		return outcome ?? this.#cut(streamEnd, place);
+	}
+
+	#cut(streamEnd: string, place: AttemptPlace): AttemptOutcome {
+		if (place.signal.aborted) {
+			return {kind: 'aborted'};
+		}
+
+		if (streamEnd === 'silent') {
+			// Its neighbours in the pool may be silent too; new requests must not wait on them.
+			this.#http.renew(place.address);
+		}
+
+		return {kind: 'lost', reason: `stream ${streamEnd}`};
+	}
+
+	#outcomeOf(failure: HttpFailure, place: AttemptPlace): AttemptOutcome {
+		const {reason} = failure;
+		const outcomes: Record<HttpFailure['kind'], () => AttemptOutcome> = {
+			notSent: () => ({kind: 'notSent', reason}),
+			silent: () => this.#cut('silent', place),
+			lost: () => ({kind: 'lost', reason}),
+			aborted: () => ({kind: 'aborted'}),
+		};
+		return outcomes[failure.kind]();
+	}
+}
+
--- /dev/null
+++ b/src/entry/online-frontend.ts
@@ -0,0 +1,128 @@
+/**
+What all online requests go through, whatever their API: the account's limit, the deadline, the caller's going away, and the record of the outcome.
+*/
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {Left, Right, type Either} from 'purify-ts/Either';
+import type {OnlineService, ServedModel} from '../../typings/resources.js';
+import type {ConfigTable} from '../common/config-table.js';
+import type {RequestId} from '../common/ids.js';
+import type {BackendWork} from '../common/protocol.js';
+import {RetryBudget} from '../common/retry-budget.js';
+import type {Account, Accounts} from './accounts.js';
+import type {AnswerSink} from './answer-sink.js';
+import {invalidRequest, type ApiError} from './api-error.js';
+import {entryEvents} from './log-events.js';
+import {OnlineRequest, type RequestOutcome, type RequestSurroundings} from './online-request.js';
+
+/** A request that has been checked. */
+export type FrontendRequest = {
+	readonly id: RequestId;
+	readonly account: Account;
+	readonly work: BackendWork;
+	readonly idempotent: boolean;
+	readonly costTokens: number;
+	/** Milliseconds until the answer is of no use. Default: the entry's. */
+	readonly deadlineMs?: number;
+};
+
+/** The caller's side of a request. */
+export type Exchange = {readonly req: IncomingMessage; readonly res: ServerResponse};
+
+/** What the frontend is made of. */
+export type FrontendParts = Omit<RequestSurroundings, 'budget'> & {
+	readonly config: ConfigTable;
+	readonly accounts: Accounts;
+	/** Milliseconds until an answer is of no use, unless the caller says otherwise. */
+	readonly deadlineMs: number;
+};
+
+// Enough saved up for the streams of one lost replica; a tenth of the successes otherwise.
+const retryLimits = {perSuccess: 0.1, max: 100};
+const deadlineHeader = 'x-citronyard-deadline-ms';
+
+/** Runs online requests for the routes. */
+export class OnlineFrontend {
+	readonly #parts: FrontendParts;
+	readonly #around: RequestSurroundings;
+	#open = 0;
+
+	constructor(parts: FrontendParts) {
+		this.#parts = parts;
+		this.#around = {...parts, budget: new RetryBudget(retryLimits)};
+	}
+
+	get accounts(): Accounts {
+		return this.#parts.accounts;
+	}
+
+	get config(): ConfigTable {
+		return this.#parts.config;
+	}
+
+	/** Requests under way. */
+	get open(): number {
+		return this.#open;
+	}
+
+	/** Says whether a model is declared. */
+	requireModel(name: string): Either<ApiError, ServedModel> {
+		const model = this.config.get<ServedModel>('ServedModel', name);
+		return model ? Right(model) : Left(invalidRequest(`the model ${name} does not exist`, {status: 404, code: 'model_not_found', param: 'model'}));
+	}
+
+	/** Says whether an online service is declared. */
+	requireService(name: string): Either<ApiError, OnlineService> {
+		const service = this.config.get<OnlineService>('OnlineService', name);
+		return service ? Right(service) : Left(invalidRequest(`the service ${name} does not exist`, {status: 404, code: 'service_not_found'}));
+	}
+
+	/** Runs a request to its final outcome. Never rejects. */
+	async run(request: FrontendRequest, sink: AnswerSink, exchange: Exchange): Promise<RequestOutcome> {
+		const begun = this.accounts.begin(request.account);
+		if (begun.isLeft()) {
+			return {kind: 'refused', reason: 'queueFull', retryAfterMs: (begun.extract()).retryAfterMs ?? 0};
+		}
+
+		this.#open += 1;
+		const startedAt = this.#parts.clock.now();
+		const run = this.#start(request, sink, exchange);
+		const outcome = await run.request.run();
+		run.stop();
+		(begun.extract() as () => void)();
+		this.#open -= 1;
+		this.#record(request, outcome, run.request.attempts, startedAt);
+		return outcome;
+	}
+
+	#start(request: FrontendRequest, sink: AnswerSink, {req, res}: Exchange) {
+		const {clock} = this.#parts;
+		const wantedMs = Number(req.headers[deadlineHeader]);
+		const deadlineMs = request.deadlineMs ?? (wantedMs > 0 ? wantedMs : this.#parts.deadlineMs);
+		const controller = new AbortController();
+		const abort = () => {
+			controller.abort();
+		};
+
+		const timer = setTimeout(abort, deadlineMs);
+		// Closed before it was finished: the caller has gone.
+		res.once('close', abort);
+		const work = {
+			...request, account: request.account.name, share: request.account.share, deadlineAt: clock.now() + deadlineMs,
+		};
+		return {
+			request: new OnlineRequest(work, sink, this.#around, controller.signal),
+			stop() {
+				clearTimeout(timer);
+				res.off('close', abort);
+			},
+		};
+	}
+
+	#record(request: FrontendRequest, outcome: RequestOutcome, attempts: number, startedAt: number) {
+		const ms = Math.round(this.#parts.clock.now() - startedAt);
+		this.#parts.metrics.timing('entry.request', ms, {outcome: outcome.kind});
+		this.#parts.log.emit(entryEvents.requestEnded, {
+			id: request.id, account: request.account.name, target: request.work.target, outcome: outcome.kind, attempts, ms,
+		});
+	}
+}
--- /dev/null
+++ b/src/entry/service-routes.ts
@@ -0,0 +1,98 @@
+/**
+The route for plain services: `/services/<name>/…`. Method, path, headers, body and status pass through. Methods that the service does not declare idempotent run at most once; the header `X-Citronyard-Idempotent: true` or `false` overrides that for one call.
+*/
+import {randomUUID} from 'node:crypto';
+import type {Buffer} from 'node:buffer';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {OnlineService} from '../../typings/resources.js';
+import {branded} from '../common/ids.js';
+import {readBody} from '../platform/read-body.js';
+import type {Route, RouteMatch} from '../platform/http-server.js';
+import type {Account} from './accounts.js';
+import {CallSink} from './answer-sink.js';
+import {
+	errorOf, invalidRequest, sendError, type ApiError,
+} from './api-error.js';
+import type {OnlineFrontend} from './online-frontend.js';
+
+const defaultIdempotentMethods: readonly string[] = ['GET', 'HEAD', 'OPTIONS'];
+const defaultTimeoutMs = 30_000;
+// A call of a plain service counts as this many tokens when replicas are compared.
+const callCostTokens = 100;
+// The key is the caller's secret towards this system, not towards the service.
+const ownHeaders = new Set(['authorization', 'x-citronyard-idempotent', 'x-citronyard-deadline-ms']);
+
+const passedHeaders = (req: IncomingMessage) => Object.fromEntries(Object.entries(req.headers)
+	.filter(([name, value]) => value !== undefined && !ownHeaders.has(name))) as Record<string, string | string[]>;
+
+/** Serves calls of plain services. */
+export class ServiceRoutes {
+	readonly #frontend: OnlineFrontend;
+	readonly #maxBodyBytes: number;
+
+	constructor(frontend: OnlineFrontend, maxBodyBytes: number) {
+		this.#frontend = frontend;
+		this.#maxBodyBytes = maxBodyBytes;
+	}
+
+	get routes(): Route[] {
+		return [{
+			method: '*',
+			pattern: /^\/services\/(?<service>[^\/]+)(?<path>\/.*)?$/v,
+			handle: async (req, res, match) => this.#call(req, res, match),
+		}];
+	}
+
+	async #call(req: IncomingMessage, res: ServerResponse, {url, params}: RouteMatch) {
+		const name = params.service ?? '';
+		const known = this.#frontend.accounts.identify(req)
+			.chain(account => this.#frontend.requireService(name).map(service => ({account, service})));
+		if (known.isLeft()) {
+			sendError(res, known.extract());
+			return;
+		}
+
+		const body = await readBody(req, this.#maxBodyBytes);
+		if (body.isLeft()) {
+			res.setHeader('connection', 'close');
+			sendError(res, invalidRequest(`the body is larger than ${this.#maxBodyBytes} bytes`, {status: 413, code: 'body_too_large'}));
+			return;
+		}
+
+		const {account, service} = known.extract() as {account: Account; service: OnlineService};
+		await this.#run(account, service, {req, res}, `${params.path ?? '/'}${url.search}`, body.extract() as Buffer);
+	}
+
+	async #run(account: Account, {metadata, spec}: OnlineService, {req, res}: {req: IncomingMessage; res: ServerResponse}, path: string, body: Buffer) {
+		const sink = new CallSink();
+		const outcome = await this.#frontend.run({
+			id: branded(`call-${randomUUID()}`),
+			account,
+			work: {
+				kind: 'call', target: metadata.name, method: req.method ?? 'GET', path, headers: passedHeaders(req), bodyBase64: body.toString('base64'),
+			},
+			idempotent: this.#isIdempotent(req, spec),
+			costTokens: callCostTokens,
+			deadlineMs: spec.timeoutMs ?? defaultTimeoutMs,
+		}, sink, {req, res});
+		if (outcome.kind !== 'whole') {
+			sendError(res, errorOf(outcome));
+			return;
+		}
+
+		this.#send(sink, req, res);
+	}
+
+	#isIdempotent(req: IncomingMessage, spec: OnlineService['spec']): boolean {
+		const header = req.headers['x-citronyard-idempotent'];
+		const methods = spec.idempotentMethods ?? defaultIdempotentMethods;
+		return header === undefined ? methods.includes(req.method ?? '') : header === 'true';
+	}
+
+	#send(sink: CallSink, req: IncomingMessage, res: ServerResponse) {
+		const {head, body} = sink;
+		// The response to HEAD tells the length of a body that does not follow; the service's own is kept away, so none is told.
+		res.writeHead(head?.status ?? 502, {...head?.headers, ...(req.method !== 'HEAD' && {'content-length': body.length})});
+		res.end(body);
+	}
+}
