--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -92,12 +92,17 @@
 
 	/** `ip:port` that it listens on. */
 	get address(): string {
-		return `${this.#cfg.listen.host}:${this.#server.port}`;
+		return this.#server.address;
+	}
+
+	/** For the frame's first log event. */
+	get addresses(): Readonly<Record<string, string>> {
+		return {entries: this.address};
 	}
 
 	/** Starts to listen. */
 	async start(): Promise<Either<ListenFailure, number>> {
-		const listening = await this.#server.listen(this.#cfg.listen.host, this.#cfg.listen.port);
+		const listening = await this.#server.listen(this.#cfg.listen);
 		if (listening.isRight()) {
 			await this.#readServes();
 			void this.#pollServes();
--- a/src/agent/main.ts
+++ b/src/agent/main.ts
@@ -5,7 +5,7 @@
 import {Agent} from './agent.js';
 import {agentSettingsSchema} from './settings.js';
 
-await runProgram({
+runProgram({
 	name: 'citronyard-agent',
 	describe: 'Runs beside one backend server and is the only way to it.',
 	schema: agentSettingsSchema,
--- a/src/agent/settings.ts
+++ b/src/agent/settings.ts
@@ -1,9 +1,9 @@
 /**
 The agent's settings.
 */
-import {z} from 'zod';
+import * as z from 'zod';
 import {
-	addressSchema, durationMs, listenSchema, logSchema, metricsSchema, platformSchema, sizeBytes,
+	addressSchema, commonSettings, durationMs, listenAddressSchema, platformSettings, sizeBytes,
 } from '../platform/settings-schemas.js';
 
 const engineSchema = z.strictObject({
@@ -31,8 +31,9 @@
 	/** The VM's name as in the platform's VM list. */
 	vm: z.string().min(1),
 	failureDomain: z.string().min(1),
-	listen: listenSchema,
-	platform: platformSchema,
+	/** `ip:port` to listen on. */
+	listen: listenAddressSchema,
+	platform: platformSettings,
 	backend: z.discriminatedUnion('type', [engineSchema, serviceSchema]),
 	limits: z.strictObject({
 		/** Online requests that may wait. */
@@ -50,8 +51,7 @@
 	}).prefault({}),
 	/** How long a stop waits for work under way. */
 	drainMs: durationMs(60_000),
-	log: logSchema,
-	metrics: metricsSchema,
+	...commonSettings,
 });
 
 /** See {@link agentSettingsSchema}. */
--- /dev/null
+++ b/src/common/lease-keeper.ts
@@ -0,0 +1,122 @@
+/**
+Takes, renews and gives back one lease through the object API.
+
+The holder's deadline counts from before its last successful renewal was sent, so that it ends before anybody else may take the lease, however long the answer was under way. Whoever acts under the lease checks `isHeld` first.
+*/
+import {
+	decideLease, type HolderName, type LeaseDecision, type LeaseValue, type LeaseView,
+} from './lease.js';
+import type {Fence, Revision} from './ids.js';
+import type {Clock, ObjectApi} from './services.js';
+import type {ApiError, StoredObject} from './types.js';
+
+/** Which lease, and for whom. */
+export type LeaseOptions = {
+	readonly name: string;
+	readonly self: HolderName;
+	readonly ttlMs: number;
+};
+
+// Acting is stopped this long before the lease may pass on, for clocks that run at slightly different speeds.
+const safetyShare = 0.1;
+
+/** One lease. */
+export class LeaseKeeper {
+	readonly #api: ObjectApi;
+	readonly #clock: Clock;
+	readonly #options: LeaseOptions;
+	#view: LeaseView;
+	#heldUntil = Number.NEGATIVE_INFINITY;
+
+	constructor(api: ObjectApi, clock: Clock, options: LeaseOptions) {
+		this.#api = api;
+		this.#clock = clock;
+		this.#options = options;
+		this.#view = {value: undefined, version: undefined, seenAt: clock.now()};
+	}
+
+	/** True while this process may act under the lease. */
+	get isHeld(): boolean {
+		return this.#clock.now() < this.#heldUntil;
+	}
+
+	/** The fencing number under which this process holds it; 0 when it does not. */
+	get fence(): Fence {
+		return (this.isHeld ? this.#view.value?.fence : undefined) ?? (0 as Fence);
+	}
+
+	/**
+	Looks at the lease and does what is to be done. To be called a few times in each `ttlMs`.
+
+	@param rank - See {@link LeaseQuestion.rank}.
+	*/
+	async tend(rank: number): Promise<void> {
+		if (!this.isHeld) {
+			await this.#look();
+		}
+
+		const {self, ttlMs} = this.#options;
+		const now = this.#clock.now();
+		await this.#carryOut(decideLease({
+			view: this.#view, self, rank, ttlMs, now,
+		}), now);
+	}
+
+	/** Gives the lease back, so that the next holder need not wait for it to lapse. */
+	async release(): Promise<void> {
+		const {value, version} = this.#view;
+		if (!this.isHeld || !value || version === undefined) {
+			return;
+		}
+
+		this.#heldUntil = Number.NEGATIVE_INFINITY;
+		await this.#api.update<LeaseValue>('Lease', this.#options.name, {...value, holder: ''}, version);
+	}
+
+	async #look() {
+		const read = await this.#api.get<LeaseValue>('Lease', this.#options.name);
+		read.ifRight(stored => {
+			this.#see(stored);
+		});
+	}
+
+	#see({value, version}: {value: LeaseValue; version: Revision}) {
+		if (version !== this.#view.version) {
+			this.#view = {value, version, seenAt: this.#clock.now()};
+		}
+	}
+
+	async #carryOut(decision: LeaseDecision, sentAt: number) {
+		if (decision.kind === 'wait') {
+			return;
+		}
+
+		const written = decision.kind === 'create'
+			? await this.#api.create('Lease', this.#options.name, decision.value)
+			: await this.#api.update('Lease', this.#options.name, decision.value, decision.version);
+		written
+			.ifRight(stored => {
+				this.#see(stored);
+				this.#heldUntil = sentAt + (this.#options.ttlMs * (1 - safetyShare));
+			})
+			.ifLeft(err => {
+				this.#failed(err);
+			});
+	}
+
+	// After a conflict somebody else wrote; after an unknown outcome it may have been ourselves. Both are settled by the next look; until then an earlier renewal's deadline stands.
+	#failed(err: ApiError) {
+		if (err.kind !== 'conflict') {
+			return;
+		}
+
+		const current = err.current as StoredObject<LeaseValue> | undefined;
+		if (current) {
+			this.#see(current);
+		}
+
+		if (current?.value.holder !== this.#options.self) {
+			this.#heldUntil = Number.NEGATIVE_INFINITY;
+		}
+	}
+}
--- /dev/null
+++ b/src/common/lease.ts
@@ -0,0 +1,65 @@
+/**
+Decides what to do about a lease. A lease is an object that its holder renews by conditional updates; others may take it when they have seen it unchanged for longer than it lasts, by their own monotonic clock, so that no two clocks are ever compared.
+*/
+import type {Branded, Fence, Revision} from './ids.js';
+
+/** Names a holder: one run of one process. */
+export type HolderName = Branded<string, 'HolderName'>;
+
+/** The lease's value: kind `Lease`. */
+export type LeaseValue = {
+	/** Empty when it was given back. */
+	readonly holder: HolderName | '';
+	/** Grows each time the lease changes hands. */
+	readonly fence: Fence;
+	/** How long it lasts after a renewal was sent. */
+	readonly ttlMs: number;
+};
+
+/** What a process knows of a lease. */
+export type LeaseView = {
+	/** Undefined when the object does not exist. */
+	readonly value: LeaseValue | undefined;
+	readonly version: Revision | undefined;
+	/** The clock's `now` when this version was first seen here. */
+	readonly seenAt: number;
+};
+
+/** What to do. */
+export type LeaseDecision
+	= | {readonly kind: 'create'; readonly value: LeaseValue}
+		| {readonly kind: 'update'; readonly value: LeaseValue; readonly version: Revision}
+		| {readonly kind: 'wait'};
+
+/** Who asks, and with what claim. */
+export type LeaseQuestion = {
+	readonly view: LeaseView;
+	readonly self: HolderName;
+	/** Place among those who may hold it: 0 takes it at once when it is free, the others give the ones before them time. */
+	readonly rank: number;
+	readonly ttlMs: number;
+	readonly now: number;
+};
+
+const wait: LeaseDecision = {kind: 'wait'};
+
+const isFree = ({view, rank, ttlMs, now}: LeaseQuestion): boolean => {
+	const age = now - view.seenAt;
+	const patience = rank * ttlMs;
+	return view.value?.holder === '' ? age >= patience : age >= (view.value?.ttlMs ?? ttlMs) + patience;
+};
+
+/** Decides about one lease at one moment. */
+export const decideLease = (question: LeaseQuestion): LeaseDecision => {
+	const {view, self, rank, ttlMs, now} = question;
+	if (!view.value || view.version === undefined) {
+		return now - view.seenAt >= rank * ttlMs ? {kind: 'create', value: {holder: self, fence: 1 as Fence, ttlMs}} : wait;
+	}
+
+	if (view.value.holder === self) {
+		return {kind: 'update', value: {...view.value, ttlMs}, version: view.version};
+	}
+
+	const next: LeaseValue = {holder: self, fence: (view.value.fence + 1) as Fence, ttlMs};
+	return isFree(question) ? {kind: 'update', value: next, version: view.version} : wait;
+};
--- /dev/null
+++ b/src/entry/batch-log-events.ts
@@ -0,0 +1,17 @@
+/**
+Numbered events of batch jobs, 400 to 499.
+*/
+import type {EventDefinition} from '../common/types.js';
+
+export const batchEvents = {
+	jobAccepted: {number: 400, level: 'info', text: 'batch job accepted'},
+	jobResent: {number: 401, level: 'info', text: 'batch job was there already, resent by its client'},
+	jobCancelled: {number: 402, level: 'info', text: 'batch job cancelled'},
+	jobAdopted: {number: 410, level: 'info', text: 'coordinator takes up a batch job'},
+	jobEnded: {number: 411, level: 'info', text: 'batch job ended'},
+	chunkGranted: {number: 420, level: 'info', text: 'chunk granted to an agent'},
+	chunkNotTaken: {number: 421, level: 'info', text: 'chunk not taken by an agent'},
+	chunkLost: {number: 422, level: 'warn', text: 'agent no longer has a chunk, granted anew'},
+	shardTaken: {number: 430, level: 'info', text: 'lease of a shard of jobs taken'},
+	shardLost: {number: 431, level: 'info', text: 'lease of a shard of jobs ended'},
+} as const satisfies Record<string, EventDefinition>;
--- a/src/entry/service-routes.ts
+++ b/src/entry/service-routes.ts
@@ -13,7 +13,7 @@
 import {
 	errorOf, invalidRequest, sendError, type ApiError,
 } from './api-error.js';
-import type {OnlineFrontend} from './online-frontend.js';
+import type {Exchange, OnlineFrontend} from './online-frontend.js';
 
 const defaultIdempotentMethods: readonly string[] = ['GET', 'HEAD', 'OPTIONS'];
 const defaultTimeoutMs = 30_000;
@@ -25,6 +25,8 @@
 const passedHeaders = (req: IncomingMessage) => Object.fromEntries(Object.entries(req.headers)
 	.filter(([name, value]) => value !== undefined && !ownHeaders.has(name))) as Record<string, string | string[]>;
 
+type ServiceCall = {readonly account: Account; readonly service: OnlineService; readonly path: string; readonly body: Buffer};
+
 /** Serves calls of plain services. */
 export class ServiceRoutes {
 	readonly #frontend: OnlineFrontend;
@@ -60,10 +62,12 @@
 		}
 
 		const {account, service} = known.extract() as {account: Account; service: OnlineService};
-		await this.#run(account, service, {req, res}, `${params.path ?? '/'}${url.search}`, body.extract() as Buffer);
+		await this.#run({
+			account, service, path: `${params.path ?? '/'}${url.search}`, body: body.extract() as Buffer,
+		}, {req, res});
 	}
 
-	async #run(account: Account, {metadata, spec}: OnlineService, {req, res}: {req: IncomingMessage; res: ServerResponse}, path: string, body: Buffer) {
+	async #run({account, service: {metadata, spec}, path, body}: ServiceCall, {req, res}: Exchange) {
 		const sink = new CallSink();
 		const outcome = await this.#frontend.run({
 			id: branded(`call-${randomUUID()}`),
--- a/src/platform/http-server.ts
+++ b/src/platform/http-server.ts
@@ -7,6 +7,9 @@
 import type {AddressInfo} from 'node:net';
 import {Left, Right, type Either} from 'purify-ts/Either';
 import type {Disposable} from '../common/services.js';
+import {parseAddress} from './address.js';
+import {exitCodes} from './exit-codes.js';
+import type {StartError} from './program.js';
 
 /** What a handler receives besides the request. */
 export type RouteMatch = {
@@ -31,7 +34,7 @@
 };
 
 /** Why a server could not start. */
-export type ListenFailure = {readonly kind: 'listenFailed'; readonly reason: string};
+export type ListenFailure = StartError & {readonly kind: 'listenFailed'};
 
 // Longer than any client of ours keeps an idle connection, so that the client closes first and no request meets a closing connection.
 const keepAliveTimeoutMs = 60_000;
@@ -42,6 +45,7 @@
 	readonly #routes: readonly Route[];
 	readonly #fallbacks: Fallbacks;
 	#draining = false;
+	#host = '';
 
 	constructor(routes: readonly Route[], fallbacks: Fallbacks) {
 		this.#routes = routes;
@@ -58,14 +62,18 @@
 		return (this.#server.address() as AddressInfo | undefined)?.port ?? 0;
 	}
 
-	/**
-	@param host - An IP number.
-	@param port - 0 takes any free port.
-	*/
-	async listen(host: string, port: number): Promise<Either<ListenFailure, number>> {
+	/** `ip:port` that it listens on. */
+	get address(): string {
+		return `${this.#host}:${this.port}`;
+	}
+
+	/** @param address - `ip:port`; port 0 takes any free port. */
+	async listen(address: string): Promise<Either<ListenFailure, number>> {
+		const {host, port} = parseAddress(address) ?? {host: '', port: 0};
+		this.#host = host.includes(':') ? `[${host}]` : host;
 		return new Promise(resolve => {
 			this.#server.once('error', err => {
-				resolve(Left({kind: 'listenFailed', reason: err.message}));
+				resolve(Left({kind: 'listenFailed', exitCode: exitCodes.unavailable, message: `can not listen on ${address}: ${err.message}`}));
 			});
 			this.#server.listen({host, port, backlog: 1024}, () => {
 				resolve(Right(this.port));
--- a/src/platform/settings-schemas.ts
+++ b/src/platform/settings-schemas.ts
@@ -12,35 +12,33 @@
 /** An address to listen on: as {@link addressSchema}, and port 0 for any free port. */
 export const listenAddressSchema = z.string().refine(text => parseAddress(text) !== undefined, wantsAddress);
 
+type NumberSetting = {
+	(): z.ZodNumber;
+	(byDefault: number): z.ZodDefault<z.ZodNumber>;
+};
+
+const numberSetting = (schema: z.ZodNumber): NumberSetting => ((byDefault?: number) => byDefault === undefined ? schema : schema.default(byDefault)) as NumberSetting;
+
 /**
 A duration; its key must end in `Ms`.
 
 @param byDefault - In milliseconds; without it the key must be given.
 */
-export const durationMs = (byDefault?: number) => {
-	const schema = z.number().min(0);
-	return byDefault === undefined ? schema as z.ZodType<number> : schema.default(byDefault);
-};
+export const durationMs = numberSetting(z.number().min(0));
 
 /**
 A size; its key must end in `Bytes`.
 
 @param byDefault - In bytes; without it the key must be given.
 */
-export const sizeBytes = (byDefault?: number) => {
-	const schema = z.int().min(0);
-	return byDefault === undefined ? schema as z.ZodType<number> : schema.default(byDefault);
-};
+export const sizeBytes = numberSetting(z.int().min(0));
 
 /**
 A whole number of things, 0 included.
 
 @param byDefault - Without it the key must be given.
 */
-export const countOf = (byDefault?: number) => {
-	const schema = z.int().min(0);
-	return byDefault === undefined ? schema as z.ZodType<number> : schema.default(byDefault);
-};
+export const countOf = numberSetting(z.int().min(0));
 
 /** Where DogStatsD metrics go, by UDP. */
 export const metricsSchema = z.strictObject({
@@ -49,6 +47,14 @@
 	prefix: z.string().default('citronyard.'),
 });
 
+/** Where the platform's services are. */
+export const platformSettings = z.strictObject({
+	objectApi: addressSchema,
+	vmList: addressSchema,
+	/** How long one call may take. */
+	timeoutMs: durationMs(2000),
+});
+
 /** Settings that every program knows; spread it into a program's own `z.strictObject({…})`. */
 export const commonSettings = {
 	/** The least urgent level that is logged. */
