--- /dev/null
+++ b/src/entry/entry.ts
@@ -0,0 +1,189 @@
+/**
+The entry: where callers come in. It puts together the configuration, the view of the replicas, the callers' routes and the coordination of batch jobs.
+*/
+import {randomUUID} from 'node:crypto';
+import type {Either} from 'purify-ts/Either';
+import type {ClientAccount} from '../../typings/resources.js';
+import {ConfigTable} from '../common/config-table.js';
+import {branded} from '../common/ids.js';
+import {ReplicaTable} from '../common/replica-table.js';
+import type {
+	Clock, Disposable, EventLog, Metrics, ObjectApi, RandomSource,
+} from '../common/services.js';
+import {HttpClient} from '../platform/http-client.js';
+import {HttpObjectApi} from '../platform/http-object-api.js';
+import {HttpServer, type Fallbacks, type ListenFailure} from '../platform/http-server.js';
+import {HttpVmList} from '../platform/http-vm-list.js';
+import {RpcClient} from '../platform/rpc-client.js';
+import {Accounts} from './accounts.js';
+import {invalidRequest, sendError} from './api-error.js';
+import {AttemptClient} from './attempt-client.js';
+import {BatchRoutes} from './batch-routes.js';
+import {ConfigFollower} from './config-follower.js';
+import {FileRoutes} from './file-routes.js';
+import {GenerationRoutes} from './generation-routes.js';
+import {JobShards} from './job-shards.js';
+import {JobStore} from './job-store.js';
+import {entryEvents} from './log-events.js';
+import {OnlineFrontend} from './online-frontend.js';
+import {ReplicaPoller} from './replica-poller.js';
+import {ServiceRoutes} from './service-routes.js';
+import type {EntrySettings} from './settings.js';
+
+/** What the process around the entry provides. */
+export type EntryServices = {
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly log: EventLog;
+	readonly metrics: Metrics;
+};
+
+const drainPollMs = 50;
+const defaultShare = 1;
+
+/** One entry. */
+export class Entry implements Disposable {
+	readonly #cfg: EntrySettings;
+	readonly #services: EntryServices;
+	readonly #http = new HttpClient();
+	readonly #rpc = new RpcClient(this.#http);
+	readonly #api: ObjectApi;
+	readonly #config = new ConfigTable();
+	readonly #follower: ConfigFollower;
+	readonly #replicas: ReplicaTable;
+	readonly #poller: ReplicaPoller;
+	readonly #accounts: Accounts;
+	readonly #frontend: OnlineFrontend;
+	readonly #shards: JobShards;
+	readonly #server: HttpServer;
+
+	constructor(cfg: EntrySettings, services: EntryServices) {
+		const {clock} = services;
+		this.#cfg = cfg;
+		this.#services = services;
+		this.#api = new HttpObjectApi(this.#http, {address: cfg.platform.objectApi, timeoutMs: cfg.platform.timeoutMs});
+		this.#follower = new ConfigFollower(this.#api, clock, this.#config);
+		this.#replicas = new ReplicaTable(clock, cfg.online.silenceMs);
+		this.#poller = this.#makePoller();
+		this.#accounts = new Accounts(this.#config);
+		this.#frontend = this.#makeFrontend();
+		this.#shards = this.#makeShards();
+		this.#server = new HttpServer(this.#routes(), this.#fallbacks());
+	}
+
+	/** `ip:port` that it listens on. */
+	get address(): string {
+		return this.#server.address;
+	}
+
+	/** For the frame's first log event. */
+	get addresses(): Readonly<Record<string, string>> {
+		return {callers: this.address};
+	}
+
+	/** Reads the platform, then starts to listen. */
+	async start(): Promise<Either<ListenFailure, number>> {
+		void this.#follower.run();
+		await this.#poller.readAll();
+		const listening = await this.#server.listen(this.#cfg.listen);
+		if (listening.isRight()) {
+			void this.#poller.run();
+			void this.#shards.run();
+			this.#services.log.emit(entryEvents.listening, {address: this.address, vm: this.#cfg.vm});
+		}
+
+		return listening;
+	}
+
+	/** Asks callers to connect elsewhere, lets requests finish, and stops listening. */
+	async drain(): Promise<void> {
+		const {clock, log} = this.#services;
+		const until = clock.now() + this.#cfg.drainMs;
+		log.emit(entryEvents.drainBegun, {open: this.#frontend.open});
+		this.#server.announceClose();
+		await this.#shards.release();
+		while (clock.now() < until && this.#frontend.open > 0) {
+			await clock.sleep(drainPollMs);
+		}
+
+		await this.#server.close();
+		log.emit(entryEvents.drainEnded, {open: this.#frontend.open});
+	}
+
+	dispose(): void {
+		this.#shards.dispose();
+		this.#poller.dispose();
+		this.#follower.dispose();
+		this.#accounts.dispose();
+		this.#server.dispose();
+		this.#http.dispose();
+	}
+
+	#makePoller() {
+		const {platform, online} = this.#cfg;
+		return new ReplicaPoller({
+			...this.#services,
+			...online,
+			loadTimeoutMs: online.silenceMs,
+			vmList: new HttpVmList(this.#http, platform.vmList, platform.timeoutMs),
+			rpc: this.#rpc,
+			replicas: this.#replicas,
+		});
+	}
+
+	#makeFrontend() {
+		return new OnlineFrontend({
+			...this.#services,
+			replicas: this.#replicas,
+			client: new AttemptClient(this.#http, this.#rpc, this.#cfg.online.silenceMs),
+			config: this.#config,
+			accounts: this.#accounts,
+			deadlineMs: this.#cfg.online.deadlineMs,
+		});
+	}
+
+	#makeShards() {
+		const holder = `${this.#cfg.vm}-${randomUUID()}`;
+		return new JobShards({
+			...this.#services,
+			...this.#cfg.batch,
+			api: this.#api,
+			rpc: this.#rpc,
+			replicas: this.#replicas,
+			holder,
+			self: branded(holder),
+			vm: this.#cfg.vm,
+			entries: () => this.#poller.entries.filter(({state}) => state === 'live').map(({name}) => name),
+			shareOf: account => this.#config.get<ClientAccount>('ClientAccount', account)?.spec.share ?? defaultShare,
+		});
+	}
+
+	#routes() {
+		const {online, batch} = this.#cfg;
+		const store = new JobStore(this.#api);
+		const common = {
+			accounts: this.#accounts, config: this.#config, store, clock: this.#services.clock, log: this.#services.log,
+		};
+		return [
+			...new GenerationRoutes(this.#frontend, online.maxBodyBytes).routes,
+			...new ServiceRoutes(this.#frontend, online.maxBodyBytes).routes,
+			...new FileRoutes({...common, api: this.#api, limits: batch}).routes,
+			...new BatchRoutes(common).routes,
+		];
+	}
+
+	#fallbacks(): Fallbacks {
+		return {
+			notFound(req, res) {
+				sendError(res, invalidRequest(`no such path: ${req.url}`, {status: 404, code: 'unknown_path'}));
+			},
+			wrongMethod(req, res, allowed) {
+				res.setHeader('allow', allowed.join(', '));
+				sendError(res, invalidRequest(`the method ${req.method} is not allowed here`, {status: 405, code: 'wrong_method'}));
+			},
+			broken: err => {
+				this.#services.log.emit(entryEvents.handlerBroken, {reason: String(err)});
+			},
+		};
+	}
+}
--- /dev/null
+++ b/src/entry/settings.ts
@@ -0,0 +1,47 @@
+/**
+The entry's settings.
+*/
+import * as z from 'zod';
+import {
+	commonSettings, countOf, durationMs, listenAddressSchema, platformSettings, sizeBytes,
+} from '../platform/settings-schemas.js';
+
+/** What the entry reads from its settings file. */
+export const entrySettingsSchema = z.strictObject({
+	/** The VM's name as in the platform's VM list. */
+	vm: z.string().min(1),
+	failureDomain: z.string().min(1),
+	/** `ip:port` for callers. */
+	listen: listenAddressSchema,
+	platform: platformSettings,
+	online: z.strictObject({
+		/** How long an online request may take, unless its caller says otherwise. */
+		deadlineMs: durationMs(60_000),
+		/** How long a connection may be without a heartbeat before it is taken for lost. */
+		silenceMs: durationMs(1000),
+		/** How often each agent is asked for its load. */
+		loadPollMs: durationMs(250),
+		/** How often the VM list is read. */
+		vmListPollMs: durationMs(1000),
+		maxBodyBytes: sizeBytes(4_194_304),
+	}).prefault({}),
+	batch: z.strictObject({
+		/** How long the lease of a shard of jobs lasts. */
+		leaseMs: durationMs(6000),
+		/** How often grants are renewed and given. */
+		tickMs: durationMs(500),
+		/** How often the shard's jobs are read. */
+		refreshMs: durationMs(1000),
+		/** Items in one file at most. */
+		maxItems: countOf(200_000),
+		/** Items in one chunk at most. */
+		chunkItems: countOf(256),
+		chunkBytes: sizeBytes(786_432),
+	}).prefault({}),
+	/** How long a stop waits for requests under way. */
+	drainMs: durationMs(60_000),
+	...commonSettings,
+});
+
+/** See {@link entrySettingsSchema}. */
+export type EntrySettings = z.infer<typeof entrySettingsSchema>;
