--- a/src/demo/local-fleet.ts
+++ b/src/demo/local-fleet.ts
@@ -9,7 +9,8 @@
 import type {
 	Clock, Disposable, EventLog, Metrics, RandomSource,
 } from '../common/services.js';
-import {EngineStandin, type EngineSettings} from '../standins/engine-standin.js';
+import type {EngineSettings} from '../standins/engine-settings.js';
+import {EngineStandin} from '../standins/engine-standin.js';
 import {ObjectApiStandin} from '../standins/object-api-standin.js';
 import {ServiceStandin} from '../standins/service-standin.js';
 import {VmListStandin} from '../standins/vm-list-standin.js';
@@ -154,7 +155,7 @@
 
 	async #startBackends() {
 		await Promise.all(this.#plan.engines.map(async ({vm, models, engine}) => {
-			this.engines.set(vm, await EngineStandin.start({models: [...models], ...engine}));
+			this.engines.set(vm, await EngineStandin.start({models: models.map(model => ({model, version: `${model}-1`})), ...engine}));
 		}));
 		await Promise.all((this.#plan.services ?? []).map(async ({vm}) => {
 			this.services.set(vm, await ServiceStandin.start({}));
--- a/src/demo/main.ts
+++ b/src/demo/main.ts
@@ -47,6 +47,22 @@
 	const fleet = await LocalFleet.start(plan, {
 		clock: new SystemClock(), random: new SeededRandom(1), log, metrics: new NoMetrics(),
 	});
+	try {
+		await show(fleet, log);
+	} catch (err) {
+		fleet.dispose();
+		throw err;
+	}
+
+	if (once) {
+		fleet.dispose();
+		return;
+	}
+
+	print('\nCtrl-C ends the demo.');
+};
+
+const show = async (fleet: LocalFleet, log: DecisionLog): Promise<void> => {
 	await fleet.apply(fleetResources(plan, [{name: 'nodibandh', keySha256: keyHash(apiKey)}]));
 	await fleet.awaitModels(apiKey);
 	const url = `http://${fleet.entryAddress()}`;
@@ -55,13 +71,7 @@
 		url, apiKey, model, service, print,
 	}).run();
 	showDecisions(log);
-	if (once) {
-		fleet.dispose();
-		return;
-	}
-
 	showUsage(url);
-	print('\nCtrl-C ends the demo.');
 };
 
 sade('citronyard-demo', true)
@@ -73,7 +83,7 @@
 			await run(once === true);
 		} catch (err) {
 			process.stderr.write(`citronyard-demo: ${(err as Error).message}\n`);
-			process.exit(1);
+			process.exitCode = 1;
 		}
 	})
 	.parse(process.argv);
