--- a/src/ctl/entry-client.ts
+++ b/src/ctl/entry-client.ts
@@ -99,7 +99,7 @@
 	/** @param job - The job. One that was submitted under the same key already is returned as it is. */
 	async submit({inputFileId, endpoint, jobKey, dueHours}: JobRequest): Promise<Either<CtlError, Batch>> {
 		const body = {
-			input_file_id: inputFileId, endpoint, completion_window: `${dueHours}h`, metadata: {job_key: jobKey},
+			input_file_id: inputFileId, endpoint, completion_window: `${dueHours}h`,
 		};
 		return this.#json<Batch>({
 			path: '/v1/batches',
