Lifecycle of a process as a state machine; health for the balancer

Cause: entry and agent kept their states as loose flags, and the platform's balancer had nothing to ask. Change: one xstate machine a process; GET /healthz answers 200 only while the entry serves and has configuration.

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -5,6 +5,7 @@
 import type {Either} from 'purify-ts/Either';
 import {Admission} from '../common/admission.js';
 import {branded, type Revision} from '../common/ids.js';
+import {NodeLifecycle} from '../common/node-lifecycle.js';
 import type {AttemptKey, Incarnation, LoadReport} from '../common/protocol.js';
 import {RequestLedger} from '../common/request-ledger.js';
 import type {
@@ -55,9 +56,8 @@
 	readonly #attempts: OnlineAttempts;
 	readonly #batch: BatchWorker;
 	readonly #server: HttpServer;
+	readonly #lifecycle = new NodeLifecycle();
 	#serves: readonly string[] = [];
-	#draining = false;
-	#disposed = false;
 
 	constructor(cfg: AgentSettings, services: AgentServices) {
 		const {clock, log, metrics} = services;
@@ -105,6 +105,7 @@
 		const listening = await this.#server.listen(this.#cfg.listen);
 		if (listening.isRight()) {
 			await this.#readServes();
+			this.#lifecycle.send('started');
 			void this.#pollServes();
 			this.#services.log.emit(agentEvents.listening, {address: this.address, vm: this.#cfg.vm, incarnation: this.#incarnation});
 		}
@@ -117,7 +118,7 @@
 		return {
 			vm: branded(this.#cfg.vm),
 			incarnation: this.#incarnation,
-			draining: this.#draining,
+			draining: this.#lifecycle.isLeaving,
 			serves: this.#serves,
 			running: this.#admission.onlineRunning,
 			queued: this.#admission.onlineQueued,
@@ -135,7 +136,7 @@
 		const until = clock.now() + this.#cfg.drainMs;
 		const noticeUntil = clock.now() + drainNoticeMs;
 		log.emit(agentEvents.drainBegun, {open: this.#attempts.open});
-		this.#draining = true;
+		this.#lifecycle.send('drain');
 		this.#batch.drain();
 		while (clock.now() < until && (clock.now() < noticeUntil || this.#attempts.open > 0 || this.#batch.isCommitting)) {
 			await clock.sleep(drainPollMs);
@@ -143,10 +144,11 @@
 
 		log.emit(agentEvents.drainEnded, {open: this.#attempts.open});
 		await this.#server.close();
+		this.#lifecycle.send('drained');
 	}
 
 	dispose(): void {
-		this.#disposed = true;
+		this.#lifecycle.dispose();
 		this.#batch.dispose();
 		this.#attempts.dispose();
 		this.#runner.dispose();
@@ -185,7 +187,7 @@
 	}
 
 	async #pollServes() {
-		while (!this.#disposed) {
+		while (this.#lifecycle.state !== 'stopped') {
 			await this.#services.clock.sleep(servesPollMs);
 			await this.#readServes();
 		}
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -6,13 +6,16 @@
 import type {ClientAccount} from '../../typings/resources.js';
 import {ConfigTable} from '../common/config-table.js';
 import {branded} from '../common/ids.js';
+import {NodeLifecycle} from '../common/node-lifecycle.js';
 import {ReplicaTable} from '../common/replica-table.js';
 import type {
 	Clock, Disposable, EventLog, Metrics, ObjectApi, RandomSource,
 } from '../common/services.js';
 import {HttpClient} from '../platform/http-client.js';
 import {HttpObjectApi} from '../platform/http-object-api.js';
-import {HttpServer, type Fallbacks, type ListenFailure} from '../platform/http-server.js';
+import {
+	HttpServer, type Fallbacks, type ListenFailure, type Route,
+} from '../platform/http-server.js';
 import {HttpVmList} from '../platform/http-vm-list.js';
 import {RpcClient} from '../platform/rpc-client.js';
 import {Accounts} from './accounts.js';
@@ -56,6 +59,7 @@
 	readonly #frontend: OnlineFrontend;
 	readonly #shards: JobShards;
 	readonly #server: HttpServer;
+	readonly #lifecycle = new NodeLifecycle();
 
 	constructor(cfg: EntrySettings, services: EntryServices) {
 		const {clock} = services;
@@ -87,6 +91,7 @@
 		await this.#poller.readAll();
 		const listening = await this.#server.listen(this.#cfg.listen);
 		if (listening.isRight()) {
+			this.#lifecycle.send('started');
 			void this.#poller.run();
 			void this.#shards.run();
 			this.#services.log.emit(entryEvents.listening, {address: this.address, vm: this.#cfg.vm});
@@ -100,6 +105,7 @@
 		const {clock, log} = this.#services;
 		const until = clock.now() + this.#cfg.drainMs;
 		log.emit(entryEvents.drainBegun, {open: this.#frontend.open});
+		this.#lifecycle.send('drain');
 		this.#server.announceClose();
 		await this.#shards.release();
 		while (clock.now() < until && this.#frontend.open > 0) {
@@ -107,10 +113,12 @@
 		}
 
 		await this.#server.close();
+		this.#lifecycle.send('drained');
 		log.emit(entryEvents.drainEnded, {open: this.#frontend.open});
 	}
 
 	dispose(): void {
+		this.#lifecycle.dispose();
 		this.#shards.dispose();
 		this.#poller.dispose();
 		this.#follower.dispose();
@@ -169,9 +177,22 @@
 			...new ServiceRoutes(this.#frontend, online.maxBodyBytes).routes,
 			...new FileRoutes({...common, api: this.#api, limits: batch}).routes,
 			...new BatchRoutes(common).routes,
+			this.#healthRoute(),
 		];
 	}
 
+	// For the platform's balancer: it must send no new connection to an entry that is leaving or has no configuration.
+	#healthRoute(): Route {
+		return {
+			method: 'GET',
+			pattern: /^\/healthz$/v,
+			handle: (_req, res) => {
+				const isReady = this.#lifecycle.isServing && this.#config.revision > 0;
+				res.writeHead(isReady ? 200 : 503, {'content-type': 'application/json'}).end(JSON.stringify({state: this.#lifecycle.state, revision: this.#config.revision}));
+			},
+		};
+	}
+
 	#fallbacks(): Fallbacks {
 		return {
 			notFound(req, res) {
