--- a/src/standins/service-standin.ts
+++ b/src/standins/service-standin.ts
@@ -2,6 +2,7 @@
 Stands in for a plain service: it answers any method and path, and counts how often it ran for each marker, so that a test can prove that a non-idempotent call ran at most once.
 */
 import {STATUS_CODES} from 'node:http';
+import {z} from 'zod';
 import type {Disposable} from '../common/services.js';
 import {connectionFaultsSchema, type ConnectionFaults} from './connection-faults.js';
 import {faultsRoute} from './control-route.js';
@@ -9,6 +10,9 @@
 import type {Handler} from './route-table.js';
 import {StandinServer, type ListenSettings} from './standin-server.js';
 
+/** The stand-in's settings: there are none yet. */
+export const serviceSettingsSchema = z.strictObject({});
+
 const withoutBody = new Set([204, 304]);
 
 /** A plain service on loopback. */
--- a/src/standins/standin-server.ts
+++ b/src/standins/standin-server.ts
@@ -68,6 +68,10 @@
 		return this.#address;
 	}
 
+	get isDisposed(): boolean {
+		return this.#disposed;
+	}
+
 	get faults(): ConnectionFaults {
 		return this.#faults;
 	}
