--- a/src/standins/engine-standin.ts
+++ b/src/standins/engine-standin.ts
@@ -3,6 +3,7 @@
 */
 import {Left, Right, type Either} from 'purify-ts/Either';
 import type {Disposable} from '../common/services.js';
+import {SeededRandom} from '../platform/seeded-random.js';
 import {AnswerWriter, type AnswerKind} from './answer-writer.js';
 import {CacheEventLog} from './cache-event-log.js';
 import {faultsRoute} from './control-route.js';
@@ -17,7 +18,6 @@
 import {PrefixCache, type CacheChange} from './prefix-cache.js';
 import type {Handler} from './route-table.js';
 import {RunCounts} from './run-counts.js';
-import {SeededRandom} from './seeded-random.js';
 import {StandinServer, type ListenSettings} from './standin-server.js';
 import {StepLoop} from './step-loop.js';
 import {loadFrom} from './weight-client.js';
--- a/src/standins/object-api-standin.ts
+++ b/src/standins/object-api-standin.ts
@@ -4,6 +4,7 @@
 import type {OutgoingHttpHeaders} from 'node:http';
 import {z} from 'zod';
 import type {Disposable} from '../common/services.js';
+import {SeededRandom} from '../platform/seeded-random.js';
 import {CallCounts, type CallMethod, type CallReport} from './call-counts.js';
 import {faultsRoute} from './control-route.js';
 import type {Exchange} from './exchange.js';
@@ -12,7 +13,6 @@
 	ObjectStore, type ChangeRecord, type Precondition, type StoredText,
 } from './object-store.js';
 import type {Handler} from './route-table.js';
-import {SeededRandom} from './seeded-random.js';
 import {StandinServer, type ListenSettings} from './standin-server.js';
 
 /** The largest value that the object API takes, in bytes of JSON. */
