One reader of bodies; what is too large is read and dropped

Cause: the entry answered 413 and left the rest of the body unread, so a client still sending could see a reset connection in place of the error; the stand-ins had their own reader that drained. Conclusion: one piece of code, and the refusal arrives.

--- a/src/standins/exchange.ts
+++ b/src/standins/exchange.ts
@@ -4,11 +4,16 @@
 import type {Buffer} from 'node:buffer';
 import type {IncomingMessage, OutgoingHttpHeaders, ServerResponse} from 'node:http';
 import {Left, Right, type Either} from 'purify-ts/Either';
-import {readBody} from './read-body.js';
+import {readBody, type BodyFailure} from '../platform/read-body.js';
 
 /** What a request's body may be refused for. */
 export type BodyError = {readonly status: 400 | 413; readonly message: string};
 
+const bodyErrors: Record<BodyFailure['kind'], BodyError> = {
+	tooLarge: {status: 413, message: 'the body is too large'},
+	cut: {status: 400, message: 'the body broke off'},
+};
+
 const defaultBodyLimit = 64 * 1024 * 1024;
 
 /** A request with its answer. */
@@ -50,7 +55,8 @@
 
 	/** The body; fails with 413 beyond `limit` bytes, and with 400 when the caller breaks off. */
 	async bytes(limit = defaultBodyLimit): Promise<Either<BodyError, Buffer>> {
-		return readBody(this.#req, limit);
+		const body = await readBody(this.#req, limit);
+		return body.mapLeft(({kind}) => bodyErrors[kind]);
 	}
 
 	/** The body as text that is known to be JSON; fails with 400 when it is not. */
