Program frame: the last log events are written in their order

Cause: the feature on broken invariants failed once: event 104 stood in the log before 101. The log is written asynchronously, and the library's synchronous flush at the end overtakes a write that is under way in a thread.

Change: a program that stops first releases what it has, then waits until the log is written, 500 ms at most, then exits. Ruled out: writing synchronously, where a reader that stops reading holds up requests; sleeping before the flush, which only makes the fault rarer.

--- a/src/platform/pino-event-log.ts
+++ b/src/platform/pino-event-log.ts
@@ -1,8 +1,10 @@
 /**
 The numbered log as JSON lines, one an event: `event` is the number in docs/LOG-EVENTS.md, `program` who wrote it, `msg` the catalogue's text, and beside them the event's own fields.
 */
+import {once} from 'node:events';
+import {setTimeout as pause} from 'node:timers/promises';
 import pino, {type DestinationStream, type Logger} from 'pino';
-import type {Disposable, EventLog} from '../common/services.js';
+import {type EventLog} from '../common/services.js';
 import type {EventDefinition, LogFields, LogLevel} from '../common/types.js';
 
 /** What the log needs to know. */
@@ -21,16 +23,17 @@
 const waitingLimitBytes = 2_000_000;
 
 /** An {@link EventLog} by pino. */
-export class PinoEventLog implements EventLog, Disposable {
+export class PinoEventLog implements EventLog {
 	readonly #logger: Logger;
-	readonly #flush: () => void;
+	readonly #stdout: ReturnType<typeof pino.destination> | undefined;
+	#hasWaiting = false;
 
 	constructor({program, level, destination}: EventLogOptions) {
 		const stdout = destination ? undefined : pino.destination({fd: 1, sync: false, maxLength: waitingLimitBytes});
-		this.#flush = () => {
-			stdout?.flushSync();
-		};
-
+		this.#stdout = stdout;
+		stdout?.on('drain', () => {
+			this.#hasWaiting = false;
+		});
 		this.#logger = pino({
 			level,
 			base: {program},
@@ -40,11 +43,25 @@
 	}
 
 	emit({number, level, text}: EventDefinition, fields?: LogFields): void {
+		this.#hasWaiting = this.#logger.isLevelEnabled(level) || this.#hasWaiting;
 		this.#logger[level]({event: number, ...fields}, text);
 	}
 
-	/** Writes what waits, so that the last events of a process are not lost with it. */
-	dispose(): void {
-		this.#flush();
+	/**
+	Resolves once every event has been written, so that the last ones of a process are not lost with it; after `limitMs` milliseconds at the latest, since a reader may never read on.
+
+	The library's synchronous flush is no substitute: a write that is under way in a thread is overtaken by it, and the last events stand in the log before those that led to them.
+	*/
+	async written(limitMs: number): Promise<void> {
+		if (!this.#hasWaiting || !this.#stdout) {
+			return;
+		}
+
+		const controller = new AbortController();
+		const drained = once(this.#stdout, 'drain', {signal: controller.signal});
+		const limit = pause(limitMs, undefined, {signal: controller.signal});
+		await Promise.race([drained, limit]);
+		controller.abort();
+		await Promise.allSettled([drained, limit]);
 	}
 }
--- a/src/platform/program-run.ts
+++ b/src/platform/program-run.ts
@@ -2,7 +2,6 @@
 The life of a daemon from its start to its exit: signals lead to a graceful shutdown, a broken invariant to an immediate stop.
 */
 import process from 'node:process';
-import {type Disposable} from '../common/services.js';
 import {exitCodes, type ExitCode} from './exit-codes.js';
 import {platformEvents} from './log-events.js';
 import {type RunningProgram} from './program.js';
@@ -12,10 +11,11 @@
 const stopSignals = ['SIGTERM', 'SIGINT'] as const;
 
 /** One daemon in this process. */
-export class ProgramRun implements Disposable {
+export class ProgramRun {
 	readonly #services: OwnedServices;
 	#running: RunningProgram | undefined;
 	#stopping = false;
+	#broken = false;
 	readonly #onSignal: (signal: NodeJS.Signals) => void;
 
 	/** @param services - Released when the run ends. */
@@ -51,19 +51,19 @@
 		}
 	}
 
-	/** Stops listening for signals and releases the program and its services. */
-	dispose(): void {
+	/** Releases the program and its services, and listens to no more signals. */
+	async dispose(): Promise<void> {
 		stopSignals.forEach(signal => {
 			process.off(signal, this.#onSignal);
 		});
 		this.#running?.dispose();
-		this.#services.dispose();
+		await this.#services.close();
 	}
 
 	#stop(signal: NodeJS.Signals): void {
 		if (this.#stopping) {
 			this.#services.log.emit(platformEvents.shutdownCutShort, {signal});
-			this.#exit(exitCodes.ok);
+			void this.#exit(exitCodes.ok);
 			return;
 		}
 
@@ -77,24 +77,31 @@
 	async #drain(running: RunningProgram): Promise<void> {
 		await running.drain();
 		this.#services.log.emit(platformEvents.programStopped);
-		this.#exit(exitCodes.ok);
+		await this.#exit(exitCodes.ok);
 	}
 
 	#breakDown(reason: unknown): void {
 		const {message, stack} = reason instanceof Error ? reason : new Error(String(reason));
 		this.#services.log.emit(platformEvents.invariantBroken, {reason: message, stack});
-		this.#services.dispose();
-		this.#leave(exitCodes.brokenInvariant);
+		const wasBroken = this.#broken;
+		this.#broken = true;
+		// The state may be so broken that the release fails as well.
+		if (wasBroken) {
+			this.#leave(exitCodes.brokenInvariant);
+		} else {
+			void this.#exit(exitCodes.brokenInvariant);
+		}
 	}
 
-	#exit(code: ExitCode): void {
-		this.dispose();
+	/** The program is released before the log is written out, so nothing that it still has in hand reaches a caller meanwhile. */
+	async #exit(code: ExitCode): Promise<void> {
+		await this.dispose();
 		this.#leave(code);
 	}
 
 	/** A socket or timer that a program forgot would keep the process alive after its shutdown, so it does not wait for them. */
 	#leave(code: ExitCode): void {
-		// eslint-disable-next-line unicorn/no-process-exit
+		// eslint-disable-next-line unicorn/no-process-exit -- the frame decides when a program ends.
 		process.exit(code);
 	}
 }
--- a/src/platform/program-services.ts
+++ b/src/platform/program-services.ts
@@ -2,7 +2,6 @@
 Makes the services that the frame hands to a program, from its common settings.
 */
 import process from 'node:process';
-import {type Disposable} from '../common/services.js';
 import {parseAddress} from './address.js';
 import {DogstatsdMetrics} from './dogstatsd-metrics.js';
 import {NoMetrics} from './no-metrics.js';
@@ -13,7 +12,13 @@
 import {SystemClock} from './system-clock.js';
 
 /** Services that the frame owns and releases. */
-export type OwnedServices = ProgramServices & Disposable;
+export type OwnedServices = ProgramServices & {
+	/** Resolves once events and metrics are out, within a bounded time. */
+	close(): Promise<void>;
+};
+
+/** A process that must stop waits no longer than this for the reader of its log, in milliseconds. */
+const closeLimitMs = 500;
 
 /** Processes that start together must not draw the same numbers: their retries would collide again and again. */
 const freshSeed = (): number => Number(process.hrtime.bigint() % (2n ** 31n)) + process.pid;
@@ -21,7 +26,7 @@
 /**
 @param program - The program's name; marks its log lines and metrics.
 @param settings - The common settings.
-@returns The services; `dispose` writes out what waits.
+@returns The services.
 */
 export const createServices = (program: string, {logLevel, metrics}: CommonSettings): OwnedServices => {
 	const log = new PinoEventLog({program, level: logLevel});
@@ -32,9 +37,9 @@
 		metrics: sink ?? new NoMetrics(),
 		clock: new SystemClock(),
 		random: new SeededRandom(freshSeed()),
-		dispose() {
+		async close() {
 			sink?.dispose();
-			log.dispose();
+			await log.written(closeLimitMs);
 		},
 	};
 };
