citronctl: features of the watch and of a whole life against the object API

Cause: watching through an outage, and the adapter to the object API, were not covered from citronctl's side.

Change: features for both. A wrong discriminator (`backend.type`) is told like any other choice. The feature on settings of built programs asks each program by its help how it is called, so that programs with commands are covered too.

--- a/src/ctl/citronctl.feature
+++ b/src/ctl/citronctl.feature
@@ -25,6 +25,24 @@
       | get models --object-api CLOSED                   | 69   | the object API does not answer               |
       | job cancel batch_1 --account-key k --entry CLOSED | 69   | does not answer                             |
 
+  Scenario: A resource from its file to its deletion
+    Given the object API of a platform
+    When citronctl applies this file
+      """
+      {"apiVersion": "citronyard/v1", "kind": "ServedModel", "metadata": {"name": "tyre-scribe"}, "spec": {"version": "v7", "replicas": 13}}
+      """
+    Then citronctl prints "ServedModel tyre-scribe created"
+    When citronctl runs "get models" there
+    Then citronctl prints the lines "NAME         GENERATION  IN-FORCE  VERSION  REPLICAS  CONDITIONS, tyre-scribe  1           -         v7       13        -"
+    When citronctl runs "describe model tyre-scribe -o json" there
+    Then citronctl prints JSON whose "spec.replicas" is 13
+    When citronctl runs "status -o json" there
+    Then citronctl prints JSON whose "counts.ServedModel" is 1
+    When citronctl runs "delete model tyre-scribe" there
+    Then citronctl prints "ServedModel tyre-scribe deleted"
+    When citronctl runs "get model tyre-scribe" there
+    Then citronctl exits with 67, prints no stack trace and tells: ServedModel tyre-scribe: does not exist
+
   Scenario: The entry is lost after it accepted a job
     Given an entry that loses its first answer to a job
     When a job of 2 items is submitted by citronctl
--- a/src/ctl/citronctl.steps.ts
+++ b/src/ctl/citronctl.steps.ts
@@ -11,11 +11,13 @@
 import {text} from 'node:stream/consumers';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {type TestWorld} from '../common/testing/test-world.js';
+import {ObjectApiStandin} from '../standins/object-api-standin.js';
 import {runToEnd, type Ended} from '../platform/testing/run-process.js';
 
 type CtlWorld = TestWorld & {
 	ended: Ended;
 	entryAddress: string;
+	platformAddress: string;
 	jobs: Map<string, string>;
 	jobAnswers: number;
 };
@@ -75,6 +77,14 @@
 
 const runCtl = async (args: readonly string[]): Promise<Ended> => runToEnd(['dist/citronctl.js', ...args], {env: {CITRONYARD_OBJECT_API: '', CITRONYARD_ENTRY: ''}});
 
+const withFile = async (world: TestWorld, name: string, content: string): Promise<string> => {
+	const dir = await mkdtemp(path.join(tmpdir(), 'citronctl-'));
+	world.register(async () => rm(dir, {recursive: true}));
+	const file = path.join(dir, name);
+	await writeFile(file, content);
+	return file;
+};
+
 const wordsOf = (line: string): string[] => line.split(' ').filter(word => word !== '');
 
 Given('an entry that loses its first answer to a job', async function (this: CtlWorld) {
@@ -90,12 +100,29 @@
 	this.ended = await runCtl(wordsOf(line.replace('CLOSED', closed)));
 });
 
+Given('the object API of a platform', async function (this: CtlWorld) {
+	const standin = this.register(await ObjectApiStandin.start());
+	this.platformAddress = standin.address;
+});
+
+When('citronctl applies this file', async function (this: CtlWorld, content: string) {
+	const file = await withFile(this, 'resources.jsonc', content);
+	this.ended = await runCtl(['apply', '-f', file, '--object-api', this.platformAddress]);
+});
+
+When('citronctl runs {string} there', async function (this: CtlWorld, line: string) {
+	this.ended = await runCtl([...wordsOf(line), '--object-api', this.platformAddress]);
+});
+
+Then('citronctl prints JSON whose {string} is {int}', function (this: CtlWorld, keys: string, expected: number) {
+	const printed: unknown = JSON.parse(this.ended.stdout);
+	const value = keys.split('.').reduce((inner, key) => (inner as Record<string, unknown> | undefined)?.[key], printed);
+	assert.equal(value, expected, this.ended.stdout);
+});
+
 When('a job of {int} items is submitted by citronctl', async function (this: CtlWorld, count: number) {
-	const dir = await mkdtemp(path.join(tmpdir(), 'citronctl-'));
-	this.register(async () => rm(dir, {recursive: true}));
-	const file = path.join(dir, 'items.jsonl');
 	const items = Array.from({length: count}, (_, i) => JSON.stringify({custom_id: String(i), url: '/v1/chat/completions'}));
-	await writeFile(file, items.join('\n'));
+	const file = await withFile(this, 'items.jsonl', items.join('\n'));
 	this.ended = await runCtl(['job', 'submit', '-f', file, '--entry', this.entryAddress, '--account-key', 'key']);
 });
 
--- /dev/null
+++ b/src/ctl/resource-watcher.feature
@@ -0,0 +1,17 @@
+Feature: Watching resources through trouble
+  An operator watches a roll-out while the object API has an outage and forgets its history.
+  The watch goes on afterwards with what changed in between, deletions included: a resource that is gone
+  but still shown would have the operator wait for it.
+
+  Background:
+    Given an object API with model "tyre-scribe"
+
+  Scenario: A change and what is reported of it
+    When a watch of models has shown "put tyre-scribe"
+    And model "tyre-scribe" is reported on as in force in 3 nodes
+    Then the watch shows "put tyre-scribe" in force in 3 nodes
+
+  Scenario: A deletion during an outage, after which the history is gone
+    When a watch of models has shown "put tyre-scribe"
+    And the object API has an outage, during which "tyre-scribe" is deleted and the history lost
+    Then the watch tells of trouble, then shows "delete tyre-scribe"
--- a/src/platform/schema-messages.ts
+++ b/src/platform/schema-messages.ts
@@ -44,6 +44,10 @@
 
 const list = (values: readonly unknown[]): string => values.map(value => JSON.stringify(value)).join(', ');
 
+const choiceMessage = (choices: readonly unknown[], value: unknown): string => value === undefined
+	? `is missing: wants one of ${list(choices)}`
+	: `wants one of ${list(choices)}, not ${JSON.stringify(value)}`;
+
 const bound = (issue: {origin: string; inclusive?: boolean}, limit: unknown, words: readonly [string, string]): string => {
 	const subject: Readonly<Record<string, string>> = {string: ' characters', array: ' entries'};
 	return `must ${subject[issue.origin] ? 'have' : 'be'} ${issue.inclusive === false ? words[1] : words[0]} ${String(limit)}${subject[issue.origin] ?? ''}`;
@@ -61,15 +65,15 @@
 		return [{path, message: value === undefined ? `is missing: ${wants}` : `${wants}, not ${shown(value)}`}];
 	},
 	unrecognized_keys: (issue, path) => issue.keys.map(key => ({path: [...path, key], message: 'is not a known key'})),
-	invalid_value(issue, path, valueAt) {
-		const value = valueAt(path);
-		const message = value === undefined ? `is missing: wants one of ${list(issue.values)}` : `wants one of ${list(issue.values)}, not ${JSON.stringify(value)}`;
-		return [{path, message}];
-	},
+	invalid_value: (issue, path, valueAt) => [{path, message: choiceMessage(issue.values, valueAt(path))}],
 	too_small: (issue, path) => [{path, message: bound(issue, issue.minimum, ['at least', 'more than'])}],
 	too_big: (issue, path) => [{path, message: bound(issue, issue.maximum, ['at most', 'less than'])}],
 	/** The shape that fits best is taken as the one meant: its problems lie deepest, and it has the fewest. */
 	invalid_union(issue, path, valueAt) {
+		if ('options' in issue && Array.isArray(issue.options)) {
+			return [{path, message: choiceMessage(issue.options, valueAt(path))}];
+		}
+
 		const shapes = issue.errors.map(issues => issues.flatMap(inner => plainMessages({...inner, path: [...issue.path, ...inner.path]}, valueAt)));
 		const [closest] = shapes.filter(issues => issues.length > 0).toSorted((a, b) => depth(b) - depth(a) || a.length - b.length);
 		return closest ?? [{path, message: issue.message}];
--- a/src/platform/settings.feature
+++ b/src/platform/settings.feature
@@ -14,6 +14,7 @@
         "metrics": {"adress": "10.0.0.9:8125"},
         "logLevel": "loud",
         "behavior": "drains", /* A typing error. */
+        "backend": {"type": "engin", "maxRunning": 4},
       }
       """
     Then these problems are told
@@ -25,6 +26,7 @@
       | 6:15 | metrics.adress  | is not a known key                                                                                   |
       | 7:3  | logLevel        | wants one of "debug", "info", "warn", "error", not "loud"                                            |
       | 8:3  | behavior        | is not a known key                                                                                   |
+      | 9:15 | backend.type    | wants one of "engine", "service", not "engin"                                                        |
 
   Scenario: A syntax error is told by its place
     When a program loads these settings
--- a/src/platform/settings.steps.ts
+++ b/src/platform/settings.steps.ts
@@ -29,6 +29,10 @@
 	queueBytes: sizeBytes(),
 	tries: countOf(2),
 	timeoutMs: durationMs(1000),
+	backend: z.discriminatedUnion('type', [
+		z.strictObject({type: z.literal('engine'), maxRunning: countOf()}),
+		z.strictObject({type: z.literal('service')}),
+	]).optional(),
 });
 
 const fileWith = async (world: TestWorld, text: string): Promise<string> => {
@@ -64,22 +68,29 @@
 	assert.deepEqual(table.raw().map(([key = '']) => [key, String(settings[key])]), table.raw());
 });
 
-/** A program with several commands needs one to be named; `status` takes no further arguments. */
-const anyCommand = 'status';
+/** A program with several commands needs one to be named; settings come before the command's own arguments. */
+const firstCommand = (help: string): string[] => {
+	const {name} = /Available Commands\n\s+(?<name>\S+)/v.exec(help)?.groups ?? {};
+	return name === undefined ? [] : [name];
+};
 
 const builtPrograms = (): string[] => {
 	const {bin} = JSON.parse(readFileSync('package.json', 'utf8')) as {bin: Record<string, string>};
 	return Object.values(bin).filter(file => existsSync(file));
 };
 
+/** How each built program is called, up to the place where `--settings` may follow. */
+const calls = async (): Promise<string[][]> => Promise.all(builtPrograms().map(async program => {
+	const {stdout} = await runToEnd([program, '--help']);
+	return [program, ...firstCommand(stdout)];
+}));
+
 When('each built program that takes settings is started with an unknown key {string}', async function (this: SettingsWorld, key: string) {
 	const file = await fileWith(this, JSON.stringify({[key]: 1}));
-	const helps = await Promise.all(builtPrograms().map(async program => ({program, ...await runToEnd([program, '--help'])})));
+	const called = await calls();
+	const helps = await Promise.all(called.map(async call => ({call, ...await runToEnd([...call, '--help'])})));
 	const takers = helps.filter(({stdout}) => stdout.includes('--settings'));
-	this.runs = await Promise.all(takers.map(async ({program, stdout}) => {
-		const command = stdout.includes('<command>') ? [anyCommand] : [];
-		return {program, ...await runToEnd([program, ...command, '--settings', file])};
-	}));
+	this.runs = await Promise.all(takers.map(async ({call}) => ({program: call.join(' '), ...await runToEnd([...call, '--settings', file])})));
 	assert.ok(this.runs.length > 0);
 });
 
