--- a/src/platform/program.ts
+++ b/src/platform/program.ts
@@ -74,16 +74,15 @@
 	const run = new ProgramRun(services);
 	run.guard();
 	const started = await start(settings, services);
-	started.caseOf({
-		Left({message, exitCode}) {
-			services.log.emit(platformEvents.startFailed, {reason: message});
-			fail([`${name}: ${message}`], exitCode);
-			run.dispose();
-		},
-		Right(running) {
-			run.follow(running);
-		},
+	started.ifRight(running => {
+		run.follow(running);
 	});
+	if (started.isLeft()) {
+		const {message, exitCode} = started.extract();
+		services.log.emit(platformEvents.startFailed, {reason: message});
+		fail([`${name}: ${message}`], exitCode);
+		await run.dispose();
+	}
 };
 
 /**
