Admission: paced batch work, learned service rate, fair full queue

Cause: batch work was given every free place of an engine whatever it did to online tokens; estimates of the wait trusted the setting tokensPerSecond and counted a flooding account's queue against everybody; an account that filled the bounded queue had all others refused; each step scanned up to 1000 idle accounts.

Change: BatchPacer holds batch items back by the measured time between online tokens against online work alone (additive increase, multiplicative decrease), spaces their starts by the measured time of a start, and gives everything to batch work when no online request is there; the setting limits.batchWeight (0 to 1) weighs the two. ServiceRate learns milliseconds a token from finished work. A full queue refuses the newest request of the account that has most waiting for its share. Counters instead of scans in Admission; FairQueue looks only at accounts that wait. Accounts pay the true cost of their answers at the end.

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -71,7 +71,7 @@
 		this.#cfg = cfg;
 		this.#services = services;
 		this.#backend = (backendMakers[cfg.backend.type] as (backend: AgentSettings['backend'], http: HttpClient) => Backend)(cfg.backend, this.#http);
-		this.#admission = new Admission(clock, {...cfg.backend, maxQueued: cfg.limits.maxQueued});
+		this.#admission = new Admission(clock, {...cfg.backend, ...cfg.limits});
 		this.#runner = new WorkRunner(this.#admission, log, metrics);
 		this.#attempts = new OnlineAttempts({
 			clock,
--- a/src/agent/chunk-run.ts
+++ b/src/agent/chunk-run.ts
@@ -123,6 +123,7 @@
 			account,
 			share,
 			costTokens: (body.length * tokensPerCharacter) + defaultAnswerTokens,
+			promptTokens: body.length * tokensPerCharacter,
 			deadlineAt: Number.POSITIVE_INFINITY,
 		};
 	}
--- a/src/agent/item-run.ts
+++ b/src/agent/item-run.ts
@@ -76,6 +76,7 @@
 			signal,
 			onChunk: data => {
 				this.#assembler.add(JSON.parse(data) as AnswerChunk);
+				this.#around.runner.progressed(this.key, 1);
 			},
 		});
 		if (ended.isRight()) {
--- a/src/agent/online-attempts.ts
+++ b/src/agent/online-attempts.ts
@@ -162,7 +162,7 @@
 	}
 
 	async #run(attempt: AttemptRequest, signal: AbortSignal): Promise<'done'> {
-		const {ledger, backend} = this.#around;
+		const {ledger, backend, runner} = this.#around;
 		let chunks = 0;
 		ledger.start(attempt);
 		const outcome = await backend.run({
@@ -172,6 +172,7 @@
 			onChunk(data) {
 				chunks += 1;
 				ledger.append(attempt, data);
+				runner.progressed(tableKey(attempt), 1);
 			},
 		});
 		this.#open.delete(tableKey(attempt));
--- a/src/agent/work-runner.ts
+++ b/src/agent/work-runner.ts
@@ -60,12 +60,16 @@
 		const refusal = this.#admission.offer(work.ticket);
 		if (refusal) {
 			this.#carryOut(refusal);
-			return;
 		}
 
 		this.advance();
 	}
 
+	/** Says that running work got tokens of its answer. */
+	progressed(key: string, tokens: number): void {
+		this.#admission.progressed(key, tokens);
+	}
+
 	/** Cancels work wherever it is. Waiting work is dropped without a word; running work sees its signal abort. */
 	cancel(key: string): void {
 		this.#running.get(key)?.controller.abort();
@@ -118,7 +122,7 @@
 			this.#waiting.set(ticket.key, running.work);
 			this.#admission.preempted(ticket.key);
 		} else {
-			this.#admission.finish(ticket.key);
+			this.#admission.finish(ticket.key, !running.controller.signal.aborted);
 		}
 
 		this.advance();
--- a/src/common/admission.ts
+++ b/src/common/admission.ts
@@ -1,10 +1,12 @@
 /**
-Decides what the backend server gets next. A model engine knows no priorities and admits work as it arrives, so it is never given more than it runs at once: online work first, batch work in the room that is left, and a batch item is taken back when online work waits.
+Decides what the backend server gets next. A model engine knows no priorities and admits work as it arrives, so it is never given more than it runs at once: online work first, batch work in the room that is left and as far as the {@link BatchPacer} allows, and a batch item is taken back when online work waits.
 
-The class does no I/O. Callers offer work and report its end; the steps to carry out come back from `steps`.
+The class does no I/O. Callers offer work and report its progress and end; the steps to carry out come back from `steps`.
 */
+import {BatchPacer} from './batch-pacer.js';
 import {FairQueue, type QueueItem} from './fair-queue.js';
 import type {RefusalReason, WorkClass} from './protocol.js';
+import {ServiceRate} from './service-rate.js';
 import type {Clock} from './services.js';
 
 /** A piece of work that wants into the backend server. */
@@ -14,6 +16,8 @@
 	readonly workClass: WorkClass;
 	/** The clock's `now` after which the work is of no use. */
 	readonly deadlineAt: number;
+	/** The prompt's part of `costTokens`; all of it by default. */
+	readonly promptTokens?: number;
 };
 
 /** Limits of one agent. */
@@ -22,8 +26,10 @@
 	readonly maxRunning: number;
 	/** Online requests that may wait here. */
 	readonly maxQueued: number;
-	/** Tokens the backend server computes in a second when full; for estimates of the wait. */
+	/** Tokens the backend server computes in a second when full; what the estimates of the wait start from. */
 	readonly tokensPerSecond: number;
+	/** See {@link PacerSettings.batchWeight}; 0.3 by default. */
+	readonly batchWeight?: number;
 };
 
 /** What the caller has to do. */
@@ -33,174 +39,298 @@
 		| {readonly kind: 'preempt'; readonly ticket: Ticket}
 		| {readonly kind: 'refuse'; readonly ticket: Ticket; readonly reason: RefusalReason; readonly retryAfterMs: number};
 
+type Running = {
+	readonly ticket: Ticket;
+	readonly startedAt: number;
+	/** Tokens of the answer so far. */
+	tokens: number;
+	tokenAt: number;
+};
+
+const defaultBatchWeight = 0.3;
+// Of the places in the backend server, the part that batch work leaves free, so that the first online request of a burst starts without waiting for a cancellation.
+const reservedShare = 1 / 16;
+
 /** Queues and the set of running work of one backend server. */
 export class Admission {
+	readonly pacer: BatchPacer;
 	readonly #clock: Clock;
 	readonly #limits: AdmissionLimits;
-	readonly #online = new FairQueue<Ticket>();
-	readonly #batch = new FairQueue<Ticket>();
-	readonly #running = new Map<string, Ticket>();
+	readonly #rate: ServiceRate;
+	readonly #queues = {online: new FairQueue<Ticket>(), batch: new FairQueue<Ticket>()};
+	readonly #queued = new Map<string, Ticket>();
+	readonly #running = {online: new Map<string, Running>(), batch: new Map<string, Running>()};
 	readonly #preempting = new Set<string>();
-	#batchLimit: number;
-	#queuedTokens = 0;
+	readonly #batchRoom: number;
+	#runningTokens = 0;
+	#batchPrefillTokens = 0;
+	#nextDeadline = Number.POSITIVE_INFINITY;
 
 	constructor(clock: Clock, limits: AdmissionLimits) {
 		this.#clock = clock;
 		this.#limits = limits;
-		this.#batchLimit = limits.maxRunning;
+		this.#rate = new ServiceRate(limits);
+		const batchWeight = limits.batchWeight ?? defaultBatchWeight;
+		this.pacer = new BatchPacer(clock, {maxRunning: limits.maxRunning, batchWeight});
+		this.#batchRoom = limits.maxRunning - Math.floor(limits.maxRunning * reservedShare * (1 - batchWeight));
 	}
 
 	/** Online requests in the backend server. */
 	get onlineRunning(): number {
-		return this.#countRunning('online');
+		return this.#running.online.size;
 	}
 
 	get batchRunning(): number {
-		return this.#countRunning('batch');
+		return this.#running.batch.size;
 	}
 
 	get onlineQueued(): number {
-		return this.#online.length;
+		return this.#queues.online.length;
 	}
 
 	get batchQueued(): number {
-		return this.#batch.length;
+		return this.#queues.batch.length;
 	}
 
-	/** Tokens of online work that is queued or running. */
+	/** Tokens of online work that is queued or running, less those that running work has got already. */
 	get pendingTokens(): number {
-		return [...this.#running.values()].filter(ticket => ticket.workClass === 'online').reduce((sum, ticket) => sum + ticket.costTokens, 0) + this.#queuedTokens;
-	}
-
-	/** Batch items that may run at once now, from 0 to the backend server's maximum. */
-	get batchLimit(): number {
-		return this.#batchLimit;
-	}
-
-	set batchLimit(limit: number) {
-		this.#batchLimit = Math.max(0, Math.min(limit, this.#limits.maxRunning));
+		return this.#runningTokens + this.#queues.online.queuedTokens;
 	}
 
 	/**
-	Offers work. Call `steps` afterwards.
+	Offers work. Call `steps` afterwards, unless the work itself was refused.
 
-	@returns Undefined when it was taken, or the refusal: the queue is full, or the wait would outlast the deadline.
+	@returns Undefined, or a refusal: of this work, since the queue is full or the wait would outlast the deadline; or of other work, which gives way since its account has more than its share of a full queue.
 	*/
 	offer(ticket: Ticket): AdmissionStep | undefined {
 		if (ticket.workClass === 'batch') {
-			this.#batch.push(ticket);
+			this.#enqueue(ticket);
 			return undefined;
 		}
 
-		const waitMs = this.#estimatedWaitMs();
-		if (this.#online.length >= this.#limits.maxQueued) {
-			return {
-				kind: 'refuse', ticket, reason: 'queueFull', retryAfterMs: waitMs,
-			};
+		const waitMs = this.#waitMs(ticket);
+		if (waitMs > 0 && this.#clock.now() + waitMs + this.#serviceMs(ticket) > ticket.deadlineAt) {
+			return this.#refusal(ticket, 'deadline', waitMs);
 		}
 
-		if (this.#clock.now() + waitMs > ticket.deadlineAt) {
-			return {
-				kind: 'refuse', ticket, reason: 'deadline', retryAfterMs: waitMs,
-			};
+		if (this.onlineQueued < this.#limits.maxQueued) {
+			this.#enqueue(ticket);
+			return undefined;
 		}
 
-		this.#online.push(ticket);
-		this.#queuedTokens += ticket.costTokens;
-		return undefined;
+		return this.#displace(ticket, waitMs);
 	}
 
-	/** Says that the backend server has done with the work, however it ended. Call `steps` afterwards. */
-	finish(key: string): void {
-		this.#running.delete(key);
-		this.#preempting.delete(key);
+	/** Says that the backend server gave tokens of the answer to running work. */
+	progressed(key: string, tokens: number): void {
+		const online = this.#running.online.get(key);
+		const running = online ?? this.#running.batch.get(key);
+		if (!running) {
+			return;
+		}
+
+		const now = this.#clock.now();
+		if (online && running.tokens > 0) {
+			this.pacer.onlineTokens(now - running.tokenAt, tokens, this.batchRunning);
+		}
+
+		if (!online && running.tokens === 0) {
+			this.#batchPrefillTokens -= promptTokensOf(running.ticket);
+			this.pacer.firstBatchToken(now - running.startedAt);
+		}
+
+		this.#runningTokens -= online ? this.#leftOf(running) : 0;
+		running.tokens += tokens;
+		running.tokenAt = now;
+		this.#runningTokens += online ? this.#leftOf(running) : 0;
+	}
+
+	/**
+	Says that the backend server has done with the work. Call `steps` afterwards.
+
+	@param served - False when it was cancelled or failed, so that its time says nothing of the backend server's rate.
+	*/
+	finish(key: string, served = true): void {
+		const running = this.#leave(key);
+		if (!running) {
+			return;
+		}
+
+		const {ticket, startedAt, tokens} = running;
+		if (served) {
+			this.#rate.finished(ticket.costTokens, this.#clock.now() - startedAt);
+		}
+
+		// The account pays what the work has cost, not what it was expected to cost.
+		const cost = tokens > 0 && ticket.promptTokens !== undefined ? ticket.promptTokens + tokens : ticket.costTokens;
+		this.#queues[ticket.workClass].charge(ticket, cost - ticket.costTokens);
 	}
 
 	/** Says that a preempted item has left the backend server; it waits again. Call `steps` afterwards. */
 	preempted(key: string): void {
-		const ticket = this.#running.get(key);
-		this.finish(key);
-		if (ticket) {
-			this.#batch.unshift(ticket);
+		const running = this.#leave(key);
+		if (running) {
+			this.#queues.batch.unshift(running.ticket);
+			this.#queued.set(key, running.ticket);
 		}
 	}
 
 	/** Takes work out of the queues. False when it does not wait there. */
 	withdraw(key: string): boolean {
-		const fits = (ticket: Ticket) => ticket.key === key;
-		const online = this.#takeOnline(fits);
-		return online.length + this.#batch.takeWhere(fits).length > 0;
+		const ticket = this.#queued.get(key);
+		return ticket !== undefined && this.#dequeue(ticket);
 	}
 
 	/** What has to be done now, in order. */
 	steps(): AdmissionStep[] {
+		if (this.onlineRunning > 0 || this.onlineQueued > 0) {
+			this.pacer.onlineSeen();
+		}
+
 		return [...this.#expired(), ...this.#startOnline(), ...this.#preemptions(), ...this.#startBatch()];
 	}
 
-	#countRunning(workClass: WorkClass): number {
-		return [...this.#running.values()].filter(ticket => ticket.workClass === workClass).length;
+	get #size() {
+		return this.onlineRunning + this.batchRunning;
+	}
+
+	#enqueue(ticket: Ticket) {
+		this.#queues[ticket.workClass].push(ticket);
+		this.#queued.set(ticket.key, ticket);
+		this.#nextDeadline = Math.min(this.#nextDeadline, ticket.deadlineAt);
 	}
 
-	#takeOnline(fits: (ticket: Ticket) => boolean): Ticket[] {
-		const taken = this.#online.takeWhere(fits);
-		this.#queuedTokens -= taken.reduce((sum, ticket) => sum + ticket.costTokens, 0);
-		return taken;
+	#dequeue(ticket: Ticket): boolean {
+		this.#queued.delete(ticket.key);
+		return this.#queues[ticket.workClass].remove(ticket);
 	}
 
-	#estimatedWaitMs(): number {
-		if (this.onlineRunning < this.#limits.maxRunning) {
+	#leave(key: string): Running | undefined {
+		const running = this.#running.online.get(key) ?? this.#running.batch.get(key);
+		if (!running) {
+			return undefined;
+		}
+
+		this.#running[running.ticket.workClass].delete(key);
+		this.#preempting.delete(key);
+		if (running.ticket.workClass === 'online') {
+			this.#runningTokens -= this.#leftOf(running);
+		} else if (running.tokens === 0) {
+			this.#batchPrefillTokens -= promptTokensOf(running.ticket);
+		}
+
+		return running;
+	}
+
+	#leftOf({ticket, tokens}: Running): number {
+		return tokens === 0 ? ticket.costTokens : Math.max(0, ticket.costTokens - (ticket.promptTokens ?? 0) - tokens);
+	}
+
+	// A queue that one account has filled must not turn the others away: their first requests would be refused for as long as it sends.
+	#displace(ticket: Ticket, waitMs: number): AdmissionStep {
+		const surplus = this.#queues.online.surplusFor(ticket);
+		if (!surplus) {
+			return this.#refusal(ticket, 'queueFull', waitMs);
+		}
+
+		this.#dequeue(surplus);
+		this.#enqueue(ticket);
+		return this.#refusal(surplus, 'queueFull', this.#waitMs(surplus));
+	}
+
+	#refusal(ticket: Ticket, reason: RefusalReason, waitMs: number): AdmissionStep {
+		return {
+			kind: 'refuse', ticket, reason, retryAfterMs: Math.ceil(waitMs),
+		};
+	}
+
+	#serviceMs(ticket: Ticket): number {
+		return ticket.costTokens * this.#rate.msPerToken;
+	}
+
+	// The places in the backend server work off the tokens side by side.
+	#waitMs(ticket: Ticket): number {
+		if (this.onlineQueued === 0 && this.onlineRunning < this.#limits.maxRunning) {
 			return 0;
 		}
 
-		return Math.ceil(this.pendingTokens / this.#limits.tokensPerSecond * 1000);
+		const tokens = this.#queues.online.tokensBefore(ticket) + (this.#runningTokens / this.#limits.maxRunning);
+		return tokens * this.#rate.msPerToken / this.#limits.maxRunning;
 	}
 
 	// Work whose deadline passed while it waited is answered at once: nobody waits for it any more.
 	#expired(): AdmissionStep[] {
-		if (this.#online.length === 0) {
+		const now = this.#clock.now();
+		if (now < this.#nextDeadline) {
 			return [];
 		}
 
-		const now = this.#clock.now();
-		return this.#takeOnline(ticket => ticket.deadlineAt <= now).map(ticket => ({
-			kind: 'refuse', ticket, reason: 'deadline', retryAfterMs: this.#estimatedWaitMs(),
-		}));
+		const expired = this.#queues.online.takeWhere(ticket => ticket.deadlineAt <= now);
+		expired.forEach(({key}) => {
+			this.#queued.delete(key);
+		});
+		this.#nextDeadline = Math.min(...[...this.#queued.values()].map(({deadlineAt}) => deadlineAt));
+		return expired.map(ticket => this.#refusal(ticket, 'deadline', this.#waitMs(ticket)));
 	}
 
 	#startOnline(): AdmissionStep[] {
-		return this.#startFrom(this.#online, () => this.#running.size < this.#limits.maxRunning);
+		return this.#startFrom('online', () => this.#size < this.#limits.maxRunning);
 	}
 
 	#startBatch(): AdmissionStep[] {
-		return this.#startFrom(this.#batch, () => this.#online.length === 0 && this.#running.size < this.#limits.maxRunning && this.batchRunning < this.#batchLimit);
+		if (this.onlineQueued > 0) {
+			return [];
+		}
+
+		const {limit, prefillRoom} = this.pacer;
+		return this.#startFrom('batch', () => this.#size < this.#batchRoom
+			&& this.batchRunning < limit
+			&& this.#batchPrefillTokens < prefillRoom
+			&& this.pacer.mayStart());
 	}
 
-	#startFrom(queue: FairQueue<Ticket>, hasRoom: () => boolean): AdmissionStep[] {
+	#startFrom(workClass: WorkClass, hasRoom: () => boolean): AdmissionStep[] {
 		const started: AdmissionStep[] = [];
-		while (queue.length > 0 && hasRoom()) {
-			const ticket = queue.shift()!;
-			this.#queuedTokens -= queue === this.#online ? ticket.costTokens : 0;
-			this.#running.set(ticket.key, ticket);
+		while (this.#queues[workClass].length > 0 && hasRoom()) {
+			const ticket = this.#queues[workClass].shift()!;
+			this.#queued.delete(ticket.key);
+			this.#begin(ticket);
 			started.push({kind: 'start', ticket});
 		}
 
 		return started;
 	}
 
+	#begin(ticket: Ticket) {
+		const startedAt = this.#clock.now();
+		this.#running[ticket.workClass].set(ticket.key, {
+			ticket, startedAt, tokens: 0, tokenAt: startedAt,
+		});
+		if (ticket.workClass === 'online') {
+			this.#runningTokens += ticket.costTokens;
+			return;
+		}
+
+		this.#batchPrefillTokens += promptTokensOf(ticket);
+		this.pacer.started();
+	}
+
 	// The engine would make online work wait behind batch work for as long as that takes; a cancelled item frees its place within a step and is resumed later.
 	#preemptions(): AdmissionStep[] {
-		const overLimit = this.batchRunning - this.#preempting.size - this.#batchLimit;
-		const wanted = Math.max(this.#online.length - this.#preempting.size, overLimit);
+		const overLimit = this.batchRunning - this.#preempting.size - this.pacer.limit;
+		const wanted = Math.max(this.onlineQueued - this.#preempting.size, overLimit);
 		if (wanted <= 0) {
 			return [];
 		}
 
-		return [...this.#running.values()]
-			.filter(ticket => ticket.workClass === 'batch' && !this.#preempting.has(ticket.key))
+		return [...this.#running.batch.values()]
+			.filter(({ticket}) => !this.#preempting.has(ticket.key))
 			.slice(-wanted)
-			.map(ticket => {
+			.map(({ticket}) => {
 				this.#preempting.add(ticket.key);
 				return {kind: 'preempt', ticket};
 			});
 	}
 }
+
+const promptTokensOf = (ticket: Ticket) => ticket.promptTokens ?? ticket.costTokens;
--- a/src/common/fair-queue.ts
+++ b/src/common/fair-queue.ts
@@ -1,5 +1,7 @@
 /**
-A queue that is fair between client accounts by virtual token counters: each account's counter grows by the tokens it was served, divided by its share, and the waiting account with the lowest counter goes next. An account that was away is lifted to the lowest counter among those waiting, so that absence earns no credit.
+A queue that is fair between client accounts by virtual token counters: each account's counter grows by the tokens it was served, divided by its share, and the waiting account with the lowest counter goes next. An account that was away is lifted to the counter that was served last, so that absence earns no credit.
+
+Only accounts with waiting items are looked at when the next item is chosen; the counters of the others are kept apart, bounded in number.
 */
 import type {AccountName} from './ids.js';
 
@@ -12,15 +14,17 @@
 	readonly costTokens: number;
 };
 
-type Lane<Item> = {items: Item[]; counter: number};
+type Lane<Item> = {items: Item[]; counter: number; queuedTokens: number; share: number};
 
-// Accounts whose lanes are empty are forgotten beyond this number, the longest unused first; 26,000 accounts would otherwise stay in memory.
+// The counters of accounts without waiting items are forgotten beyond this number, the longest unused first; 26,000 accounts would otherwise stay in memory. A forgotten account starts again at the counter served last, which is where absence would have lifted it anyway.
 const maxIdleLanes = 1000;
 
 /** Items by account, taken in fair order. Within an account the order of arrival holds. */
 export class FairQueue<Item extends QueueItem> {
-	readonly #lanes = new Map<AccountName, Lane<Item>>();
+	readonly #waiting = new Map<AccountName, Lane<Item>>();
+	readonly #idle = new Map<AccountName, Lane<Item>>();
 	#length = 0;
+	#queuedTokens = 0;
 	#floor = 0;
 
 	/** Items waiting. */
@@ -28,18 +32,23 @@
 		return this.#length;
 	}
 
+	/** Tokens that the waiting items are expected to cost. */
+	get queuedTokens(): number {
+		return this.#queuedTokens;
+	}
+
 	push(item: Item): void {
-		const lane = this.#laneOf(item.account);
+		const lane = this.#laneOf(item);
 		lane.items.push(item);
-		this.#length += 1;
+		this.#count(lane, item, 1);
 	}
 
 	/** Puts back an item that was taken and not served; its account's counter is credited. */
 	unshift(item: Item): void {
-		const lane = this.#laneOf(item.account);
+		const lane = this.#laneOf(item);
 		lane.counter -= item.costTokens / item.share;
 		lane.items.unshift(item);
-		this.#length += 1;
+		this.#count(lane, item, 1);
 	}
 
 	/** The next item in fair order, which is left in the queue. */
@@ -55,72 +64,120 @@
 			return undefined;
 		}
 
-		this.#length -= 1;
 		this.#floor = Math.max(this.#floor, lane.counter);
 		lane.counter += item.costTokens / item.share;
+		this.#count(lane, item, -1);
 		return item;
 	}
 
-	/** Corrects an account's charge once the true cost is known; negative for less. */
+	/** Corrects an account's charge once the true cost is known; negative for less. An account that was forgotten is left alone. */
 	charge(item: QueueItem, extraTokens: number): void {
-		const lane = this.#lanes.get(item.account);
+		const lane = this.#waiting.get(item.account) ?? this.#idle.get(item.account);
 		if (lane) {
 			lane.counter += extraTokens / item.share;
 		}
 	}
 
+	/** Takes out one item, without a charge. False when it does not wait here. */
+	remove(item: Item): boolean {
+		const lane = this.#waiting.get(item.account);
+		const index = lane?.items.indexOf(item) ?? -1;
+		if (!lane || index === -1) {
+			return false;
+		}
+
+		lane.items.splice(index, 1);
+		this.#count(lane, item, -1);
+		return true;
+	}
+
 	/** Takes out all items for which `fits` holds, in no fair order and without a charge. */
 	takeWhere(fits: (item: Item) => boolean): Item[] {
-		const taken = [...this.#lanes.values()].flatMap(lane => {
-			const out = lane.items.filter(item => fits(item));
-			if (out.length > 0) {
-				lane.items = lane.items.filter(item => !fits(item));
-			}
-
-			return out;
+		const taken = [...this.#waiting.values()].flatMap(lane => lane.items.filter(item => fits(item)));
+		taken.forEach(item => {
+			this.remove(item);
 		});
-		this.#length -= taken.length;
 		return taken;
 	}
 
-	#laneOf(account: AccountName): Lane<Item> {
-		const known = this.#lanes.get(account);
-		if (known) {
-			if (known.items.length === 0) {
-				known.counter = Math.max(known.counter, this.#waitingFloor());
-				// Moves it to the end of the map: the order of last use.
-				this.#lanes.delete(account);
-				this.#lanes.set(account, known);
+	/** The tokens that go before an item that came now: those of other accounts only as far as they are ahead in fair order. */
+	tokensBefore(item: QueueItem): number {
+		const own = this.#waiting.get(item.account);
+		const start = Math.max(own?.counter ?? this.#idle.get(item.account)?.counter ?? 0, this.#floor);
+		const finish = start + ((own?.queuedTokens ?? 0) / item.share);
+		let tokens = own?.queuedTokens ?? 0;
+		for (const lane of this.#waiting.values()) {
+			if (lane !== own) {
+				tokens += Math.min(lane.queuedTokens, Math.max(0, (finish - lane.counter) * lane.share));
 			}
+		}
 
-			return known;
+		return tokens;
+	}
+
+	/**
+	Makes room for an item when the queue is full: the newest item of the account that has most waiting for its share.
+
+	@returns The item that has to give way, still in the queue; undefined when the new item's own account would have most.
+	*/
+	surplusFor(item: QueueItem): Item | undefined {
+		const own = this.#waiting.get(item.account);
+		let most = ((own?.queuedTokens ?? 0) + item.costTokens) / item.share;
+		let surplus: Lane<Item> | undefined;
+		for (const lane of this.#waiting.values()) {
+			const weight = lane.queuedTokens / lane.share;
+			if (lane !== own && weight > most) {
+				most = weight;
+				surplus = lane;
+			}
 		}
 
-		const lane = {items: [], counter: this.#waitingFloor()};
-		this.#lanes.set(account, lane);
-		this.#forgetIdle();
-		return lane;
+		return surplus?.items.at(-1);
 	}
 
-	#waitingFloor(): number {
-		const waiting = [...this.#lanes.values()].filter(lane => lane.items.length > 0).map(lane => lane.counter);
-		return waiting.length > 0 ? Math.min(...waiting) : this.#floor;
+	#count(lane: Lane<Item>, item: Item, sign: 1 | -1) {
+		this.#length += sign;
+		this.#queuedTokens += sign * item.costTokens;
+		lane.queuedTokens += sign * item.costTokens;
+		if (lane.items.length === 0) {
+			this.#waiting.delete(item.account);
+			this.#idle.set(item.account, lane);
+			this.#forgetIdle();
+		}
 	}
 
-	#lowest(): Lane<Item> | undefined {
-		return [...this.#lanes.values()]
-			.filter(lane => lane.items.length > 0)
-			.reduce<Lane<Item> | undefined>((best, lane) => best && best.counter <= lane.counter ? best : lane, undefined);
+	#laneOf(item: Item): Lane<Item> {
+		const waiting = this.#waiting.get(item.account);
+		if (waiting) {
+			return waiting;
+		}
+
+		const idle = this.#idle.get(item.account);
+		const lane = idle ?? {
+			items: [], counter: this.#floor, queuedTokens: 0, share: item.share,
+		};
+		lane.share = item.share;
+		lane.counter = Math.max(lane.counter, this.#floor);
+		this.#idle.delete(item.account);
+		this.#waiting.set(item.account, lane);
+		return lane;
 	}
 
-	#forgetIdle() {
-		if (this.#lanes.size <= maxIdleLanes) {
-			return;
+	#lowest(): Lane<Item> | undefined {
+		let best: Lane<Item> | undefined;
+		for (const lane of this.#waiting.values()) {
+			if (!best || lane.counter < best.counter) {
+				best = lane;
+			}
 		}
 
-		const idle = [...this.#lanes].find(([, lane]) => lane.items.length === 0);
-		if (idle) {
-			this.#lanes.delete(idle[0]);
+		return best;
+	}
+
+	#forgetIdle() {
+		if (this.#idle.size > maxIdleLanes) {
+			const [oldest] = this.#idle.keys();
+			this.#idle.delete(oldest!);
 		}
 	}
 }
--- a/src/common/route-policy.ts
+++ b/src/common/route-policy.ts
@@ -1,16 +1,30 @@
 /**
-Chooses the replica for a request: the least tokens still to be computed before it, those of our own requests counted at once and the replica's reports as they come.
+Chooses the replica for a request: the one with the least work before its answer, counted in tokens. Cached prompt blocks are a term of that cost and not a goal of their own: a replica that holds the prompt but is busy loses to an idle one as soon as its queue costs more than the prompt. Requests of this entry count at once, the replica's reports as they come.
 */
 import type {VmName} from './ids.js';
 import type {ReplicaView} from './replica-table.js';
 import type {RandomSource} from './services.js';
 
+/** What the terms of the score weigh, in tokens. */
+export type RouteWeights = {
+	/** A batch item in the engine: it lengthens every step, and online work that comes pushes it out. */
+	readonly perBatchItem: number;
+	/** A replica in another failure domain. */
+	readonly otherDomain: number;
+};
+
 /** What a choice is made from. */
 export type RouteQuestion = {
 	readonly replicas: readonly ReplicaView[];
 	/** Replicas that this request was at already; used again only when there is no other. */
 	readonly tried: ReadonlySet<VmName>;
+	/** Tokens of the prompt and of the expected answer. */
 	readonly costTokens: number;
+	/** Tokens of the prompt that a replica is known to hold; none by default. */
+	readonly cachedTokens?: (vm: VmName) => number;
+	/** This entry's failure domain; without it all count alike. */
+	readonly failureDomain?: string;
+	readonly weights?: Partial<RouteWeights>;
 };
 
 /** A replica with its cost in tokens; the lower the better. */
@@ -23,19 +37,30 @@
 	readonly runnersUp: readonly ScoredReplica[];
 };
 
+/** The weights that were measured best, see docs/DESIGN.md. */
+export const defaultWeights: RouteWeights = {perBatchItem: 0, otherDomain: 0};
+
 const runnersUpLogged = 2;
 
-const scoreOf = (replica: ReplicaView) => (replica.load?.pendingTokens ?? 0) + replica.ownTokensSince;
+const scoreOf = (replica: ReplicaView, question: RouteQuestion, weights: RouteWeights) => {
+	const {load} = replica;
+	const ahead = (load?.pendingTokens ?? 0) + replica.ownTokensSince;
+	const own = question.costTokens - (question.cachedTokens?.(replica.vm) ?? 0);
+	const batch = (load?.batchRunning ?? 0) * weights.perBatchItem;
+	const isElsewhere = question.failureDomain !== undefined && question.failureDomain !== replica.failureDomain;
+	return ahead + own + batch + (isElsewhere ? weights.otherDomain : 0);
+};
 
 /**
 @param random - Breaks ties, so that many entries with the same view do not all choose the same replica.
 @returns The choice, or undefined when there is no replica.
 */
 export const chooseReplica = (question: RouteQuestion, random: RandomSource): RouteChoice | undefined => {
+	const weights = {...defaultWeights, ...question.weights};
 	const untried = question.replicas.filter(replica => !question.tried.has(replica.vm));
 	const candidates = untried.length > 0 ? untried : question.replicas;
 	const [best, ...others] = candidates
-		.map(replica => ({replica, score: scoreOf(replica), tie: random.next()}))
+		.map(replica => ({replica, score: scoreOf(replica, question, weights), tie: random.next()}))
 		.toSorted((a, b) => a.score - b.score || a.tie - b.tie);
 	return best && {
 		chosen: best.replica,
--- /dev/null
+++ b/src/common/service-rate.ts
@@ -0,0 +1,43 @@
+/**
+Learns how long the backend server takes for a token of estimated cost, from the work it has finished, so that estimates of the wait follow the backend server as it is and not as its settings say. Recent work counts more: the rate follows a backend server that has become slow within a few dozen requests.
+*/
+
+/** What is assumed before anything was measured. */
+export type RatePrior = {
+	/** Requests the backend server runs at once. */
+	readonly maxRunning: number;
+	/** Tokens it computes in a second when full. */
+	readonly tokensPerSecond: number;
+};
+
+const msPerSecond = 1000;
+// The prior counts as much as this many tokens of measured work.
+const priorTokens = 100;
+// What each finished request leaves of the weight of those before it.
+const retained = 0.95;
+
+/** A weighted mean of milliseconds a token. */
+export class ServiceRate {
+	#ms: number;
+	#tokens = priorTokens;
+
+	constructor({maxRunning, tokensPerSecond}: RatePrior) {
+		this.#ms = priorTokens * maxRunning * msPerSecond / tokensPerSecond;
+	}
+
+	/** Milliseconds that one request takes for each token of its cost. */
+	get msPerToken(): number {
+		return this.#ms / this.#tokens;
+	}
+
+	/**
+	Counts finished work.
+
+	@param costTokens - What it was estimated to cost; the estimates' error is part of the rate.
+	@param ms - How long it ran.
+	*/
+	finished(costTokens: number, ms: number): void {
+		this.#ms = (this.#ms * retained) + ms;
+		this.#tokens = (this.#tokens * retained) + costTokens;
+	}
+}
--- /dev/null
+++ b/src/common/testing/manual-clock.ts
@@ -0,0 +1,34 @@
+/**
+A clock that a test sets by hand.
+*/
+import type {Clock} from '../services.js';
+
+/** Time that passes only by `advance`. */
+export class ManualClock implements Clock {
+	readonly #sleepers: Array<{readonly until: number; readonly wake: () => void}> = [];
+	#now = 0;
+
+	now(): number {
+		return this.#now;
+	}
+
+	wall(): number {
+		return this.#now;
+	}
+
+	async sleep(ms: number): Promise<void> {
+		return new Promise(wake => {
+			this.#sleepers.push({until: this.#now + ms, wake});
+		});
+	}
+
+	/** Lets `ms` milliseconds pass and wakes those whose time has come. */
+	advance(ms: number): void {
+		this.#now += ms;
+		const due = this.#sleepers.filter(({until}) => until <= this.#now);
+		due.forEach(sleeper => {
+			this.#sleepers.splice(this.#sleepers.indexOf(sleeper), 1);
+			sleeper.wake();
+		});
+	}
+}
