Object API: a 500 or 502 to a change is an unknown outcome

Cause: any status the contract does not name was taken for "not carried out"; a platform that fails after the change took effect answers just so, and a writer would then say that nothing was accepted. Change: such a status on a change is unknown, and is read back; on a read it stays unavailable.

--- a/src/platform/http-object-api.ts
+++ b/src/platform/http-object-api.ts
@@ -130,18 +130,19 @@
 	async #read<T>(res: HttpResponse, onFailure: (failure: HttpFailure) => ApiError): Promise<Either<ApiError, T>> {
 		try {
 			const answer: Answer = {res, text: await res.body.text()};
-			return this.#interpret<T>(answer);
+			return this.#interpret<T>(answer, onFailure);
 		} catch (err) {
 			return Left(onFailure({kind: 'lost', reason: String(err)}));
 		}
 	}
 
-	#interpret<T>({res, text}: Answer): Either<ApiError, T> {
+	#interpret<T>({res, text}: Answer, onFailure: (failure: HttpFailure) => ApiError): Either<ApiError, T> {
 		if (res.status < 300) {
 			return Right(parsed(text) as T);
 		}
 
 		const toError = errorsByStatus[res.status];
-		return Left(toError ? toError(text) : {kind: 'unavailable', reason: `status ${res.status}`});
+		// A status that the contract does not name, a 500 or 502 for instance, says nothing of whether a change took effect.
+		return Left(toError ? toError(text) : onFailure({kind: 'lost', reason: `status ${res.status}`}));
 	}
 }
