--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -7,7 +7,9 @@
 import {ConfigTable} from '../common/config-table.js';
 import {branded} from '../common/ids.js';
 import {NodeLifecycle} from '../common/node-lifecycle.js';
-import type {AttemptKey, Incarnation, LoadReport} from '../common/protocol.js';
+import type {
+	AttemptKey, GrantRequest, Incarnation, LoadReport, RenewRequest,
+} from '../common/protocol.js';
 import {RequestLedger} from '../common/request-ledger.js';
 import type {
 	Clock, Disposable, EventLog, Metrics, ObjectApi, RandomSource,
@@ -20,7 +22,7 @@
 import {RpcClient} from '../platform/rpc-client.js';
 import {rpcRoute, type RpcMethods} from '../platform/rpc-route.js';
 import type {Backend} from './backend.js';
-import {BatchWorker, type GrantRequest, type RenewRequest} from './batch-worker.js';
+import {BatchWorker} from './batch-worker.js';
 import {AgentConfigFollower} from './config-follower.js';
 import {EngineBackend} from './engine-backend.js';
 import {agentEvents} from './log-events.js';
@@ -202,7 +204,10 @@
 		const makeWriter = (isGranted: () => boolean) => new ResultWriter(`${this.#cfg.vm}-${randomUUID()}`, {
 			api, clock, random, isGranted,
 		});
-		return new BatchWorker(around, makeWriter, backend.type === 'engine' ? limits.batchChunks : 0);
+		return new BatchWorker(around, makeWriter, {
+			maxChunks: backend.type === 'engine' ? limits.batchChunks : 0,
+			minItemsAhead: 2 * backend.maxRunning,
+		});
 	}
 
 	async #readServes() {
--- a/src/agent/batch-worker.ts
+++ b/src/agent/batch-worker.ts
@@ -1,50 +1,47 @@
 /**
 The agent's part in batch jobs: it holds a few chunks granted by coordinators, works them off in the room that online work leaves, and drops those whose grant lapses.
 */
-import type {ChunkGrant, ChunkReport} from '../common/protocol.js';
 import type {Fence, JobId} from '../common/ids.js';
+import type {
+	ChunkReport, GrantAnswer, GrantRequest, RenewAnswer, RenewRequest,
+} from '../common/protocol.js';
 import type {Disposable} from '../common/services.js';
 import {ChunkRun, type ChunkSurroundings} from './chunk-run.js';
 import type {ResultWriter} from './result-writer.js';
 
-/** Names a grant. */
-export type GrantKey = {readonly jobId: JobId; readonly chunk: number};
-
-/** What a coordinator asks when it renews its grants at this agent. */
-export type RenewRequest = {
-	/** The coordinator's name; grants of others are left alone. */
-	readonly holder: string;
-	readonly expiresInMs: number;
-	/** The grants that stay; all others of this holder are taken back. */
-	readonly keep: readonly GrantKey[];
+/** Bounds of what an agent holds. */
+export type BatchLimits = {
+	/** Chunks held at once, finished ones that wait for the object API included; this bounds memory. */
+	readonly maxChunks: number;
+	/** Items without a result below which another chunk is taken, over and above what is completed in a second. */
+	readonly minItemsAhead: number;
 };
 
-/** A grant, as a coordinator sends it. */
-export type GrantRequest = {readonly holder: string; readonly grant: ChunkGrant};
-
-/** Whether a grant was taken. */
-export type GrantAnswer = {readonly accepted: boolean; readonly reason?: 'draining' | 'full' | 'staleFence'};
-
-type Held = {readonly run: ChunkRun; holder: string; fence: Fence; ended: boolean};
+type Held = {readonly run: ChunkRun; readonly shard: string; fence: Fence; round: number; ended: boolean};
 
 const sweepMs = 250;
-const nameOf = (key: GrantKey) => `${key.jobId}/${key.chunk}`;
+const sweepsPerSecond = 1000 / sweepMs;
+// Weight of the latest sweep in the moving average of items a second.
+const rateWeight = 0.25;
+const nameOf = (key: {readonly jobId: JobId; readonly chunk: number}) => `${key.jobId}/${key.chunk}`;
 
 /** Holds the chunks of one agent. */
 export class BatchWorker implements Disposable {
 	readonly #around: ChunkSurroundings;
 	readonly #makeWriter: (isGranted: () => boolean) => ResultWriter;
-	readonly #maxChunks: number;
+	readonly #limits: BatchLimits;
 	readonly #held = new Map<string, Held>();
+	readonly #fences = new Map<string, Fence>();
 	readonly #timer: NodeJS.Timeout;
 	#draining = false;
 	#runs = 0;
+	#itemsPerSecond = 0;
+	#itemsSinceSweep = 0;
 
-	/** @param maxChunks - Chunks held at once, finished ones that wait for the object API included; this bounds memory. */
-	constructor(around: ChunkSurroundings, makeWriter: (isGranted: () => boolean) => ResultWriter, maxChunks: number) {
+	constructor(around: ChunkSurroundings, makeWriter: (isGranted: () => boolean) => ResultWriter, limits: BatchLimits) {
 		this.#around = around;
 		this.#makeWriter = makeWriter;
-		this.#maxChunks = maxChunks;
+		this.#limits = limits;
 		this.#timer = setInterval(() => {
 			this.#sweep();
 		}, sweepMs);
@@ -52,7 +49,16 @@
 
 	/** Chunks that would be taken now. */
 	get room(): number {
-		return this.#draining ? 0 : Math.max(0, this.#maxChunks - this.#openCount());
+		const open = [...this.#held.values()].filter(held => !held.ended);
+		const itemsAhead = open.reduce((sum, {run}) => sum + run.remaining, 0);
+		// The next grants come after an exchange or two; until then there must be work.
+		const wanted = this.#limits.minItemsAhead + this.#itemsPerSecond;
+		return this.#draining || itemsAhead >= wanted ? 0 : Math.max(0, this.#limits.maxChunks - open.length);
+	}
+
+	/** Chunks in memory. */
+	get size(): number {
+		return this.#held.size;
 	}
 
 	/** Takes no new chunks, and gives back those that are not being committed: their coordinator grants them elsewhere. */
@@ -69,40 +75,39 @@
 	}
 
 	/** Takes a chunk. A grant that repeats one already held is taken again; one from a coordinator whose lease has passed on is refused. */
-	grant({holder, grant}: GrantRequest): GrantAnswer {
+	grant({shard, grant}: GrantRequest): GrantAnswer {
+		if (!this.#admits(shard, grant.fence)) {
+			return {accepted: false, reason: 'staleFence'};
+		}
+
 		const known = this.#held.get(nameOf(grant));
-		if (known?.run.isGranted) {
-			return this.#grantAgain(known, holder, grant);
+		if (known?.run.isGranted && !known.ended) {
+			this.#grantAgain(known, grant);
+			return {accepted: true};
 		}
 
-		if (this.room === 0) {
+		if (this.#draining || this.room === 0) {
 			return {accepted: false, reason: this.#draining ? 'draining' : 'full'};
 		}
 
-		this.#runs += 1;
-		const run = new ChunkRun(`${nameOf(grant)}/${this.#runs}`, grant, this.#around, this.#makeWriter);
-		const held: Held = {
-			run, holder, fence: grant.fence, ended: false,
-		};
-		this.#held.set(nameOf(grant), held);
-		void run.run().then(() => {
-			held.ended = true;
-		});
+		this.#begin(shard, grant);
 		return {accepted: true};
 	}
 
-	/** Renews the grants that the coordinator still wants, takes back its others, and reports. */
-	renew({holder, expiresInMs, keep}: RenewRequest): ChunkReport[] {
-		const kept = new Set(keep.map(key => nameOf(key)));
-		const own = [...this.#held].filter(([, held]) => held.holder === holder);
-		own.filter(([name]) => !kept.has(name)).forEach(([name, held]) => {
+	/** Renews the grants that the coordinator still wants, takes back its others, and reports. Chunks that have ended are reported once. */
+	renew({shard, fence, round, expiresInMs, keep}: RenewRequest): RenewAnswer {
+		if (!this.#admits(shard, fence)) {
+			return {accepted: false, reports: [], room: this.room};
+		}
+
+		const own = [...this.#held].filter(([, held]) => held.shard === shard && held.run.isGranted);
+		const kept = keep === 'all' ? new Set(own.map(([name]) => name)) : new Set(keep.map(key => nameOf(key)));
+		own.filter(([name, held]) => !kept.has(name) && held.round <= round).forEach(([name, held]) => {
 			held.run.cancel();
 			this.#held.delete(name);
 		});
-		return own.filter(([name, held]) => kept.has(name) && held.run.isGranted).map(([, held]) => {
-			held.run.renew(expiresInMs);
-			return held.run.report;
-		});
+		const reports = own.filter(([name]) => kept.has(name)).map(([name, held]) => this.#renewOne(name, held, {fence, expiresInMs}));
+		return {accepted: true, reports, room: this.room};
 	}
 
 	dispose(): void {
@@ -112,20 +117,49 @@
 		});
 	}
 
-	#grantAgain(known: Held, holder: string, grant: ChunkGrant): GrantAnswer {
-		if (grant.fence < known.fence) {
-			return {accepted: false, reason: 'staleFence'};
+	// A coordinator that was paused, or is cut off from the object API, does not know that another has its shard. Were it obeyed, it would keep the chunks of a cancelled job alive, or take back what the other granted. The highest fencing number seen decides.
+	#admits(shard: string, fence: Fence): boolean {
+		if (fence < (this.#fences.get(shard) ?? 0)) {
+			return false;
 		}
 
-		// The job's shard has a new coordinator: the work goes on under it.
-		known.holder = holder;
-		known.fence = grant.fence;
-		known.run.renew(grant.expiresInMs);
-		return {accepted: true};
+		this.#fences.set(shard, fence);
+		return true;
 	}
 
-	#openCount() {
-		return [...this.#held.values()].filter(held => !held.ended).length;
+	#begin(shard: string, grant: GrantRequest['grant']) {
+		this.#runs += 1;
+		const run = new ChunkRun(`${nameOf(grant)}/${this.#runs}`, grant, {
+			...this.#around,
+			onItem: () => {
+				this.#itemsSinceSweep += 1;
+			},
+		}, this.#makeWriter);
+		const held: Held = {
+			run, shard, fence: grant.fence, round: grant.round, ended: false,
+		};
+		this.#held.set(nameOf(grant), held);
+		void run.run().then(() => {
+			held.ended = true;
+		});
+	}
+
+	#renewOne(name: string, held: Held, {fence, expiresInMs}: Pick<RenewRequest, 'fence' | 'expiresInMs'>): ChunkReport {
+		held.fence = fence;
+		held.run.renew(expiresInMs);
+		if (held.ended) {
+			// Should this answer be lost, the coordinator finds the result in the object API.
+			this.#held.delete(name);
+		}
+
+		return held.run.report;
+	}
+
+	// The job's shard has a new coordinator, or the answer to the first grant was lost: the work goes on.
+	#grantAgain(known: Held, grant: GrantRequest['grant']) {
+		known.fence = grant.fence;
+		known.round = grant.round;
+		known.run.renew(grant.expiresInMs);
 	}
 
 	// A grant lapses when its coordinator is gone or has cancelled the job while it could not reach us; either way the work must stop.
@@ -134,5 +168,7 @@
 			held.run.cancel();
 			this.#held.delete(name);
 		});
+		this.#itemsPerSecond += rateWeight * ((this.#itemsSinceSweep * sweepsPerSecond) - this.#itemsPerSecond);
+		this.#itemsSinceSweep = 0;
 	}
 }
--- a/src/agent/chunk-run.ts
+++ b/src/agent/chunk-run.ts
@@ -6,7 +6,7 @@
 import type {Clock, ObjectApi} from '../common/services.js';
 import type {ApiError, StoredObject} from '../common/types.js';
 import {ItemRun, type ItemOutcome, type ItemSurroundings} from './item-run.js';
-import type {ResultWriter} from './result-writer.js';
+import type {CommitOutcome, ResultWriter} from './result-writer.js';
 import type {SoloGate} from './solo-gate.js';
 
 /** What the run of a chunk needs. */
@@ -16,8 +16,11 @@
 	readonly gate: SoloGate;
 	/** Items of this chunk that are submitted at once. */
 	readonly window: number;
+	/** Called for each item that has its result. */
+	readonly onItem?: () => void;
 };
 
+const stateAfter: Record<CommitOutcome, ChunkReport['state']> = {committed: 'committed', lostRace: 'superseded', lapsed: 'running'};
 const maxSoloCrashes = 3;
 const retryMs = 200;
 const tokensPerCharacter = 0.25;
@@ -33,6 +36,8 @@
 	readonly #live = new Set<ItemRun>();
 	readonly #suspects: ItemRun[] = [];
 	#state: ChunkReport['state'] = 'running';
+	#total: number | undefined;
+	#done = 0;
 	#failed = 0;
 	#cancelled = false;
 	#expiresAt: number;
@@ -63,11 +68,16 @@
 			jobId: this.grant.jobId,
 			chunk: this.grant.chunk,
 			state: this.#state,
-			completed: this.#results.size - this.#failed,
+			completed: this.#done - this.#failed,
 			failed: this.#failed,
 		};
 	}
 
+	/** Items without a result; 1 until the items have been read. */
+	get remaining(): number {
+		return this.#total === undefined ? 1 : this.#total - this.#done;
+	}
+
 	/** Extends the grant, as its coordinator asks. */
 	renew(expiresInMs: number): void {
 		this.#expiresAt = this.#around.clock.now() + expiresInMs;
@@ -85,6 +95,7 @@
 	/** Runs the chunk to its end. Resolves when it is committed or cancelled; never rejects. */
 	async run(): Promise<void> {
 		const items = await this.#readItems();
+		this.#total = items.length;
 		await this.#runShared(items);
 		await this.#runSuspects();
 		if (!this.isGranted) {
@@ -94,7 +105,9 @@
 		this.#state = 'committing';
 		const ordered = items.map(run => this.#results.get(run.item.custom_id)!);
 		const outcome = await this.#writer.commit(this.grant, ordered, this.#failed);
-		this.#state = outcome === 'lapsed' ? 'running' : 'committed';
+		this.#state = stateAfter[outcome];
+		// The run is kept until its coordinator has heard of its end; the answers must not stay in memory that long.
+		this.#results.clear();
 	}
 
 	async #readItems(): Promise<ItemRun[]> {
@@ -216,6 +229,8 @@
 		}
 
 		this.#results.set(run.item.custom_id, outcome.result);
+		this.#done += 1;
+		this.#around.onItem?.();
 		this.#failed += outcome.failed ? 1 : 0;
 	}
 }
--- a/src/agent/result-writer.ts
+++ b/src/agent/result-writer.ts
@@ -38,7 +38,9 @@
 	}
 
 	/** Commits the items of a chunk; retries through outages of the object API for as long as the grant holds. */
-	async commit(grant: ChunkGrant, items: readonly ItemResult[], failed: number): Promise<CommitOutcome> {
+	async commit(grant: ChunkGrant, results: readonly ItemResult[], failedBefore: number): Promise<CommitOutcome> {
+		const items = results.map(item => this.#fitting(item));
+		const failed = failedBefore + items.filter((item, index) => item !== results[index]).length;
 		const pieces = this.#pieces(items);
 		const parts = pieces.length > 1 ? pieces.map((_, index) => `${resultName(grant.jobId, grant.chunk)}/${this.#writer}/${index}`) : [];
 		for (const [index, name] of parts.entries()) {
@@ -85,6 +87,14 @@
 		return current?.writer === this.#writer ? 'committed' : 'lostRace';
 	}
 
+	// A single answer above the object API's limit could never be committed: the chunk would be run again and again, and hold its neighbours back.
+	#fitting(item: ItemResult): ItemResult {
+		const isTooLarge = Buffer.byteLength(JSON.stringify(item)) > maxItemsBytes;
+		return isTooLarge
+			? {...item, response: null, error: {code: 'result_too_large', message: `the answer has more than ${maxItemsBytes} bytes`}}
+			: item;
+	}
+
 	#pieces(items: readonly ItemResult[]): ItemResult[][] {
 		return items.reduce<{pieces: ItemResult[][]; bytes: number}>((packed, item) => {
 			const bytes = Buffer.byteLength(JSON.stringify(item));
--- a/src/agent/settings.ts
+++ b/src/agent/settings.ts
@@ -45,7 +45,7 @@
 		retainMs: durationMs(10_000),
 		retainBytes: sizeBytes(8_388_608),
 		/** Chunks of batch jobs held at once. */
-		batchChunks: z.int().min(0).default(2),
+		batchChunks: z.int().min(0).default(4),
 		/** From 0 to 1: 0 spares online latency as far as can be, 1 lets batch throughput go first. */
 		batchWeight: z.number().min(0).max(1).default(0.3),
 		/** Items of a chunk submitted at once. Default: twice what the backend server runs. */
--- a/src/common/batch-types.ts
+++ b/src/common/batch-types.ts
@@ -62,15 +62,27 @@
 /** States of a job as clients see them. */
 export type JobState = 'validating' | 'in_progress' | 'finalizing' | 'completed' | 'cancelling' | 'cancelled' | 'expired' | 'failed';
 
+/** What the committed chunks of a job add up to, so that a new coordinator need not read their results again. */
+export type CommittedCounts = {
+	/** The chunks that are counted. */
+	readonly chunks: readonly number[];
+	readonly completed: number;
+	readonly failed: number;
+};
+
 /** Progress of a job: kind `JobStatus`, named by the job's id. */
 export type JobStatus = {
 	readonly jobId: JobId;
+	/** The `createdTime` of the job this speaks of. A job that was cleaned away and submitted anew has the same id; the old status must not end the new job. */
+	readonly jobCreatedTime?: string;
 	readonly state: JobState;
 	readonly total: number;
 	readonly completed: number;
 	readonly failed: number;
 	/** Chunks whose results belong to the job, once it has ended: a result committed later is not part of it. */
 	readonly sealedChunks?: readonly number[];
+	/** While the job runs. */
+	readonly counted?: CommittedCounts;
 	/** Seconds since 1970. */
 	readonly startedAt?: number;
 	readonly endedAt?: number;
@@ -80,6 +92,9 @@
 	readonly fence: Fence;
 };
 
+/** States in which a job changes no more. */
+export const endedStates: ReadonlySet<JobState> = new Set<JobState>(['completed', 'cancelled', 'expired', 'failed']);
+
 const chunkDigits = 6;
 
 /** The name of a chunk's result. */
--- a/src/common/job-run.ts
+++ b/src/common/job-run.ts
@@ -1,13 +1,26 @@
 /**
-What a coordinator knows of one job: which chunks are committed, which are granted to which agent, and which still have to be. It is rebuilt from the object API whenever a coordinator takes a job over, so nothing of it needs to last.
+What a coordinator knows of one job: which chunks are committed, which are granted to which agent, and which still have to be. It is rebuilt from the object API whenever a coordinator takes a job over, so nothing of it needs to last. It keeps a few bytes a chunk, whatever the number of items.
 */
 import type {BatchJobSpec} from '../../typings/resources.js';
-import type {FileRecord, JobState, JobStatus} from './batch-types.js';
+import type {
+	CommittedCounts, FileRecord, JobState, JobStatus,
+} from './batch-types.js';
 import type {Fence, JobId, VmName} from './ids.js';
-import type {ChunkReport} from './protocol.js';
+import type {ChunkReport, Incarnation} from './protocol.js';
 
 /** A chunk that an agent holds. */
-export type GrantedChunk = {readonly chunk: number; readonly vm: VmName; readonly report?: ChunkReport};
+export type GrantedChunk = {
+	readonly chunk: number;
+	readonly vm: VmName;
+	/** The agent's incarnation when it was granted. */
+	readonly incarnation: Incarnation | undefined;
+	/** The clock's `now` when it was granted. */
+	readonly at: number;
+	readonly report?: ChunkReport;
+};
+
+/** A chunk that its agent no longer has; it may have been committed before. */
+export type MissingChunk = {readonly chunk: number; readonly vm: VmName; readonly isFault: boolean};
 
 /** What a job's run begins from. */
 export type JobStart = {
@@ -16,6 +29,8 @@
 	readonly file: FileRecord;
 	/** Chunks whose results exist already. */
 	readonly committed: readonly number[];
+	/** Those of them that an earlier coordinator has counted. */
+	readonly counted?: CommittedCounts;
 	/** Seconds since 1970. */
 	readonly startedAt: number;
 };
@@ -25,26 +40,36 @@
 // After this many agents were lost with a chunk, its items run one by one, to find the one that takes them down.
 const lossesBeforeIsolation = 2;
 const noCounts: Counts = {completed: 0, failed: 0};
+const sumOf = (counts: ReadonlyArray<Counts | undefined>): Counts => ({
+	completed: counts.reduce((sum, known) => sum + (known?.completed ?? 0), 0),
+	failed: counts.reduce((sum, known) => sum + (known?.failed ?? 0), 0),
+});
 
 /** One job at its coordinator. */
 export class JobRun {
 	readonly jobId: JobId;
 	readonly file: FileRecord;
 	spec: BatchJobSpec;
+	readonly #base: Counts;
 	readonly #committed = new Map<number, Counts | undefined>();
 	readonly #granted = new Map<number, GrantedChunk>();
+	readonly #missing = new Map<number, MissingChunk>();
 	readonly #losses = new Map<number, number>();
 	readonly #startedAt: number;
-	#nextChunk = 0;
 	readonly #returned: number[] = [];
+	#nextChunk: number;
 
 	constructor(start: JobStart) {
 		this.jobId = start.jobId;
 		this.spec = start.spec;
 		this.file = start.file;
 		this.#startedAt = start.startedAt;
+		this.#base = start.counted ?? noCounts;
+		this.#nextChunk = start.file.chunks.length - 1;
+		const counted = new Set(start.counted?.chunks);
 		start.committed.forEach(chunk => {
-			this.#committed.set(chunk, undefined);
+			// Those counted before are in the base.
+			this.#committed.set(chunk, counted.has(chunk) ? noCounts : undefined);
 		});
 	}
 
@@ -52,14 +77,33 @@
 		return `model:${this.file.model}`;
 	}
 
+	/** Seconds since 1970. */
+	get startedAt(): number {
+		return this.#startedAt;
+	}
+
 	get granted(): readonly GrantedChunk[] {
 		return [...this.#granted.values()];
 	}
 
+	get missing(): readonly MissingChunk[] {
+		return [...this.#missing.values()];
+	}
+
+	/** Items of the chunks that agents hold. */
+	get grantedItems(): number {
+		return this.granted.reduce((sum, {chunk}) => sum + (this.file.chunks[chunk]?.items ?? 0), 0);
+	}
+
 	get isComplete(): boolean {
 		return this.#committed.size === this.file.chunks.length;
 	}
 
+	/** True when there is a chunk to grant. */
+	get hasChunk(): boolean {
+		return this.#returned.some(chunk => !this.#committed.has(chunk)) || this.#peekFresh() >= 0;
+	}
+
 	/** Committed chunks whose counts are not known here: results written under an earlier coordinator. */
 	get uncounted(): readonly number[] {
 		return [...this.#committed].filter(([, counts]) => counts === undefined).map(([chunk]) => chunk);
@@ -69,19 +113,26 @@
 		return [...this.#committed.keys()];
 	}
 
-	/** The next chunk to grant; undefined when all are granted or committed. */
+	/**
+	The next chunk to grant; undefined when all are granted or committed.
+
+	The last come first: chunks grow along a file, so that the small ones are left for the end, when many agents share the few that remain.
+	*/
 	takeChunk(): {readonly chunk: number; readonly isolate: boolean} | undefined {
-		const chunk = this.#returned.shift() ?? this.#nextFresh();
+		const chunk = this.#takeReturned() ?? this.#takeFresh();
 		return chunk === undefined ? undefined : {chunk, isolate: (this.#losses.get(chunk) ?? 0) >= lossesBeforeIsolation};
 	}
 
 	/** Puts a chunk back that no agent took. */
 	putBack(chunk: number): void {
+		this.#granted.delete(chunk);
 		this.#returned.unshift(chunk);
 	}
 
-	grantedTo(chunk: number, vm: VmName): void {
-		this.#granted.set(chunk, {chunk, vm});
+	grantedTo(granted: GrantedChunk): void {
+		if (!this.#committed.has(granted.chunk)) {
+			this.#granted.set(granted.chunk, granted);
+		}
 	}
 
 	reported(report: ChunkReport): void {
@@ -90,65 +141,110 @@
 			return;
 		}
 
-		if (report.state === 'committed') {
-			this.committed(report.chunk, report);
-			return;
-		}
-
-		this.#granted.set(report.chunk, {...granted, report});
+		const handlers: Record<ChunkReport['state'], () => void> = {
+			running: () => {
+				this.#granted.set(report.chunk, {...granted, report});
+			},
+			committing: () => {
+				this.#granted.set(report.chunk, {...granted, report});
+			},
+			committed: () => {
+				this.committed(report.chunk, report);
+			},
+			superseded: () => {
+				this.committed(report.chunk, undefined);
+			},
+		};
+		handlers[report.state]();
 	}
 
+	/** @param counts - Undefined when they still have to be read. */
 	committed(chunk: number, counts: Counts | undefined): void {
 		this.#granted.delete(chunk);
-		this.#committed.set(chunk, counts);
+		this.#missing.delete(chunk);
+		this.#committed.set(chunk, this.#committed.get(chunk) ?? counts);
 	}
 
-	/** Takes a chunk back whose agent was lost or gave it up. */
-	lost(chunk: number, isFault: boolean): void {
-		this.#granted.delete(chunk);
+	/** The agent no longer has a chunk. */
+	missed(chunk: number, isFault: boolean): void {
+		const granted = this.#granted.get(chunk);
+		if (granted) {
+			this.#granted.delete(chunk);
+			this.#missing.set(chunk, {chunk, vm: granted.vm, isFault});
+		}
+	}
+
+	/** A missing chunk has no result: it must be granted anew. */
+	lost({chunk, isFault}: MissingChunk): void {
+		this.#missing.delete(chunk);
 		this.#losses.set(chunk, (this.#losses.get(chunk) ?? 0) + (isFault ? 1 : 0));
 		this.#returned.push(chunk);
 	}
 
-	/** Drops all grants, of a job that was cancelled. */
-	dropGrants(): void {
-		this.#granted.clear();
+	/** Estimated end in milliseconds since 1970; undefined while nothing is done. */
+	estimatedEnd(nowMs: number): number | undefined {
+		const {completed, failed} = this.#counts();
+		const done = completed + failed;
+		const elapsed = nowMs - (this.#startedAt * 1000);
+		return done > 0 && elapsed > 0 ? nowMs + (elapsed / done * (this.file.items - done)) : undefined;
 	}
 
-	/** The job's status; chunks under way count with what their agents reported. */
+	/**
+	The job's status. Only committed items are counted: those of a chunk under way are not readable yet, and may never be if the job is cancelled.
+
+	@param now - Seconds since 1970.
+	*/
 	status(state: JobState, fence: Fence, now: number): JobStatus {
-		const isSealed = state === 'completed' || state === 'cancelled' || state === 'expired';
-		const open = isSealed ? [] : this.granted.map(({report}) => report);
-		const counts = [...this.#committed.values(), ...open].map(known => known ?? noCounts);
-		const completed = counts.reduce((sum, count) => sum + count.completed, 0);
-		const failed = counts.reduce((sum, count) => sum + count.failed, 0);
+		const isSealed = state === 'completed' || state === 'cancelled';
+		const estimated = this.estimatedEnd(now * 1000);
 		return {
 			jobId: this.jobId,
+			jobCreatedTime: this.spec.createdTime,
 			state,
 			total: this.file.items,
-			completed,
-			failed,
+			...this.#committedCounts(),
 			fence,
 			startedAt: this.#startedAt,
-			...(isSealed ? {endedAt: now, sealedChunks: this.committedChunks.toSorted((a, b) => a - b)} : {estimatedEndAt: this.#estimate(completed + failed, now)}),
+			...(isSealed
+				? {endedAt: now, sealedChunks: this.committedChunks.toSorted((a, b) => a - b)}
+				: {counted: this.#counted(), ...(estimated !== undefined && {estimatedEndAt: Math.round(estimated / 1000)})}),
 		};
 	}
 
-	#nextFresh(): number | undefined {
-		while (this.#nextChunk < this.file.chunks.length && this.#committed.has(this.#nextChunk)) {
-			this.#nextChunk += 1;
-		}
+	#committedCounts(): Counts {
+		return sumOf([this.#base, ...this.#committed.values()]);
+	}
 
-		if (this.#nextChunk >= this.file.chunks.length) {
-			return undefined;
+	#counts(): Counts {
+		return sumOf([this.#committedCounts(), ...this.granted.map(({report}) => report)]);
+	}
+
+	#counted(): CommittedCounts {
+		const chunks = [...this.#committed].filter(([, counts]) => counts !== undefined).map(([chunk]) => chunk);
+		return {chunks, ...this.#committedCounts()};
+	}
+
+	// A chunk that was lost may have been committed after all by the agent that was out of reach.
+	#takeReturned(): number | undefined {
+		const index = this.#returned.findIndex(chunk => !this.#committed.has(chunk));
+		return index === -1 ? undefined : this.#returned.splice(0, index + 1).at(-1);
+	}
+
+	#peekFresh(): number {
+		while (this.#nextChunk >= 0 && (this.#committed.has(this.#nextChunk) || this.#granted.has(this.#nextChunk))) {
+			this.#nextChunk -= 1;
 		}
 
-		this.#nextChunk += 1;
-		return this.#nextChunk - 1;
+		return this.#nextChunk;
 	}
 
-	#estimate(done: number, now: number): number | undefined {
-		const elapsed = now - this.#startedAt;
-		return done > 0 && elapsed > 0 ? Math.round(now + (elapsed / done * (this.file.items - done))) : undefined;
+	#takeFresh(): number | undefined {
+		const chunk = this.#peekFresh();
+		if (chunk < 0) {
+			return undefined;
+		}
+
+		this.#nextChunk -= 1;
+		return chunk;
 	}
 }
--- a/src/common/lease-keeper.ts
+++ b/src/common/lease-keeper.ts
@@ -40,6 +40,18 @@
 		return this.#clock.now() < this.#heldUntil;
 	}
 
+	/**
+	True while, as far as this process knows, nobody else has taken the lease. It may have lapsed: in an outage of the object API it can neither be renewed nor taken by others.
+	*/
+	get isOwner(): boolean {
+		return this.#view.value?.holder === this.#options.self;
+	}
+
+	/** The fencing number that this process last held or holds the lease with. */
+	get lastFence(): Fence {
+		return (this.isOwner ? this.#view.value?.fence : undefined) ?? (0 as Fence);
+	}
+
 	/** The fencing number under which this process holds it; 0 when it does not. */
 	get fence(): Fence {
 		return (this.isHeld ? this.#view.value?.fence : undefined) ?? (0 as Fence);
@@ -70,6 +82,7 @@
 		}
 
 		this.#heldUntil = Number.NEGATIVE_INFINITY;
+		this.#view = {...this.#view, value: {...value, holder: ''}};
 		await this.#api.update<LeaseValue>('Lease', this.#options.name, {...value, holder: ''}, version);
 	}
 
--- a/src/common/protocol.ts
+++ b/src/common/protocol.ts
@@ -159,13 +159,49 @@
 	readonly expiresInMs: number;
 	/** True runs the items one by one, after runs of this chunk took their agents down. */
 	readonly isolate: boolean;
+	/** The coordinator's round, see {@link RenewRequest.round}. */
+	readonly round: number;
 };
 
 /** How far an agent has come with a chunk. */
 export type ChunkReport = {
 	readonly jobId: JobId;
 	readonly chunk: number;
-	readonly state: 'running' | 'committing' | 'committed';
+	/** `superseded`: the result was there already, written by another run; its counts are not those of this report. */
+	readonly state: 'running' | 'committing' | 'committed' | 'superseded';
 	readonly completed: number;
 	readonly failed: number;
 };
+
+/** Names a chunk of a job. */
+export type ChunkKey = {readonly jobId: JobId; readonly chunk: number};
+
+/** A grant, as a coordinator sends it. */
+export type GrantRequest = {
+	/** The shard of jobs; fencing numbers are compared within a shard. */
+	readonly shard: string;
+	readonly grant: ChunkGrant;
+};
+
+/** Whether a grant was taken. */
+export type GrantAnswer = {readonly accepted: boolean; readonly reason?: 'draining' | 'full' | 'staleFence'};
+
+/** What a coordinator asks when it renews its grants at an agent. */
+export type RenewRequest = {
+	readonly shard: string;
+	readonly fence: Fence;
+	/** Counts the coordinator's exchanges. A renewal leaves grants of later rounds alone: one that was long under way must not take back what was granted after it was sent. */
+	readonly round: number;
+	readonly expiresInMs: number;
+	/** The grants that stay; all others of this shard are taken back. `all` keeps them all: a new coordinator takes the work under way over. */
+	readonly keep: readonly ChunkKey[] | 'all';
+};
+
+/** What an agent answers to a renewal. */
+export type RenewAnswer = {
+	/** False when a coordinator with a higher fencing number has been here: nothing was renewed. */
+	readonly accepted: boolean;
+	readonly reports: readonly ChunkReport[];
+	/** See {@link LoadReport.batchRoom}. */
+	readonly room: number;
+};
--- a/src/entry/batch-log-events.ts
+++ b/src/entry/batch-log-events.ts
@@ -9,9 +9,11 @@
 	jobCancelled: {number: 402, level: 'info', text: 'batch job cancelled'},
 	jobAdopted: {number: 410, level: 'info', text: 'coordinator takes up a batch job'},
 	jobEnded: {number: 411, level: 'info', text: 'batch job ended'},
+	jobLate: {number: 412, level: 'warn', text: 'batch job will be late, gets more of the idle room'},
 	chunkGranted: {number: 420, level: 'info', text: 'chunk granted to an agent'},
 	chunkNotTaken: {number: 421, level: 'info', text: 'chunk not taken by an agent'},
 	chunkLost: {number: 422, level: 'warn', text: 'agent no longer has a chunk, granted anew'},
 	shardTaken: {number: 430, level: 'info', text: 'lease of a shard of jobs taken'},
+	shardSuspended: {number: 432, level: 'warn', text: 'lease can not be renewed, grants are renewed and nothing new is granted'},
 	shardLost: {number: 431, level: 'info', text: 'lease of a shard of jobs ended'},
 } as const satisfies Record<string, EventDefinition>;
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -171,10 +171,10 @@
 		return new JobShards({
 			...this.#services,
 			...this.#cfg.batch,
+			rpcTimeoutMs: this.#cfg.online.silenceMs,
 			api: this.#api,
 			rpc: this.#rpc,
 			replicas: this.#replicas,
-			holder,
 			self: branded(holder),
 			vm: this.#cfg.vm,
 			entries: () => this.#poller.entries.filter(({state}) => state === 'live').map(({name}) => name),
--- a/src/entry/job-coordinator.ts
+++ b/src/entry/job-coordinator.ts
@@ -1,351 +1,251 @@
 /**
-Coordinates the batch jobs of one shard while this entry holds the shard's lease: grants chunks to agents with room, renews the grants, and writes each job's status.
+Coordinates the batch jobs of one shard while this entry holds the shard's lease: takes the jobs up, has chunks granted to agents, settles chunks that agents lost, and writes each job's status.
 
 Nothing here is needed for exactly-once: that is the conditional create of each chunk's result. Two coordinators at once would waste work, not double it.
 */
 import type {BatchJob} from '../../typings/resources.js';
-import {
-	chunkOfResultName, resultName, type ChunkResult, type FileRecord, type JobState, type JobStatus,
-} from '../common/batch-types.js';
-import {branded, type JobId, type VmName} from '../common/ids.js';
-import {JobRun} from '../common/job-run.js';
+import {resultName, type ChunkResult, type JobState} from '../common/batch-types.js';
+import {ConcurrencyLimit} from '../common/concurrency-limit.js';
+import type {Fence, JobId, Revision} from '../common/ids.js';
+import {JobRun, type MissingChunk} from '../common/job-run.js';
 import type {LeaseKeeper} from '../common/lease-keeper.js';
-import type {ChunkGrant, ChunkReport} from '../common/protocol.js';
-import type {ReplicaTable, ReplicaView} from '../common/replica-table.js';
-import type {Clock, EventLog, ObjectApi} from '../common/services.js';
-import type {ApiError, ObjectPage, StoredObject} from '../common/types.js';
-import type {GrantAnswer} from '../agent/batch-worker.js';
-import type {RpcClient} from '../platform/rpc-client.js';
+import type {ObjectApi} from '../common/services.js';
 import {batchEvents} from './batch-log-events.js';
+import {ChunkExchange, type ExchangeSurroundings} from './chunk-exchange.js';
+import {JobReader, type JobRecord, type OpenJob} from './job-reader.js';
+import {JobStatusWriter} from './job-status-writer.js';
+import type {TrackedJob} from './tracked-job.js';
 
 /** What a coordinator needs of its entry. */
-export type CoordinatorSurroundings = {
+export type CoordinatorSurroundings = ExchangeSurroundings & {
 	readonly api: ObjectApi;
-	readonly rpc: RpcClient;
-	readonly clock: Clock;
-	readonly log: EventLog;
-	readonly replicas: ReplicaTable;
-	/** Names this process towards agents. */
-	readonly holder: string;
-	/** The share of an account. */
-	readonly shareOf: (account: string) => number;
 };
 
-const grantTtlMs = 6000;
-const rpcTimeoutMs = 1000;
-const statusIntervalMs = 2000;
-const endedStates: ReadonlySet<JobState> = new Set(['completed', 'cancelled', 'expired', 'failed']);
-
-type Tracked = {readonly run: JobRun; statusAt: number; lastStatus: string};
+// One slow call must not hold up the other jobs, and a thousand jobs must not send a thousand calls at once.
+const maxCalls = 16;
+const retryMs = 500;
 
 /** The jobs of one shard. */
 export class JobCoordinator {
 	readonly #around: CoordinatorSurroundings;
 	readonly #shard: string;
 	readonly #lease: LeaseKeeper;
-	readonly #jobs = new Map<JobId, Tracked>();
-	readonly #ended = new Set<JobId>();
+	readonly #reader: JobReader;
+	readonly #calls = new ConcurrencyLimit(maxCalls);
+	readonly #jobs = new Map<JobId, TrackedJob>();
+	readonly #waiting = new Map<JobId, OpenJob & {busy: boolean}>();
+	readonly #exchange: ChunkExchange;
+	#fence = 0 as Fence;
+	#isReady = false;
 
 	/** @param shard - The first character of the hash in the ids of its jobs. */
 	constructor(shard: string, lease: LeaseKeeper, around: CoordinatorSurroundings) {
 		this.#shard = shard;
 		this.#lease = lease;
 		this.#around = around;
-	}
-
-	/** Reads the shard's jobs. To be called when the lease was taken, and every second or two. */
-	async refresh(): Promise<void> {
-		const page = await this.#around.api.list<BatchJob>('BatchJob', {prefix: `batch_${this.#shard}`, limit: 1000});
-		if (page.isLeft()) {
-			return;
-		}
-
-		const {items} = page.extract() as ObjectPage<BatchJob>;
-		for (const {name, value} of items) {
-			await this.#refreshJob(branded(name), value);
-		}
-	}
-
-	/** One round: renew, grant, end what is complete, report. */
-	async tick(): Promise<void> {
-		await this.#renewAll();
-		if (!this.#lease.isHeld) {
-			return;
-		}
+		this.#reader = new JobReader(around.api);
+		this.#exchange = new ChunkExchange(shard, this.#jobs, around);
+	}
+
+	/** The fencing number under which the jobs were taken up; 0 when they are not. */
+	get fence(): Fence {
+		return this.#fence;
+	}
+
+	/**
+	Takes the shard up under a new fencing number.
+
+	@returns The version from which changes of jobs have to be followed; undefined when the lease passed on meanwhile.
+	*/
+	async takeOver(fence: Fence): Promise<Revision | undefined> {
+		this.forget();
+		this.#fence = fence;
+		await this.#exchange.takeOver(fence);
+		while (this.#fence === fence) {
+			const open = await this.#reader.openJobs(this.#shard);
+			if (open && this.#fence === fence) {
+				open.jobs.forEach(job => {
+					this.#learn(job);
+				});
+				this.#exchange.keepInherited(new Set(this.#waiting.keys()));
+				this.#isReady = true;
+				return open.version;
+			}
 
-		const byUrgency = [...this.#jobs.values()].toSorted((a, b) => a.run.spec.dueTime < b.run.spec.dueTime ? -1 : 1);
-		for (const tracked of byUrgency) {
-			await this.#advance(tracked);
+			await this.#around.clock.sleep(retryMs);
 		}
-	}
 
-	/** Forgets everything, once the lease has passed on. */
-	forget(): void {
-		this.#jobs.clear();
-		this.#ended.clear();
+		return undefined;
 	}
 
-	async #refreshJob(jobId: JobId, job: BatchJob) {
-		const known = this.#jobs.get(jobId);
-		if (known) {
-			known.run.spec = job.spec;
+	/** Takes over a change of one of the shard's jobs. */
+	changed(jobId: JobId, job: BatchJob | undefined, version: Revision): void {
+		if (job) {
+			this.#learn({jobId, job, version});
 			return;
 		}
 
-		if (!this.#ended.has(jobId)) {
-			await this.#adopt(jobId, job);
-		}
+		this.#jobs.delete(jobId);
+		this.#waiting.delete(jobId);
 	}
 
-	async #adopt(jobId: JobId, job: BatchJob) {
-		const {api, clock, log} = this.#around;
-		const status = await api.get<JobStatus>('JobStatus', jobId);
-		const known = status.map(({value}) => value).toMaybe().extract();
-		if (known && endedStates.has(known.state)) {
-			this.#ended.add(jobId);
-			return;
-		}
+	/**
+	One round: renews, and while the lease is held grants chunks and sees to the jobs' objects.
 
-		const file = await api.get<FileRecord>('File', job.spec.inputFileId);
-		const committed = await this.#committedChunks(jobId);
-		const isNew = status.isLeft() && (status.extract()).kind === 'notFound';
-		if (file.isLeft() || !committed || (status.isLeft() && !isNew)) {
+	In an outage of the object API the lease lapses, but nobody else can take it either: the grants are renewed all the same, so that finished chunks wait at their agents for the end of the outage, and nothing new is granted. Should another coordinator have come after all, agents know its higher fencing number and refuse.
+	*/
+	async round(): Promise<void> {
+		await this.#exchange.renewAll(this.#fence);
+		if (!this.#isReady || !this.#lease.isHeld || this.#lease.fence !== this.#fence) {
 			return;
 		}
 
-		const {value} = file.extract() as StoredObject<FileRecord>;
-		const startedAt = known?.startedAt ?? Math.floor(clock.wall() / 1000);
-		const run = new JobRun({
-			jobId, spec: job.spec, file: value, committed, startedAt,
+		await this.#exchange.handOut(this.#fence);
+		this.#waiting.forEach(job => {
+			void this.#adopt(job);
 		});
-		this.#jobs.set(jobId, {run, statusAt: Number.NEGATIVE_INFINITY, lastStatus: ''});
-		log.emit(batchEvents.jobAdopted, {
-			jobId, shard: this.#shard, fence: this.#lease.fence, chunks: value.chunks.length, committed: committed.length,
+		this.#jobs.forEach(tracked => {
+			void this.#attend(tracked);
 		});
 	}
 
-	async #committedChunks(jobId: JobId): Promise<number[] | undefined> {
-		const chunks: number[] = [];
-		let after: string | undefined;
-		let more = true;
-		while (more) {
-			const page = await this.#around.api.list('Result', {
-				prefix: `${jobId}/`, after, values: false, limit: 1000,
-			});
-			if (page.isLeft()) {
-				return undefined;
-			}
-
-			const read = page.extract() as ObjectPage;
-			chunks.push(...read.items.map(item => chunkOfResultName(item.name)));
-			after = read.items.at(-1)?.name;
-			more = read.more;
-		}
-
-		return chunks;
+	/** Forgets everything, once the lease has passed on. */
+	forget(): void {
+		this.#fence = 0 as Fence;
+		this.#isReady = false;
+		this.#jobs.clear();
+		this.#waiting.clear();
 	}
 
-	// One call an agent, whatever the number of jobs and chunks.
-	async #renewAll() {
-		const runs = [...this.#jobs.values()].map(({run}) => run);
-		const keepByVm = new Map<VmName, Array<{jobId: JobId; chunk: number}>>();
-		runs.flatMap(run => run.granted.map(granted => ({run, granted}))).forEach(({run, granted}) => {
-			const keep = keepByVm.get(granted.vm) ?? [];
-			keepByVm.set(granted.vm, keep);
-			if (!run.spec.cancelled) {
-				keep.push({jobId: run.jobId, chunk: granted.chunk});
+	#learn(job: OpenJob) {
+		const tracked = this.#jobs.get(job.jobId);
+		if (tracked) {
+			if (job.version > tracked.version) {
+				tracked.run.spec = job.job.spec;
+				tracked.version = job.version;
 			}
-		});
-		await Promise.all([...keepByVm].map(async ([vm, keep]) => this.#renew(vm, keep)));
-	}
 
-	async #renew(vm: VmName, keep: ReadonlyArray<{jobId: JobId; chunk: number}>) {
-		const replica = this.#around.replicas.get(vm);
-		const params = {holder: this.#holder, expiresInMs: grantTtlMs, keep};
-		const answer = replica
-			? await this.#around.rpc.call<ChunkReport[]>({address: replica.address, timeoutMs: rpcTimeoutMs}, 'batch.renew', params)
-			: undefined;
-		if (answer?.isLeft() && replica?.load && this.#around.clock.now() - replica.heardAt < grantTtlMs) {
-			// Not heard for a moment: the grants have not lapsed yet, and the agent may be about to commit.
 			return;
 		}
 
-		const reports = answer?.isRight() ? answer.extract() : undefined;
-		await this.#settle(vm, keep, reports);
-	}
-
-	get #holder() {
-		return `${this.#around.holder}/${this.#shard}`;
-	}
-
-	async #settle(vm: VmName, keep: ReadonlyArray<{jobId: JobId; chunk: number}>, reports: readonly ChunkReport[] | undefined) {
-		const reported = new Map((reports ?? []).map(report => [resultName(report.jobId, report.chunk), report]));
-		for (const {jobId, chunk} of keep) {
-			const run = this.#jobs.get(jobId)?.run;
-			const report = reported.get(resultName(jobId, chunk));
-			if (run && report) {
-				run.reported(report);
-			} else if (run) {
-				await this.#settleLost(run, chunk, vm, reports === undefined);
-			}
+		const waiting = this.#waiting.get(job.jobId);
+		if (!waiting || job.version > waiting.version) {
+			this.#waiting.set(job.jobId, {...job, busy: false});
 		}
 	}
 
-	// The agent no longer has the chunk. It may have committed it before it went away.
-	async #settleLost(run: JobRun, chunk: number, vm: VmName, isFault: boolean) {
-		const result = await this.#around.api.get<ChunkResult>('Result', resultName(run.jobId, chunk));
-		if (result.isRight()) {
-			run.committed(chunk, (result.extract()).value);
+	async #adopt(waiting: OpenJob & {busy: boolean}) {
+		if (waiting.busy) {
 			return;
 		}
 
-		if ((result.extract() as ApiError).kind === 'notFound') {
-			this.#around.log.emit(batchEvents.chunkLost, {
-				jobId: run.jobId, chunk, vm, isFault,
-			});
-			run.lost(chunk, isFault);
-		}
-	}
-
-	async #advance(tracked: Tracked) {
-		const {run} = tracked;
-		if (run.spec.cancelled) {
-			await this.#finishCancelled(tracked);
+		waiting.busy = true;
+		const record = await this.#calls.run(async () => this.#reader.record(waiting));
+		waiting.busy = false;
+		if (record === undefined || this.#waiting.get(waiting.jobId) !== waiting) {
 			return;
 		}
 
-		if (run.isComplete) {
-			await this.#finish(tracked, 'completed');
-			return;
+		this.#waiting.delete(waiting.jobId);
+		const inherited = this.#exchange.claimInherited(waiting.jobId);
+		if (record !== 'ended') {
+			this.#track(waiting, record, inherited);
 		}
-
-		await this.#grantMore(run);
-		await this.#report(tracked, 'in_progress');
 	}
 
-	async #grantMore(run: JobRun) {
-		const withRoom = this.#around.replicas.routable(run.target)
-			.filter(replica => (replica.load?.batchRoom ?? 0) > this.#grantsAt(replica.vm))
-			.toSorted((a, b) => (b.load?.batchRoom ?? 0) - (a.load?.batchRoom ?? 0));
-		for (const replica of withRoom) {
-			const next = run.takeChunk();
-			if (!next) {
-				return;
-			}
-
-			await this.#grant(run, next, replica);
-		}
+	#track({jobId, job, version}: OpenJob, {file, committed, status}: JobRecord, inherited: ReturnType<ChunkExchange['claimInherited']>) {
+		const {api, clock, log, replicas} = this.#around;
+		const known = status?.value.jobCreatedTime === job.spec.createdTime ? status.value : undefined;
+		const run = new JobRun({
+			jobId, spec: job.spec, file, committed, counted: known?.counted, startedAt: known?.startedAt ?? Math.floor(clock.wall() / 1000),
+		});
+		inherited.forEach(({vm, report}) => {
+			run.grantedTo({
+				chunk: report.chunk, vm, incarnation: replicas.get(vm)?.load?.incarnation, at: clock.now(), report,
+			});
+		});
+		this.#jobs.set(jobId, {
+			run, version, status: new JobStatusWriter(api, clock, status?.version), busy: false, wasLate: false,
+		});
+		log.emit(batchEvents.jobAdopted, {
+			jobId, shard: this.#shard, fence: this.#fence, chunks: file.chunks.length, committed: committed.length, inherited: inherited.length,
+		});
 	}
 
-	#grantsAt(vm: VmName): number {
-		const held = [...this.#jobs.values()].flatMap(({run}) => run.granted).filter(granted => granted.vm === vm);
-		// Those the agent has reported on are counted in its own figure of the room left.
-		return held.filter(granted => granted.report === undefined).length;
-	}
+	// All calls of the object API for one job, one after the other; those of other jobs go on beside it.
+	async #attend(tracked: TrackedJob) {
+		if (tracked.busy) {
+			return;
+		}
 
-	async #grant(run: JobRun, {chunk, isolate}: {chunk: number; isolate: boolean}, replica: ReplicaView) {
-		const grant: ChunkGrant = {
-			jobId: run.jobId,
-			chunk,
-			inputName: run.file.chunks[chunk]!.name,
-			fileId: run.file.id,
-			endpoint: run.spec.endpoint,
-			model: run.file.model,
-			account: run.file.account,
-			share: this.#around.shareOf(run.spec.account),
-			fence: this.#lease.fence,
-			expiresInMs: grantTtlMs,
-			isolate,
-		};
-		const answer = await this.#around.rpc.call<GrantAnswer>({address: replica.address, timeoutMs: rpcTimeoutMs}, 'batch.grant', {holder: this.#holder, grant});
-		const accepted = answer.map(({accepted}) => accepted).orDefault(false);
-		this.#around.log.emit(accepted ? batchEvents.chunkGranted : batchEvents.chunkNotTaken, {
-			jobId: run.jobId, chunk, vm: replica.vm, fence: grant.fence, isolate, room: replica.load?.batchRoom,
-		});
-		if (answer.isLeft() || accepted) {
-			// Without an answer it may have been taken: the next renewal tells.
-			run.grantedTo(chunk, replica.vm);
+		const task = this.#taskFor(tracked);
+		if (!task) {
 			return;
 		}
 
-		run.putBack(chunk);
+		tracked.busy = true;
+		await task();
+		tracked.busy = false;
+	}
+
+	#taskFor(tracked: TrackedJob): (() => Promise<unknown>) | undefined {
+		const {run, status} = tracked;
+		const tasks: ReadonlyArray<[boolean, () => Promise<unknown>]> = [
+			[run.spec.cancelled === true, async () => this.#finishCancelled(tracked)],
+			[run.missing.length > 0, async () => Promise.all(run.missing.map(async missing => this.#settleMissing(run, missing)))],
+			[run.isComplete, async () => this.#finish(tracked, 'completed')],
+			[status.isDue(run.startedAt), async () => this.#report(tracked, 'in_progress')],
+		];
+		return tasks.find(([isNeeded]) => isNeeded)?.[1];
+	}
+
+	// The agent may have committed the chunk before it went away.
+	async #settleMissing(run: JobRun, missing: MissingChunk) {
+		const {api, log} = this.#around;
+		const result = await this.#calls.run(async () => api.get<ChunkResult>('Result', resultName(run.jobId, missing.chunk)));
+		result
+			.ifRight(({value}) => {
+				run.committed(missing.chunk, value);
+			})
+			.ifLeft(err => {
+				if (err.kind === 'notFound') {
+					log.emit(batchEvents.chunkLost, {jobId: run.jobId, ...missing});
+					run.lost(missing);
+				}
+			});
 	}
 
-	async #finishCancelled(tracked: Tracked) {
+	async #finishCancelled(tracked: TrackedJob) {
 		const {run} = tracked;
-		run.dropGrants();
-		const committed = await this.#committedChunks(run.jobId);
-		if (!committed) {
-			return;
-		}
-
-		const known = new Set(run.committedChunks);
-		committed.filter(chunk => !known.has(chunk)).forEach(chunk => {
+		const committed = await this.#calls.run(async () => this.#reader.committedChunks(run.jobId));
+		committed?.forEach(chunk => {
 			run.committed(chunk, undefined);
 		});
-		await this.#finish(tracked, 'cancelled');
+		if (committed) {
+			await this.#finish(tracked, 'cancelled');
+		}
 	}
 
-	async #finish(tracked: Tracked, state: JobState) {
+	async #finish(tracked: TrackedJob, state: JobState) {
 		const {run} = tracked;
-		for (const chunk of run.uncounted) {
-			const result = await this.#around.api.get<ChunkResult>('Result', resultName(run.jobId, chunk));
-			result.ifRight(({value}) => {
-				run.committed(chunk, value);
-			});
-		}
-
-		if (run.uncounted.length > 0 || !await this.#report(tracked, state)) {
+		await Promise.all(run.uncounted.map(async chunk => this.#count(run, chunk)));
+		if (run.uncounted.length > 0 || !await this.#report(tracked, state) || this.#jobs.get(run.jobId) !== tracked) {
 			return;
 		}
 
+		this.#exchange.takeBack(run);
 		this.#jobs.delete(run.jobId);
-		this.#ended.add(run.jobId);
 		this.#around.log.emit(batchEvents.jobEnded, {jobId: run.jobId, state});
 	}
 
-	/** Writes the status when it is due or final. True when it stands. */
-	async #report(tracked: Tracked, state: JobState): Promise<boolean> {
-		const {api, clock} = this.#around;
-		const isFinal = endedStates.has(state);
-		if (!isFinal && clock.now() - tracked.statusAt < statusIntervalMs) {
-			return true;
-		}
-
-		const status = tracked.run.status(state, this.#lease.fence, Math.floor(clock.wall() / 1000));
-		const text = JSON.stringify({...status, estimatedEndAt: undefined});
-		if (!isFinal && text === tracked.lastStatus) {
-			return true;
-		}
-
-		const written = await this.#writeStatus(api, status);
-		if (written) {
-			tracked.statusAt = clock.now();
-			tracked.lastStatus = text;
-		}
-
-		return written;
+	async #count(run: JobRun, chunk: number) {
+		const result = await this.#calls.run(async () => this.#around.api.get<ChunkResult>('Result', resultName(run.jobId, chunk)));
+		result.ifRight(({value}) => {
+			run.committed(chunk, value);
+		});
 	}
 
-	async #writeStatus(api: ObjectApi, status: JobStatus): Promise<boolean> {
-		const current = await api.get<JobStatus>('JobStatus', status.jobId);
-		if (current.isLeft()) {
-			const isNew = (current.extract()).kind === 'notFound';
-			if (!isNew) {
-				return false;
-			}
-
-			const created = await api.create('JobStatus', status.jobId, status);
-			return created.isRight();
-		}
-
-		const {value, version} = current.extract() as StoredObject<JobStatus>;
-		// A status that is final, or of a later holder of the lease, stands: a paused coordinator must not bring an old one back.
-		if (endedStates.has(value.state) || value.fence > status.fence) {
-			return endedStates.has(value.state);
-		}
-
-		const updated = await api.update('JobStatus', status.jobId, status, version);
-		return updated.isRight();
+	async #report({run, status}: TrackedJob, state: JobState): Promise<boolean> {
+		return this.#calls.run(async () => status.write(run.status(state, this.#fence, Math.floor(this.#around.clock.wall() / 1000))));
 	}
 }
--- /dev/null
+++ b/src/entry/job-reader.ts
@@ -0,0 +1,107 @@
+/**
+Reads what a coordinator needs to take jobs up: the open jobs of a shard, a job's file, and the chunks that have results.
+*/
+import type {BatchJob} from '../../typings/resources.js';
+import {
+	chunkOfResultName, endedStates, type FileRecord, type JobStatus,
+} from '../common/batch-types.js';
+import {branded, type JobId, type Revision} from '../common/ids.js';
+import type {ObjectApi} from '../common/services.js';
+import type {ObjectKind, ObjectPage, StoredObject} from '../common/types.js';
+
+/** A job as it stands in the object API. */
+export type OpenJob = {readonly jobId: JobId; readonly job: BatchJob; readonly version: Revision};
+
+/** The open jobs of a shard, and the version from which changes have to be followed. */
+export type ShardJobs = {readonly jobs: readonly OpenJob[]; readonly version: Revision};
+
+/** What a job's run is rebuilt from. */
+export type JobRecord = {
+	readonly file: FileRecord;
+	readonly committed: readonly number[];
+	/** Undefined for a job that no coordinator has taken up yet. */
+	readonly status: StoredObject<JobStatus> | undefined;
+};
+
+const pageSize = 500;
+
+/** True when the status belongs to this job, and not to an earlier one with the same id. */
+const speaksOf = (status: JobStatus, job: BatchJob) => status.jobCreatedTime === undefined || status.jobCreatedTime === job.spec.createdTime;
+
+/** Reads jobs. */
+export class JobReader {
+	readonly #api: ObjectApi;
+
+	constructor(api: ObjectApi) {
+		this.#api = api;
+	}
+
+	/** The jobs of a shard that have not ended; undefined when they can not be read. */
+	async openJobs(shard: string): Promise<ShardJobs | undefined> {
+		const prefix = `batch_${shard}`;
+		const jobs = await this.#listAll<BatchJob>('BatchJob', prefix, true);
+		const statuses = jobs && await this.#listAll<JobStatus>('JobStatus', prefix, true);
+		if (!statuses) {
+			return undefined;
+		}
+
+		const ended = new Map(statuses.items.filter(({value}) => endedStates.has(value.state)).map(({name, value}) => [name, value]));
+		const open = jobs.items.filter(({name, value}) => {
+			const status = ended.get(name);
+			return !status || !speaksOf(status, value);
+		});
+		return {
+			version: jobs.version,
+			jobs: open.map(({name, value, version}) => ({jobId: branded<JobId>(name), job: value, version})),
+		};
+	}
+
+	/**
+	Reads one job's record.
+
+	@returns `ended` when the job needs no coordinator any more, undefined when the object API does not answer.
+	*/
+	async record({jobId, job}: OpenJob): Promise<JobRecord | 'ended' | undefined> {
+		const read = await this.#api.get<JobStatus>('JobStatus', jobId);
+		if (read.isLeft() && read.extract().kind !== 'notFound') {
+			return undefined;
+		}
+
+		const status = read.toMaybe().extract();
+		if (status && endedStates.has(status.value.state) && speaksOf(status.value, job)) {
+			return 'ended';
+		}
+
+		const file = await this.#api.get<FileRecord>('File', job.spec.inputFileId);
+		const committed = file.isRight() ? await this.committedChunks(jobId) : undefined;
+		return committed && {file: (file.extract() as StoredObject<FileRecord>).value, committed, status};
+	}
+
+	/** The chunks of a job that have results; undefined when they can not be read. */
+	async committedChunks(jobId: JobId): Promise<number[] | undefined> {
+		const results = await this.#listAll('Result', `${jobId}/`, false);
+		return results?.items.map(({name}) => chunkOfResultName(name));
+	}
+
+	async #listAll<T>(kind: ObjectKind, prefix: string, values: boolean): Promise<Pick<ObjectPage<T>, 'items' | 'version'> | undefined> {
+		const items: Array<StoredObject<T>> = [];
+		let first: ObjectPage<T> | undefined;
+		let more = true;
+		while (more) {
+			const read = await this.#api.list<T>(kind, {
+				prefix, values, limit: pageSize, after: items.at(-1)?.name,
+			});
+			if (read.isLeft()) {
+				return undefined;
+			}
+
+			const page = read.extract() as ObjectPage<T>;
+			items.push(...page.items);
+			first ??= page;
+			more = page.more;
+		}
+
+		// Changes made while later pages were read are after the first page's version, and will be watched.
+		return {items, version: first!.version};
+	}
+}
--- a/src/entry/job-shards.ts
+++ b/src/entry/job-shards.ts
@@ -1,12 +1,15 @@
 /**
 Shares the batch jobs out among all entries: jobs fall into sixteen shards by their id, and each shard has a lease. Every entry ranks the entries of the VM list for each shard alike, and the first one takes the lease.
 */
+import type {BatchJob} from '../../typings/resources.js';
+import type {JobId, Revision} from '../common/ids.js';
 import {LeaseKeeper} from '../common/lease-keeper.js';
 import type {HolderName} from '../common/lease.js';
 import {rankMembers} from '../common/rendezvous.js';
 import type {Disposable} from '../common/services.js';
 import {batchEvents} from './batch-log-events.js';
 import {JobCoordinator, type CoordinatorSurroundings} from './job-coordinator.js';
+import {JobFeed} from './job-feed.js';
 
 /** What the shards need. */
 export type ShardParts = CoordinatorSurroundings & {
@@ -16,7 +19,8 @@
 	readonly entries: () => readonly string[];
 	readonly leaseMs: number;
 	readonly tickMs: number;
-	readonly refreshMs: number;
+	/** How long one long poll for changes of jobs waits. */
+	readonly watchMs: number;
 };
 
 type Shard = {
@@ -24,17 +28,22 @@
 	readonly lease: LeaseKeeper;
 	readonly coordinator: JobCoordinator;
 	wasHeld: boolean;
+	wasOwned: boolean;
 	tendAt: number;
-	refreshAt: number;
 };
 
 const shardNames: readonly string[] = Array.from({length: 16}, (_, index) => index.toString(16));
 const tendsPerLease = 3;
+// Every look at a lease is a call. The holder and the two after it look often; all others, hundreds of entries, only now and then, in case the first three are all gone and the VM list has not noticed.
+const closeRanks = 3;
+const farTendLeases = 5;
+const jobPrefix = 'batch_';
 
 /** Tends all shards from this entry. */
 export class JobShards implements Disposable {
 	readonly #parts: ShardParts;
 	readonly #shards: readonly Shard[];
+	readonly #feed: JobFeed;
 	#disposed = false;
 
 	constructor(parts: ShardParts) {
@@ -42,14 +51,32 @@
 		this.#shards = shardNames.map(name => {
 			const lease = new LeaseKeeper(parts.api, parts.clock, {name: `jobs-${name}`, self: parts.self, ttlMs: parts.leaseMs});
 			return {
-				name, lease, coordinator: new JobCoordinator(name, lease, parts), wasHeld: false, tendAt: 0, refreshAt: 0,
+				name, lease, coordinator: new JobCoordinator(name, lease, parts), wasHeld: false, wasOwned: false, tendAt: 0,
 			};
 		});
+		this.#feed = new JobFeed({
+			...parts,
+			onChange: (jobId, job, version) => {
+				this.#changed(jobId, job, version);
+			},
+			onGap: () => {
+				this.#listAgain();
+			},
+		});
+	}
+
+	/** The shards that this entry holds now. */
+	get held(): readonly string[] {
+		return this.#shards.filter(({lease}) => lease.isHeld).map(({name}) => name);
 	}
 
 	/** Tends the shards for good. Resolves after `dispose`. */
 	async run(): Promise<void> {
-		await Promise.all(this.#shards.map(async shard => this.#runShard(shard)));
+		await Promise.all([
+			this.#feed.run(),
+			...this.#shards.map(async shard => this.#tendShard(shard)),
+			...this.#shards.map(async shard => this.#coordinateShard(shard)),
+		]);
 	}
 
 	/** Gives all leases back. */
@@ -60,16 +87,13 @@
 
 	dispose(): void {
 		this.#disposed = true;
+		this.#feed.dispose();
 	}
 
-	async #runShard(shard: Shard) {
+	// Apart from the coordination: neither may wait for the other when the object API is slow.
+	async #tendShard(shard: Shard) {
 		while (!this.#disposed) {
 			await this.#tend(shard);
-			this.#followLease(shard);
-			if (shard.wasHeld) {
-				await this.#coordinate(shard);
-			}
-
 			await this.#parts.clock.sleep(this.#parts.tickMs);
 		}
 	}
@@ -80,32 +104,74 @@
 			return;
 		}
 
-		shard.tendAt = clock.now() + (leaseMs / tendsPerLease);
 		const ranked = rankMembers(shard.name, entries());
-		const rank = ranked.indexOf(vm);
-		await shard.lease.tend(rank === -1 ? ranked.length : rank);
+		const rank = ranked.includes(vm) ? ranked.indexOf(vm) : ranked.length;
+		const isClose = rank < closeRanks || shard.lease.isOwner;
+		shard.tendAt = clock.now() + (isClose ? leaseMs / tendsPerLease : leaseMs * farTendLeases * rank);
+		await shard.lease.tend(rank);
 	}
 
-	#followLease(shard: Shard) {
-		if (shard.lease.isHeld === shard.wasHeld) {
-			return;
+	async #coordinateShard(shard: Shard) {
+		while (!this.#disposed) {
+			this.#followLease(shard);
+			if (shard.coordinator.fence !== 0) {
+				await shard.coordinator.round();
+			}
+
+			await this.#parts.clock.sleep(this.#parts.tickMs);
 		}
+	}
 
-		shard.wasHeld = shard.lease.isHeld;
-		shard.refreshAt = 0;
-		this.#parts.log.emit(shard.wasHeld ? batchEvents.shardTaken : batchEvents.shardLost, {shard: shard.name, fence: shard.lease.fence});
-		if (!shard.wasHeld) {
+	#followLease(shard: Shard) {
+		const {isHeld, isOwner, fence} = shard.lease;
+		this.#logLease(shard, isHeld, isOwner);
+		shard.wasHeld = isHeld;
+		shard.wasOwned = isOwner && (isHeld || shard.wasOwned);
+		if (!isOwner && shard.coordinator.fence !== 0) {
 			shard.coordinator.forget();
+			this.#pauseFeed();
+		}
+
+		if (isHeld && shard.coordinator.fence !== fence) {
+			void this.#takeOver(shard);
+		}
+	}
+
+	#logLease({name, lease, wasHeld, wasOwned}: Shard, isHeld: boolean, isOwner: boolean) {
+		const {log} = this.#parts;
+		const changes: ReadonlyArray<[boolean, typeof batchEvents[keyof typeof batchEvents]]> = [
+			[isHeld && !wasHeld, batchEvents.shardTaken],
+			[!isHeld && wasHeld && isOwner, batchEvents.shardSuspended],
+			[!isOwner && wasOwned, batchEvents.shardLost],
+		];
+		changes.filter(([isSo]) => isSo).forEach(([, event]) => {
+			log.emit(event, {shard: name, fence: lease.lastFence});
+		});
+	}
+
+	async #takeOver({lease, coordinator}: Shard) {
+		const version = await coordinator.takeOver(lease.fence);
+		if (version !== undefined) {
+			this.#feed.followFrom(version);
 		}
 	}
 
-	async #coordinate(shard: Shard) {
-		const {clock, refreshMs} = this.#parts;
-		if (clock.now() >= shard.refreshAt) {
-			shard.refreshAt = clock.now() + refreshMs;
-			await shard.coordinator.refresh();
+	#changed(jobId: JobId, job: BatchJob | undefined, version: Revision) {
+		const shard = this.#shards.find(({name}) => jobId.startsWith(`${jobPrefix}${name}`));
+		if (shard && shard.coordinator.fence !== 0) {
+			shard.coordinator.changed(jobId, job, version);
 		}
+	}
 
-		await shard.coordinator.tick();
+	#listAgain() {
+		this.#shards.filter(({lease, coordinator}) => lease.isHeld && coordinator.fence !== 0).forEach(shard => {
+			void this.#takeOver(shard);
+		});
+	}
+
+	#pauseFeed() {
+		if (this.#shards.every(({coordinator}) => coordinator.fence === 0)) {
+			this.#feed.pause();
+		}
 	}
 }
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -30,8 +30,10 @@
 		leaseMs: durationMs(6000),
 		/** How often grants are renewed and given. */
 		tickMs: durationMs(500),
-		/** How often the shard's jobs are read. */
-		refreshMs: durationMs(1000),
+		/** How long a grant of a chunk lasts unless it is renewed. */
+		grantMs: durationMs(6000),
+		/** How long one long poll for changes of jobs waits. */
+		watchMs: durationMs(10_000),
 		/** Items in one file at most. */
 		maxItems: countOf(200_000),
 		/** Items in one chunk at most. */
