Batch uploads and jobs: true refusals, chunks in bytes, lists by account

Cause: chunks were bounded in characters, so a file in Bengali script (three bytes a character) was refused by the object API as too large. All chunks had 256 items, so a small job kept few agents busy. Each custom_id of an upload was held in memory. A job whose create was not answered was refused as "not run" although it may have taken effect. `batches.list` read the first 1,000 jobs of all accounts and knew no pages. An object API that hangs made each submit wait for its timeout.

Change: chunks are bounded in bytes and grow from 16 to 256 items along the file; 64-bit fingerprints of custom_id; files up to 200 MiB. A create whose outcome is unknown says so; while calls fail, new jobs and uploads are refused at once for a second at a time. A job's id begins with a hash of its account, so an account's jobs are found by prefix, newest first, in pages. `DELETE /v1/files/ID` hides a file; jobs accepted with it go on. Grants last 15 s, longer than the lease of a lost entry needs to pass on: before, everything under way had lapsed when the next coordinator came.

--- a/src/common/batch-types.ts
+++ b/src/common/batch-types.ts
@@ -33,6 +33,8 @@
 	readonly items: number;
 	/** Input chunks in order. */
 	readonly chunks: ReadonlyArray<{readonly name: string; readonly items: number}>;
+	/** True once its account deleted it; jobs that were accepted with it still read it. */
+	readonly isDeleted?: boolean;
 };
 
 /** What became of one item. Either `response` or `error` is set. */
--- /dev/null
+++ b/src/common/fingerprint-set.ts
@@ -0,0 +1,58 @@
+/**
+A set of names that keeps 64 bits of each, for finding doubles among very many of them: 130,000 take 4 MiB at most, a tenth of what the names themselves would. Two different names are taken for the same once in some 10^9 files of that size.
+*/
+import {h64} from './xxhash.js';
+
+const firstSlots = 1024;
+const maxFill = 0.5;
+// Zero marks a free slot.
+const empty = 0n;
+
+/** Open addressing over fingerprints. */
+export class FingerprintSet {
+	#slots = new BigUint64Array(firstSlots);
+	#size = 0;
+
+	/** Names added. */
+	get size(): number {
+		return this.#size;
+	}
+
+	/**
+	Adds a name.
+
+	@returns False when it was there.
+	*/
+	add(name: string): boolean {
+		if (this.#size >= this.#slots.length * maxFill) {
+			this.#grow();
+		}
+
+		const hash = h64(name);
+		return this.#insert(hash === empty ? 1n : hash);
+	}
+
+	#insert(fingerprint: bigint): boolean {
+		let slot = Number(BigInt.asUintN(32, fingerprint)) % this.#slots.length;
+		while (this.#slots[slot] !== empty) {
+			if (this.#slots[slot] === fingerprint) {
+				return false;
+			}
+
+			slot = (slot + 1) % this.#slots.length;
+		}
+
+		this.#slots[slot] = fingerprint;
+		this.#size += 1;
+		return true;
+	}
+
+	#grow() {
+		const old = this.#slots;
+		this.#slots = new BigUint64Array(old.length * 2);
+		this.#size = 0;
+		old.filter(fingerprint => fingerprint !== empty).forEach(fingerprint => {
+			this.#insert(fingerprint);
+		});
+	}
+}
--- a/src/common/xxhash.ts
+++ b/src/common/xxhash.ts
@@ -3,6 +3,6 @@
 */
 import xxhash from 'xxhash-wasm';
 
-const {h32, h64ToString} = await xxhash();
+const {h32, h64, h64ToString} = await xxhash();
 
-export {h32, h64ToString};
+export {h32, h64, h64ToString};
--- a/src/entry/batch-faults.feature
+++ b/src/entry/batch-faults.feature
@@ -76,6 +76,19 @@
     Then the job is cancelled
     And no agent holds a chunk any more
 
+  Scenario: A coordinator that was cut off takes back nothing that its successor granted
+    The client's items are run once. The first coordinator still renews what it knows of; its list lacks what
+    the second one granted, and an agent that obeyed it would drop those chunks again and again.
+
+    Given 2 entries and 2 agents
+    And engines that take a while for an item
+    And the engines hold their items
+    And a job of 40 items
+    When the coordinator is cut off from the object API until another takes over
+    And the engines let their items go
+    Then the job completes
+    And no item was run twice
+
   Scenario: A new coordinator takes over the chunks under way
     The client's items are not run again only because an entry was lost: the new coordinator asks the agents
     what they hold, and renews it.
@@ -122,7 +135,8 @@
     The client's job goes on. Each call takes longer than a grant lasts; were the renewals to wait for those
     calls, every grant would lapse and every chunk be run again and again.
 
-    Given 1 entries and 2 agents
+    Given 1 entries and 2 agents whose grants are short
+    And engines that take a while for an item
     And a job of 40 items
     And each call of the object API takes longer than a grant lasts, but less than a lease
     Then the job completes
--- a/src/entry/batch-faults.steps.ts
+++ b/src/entry/batch-faults.steps.ts
@@ -5,167 +5,13 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Given, Then, When} from '@cucumber/cucumber';
 import type {BatchJob} from '../../typings/resources.js';
+import {resultName} from '../common/batch-types.js';
+import {branded, type Revision} from '../common/ids.js';
+import {BatchFleet, shortGrants, usualTimes} from './testing/batch-fleet.js';
+import {atCall, losses} from './testing/batch-losses.js';
 import {
-	resultName, type ChunkResult, type ItemResult, type JobStatus,
-} from '../common/batch-types.js';
-import {
-	branded, type AccountName, type JobId, type Revision,
-} from '../common/ids.js';
-import type {TestWorld} from '../common/testing/test-world.js';
-import {SystemClock} from '../platform/system-clock.js';
-import type {Account} from './accounts.js';
-import {ItemPacker} from './item-packer.js';
-import {JobStore, type JobView} from './job-store.js';
-import {BatchFleet, type FleetAgent, type FleetEntry} from './testing/batch-fleet.js';
-import {crashText} from './testing/fake-engine.js';
-import type {CallMoment} from './testing/node-object-api.js';
-
-type FaultWorld = TestWorld & {
-	fleet: BatchFleet;
-	jobId: JobId;
-	items: number;
-	answer: Awaited<ReturnType<JobStore['createJob']>>;
-	/** Goes on with a call that was held up. */
-	wake: (() => void) | undefined;
-};
-
-const chunkItems = 4;
-const pollMs = 2;
-const giveUpMs = 15_000;
-const account: Account = {name: branded<AccountName>('pit'), share: 1, maxInFlight: 1};
-const now = '2026-01-01T00:00:00.000Z';
-
-const until = async (isTrue: () => boolean, what: string) => {
-	const polls = Math.ceil(giveUpMs / pollMs);
-	for (let poll = 0; poll < polls; poll += 1) {
-		if (isTrue()) {
-			return;
-		}
-
-		await sleep(pollMs);
-	}
-
-	assert.fail(`never happened: ${what}`);
-};
-
-const storeOf = (world: FaultWorld) => new JobStore(world.fleet.api);
-
-const upload = async (world: FaultWorld, items: number, poisoned?: number) => {
-	const packer = new ItemPacker(world.fleet.api, new SystemClock(), {
-		maxItems: 1000, chunkItems, chunkBytes: 100_000,
-	});
-	for (let index = 0; index < items; index += 1) {
-		const prompt = index === poisoned ? crashText : `log ${index}`;
-		const added = await packer.add(JSON.stringify({custom_id: `note-${index}`, url: '/v1/completions', body: {model: 'm', prompt}}));
-		assert.ok(added.isRight());
-	}
-
-	const packed = await packer.finish();
-	const file = await storeOf(world).createFile(account, packed.unsafeCoerce(), {filename: 'f', bytes: 1, createdAt: 1});
-	return file.unsafeCoerce().id;
-};
-
-const submit = async (store: JobStore, inputFileId: string) => store.createJob(account, {
-	jobKey: 'k', inputFileId, endpoint: '/v1/completions', dueTime: '2099-01-01T00:00:00.000Z', createdTime: now,
-});
-
-const submitJob = async (world: FaultWorld, items: number, poisoned?: number) => {
-	world.items = items;
-	const job = await submit(storeOf(world), await upload(world, items, poisoned));
-	world.jobId = job.unsafeCoerce().id;
-};
-
-const statusOf = (world: FaultWorld) => world.fleet.api.all<JobStatus>('JobStatus').find(({name}) => name === world.jobId)?.value;
-const stateOf = (world: FaultWorld) => statusOf(world)?.state;
-
-const resultsOf = async (world: FaultWorld): Promise<ItemResult[]> => {
-	const store = storeOf(world);
-	const chunks = statusOf(world)?.sealedChunks ?? [];
-	const lists = await Promise.all(chunks.map(async chunk => store.readResults(world.jobId, chunk)));
-	return lists.flatMap(list => [...list.unsafeCoerce()]);
-};
-
-const committed = (world: FaultWorld) => world.fleet.api.all<ChunkResult>('Result');
-const heldChunks = (world: FaultWorld) => world.fleet.agents.filter(({isDown}) => !isDown).reduce((sum, {worker}) => sum + worker.size, 0);
-
-const awaitHeld = async (world: FaultWorld) => {
-	await until(() => heldChunks(world) > 0, 'an agent holds a chunk');
-};
-
-const holder = (world: FaultWorld): FleetEntry => {
-	const found = world.fleet.holderOf(world.jobId);
-	assert.ok(found);
-	return found;
-};
-
-const cancel = async (world: FaultWorld): Promise<JobView> => {
-	const cancelled = await storeOf(world).cancelJob(account, world.jobId, now);
-	return cancelled.unsafeCoerce();
-};
-
-/** Runs `act` once, at the first call of any agent or entry that fits. */
-const atCall = async (world: FaultWorld, nodes: ReadonlyArray<FleetAgent | FleetEntry>, at: {moment: CallMoment; method: string | RegExp; kind: string}, act: (node: FleetAgent | FleetEntry, name: string) => void | Promise<void>) => {
-	let done = false;
-	nodes.forEach(node => {
-		node.api.hook = async (moment, method, kind, name) => {
-			if (!done && moment === at.moment && kind === at.kind && new RegExp(at.method, 'v').test(method)) {
-				done = true;
-				await act(node, name);
-			}
-		};
-	});
-	await until(() => done, `${at.moment} ${String(at.method)} ${at.kind}`);
-};
-
-const atRpc = async (world: FaultWorld, wanted: string, act: (vm: string) => void) => {
-	let done = false;
-	world.fleet.rpcHook = (method, vm) => {
-		if (!done && method === wanted) {
-			done = true;
-			act(vm);
-		}
-	};
-
-	await until(() => done, wanted);
-};
-
-const loseHolder = (world: FaultWorld) => () => {
-	holder(world).lose();
-};
-
-const agentNamed = (world: FaultWorld, vm: string) => world.fleet.agents.find(agent => agent.vm === vm)!;
-
-const losses: Record<string, (world: FaultWorld) => Promise<void>> = {
-	'coordinator hands a chunk out': async world => atRpc(world, 'batch.grant', loseHolder(world)),
-	'coordinator renews a grant': async world => atRpc(world, 'batch.renew', loseHolder(world)),
-	'agent is handed a chunk': async world => atRpc(world, 'batch.grant', vm => {
-		agentNamed(world, vm).lose();
-	}),
-	async 'agent runs an item'(world) {
-		let done = false;
-		world.fleet.agents.forEach(agent => {
-			agent.engine.onAnswer = () => {
-				if (!done) {
-					done = true;
-					agent.lose();
-				}
-			};
-		});
-		await until(() => done, 'an item was run');
-	},
-	'agent is about to commit a chunk': async world => atCall(world, world.fleet.agents, {moment: 'before', method: 'create', kind: 'Result'}, node => {
-		node.lose();
-	}),
-	'agent has committed a chunk': async world => atCall(world, world.fleet.agents, {moment: 'after', method: 'create', kind: 'Result'}, node => {
-		node.lose();
-	}),
-	'coordinator is about to write a status': async world => atCall(world, world.fleet.entries, {moment: 'before', method: 'create|update', kind: 'JobStatus'}, node => {
-		node.lose();
-	}),
-	'coordinator has written a status': async world => atCall(world, world.fleet.entries, {moment: 'after', method: 'create|update', kind: 'JobStatus'}, node => {
-		node.lose();
-	}),
-};
+	awaitHeld, cancel, chunkItems, committed, heldChunks, holder, resultsOf, stateOf, statusOf, storeOf, submit, submitJob, until, upload, type FaultWorld,
+} from './testing/batch-world.js';
 
 /** Meets the next commits with one fault after the other. */
 const commitFaults = (world: FaultWorld, faults: ReadonlyArray<'lost' | 'refused'>) => {
@@ -181,7 +27,11 @@
 };
 
 Given('{int} entries and {int} agents', function (this: FaultWorld, entries: number, agents: number) {
-	this.fleet = this.register(new BatchFleet(entries, agents));
+	this.fleet = this.register(new BatchFleet(entries, agents, usualTimes));
+});
+
+Given('{int} entries and {int} agents whose grants are short', function (this: FaultWorld, entries: number, agents: number) {
+	this.fleet = this.register(new BatchFleet(entries, agents, shortGrants));
 });
 
 Given('a job of {int} items', async function (this: FaultWorld, items: number) {
@@ -207,7 +57,7 @@
 
 Given('each call of the object API takes longer than a grant lasts, but less than a lease', function (this: FaultWorld) {
 	this.fleet.entries.forEach(({api}) => {
-		api.delayMs = this.fleet.slowMs;
+		api.delayMs = this.fleet.outlastMs;
 	});
 });
 
@@ -284,9 +134,9 @@
 	this.items = 40;
 	const [first, second, third] = this.fleet.entries;
 	const file = await upload(this, this.items);
-	const accepted = await submit(new JobStore(first!.api), file);
+	const accepted = await submit(storeOf(first!.api), file);
 	first!.lose();
-	const resent = await Promise.all([second!, third!].map(async ({api}) => submit(new JobStore(api), file)));
+	const resent = await Promise.all([second!, third!].map(async ({api}) => submit(storeOf(api), file)));
 	this.jobId = accepted.unsafeCoerce().id;
 	assert.deepEqual(resent.map(job => job.unsafeCoerce().id), [this.jobId, this.jobId]);
 });
@@ -297,14 +147,14 @@
 	await until(() => this.fleet.entries.every(({shards}) => shards.held.length === 0), 'the leases lapsed');
 	await until(() => this.fleet.agents.every(({worker}) => worker.size === 0 || worker.isCommitting), 'the chunks were run');
 	// Grants outlive the leases by far more than their own time only when they are renewed.
-	await sleep(this.fleet.slowMs);
+	await sleep(this.fleet.outlastMs);
 	this.fleet.api.down = false;
 });
 
 When('the object API is down and a client sends a job', async function (this: FaultWorld) {
 	const file = await upload(this, 4);
 	this.fleet.api.down = true;
-	this.answer = await submit(storeOf(this), file);
+	this.answer = await submit(storeOf(this.fleet.api), file);
 	this.fleet.api.down = false;
 });
 
@@ -366,7 +216,7 @@
 });
 
 Then('no item was run twice', function (this: FaultWorld) {
-	const prompts = this.fleet.agents.flatMap(({engine}) => engine.answered);
+	const prompts = this.fleet.agents.flatMap(({engine}) => engine.begun);
 	assert.equal(prompts.length, new Set(prompts).size);
 });
 
@@ -375,7 +225,7 @@
 	const sealed = JSON.stringify(statusOf(this));
 	const results = committed(this).length;
 	this.wake?.();
-	await (this.wake ? until(() => committed(this).length > results, 'the paused commit took effect') : sleep(this.fleet.slowMs));
+	await (this.wake ? until(() => committed(this).length > results, 'the paused commit took effect') : sleep(this.fleet.outlastMs));
 	assert.deepEqual(await resultsOf(this), before);
 	assert.equal(JSON.stringify(statusOf(this)), sealed);
 });
--- a/src/entry/batch-routes.ts
+++ b/src/entry/batch-routes.ts
@@ -14,7 +14,7 @@
 import {invalidRequest, sendError, type ApiError} from './api-error.js';
 import {batchEvents} from './batch-log-events.js';
 import {batchObject} from './batch-view.js';
-import type {JobStore, JobView} from './job-store.js';
+import type {JobStore} from './job-store.js';
 
 /** What the batch routes are made of. */
 export type BatchParts = {
@@ -34,6 +34,7 @@
 
 const maxBodyBytes = 65_536;
 const defaultListLimit = 20;
+const maxListLimit = 100;
 const defaultWindow = '24h';
 const msPerHour = 3_600_000;
 const windowPattern = /^(?<hours>\d{1,4})h$/v;
@@ -63,7 +64,7 @@
 				method: 'POST', pattern: /^\/v1\/batches$/v, handle: async (req, res) => this.#answer(req, res, async account => this.#submit(account, req)),
 			},
 			{
-				method: 'GET', pattern: /^\/v1\/batches$/v, handle: async (req, res, {url}) => this.#answer(req, res, async account => this.#list(account, Number(url.searchParams.get('limit') ?? defaultListLimit))),
+				method: 'GET', pattern: /^\/v1\/batches$/v, handle: async (req, res, {url}) => this.#answer(req, res, async account => this.#list(account, url.searchParams)),
 			},
 			{
 				method: 'GET', pattern: /^\/v1\/batches\/(?<id>[^\/]+)$/v, handle: async (req, res, {params}) => this.#answer(req, res, async account => this.#show(account, params.id ?? '')),
@@ -96,6 +97,11 @@
 			return body;
 		}
 
+		const {ready} = this.#parts.store;
+		if (ready.isLeft()) {
+			return ready;
+		}
+
 		const wish = body.extract() as BatchBody;
 		const file = await this.#parts.store.readFile(account, wish.input_file_id);
 		const checked = file.chain(found => this.#check(wish, found));
@@ -139,9 +145,13 @@
 		return job.map(view => batchObject(view));
 	}
 
-	async #list(account: Account, limit: number) {
-		const jobs = await this.#parts.store.listJobs(account, limit);
-		return jobs.map((views: readonly JobView[]) => ({object: 'list', data: views.map(view => batchObject(view)), has_more: false}));
+	async #list(account: Account, query: URLSearchParams) {
+		const asked = Number(query.get('limit') ?? defaultListLimit);
+		const limit = Math.max(1, Math.min(maxListLimit, Number.isInteger(asked) ? asked : defaultListLimit));
+		const jobs = await this.#parts.store.listJobs(account, {limit, after: query.get('after') ?? undefined});
+		return jobs.map(({views, hasMore}) => ({
+			object: 'list', data: views.map(view => batchObject(view)), first_id: views.at(0)?.id ?? null, last_id: views.at(-1)?.id ?? null, has_more: hasMore,
+		}));
 	}
 
 	async #cancel(account: Account, id: string) {
--- a/src/entry/batch-view.ts
+++ b/src/entry/batch-view.ts
@@ -1,6 +1,7 @@
 /**
 Batch jobs as callers of the OpenAI-compatible API see them.
 */
+import type {BatchJobSpec} from '../../typings/resources.js';
 import type {JobState} from '../common/batch-types.js';
 import {branded, type FileId, type JobId} from '../common/ids.js';
 import type {JobView} from './job-store.js';
@@ -22,6 +23,9 @@
 
 const seconds = (time: string | undefined) => time === undefined ? null : Math.floor(Date.parse(time) / 1000);
 
+const msPerHour = 3_600_000;
+const windowOf = ({createdTime, dueTime}: Pick<BatchJobSpec, 'createdTime' | 'dueTime'>) => `${Math.round((Date.parse(dueTime) - Date.parse(createdTime)) / msPerHour)}h`;
+
 const endFields: Partial<Record<JobState, string>> = {
 	completed: 'completed_at', cancelled: 'cancelled_at', expired: 'expired_at', failed: 'failed_at',
 };
@@ -43,14 +47,15 @@
 		endpoint: spec.endpoint,
 		errors: null,
 		input_file_id: spec.inputFileId,
-		completion_window: '24h',
+		completion_window: windowOf(spec),
 		status: state,
 		output_file_id: hasEnded ? outputFileId(id) : null,
 		error_file_id: hasEnded && status.failed > 0 ? errorFileId(id) : null,
 		created_at: seconds(spec.createdTime),
 		in_progress_at: status?.startedAt ?? null,
 		expires_at: seconds(spec.dueTime),
-		cancelling_at: seconds(spec.cancelledTime),
+		cancelling_at: state === 'cancelling' || state === 'cancelled' ? seconds(spec.cancelledTime) : null,
+		estimated_end_at: status?.estimatedEndAt ?? null,
 		...(endField !== undefined && {[endField]: status?.endedAt}),
 		request_counts: {total: status?.total ?? 0, completed: status?.completed ?? 0, failed: status?.failed ?? 0},
 		metadata: spec.clientMetadata ?? null,
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -24,6 +24,7 @@
 import {rpcRoute, type RpcMethods} from '../platform/rpc-route.js';
 import {Accounts} from './accounts.js';
 import {invalidRequest, sendError} from './api-error.js';
+import {ApiGate} from './api-gate.js';
 import {AttemptClient} from './attempt-client.js';
 import {BatchRoutes} from './batch-routes.js';
 import {ConfigFollower} from './config-follower.js';
@@ -195,7 +196,7 @@
 
 	#routes() {
 		const {online, batch} = this.#cfg;
-		const store = new JobStore(this.#api);
+		const store = new JobStore(this.#api, new ApiGate(this.#services.clock));
 		const common = {
 			accounts: this.#accounts, config: this.#config, store, clock: this.#services.clock, log: this.#services.log,
 		};
--- a/src/entry/file-routes.ts
+++ b/src/entry/file-routes.ts
@@ -49,6 +49,9 @@
 			{
 				method: 'GET', pattern: /^\/v1\/files\/(?<id>[^\/]+)$/v, handle: async (req, res, {params}) => this.#withAccount(req, res, async account => this.#show(account, params.id ?? '', res)),
 			},
+			{
+				method: 'DELETE', pattern: /^\/v1\/files\/(?<id>[^\/]+)$/v, handle: async (req, res, {params}) => this.#withAccount(req, res, async account => this.#delete(account, params.id ?? '', res)),
+			},
 			{
 				method: 'GET', pattern: /^\/v1\/files\/(?<id>[^\/]+)\/content$/v, handle: async (req, res, {params}) => this.#withAccount(req, res, async account => this.#content(account, params.id ?? '', res)),
 			},
@@ -66,6 +69,13 @@
 	}
 
 	async #upload(account: Account, req: IncomingMessage, res: ServerResponse) {
+		const {ready} = this.#parts.store;
+		if (ready.isLeft()) {
+			req.resume();
+			sendError(res, ready.extract());
+			return;
+		}
+
 		const upload = await this.#receive(req);
 		const {bytes, filename} = upload;
 		const createdAt = Math.floor(this.#parts.clock.wall() / 1000);
@@ -142,6 +152,20 @@
 		});
 	}
 
+	async #delete(account: Account, id: string, res: ServerResponse) {
+		const deleted = parseResultFileId(id)
+			? Left<ApiError, FileRecord>(invalidRequest('the files of results are removed with their job', {status: 409, code: 'result_file'}))
+			: await this.#parts.store.deleteFile(account, id);
+		deleted.caseOf({
+			Left(err) {
+				sendError(res, err);
+			},
+			Right(file) {
+				res.writeHead(200, {'content-type': 'application/json'}).end(JSON.stringify({id: file.id, object: 'file', deleted: true}));
+			},
+		});
+	}
+
 	async #content(account: Account, id: string, res: ServerResponse) {
 		const result = parseResultFileId(id);
 		const chunks = result ? await this.#resultLines(account, result) : await this.#inputLines(account, id);
--- a/src/entry/item-packer.ts
+++ b/src/entry/item-packer.ts
@@ -1,9 +1,13 @@
 /**
 Packs the lines of an uploaded batch file into input chunks and stores them as they fill, so that memory does not grow with the file. A chunk is named by its content: an upload that is repeated, or resumed after a lost answer, writes nothing anew.
+
+Chunks grow along the file: how many items will come is not known while they are packed, and a small job in chunks of the largest size would keep a few agents busy and leave all others idle. Chunks are granted from the end of the file, so that the small ones are left for the end of a large job too.
 */
+import {Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
 import {Left, Right, type Either} from 'purify-ts/Either';
 import type {BatchItem, InputChunk} from '../common/batch-types.js';
+import {FingerprintSet} from '../common/fingerprint-set.js';
 import type {Clock, ObjectApi} from '../common/services.js';
 import type {ApiError as PlatformError} from '../common/types.js';
 import {invalidRequest, unavailable, type ApiError} from './api-error.js';
@@ -13,6 +17,10 @@
 	readonly maxItems: number;
 	/** Items in one chunk at most. */
 	readonly chunkItems: number;
+	/** Items in the first chunks; at most `chunkItems`. */
+	readonly minChunkItems: number;
+	/** Bytes of a file at most. Bounds its record, which names every chunk and has to fit one value. */
+	readonly maxFileBytes: number;
 	/** Bytes of one chunk at most; well below the object API's limit. */
 	readonly chunkBytes: number;
 };
@@ -27,6 +35,8 @@
 	readonly digest: string;
 };
 
+// While this many chunks of the present size have not come, chunks do not grow.
+const chunksBeforeGrowth = 64;
 const endpoints = new Set(['/v1/chat/completions', '/v1/completions']);
 const storeTries = 3;
 const storePauseMs = 200;
@@ -41,9 +51,10 @@
 	readonly #clock: Clock;
 	readonly #limits: PackLimits;
 	readonly #chunks: Array<{name: string; items: number}> = [];
-	readonly #ids = new Set<string>();
+	readonly #ids = new FingerprintSet();
 	#items: BatchItem[] = [];
 	#bytes = 0;
+	#fileBytes = 0;
 	#lines = 0;
 	#model = '';
 	#endpoint = '';
@@ -57,19 +68,17 @@
 	/** Takes one line, without its line break. Empty lines are passed over. */
 	async add(line: string): Promise<Either<ApiError, void>> {
 		this.#lines += 1;
+		this.#fileBytes += Buffer.byteLength(line);
 		if (line.trim() === '') {
 			return Right(undefined);
 		}
 
-		const parsed = this.#parse(line);
-		if (parsed.isLeft()) {
-			return Left(parsed.extract());
+		if (this.#fileBytes > this.#limits.maxFileBytes) {
+			return Left(invalidRequest(`the file has more than ${this.#limits.maxFileBytes} bytes`, {param: 'file', status: 413}));
 		}
 
-		this.#items.push(parsed.extract() as BatchItem);
-		this.#bytes += line.length;
-		const isFull = this.#items.length >= this.#limits.chunkItems || this.#bytes >= this.#limits.chunkBytes;
-		return isFull ? this.#store() : Right(undefined);
+		const parsed = this.#parse(line);
+		return parsed.isLeft() ? Left(parsed.extract()) : this.#append(parsed.extract() as BatchItem);
 	}
 
 	/** Stores the last chunk. */
@@ -88,6 +97,22 @@
 		}));
 	}
 
+	async #append(item: BatchItem): Promise<Either<ApiError, void>> {
+		// In bytes, not in characters: a character of Bengali is three.
+		const bytes = Buffer.byteLength(JSON.stringify(item)) + 1;
+		const isFull = this.#items.length >= this.#chunkItems || this.#bytes + bytes > this.#limits.chunkBytes;
+		const stored = isFull && this.#items.length > 0 ? await this.#store() : Right<void, ApiError>(undefined);
+		this.#items.push(item);
+		this.#bytes += bytes;
+		return stored;
+	}
+
+	get #chunkItems(): number {
+		const {minChunkItems, chunkItems} = this.#limits;
+		const grown = Math.ceil(this.#ids.size / chunksBeforeGrowth);
+		return Math.min(chunkItems, Math.max(minChunkItems, grown));
+	}
+
 	#fail(message: string): Either<ApiError, BatchItem> {
 		return Left(invalidRequest(`line ${this.#lines}: ${message}`, {param: 'file', code: 'invalid_line'}));
 	}
@@ -114,15 +139,14 @@
 			[!endpoints.has(item.url), `url must be one of ${[...endpoints].join(', ')}`],
 			[item.url !== this.#endpoint, 'all items must have the same url'],
 			[item.body.model !== this.#model, 'all items must name the same model'],
-			[this.#ids.has(item.custom_id), `custom_id ${item.custom_id} stands twice`],
 			[this.#ids.size >= this.#limits.maxItems, `more than ${this.#limits.maxItems} items`],
+			[!this.#ids.add(item.custom_id), `custom_id ${item.custom_id} stands twice`],
 		];
 		const fault = faults.find(([isFault]) => isFault);
 		if (fault) {
 			return this.#fail(fault[1]);
 		}
 
-		this.#ids.add(item.custom_id);
 		const {stream: _, stream_options: __, ...body} = item.body as Record<string, unknown>;
 		return Right({
 			custom_id: item.custom_id, method: 'POST', url: item.url, body,
@@ -143,6 +167,7 @@
 			}
 
 			if ((created.extract() as PlatformError).kind === 'tooLarge') {
+				// A chunk with more than one item is below `chunkBytes`.
 				return Left(invalidRequest(`line ${this.#lines}: the item is too large`, {param: 'file'}));
 			}
 
--- a/src/entry/job-store.ts
+++ b/src/entry/job-store.ts
@@ -7,11 +7,15 @@
 import {
 	resultName, type ChunkResult, type FileRecord, type ItemResult, type JobStatus, type ResultPart,
 } from '../common/batch-types.js';
+import {ConcurrencyLimit} from '../common/concurrency-limit.js';
 import {branded, type FileId, type JobId} from '../common/ids.js';
 import type {ObjectApi} from '../common/services.js';
-import type {ApiError as PlatformError, ObjectKind, StoredObject} from '../common/types.js';
+import type {
+	ApiError as PlatformError, ObjectKind, ObjectPage, StoredObject,
+} from '../common/types.js';
 import type {Account} from './accounts.js';
 import {invalidRequest, unavailable, type ApiError} from './api-error.js';
+import type {ApiGate} from './api-gate.js';
 import type {PackedFile} from './item-packer.js';
 
 /** A job with its progress; none yet when no coordinator has taken it up. */
@@ -22,6 +26,9 @@
 
 const comeBackMs = 5000;
 const hashLength = 32;
+const accountHashLength = 8;
+const listPageSize = 500;
+const maxStatusReads = 16;
 const storeTries = 3;
 
 const hashOf = (...parts: readonly string[]) => createHash('sha256').update(JSON.stringify(parts)).digest('hex').slice(0, hashLength);
@@ -30,27 +37,54 @@
 	? invalidRequest('no such object', {status: 404, code: 'not_found'})
 	: unavailable('the platform\'s object API does not answer; nothing was accepted', comeBackMs);
 
+// The last try may still take effect: it would be untrue to say that nothing was accepted.
+const outcomeUnknown: ApiError = {
+	...unavailable('the platform\'s object API did not answer; send the job again under the same key to learn whether it was accepted', comeBackMs, 'outcome_unknown'),
+	run: 'unknown',
+};
+
+// The account comes first, so that its jobs are found by a prefix of their names.
+const jobIdPrefix = (account: Account) => `batch_${hashOf(account.name).slice(0, accountHashLength)}`;
+
+/** A page of an account's jobs. */
+export type JobPage = {readonly views: readonly JobView[]; readonly hasMore: boolean};
+
 /** Reads and writes files and jobs. */
 export class JobStore {
 	readonly #api: ObjectApi;
+	readonly #gate: ApiGate;
 
-	constructor(api: ObjectApi) {
+	constructor(api: ObjectApi, gate: ApiGate) {
 		this.#api = api;
+		this.#gate = gate;
+	}
+
+	/** An error at once when the object API is known not to answer; for callers who would make it hold something new. */
+	get ready(): Either<ApiError, void> {
+		return this.#gate.isShut ? Left(platformError({kind: 'unavailable', reason: 'shut'})) : Right(undefined);
 	}
 
 	/** Records a packed file. The same content of the same account is the same file. */
 	async createFile(account: Account, packed: PackedFile, options: {filename: string; bytes: number; createdAt: number}): Promise<Either<ApiError, FileRecord>> {
 		const id: FileId = branded(`file-${hashOf(account.name, packed.digest)}`);
 		const {digest: _, ...content} = packed;
-		return this.#createOrRead<FileRecord>('File', id, {
+		const record: FileRecord = {
 			id, account: account.name, purpose: 'batch', ...options, ...content,
-		});
+		};
+		const stored = await this.#createOrRead<FileRecord>('File', id, record);
+		return stored.isRight() && stored.extract().isDeleted ? this.#setDeleted(account, id, false) : stored;
+	}
+
+	/** Hides a file from its account. Jobs that were accepted with it go on. */
+	async deleteFile(account: Account, id: string): Promise<Either<ApiError, FileRecord>> {
+		const read = await this.readFile(account, id);
+		return read.isLeft() ? read : this.#setDeleted(account, id, true);
 	}
 
 	/** Reads a file of the account; others' files are not found. */
 	async readFile(account: Account, id: string): Promise<Either<ApiError, FileRecord>> {
 		const read = await this.#read<FileRecord>('File', id);
-		return read.chain(file => file.account === account.name ? Right(file) : Left(platformError({kind: 'notFound'})));
+		return read.chain(file => file.account === account.name && !file.isDeleted ? Right(file) : Left(platformError({kind: 'notFound'})));
 	}
 
 	/** The items of an input chunk or the results of a chunk, by name. */
@@ -64,7 +98,7 @@
 	@returns The job; an error when the key was used for another input.
 	*/
 	async createJob(account: Account, wish: JobWish): Promise<Either<ApiError, JobView & {readonly isNew: boolean}>> {
-		const id: JobId = branded(`batch_${hashOf(account.name, wish.jobKey)}`);
+		const id: JobId = branded(`${jobIdPrefix(account)}${hashOf(account.name, wish.jobKey).slice(accountHashLength)}`);
 		const job: BatchJob = {
 			apiVersion: 'citronyard/v1',
 			kind: 'BatchJob',
@@ -112,19 +146,29 @@
 		return settled.chain(view => view.job.spec.cancelled ? Right(view) : Left(unavailable('the cancellation could not be stored, try again', comeBackMs)));
 	}
 
-	/** Jobs of an account, in no particular order. */
-	async listJobs(account: Account, limit: number): Promise<Either<ApiError, JobView[]>> {
-		const page = await this.#api.list<BatchJob>('BatchJob', {limit: 1000});
-		const own = page.map(({items}) => items.filter(({value}) => value.spec.account === account.name).slice(0, limit)).mapLeft(platformError);
-		if (own.isLeft()) {
-			return Left(own.extract());
+	/**
+	Jobs of an account, the newest first.
+
+	@param after - The id of the last job of the page before.
+	*/
+	async listJobs(account: Account, {limit, after}: {limit: number; after?: string}): Promise<Either<ApiError, JobPage>> {
+		const all = await this.#allJobs(account);
+		if (all.isLeft()) {
+			return Left(all.extract());
 		}
 
-		const views = await Promise.all((own.extract() as Array<StoredObject<BatchJob>>).map(async ({name, value}) => {
+		const jobs = all.unsafeCoerce().toSorted((a, b) => b.value.spec.createdTime.localeCompare(a.value.spec.createdTime) || a.name.localeCompare(b.name));
+		const start = after === undefined ? 0 : jobs.findIndex(({name}) => name === after) + 1;
+		const page = jobs.slice(start, start + limit);
+		const reads = new ConcurrencyLimit(maxStatusReads);
+		const views = await Promise.all(page.map(async ({name, value}) => reads.run(async () => {
 			const status = await this.#readStatus(branded(name));
-			return {id: branded<JobId>(name), job: value, status: status.orDefault(undefined)};
-		}));
-		return Right(views);
+			return status.map((progress): JobView => ({id: branded<JobId>(name), job: value, status: progress}));
+		})));
+		const failed = views.find(view => view.isLeft());
+		return failed
+			? Left(failed.extract())
+			: Right({views: views.map(view => view.unsafeCoerce()), hasMore: start + limit < jobs.length});
 	}
 
 	/** The results of one chunk; empty when it has none. */
@@ -154,24 +198,68 @@
 
 	async #read<T>(kind: ObjectKind, name: string): Promise<Either<ApiError, T>> {
 		const read = await this.#api.get<T>(kind, name);
+		this.#gate.note(read.isLeft() ? read.extract() : undefined);
 		return read.map(({value}) => value).mapLeft(platformError);
 	}
 
-	// An answer that was lost after the change is met by trying again: the create then finds what it made.
+	async #allJobs(account: Account): Promise<Either<ApiError, Array<StoredObject<BatchJob>>>> {
+		const jobs: Array<StoredObject<BatchJob>> = [];
+		let more = true;
+		while (more) {
+			const read = await this.#api.list<BatchJob>('BatchJob', {prefix: jobIdPrefix(account), after: jobs.at(-1)?.name, limit: listPageSize});
+			if (read.isLeft()) {
+				return Left(platformError(read.extract()));
+			}
+
+			const page = read.extract() as ObjectPage<BatchJob>;
+			jobs.push(...page.items);
+			more = page.more;
+		}
+
+		// Two accounts may share the prefix.
+		return Right(jobs.filter(({value}) => value.spec.account === account.name));
+	}
+
+	async #setDeleted(account: Account, id: string, isDeleted: boolean): Promise<Either<ApiError, FileRecord>> {
+		for (let tries = 0; tries < storeTries; tries += 1) {
+			const read = await this.#api.get<FileRecord>('File', id);
+			if (read.isLeft()) {
+				return Left(platformError(read.extract()));
+			}
+
+			const {value, version} = read.extract() as StoredObject<FileRecord>;
+			const next: FileRecord = {...value, isDeleted};
+			const updated = value.isDeleted === isDeleted ? read : await this.#api.update('File', id, next, version);
+			if (updated.isRight()) {
+				return Right(next);
+			}
+		}
+
+		return Left(unavailable('the file could not be changed, try again', comeBackMs));
+	}
+
+	// After an answer that was lost, the next create finds what the one before made.
 	async #createOrRead<T>(kind: ObjectKind, name: string, value: T): Promise<Either<ApiError, T>> {
-		let err: PlatformError = {kind: 'unavailable', reason: ''};
+		let isUnknown = false;
 		for (let tries = 0; tries < storeTries; tries += 1) {
 			const created = await this.#api.create(kind, name, value);
 			if (created.isRight()) {
+				this.#gate.note(undefined);
 				return Right(value);
 			}
 
-			err = created.extract() as PlatformError;
+			const err = created.extract() as PlatformError;
+			this.#gate.note(err);
 			if (err.kind === 'conflict') {
 				return err.current ? Right(err.current.value as T) : this.#read<T>(kind, name);
 			}
+
+			isUnknown ||= err.kind === 'unknown';
+			if (err.kind !== 'unknown') {
+				return Left(isUnknown ? outcomeUnknown : platformError(err));
+			}
 		}
 
-		return Left(platformError(err));
+		return Left(outcomeUnknown);
 	}
 }
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -30,14 +30,22 @@
 		leaseMs: durationMs(6000),
 		/** How often grants are renewed and given. */
 		tickMs: durationMs(500),
-		/** How long a grant of a chunk lasts unless it is renewed. */
-		grantMs: durationMs(6000),
+		/** How long a grant of a chunk lasts unless it is renewed. Longer than another entry needs to take the lease of a lost one, so that the work under way is taken over. */
+		grantMs: durationMs(15_000),
 		/** How long one long poll for changes of jobs waits. */
 		watchMs: durationMs(10_000),
 		/** Items in one file at most. */
 		maxItems: countOf(200_000),
 		/** Items in one chunk at most. */
 		chunkItems: countOf(256),
+		/** Items in the first chunks of a file; later ones grow up to `chunkItems`. */
+		minChunkItems: countOf(16),
+		/** Bytes of one file at most. */
+		maxFileBytes: sizeBytes(209_715_200),
+		/** How long an ended job and its results are kept; 30 days. */
+		retentionMs: durationMs(2_592_000_000),
+		/** How often ended jobs are looked through for those to remove. */
+		retentionSweepMs: durationMs(3_600_000),
 		chunkBytes: sizeBytes(786_432),
 	}).prefault({}),
 	/** A folder on the VM's own disk for a snapshot of the configuration. Without it none is kept. */
--- a/src/entry/testing/batch-fleet.ts
+++ b/src/entry/testing/batch-fleet.ts
@@ -26,8 +26,14 @@
 /** Runs when a call has reached its agent, before the caller hears of it. */
 export type RpcHook = (method: string, vm: string) => void;
 
-const leaseMs = 1000;
-const grantMs = 400;
+/** Times of a fleet, in milliseconds. */
+export type FleetTimes = {readonly leaseMs: number; readonly grantMs: number};
+
+/** As in operation: grants outlast the time until another entry has taken the lease of a lost one. */
+export const usualTimes: FleetTimes = {leaseMs: 500, grantMs: 1500};
+/** Grants that lapse within one slow call of the object API. */
+export const shortGrants: FleetTimes = {leaseMs: 1000, grantMs: 400};
+
 const tickMs = 10;
 const watchMs = 100;
 const maxRunning = 4;
@@ -114,8 +120,7 @@
 			vm,
 			self: branded(`${vm}-run`),
 			entries: () => fleet.entryNames,
-			leaseMs,
-			grantMs,
+			...fleet.times,
 			tickMs,
 			watchMs,
 			rpcTimeoutMs: 100,
@@ -138,16 +143,16 @@
 /** The whole of it. */
 export class BatchFleet implements Disposable {
 	readonly api = new FakeObjectApi();
-	readonly replicas = new ReplicaTable(clock, grantMs);
+	readonly replicas = new ReplicaTable(clock, 300);
 	readonly agents: FleetAgent[] = [];
 	readonly entries: FleetEntry[] = [];
-	/** Longer than a grant lasts; a lease outlasts two such calls. */
-	readonly slowMs = grantMs * 1.1;
+	readonly times: FleetTimes;
 	/** Runs after a call has taken effect at its agent. */
 	rpcHook: RpcHook | undefined;
 	readonly #timer: NodeJS.Timeout;
 
-	constructor(entries: number, agents: number) {
+	constructor(entries: number, agents: number, times: FleetTimes) {
+		this.times = times;
 		this.agents.push(...Array.from({length: agents}, (_, index) => new FleetAgent(`gpu-${index}`, this.api)));
 		this.#hear();
 		this.#timer = setInterval(() => {
@@ -163,6 +168,11 @@
 		return this.entries.filter(({isDown}) => !isDown).map(({vm}) => vm);
 	}
 
+	/** Longer than a grant lasts. */
+	get outlastMs(): number {
+		return this.times.grantMs * 1.1;
+	}
+
 	/** The entry that coordinates a job now; undefined when none does. */
 	holderOf(jobId: string): FleetEntry | undefined {
 		return this.entries.find(({isDown, shards}) => !isDown && shards.held.includes(jobId.charAt('batch_'.length)));
--- a/src/entry/testing/fake-engine.ts
+++ b/src/entry/testing/fake-engine.ts
@@ -19,6 +19,8 @@
 	itemMs = 1;
 	/** Prompts of the items that were answered, in order. */
 	readonly answered: string[] = [];
+	/** Prompts of the items that came, in order. */
+	readonly begun: string[] = [];
 	/** Called for each item that was answered. */
 	onAnswer: (() => void) | undefined;
 	/** How often it crashed. */
@@ -33,6 +35,7 @@
 
 	async run(req: BackendRequest): Promise<Either<BackendFailure, void>> {
 		const prompt = String((req.work as GenerateWork).body.prompt);
+		this.begun.push(prompt);
 		if (prompt.includes(crashText)) {
 			// The others that came with it are in the engine by then.
 			await new Promise(resolve => {
