Features: configuration reaches every node and stays

Cause: the followers had no proof under faults. Writing them showed three faults of theirs: a first start gave up after four dead peers of eight; a node that lost the one above it went on claiming to be connected for 2.5 s, so the nodes below it stayed; and with all links to the own failure domain silent, two of its nodes were tried before a far one, which took 3.0 s.

Change: all upstreams are asked at the start; a node that loses its upstream says so at once, also to those that wait, and its next poll does not wait; a far watcher is second in the list.

Not seen to fail alone: the backup of the object API, which three checks guard (the watcher's, and the table's two).

--- a/src/common/config-bootstrap.ts
+++ b/src/common/config-bootstrap.ts
@@ -36,7 +36,6 @@
 
 type Step = (parts: BootstrapParts) => Promise<FirstConfig | undefined>;
 
-const maxPeersAsked = 4;
 const shortestRetryMs = 200;
 const retrySpreadMs = 800;
 
@@ -58,7 +57,7 @@
 		return undefined;
 	}
 
-	for (const peer of parts.peers().slice(0, maxPeersAsked)) {
+	for (const peer of parts.peers()) {
 		const answer = await askFor(parts, peer, snapshot.revision);
 		// A peer that is behind the snapshot proves nothing about it.
 		if (answer && answer.revision >= snapshot.revision) {
@@ -74,7 +73,7 @@
 
 const fromPeers: Step = async parts => {
 	const table = new ConfigTable();
-	for (const peer of parts.peers().slice(0, maxPeersAsked)) {
+	for (const peer of parts.peers()) {
 		const isFirst = table.revision === 0;
 		const answer = await askFor(parts, peer, table.revision);
 		if (answer) {
--- a/src/common/config-feed.ts
+++ b/src/common/config-feed.ts
@@ -24,7 +24,7 @@
 	readonly #parts: FeedParts;
 	readonly #wakers = new Set<() => void>();
 	readonly #stop: () => void;
-	#disposed = false;
+	#losses = 0;
 
 	constructor(parts: FeedParts) {
 		this.#parts = parts;
@@ -41,8 +41,9 @@
 		}
 
 		const until = clock.now() + Math.min(poll.waitMs, pollWaitMs);
+		const losses = this.#losses;
 		let changes = table.changesSince(poll.since, poll.scope);
-		while (!this.#disposed && this.#parts.isReady() && !hasNews(changes, poll) && clock.now() < until) {
+		while (this.#losses === losses && this.#parts.isReady() && !hasNews(changes, poll) && clock.now() < until) {
 			await this.#nextBatch(until - clock.now());
 			changes = table.changesSince(poll.since, poll.scope);
 		}
@@ -50,10 +51,15 @@
 		return this.#answerWith(changes, poll);
 	}
 
+	/** Answers all that wait: this node is no longer connected, and they are to ask elsewhere without delay. */
+	answerNow(): void {
+		this.#losses += 1;
+		this.#wakeAll();
+	}
+
 	dispose(): void {
-		this.#disposed = true;
 		this.#stop();
-		this.#wakeAll();
+		this.answerNow();
 	}
 
 	#answerWith(changes: ConfigChanges, poll: ConfigPoll): ConfigAnswer {
--- a/src/common/config-peer-follower.ts
+++ b/src/common/config-peer-follower.ts
@@ -2,9 +2,7 @@
 Follows the configuration by long polls to a node further up, and changes to another one when that one is silent, gone or cut off itself. Each poll asks for everything after this node's own revision, so what was missed while a connection or a whole region was cut comes with the first answer after it.
 */
 import type {AskNode} from './config-bootstrap.js';
-import {
-	pollTimeoutMs, pollWaitMs, type ConfigAnswer, type InForceCount,
-} from './config-protocol.js';
+import {pollWaitMs, type ConfigAnswer, type InForceCount} from './config-protocol.js';
 import type {ConfigScope, ConfigTable} from './config-table.js';
 import type {Clock, Disposable, RandomSource} from './services.js';
 
@@ -21,6 +19,8 @@
 	readonly upstreams: () => readonly string[];
 	/** What to report up; undefined when somebody else counts this node. */
 	readonly counts: () => readonly InForceCount[] | undefined;
+	/** Called when the node that was asked failed or is cut off. */
+	readonly onLost?: () => void;
 	/** Called when a whole round of upstreams gave nothing. */
 	readonly onRoundFailed?: () => void | Promise<void>;
 };
@@ -37,16 +37,16 @@
 	#best: string | undefined;
 	#failures = 0;
 	#movedAt = 0;
-	#connectedAt = Number.NEGATIVE_INFINITY;
+	#isConnected = false;
 	#disposed = false;
 
 	constructor(parts: PeerFollowerParts) {
 		this.#parts = parts;
 	}
 
-	/** Whether a node further up that is connected itself answered lately. */
+	/** Whether the node further up that was asked last is connected itself and answered. */
 	get isConnected(): boolean {
-		return this.#parts.clock.now() - this.#connectedAt <= pollTimeoutMs + pollWaitMs;
+		return this.#isConnected;
 	}
 
 	/** Follows for good. Resolves after `dispose`. */
@@ -79,25 +79,26 @@
 	async #poll(upstream: string): Promise<boolean> {
 		const {table, node, scope, ask, counts} = this.#parts;
 		const answer = await ask(upstream, {
-			node, since: table.revision, waitMs: pollWaitMs, scope, counts: counts(),
+			node, since: table.revision, waitMs: this.isConnected ? pollWaitMs : 0, scope, counts: counts(),
 		});
 		return !this.#disposed && answer.map(got => this.#take(got)).orDefault(false);
 	}
 
 	// Changes are taken from any node, also from one that is cut off: the table keeps the newer ones. But a node that is cut off is not waited on.
 	#take(answer: ConfigAnswer): boolean {
-		const {table, clock} = this.#parts;
-		const isTaken = answer.isReady && table.apply(answer);
+		const isTaken = answer.isReady && this.#parts.table.apply(answer);
 		if (!isTaken || !answer.isConnected) {
 			return false;
 		}
 
-		this.#connectedAt = clock.now();
+		this.#isConnected = true;
 		return true;
 	}
 
 	async #moveOn() {
-		const {clock, random, upstreams, onRoundFailed} = this.#parts;
+		const {clock, random, upstreams, onLost, onRoundFailed} = this.#parts;
+		this.#isConnected = false;
+		onLost?.();
 		this.#index += 1;
 		this.#movedAt = clock.now();
 		const round = Math.max(1, upstreams().length);
--- a/src/common/config-upstream.ts
+++ b/src/common/config-upstream.ts
@@ -55,7 +55,9 @@
 
 	const parent = ranked[Math.floor((rank - watchersPerDomain) / fanOut)]!;
 	const own = ranked.slice(0, watchersPerDomain);
-	return {isWatcher: false, upstreams: addressesOf(entries, [parent, ...own, ...watchers], self)};
+	const far = watchers.filter(watcher => !own.includes(watcher));
+	// A far one comes second: when the links to the whole own failure domain are silent, trying its nodes one after another would take too long.
+	return {isWatcher: false, upstreams: addressesOf(entries, [parent, ...far.slice(0, 1), ...own, ...far.slice(1)], self)};
 };
 
 /**
--- a/src/entry/config-follower.ts
+++ b/src/entry/config-follower.ts
@@ -61,6 +61,9 @@
 			node: vm,
 			upstreams: () => this.#place.upstreams,
 			// A watcher is asked for its counts; it stands below nobody.
+			onLost: () => {
+				this.#onLost();
+			},
 			counts: () => this.#place.isWatcher ? undefined : this.#counts.rows(),
 		});
 		this.#feed = new ConfigFeed({
@@ -138,6 +141,12 @@
 		}
 	}
 
+	#onLost() {
+		if (!this.isConnected) {
+			this.#feed.answerNow();
+		}
+	}
+
 	#logChange({kind, name, version, type}: WatchEvent) {
 		if (this.#isReady) {
 			this.#parts.log.emit(configEvents.changed, {
--- a/src/entry/config-watcher.ts
+++ b/src/entry/config-watcher.ts
@@ -90,6 +90,7 @@
 		}
 
 		this.#failures += 1;
+		this.#succeededAt = Number.NEGATIVE_INFINITY;
 		this.#parts.log.emit(configEvents.watchFailed, {reason: err.kind, failures: this.#failures});
 		const {clock, random} = this.#parts;
 		const ceiling = Math.min(longestRetryMs, shortestRetryMs * (2 ** this.#failures));
