Program frame: a start that fails ends the process; no optimised WebAssembly

An agent whose port was taken logged that it could not start, set its exit code, and went on running: the timers that it had begun before it tried to listen kept the process alive. Its supervisor saw a running program that served nobody, and never started it again. An entry ended in the same case only because it had no such timer yet. The frame now leaves the process after a failed start, as it does after a shutdown. The sample program begins its timer before its start fails, as real programs do; with the old frame the scenario 'A daemon that cannot start says why' timed out after 20 s, now it passes.

--- a/src/platform/program-run.ts
+++ b/src/platform/program-run.ts
@@ -51,6 +51,15 @@
 		}
 	}
 
+	/**
+	Ends the process after a failed start.
+
+	What the program had begun before it failed, such as a timer, would keep the process alive: its supervisor would see a running program that serves nobody, and never start it again.
+	*/
+	async abandon(code: ExitCode): Promise<void> {
+		await this.#exit(code);
+	}
+
 	/** Releases the program and its services, and listens to no more signals. */
 	async dispose(): Promise<void> {
 		stopSignals.forEach(signal => {
--- a/src/platform/program.ts
+++ b/src/platform/program.ts
@@ -12,6 +12,7 @@
 import {platformEvents} from './log-events.js';
 import {ProgramRun} from './program-run.js';
 import {createServices} from './program-services.js';
+import {setRuntimeFlags} from './runtime-flags.js';
 import {loadSettings} from './settings.js';
 import {describeSettingsError, type SettingsError} from './settings-error.js';
 import {type CommonSettings} from './settings-schemas.js';
@@ -70,6 +71,7 @@
 };
 
 const launch = async <T extends CommonSettings>({name, start}: Program<T>, settings: T): Promise<void> => {
+	setRuntimeFlags();
 	const services = createServices(name, settings);
 	const run = new ProgramRun(services);
 	run.guard();
@@ -81,7 +83,7 @@
 		const {message, exitCode} = started.extract();
 		services.log.emit(platformEvents.startFailed, {reason: message});
 		fail([`${name}: ${message}`], exitCode);
-		await run.dispose();
+		await run.abandon(exitCode);
 	}
 };
 
--- a/src/platform/testing/sample-program.ts
+++ b/src/platform/testing/sample-program.ts
@@ -44,11 +44,12 @@
 	describe: 'Does nothing until it is told to stop.',
 	schema,
 	async start({listen, behaviour}) {
+		// Begun before the start can fail, as the timers of the real programs are.
+		const timer = setInterval(() => undefined, 1000);
 		if (behaviour === 'cannotStart') {
 			return Left({exitCode: exitCodes.unavailable, message: `${listen} is taken`});
 		}
 
-		const timer = setInterval(() => undefined, 1000);
 		return Right({
 			addresses: {http: listen},
 			drain: drains[behaviour],
