--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -8,7 +8,7 @@
 import {branded} from '../common/ids.js';
 import {NodeLifecycle} from '../common/node-lifecycle.js';
 import type {
-	AttemptKey, GrantRequest, Incarnation, LoadReport, RenewRequest,
+	AttemptKey, GrantRequest, Incarnation, LoadReport, RenewRequest, RevokeRequest,
 } from '../common/protocol.js';
 import {RequestLedger} from '../common/request-ledger.js';
 import type {
@@ -43,8 +43,8 @@
 
 const servesPollMs = 500;
 const drainPollMs = 50;
-// Entries ask for the load several times a second; after this long all of them know that the agent is leaving.
-const drainNoticeMs = 1000;
+// Entries ask for the load several times a second; after this long all of them know that the agent is leaving. An entry whose connection went silent notices within a second and comes again for the rest of the answer, so that the agent stays as long after its last answer, too.
+const drainLingerMs = 2000;
 
 const backendMakers: {[Type in AgentSettings['backend']['type']]: (cfg: Extract<AgentSettings['backend'], {type: Type}>, http: HttpClient) => Backend} = {
 	engine: (cfg, http) => new EngineBackend(http, cfg.address),
@@ -129,6 +129,7 @@
 		return {
 			vm: branded(this.#cfg.vm),
 			incarnation: this.#incarnation,
+			at: this.#services.clock.now(),
 			draining: this.#lifecycle.isLeaving,
 			serves: this.#serves,
 			running: this.#admission.onlineRunning,
@@ -145,12 +146,13 @@
 	async drain(): Promise<void> {
 		const {clock, log} = this.#services;
 		const until = clock.now() + this.#cfg.drainMs;
-		const noticeUntil = clock.now() + drainNoticeMs;
+		let lingerUntil = clock.now() + drainLingerMs;
 		log.emit(agentEvents.drainBegun, {open: this.#attempts.open});
 		this.#lifecycle.send('drain');
 		this.#batch.drain();
-		while (clock.now() < until && (clock.now() < noticeUntil || this.#attempts.open > 0 || this.#batch.isCommitting)) {
+		while (clock.now() < Math.min(until, lingerUntil)) {
 			await clock.sleep(drainPollMs);
+			lingerUntil = this.#attempts.isAwaited || this.#batch.isCommitting ? clock.now() + drainLingerMs : lingerUntil;
 		}
 
 		log.emit(agentEvents.drainEnded, {open: this.#attempts.open});
@@ -171,7 +173,7 @@
 	#methods(): RpcMethods {
 		return {
 			'agent.load': () => this.load(),
-			'ledger.revoke': (params: {key: AttemptKey; deadlineInMs: number}) => this.#attempts.revoke(params.key, params.deadlineInMs),
+			'ledger.revoke': (params: RevokeRequest) => this.#attempts.revoke(params),
 			'attempt.cancel': (params: {key: AttemptKey}) => {
 				this.#attempts.cancel(params.key);
 				return true;
--- a/src/agent/engine-backend.ts
+++ b/src/agent/engine-backend.ts
@@ -12,6 +12,8 @@
 const headTimeoutMs = 600_000;
 const probeTimeoutMs = 1000;
 const doneMarker = '[DONE]';
+// How engines tell of an error after the head of the stream went out.
+const errorPrefix = '{"error"';
 
 /** Generates answers on the engine at one address. */
 export class EngineBackend implements Backend {
@@ -69,12 +71,16 @@
 
 		let done = false;
 		const end = await followEvents(res.body, 0, (event: EventSourceMessage) => {
-			if (event.data === doneMarker) {
-				done = true;
-				return;
+			if (event.data.startsWith(errorPrefix)) {
+				return false;
 			}
 
-			req.onChunk(event.data);
+			done ||= event.data === doneMarker;
+			if (!done) {
+				req.onChunk(event.data);
+			}
+
+			return true;
 		});
 		return done ? Right(undefined) : Left(failureInResponse(`stream ${end} before its end marker`, req));
 	}
--- a/src/agent/online-attempts.ts
+++ b/src/agent/online-attempts.ts
@@ -5,9 +5,10 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {branded} from '../common/ids.js';
 import type {Ticket} from '../common/admission.js';
-import type {
-	AttemptEnd, AttemptFailure, AttemptKey, AttemptRefusal, AttemptRequest, LedgerAnswer, LoadReport, RefusalReason,
+import {
+	readerHeader, type AttemptEnd, type AttemptFailure, type AttemptKey, type AttemptRefusal, type AttemptRequest, type LedgerAnswer, type LoadReport, type RefusalReason, type RevokeRequest,
 } from '../common/protocol.js';
+import {parseObject} from '../common/parse-object.js';
 import type {LedgerReader, RequestLedger} from '../common/request-ledger.js';
 import type {Clock, Disposable, EventLog} from '../common/services.js';
 import {readBody} from '../platform/read-body.js';
@@ -33,12 +34,14 @@
 
 const sweepMs = 1000;
 
+const readerOf = (req: IncomingMessage) => String(req.headers[readerHeader] ?? '');
+
 const tableKey = (key: AttemptKey) => `${key.id}/${key.attempt}`;
 
 /** Takes attempts, gives out their answers, revokes and cancels them. */
 export class OnlineAttempts implements Disposable {
 	readonly #around: AttemptSurroundings;
-	readonly #open = new Map<string, AttemptKey>();
+	readonly #open = new Map<string, AttemptRequest>();
 	readonly #timer: NodeJS.Timeout;
 
 	constructor(around: AttemptSurroundings) {
@@ -66,32 +69,46 @@
 				pattern: /^\/v1\/attempts\/(?<id>[^\/]+)\/(?<attempt>\d+)$/v,
 				handle: (req, res, {url, params}) => {
 					const key: AttemptKey = {id: branded(params.id ?? ''), attempt: Number(params.attempt)};
-					this.#resume(key, Number(url.searchParams.get('from') ?? 0), res);
+					this.#attach(key, Number.parseInt(url.searchParams.get('from') ?? '', 10) || 0, req, res);
 				},
 			},
 		];
 	}
 
-	/** See {@link RequestLedger.revoke}. Work that waits is taken out of the queue first. */
-	revoke(key: AttemptKey, deadlineInMs: number): LedgerAnswer {
-		this.#around.runner.withdraw(tableKey(key));
-		const answer = this.#around.ledger.revoke(key, deadlineInMs);
+	/** See {@link RequestLedger.revoke}. Work that waits is taken out of the queue first, and its readers learn of it. */
+	revoke({key, issuedAt, deadlineInMs}: RevokeRequest): LedgerAnswer {
+		if (this.#around.runner.withdraw(tableKey(key))) {
+			this.#refuse(key, 'revoked', 0);
+		}
+
+		const answer = this.#around.ledger.revoke({...key, issuedAt}, deadlineInMs);
 		if (answer.state === 'revoked') {
-			this.#open.delete(tableKey(key));
 			this.#around.log.emit(agentEvents.revoked, {...key});
 		}
 
 		return answer;
 	}
 
-	/** Cancels an attempt whose caller has gone. */
+	/**
+	Cancels an attempt whose caller has gone.
+
+	A non-idempotent one that has begun goes on: cutting it off would leave its effect unknown, and a caller who sends it again is to find its answer.
+	*/
 	cancel(key: AttemptKey): void {
 		if (this.#around.runner.withdraw(tableKey(key))) {
 			this.#refuse(key, 'cancelled', 0);
 			return;
 		}
 
-		this.#around.runner.cancel(tableKey(key));
+		if (this.#open.get(tableKey(key))?.idempotent) {
+			this.#around.ledger.delivered(key);
+			this.#around.runner.cancel(tableKey(key));
+		}
+	}
+
+	/** True while somebody may still come for an answer: it is not whole, or nobody has had it to its end. */
+	get isAwaited(): boolean {
+		return this.#open.size > 0 || this.#around.ledger.undelivered > 0;
 	}
 
 	dispose(): void {
@@ -105,10 +122,17 @@
 			return;
 		}
 
-		this.#begin(JSON.parse((body.extract() as Buffer).toString('utf8')) as AttemptRequest, res);
+		parseObject<AttemptRequest>((body.extract() as Buffer).toString('utf8')).caseOf({
+			Left() {
+				res.writeHead(400).end();
+			},
+			Right: attempt => {
+				this.#begin(attempt, req, res);
+			},
+		});
 	}
 
-	#begin(attempt: AttemptRequest, res: ServerResponse) {
+	#begin(attempt: AttemptRequest, req: IncomingMessage, res: ServerResponse) {
 		const load = this.#around.load();
 		if (attempt.incarnation !== load.incarnation) {
 			// The entry addressed the process before this one; whatever that one did is unknown here, but this copy is not run.
@@ -122,7 +146,7 @@
 			return;
 		}
 
-		this.#attach(attempt, 0, res);
+		this.#attach(attempt, 0, req, res);
 		if (begun === 'new') {
 			this.#submit(attempt, load);
 		}
@@ -225,13 +249,7 @@
 		writer.end();
 	}
 
-	#resume(key: AttemptKey, from: number, res: ServerResponse) {
-		if (!this.#attach(key, from, res)) {
-			res.writeHead(404).end();
-		}
-	}
-
-	#attach(key: AttemptKey, from: number, res: ServerResponse): boolean {
+	#attach(key: AttemptKey, from: number, req: IncomingMessage, res: ServerResponse) {
 		const {ledger} = this.#around;
 		let writer: SseWriter | undefined;
 		const open = () => {
@@ -240,34 +258,42 @@
 		};
 
 		const reader: LedgerReader = {
+			name: readerOf(req),
 			chunk(index, data) {
 				open().send('chunk', data, index);
 			},
 			end(end) {
 				open().send(end.event, end.data);
 				open().end();
+				res.once('close', () => {
+					if (res.writableFinished) {
+						ledger.delivered(key);
+					}
+				});
+			},
+			replaced() {
+				open().end();
 			},
 		};
-		if (!ledger.read(key, from, reader)) {
-			return false;
-		}
-
-		open();
 		res.once('close', () => {
 			writer?.dispose();
 			if (ledger.leave(key, reader)) {
 				this.#watchOrphan(key);
 			}
 		});
-		return true;
+		if (ledger.read(key, Math.max(0, from), reader)) {
+			open();
+			return;
+		}
+
+		res.writeHead(404).end();
 	}
 
-	// The entry may be about to ask again on another connection; if nobody does, the entry is gone and the engine's time is better spent elsewhere. A call of a plain service is let finish: cancelling it would leave its effect unknown.
+	// The entry may be about to ask again on another connection; if nobody does, the entry is gone and the engine's time is better spent elsewhere.
 	#watchOrphan(key: AttemptKey) {
 		setTimeout(() => {
 			const isOrphan = this.#open.has(tableKey(key)) && !this.#around.ledger.isRead(key);
-			const work = (this.#open.get(tableKey(key)) as AttemptRequest | undefined)?.work;
-			if (isOrphan && work?.kind === 'generate') {
+			if (isOrphan) {
 				this.#around.log.emit(agentEvents.orphaned, {...key});
 				this.cancel(key);
 			}
--- a/src/agent/service-backend.ts
+++ b/src/agent/service-backend.ts
@@ -52,8 +52,14 @@
 		return [`service:${this.#service}`];
 	}
 
+	// The answer to HEAD tells the length of a body that does not follow, so nobody else can set it.
+	#lengthOfHead(res: HttpResponse, req: BackendRequest): Record<string, string> {
+		const length = res.headers['content-length'];
+		return (req.work as CallWork).method === 'HEAD' && length !== undefined ? {'content-length': length} : {};
+	}
+
 	async #follow(res: HttpResponse, req: BackendRequest): Promise<Either<BackendFailure, void>> {
-		const head: CallHead = {status: res.status, headers: withoutHopHeaders(res.headers)};
+		const head: CallHead = {status: res.status, headers: {...withoutHopHeaders(res.headers), ...this.#lengthOfHead(res, req)}};
 		req.onChunk(JSON.stringify(head));
 		try {
 			for await (const piece of res.body as AsyncIterable<Uint8Array>) {
--- a/src/common/protocol.ts
+++ b/src/common/protocol.ts
@@ -69,6 +69,10 @@
 export type AttemptRequest = AttemptKey & {
 	/** The incarnation the entry believes to reach; any other refuses. */
 	readonly incarnation: Incarnation;
+	/** {@link LoadReport.at} of the report by which the replica was chosen; tells the agent the attempt's age on its own clock. */
+	readonly issuedAt: number;
+	/** False: once begun it is never cancelled, so that its outcome stays known to whoever asks for it. */
+	readonly idempotent: boolean;
 	readonly account: AccountName;
 	/** The account's weight among accounts. */
 	readonly share: number;
@@ -79,6 +83,9 @@
 	readonly costTokens: number;
 };
 
+/** The header that names who reads an attempt's stream; see {@link LedgerReader.name}. */
+export const readerHeader = 'x-citronyard-reader';
+
 /** Names of the events in an attempt's stream. */
 export const attemptEvents = ['chunk', 'end', 'refused', 'failed'] as const;
 
@@ -118,6 +125,8 @@
 export type LoadReport = {
 	readonly vm: VmName;
 	readonly incarnation: Incarnation;
+	/** The agent's monotonic clock when the report was made, in milliseconds. */
+	readonly at: number;
 	readonly draining: boolean;
 	/** What it serves, as `model:<name>` and `service:<name>`. */
 	readonly serves: readonly string[];
@@ -136,9 +145,17 @@
 	readonly configRevision: Revision;
 };
 
+/** Asks an agent to revoke an attempt that has not begun. */
+export type RevokeRequest = {
+	readonly key: AttemptKey;
+	/** As in {@link AttemptRequest}. */
+	readonly issuedAt: number;
+	readonly deadlineInMs: number;
+};
+
 /** What the ledger answers about an attempt. */
 export type LedgerAnswer = {
-	/** `revoked`: it had not begun and never will. `running`, `done`: take up its stream. `unknown`: this incarnation never had it. */
+	/** `revoked`: it had not begun and never will. `running`, `done`: take up its stream. `unknown`: it is older than the ledger's memory. */
 	readonly state: 'revoked' | 'running' | 'done' | 'unknown';
 	readonly incarnation: Incarnation;
 };
--- a/src/entry/answer-sink.ts
+++ b/src/entry/answer-sink.ts
@@ -3,18 +3,21 @@
 */
 import {Buffer} from 'node:buffer';
 import {AnswerAssembler, type AnswerChunk} from '../common/answer-assembler.js';
+import {parseObject} from '../common/parse-object.js';
 import type {BackendWork, CallHead, JsonObject} from '../common/protocol.js';
 
 /** Receives an answer. */
 export type AnswerSink = {
 	/** True once the caller has been sent a part of the answer. */
 	readonly hasBegun: boolean;
+	/** True when everything has come but for the mark that ends it. */
+	readonly isComplete: boolean;
 	/** Whether another replica can complete the answer. */
 	readonly canContinue: boolean;
 	/** The work as another replica must get it to complete the answer; forgets what can not be continued. */
 	continued(work: BackendWork): BackendWork;
-	/** Takes one chunk, in order, each once. */
-	chunk(data: string): void;
+	/** Takes one chunk, in order, each once. False when it can not be used: it is not what a backend server may send. */
+	chunk(data: string): boolean;
 };
 
 const isOnlyRole = (chunk: AnswerChunk) => !chunk.usage && (chunk.choices ?? []).every(choice => (choice.delta?.content ?? choice.text ?? '') === '' && !choice.finish_reason && !choice.delta?.tool_calls);
@@ -35,6 +38,10 @@
 		return this.#hasBegun;
 	}
 
+	get isComplete(): boolean {
+		return this.#assembler.isFinished;
+	}
+
 	get canContinue(): boolean {
 		return !this.#hasBegun || this.#assembler.resumePoint !== undefined;
 	}
@@ -55,8 +62,20 @@
 		return {...work, resume};
 	}
 
-	chunk(data: string): void {
-		const chunk = JSON.parse(data) as AnswerChunk;
+	chunk(data: string): boolean {
+		return parseObject<AnswerChunk>(data)
+			.ifRight(chunk => {
+				this.#take(chunk);
+			})
+			.isRight();
+	}
+
+	/** The whole answer under the id the caller sees. */
+	result(id: string): JsonObject {
+		return this.#assembler.result(id);
+	}
+
+	#take(chunk: AnswerChunk) {
 		// A replica that continues begins with the role again, which the caller has.
 		if (this.#isContinued && isOnlyRole(chunk)) {
 			return;
@@ -68,11 +87,6 @@
 			this.#onChunk(chunk);
 		}
 	}
-
-	/** The whole answer under the id the caller sees. */
-	result(id: string): JsonObject {
-		return this.#assembler.result(id);
-	}
 }
 
 /** Keeps a plain service's response until it is whole, so that a broken one is never passed on in part. */
@@ -84,6 +98,11 @@
 		return false;
 	}
 
+	// Only the end of the attempt tells that the body is whole.
+	get isComplete(): boolean {
+		return false;
+	}
+
 	get canContinue(): boolean {
 		return true;
 	}
@@ -103,12 +122,16 @@
 		return work;
 	}
 
-	chunk(data: string): void {
+	chunk(data: string): boolean {
 		if (this.#head) {
 			this.#pieces.push(Buffer.from(data, 'base64'));
-			return;
+			return true;
 		}
 
-		this.#head = JSON.parse(data) as CallHead;
+		return parseObject<CallHead>(data)
+			.ifRight(head => {
+				this.#head = head;
+			})
+			.isRight();
 	}
 }
--- a/src/entry/api-error.ts
+++ b/src/entry/api-error.ts
@@ -2,7 +2,7 @@
 Errors as callers of the OpenAI-compatible API know them, with two headers: `Retry-After` says when to come back, and `X-Citronyard-Run` whether the request was run: `not-run`, `run` or `unknown`.
 */
 import type {ServerResponse} from 'node:http';
-import type {RequestOutcome} from './online-request.js';
+import type {RequestOutcome} from './online-work.js';
 
 /** What an error says about the work. */
 export type RunHeader = 'not-run' | 'run' | 'unknown';
@@ -75,14 +75,17 @@
 	rejected: ({status, body}) => describe({
 		status, code: 'backend_rejected', message: body, run: 'run',
 	}),
-	failed: ({reason}) => describe({
-		status: 502, code: 'backend_failed', message: `the answer could not be completed: ${reason}`, run: 'run', retryAfterMs: 1000,
+	failed: ({reason, run}) => describe({
+		status: 502, code: 'backend_failed', message: `the answer could not be completed: ${reason}`, run, retryAfterMs: 1000,
+	}),
+	expired: ({run}) => describe({
+		status: 504, code: 'deadline_exceeded', message: 'the deadline passed before the answer was complete', run, retryAfterMs: 1000,
 	}),
 	unknown: ({reason}) => describe({
 		status: 502, code: 'outcome_unknown', message: `the request may or may not have run, and was not repeated: ${reason}`, run: 'unknown',
 	}),
 	aborted: () => describe({
-		status: 504, code: 'deadline_exceeded', message: 'the deadline passed before the answer was complete', run: 'unknown', retryAfterMs: 1000,
+		status: 499, code: 'caller_gone', message: 'the caller closed the connection', run: 'unknown',
 	}),
 };
 
--- a/src/entry/attempt-client.ts
+++ b/src/entry/attempt-client.ts
@@ -3,12 +3,14 @@
 */
 import type {Either} from 'purify-ts/Either';
 import type {EventSourceMessage} from 'eventsource-parser';
-import type {
-	AttemptEnd, AttemptEventName, AttemptFailure, AttemptKey, AttemptRefusal, AttemptRequest, LedgerAnswer,
+import {
+	readerHeader, type AttemptEnd, type AttemptEventName, type AttemptFailure, type AttemptKey, type AttemptRefusal, type AttemptRequest, type LedgerAnswer, type RevokeRequest,
 } from '../common/protocol.js';
+import {parseObject} from '../common/parse-object.js';
+import type {IssuedAttempt} from '../common/request-ledger.js';
 import type {HttpClient, HttpFailure, HttpResponse} from '../platform/http-client.js';
 import type {RpcClient, RpcFailure} from '../platform/rpc-client.js';
-import {followEvents} from '../platform/sse-reader.js';
+import {followEvents, type EventHandler, type StreamPause} from '../platform/sse-reader.js';
 
 /** How following an attempt ended. Only the first three came from the agent. */
 export type AttemptOutcome
@@ -23,15 +25,18 @@
 		| {readonly kind: 'noStream'}
 		| {readonly kind: 'aborted'};
 
-/** Receives the chunks of an attempt, in order from the index asked for. */
-export type ChunkHandler = (index: number, data: string) => void;
+/** Receives the chunks of an attempt, in order from the index asked for. False gives the stream up: the chunk can not be used. */
+export type ChunkHandler = (index: number, data: string) => boolean;
 
 /** How to reach an attempt. */
 export type AttemptPlace = {
 	/** The agent's `ip:port`. */
 	readonly address: string;
+	/** Names who reads: its later connection takes the place of an earlier one, others read beside it. */
+	readonly reader: string;
 	readonly signal: AbortSignal;
 	readonly onChunk: ChunkHandler;
+	readonly pause?: StreamPause;
 };
 
 const cancelTimeoutMs = 1000;
@@ -55,7 +60,7 @@
 			address: place.address,
 			method: 'POST',
 			path: '/v1/attempts',
-			headers: {'content-type': 'application/json'},
+			headers: {'content-type': 'application/json', [readerHeader]: place.reader},
 			body: JSON.stringify(attempt),
 			timeoutMs: this.#silenceMs,
 			signal: place.signal,
@@ -69,6 +74,7 @@
 			address: place.address,
 			method: 'GET',
 			path: `/v1/attempts/${key.id}/${key.attempt}?from=${from}`,
+			headers: {[readerHeader]: place.reader},
 			timeoutMs: this.#silenceMs,
 			signal: place.signal,
 			fresh: true,
@@ -77,13 +83,14 @@
 	}
 
 	/** Asks the agent's ledger, over a connection of its own; see {@link RequestLedger.revoke}. */
-	async revoke(address: string, key: AttemptKey, deadlineInMs: number): Promise<Either<RpcFailure, LedgerAnswer>> {
-		return this.#rpc.call<LedgerAnswer>({address, timeoutMs: this.#silenceMs, fresh: true}, 'ledger.revoke', {key, deadlineInMs});
+	async revoke(address: string, {id, attempt, issuedAt}: IssuedAttempt, deadlineInMs: number): Promise<Either<RpcFailure, LedgerAnswer>> {
+		const params: RevokeRequest = {key: {id, attempt}, issuedAt, deadlineInMs};
+		return this.#rpc.call<LedgerAnswer>({address, timeoutMs: this.#silenceMs, fresh: true}, 'ledger.revoke', params);
 	}
 
 	/** Tells the agent that nobody waits for the attempt any more. */
-	cancel(address: string, key: AttemptKey): void {
-		void this.#rpc.call({address, timeoutMs: cancelTimeoutMs}, 'attempt.cancel', {key});
+	cancel(address: string, {id, attempt}: AttemptKey): void {
+		void this.#rpc.call({address, timeoutMs: cancelTimeoutMs}, 'attempt.cancel', {key: {id, attempt}});
 	}
 
 	async #follow(sent: Either<HttpFailure, HttpResponse>, place: AttemptPlace): Promise<AttemptOutcome> {
@@ -98,23 +105,18 @@
 		}
 
 		let outcome: AttemptOutcome | undefined;
-		const handlers: Record<AttemptEventName, (event: EventSourceMessage) => void> = {
-			chunk(event) {
-				place.onChunk(Number(event.id), event.data);
-			},
-			end(event) {
-				outcome = {kind: 'end', end: JSON.parse(event.data) as AttemptEnd};
-			},
-			refused(event) {
-				outcome = {kind: 'refused', refusal: JSON.parse(event.data) as AttemptRefusal};
-			},
-			failed(event) {
-				outcome = {kind: 'failed', failure: JSON.parse(event.data) as AttemptFailure};
-			},
+		const take = <T extends object>(event: EventSourceMessage, toOutcome: (value: T) => AttemptOutcome): boolean => parseObject<T>(event.data)
+			.ifRight(value => {
+				outcome = toOutcome(value);
+			})
+			.isRight();
+		const handlers: Record<AttemptEventName, EventHandler> = {
+			chunk: event => place.onChunk(Number(event.id), event.data),
+			end: event => take<AttemptEnd>(event, end => ({kind: 'end', end})),
+			refused: event => take<AttemptRefusal>(event, refusal => ({kind: 'refused', refusal})),
+			failed: event => take<AttemptFailure>(event, failure => ({kind: 'failed', failure})),
 		};
-		const streamEnd = await followEvents(res.body, this.#silenceMs, event => {
-			handlers[event.event as AttemptEventName](event);
-		});
+		const streamEnd = await followEvents(res.body, this.#silenceMs, event => (handlers as Partial<Record<string, EventHandler>>)[event.event ?? '']?.(event), place.pause);
 		return outcome ?? this.#cut(streamEnd, place);
 	}
 
--- /dev/null
+++ b/src/entry/attempt-recovery.ts
@@ -0,0 +1,120 @@
+/**
+Finds out what became of an attempt whose connection was lost or went silent, by asking its agent on new connections: takes up the stream where it stopped, or learns from the agent's ledger that the attempt has not begun and never will.
+*/
+import type {AttemptRequest, LedgerAnswer} from '../common/protocol.js';
+import type {ReplicaView} from '../common/replica-table.js';
+import type {Clock, EventLog} from '../common/services.js';
+import type {AttemptClient, AttemptOutcome, AttemptPlace} from './attempt-client.js';
+import {entryEvents} from './log-events.js';
+
+/** An attempt and where it went. */
+export type CurrentAttempt = {readonly replica: ReplicaView; readonly attempt: AttemptRequest};
+
+/** An attempt whose connection was lost. */
+export type LostAttempt = {
+	readonly current: CurrentAttempt;
+	readonly place: AttemptPlace;
+	/** Chunks received so far. */
+	readonly received: () => number;
+	/** Milliseconds left until the request's deadline. */
+	readonly deadlineInMs: () => number;
+};
+
+/** What is known in the end. `notRun`: revoked, certainly. `gone`: nobody can say, or the answer is no longer kept. */
+export type Settlement
+	= | Extract<AttemptOutcome, {kind: 'end' | 'refused' | 'failed' | 'aborted'}>
+		| {readonly kind: 'notRun'}
+		| {readonly kind: 'gone'; readonly reason: string};
+
+type Round = Settlement | {readonly kind: 'askAgain'; readonly reason: string};
+
+/** How long an agent that does not answer is asked what became of a non-idempotent attempt. */
+const askMs = 3000;
+const askPauseMs = 200;
+
+/** Settles lost attempts. */
+export class AttemptRecovery {
+	readonly #clock: Clock;
+	readonly #log: EventLog;
+	readonly #client: AttemptClient;
+	readonly #byState: Record<LedgerAnswer['state'], (lost: LostAttempt) => Round> = {
+		revoked: ({current: {replica, attempt}}) => {
+			this.#log.emit(entryEvents.attemptRevoked, {id: attempt.id, attempt: attempt.attempt, vm: replica.vm});
+			return {kind: 'notRun'};
+		},
+		running: () => ({kind: 'askAgain', reason: 'stream can not be taken up'}),
+		done: () => ({kind: 'gone', reason: 'the answer is no longer kept'}),
+		unknown: () => ({kind: 'gone', reason: 'ledger has no record'}),
+	};
+
+	constructor({clock, log, client}: {readonly clock: Clock; readonly log: EventLog; readonly client: AttemptClient}) {
+		this.#clock = clock;
+		this.#log = log;
+		this.#client = client;
+	}
+
+	/**
+	Asks until the attempt is settled. Gives up on an idempotent one after a round without progress, since another replica can answer it; on others after a few seconds.
+	*/
+	async settle(lost: LostAttempt): Promise<Settlement> {
+		const patienceMs = lost.current.attempt.idempotent ? 0 : Math.min(askMs, lost.deadlineInMs());
+		let until = this.#clock.now() + patienceMs;
+		let received = lost.received();
+		let round = await this.#round(lost);
+		while (round.kind === 'askAgain') {
+			// A connection that brought something before it was lost, too, begins the wait anew.
+			until = lost.received() > received ? this.#clock.now() + patienceMs : until;
+			if (lost.received() === received && this.#clock.now() >= until) {
+				return {kind: 'gone', reason: round.reason};
+			}
+
+			received = lost.received();
+			await this.#clock.sleep(askPauseMs);
+			round = await this.#round(lost);
+		}
+
+		return round;
+	}
+
+	/**
+	Asks once whether an attempt has begun, and revokes it when it has not; for a request whose deadline has passed.
+
+	@returns The ledger's state; `unknown` when the agent does not answer or was restarted.
+	*/
+	async revoke({replica, attempt}: CurrentAttempt): Promise<LedgerAnswer['state']> {
+		const answer = await this.#client.revoke(replica.address, attempt, 0);
+		return answer
+			.map(({state, incarnation}) => incarnation === attempt.incarnation ? state : 'unknown')
+			.orDefault('unknown');
+	}
+
+	async #round(lost: LostAttempt): Promise<Round> {
+		const {current: {replica, attempt}, place} = lost;
+		const outcome = await this.#client.resume(attempt, lost.received(), place);
+		if (outcome.kind === 'noStream') {
+			return this.#ask(lost);
+		}
+
+		if (outcome.kind === 'lost' || outcome.kind === 'notSent') {
+			return {kind: 'askAgain', reason: `agent does not answer (${outcome.reason})`};
+		}
+
+		this.#log.emit(entryEvents.attemptResumed, {
+			id: attempt.id, attempt: attempt.attempt, vm: replica.vm, outcome: outcome.kind,
+		});
+		return outcome;
+	}
+
+	// No stream to take up: the ledger says whether the attempt began, and makes sure that it does not begin later.
+	async #ask(lost: LostAttempt): Promise<Round> {
+		const {current: {replica, attempt}} = lost;
+		const answer = await this.#client.revoke(replica.address, attempt, lost.deadlineInMs());
+		return answer.caseOf<Round>({
+			Left: ({reason}) => ({kind: 'askAgain', reason}),
+			// The process that had the attempt is gone, and with it the knowledge of whether it ran.
+			Right: ({state, incarnation}) => incarnation === attempt.incarnation
+				? this.#byState[state](lost)
+				: {kind: 'gone', reason: 'agent restarted'},
+		});
+	}
+}
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -85,6 +85,11 @@
 		return this.#server.address;
 	}
 
+	/** See {@link OnlineFrontend.unsentBytes}. */
+	get unsentBytes(): number {
+		return this.#frontend.unsentBytes;
+	}
+
 	/** For the frame's first log event. */
 	get addresses(): Readonly<Record<string, string>> {
 		return {callers: this.address};
@@ -137,7 +142,8 @@
 		return new ReplicaPoller({
 			...this.#services,
 			...online,
-			loadTimeoutMs: online.silenceMs,
+			// Asked again on a new connection before the last report is too old to route by.
+			loadTimeoutMs: online.silenceMs / 2,
 			vmList: new HttpVmList(this.#http, platform.vmList, platform.timeoutMs),
 			rpc: this.#rpc,
 			replicas: this.#replicas,
--- a/src/entry/generation-routes.ts
+++ b/src/entry/generation-routes.ts
@@ -17,7 +17,7 @@
 } from './api-error.js';
 import {generationPaths, parseGeneration, type GenerationRequest} from './generation-request.js';
 import type {OnlineFrontend} from './online-frontend.js';
-import type {RequestOutcome} from './online-request.js';
+import type {RequestOutcome} from './online-work.js';
 
 /** Sends a stream to a caller: the head goes out with the first chunk, so that an error before it still has its status. */
 class CallerStream {
--- a/src/entry/online-frontend.ts
+++ b/src/entry/online-frontend.ts
@@ -12,7 +12,8 @@
 import type {AnswerSink} from './answer-sink.js';
 import {invalidRequest, type ApiError} from './api-error.js';
 import {entryEvents} from './log-events.js';
-import {OnlineRequest, type RequestOutcome, type RequestSurroundings} from './online-request.js';
+import {OnlineRequest} from './online-request.js';
+import {deadlinePassed, type RequestOutcome, type RequestSurroundings} from './online-work.js';
 
 /** A request that has been checked. */
 export type FrontendRequest = {
@@ -21,8 +22,8 @@
 	readonly work: BackendWork;
 	readonly idempotent: boolean;
 	readonly costTokens: number;
-	/** Milliseconds until the answer is of no use. Default: the entry's. */
-	readonly deadlineMs?: number;
+	/** The longest that the request may take, in milliseconds, whatever its caller wants. Default: the caller decides. */
+	readonly maxMs?: number;
 };
 
 /** The caller's side of a request. */
@@ -38,13 +39,27 @@
 
 // Enough saved up for the streams of one lost replica; a tenth of the successes otherwise.
 const retryLimits = {perSuccess: 0.1, max: 100};
+// A timer's limit, 24 days.
+const longestMs = 2_147_483_647;
 const deadlineHeader = 'x-citronyard-deadline-ms';
 
+// A caller that does not read makes its answer wait at the agent, which keeps it anyway, instead of in this process.
+const whenDrained = (res: ServerResponse): Promise<void> | undefined => res.writableNeedDrain
+	? new Promise<void>(resolve => {
+		const goOn = () => {
+			res.off('drain', goOn).off('close', goOn);
+			resolve();
+		};
+
+		res.once('drain', goOn).once('close', goOn);
+	})
+	: undefined;
+
 /** Runs online requests for the routes. */
 export class OnlineFrontend {
 	readonly #parts: FrontendParts;
 	readonly #around: RequestSurroundings;
-	#open = 0;
+	readonly #open = new Set<ServerResponse>();
 
 	constructor(parts: FrontendParts) {
 		this.#parts = parts;
@@ -61,7 +76,12 @@
 
 	/** Requests under way. */
 	get open(): number {
-		return this.#open;
+		return this.#open.size;
+	}
+
+	/** Bytes of answers that callers have not read yet and that wait in this process. */
+	get unsentBytes(): number {
+		return [...this.#open].reduce((sum, res) => sum + res.writableLength, 0);
 	}
 
 	/** Says whether a model is declared. */
@@ -83,13 +103,13 @@
 			return {kind: 'refused', reason: 'queueFull', retryAfterMs: (begun.extract()).retryAfterMs ?? 0};
 		}
 
-		this.#open += 1;
+		this.#open.add(exchange.res);
 		const startedAt = this.#parts.clock.now();
 		const run = this.#start(request, sink, exchange);
 		const outcome = await run.request.run();
 		run.stop();
 		(begun.extract() as () => void)();
-		this.#open -= 1;
+		this.#open.delete(exchange.res);
 		this.#record(request, outcome, run.request.attempts, startedAt);
 		return outcome;
 	}
@@ -97,20 +117,22 @@
 	#start(request: FrontendRequest, sink: AnswerSink, {req, res}: Exchange) {
 		const {clock} = this.#parts;
 		const wantedMs = Number(req.headers[deadlineHeader]);
-		const deadlineMs = request.deadlineMs ?? (wantedMs > 0 ? wantedMs : this.#parts.deadlineMs);
+		const deadlineMs = Math.min(wantedMs > 0 ? wantedMs : request.maxMs ?? this.#parts.deadlineMs, request.maxMs ?? longestMs);
 		const controller = new AbortController();
 		const abort = () => {
 			controller.abort();
 		};
 
-		const timer = setTimeout(abort, deadlineMs);
+		const timer = setTimeout(() => {
+			controller.abort(deadlinePassed);
+		}, deadlineMs);
 		// Closed before it was finished: the caller has gone.
 		res.once('close', abort);
 		const work = {
 			...request, account: request.account.name, share: request.account.share, deadlineAt: clock.now() + deadlineMs,
 		};
 		return {
-			request: new OnlineRequest(work, sink, this.#around, controller.signal),
+			request: new OnlineRequest(work, sink, this.#around, {signal: controller.signal, pause: whenDrained.bind(undefined, res)}),
 			stop() {
 				clearTimeout(timer);
 				res.off('close', abort);
--- a/src/entry/online-request.ts
+++ b/src/entry/online-request.ts
@@ -3,67 +3,28 @@
 
 What may be done after a failure depends on what is known: an attempt that was refused or revoked was not run, so another replica may get the request. One that may have run is repeated only when the request is idempotent; its answer then goes on at the token where it stopped.
 */
-import type {AccountName, RequestId, VmName} from '../common/ids.js';
-import type {
-	AttemptRequest, BackendWork, LedgerAnswer, RefusalReason,
-} from '../common/protocol.js';
-import type {ReplicaTable, ReplicaView} from '../common/replica-table.js';
-import {fullJitterMs, type RetryBudget} from '../common/retry-budget.js';
+import type {VmName} from '../common/ids.js';
+import type {AttemptRequest} from '../common/protocol.js';
+import type {ReplicaView} from '../common/replica-table.js';
+import {fullJitterMs} from '../common/retry-budget.js';
 import {chooseReplica} from '../common/route-policy.js';
-import type {
-	Clock, EventLog, Metrics, RandomSource,
-} from '../common/services.js';
 import {entryEvents} from './log-events.js';
-import type {AttemptClient, AttemptOutcome} from './attempt-client.js';
+import type {AttemptOutcome, AttemptPlace} from './attempt-client.js';
+import {AttemptRecovery, type CurrentAttempt, type Settlement} from './attempt-recovery.js';
 import type {AnswerSink} from './answer-sink.js';
-
-/** What a caller wants. */
-export type OnlineWork = {
-	readonly id: RequestId;
-	readonly account: AccountName;
-	readonly share: number;
-	readonly work: BackendWork;
-	/** False: it must run at most once. */
-	readonly idempotent: boolean;
-	/** The clock's `now` after which the answer is of no use. */
-	readonly deadlineAt: number;
-	readonly costTokens: number;
-};
-
-/** The final outcome of a request. */
-export type RequestOutcome
-	/** The sink has the whole answer. */
-	= | {readonly kind: 'whole'}
-	/** It was not run and will not be. */
-		| {readonly kind: 'refused'; readonly reason: RefusalReason | 'noReplica' | 'notReached'; readonly retryAfterMs: number}
-	/** The backend server's own final error. */
-		| {readonly kind: 'rejected'; readonly status: number; readonly body: string}
-	/** It was run, at least in part, and has no whole answer. */
-		| {readonly kind: 'failed'; readonly reason: string}
-	/** Non-idempotent: it may or may not have run. */
-		| {readonly kind: 'unknown'; readonly reason: string}
-		| {readonly kind: 'aborted'};
-
-/** What a request needs of its entry. */
-export type RequestSurroundings = {
-	readonly clock: Clock;
-	readonly random: RandomSource;
-	readonly log: EventLog;
-	readonly metrics: Metrics;
-	readonly replicas: ReplicaTable;
-	readonly client: AttemptClient;
-	readonly budget: RetryBudget;
-};
+import {
+	deadlinePassed, type Caller, type OnlineWork, type RequestOutcome, type RequestSurroundings,
+} from './online-work.js';
 
 type Step = RequestOutcome | 'again';
-type Current = {readonly replica: ReplicaView; readonly attempt: AttemptRequest};
+type Outcome = AttemptOutcome | Settlement;
+type Handler<Kind extends Outcome['kind']> = (outcome: Extract<Outcome, {kind: Kind}>, current: CurrentAttempt) => Promise<Step> | Step;
 
 const maxAttempts = 5;
 const retryBaseMs = 20;
 const retryMaxMs = 500;
-/** How long an agent that does not answer is asked what became of a non-idempotent request. */
-const askMs = 3000;
-const askPauseMs = 200;
+/** How long a replica is looked for that completes an answer which has begun: a backend server restarts in that time. */
+const completeMs = 10_000;
 /** When to come back if nobody says: a replica that restarts needs about this long. */
 const defaultRetryAfterMs = 1000;
 
@@ -72,27 +33,33 @@
 	readonly #work: OnlineWork;
 	readonly #sink: AnswerSink;
 	readonly #around: RequestSurroundings;
-	readonly #signal: AbortSignal;
+	readonly #caller: Caller;
+	readonly #recovery: AttemptRecovery;
 	readonly #tried = new Set<VmName>();
-	readonly #handlers: {[Kind in AttemptOutcome['kind']]: (outcome: Extract<AttemptOutcome, {kind: Kind}>, current: Current) => Promise<Step> | Step};
+	readonly #handlers: {[Kind in Outcome['kind']]: Handler<Kind>};
 	#attempts = 0;
 	#nextChunk = 0;
+	#place: AttemptPlace | undefined;
+	#run: 'notRun' | 'unknown' | 'run' = 'notRun';
+	#completeUntil = Number.NEGATIVE_INFINITY;
 	#lastRefusal: RequestOutcome | undefined;
 
-	/** @param signal - Aborts when the caller has gone or the deadline has passed. */
-	constructor(work: OnlineWork, sink: AnswerSink, around: RequestSurroundings, signal: AbortSignal) {
+	constructor(work: OnlineWork, sink: AnswerSink, around: RequestSurroundings, caller: Caller) {
 		this.#work = work;
 		this.#sink = sink;
 		this.#around = around;
-		this.#signal = signal;
+		this.#caller = caller;
+		this.#recovery = new AttemptRecovery(around);
 		this.#handlers = {
 			end: () => this.#whole(),
 			refused: (outcome, current) => this.#refused(outcome, current),
 			failed: outcome => this.#failed(outcome),
 			notSent: (outcome, current) => this.#notSent(outcome, current),
 			lost: async (outcome, current) => this.#lost(outcome, current),
-			noStream: async (_, current) => this.#ask(current),
-			aborted: (_, current) => this.#aborted(current),
+			noStream: async (_, current) => this.#settle(current),
+			notRun: () => 'again',
+			gone: ({reason}) => this.#repeatOrUnknown(reason, 'unknown'),
+			aborted: async (_, current) => this.#aborted(current),
 		};
 	}
 
@@ -105,6 +72,10 @@
 	async run(): Promise<RequestOutcome> {
 		let step = await this.#attemptOnce();
 		while (step === 'again') {
+			if (this.#caller.signal.aborted) {
+				return this.#tooLate();
+			}
+
 			const refusal = this.#mayRetry();
 			if (refusal) {
 				return refusal;
@@ -131,46 +102,62 @@
 	}
 
 	#mayRetry(): RequestOutcome | undefined {
-		if (this.#signal.aborted) {
-			return {kind: 'aborted'};
-		}
+		const isCompleting = this.#isCompleting;
+		const hasBudget = (isCompleting || this.#attempts < maxAttempts) && this.#around.budget.spend();
+		return hasBudget || isCompleting ? undefined : this.#giveUp('notReached');
+	}
 
-		if (this.#attempts < maxAttempts && this.#around.budget.spend()) {
-			return undefined;
+	// An answer that has begun can not be sent to its caller a second time, so a place to complete it is looked for longer.
+	get #isCompleting() {
+		return this.#run !== 'notRun' && this.#around.clock.now() < Math.min(this.#completeUntil, this.#work.deadlineAt);
+	}
+
+	// Given up on: the final answer goes out at once, with when to come back. "Not run" is said only when it holds for every attempt.
+	#giveUp(reason: 'noReplica' | 'notReached'): RequestOutcome {
+		if (this.#run !== 'notRun') {
+			return {kind: 'failed', reason, run: this.#run};
 		}
 
-		return this.#giveUp('notReached', defaultRetryAfterMs);
+		return this.#lastRefusal ?? {kind: 'refused', reason, retryAfterMs: defaultRetryAfterMs};
 	}
 
-	// Given up on: the final answer goes out at once, with when to come back.
-	#giveUp(reason: 'noReplica' | 'notReached', retryAfterMs: number): RequestOutcome {
-		if (this.#sink.hasBegun) {
-			return {kind: 'failed', reason};
+	// Nothing of the request is under way any more.
+	#tooLate(): RequestOutcome {
+		if (this.#caller.signal.reason !== deadlinePassed) {
+			return {kind: 'aborted'};
 		}
 
-		return this.#lastRefusal ?? {kind: 'refused', reason, retryAfterMs};
+		return this.#run === 'notRun'
+			? {kind: 'refused', reason: 'deadline', retryAfterMs: defaultRetryAfterMs}
+			: {kind: 'expired', run: this.#run};
 	}
 
 	async #attemptOnce(): Promise<Step> {
 		const current = this.#choose();
 		if (!current) {
 			this.#around.log.emit(entryEvents.noReplica, {id: this.#work.id, target: this.#target});
-			return this.#giveUp('noReplica', defaultRetryAfterMs);
+			return this.#isCompleting ? 'again' : this.#giveUp('noReplica');
+		}
+
+		const barred = await this.#work.gate?.(current);
+		if (barred?.isLeft()) {
+			return barred.extract();
 		}
 
 		const {replicas, client} = this.#around;
 		replicas.began(current.replica.vm, this.#work.costTokens);
-		const outcome = await client.begin(current.attempt, this.#place(current));
+		this.#place = this.#placeOf(current);
+		const outcome = await client.begin(current.attempt, this.#place);
 		const step = await this.#handle(outcome, current);
 		replicas.ended(current.replica.vm);
 		return step;
 	}
 
-	async #handle(outcome: AttemptOutcome, current: Current): Promise<Step> {
-		return (this.#handlers[outcome.kind] as (outcome: AttemptOutcome, current: Current) => Promise<Step> | Step)(outcome, current);
+	async #handle(outcome: Outcome, current: CurrentAttempt): Promise<Step> {
+		return (this.#handlers[outcome.kind] as Handler<Outcome['kind']>)(outcome, current);
 	}
 
-	#choose(): Current | undefined {
+	#choose(): CurrentAttempt | undefined {
 		const {replicas, random, log} = this.#around;
 		const candidates = replicas.routable(this.#target);
 		const choice = chooseReplica({replicas: candidates, tried: this.#tried, costTokens: this.#work.costTokens}, random);
@@ -200,6 +187,8 @@
 			id,
 			attempt: this.#attempts,
 			incarnation: replica.load!.incarnation,
+			issuedAt: replica.load!.at,
+			idempotent: this.#work.idempotent,
 			account,
 			share,
 			work: this.#sink.continued(this.#work.work),
@@ -208,26 +197,32 @@
 		};
 	}
 
-	#place({replica}: Current) {
+	#placeOf({replica, attempt}: CurrentAttempt): AttemptPlace {
 		return {
 			address: replica.address,
-			signal: this.#signal,
-			onChunk: (index: number, data: string) => {
-				// A stream that is taken up may repeat chunks; each is passed on once.
-				if (index === this.#nextChunk) {
-					this.#nextChunk += 1;
-					this.#sink.chunk(data);
-				}
-			},
+			reader: this.#work.id,
+			signal: this.#caller.signal,
+			pause: this.#caller.pause,
+			onChunk: (index, data) => attempt.attempt === this.#attempts && this.#take(index, data),
 		};
 	}
 
+	// A stream that is taken up may repeat chunks; each is passed on once. One that left chunks out is of no use.
+	#take(index: number, data: string): boolean {
+		if (index !== this.#nextChunk) {
+			return index < this.#nextChunk;
+		}
+
+		this.#nextChunk += 1;
+		return this.#sink.chunk(data);
+	}
+
 	#whole(): Step {
 		this.#around.budget.succeeded();
 		return {kind: 'whole'};
 	}
 
-	#refused({refusal}: Extract<AttemptOutcome, {kind: 'refused'}>, {replica, attempt}: Current): Step {
+	#refused({refusal}: Extract<AttemptOutcome, {kind: 'refused'}>, {replica, attempt}: CurrentAttempt): Step {
 		this.#around.replicas.heard(replica.vm, refusal.load);
 		this.#around.log.emit(entryEvents.attemptRefused, {
 			id: attempt.id, attempt: attempt.attempt, vm: replica.vm, reason: refusal.reason,
@@ -241,10 +236,10 @@
 			return {kind: 'rejected', status: failure.status ?? 502, body: failure.body ?? ''};
 		}
 
-		return this.#repeatOrUnknown(failure.reason);
+		return this.#repeatOrUnknown(failure.reason, 'run');
 	}
 
-	#notSent({reason}: Extract<AttemptOutcome, {kind: 'notSent'}>, {replica, attempt}: Current): Step {
+	#notSent({reason}: Extract<AttemptOutcome, {kind: 'notSent'}>, {replica, attempt}: CurrentAttempt): Step {
 		this.#around.replicas.failed(replica.vm);
 		this.#around.log.emit(entryEvents.attemptLost, {
 			id: attempt.id, attempt: attempt.attempt, vm: replica.vm, reason, sent: false,
@@ -252,73 +247,52 @@
 		return 'again';
 	}
 
-	// The connection is gone, the attempt may not be: its stream is asked for on a new connection, from the chunk where it stopped.
-	async #lost({reason}: Extract<AttemptOutcome, {kind: 'lost'}>, current: Current): Promise<Step> {
+	// The connection is gone, the attempt may not be.
+	async #lost({reason}: Extract<AttemptOutcome, {kind: 'lost'}>, current: CurrentAttempt): Promise<Step> {
 		const {replica, attempt} = current;
 		this.#around.log.emit(entryEvents.attemptLost, {
 			id: attempt.id, attempt: attempt.attempt, vm: replica.vm, reason, sent: true,
 		});
 		this.#around.replicas.failed(replica.vm);
-		const outcome = await this.#around.client.resume(attempt, this.#nextChunk, this.#place(current));
-		if (outcome.kind === 'lost' || outcome.kind === 'notSent') {
-			return this.#ask(current);
-		}
+		return this.#settle(current);
+	}
 
-		this.#around.log.emit(entryEvents.attemptResumed, {
-			id: attempt.id, attempt: attempt.attempt, vm: replica.vm, outcome: outcome.kind,
+	async #settle(current: CurrentAttempt): Promise<Step> {
+		const settled = await this.#recovery.settle({
+			current, place: this.#place!, received: () => this.#nextChunk, deadlineInMs: () => this.#deadlineInMs,
 		});
-		return this.#handle(outcome, current);
+		return this.#handle(settled, current);
 	}
 
-	// No stream to take up: the agent's ledger says whether the attempt began, and makes sure that it does not begin later.
-	async #ask(current: Current): Promise<Step> {
-		const {clock, client} = this.#around;
-		const until = clock.now() + (this.#work.idempotent ? 0 : Math.min(askMs, this.#deadlineInMs));
-		let answer = await client.revoke(current.replica.address, current.attempt, this.#deadlineInMs);
-		while (answer.isLeft() && clock.now() < until && !this.#signal.aborted) {
-			await clock.sleep(askPauseMs);
-			answer = await client.revoke(current.replica.address, current.attempt, this.#deadlineInMs);
+	#repeatOrUnknown(reason: string, run: 'run' | 'unknown'): Step {
+		if (!this.#work.idempotent) {
+			this.#around.log.emit(entryEvents.outcomeUnknown, {id: this.#work.id, reason});
+			return {kind: 'unknown', reason};
 		}
 
-		return answer.isLeft() ? this.#repeatOrUnknown('agent does not answer') : this.#answered(answer.extract() as LedgerAnswer, current);
-	}
-
-	async #answered(answer: LedgerAnswer, current: Current): Promise<Step> {
-		const {replica, attempt} = current;
-		if (answer.incarnation !== attempt.incarnation) {
-			// The process that had the attempt is gone, and with it the knowledge of whether it ran.
-			return this.#repeatOrUnknown('agent restarted');
+		// The end alone was lost: another replica would have nothing to add.
+		if (this.#sink.isComplete) {
+			return this.#whole();
 		}
 
-		const steps: Record<LedgerAnswer['state'], () => Promise<Step> | Step> = {
-			revoked: () => {
-				this.#around.log.emit(entryEvents.attemptRevoked, {id: attempt.id, attempt: attempt.attempt, vm: replica.vm});
-				return 'again';
-			},
-			running: async () => this.#takeUp(current),
-			done: async () => this.#takeUp(current),
-			unknown: () => this.#repeatOrUnknown('ledger has no record'),
-		};
-		return steps[answer.state]();
-	}
-
-	async #takeUp(current: Current): Promise<Step> {
-		const outcome = await this.#around.client.resume(current.attempt, this.#nextChunk, this.#place(current));
-		const isGone = outcome.kind === 'lost' || outcome.kind === 'notSent' || outcome.kind === 'noStream';
-		return isGone ? this.#repeatOrUnknown('stream can not be taken up') : this.#handle(outcome, current);
+		this.#run = this.#run === 'run' || this.#nextChunk > 0 ? 'run' : run;
+		this.#completeUntil = Math.max(this.#completeUntil, this.#around.clock.now() + completeMs);
+		return this.#sink.canContinue ? 'again' : {kind: 'failed', reason, run: this.#run};
 	}
 
-	#repeatOrUnknown(reason: string): Step {
-		if (!this.#work.idempotent) {
-			this.#around.log.emit(entryEvents.outcomeUnknown, {id: this.#work.id, reason});
-			return {kind: 'unknown', reason};
+	// Nobody waits for the answer any more. At the deadline the caller still learns whether it was run.
+	async #aborted(current: CurrentAttempt): Promise<Step> {
+		if (this.#caller.signal.reason !== deadlinePassed) {
+			this.#around.client.cancel(current.replica.address, current.attempt);
+			return {kind: 'aborted'};
 		}
 
-		return this.#sink.canContinue ? 'again' : {kind: 'failed', reason};
-	}
+		const state = await this.#recovery.revoke(current);
+		if (state === 'revoked') {
+			return this.#tooLate();
+		}
 
-	#aborted({replica, attempt}: Current): Step {
-		this.#around.client.cancel(replica.address, attempt);
-		return {kind: 'aborted'};
+		this.#around.client.cancel(current.replica.address, current.attempt);
+		return {kind: 'expired', run: this.#work.idempotent && state !== 'unknown' ? 'run' : 'unknown'};
 	}
 }
--- a/src/entry/service-routes.ts
+++ b/src/entry/service-routes.ts
@@ -22,6 +22,8 @@
 // The key is the caller's secret towards this system, not towards the service.
 const ownHeaders = new Set(['authorization', 'x-citronyard-idempotent', 'x-citronyard-deadline-ms']);
 
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
 const passedHeaders = (req: IncomingMessage) => Object.fromEntries(Object.entries(req.headers)
 	.filter(([name, value]) => value !== undefined && !ownHeaders.has(name))) as Record<string, string | string[]>;
 
@@ -77,7 +79,7 @@
 			},
 			idempotent: this.#isIdempotent(req, spec),
 			costTokens: callCostTokens,
-			deadlineMs: spec.timeoutMs ?? defaultTimeoutMs,
+			maxMs: spec.timeoutMs ?? defaultTimeoutMs,
 		}, sink, {req, res});
 		if (outcome.kind !== 'whole') {
 			sendError(res, errorOf(outcome));
@@ -95,8 +97,10 @@
 
 	#send(sink: CallSink, req: IncomingMessage, res: ServerResponse) {
 		const {head, body} = sink;
-		// The response to HEAD tells the length of a body that does not follow; the service's own is kept away, so none is told.
-		res.writeHead(head?.status ?? 502, {...head?.headers, ...(req.method !== 'HEAD' && {'content-length': body.length})});
-		res.end(body);
+		const status = head?.status ?? 502;
+		// The answer to HEAD, a 204 and a 304 have no body: a length of 0 would speak of the resource.
+		const hasBody = req.method !== 'HEAD' && !bodilessStatuses.has(status);
+		res.writeHead(status, {...head?.headers, ...(hasBody && {'content-length': body.length})});
+		res.end(hasBody ? body : undefined);
 	}
 }
--- a/src/entry/testing/batch-fleet.ts
+++ b/src/entry/testing/batch-fleet.ts
@@ -72,6 +72,7 @@
 		return {
 			vm: branded(this.vm),
 			incarnation: this.#incarnation,
+			at: 0,
 			draining: false,
 			serves: ['model:m'],
 			running: 0,
--- a/src/platform/http-client.ts
+++ b/src/platform/http-client.ts
@@ -45,7 +45,8 @@
 const connectTimeoutMs = 1000;
 const keepAliveMs = 15_000;
 
-const notSentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT', 'EADDRNOTAVAIL']);
+// The last two: undici refuses the request itself, for instance for a header that it does not take.
+const notSentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT', 'EADDRNOTAVAIL', 'UND_ERR_INVALID_ARG', 'UND_ERR_NOT_SUPPORTED']);
 
 const dispatcherOptions = {
 	connect: {timeout: connectTimeoutMs},
--- a/src/platform/sse-reader.ts
+++ b/src/platform/sse-reader.ts
@@ -4,8 +4,14 @@
 import type {Readable} from 'node:stream';
 import {createParser, type EventSourceMessage} from 'eventsource-parser';
 
-/** How a stream ended. Only `ended` came from the sender. */
-export type StreamEnd = 'ended' | 'silent' | 'lost';
+/** How a stream ended. Only `ended` came from the sender; `broken` says that an event could not be used. */
+export type StreamEnd = 'ended' | 'silent' | 'lost' | 'broken';
+
+/** Takes one event; `false` gives the stream up as broken. */
+export type EventHandler = (event: EventSourceMessage) => unknown;
+
+/** Asked after each piece that came: a promise when nothing more may be read until it resolves. */
+export type StreamPause = () => Promise<void> | undefined;
 
 /**
 Feeds each event of a stream to `onEvent` until the stream ends.
@@ -13,28 +19,47 @@
 @param silenceMs - Milliseconds without a byte after which the stream is given up and destroyed; 0 waits for ever.
 @returns How it ended. Never rejects.
 */
-export const followEvents = async (body: Readable, silenceMs: number, onEvent: (event: EventSourceMessage) => void): Promise<StreamEnd> => new Promise(resolve => {
-	const parser = createParser({onEvent});
-	const decoder = new TextDecoder();
+export const followEvents = async (body: Readable, silenceMs: number, onEvent: EventHandler, pause?: StreamPause): Promise<StreamEnd> => new Promise(resolve => {
 	let heardAt = performance.now();
+	let isOver = false;
 	const watch = silenceMs > 0
 		? setInterval(() => {
-			if (performance.now() - heardAt > silenceMs) {
+			if (!body.isPaused() && performance.now() - heardAt > silenceMs) {
 				finish('silent');
 			}
 		}, silenceMs / 4)
 		: undefined;
 	const finish = (end: StreamEnd) => {
+		// What a given-up stream still delivers must not mix with what its successor brings.
+		isOver = true;
 		clearInterval(watch);
 		resolve(end);
-		if (end === 'silent') {
-			body.destroy();
-		}
+		body.destroy();
 	};
 
+	const parser = createParser({
+		onEvent(event) {
+			if (!isOver && onEvent(event) === false) {
+				finish('broken');
+			}
+		},
+	});
+	// While its reader can take no more, the stream stands still instead of filling this process's memory; the pause does not count as silence.
+	const standStill = async (resumed: Promise<void>) => {
+		body.pause();
+		await resumed;
+		heardAt = performance.now();
+		body.resume();
+	};
+
+	const decoder = new TextDecoder();
 	body.on('data', (bytes: Uint8Array) => {
 		heardAt = performance.now();
 		parser.feed(decoder.decode(bytes, {stream: true}));
+		const resumed = pause?.();
+		if (resumed && !isOver) {
+			void standStill(resumed);
+		}
 	});
 	body.once('end', () => {
 		finish('ended');
