Features: whole answers, true refusals, at most once

A relay between entries and agents brings about what a network does: connections that go silent for good, requests that are held back and delivered late, answers that are lost. The fleet runs in one process with a relay before each agent, and the backend servers' own counts are the witnesses.

--- a/src/demo/local-fleet.ts
+++ b/src/demo/local-fleet.ts
@@ -24,7 +24,9 @@
 	/** Merged into every agent's settings. */
 	readonly agent?: Partial<Pick<AgentSettings, 'drainMs'>> & {readonly limits?: Partial<AgentSettings['limits']>; readonly maxRunning?: number; readonly tokensPerSecond?: number};
 	/** Merged into every entry's settings. */
-	readonly entry?: {readonly online?: Partial<EntrySettings['online']>; readonly batch?: Partial<EntrySettings['batch']>};
+	readonly entry?: {readonly online?: Partial<EntrySettings['online']>; readonly batch?: Partial<EntrySettings['batch']>; readonly drainMs?: number};
+	/** The address that the VM list shows for an agent; its own by default. A test puts a relay between. */
+	readonly agentAddress?: (vm: string, address: string) => Promise<string>;
 };
 
 /** What the processes would provide. */
@@ -103,14 +105,16 @@
 			? {
 				type: 'engine', address: engine.address, maxRunning, tokensPerSecond,
 			}
-			: {type: 'service', address: service!.address, service: this.#serviceOf(vm)};
+			: {
+				type: 'service', address: service!.address, service: this.#serviceOf(vm), maxRunning,
+			};
 		const agent = new Agent(agentSettingsSchema.parse({
 			vm, failureDomain: this.#domainOf(vm), listen: anyPort, platform: this.#platform, backend, limits, drainMs,
 		}), this.#services);
 		this.#require(await agent.start());
 		this.agents.set(vm, agent);
 		this.vmList.setVm(vm, {
-			role: 'backend', address: agent.address, failureDomain: this.#domainOf(vm), state: 'live',
+			role: 'backend', address: await this.#plan.agentAddress?.(vm, agent.address) ?? agent.address, failureDomain: this.#domainOf(vm), state: 'live',
 		});
 		return agent;
 	}
--- /dev/null
+++ b/src/entry/at-most-once.feature
@@ -0,0 +1,26 @@
+Feature: A request marked as non-idempotent runs at most once
+  A POST to the tyre status service books a tyre change. Its agent or its connection fails before, during or after the call.
+  The entry never sends it a second time unless it is certain that the first did not run and will not; where nobody can say,
+  the caller is told that the outcome is unknown. The service counts its runs.
+
+  Scenario Outline: <trouble>
+    Given a relayed fleet with 2 replicas
+    When a non-idempotent call of 400 ms is made and <trouble>
+    Then the call is answered with <status> as "<run>" and ran 1 times
+
+    Examples:
+      | trouble                                            | status | run     |
+      | its agent is killed before it                      | 200    | -       |
+      | its agent is killed during it                      | 502    | unknown |
+      | its agent is killed and started again during it    | 502    | unknown |
+      | its agent's connections go silent during it        | 200    | -       |
+      | its agent's connections are cut during it          | 200    | -       |
+      | nothing reaches its agent any more during it       | 502    | unknown |
+      | its answer is lost                                 | 200    | -       |
+      | its service closes the connection after it         | 502    | unknown |
+      | its deadline passes during it                      | 504    | unknown |
+
+  Scenario: A caller that goes away does not cut off a call that has begun
+    Given a relayed fleet with 1 replicas
+    When the caller of a non-idempotent call of 400 ms goes away
+    Then the service finishes the call
--- /dev/null
+++ b/src/entry/whole-answer.feature
@@ -0,0 +1,38 @@
+Feature: A caller receives the whole answer to its own request
+  A kiosk reads an answer token by token. In the middle, the agent or its engine dies, or the connection to it goes silent
+  for good; new connections may work or not. The entry takes the stream up on a new connection, or has another replica
+  go on at the token where it stopped. The caller sees each token once, in order, and the usage of the whole answer.
+
+  Scenario Outline: <trouble> in the middle of a stream
+    Given a relayed fleet with <replicas> replicas
+    When a caller reads a stream of 120 tokens and after 20 tokens <trouble>
+    Then the caller has the 120 tokens that the prompt asks for, and their usage
+    And the engines were given the request <runs> times
+
+    Examples:
+      | trouble                                      | replicas | runs |
+      | its agent is killed                          | 2        | 2    |
+      | its agent's connections are cut              | 2        | 1    |
+      | its agent's connections go silent            | 2        | 1    |
+      | nothing reaches its agent any more           | 2        | 2    |
+      | an old stream comes back while another runs  | 2        | 2    |
+      | its engine crashes and starts again          | 1        | 2    |
+      | its engine crashes and starts again          | 2        | 2    |
+
+  Scenario: A caller who did not ask for a stream
+    Given a relayed fleet with 2 replicas
+    When a caller waits for an answer of 120 tokens whose agent is killed after it began
+    Then the caller has the 120 tokens that the prompt asks for, and their usage
+
+  Scenario: A caller that stops reading
+    A board loses its way in the middle of a long answer and reads on later. The entry must not keep what the board does not
+    read: it lets the stream stand still, so that memory stays bounded, and nothing of the answer is missing afterwards.
+    Given a relayed fleet with 1 replicas
+    When a caller stops reading a stream of 30000 tokens until the agent has it whole
+    Then the entry has held back less than 600000 bytes for it
+    And the caller reads the 30000 tokens to their end
+
+  Scenario: A caller that goes away
+    Given a relayed fleet with 1 replicas
+    When a caller closes its connection after 20 of 2000 tokens
+    Then the engine cancels the request
