Status: in how many nodes a version is in force

Cause: an operator could not see whether a change held everywhere; `nodesInForce` was in the shape of the status and nobody wrote it.

Change: the counts that ride up on the polls end at the watchers; one entry, under the lease `config-status`, adds them up once a second while something is to be reported, and writes the condition InForce: True once every known node has the version for two seconds (a node that changes its upstream is counted twice for a moment), False after three seconds with the number that has it.

--- a/src/common/config-counts.ts
+++ b/src/common/config-counts.ts
@@ -1,15 +1,16 @@
 /**
 Counts the nodes that have a version in force: this node and those that ask it, each with the nodes below. Counts ride up on the polls, so that nobody has to ask every node.
 */
-import type {InForceCount} from './config-protocol.js';
+import {pollTimeoutMs, pollWaitMs, type InForceCount} from './config-protocol.js';
 import type {Revision} from './ids.js';
 import type {Clock} from './services.js';
 
-// A node that asks elsewhere is forgotten here before its absence could be taken for a loss elsewhere.
-const forgetMs = 3000;
+// A node that asks elsewhere must not be counted twice for long: it has given this one up by then.
+const waitingMs = pollTimeoutMs;
+const answeredMs = pollTimeoutMs - pollWaitMs;
 const maxRows = 8;
 
-type Report = {readonly counts: readonly InForceCount[]; readonly heardAt: number};
+type Report = {readonly counts: readonly InForceCount[]; readonly until: number};
 
 const merged = (counts: readonly InForceCount[]): InForceCount[] => {
 	const sums = counts.reduce((sum, {version, nodes}) => sum.set(version, (sum.get(version) ?? 0) + nodes), new Map<Revision, number>());
@@ -36,13 +37,21 @@
 
 	/** Takes over what a node that asked says of itself and of those below it. */
 	heard(node: string, counts: readonly InForceCount[]): void {
-		this.#reports.set(node, {counts, heardAt: this.#clock.now()});
+		this.#reports.set(node, {counts, until: this.#clock.now() + waitingMs});
+	}
+
+	/** The node was answered: it asks again at once, here or elsewhere. */
+	answered(node: string): void {
+		const report = this.#reports.get(node);
+		if (report) {
+			this.#reports.set(node, {...report, until: this.#clock.now() + answeredMs});
+		}
 	}
 
 	/** This node and all below it, the newest version first. */
 	rows(): readonly InForceCount[] {
-		const oldest = this.#clock.now() - forgetMs;
-		[...this.#reports].filter(([, {heardAt}]) => heardAt < oldest).forEach(([node]) => {
+		const now = this.#clock.now();
+		[...this.#reports].filter(([, {until}]) => until < now).forEach(([node]) => {
 			this.#reports.delete(node);
 		});
 		const all = merged([{version: this.#own(), nodes: 1}, ...[...this.#reports.values()].flatMap(({counts}) => counts)]);
--- a/src/common/config-feed.ts
+++ b/src/common/config-feed.ts
@@ -48,6 +48,7 @@
 			changes = table.changesSince(poll.since, poll.scope);
 		}
 
+		counts.answered(poll.node);
 		return this.#answerWith(changes, poll);
 	}
 
--- /dev/null
+++ b/src/common/config-in-force.ts
@@ -0,0 +1,63 @@
+/**
+Which resources still have to be reported on: those whose newest version is not known to be in force at every node.
+*/
+import type {AnyResource, ResourceStatus} from '../../typings/resources.js';
+import type {Revision} from './ids.js';
+import type {ObjectKind, StoredObject, WatchEvent} from './types.js';
+
+/** Kinds that operators write and that every node has in force. */
+export const reportedKinds: readonly ObjectKind[] = ['ServedModel', 'ModelVersion', 'OnlineService', 'ClientAccount', 'BackendServer'];
+
+/** How many nodes have a version. */
+export type InForceTally = {readonly nodesInForce: number; readonly nodesKnown: number};
+
+/** What is to be reported of a version. */
+export type PendingVersion = {
+	readonly kind: ObjectKind;
+	readonly name: string;
+	readonly version: Revision;
+	readonly generation: number;
+	/** The clock's `now` when it was first seen here. */
+	readonly seenAt: number;
+	/** The clock's `now` when it was last reported; undefined before the first time. */
+	readonly reportedAt?: number;
+	readonly reported?: InForceTally;
+	/** The clock's `now` since when every tally was whole. */
+	readonly wholeSince?: number;
+};
+
+/** A change takes a moment; a report on each step of it would only cost calls. */
+const firstReportMs = 3000;
+const reportAgainMs = 5000;
+/** A node that just went from one upstream to another is counted at both for a moment, and could hide one that is behind. */
+const settleMs = 2000;
+
+export const inForceCondition = 'InForce';
+
+/** The generation of a resource; 1 where its writer did not count, or wrote something else than a resource. */
+export const generationOf = (resource: Partial<AnyResource>): number => resource.metadata?.generation ?? 1;
+
+export const isInForce = ({nodesInForce, nodesKnown}: InForceTally): boolean => nodesInForce >= nodesKnown;
+
+/** Takes a tally into account. */
+export const withTally = (pending: PendingVersion, tally: InForceTally, now: number): PendingVersion => ({...pending, wholeSince: isInForce(tally) ? pending.wholeSince ?? now : undefined});
+
+/** Whether to write a report now. */
+export const isReportDue = ({seenAt, reportedAt, reported, wholeSince}: PendingVersion, tally: InForceTally, now: number): boolean => {
+	if (isInForce(tally)) {
+		return wholeSince !== undefined && now - wholeSince >= settleMs;
+	}
+
+	return reportedAt === undefined
+		? now - seenAt >= firstReportMs
+		: now - reportedAt >= reportAgainMs && (reported?.nodesInForce !== tally.nodesInForce || reported.nodesKnown !== tally.nodesKnown);
+};
+
+/** Whether a status already says that a resource's generation is in force. */
+export const isSettled = (resource: AnyResource, status: ResourceStatus | undefined): boolean => status?.observedGeneration === generationOf(resource)
+	&& status.conditions.some(({type, status: value}) => type === inForceCondition && value === 'True');
+
+/** What a put of a resource leaves to report. */
+export const pendingOf = ({kind, name, version, value}: Pick<WatchEvent, 'kind' | 'name' | 'version' | 'value'> | StoredObject, now: number): PendingVersion => ({
+	kind, name, version, generation: generationOf(value as AnyResource), seenAt: now,
+});
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -30,6 +30,8 @@
 import {ConfigFollower} from './config-follower.js';
 import {FileRoutes} from './file-routes.js';
 import {GenerationRoutes} from './generation-routes.js';
+import {configCountsMethod, gatherCounts} from './in-force-gather.js';
+import {InForceReporter} from './in-force-reporter.js';
 import {JobShards} from './job-shards.js';
 import {JobStore} from './job-store.js';
 import {entryEvents} from './log-events.js';
@@ -58,6 +60,7 @@
 	readonly #api: ObjectApi;
 	readonly #config = new ConfigTable();
 	readonly #follower: ConfigFollower;
+	readonly #reporter: InForceReporter;
 	readonly #replicas: ReplicaTable;
 	readonly #poller: ReplicaPoller;
 	readonly #accounts: Accounts;
@@ -74,6 +77,7 @@
 		this.#replicas = new ReplicaTable(clock, cfg.online.silenceMs);
 		this.#poller = this.#makePoller();
 		this.#follower = this.#makeFollower();
+		this.#reporter = this.#makeReporter();
 		this.#accounts = new Accounts(this.#config);
 		this.#frontend = this.#makeFrontend();
 		this.#shards = this.#makeShards();
@@ -103,6 +107,7 @@
 			this.#lifecycle.send('started');
 			void this.#poller.run();
 			void this.#follower.run();
+			void this.#reporter.run();
 			void this.#shards.run();
 			this.#services.log.emit(entryEvents.listening, {address: this.address, vm: this.#cfg.vm});
 		}
@@ -117,7 +122,7 @@
 		log.emit(entryEvents.drainBegun, {open: this.#frontend.open});
 		this.#lifecycle.send('drain');
 		this.#server.announceClose();
-		await this.#shards.release();
+		await Promise.all([this.#shards.release(), this.#reporter.release()]);
 		while (clock.now() < until && this.#frontend.open > 0) {
 			await clock.sleep(drainPollMs);
 		}
@@ -131,6 +136,7 @@
 		this.#lifecycle.dispose();
 		this.#shards.dispose();
 		this.#poller.dispose();
+		this.#reporter.dispose();
 		this.#follower.dispose();
 		this.#accounts.dispose();
 		this.#server.dispose();
@@ -162,6 +168,23 @@
 		});
 	}
 
+	#liveEntries() {
+		return this.#poller.entries.filter(({state}) => state === 'live');
+	}
+
+	#makeReporter() {
+		return new InForceReporter({
+			...this.#services,
+			api: this.#api,
+			table: this.#config,
+			vm: this.#cfg.vm,
+			self: branded(`${this.#cfg.vm}-${randomUUID()}`),
+			entries: () => this.#liveEntries().map(({name}) => name),
+			nodesKnown: () => this.#liveEntries().length + this.#replicas.all.filter(({leaving}) => !leaving).length,
+			gather: async () => gatherCounts(this.#liveEntries(), this.#rpc),
+		});
+	}
+
 	#makeFrontend() {
 		return new OnlineFrontend({
 			...this.#services,
@@ -184,7 +207,7 @@
 			replicas: this.#replicas,
 			self: branded(holder),
 			vm: this.#cfg.vm,
-			entries: () => this.#poller.entries.filter(({state}) => state === 'live').map(({name}) => name),
+			entries: () => this.#liveEntries().map(({name}) => name),
 			shareOf: account => this.#config.get<ClientAccount>('ClientAccount', account)?.spec.share ?? defaultShare,
 		});
 	}
@@ -192,7 +215,7 @@
 	#methods(): RpcMethods {
 		return {
 			[configChangesMethod]: async (poll: ConfigPoll) => this.#follower.answer(poll),
-			'config.counts': () => this.#follower.counts(),
+			[configCountsMethod]: () => this.#follower.counts(),
 		};
 	}
 
