Routing by remaining work, with confirmed cache knowledge and fresh loads

Cause: the score was the reported load alone: no prompt went back to the replica that holds its beginning, online requests landed on replicas full of batch items, and reports were up to 250 ms late, so bursts from several entries met on one replica.

Change: the score counts tokens before the answer: reported and own pending work, the request's own cost less twice the tokens known to be cached, 30 for each batch item in the engine, 1000 for each request in a replica that is more than three quarters full. The agent mirrors the engine's cache from its numbered events (a gap forgets everything) and charges only what is not cached; an entry's index is confirmed by the end of an answer, by the tails of answered prompts in the reports, and loses dropped blocks by sequence number. An attempt's stream opens with the agent's load. A scenario of the index showed that a report brought back the tail of a prompt dropped since; mended in the mirror.

--- a/bench/model/fleet-model.ts
+++ b/bench/model/fleet-model.ts
@@ -4,6 +4,7 @@
 import {branded, type AccountName, type BlockHash} from '../../src/common/ids.js';
 import type {AdmissionLimits} from '../../src/common/admission.js';
 import {blockHashes} from '../../src/common/prefix-blocks.js';
+import {h32} from '../../src/common/xxhash.js';
 import {ReplicaTable, type ReplicaView} from '../../src/common/replica-table.js';
 import {fullJitterMs, RetryBudget} from '../../src/common/retry-budget.js';
 import type {RandomSource} from '../../src/common/services.js';
@@ -23,6 +24,8 @@
 	/** The answer's length as the entry estimates it. */
 	readonly expectedTokens: number;
 	readonly deadlineMs: number;
+	/** Called when the answer is whole at the entry. */
+	readonly onWhole?: () => void;
 };
 
 /** What became of a request, in milliseconds. */
@@ -72,7 +75,9 @@
 
 type EntryModel = {readonly failureDomain: string; readonly table: ReplicaTable; readonly budget: RetryBudget};
 
+const tokensPerBlock = 16;
 const withinDomainMs = 0.05;
+const defaultPollMs = 250;
 const silenceMs = 1000;
 const maxAttempts = 5;
 
@@ -110,7 +115,8 @@
 			account: request.account, arrivedAt: this.time.now(), gaps: [], attempts: 0,
 		};
 		this.outcomes.push(outcome);
-		const index = Math.floor(this.#settings.random.next() * this.#entries.length);
+		// A caller keeps its connection, and with it its entry.
+		const index = h32(request.session) % this.#entries.length;
 		this.#attempt({
 			request, outcome, index, tried: new Set(), blocks: blockHashes(request.promptText), deadlineAt: this.time.now() + request.deadlineMs,
 		});
@@ -122,7 +128,7 @@
 		})));
 		this.replicas.forEach(replica => {
 			entry.table.heard(replica.vm, replica.load());
-			this.time.repeat(this.#settings.loadPollMs ?? 250, () => {
+			this.time.repeat(this.#settings.loadPollMs ?? defaultPollMs, () => {
 				const load = replica.load();
 				this.time.after(this.#delay(entry, replica), () => {
 					entry.table.heard(replica.vm, load);
@@ -161,6 +167,8 @@
 			this.time.after(this.#delay(entry, replica), act);
 		};
 
+		// The agent knows what its engine holds.
+		const promptTokens = request.promptTokens - (replica.cachedBlocks(run.blocks).length * tokensPerBlock);
 		let lastAt = 0;
 		replica.submit({
 			ticket: {
@@ -168,8 +176,8 @@
 				workClass: 'online',
 				account: request.account,
 				share: request.share,
-				costTokens: request.promptTokens + request.expectedTokens,
-				promptTokens: request.promptTokens,
+				costTokens: promptTokens + request.expectedTokens,
+				promptTokens,
 				deadlineAt: run.deadlineAt,
 			},
 			generation: {promptText: request.promptText, promptTokens: request.promptTokens, answerTokens: request.answerTokens},
@@ -193,7 +201,8 @@
 					entry.budget.succeeded();
 					entry.table.heard(replica.vm, load);
 					entry.table.ended(replica.vm);
-					this.#settings.policy.confirmed?.(run.index, replica.vm, held);
+					this.#confirm(run.index, replica, held);
+					request.onWhole?.();
 				});
 			},
 			onRefused: (reason, retryAfterMs) => {
@@ -205,6 +214,22 @@
 				});
 			},
 		});
+		// The stream opens with the agent's load, this request counted.
+		const begun = replica.load();
+		back(() => {
+			entry.table.heard(replica.vm, begun);
+		});
+	}
+
+	// The entry that asked hears at once, the others with their next report.
+	#confirm(index: number, {vm}: ReplicaModel, held: readonly BlockHash[]) {
+		const {policy, loadPollMs = defaultPollMs} = this.#settings;
+		policy.confirmed?.(index, vm, held);
+		this.time.after(loadPollMs, () => {
+			this.#entries.forEach((_, other) => {
+				policy.confirmed?.(other, vm, held);
+			});
+		});
 	}
 
 	#refused(run: Run, entry: EntryModel, refusal: {readonly reason: string; readonly retryAfterMs: number}) {
--- a/bench/model/workload.ts
+++ b/bench/model/workload.ts
@@ -2,7 +2,7 @@
 Arrivals and prompts for the models: Poisson arrivals at a rate that may change with time, and prompts with a shared start.
 */
 import type {RandomSource} from '../../src/common/services.js';
-import {charactersPerToken} from '../../src/standins/prompt-text.js';
+import {charactersPerToken} from '../../src/common/prompt-text.js';
 import type {VirtualTime} from './virtual-time.js';
 
 const msPerSecond = 1000;
--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -5,6 +5,7 @@
 import type {Either} from 'purify-ts/Either';
 import {Admission} from '../common/admission.js';
 import {ConfigTable} from '../common/config-table.js';
+import {CacheMirror} from '../common/cache-mirror.js';
 import {branded} from '../common/ids.js';
 import {NodeLifecycle} from '../common/node-lifecycle.js';
 import type {
@@ -24,6 +25,7 @@
 import type {Backend} from './backend.js';
 import {BatchWorker} from './batch-worker.js';
 import {AgentConfigFollower} from './config-follower.js';
+import {CacheFollower} from './cache-follower.js';
 import {EngineBackend} from './engine-backend.js';
 import {agentEvents} from './log-events.js';
 import {OnlineAttempts} from './online-attempts.js';
@@ -62,6 +64,8 @@
 	readonly #runner: WorkRunner;
 	readonly #attempts: OnlineAttempts;
 	readonly #batch: BatchWorker;
+	readonly #cache: CacheMirror | undefined;
+	readonly #cacheFollower: CacheFollower | undefined;
 	readonly #server: HttpServer;
 	readonly #config = new ConfigTable();
 	readonly #follower: AgentConfigFollower;
@@ -75,6 +79,10 @@
 		this.#backend = (backendMakers[cfg.backend.type] as (backend: AgentSettings['backend'], http: HttpClient) => Backend)(cfg.backend, this.#http);
 		this.#admission = new Admission(clock, {...cfg.backend, ...cfg.limits});
 		this.#runner = new WorkRunner(this.#admission, log, metrics);
+		this.#cache = cfg.backend.type === 'engine' ? new CacheMirror() : undefined;
+		this.#cacheFollower = this.#cache && new CacheFollower({
+			clock, http: this.#http, address: cfg.backend.address, mirror: this.#cache,
+		});
 		this.#attempts = new OnlineAttempts({
 			clock,
 			log,
@@ -82,6 +90,7 @@
 			runner: this.#runner,
 			backend: this.#backend,
 			load: () => this.load(),
+			cache: this.#cache,
 			orphanMs: cfg.limits.orphanMs,
 			maxBodyBytes: cfg.limits.maxBodyBytes,
 		});
@@ -117,6 +126,7 @@
 			await this.#readServes();
 			this.#lifecycle.send('started');
 			void this.#pollServes();
+			void this.#cacheFollower?.run();
 			void this.#follower.run();
 			this.#services.log.emit(agentEvents.listening, {address: this.address, vm: this.#cfg.vm, incarnation: this.#incarnation});
 		}
@@ -163,6 +173,7 @@
 	dispose(): void {
 		this.#lifecycle.dispose();
 		this.#follower.dispose();
+		this.#cacheFollower?.dispose();
 		this.#batch.dispose();
 		this.#attempts.dispose();
 		this.#runner.dispose();
@@ -172,7 +183,7 @@
 
 	#methods(): RpcMethods {
 		return {
-			'agent.load': () => this.load(),
+			'agent.load': ({cacheSince}: {cacheSince?: number}) => cacheSince === undefined ? this.load() : {...this.load(), cache: this.#cache?.changesSince(cacheSince)},
 			'ledger.revoke': (params: RevokeRequest) => this.#attempts.revoke(params),
 			'attempt.cancel': (params: {key: AttemptKey}) => {
 				this.#attempts.cancel(params.key);
--- a/src/agent/online-attempts.ts
+++ b/src/agent/online-attempts.ts
@@ -3,7 +3,10 @@
 */
 import type {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {branded} from '../common/ids.js';
+import {branded, type BlockHash} from '../common/ids.js';
+import type {CacheMirror} from '../common/cache-mirror.js';
+import {blockHashes, tokensPerBlock} from '../common/prefix-blocks.js';
+import {promptTextOf} from '../common/prompt-text.js';
 import type {Ticket} from '../common/admission.js';
 import {
 	readerHeader, type AttemptEnd, type AttemptFailure, type AttemptKey, type AttemptRefusal, type AttemptRequest, type LedgerAnswer, type LoadReport, type RefusalReason, type RevokeRequest,
@@ -25,6 +28,8 @@
 	readonly ledger: RequestLedger;
 	readonly runner: WorkRunner;
 	readonly backend: Backend;
+	/** What the engine's prefix cache holds; left out beside a plain service. */
+	readonly cache?: CacheMirror;
 	/** The agent's state now. */
 	readonly load: () => LoadReport;
 	/** Milliseconds that an answer goes on after its reader's connection was lost. */
@@ -146,10 +151,14 @@
 			return;
 		}
 
-		this.#attach(attempt, 0, req, res);
+		const writer = this.#attach(attempt, 0, req, res);
 		if (begun === 'new') {
 			this.#submit(attempt, load);
 		}
+
+		if (!res.writableEnded) {
+			writer?.send('load', JSON.stringify(this.#around.load()));
+		}
 	}
 
 	#submit(attempt: AttemptRequest, load: LoadReport) {
@@ -168,24 +177,31 @@
 	}
 
 	#workOf(attempt: AttemptRequest): Work {
+		const blocks = this.#promptBlocks(attempt);
+		const cachedTokens = Math.min(attempt.promptTokens ?? 0, (this.#around.cache?.held(blocks).length ?? 0) * tokensPerBlock);
 		const ticket: Ticket = {
 			key: tableKey(attempt),
 			workClass: 'online',
 			account: attempt.account,
 			share: attempt.share,
-			costTokens: attempt.costTokens,
+			costTokens: attempt.costTokens - cachedTokens,
+			promptTokens: attempt.promptTokens === undefined ? undefined : attempt.promptTokens - cachedTokens,
 			deadlineAt: this.#around.clock.now() + attempt.deadlineInMs,
 		};
 		return {
 			ticket,
-			run: async signal => this.#run(attempt, signal),
+			run: async signal => this.#run(attempt, blocks, signal),
 			refuse: (reason, retryAfterMs) => {
 				this.#refuse(attempt, reason, retryAfterMs);
 			},
 		};
 	}
 
-	async #run(attempt: AttemptRequest, signal: AbortSignal): Promise<'done'> {
+	#promptBlocks({work}: AttemptRequest): readonly BlockHash[] {
+		return this.#around.cache && work.kind === 'generate' ? blockHashes(promptTextOf(work.body)) : [];
+	}
+
+	async #run(attempt: AttemptRequest, blocks: readonly BlockHash[], signal: AbortSignal): Promise<'done'> {
 		const {ledger, backend, runner} = this.#around;
 		let chunks = 0;
 		ledger.start(attempt);
@@ -202,7 +218,7 @@
 		this.#open.delete(tableKey(attempt));
 		outcome
 			.ifRight(() => {
-				const end: AttemptEnd = {chunks, load: this.#around.load(), cachedBlocks: []};
+				const end: AttemptEnd = {chunks, load: this.#around.load(), ...this.#confirmed(blocks)};
 				ledger.end(attempt, {event: 'end', data: JSON.stringify(end)});
 			})
 			.ifLeft(failure => {
@@ -211,6 +227,14 @@
 		return 'done';
 	}
 
+	// The last held block stands for all before it.
+	#confirmed(blocks: readonly BlockHash[]) {
+		const {cache} = this.#around;
+		const held = cache?.held(blocks) ?? [];
+		cache?.answered(held);
+		return {cachedBlocks: held.slice(-1), cacheSeq: cache?.seq};
+	}
+
 	#fail(attempt: AttemptRequest, failure: BackendFailure) {
 		const handlers: {[Kind in BackendFailure['kind']]: (failure: Extract<BackendFailure, {kind: Kind}>) => void} = {
 			rejected: ({status, body}) => {
@@ -249,7 +273,7 @@
 		writer.end();
 	}
 
-	#attach(key: AttemptKey, from: number, req: IncomingMessage, res: ServerResponse) {
+	#attach(key: AttemptKey, from: number, req: IncomingMessage, res: ServerResponse): SseWriter | undefined {
 		const {ledger} = this.#around;
 		let writer: SseWriter | undefined;
 		const open = () => {
@@ -282,11 +306,11 @@
 			}
 		});
 		if (ledger.read(key, Math.max(0, from), reader)) {
-			open();
-			return;
+			return open();
 		}
 
 		res.writeHead(404).end();
+		return undefined;
 	}
 
 	// The entry may be about to ask again on another connection; if nobody does, the entry is gone and the engine's time is better spent elsewhere.
--- /dev/null
+++ b/src/common/cache-mirror.ts
@@ -0,0 +1,113 @@
+/**
+What the agent knows of its engine's prefix cache, from the engine's numbered events. The events come late and with gaps; after a gap nothing is known any more until blocks are stored anew: it is better to forget a block that is held than to promise one that is not.
+*/
+import type {BlockHash} from './ids.js';
+import type {CacheDrops} from './prefix-index.js';
+
+/** One event of the engine's cache. */
+export type CacheEvent = {
+	readonly seq: number;
+	readonly type: 'stored' | 'removed' | 'cleared';
+	readonly blocks: readonly BlockHash[];
+};
+
+type Numbered = {readonly seq: number; readonly blocks: readonly BlockHash[]};
+
+// Reports go out several times a second; an entry that has missed more than this many events starts anew.
+const maxRemembered = 256;
+
+/** The engine's blocks, and the changes that entries have not heard of yet. */
+export class CacheMirror {
+	readonly #blocks = new Set<BlockHash>();
+	readonly #handlers: Record<CacheEvent['type'], (event: CacheEvent) => void> = {
+		stored: event => {
+			event.blocks.forEach(block => {
+				this.#blocks.add(block);
+			});
+		},
+		removed: event => {
+			event.blocks.forEach(block => {
+				this.#blocks.delete(block);
+			});
+			this.#drops.push(event);
+		},
+		cleared: event => {
+			this.#forget(event.seq);
+		},
+	};
+
+	#drops: Numbered[] = [];
+	#answers: Numbered[] = [];
+	#seq = 0;
+	/** Changes are complete from this number on. */
+	#from = 0;
+
+	/** The number of the last event. */
+	get seq(): number {
+		return this.#seq;
+	}
+
+	/** Blocks known to be held. */
+	get size(): number {
+		return this.#blocks.size;
+	}
+
+	/** Takes over events in the order of their numbers. */
+	apply(events: readonly CacheEvent[]): void {
+		events.forEach(event => {
+			if (event.seq !== this.#seq + 1) {
+				this.#forget(event.seq);
+			}
+
+			this.#seq = event.seq;
+			this.#handlers[event.type](event);
+		});
+		this.#trim();
+	}
+
+	/** Forgets everything, for instance when the engine did not answer and may have been restarted. */
+	reset(): void {
+		this.#forget(0);
+		this.#seq = 0;
+	}
+
+	/** The blocks of a prompt, from its start, that the engine is known to hold. */
+	held(prompt: readonly BlockHash[]): readonly BlockHash[] {
+		const missing = prompt.findIndex(block => !this.#blocks.has(block));
+		return missing === -1 ? prompt : prompt.slice(0, missing);
+	}
+
+	/** Remembers the last held block of an answered prompt for the next reports: it stands for all before it. */
+	answered(held: readonly BlockHash[]): void {
+		const tail = held.at(-1);
+		if (tail) {
+			this.#answers.push({seq: this.#seq, blocks: [tail]});
+			this.#trim();
+		}
+	}
+
+	/** What was dropped, and which prompts were answered, after event `since`. */
+	changesSince(since: number): CacheDrops {
+		const isNew = ({seq}: Numbered) => seq > since;
+		return {
+			from: Math.max(since, this.#from),
+			to: this.#seq,
+			blocks: this.#drops.filter(isNew).flatMap(({blocks}) => blocks),
+			// An answered prompt whose blocks were dropped since must not come back by this way.
+			stored: this.#answers.filter(({seq}) => seq >= since).flatMap(({blocks}) => blocks).filter(block => this.#blocks.has(block)),
+		};
+	}
+
+	#forget(seq: number) {
+		this.#blocks.clear();
+		this.#drops = [];
+		this.#answers = [];
+		this.#from = seq;
+	}
+
+	#trim() {
+		const excess = this.#drops.splice(0, Math.max(0, this.#drops.length - maxRemembered));
+		this.#from = Math.max(this.#from, excess.at(-1)?.seq ?? 0);
+		this.#answers.splice(0, Math.max(0, this.#answers.length - maxRemembered));
+	}
+}
--- a/src/common/prefix-blocks.ts
+++ b/src/common/prefix-blocks.ts
@@ -7,6 +7,9 @@
 /** Characters of prompt text in a block. */
 export const blockCharacters = 64;
 
+/** Tokens of a prompt in a block, at four characters a token. */
+export const tokensPerBlock = 16;
+
 /**
 Hashes the blocks of a prompt, in order.
 
--- /dev/null
+++ b/src/common/prefix-index.ts
@@ -0,0 +1,93 @@
+/**
+What an entry knows of the prompt blocks that replicas hold. Agents confirm blocks with the end of an answer, and tell dropped blocks with sequence numbers; a gap in the numbers means that drops were missed, so everything known of that replica is forgotten: a wrong belief would send a long prompt to a replica that must compute it anew, while a forgotten block costs one comparison of loads.
+*/
+import type {BlockHash, VmName} from './ids.js';
+import {tokensPerBlock} from './prefix-blocks.js';
+
+/** Blocks that an engine has dropped between two sequence numbers. */
+export type CacheDrops = {
+	/** The sequence number from which the list is complete. */
+	readonly from: number;
+	/** The sequence number up to which it goes. */
+	readonly to: number;
+	readonly blocks: readonly BlockHash[];
+	/** Last blocks of prompts answered in the meantime, which the engine still held at the end. */
+	readonly stored?: readonly BlockHash[];
+};
+
+type Known = {seq: number; readonly blocks: Set<BlockHash>};
+
+/** Block hashes by replica, bounded for each. */
+export class PrefixIndex {
+	readonly #known = new Map<VmName, Known>();
+	readonly #maxBlocks: number;
+
+	/** @param maxBlocks - Blocks remembered of a replica; the oldest go first. A block takes about 100 bytes. */
+	constructor(maxBlocks: number) {
+		this.#maxBlocks = maxBlocks;
+	}
+
+	/** The sequence number up to which a replica's drops are known; 0 when nothing is known of it. */
+	seqOf(vm: VmName): number {
+		return this.#known.get(vm)?.seq ?? 0;
+	}
+
+	/** Takes over blocks that the replica held at sequence number `seq`. */
+	confirmed(vm: VmName, blocks: readonly BlockHash[], seq: number): void {
+		const known = this.#known.get(vm) ?? {seq, blocks: new Set<BlockHash>()};
+		this.#known.set(vm, known);
+		// Confirmed before drops that are known already: the blocks may be among them.
+		if (seq < known.seq) {
+			return;
+		}
+
+		this.#add(known, blocks);
+	}
+
+	/** Takes over drops; forgets all of the replica's blocks when some drops are missing between the known ones and these. */
+	dropped(vm: VmName, drops: CacheDrops): void {
+		const known = this.#known.get(vm) ?? {seq: drops.from, blocks: new Set<BlockHash>()};
+		this.#known.set(vm, known);
+		if (drops.from > known.seq || drops.to < known.seq) {
+			known.blocks.clear();
+		}
+
+		drops.blocks.forEach(block => {
+			known.blocks.delete(block);
+		});
+		known.seq = drops.to;
+		this.#add(known, drops.stored ?? []);
+	}
+
+	/** Forgets a replica, for instance when its process was restarted. */
+	forget(vm: VmName): void {
+		this.#known.delete(vm);
+	}
+
+	/** The tokens at the start of a prompt that the replica is known to hold. A block's hash covers all text before it and engines drop a prompt's end first, so the last known block stands for those before it. */
+	cachedTokens(vm: VmName, prompt: readonly BlockHash[]): number {
+		const blocks = this.#known.get(vm)?.blocks;
+		if (!blocks) {
+			return 0;
+		}
+
+		return (prompt.findLastIndex(block => blocks.has(block)) + 1) * tokensPerBlock;
+	}
+
+	#add(known: Known, blocks: readonly BlockHash[]) {
+		blocks.forEach(block => {
+			known.blocks.delete(block);
+			known.blocks.add(block);
+		});
+		this.#trim(known);
+	}
+
+	#trim({blocks}: Known) {
+		const excess = blocks.size - this.#maxBlocks;
+		if (excess > 0) {
+			[...blocks].slice(0, excess).forEach(block => {
+				blocks.delete(block);
+			});
+		}
+	}
+}
--- a/src/common/protocol.ts
+++ b/src/common/protocol.ts
@@ -4,6 +4,7 @@
 import type {
 	AccountName, BlockHash, Branded, Fence, FileId, JobId, RequestId, Revision, VmName,
 } from './ids.js';
+import type {CacheDrops} from './prefix-index.js';
 
 /** Names one run of an agent process; a restarted agent has another, and knows nothing of the requests before. */
 export type Incarnation = Branded<string, 'Incarnation'>;
@@ -81,13 +82,15 @@
 	readonly deadlineInMs: number;
 	/** Estimated tokens of the prompt that are not cached, and of the answer. */
 	readonly costTokens: number;
+	/** The prompt's part of `costTokens`, cached or not; all of it when left out. */
+	readonly promptTokens?: number;
 };
 
 /** The header that names who reads an attempt's stream; see {@link LedgerReader.name}. */
 export const readerHeader = 'x-citronyard-reader';
 
-/** Names of the events in an attempt's stream. */
-export const attemptEvents = ['chunk', 'end', 'refused', 'failed'] as const;
+/** Names of the events in an attempt's stream. `load` comes first: the agent's load with this attempt counted, so that views are late by one way only. */
+export const attemptEvents = ['load', 'chunk', 'end', 'refused', 'failed'] as const;
 
 /** One of {@link attemptEvents}. */
 export type AttemptEventName = (typeof attemptEvents)[number];
@@ -99,6 +102,8 @@
 	readonly load: LoadReport;
 	/** Blocks of the prompt that the engine holds now. */
 	readonly cachedBlocks: readonly BlockHash[];
+	/** The number of the engine's cache event up to which `cachedBlocks` is true. */
+	readonly cacheSeq?: number;
 };
 
 /** The attempt was not run and never will be. */
@@ -141,6 +146,8 @@
 	readonly batchRoom: number;
 	/** Requests that the backend server runs at once. */
 	readonly maxRunning: number;
+	/** Changes of the engine's cache, when they were asked for. */
+	readonly cache?: CacheDrops;
 	/** The newest configuration in force at the agent. */
 	readonly configRevision: Revision;
 };
--- a/src/common/replica-table.ts
+++ b/src/common/replica-table.ts
@@ -2,6 +2,7 @@
 What this entry knows of the replicas: from the VM list, from their own reports, and from its own requests under way. All of it is late; each view carries the time it was heard.
 */
 import type {FailureDomain, VmName} from './ids.js';
+import {PrefixIndex} from './prefix-index.js';
 import type {LoadReport} from './protocol.js';
 import type {Clock} from './services.js';
 import type {VmEntry} from './types.js';
@@ -28,9 +29,13 @@
 
 // The list lags and may miss a VM for a read; one that still answers is dropped only after this many lists without it.
 const missesBeforeDrop = 2;
+// About 200 kB for each replica at the most.
+const maxPrefixBlocks = 2000;
 
 /** The replicas, by VM. */
 export class ReplicaTable {
+	/** Prompt blocks that the replicas are known to hold. */
+	readonly prefixes = new PrefixIndex(maxPrefixBlocks);
 	readonly #rows = new Map<VmName, Row>();
 	readonly #clock: Clock;
 	readonly #silentMs: number;
@@ -62,6 +67,7 @@
 			row.leaving = true;
 			if (row.missed >= missesBeforeDrop && row.ownInFlight === 0) {
 				this.#rows.delete(row.vm);
+				this.prefixes.forget(row.vm);
 			}
 		});
 	}
@@ -70,6 +76,7 @@
 	heard(vm: VmName, load: LoadReport): void {
 		const row = this.#rows.get(vm);
 		if (row) {
+			this.#noteCache(row, load);
 			row.load = load;
 			row.heardAt = this.#clock.now();
 			row.ownTokensSince = 0;
@@ -117,6 +124,16 @@
 		return [...this.#rows.values()].some(row => row.load?.serves.includes(target));
 	}
 
+	#noteCache(row: Row, load: LoadReport) {
+		if (row.load && row.load.incarnation !== load.incarnation) {
+			this.prefixes.forget(row.vm);
+		}
+
+		if (load.cache) {
+			this.prefixes.dropped(row.vm, load.cache);
+		}
+	}
+
 	#applyVm(vm: VmEntry) {
 		const known = this.#rows.get(vm.name);
 		const isSame = known?.address === vm.address;
--- a/src/common/route-policy.ts
+++ b/src/common/route-policy.ts
@@ -7,8 +7,12 @@
 
 /** What the terms of the score weigh, in tokens. */
 export type RouteWeights = {
+	/** A token of the prompt that need not be computed. More than 1, since a prompt that is computed holds up every other stream of the replica too. */
+	readonly perCachedToken: number;
 	/** A batch item in the engine: it lengthens every step, and online work that comes pushes it out. */
 	readonly perBatchItem: number;
+	/** A request in a replica whose places are nearly all taken: the next may have to wait for one to end. */
+	readonly perCrowdedRequest: number;
 	/** A replica in another failure domain. */
 	readonly otherDomain: number;
 };
@@ -38,17 +42,24 @@
 };
 
 /** The weights that were measured best, see docs/DESIGN.md. */
-export const defaultWeights: RouteWeights = {perBatchItem: 0, otherDomain: 0};
+export const defaultWeights: RouteWeights = {
+	perCachedToken: 2, perBatchItem: 30, perCrowdedRequest: 1000, otherDomain: 0,
+};
 
 const runnersUpLogged = 2;
+const uncrowdedShare = 0.75;
+
+// Requests beyond the share of the backend server's places that late views may fill by mistake.
+const crowdingOf = ({load}: ReplicaView) => load ? Math.max(0, load.running + load.queued - (load.maxRunning * uncrowdedShare)) : 0;
 
 const scoreOf = (replica: ReplicaView, question: RouteQuestion, weights: RouteWeights) => {
 	const {load} = replica;
 	const ahead = (load?.pendingTokens ?? 0) + replica.ownTokensSince;
-	const own = question.costTokens - (question.cachedTokens?.(replica.vm) ?? 0);
+	const own = question.costTokens - ((question.cachedTokens?.(replica.vm) ?? 0) * weights.perCachedToken);
 	const batch = (load?.batchRunning ?? 0) * weights.perBatchItem;
+	const crowding = crowdingOf(replica) * weights.perCrowdedRequest;
 	const isElsewhere = question.failureDomain !== undefined && question.failureDomain !== replica.failureDomain;
-	return ahead + own + batch + (isElsewhere ? weights.otherDomain : 0);
+	return ahead + own + batch + crowding + (isElsewhere ? weights.otherDomain : 0);
 };
 
 /**
--- a/src/entry/attempt-client.ts
+++ b/src/entry/attempt-client.ts
@@ -4,7 +4,7 @@
 import type {Either} from 'purify-ts/Either';
 import type {EventSourceMessage} from 'eventsource-parser';
 import {
-	readerHeader, type AttemptEnd, type AttemptEventName, type AttemptFailure, type AttemptKey, type AttemptRefusal, type AttemptRequest, type LedgerAnswer, type RevokeRequest,
+	readerHeader, type AttemptEnd, type AttemptEventName, type AttemptFailure, type AttemptKey, type AttemptRefusal, type AttemptRequest, type LedgerAnswer, type LoadReport, type RevokeRequest,
 } from '../common/protocol.js';
 import {parseObject} from '../common/parse-object.js';
 import type {IssuedAttempt} from '../common/request-ledger.js';
@@ -37,6 +37,8 @@
 	readonly signal: AbortSignal;
 	readonly onChunk: ChunkHandler;
 	readonly pause?: StreamPause;
+	/** Receives the agent's load, with which a new attempt's stream begins. */
+	readonly onLoad?: (load: LoadReport) => void;
 };
 
 const cancelTimeoutMs = 1000;
@@ -111,6 +113,9 @@
 			})
 			.isRight();
 		const handlers: Record<AttemptEventName, EventHandler> = {
+			load: event => parseObject<LoadReport>(event.data).ifRight(load => {
+				place.onLoad?.(load);
+			}).isRight(),
 			chunk: event => place.onChunk(Number(event.id), event.data),
 			end: event => take<AttemptEnd>(event, end => ({kind: 'end', end})),
 			refused: event => take<AttemptRefusal>(event, refusal => ({kind: 'refused', refusal})),
--- a/src/entry/generation-request.ts
+++ b/src/entry/generation-request.ts
@@ -2,6 +2,9 @@
 Checks a caller's generation request and estimates its cost.
 */
 import {Left, Right, type Either} from 'purify-ts/Either';
+import type {BlockHash} from '../common/ids.js';
+import {blockHashes} from '../common/prefix-blocks.js';
+import {promptTextOf, promptTokensOf} from '../common/prompt-text.js';
 import type {JsonObject} from '../common/protocol.js';
 import {invalidRequest, type ApiError} from './api-error.js';
 
@@ -15,9 +18,11 @@
 	readonly body: JsonObject;
 	/** Tokens of the prompt and the answer, estimated. */
 	readonly costTokens: number;
+	/** Tokens of the prompt, estimated. */
+	readonly promptTokens: number;
+	readonly promptBlocks: readonly BlockHash[];
 };
 
-const charactersPerToken = 4;
 const defaultAnswerTokens = 64;
 const maxCountedAnswerTokens = 512;
 
@@ -66,12 +71,8 @@
 /** The paths on which generations are asked for. */
 export const generationPaths: readonly string[] = Object.keys(checksByPath);
 
-/** Estimates what a generation costs, in tokens, from its text and the longest answer it allows. */
-export const estimateTokens = (body: JsonObject): number => {
-	const promptCharacters = JSON.stringify(body.messages ?? body.prompt ?? '').length;
-	const answerTokens = Number(body.max_completion_tokens ?? body.max_tokens ?? defaultAnswerTokens);
-	return Math.ceil(promptCharacters / charactersPerToken) + Math.min(answerTokens, maxCountedAnswerTokens);
-};
+/** Estimates the tokens of an answer from the longest that the request allows. */
+export const estimateAnswerTokens = (body: JsonObject): number => Math.min(Number(body.max_completion_tokens ?? body.max_tokens ?? defaultAnswerTokens), maxCountedAnswerTokens);
 
 /**
 Checks a request.
@@ -92,11 +93,15 @@
 	}
 
 	const {stream, stream_options: streamOptions, ...rest} = body;
+	const promptText = promptTextOf(body);
+	const promptTokens = promptTokensOf(promptText);
 	return Right({
 		model: String(body.model),
 		stream: stream === true,
 		includeUsage: isObject(streamOptions) && streamOptions.include_usage === true,
 		body: rest,
-		costTokens: estimateTokens(body),
+		costTokens: promptTokens + estimateAnswerTokens(body),
+		promptTokens,
+		promptBlocks: blockHashes(promptText),
 	});
 };
--- a/src/entry/generation-routes.ts
+++ b/src/entry/generation-routes.ts
@@ -137,6 +137,8 @@
 			},
 			idempotent: req.headers['x-citronyard-idempotent'] !== 'false',
 			costTokens: request.costTokens,
+			promptTokens: request.promptTokens,
+			promptBlocks: request.promptBlocks,
 		}, sink, {req, res});
 		if (request.stream) {
 			stream.end(outcome);
--- a/src/entry/online-frontend.ts
+++ b/src/entry/online-frontend.ts
@@ -5,7 +5,7 @@
 import {Left, Right, type Either} from 'purify-ts/Either';
 import type {OnlineService, ServedModel} from '../../typings/resources.js';
 import type {ConfigTable} from '../common/config-table.js';
-import type {RequestId} from '../common/ids.js';
+import type {BlockHash, RequestId} from '../common/ids.js';
 import type {BackendWork} from '../common/protocol.js';
 import {RetryBudget} from '../common/retry-budget.js';
 import type {Account, Accounts} from './accounts.js';
@@ -13,7 +13,9 @@
 import {invalidRequest, type ApiError} from './api-error.js';
 import {entryEvents} from './log-events.js';
 import {OnlineRequest} from './online-request.js';
-import {deadlinePassed, type RequestOutcome, type RequestSurroundings} from './online-work.js';
+import {
+	deadlinePassed, type OnlineWork, type RequestOutcome, type RequestSurroundings,
+} from './online-work.js';
 
 /** A request that has been checked. */
 export type FrontendRequest = {
@@ -22,6 +24,10 @@
 	readonly work: BackendWork;
 	readonly idempotent: boolean;
 	readonly costTokens: number;
+	/** See {@link OnlineWork.promptTokens}. */
+	readonly promptTokens?: number;
+	/** See {@link OnlineWork.promptBlocks}. */
+	readonly promptBlocks?: readonly BlockHash[];
 	/** The longest that the request may take, in milliseconds, whatever its caller wants. Default: the caller decides. */
 	readonly maxMs?: number;
 };
@@ -128,7 +134,7 @@
 		}, deadlineMs);
 		// Closed before it was finished: the caller has gone.
 		res.once('close', abort);
-		const work = {
+		const work: OnlineWork = {
 			...request, account: request.account.name, share: request.account.share, deadlineAt: clock.now() + deadlineMs,
 		};
 		return {
--- a/src/entry/online-request.ts
+++ b/src/entry/online-request.ts
@@ -4,7 +4,7 @@
 What may be done after a failure depends on what is known: an attempt that was refused or revoked was not run, so another replica may get the request. One that may have run is repeated only when the request is idempotent; its answer then goes on at the token where it stopped.
 */
 import type {VmName} from '../common/ids.js';
-import type {AttemptRequest} from '../common/protocol.js';
+import type {AttemptRequest, LoadReport} from '../common/protocol.js';
 import type {ReplicaView} from '../common/replica-table.js';
 import {fullJitterMs} from '../common/retry-budget.js';
 import {chooseReplica} from '../common/route-policy.js';
@@ -51,7 +51,7 @@
 		this.#caller = caller;
 		this.#recovery = new AttemptRecovery(around);
 		this.#handlers = {
-			end: () => this.#whole(),
+			end: (outcome, current) => this.#ended(outcome, current),
 			refused: (outcome, current) => this.#refused(outcome, current),
 			failed: outcome => this.#failed(outcome),
 			notSent: (outcome, current) => this.#notSent(outcome, current),
@@ -160,7 +160,10 @@
 	#choose(): CurrentAttempt | undefined {
 		const {replicas, random, log} = this.#around;
 		const candidates = replicas.routable(this.#target);
-		const choice = chooseReplica({replicas: candidates, tried: this.#tried, costTokens: this.#work.costTokens}, random);
+		const {costTokens, promptBlocks = []} = this.#work;
+		const choice = chooseReplica({
+			replicas: candidates, tried: this.#tried, costTokens, cachedTokens: vm => replicas.prefixes.cachedTokens(vm, promptBlocks),
+		}, random);
 		if (!choice) {
 			return undefined;
 		}
@@ -182,7 +185,9 @@
 	}
 
 	#attemptFor(replica: ReplicaView): AttemptRequest {
-		const {id, account, share, costTokens} = this.#work;
+		const {
+			id, account, share, costTokens, promptTokens,
+		} = this.#work;
 		return {
 			id,
 			attempt: this.#attempts,
@@ -194,6 +199,7 @@
 			work: this.#sink.continued(this.#work.work),
 			deadlineInMs: this.#deadlineInMs,
 			costTokens,
+			promptTokens,
 		};
 	}
 
@@ -203,6 +209,9 @@
 			reader: this.#work.id,
 			signal: this.#caller.signal,
 			pause: this.#caller.pause,
+			onLoad: (load: LoadReport) => {
+				this.#around.replicas.heard(replica.vm, load);
+			},
 			onChunk: (index, data) => attempt.attempt === this.#attempts && this.#take(index, data),
 		};
 	}
@@ -217,6 +226,12 @@
 		return this.#sink.chunk(data);
 	}
 
+	#ended({end}: Extract<AttemptOutcome, {kind: 'end'}>, {replica}: CurrentAttempt): Step {
+		this.#around.replicas.heard(replica.vm, end.load);
+		this.#around.replicas.prefixes.confirmed(replica.vm, end.cachedBlocks, end.cacheSeq ?? 0);
+		return this.#whole();
+	}
+
 	#whole(): Step {
 		this.#around.budget.succeeded();
 		return {kind: 'whole'};
--- a/src/entry/online-work.ts
+++ b/src/entry/online-work.ts
@@ -2,7 +2,7 @@
 What an online request is made of, and how it can end.
 */
 import type {Either} from 'purify-ts/Either';
-import type {AccountName, RequestId} from '../common/ids.js';
+import type {AccountName, BlockHash, RequestId} from '../common/ids.js';
 import type {BackendWork, RefusalReason} from '../common/protocol.js';
 import type {ReplicaTable} from '../common/replica-table.js';
 import type {RetryBudget} from '../common/retry-budget.js';
@@ -26,6 +26,10 @@
 	/** The clock's `now` after which the answer is of no use. */
 	readonly deadlineAt: number;
 	readonly costTokens: number;
+	/** The prompt's part of `costTokens`. */
+	readonly promptTokens?: number;
+	/** The prompt's blocks, by which replicas that hold a part of it are found. */
+	readonly promptBlocks?: readonly BlockHash[];
 	/** Asked before each attempt. */
 	readonly gate?: AttemptGate;
 };
--- a/src/entry/replica-poller.ts
+++ b/src/entry/replica-poller.ts
@@ -91,7 +91,7 @@
 
 		this.#asking.add(replica.vm);
 		const {rpc, replicas, loadTimeoutMs} = this.#parts;
-		const report = await rpc.call<LoadReport>({address: replica.address, timeoutMs: loadTimeoutMs}, 'agent.load', {});
+		const report = await rpc.call<LoadReport>({address: replica.address, timeoutMs: loadTimeoutMs}, 'agent.load', {cacheSince: replicas.prefixes.seqOf(replica.vm)});
 		this.#asking.delete(replica.vm);
 		report
 			.ifRight(load => {
