--- a/bench/model/replica-model.ts
+++ b/bench/model/replica-model.ts
@@ -86,7 +86,6 @@
 		return {
 			vm: this.vm,
 			incarnation: branded('1'),
-			at: this.#time.now(),
 			at: 0,
 			draining: false,
 			serves: ['model:model'],
