--- a/bench/memory.benchmark.ts
+++ b/bench/memory.benchmark.ts
@@ -4,7 +4,8 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {figure} from './figure.js';
 import {ProcessFleet} from './process-fleet.js';
-import {cpuSeconds, residentMb} from './process-usage.js';
+import {cpuMicros} from './process-cpu.js';
+import {residentMb} from './process-usage.js';
 import type {Benchmark, BenchmarkOptions} from './types.js';
 
 const boundMb = 64;
@@ -12,6 +13,7 @@
 const defaultIdleSeconds = 20;
 const defaultRuns = 3;
 const msPerSecond = 1000;
+const microsPerSecond = 1e6;
 /** Until a process has compiled what it runs all the time. */
 const settleMs = 3000;
 const percent = 100;
@@ -20,9 +22,9 @@
 
 const sampleIdle = async (pid: number, seconds: number): Promise<Sample> => {
 	await sleep(settleMs);
-	const before = cpuSeconds(pid);
+	const before = cpuMicros(pid);
 	await sleep(seconds * msPerSecond);
-	return {mb: residentMb(pid), cpuPercent: (cpuSeconds(pid) - before) / seconds * percent};
+	return {mb: residentMb(pid), cpuPercent: (cpuMicros(pid) - before) / microsPerSecond / seconds * percent};
 };
 
 const measureOnce = async (seconds: number) => {
--- a/bench/program-process.ts
+++ b/bench/program-process.ts
@@ -27,6 +27,19 @@
 // Daemons tell it in their first log event, stand-ins in a line of their own.
 const addressPattern = /"(?:callers|entries|listening)":"(?<address>[^"]+:\d+)"/v;
 
+// A benchmark that is itself stopped must not leave its fleet running.
+const running = new Set<ChildProcess>();
+process.once('exit', () => {
+	running.forEach(child => {
+		child.kill('SIGKILL');
+	});
+});
+(['SIGTERM', 'SIGINT'] as const).forEach(signal => {
+	process.once(signal, () => {
+		process.exit(1);
+	});
+});
+
 /** A program that listens. Dispose of it: the process is killed if it still runs. */
 export class ProgramProcess {
 	/** Starts a program and waits until it has told where it listens. Rejects when it ends before, or takes 10 s. */
@@ -47,9 +60,11 @@
 		const output = openSync(command.logFile, 'w');
 		this.#child = spawn(process.execPath, [`dist/${command.program}.js`, ...command.args], {stdio: ['ignore', output, output]});
 		closeSync(output);
+		running.add(this.#child);
 		this.ended = new Promise(resolve => {
 			this.#child.once('exit', (code, signal) => {
 				this.#isRunning = false;
+				running.delete(this.#child);
 				resolve({code, signal});
 			});
 		});
--- a/bench/soak/disturbances.ts
+++ b/bench/soak/disturbances.ts
@@ -36,7 +36,7 @@
 	const end = fleet.beginOutage(vm);
 	const program = fleet.processes.get(vm);
 	program.signal('SIGSTOP');
-	await pauseMs(random, 200, 5000);
+	await pauseMs(random, 200, 4000);
 	program.signal('SIGCONT');
 	end();
 };
@@ -63,7 +63,7 @@
 };
 
 const disturbances: Readonly<Record<string, Disturbance>> = {
-	killAgent: {weight: 3, targets: agents, run: kill},
+	killAgent: {weight: 5, targets: agents, run: kill},
 	killEntry: {weight: 2, targets: entries, run: kill},
 	freezeAgent: {weight: 3, targets: agents, run: freeze},
 	freezeEntry: {weight: 2, targets: entries, run: freeze},
@@ -98,7 +98,7 @@
 	},
 };
 
-const maxAtOnce = 3;
+const maxAtOnce = 4;
 
 /** Disturbs one fleet. */
 export class Disturber {
@@ -109,6 +109,7 @@
 	readonly #fleet: SoakFleet;
 	readonly #random: RandomSource;
 	readonly #busy = new Map<string, Promise<void>>();
+	#bag: Array<readonly [string, Disturbance]> = [];
 
 	constructor(fleet: SoakFleet, random: RandomSource) {
 		this.#fleet = fleet;
@@ -131,7 +132,7 @@
 				this.#begin();
 			}
 
-			await pauseMs(this.#random, 200, 900);
+			await pauseMs(this.#random, 150, 600);
 		}
 
 		await Promise.all(this.#busy.values());
@@ -157,13 +158,14 @@
 		}));
 	}
 
+	// Drawn without putting back until all are through, so that every kind comes in every run that is long enough.
 	#draw(): readonly [string, Disturbance] {
-		const all = Object.entries(disturbances);
-		let left = this.#random.next() * all.reduce((sum, [, {weight}]) => sum + weight, 0);
-		return all.find(([, {weight}]) => {
-			left -= weight;
-			return left < 0;
-		}) ?? all[0]!;
+		if (this.#bag.length === 0) {
+			this.#bag = Object.entries(disturbances).flatMap(row => Array.from({length: row[1].weight}, () => row));
+		}
+
+		const [drawn] = this.#bag.splice(Math.floor(this.#random.next() * this.#bag.length), 1);
+		return drawn!;
 	}
 
 	#count(name: string) {
--- a/bench/soak/soak-callers.ts
+++ b/bench/soak/soak-callers.ts
@@ -50,14 +50,14 @@
 }, {address, apiKey: soakNames.apiKey, timeoutMs});
 
 const call = (method: string, isKeyed: boolean): Send => async (callers, marker, address) => callers.caller.call({
-	service: soakNames.service, method, path: '/gates/3?delayMs=40', headers: {'x-marker': marker, ...(isKeyed && {'idempotency-key': marker})},
+	service: soakNames.service, method, path: '/gates/3?delayMs=250', headers: {'x-marker': marker, ...(isKeyed && {'idempotency-key': marker})},
 }, {address, apiKey: soakNames.apiKey, timeoutMs});
 
 const kinds: Readonly<Record<SoakKind, {readonly weight: number; readonly send: Send; readonly isRepeated: boolean}>> = {
 	stream: {weight: 5, send: generate(true), isRepeated: false},
 	whole: {weight: 3, send: generate(false), isRepeated: false},
-	post: {weight: 4, send: call('POST', false), isRepeated: false},
-	keyedPost: {weight: 2, send: call('POST', true), isRepeated: true},
+	post: {weight: 6, send: call('POST', false), isRepeated: false},
+	keyedPost: {weight: 3, send: call('POST', true), isRepeated: true},
 	get: {weight: 1, send: call('GET', false), isRepeated: false},
 };
 
--- a/bench/soak/soak-config.ts
+++ b/bench/soak/soak-config.ts
@@ -66,7 +66,8 @@
 		const known = this.#inForce.get(vm) ?? 0;
 		const latest = this.#written;
 		const refused: boolean[] = [];
-		for (let version = latest; version >= Math.max(1, known); version -= 1) {
+		// Upwards: a version that comes into force meanwhile is still ahead, so one of the keys is taken unless the entry went back.
+		for (let version = Math.max(1, known); version <= latest; version += 1) {
 			const status = await this.#ask(vm, version);
 			if (status === 'taken') {
 				this.#seen(vm, version, known);
