Routing and lease decisions are recorded and replayed

Cause: the log told which replica was chosen, not from what, so a choice that looked wrong could not be made again, and nothing noticed when a change of code changed choices that nobody meant to change.

Change: a Router makes the decision and its record. Event 210 carries a digest of the inputs; the entry's setting `trace` appends the whole inputs, draws of chance included, as JSON lines, for leases too. A recorded trace of 280 routing and 200 lease decisions, made while a VM left, an agent drained, another died and an entry was lost, is replayed in every test run: same choices, and none at a replica that is leaving, draining or silent, no lease taken too early. The benchmark of the overhead warms the programs up first.

Without the check for leaving replicas in isRoutable the routing scenario fails (more candidates than draws recorded); with leases taken before they are free the lease scenario fails at "each decides as its record says".

--- a/bench/overhead.benchmark.ts
+++ b/bench/overhead.benchmark.ts
@@ -16,7 +16,7 @@
 const defaultSeconds = 15;
 // A stream, a whole answer and a call, directly and through the path, take about this long together.
 const roundMs = 110;
-const warmUpRounds = 60;
+const warmUpRequests = 800;
 const latencyTokens = 8;
 const shortTokens = 16;
 const longTokens = 144;
@@ -75,7 +75,7 @@
 	/** Processor time per request of a load, in microseconds, less what the same processes use when idle for as long. */
 	async cpuPerRequest({requests, ask}: Load): Promise<Cpu> {
 		const idle = await this.#cpuDuring(async () => sleep(idleMs));
-		const busy = await this.#cpuDuring(async () => this.#runLoad({requests, ask}));
+		const busy = await this.#cpuDuring(async () => this.runLoad({requests, ask}));
 		const of = (name: keyof Cpu) => (busy.used[name] - (idle.used[name] * busy.ms / idle.ms)) / requests;
 		return {entry: of('entry'), agent: of('agent'), serviceAgent: of('serviceAgent')};
 	}
@@ -90,6 +90,19 @@
 		return {requests, ask: async () => this.#callThrough()};
 	}
 
+	/** Carries a load out, a few requests at once. */
+	async runLoad({requests, ask}: Load): Promise<void> {
+		let left = requests;
+		const worker = async () => {
+			while (left > 0) {
+				left -= 1;
+				await ask(left);
+			}
+		};
+
+		await Promise.all(Array.from({length: cpuConcurrency}, worker));
+	}
+
 	#empty(): Latencies {
 		return {
 			firstToken: [], gaps: [], whole: [], call: [],
@@ -134,18 +147,6 @@
 		requireWhole(await this.#caller.request('GET', '/gates/3', {...this.#path.through, address: this.#path.serviceAddress}));
 	}
 
-	async #runLoad({requests, ask}: Load) {
-		let left = requests;
-		const worker = async () => {
-			while (left > 0) {
-				left -= 1;
-				await ask(left);
-			}
-		};
-
-		await Promise.all(Array.from({length: cpuConcurrency}, worker));
-	}
-
 	async #cpuDuring(act: () => Promise<unknown>) {
 		const {pids} = this.#path;
 		const read = () => ({entry: cpuMicros(pids.entry), agent: cpuMicros(pids.agent), serviceAgent: cpuMicros(pids.serviceAgent)});
@@ -223,7 +224,10 @@
 		const fleet = await PathFleet.start(caller, engineSettings);
 		try {
 			const path = new OverheadRun(caller, fleet);
-			await path.latencies(warmUpRounds);
+			// A daemon that has run for minutes is measured, not one whose code is still being compiled.
+			await path.runLoad(path.generations(warmUpRequests, latencyTokens, true));
+			await path.runLoad(path.generations(warmUpRequests, latencyTokens, false));
+			await path.runLoad(path.calls(warmUpRequests));
 			const found: Array<Record<string, number>> = [];
 			for (let run = 0; run < runs; run += 1) {
 				found.push(await measure(path, seconds));
--- a/src/common/lease-keeper.ts
+++ b/src/common/lease-keeper.ts
@@ -3,8 +3,9 @@
 
 The holder's deadline counts from before its last successful renewal was sent, so that it ends before anybody else may take the lease, however long the answer was under way. Whoever acts under the lease checks `isHeld` first.
 */
+import type {DecisionTrace} from './decision-trace.js';
 import {
-	decideLease, type HolderName, type LeaseDecision, type LeaseValue, type LeaseView,
+	decideLease, type HolderName, type LeaseDecision, type LeaseQuestion, type LeaseValue, type LeaseView,
 } from './lease.js';
 import type {Fence, Revision} from './ids.js';
 import type {Clock, ObjectApi} from './services.js';
@@ -15,6 +16,8 @@
 	readonly name: string;
 	readonly self: HolderName;
 	readonly ttlMs: number;
+	/** Takes the inputs of every decision; none by default. */
+	readonly trace?: DecisionTrace;
 };
 
 // Acting is stopped this long before the lease may pass on, for clocks that run at slightly different speeds.
@@ -69,9 +72,14 @@
 
 		const {self, ttlMs} = this.#options;
 		const now = this.#clock.now();
-		await this.#carryOut(decideLease({
+		const question: LeaseQuestion = {
 			view: this.#view, self, rank, ttlMs, now,
-		}), now);
+		};
+		const decision = decideLease(question);
+		this.#options.trace?.write({
+			kind: 'lease', name: this.#options.name, question, decision,
+		});
+		await this.#carryOut(decision, now);
 	}
 
 	/** Gives the lease back, so that the next holder need not wait for it to lapse. */
--- a/src/common/replica-table.ts
+++ b/src/common/replica-table.ts
@@ -32,6 +32,13 @@
 // About 200 kB for each replica at the most.
 const maxPrefixBlocks = 2000;
 
+/** True when a replica may get new work: it serves the target, is not leaving, and was heard of late. */
+export const isRoutable = ({leaving, load, heardAt}: ReplicaView, {target, now, silentMs}: {readonly target: string; readonly now: number; readonly silentMs: number}): boolean => !leaving
+	&& load !== undefined
+	&& !load.draining
+	&& load.serves.includes(target)
+	&& now - heardAt <= silentMs;
+
 /** The replicas, by VM. */
 export class ReplicaTable {
 	/** Prompt blocks that the replicas are known to hold. */
@@ -109,14 +116,14 @@
 		}
 	}
 
+	/** Milliseconds without a report after which a replica gets no new work. */
+	get silentMs(): number {
+		return this.#silentMs;
+	}
+
 	/** The replicas that may get new work for `target`, for instance `model:tyre-scribe`. */
-	routable(target: string): ReplicaView[] {
-		const now = this.#clock.now();
-		return [...this.#rows.values()].filter(row => !row.leaving
-			&& row.load !== undefined
-			&& !row.load.draining
-			&& row.load.serves.includes(target)
-			&& now - row.heardAt <= this.#silentMs);
+	routable(target: string, now = this.#clock.now()): ReplicaView[] {
+		return [...this.#rows.values()].filter(row => isRoutable(row, {target, now, silentMs: this.#silentMs}));
 	}
 
 	/** True when some replica serves the target, be it reachable now or not. */
--- /dev/null
+++ b/src/common/route-record.ts
@@ -0,0 +1,84 @@
+/**
+A routing decision as plain data: enough to make it again, and to check that no replica was chosen that must not be.
+
+The log line of a decision carries only a digest of its inputs, since the inputs themselves are a few kilobytes. It ties the line to its record in a trace, and tells whether two decisions were made from the same view.
+*/
+import type {RequestId, VmName} from './ids.js';
+import type {LoadReport} from './protocol.js';
+import {isRoutable, type ReplicaView} from './replica-table.js';
+import type {RouteChoice, RouteQuestion} from './route-policy.js';
+import {h64ToString} from './xxhash.js';
+
+/** What a routing policy was asked, without its functions. */
+export type RecordedQuestion = Omit<RouteQuestion, 'replicas' | 'tried' | 'cachedTokens'> & {
+	readonly tried: readonly VmName[];
+	/** Cached prompt tokens, by VM; VMs without any are left out. */
+	readonly cachedTokens: Readonly<Record<string, number>>;
+};
+
+/** A replica with its score, by name. */
+export type RecordedScore = {readonly vm: VmName; readonly score: number};
+
+/** Where a decision was made: which replicas the entry knew, and when. */
+export type RouteView = {
+	readonly target: string;
+	/** The clock's `now`. */
+	readonly now: number;
+	readonly silentMs: number;
+	/** All replicas that the entry knew, also those that get no work. */
+	readonly replicas: readonly ReplicaView[];
+};
+
+/** See {@link DecisionRecord}. */
+export type RouteRecord = {
+	readonly kind: 'route';
+	readonly id: RequestId;
+	readonly attempt: number;
+	readonly digest: string;
+	readonly view: RouteView;
+	readonly question: RecordedQuestion;
+	/** What the policy drew by chance, in order. */
+	readonly draws: readonly number[];
+	/** Left out when there was no replica. */
+	readonly choice?: RecordedScore & {readonly runnersUp: readonly RecordedScore[]};
+};
+
+/** A question as plain data. */
+export const recordedQuestion = ({replicas, tried, cachedTokens, ...plain}: RouteQuestion): RecordedQuestion => ({
+	...plain,
+	tried: [...tried],
+	cachedTokens: Object.fromEntries(replicas.map(({vm}) => [vm, cachedTokens?.(vm) ?? 0] as const).filter(([, tokens]) => tokens > 0)),
+});
+
+/** The question as it was asked, from its record. */
+export const askedQuestion = ({view, question}: Pick<RouteRecord, 'view' | 'question'>): RouteQuestion => ({
+	...question,
+	replicas: view.replicas.filter(replica => isRoutable(replica, view)),
+	tried: new Set(question.tried),
+	cachedTokens: vm => question.cachedTokens[vm] ?? 0,
+});
+
+/** A choice by the names of its replicas. */
+export const recordedChoice = ({chosen, score, runnersUp}: RouteChoice): NonNullable<RouteRecord['choice']> => ({
+	vm: chosen.vm,
+	score,
+	runnersUp: runnersUp.map(({replica, score}) => ({vm: replica.vm, score})),
+});
+
+// A report is hashed once and not again for each request until the next one comes: it is never changed, only replaced.
+const loadDigests = new WeakMap<LoadReport, string>();
+
+const loadDigest = (load: LoadReport): string => {
+	const known = loadDigests.get(load) ?? h64ToString(JSON.stringify(load));
+	loadDigests.set(load, known);
+	return known;
+};
+
+const replicaText = ({load, ...row}: ReplicaView): string => `${Object.values(row).join(' ')} ${load ? loadDigest(load) : ''}`;
+
+/** A hash, 16 hexadecimal digits, of all that a choice was made from. */
+export const routeDigest = (question: RouteQuestion, draws: readonly number[]): string => h64ToString([
+	JSON.stringify(recordedQuestion(question)),
+	draws.join(' '),
+	...question.replicas.map(replica => replicaText(replica)),
+].join('\n'));
--- a/src/demo/local-fleet.ts
+++ b/src/demo/local-fleet.ts
@@ -6,6 +6,7 @@
 import {agentSettingsSchema, type AgentSettings} from '../agent/settings.js';
 import {Entry} from '../entry/entry.js';
 import {entrySettingsSchema, type EntrySettings} from '../entry/settings.js';
+import type {DecisionTrace} from '../common/decision-trace.js';
 import type {
 	Clock, Disposable, EventLog, Metrics, RandomSource,
 } from '../common/services.js';
@@ -35,6 +36,8 @@
 	readonly random: RandomSource;
 	readonly log: EventLog;
 	readonly metrics: Metrics;
+	/** Takes the inputs of the entries' decisions. */
+	readonly trace?: DecisionTrace;
 };
 
 const readyPollMs = 20;
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -6,6 +6,7 @@
 import type {ClientAccount} from '../../typings/resources.js';
 import type {ConfigPoll} from '../common/config-protocol.js';
 import {ConfigTable} from '../common/config-table.js';
+import type {DecisionTrace} from '../common/decision-trace.js';
 import {branded} from '../common/ids.js';
 import {NodeLifecycle} from '../common/node-lifecycle.js';
 import {ReplicaTable} from '../common/replica-table.js';
@@ -46,6 +47,8 @@
 	readonly random: RandomSource;
 	readonly log: EventLog;
 	readonly metrics: Metrics;
+	/** Takes the inputs of decisions, for replay; none by default. */
+	readonly trace?: DecisionTrace;
 };
 
 const drainPollMs = 50;
--- a/src/entry/job-shards.ts
+++ b/src/entry/job-shards.ts
@@ -2,6 +2,7 @@
 Shares the batch jobs out among all entries: jobs fall into sixteen shards by their id, and each shard has a lease. Every entry ranks the entries of the VM list for each shard alike, and the first one takes the lease.
 */
 import type {BatchJob} from '../../typings/resources.js';
+import type {DecisionTrace} from '../common/decision-trace.js';
 import type {JobId, Revision} from '../common/ids.js';
 import {LeaseKeeper} from '../common/lease-keeper.js';
 import type {HolderName} from '../common/lease.js';
@@ -18,6 +19,8 @@
 	/** Names of the entry VMs that are live. */
 	readonly entries: () => readonly string[];
 	readonly leaseMs: number;
+	/** See {@link LeaseOptions.trace}. */
+	readonly trace?: DecisionTrace;
 	readonly tickMs: number;
 	/** How long one long poll for changes of jobs waits. */
 	readonly watchMs: number;
@@ -49,7 +52,9 @@
 	constructor(parts: ShardParts) {
 		this.#parts = parts;
 		this.#shards = shardNames.map(name => {
-			const lease = new LeaseKeeper(parts.api, parts.clock, {name: `jobs-${name}`, self: parts.self, ttlMs: parts.leaseMs});
+			const lease = new LeaseKeeper(parts.api, parts.clock, {
+				name: `jobs-${name}`, self: parts.self, ttlMs: parts.leaseMs, trace: parts.trace,
+			});
 			return {
 				name, lease, coordinator: new JobCoordinator(name, lease, parts), wasHeld: false, wasOwned: false, tendAt: 0,
 			};
--- a/src/entry/online-frontend.ts
+++ b/src/entry/online-frontend.ts
@@ -16,6 +16,7 @@
 import {
 	deadlinePassed, type OnlineWork, type RequestOutcome, type RequestSurroundings,
 } from './online-work.js';
+import {Router, type RouterParts} from './router.js';
 
 /** A request that has been checked. */
 export type FrontendRequest = {
@@ -36,7 +37,7 @@
 export type Exchange = {readonly req: IncomingMessage; readonly res: ServerResponse};
 
 /** What the frontend is made of. */
-export type FrontendParts = Omit<RequestSurroundings, 'budget'> & {
+export type FrontendParts = Omit<RequestSurroundings, 'budget' | 'router'> & Pick<RouterParts, 'trace'> & {
 	readonly config: ConfigTable;
 	readonly accounts: Accounts;
 	/** Milliseconds until an answer is of no use, unless the caller says otherwise. */
@@ -69,7 +70,7 @@
 
 	constructor(parts: FrontendParts) {
 		this.#parts = parts;
-		this.#around = {...parts, budget: new RetryBudget(retryLimits)};
+		this.#around = {...parts, router: new Router(parts), budget: new RetryBudget(retryLimits)};
 	}
 
 	get accounts(): Accounts {
--- a/src/entry/online-request.ts
+++ b/src/entry/online-request.ts
@@ -7,7 +7,6 @@
 import type {AttemptRequest, LoadReport} from '../common/protocol.js';
 import type {ReplicaView} from '../common/replica-table.js';
 import {fullJitterMs} from '../common/retry-budget.js';
-import {chooseReplica} from '../common/route-policy.js';
 import {entryEvents} from './log-events.js';
 import type {AttemptOutcome, AttemptPlace} from './attempt-client.js';
 import {AttemptRecovery, type CurrentAttempt, type Settlement} from './attempt-recovery.js';
@@ -135,7 +134,6 @@
 	async #attemptOnce(): Promise<Step> {
 		const current = this.#choose();
 		if (!current) {
-			this.#around.log.emit(entryEvents.noReplica, {id: this.#work.id, target: this.#target});
 			return this.#isCompleting ? 'again' : this.#giveUp('noReplica');
 		}
 
@@ -158,30 +156,18 @@
 	}
 
 	#choose(): CurrentAttempt | undefined {
-		const {replicas, random, log} = this.#around;
-		const candidates = replicas.routable(this.#target);
-		const {costTokens, promptBlocks = []} = this.#work;
-		const choice = chooseReplica({
-			replicas: candidates, tried: this.#tried, costTokens, cachedTokens: vm => replicas.prefixes.cachedTokens(vm, promptBlocks),
-		}, random);
-		if (!choice) {
+		const {id, costTokens, promptBlocks} = this.#work;
+		const replica = this.#around.router.route({
+			id, attempt: this.#attempts + 1, target: this.#target, tried: this.#tried, costTokens, promptBlocks,
+		});
+		if (!replica) {
 			return undefined;
 		}
 
 		this.#attempts += 1;
 		this.#nextChunk = 0;
-		this.#tried.add(choice.chosen.vm);
-		log.emit(entryEvents.routed, {
-			id: this.#work.id,
-			attempt: this.#attempts,
-			target: this.#target,
-			costTokens: this.#work.costTokens,
-			vm: choice.chosen.vm,
-			score: choice.score,
-			runnersUp: choice.runnersUp.map(({replica, score}) => ({vm: replica.vm, score})),
-			candidates: candidates.length,
-		});
-		return {replica: choice.chosen, attempt: this.#attemptFor(choice.chosen)};
+		this.#tried.add(replica.vm);
+		return {replica, attempt: this.#attemptFor(replica)};
 	}
 
 	#attemptFor(replica: ReplicaView): AttemptRequest {
--- a/src/entry/online-work.ts
+++ b/src/entry/online-work.ts
@@ -11,6 +11,7 @@
 } from '../common/services.js';
 import type {AttemptClient, AttemptPlace} from './attempt-client.js';
 import type {CurrentAttempt} from './attempt-recovery.js';
+import type {Router} from './router.js';
 
 /** Why a caller's signal aborted, when it was for the deadline. */
 export const deadlinePassed = Symbol('deadlinePassed');
@@ -69,6 +70,7 @@
 	readonly log: EventLog;
 	readonly metrics: Metrics;
 	readonly replicas: ReplicaTable;
+	readonly router: Router;
 	readonly client: AttemptClient;
 	readonly budget: RetryBudget;
 };
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -50,6 +50,8 @@
 	}).prefault({}),
 	/** A folder on the VM's own disk for a snapshot of the configuration. Without it none is kept. */
 	dataFolder: z.string().min(1).optional(),
+	/** A file to which the inputs of every decision are appended, for replay. Without it none is written. */
+	trace: z.string().min(1).optional(),
 	/** How long a stop waits for requests under way. */
 	drainMs: durationMs(60_000),
 	...commonSettings,
