--- a/src/entry/in-force-reporter.feature
+++ b/src/entry/in-force-reporter.feature
@@ -11,7 +11,9 @@
   Scenario: In force everywhere
     When model "b" is put
     Then the status of model "b" becomes "True", "12 of 12"
-    And one entry wrote it
+    When model "c" is put
+    Then the status of model "c" becomes "True", "12 of 12"
+    And one entry wrote both
 
   Scenario: A node that is cut off is missing in the count, until it is back
     Given an entry is cut off from everything
--- a/src/entry/in-force-reporter.steps.ts
+++ b/src/entry/in-force-reporter.steps.ts
@@ -86,7 +86,7 @@
 	await until(isWanted, `the status says ${tally}`);
 });
 
-Then('one entry wrote it', function (this: ReportWorld) {
+Then('one entry wrote both', function (this: ReportWorld) {
 	assert.equal(this.writers.size, 1);
 });
 
