Idempotency keys: claimed before the request runs, followed when it comes again

Cause: a caller without an answer sends its non-idempotent request again, through another entry, which knew nothing of the first. Change: a keyed, non-idempotent request creates an object `Claim` (named by a hash of account, target and key) before it is sent to an agent, and changes it conditionally before it goes to another. Whoever finds the claim asks its agent's ledger, takes the request over only after the agent has revoked it, and otherwise says that the outcome is unknown. The end is recorded in the claim, with answers up to 16 KB, so that it outlasts the ledger. A lost answer to a write is recognised by its writer; with the object API down the request is refused as not run.

--- /dev/null
+++ b/src/common/claim.ts
@@ -0,0 +1,36 @@
+/**
+The claim of an idempotency key: an object of the object API that is created before a keyed, non-idempotent request is run. Whoever sends the request again, through any entry, finds it, and learns from it which agent to ask for the answer.
+*/
+import type {VmName} from './ids.js';
+import type {Incarnation} from './protocol.js';
+import type {IssuedAttempt} from './request-ledger.js';
+
+/** Where the request was sent last. */
+export type ClaimedAttempt = IssuedAttempt & {
+	readonly vm: VmName;
+	readonly address: string;
+	readonly incarnation: Incarnation;
+};
+
+/** How the request ended, once that is known. */
+export type ClaimedEnd = {
+	/** The answer's chunks; left out when they are larger than {@link maxClaimedCharacters}. */
+	readonly chunks?: readonly string[];
+	/** The backend server's own error, where it ended so. */
+	readonly rejected?: {readonly status: number; readonly body: string};
+};
+
+/** The value of a claim. */
+export type ClaimValue = {
+	/** Names the request that wrote the claim, so that it recognises its own write whose answer was lost. */
+	readonly writer: string;
+	/** Of method, path and body: a key that comes with another request is refused. */
+	readonly digest: string;
+	readonly attempt: ClaimedAttempt;
+	/** Milliseconds since 1970 when the writer's deadline passes. */
+	readonly deadlineAt: number;
+	readonly end?: ClaimedEnd;
+};
+
+/** Answers up to this size are kept in the claim, so that they outlast the agent's ledger. */
+export const maxClaimedCharacters = 16_384;
--- a/src/entry/api-error.ts
+++ b/src/entry/api-error.ts
@@ -84,6 +84,7 @@
 	unknown: ({reason}) => describe({
 		status: 502, code: 'outcome_unknown', message: `the request may or may not have run, and was not repeated: ${reason}`, run: 'unknown',
 	}),
+	keyReused: () => invalidRequest('the idempotency key was used with another request', {status: 422, code: 'idempotency_key_reused'}),
 	aborted: () => describe({
 		status: 499, code: 'caller_gone', message: 'the caller closed the connection', run: 'unknown',
 	}),
--- a/src/entry/attempt-recovery.ts
+++ b/src/entry/attempt-recovery.ts
@@ -10,14 +10,22 @@
 /** An attempt and where it went. */
 export type CurrentAttempt = {readonly replica: ReplicaView; readonly attempt: AttemptRequest};
 
+/** What is needed to ask for an attempt. */
+export type AskedAttempt = {
+	readonly replica: Pick<ReplicaView, 'vm' | 'address'>;
+	readonly attempt: Pick<AttemptRequest, 'id' | 'attempt' | 'incarnation' | 'issuedAt' | 'idempotent'>;
+};
+
 /** An attempt whose connection was lost. */
 export type LostAttempt = {
-	readonly current: CurrentAttempt;
+	readonly current: AskedAttempt;
 	readonly place: AttemptPlace;
 	/** Chunks received so far. */
 	readonly received: () => number;
 	/** Milliseconds left until the request's deadline. */
 	readonly deadlineInMs: () => number;
+	/** The clock's `now` before which an attempt that is not there is taken for one under way. Default: at once. */
+	readonly revokeAt?: number;
 };
 
 /** What is known in the end. `notRun`: revoked, certainly. `gone`: nobody can say, or the answer is no longer kept. */
@@ -92,7 +100,7 @@
 		const {current: {replica, attempt}, place} = lost;
 		const outcome = await this.#client.resume(attempt, lost.received(), place);
 		if (outcome.kind === 'noStream') {
-			return this.#ask(lost);
+			return this.#clock.now() < (lost.revokeAt ?? 0) ? {kind: 'askAgain', reason: 'not there yet'} : this.#ask(lost);
 		}
 
 		if (outcome.kind === 'lost' || outcome.kind === 'notSent') {
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -28,6 +28,8 @@
 import {ApiGate} from './api-gate.js';
 import {AttemptClient} from './attempt-client.js';
 import {BatchRoutes} from './batch-routes.js';
+import {ClaimStore} from './claim-store.js';
+import {ClaimSweeper} from './claim-sweeper.js';
 import {ConfigFollower} from './config-follower.js';
 import {FileRoutes} from './file-routes.js';
 import {GenerationRoutes} from './generation-routes.js';
@@ -69,6 +71,7 @@
 	readonly #accounts: Accounts;
 	readonly #frontend: OnlineFrontend;
 	readonly #shards: JobShards;
+	readonly #sweeper: ClaimSweeper;
 	readonly #server: HttpServer;
 	readonly #lifecycle = new NodeLifecycle();
 
@@ -84,6 +87,7 @@
 		this.#accounts = new Accounts(this.#config);
 		this.#frontend = this.#makeFrontend();
 		this.#shards = this.#makeShards();
+		this.#sweeper = this.#makeSweeper();
 		this.#server = new HttpServer(this.#routes(), this.#fallbacks());
 	}
 
@@ -112,13 +116,14 @@
 			void this.#follower.run();
 			void this.#reporter.run();
 			void this.#shards.run();
+			void this.#sweeper.run();
 			this.#services.log.emit(entryEvents.listening, {address: this.address, vm: this.#cfg.vm});
 		}
 
 		return listening;
 	}
 
-	/** Asks callers to connect elsewhere, lets requests finish, and stops listening. */
+	/** Asks callers to connect elsewhere, still serves those that do not know yet, lets requests finish, and stops listening. */
 	async drain(): Promise<void> {
 		const {clock, log} = this.#services;
 		const until = clock.now() + this.#cfg.drainMs;
@@ -126,11 +131,13 @@
 		this.#lifecycle.send('drain');
 		this.#server.announceClose();
 		await Promise.all([this.#shards.release(), this.#reporter.release()]);
-		while (clock.now() < until && this.#frontend.open > 0) {
+		const noticeUntil = clock.now() + this.#cfg.drainNoticeMs;
+		while (clock.now() < until && (clock.now() < noticeUntil || this.#frontend.open > 0)) {
 			await clock.sleep(drainPollMs);
 		}
 
-		await this.#server.close();
+		// A caller that never finishes its request must not hold up the stop.
+		await Promise.race([this.#server.close(), clock.sleep(Math.max(0, until - clock.now()))]);
 		this.#lifecycle.send('drained');
 		log.emit(entryEvents.drainEnded, {open: this.#frontend.open});
 	}
@@ -138,6 +145,7 @@
 	dispose(): void {
 		this.#lifecycle.dispose();
 		this.#shards.dispose();
+		this.#sweeper.dispose();
 		this.#poller.dispose();
 		this.#reporter.dispose();
 		this.#follower.dispose();
@@ -195,10 +203,17 @@
 			client: new AttemptClient(this.#http, this.#rpc, this.#cfg.online.silenceMs),
 			config: this.#config,
 			accounts: this.#accounts,
+			claims: new ClaimStore(this.#api),
 			deadlineMs: this.#cfg.online.deadlineMs,
 		});
 	}
 
+	#makeSweeper() {
+		return new ClaimSweeper({
+			...this.#services, api: this.#api, vm: this.#cfg.vm, entries: () => this.#liveEntries().map(({name}) => name), retainMs: this.#cfg.online.claimRetainMs,
+		});
+	}
+
 	#makeShards() {
 		const holder = `${this.#cfg.vm}-${randomUUID()}`;
 		return new JobShards({
--- a/src/entry/log-events.ts
+++ b/src/entry/log-events.ts
@@ -15,6 +15,8 @@
 	attemptRevoked: {number: 215, level: 'info', text: 'lost attempt had not begun and is revoked'},
 	outcomeUnknown: {number: 216, level: 'warn', text: 'non-idempotent request may have run, its outcome is unknown'},
 	requestEnded: {number: 217, level: 'info', text: 'request ended'},
+	claimFound: {number: 218, level: 'info', text: 'idempotency key is claimed by an earlier request, which is followed'},
+	claimsRemoved: {number: 219, level: 'debug', text: 'claims of idempotency keys removed, their retention is over'},
 	vmListFailed: {number: 230, level: 'warn', text: 'VM list could not be read'},
 	handlerBroken: {number: 290, level: 'error', text: 'a request handler broke an invariant'},
 } as const satisfies Record<string, EventDefinition>;
--- a/src/entry/online-frontend.ts
+++ b/src/entry/online-frontend.ts
@@ -11,6 +11,8 @@
 import type {Account, Accounts} from './accounts.js';
 import type {AnswerSink} from './answer-sink.js';
 import {invalidRequest, type ApiError} from './api-error.js';
+import type {ClaimStore} from './claim-store.js';
+import {KeyedRequest, type KeyedParts} from './keyed-request.js';
 import {entryEvents} from './log-events.js';
 import {OnlineRequest} from './online-request.js';
 import {
@@ -40,6 +42,7 @@
 export type FrontendParts = Omit<RequestSurroundings, 'budget' | 'router'> & Pick<RouterParts, 'trace'> & {
 	readonly config: ConfigTable;
 	readonly accounts: Accounts;
+	readonly claims: ClaimStore;
 	/** Milliseconds until an answer is of no use, unless the caller says otherwise. */
 	readonly deadlineMs: number;
 };
@@ -48,6 +51,7 @@
 const retryLimits = {perSuccess: 0.1, max: 100};
 // A timer's limit, 24 days.
 const longestMs = 2_147_483_647;
+const keyHeader = 'idempotency-key';
 const deadlineHeader = 'x-citronyard-deadline-ms';
 
 // A caller that does not read makes its answer wait at the agent, which keeps it anyway, instead of in this process.
@@ -67,6 +71,7 @@
 	readonly #parts: FrontendParts;
 	readonly #around: RequestSurroundings;
 	readonly #open = new Set<ServerResponse>();
+	#settling = 0;
 
 	constructor(parts: FrontendParts) {
 		this.#parts = parts;
@@ -81,9 +86,9 @@
 		return this.#parts.config;
 	}
 
-	/** Requests under way. */
+	/** Requests under way, and claims whose end is still to be recorded. */
 	get open(): number {
-		return this.#open.size;
+		return this.#open.size + this.#settling;
 	}
 
 	/** Bytes of answers that callers have not read yet and that wait in this process. */
@@ -115,6 +120,7 @@
 		const run = this.#start(request, sink, exchange);
 		const outcome = await run.request.run();
 		run.stop();
+		void this.#awaitSettled(run.request);
 		(begun.extract() as () => void)();
 		this.#open.delete(exchange.res);
 		this.#record(request, outcome, run.request.attempts, startedAt);
@@ -139,7 +145,9 @@
 			...request, account: request.account.name, share: request.account.share, deadlineAt: clock.now() + deadlineMs,
 		};
 		return {
-			request: new OnlineRequest(work, sink, this.#around, {signal: controller.signal, pause: whenDrained.bind(undefined, res)}),
+			request: this.#requestFor(req, {
+				work, sink, around: this.#around, caller: {signal: controller.signal, pause: whenDrained.bind(undefined, res)}, store: this.#parts.claims,
+			}),
 			stop() {
 				clearTimeout(timer);
 				res.off('close', abort);
@@ -147,6 +155,21 @@
 		};
 	}
 
+	#requestFor(req: IncomingMessage, parts: KeyedParts): OnlineRequest | KeyedRequest {
+		const key = req.headers[keyHeader];
+		return parts.work.idempotent || key === undefined
+			? new OnlineRequest(parts.work, parts.sink, parts.around, parts.caller)
+			: new KeyedRequest(String(key), parts);
+	}
+
+	async #awaitSettled(request: OnlineRequest | KeyedRequest) {
+		if (request instanceof KeyedRequest) {
+			this.#settling += 1;
+			await request.settled();
+			this.#settling -= 1;
+		}
+	}
+
 	#record(request: FrontendRequest, outcome: RequestOutcome, attempts: number, startedAt: number) {
 		const ms = Math.round(this.#parts.clock.now() - startedAt);
 		this.#parts.metrics.timing('entry.request', ms, {outcome: outcome.kind});
--- a/src/entry/online-work.ts
+++ b/src/entry/online-work.ts
@@ -60,6 +60,8 @@
 		| {readonly kind: 'expired'; readonly run: 'run' | 'unknown'}
 	/** Non-idempotent: it may or may not have run. */
 		| {readonly kind: 'unknown'; readonly reason: string}
+	/** Its idempotency key belongs to another request. */
+		| {readonly kind: 'keyReused'}
 	/** The caller has gone. */
 		| {readonly kind: 'aborted'};
 
--- a/src/entry/service-calls.steps.ts
+++ b/src/entry/service-calls.steps.ts
@@ -17,12 +17,14 @@
 const marker = 'tyre change of truck 7';
 const authorization = `Bearer ${apiKey}`;
 
-type CallOptions = {readonly query?: string; readonly headers?: Record<string, string>; readonly marker?: string; readonly entry?: string; readonly signal?: AbortSignal};
+type CallOptions = {readonly query?: string; readonly headers?: Record<string, string>; readonly marker?: string; readonly entry?: string; readonly body?: string; readonly signal?: AbortSignal};
 
 export const call = async (world: RelayedWorld, options: CallOptions = {}): Promise<Answer> => {
-	const {query = '', headers = {}, entry = 'entry-1', signal} = options;
+	const {
+		query = '', headers = {}, entry = 'entry-1', body = 'left rear', signal,
+	} = options;
 	const res = await fetch(`http://${world.relayed.fleet.entryAddress(entry)}/services/${serviceName}/changes${query}`, {
-		method: 'POST', headers: {authorization, 'x-marker': options.marker ?? marker, ...headers}, body: 'left rear', signal,
+		method: 'POST', headers: {authorization, 'x-marker': options.marker ?? marker, ...headers}, body, signal,
 	});
 	return {
 		status: res.status, run: res.headers.get('x-citronyard-run'), retryAfter: Number(res.headers.get('retry-after')), text: await res.text(),
@@ -32,7 +34,7 @@
 const agents = (world: RelayedWorld) => [...world.relayed.fleet.agents].filter(([vm]) => vm.startsWith('service'));
 const relays = (world: RelayedWorld) => [...world.relayed.relays].filter(([vm]) => vm.startsWith('service')).map(([, relay]) => relay);
 const attemptStart = 'POST /v1/attempts';
-const faultOnNextAttempt = (world: RelayedWorld, kind: RequestFault['kind']) => {
+export const faultOnNextAttempt = (world: RelayedWorld, kind: RequestFault['kind']) => {
 	const all = relays(world);
 	const onMet = () => {
 		all.forEach(relay => {
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -24,6 +24,8 @@
 		/** How often the VM list is read. */
 		vmListPollMs: durationMs(1000),
 		maxBodyBytes: sizeBytes(4_194_304),
+		/** How long the claim of an idempotency key is kept after its last change. */
+		claimRetainMs: durationMs(86_400_000),
 	}).prefault({}),
 	batch: z.strictObject({
 		/** How long the lease of a shard of jobs lasts. */
@@ -52,6 +54,8 @@
 	dataFolder: z.string().min(1).optional(),
 	/** A file to which the inputs of every decision are appended, for replay. Without it none is written. */
 	trace: z.string().min(1).optional(),
+	/** How long a stop goes on serving new requests, while the balancer and callers learn of it. */
+	drainNoticeMs: durationMs(2000),
 	/** How long a stop waits for requests under way. */
 	drainMs: durationMs(60_000),
 	...commonSettings,
