--- a/src/platform/http-server.ts
+++ b/src/platform/http-server.ts
@@ -39,6 +39,9 @@
 // Longer than any client of ours keeps an idle connection, so that the client closes first and no request meets a closing connection.
 const keepAliveTimeoutMs = 60_000;
 
+// The longest that a request with its body may take to arrive; without a bound, callers that never finish would be kept for ever.
+const requestTimeoutMs = 600_000;
+
 /** Serves a table of routes. */
 export class HttpServer implements Disposable {
 	readonly #server: Server;
@@ -54,7 +57,7 @@
 			void this.#dispatch(req, res);
 		});
 		this.#server.keepAliveTimeout = keepAliveTimeoutMs;
-		this.#server.requestTimeout = 0;
+		this.#server.requestTimeout = requestTimeoutMs;
 	}
 
 	/** The port that was bound; 0 before `listen`. */
--- a/src/standins/service-standin.ts
+++ b/src/standins/service-standin.ts
@@ -1,6 +1,7 @@
 /**
 Stands in for a plain service: it answers any method and path, and counts how often it ran for each marker, so that a test can prove that a non-idempotent call ran at most once.
 */
+import {Buffer} from 'node:buffer';
 import {STATUS_CODES} from 'node:http';
 import {z} from 'zod';
 import type {Disposable} from '../common/services.js';
@@ -95,6 +96,12 @@
 		const status = wanted in STATUS_CODES && wanted >= 200 ? wanted : 200;
 		const padding = 'x'.repeat(exchange.queryNumber('bytes', 0));
 		const text = JSON.stringify(padding === '' ? answer : {...answer, padding});
-		exchange.sendText(status, withoutBody.has(status) ? '' : text);
+		if (withoutBody.has(status)) {
+			exchange.sendText(status, '');
+			return;
+		}
+
+		// Told explicitly, so that the answer to HEAD has it, too.
+		exchange.sendText(status, text, {'Content-Length': Buffer.byteLength(text)});
 	}
 }
