Plain services: a response has a bound; keyed calls counted at the object API

Cause: agent and entry hold a plain service's response until it is whole, and a single large one could take both down with everything they carried. Change: beyond 4 MiB the call ends with 502 `backend_rejected`, as run. Measured by the feature: 10 keyed calls take 10 creates and 10 updates of claims, no reads. Without the bound the new scenario of callers-api.feature fails, since the response comes with 200.

--- a/src/agent/service-backend.ts
+++ b/src/agent/service-backend.ts
@@ -9,6 +9,7 @@
 import {failureBeforeResponse, failureInResponse} from './backend-failures.js';
 
 const headTimeoutMs = 600_000;
+const maxResponseBytes = 4_194_304;
 
 // They speak of one connection, or are set anew by the HTTP client.
 const hopHeaders = new Set(['connection', 'keep-alive', 'proxy-connection', 'transfer-encoding', 'te', 'trailer', 'upgrade', 'host', 'content-length', 'expect']);
@@ -61,8 +62,15 @@
 	async #follow(res: HttpResponse, req: BackendRequest): Promise<Either<BackendFailure, void>> {
 		const head: CallHead = {status: res.status, headers: {...withoutHopHeaders(res.headers), ...this.#lengthOfHead(res, req)}};
 		req.onChunk(JSON.stringify(head));
+		let size = 0;
 		try {
 			for await (const piece of res.body as AsyncIterable<Uint8Array>) {
+				size += piece.length;
+				if (size > maxResponseBytes) {
+					// Agent and entry hold a response until it is whole; one without a bound would take them down with everything they carry.
+					return Left({kind: 'rejected', status: 502, body: `the service's response is larger than ${maxResponseBytes} bytes`});
+				}
+
 				req.onChunk(Buffer.from(piece).toString('base64'));
 			}
 
--- a/src/entry/callers-api.feature
+++ b/src/entry/callers-api.feature
@@ -30,6 +30,11 @@
     When the client library, which repeats failed requests, meets a generation of unknown outcome
     Then it made 1 request
 
+  Scenario: A plain service answers with more than the system carries
+    When a service is called and told to answer with 5000000 bytes
+    Then the error has the status 502, the code "backend_rejected" and says "run"
+    And the entry still answers
+
   Scenario Outline: A plain service answers <method> with <status>
     When a service is called with <method> and told to answer <status>
     Then the response has the status <status>, a body of <bytes>, and the length <length>
--- a/src/entry/callers-api.steps.ts
+++ b/src/entry/callers-api.steps.ts
@@ -100,6 +100,10 @@
 	this.response = await send(this, `/services/${serviceName}/tyres?status=${status}`, {method});
 });
 
+When('a service is called and told to answer with {int} bytes', async function (this: CallersWorld, bytes: number) {
+	this.response = await send(this, `/services/${serviceName}/tyres?bytes=${bytes}`, {method: 'GET'});
+});
+
 Then('the response has the status {int}, a body of {word}, and the length {word}', function (this: CallersWorld, status: number, bytes: string, length: string) {
 	assert.equal(this.response.status, status);
 	assert.equal(this.response.text === '' ? 'none' : 'some', bytes);
--- a/src/entry/keyed-requests.feature
+++ b/src/entry/keyed-requests.feature
@@ -42,3 +42,7 @@
   Scenario: The key was used with another request
     When a keyed call is sent, and again with another body
     Then the last is answered with 422, and it ran 1 times
+
+  Scenario: What keyed calls cost at the object API
+    When 10 calls with a key each are sent and their ends are recorded
+    Then the claims took 10 creates, 10 updates and nothing else
--- a/src/entry/keyed-requests.steps.ts
+++ b/src/entry/keyed-requests.steps.ts
@@ -106,3 +106,15 @@
 	const answer = await send(this, 'entry-2');
 	assert.deepEqual([answer.status, this.relayed.runs(marker)], [status, 1]);
 });
+
+When('{int} calls with a key each are sent and their ends are recorded', async function (this: KeyedWorld, count: number) {
+	this.relayed.fleet.objectApi.resetCalls();
+	await Promise.all(Array.from({length: count}, async (_, i) => call(this, {headers: {'idempotency-key': `booking ${i}`}})));
+	await until(() => this.relayed.fleet.objectApi.calls().byKind.Claim?.update === count);
+});
+
+Then('the claims took {int} creates, {int} updates and nothing else', function (this: KeyedWorld, creates: number, updates: number) {
+	assert.deepEqual(this.relayed.fleet.objectApi.calls().byKind.Claim, {
+		get: 0, create: creates, update: updates, delete: 0, list: 0, watch: 0,
+	});
+});
