Batch jobs: removal after the retention time, rounds begin when there is work

Cause: ended jobs stayed for ever.

A change of a job and its adoption wake the shard's loop.

Tests: the takeover of chunks under way passed although the new coordinator was not told of them, because it happened to grant them to the same agents; it now asserts that they were inherited.

--- a/src/entry/batch-faults.feature
+++ b/src/entry/batch-faults.feature
@@ -94,12 +94,14 @@
     what they hold, and renews it.
 
     Given 2 entries and 2 agents
-    And a job of 40 items
+    And engines that take a while for an item
     And the engines hold their items
+    And a job of 40 items
     When the coordinator is lost while agents hold chunks
     And another coordinator has taken over
     And the engines let their items go
     Then the job completes
+    And the new coordinator knew of the chunks that agents held
     And no item was run twice
 
   Scenario: A job sent again through another entry
--- a/src/entry/batch-faults.steps.ts
+++ b/src/entry/batch-faults.steps.ts
@@ -7,6 +7,7 @@
 import type {BatchJob} from '../../typings/resources.js';
 import {resultName} from '../common/batch-types.js';
 import {branded, type Revision} from '../common/ids.js';
+import {batchEvents} from './batch-log-events.js';
 import {BatchFleet, shortGrants, usualTimes} from './testing/batch-fleet.js';
 import {atCall, losses} from './testing/batch-losses.js';
 import {
@@ -45,7 +46,7 @@
 Given('engines that take a while for an item', function (this: FaultWorld) {
 	this.fleet.agents.forEach(({engine}) => {
 		// The last chunk is under way long enough to be met.
-		engine.itemMs = 100;
+		engine.itemMs = 200;
 	});
 });
 
@@ -215,6 +216,12 @@
 	assert.equal(written.length, new Set(written).size);
 });
 
+Then('the new coordinator knew of the chunks that agents held', function (this: FaultWorld) {
+	const adopted = this.fleet.events.filter(({event}) => event === batchEvents.jobAdopted);
+	assert.equal(adopted.length, 2);
+	assert.ok(Number(adopted[1]?.fields.inherited) > 0);
+});
+
 Then('no item was run twice', function (this: FaultWorld) {
 	const prompts = this.fleet.agents.flatMap(({engine}) => engine.begun);
 	assert.equal(prompts.length, new Set(prompts).size);
--- a/src/entry/batch-log-events.ts
+++ b/src/entry/batch-log-events.ts
@@ -10,6 +10,7 @@
 	jobAdopted: {number: 410, level: 'info', text: 'coordinator takes up a batch job'},
 	jobEnded: {number: 411, level: 'info', text: 'batch job ended'},
 	jobLate: {number: 412, level: 'warn', text: 'batch job will be late, gets more of the idle room'},
+	jobRemoved: {number: 413, level: 'info', text: 'batch job removed after its retention time'},
 	chunkGranted: {number: 420, level: 'info', text: 'chunk granted to an agent'},
 	chunkNotTaken: {number: 421, level: 'info', text: 'chunk not taken by an agent'},
 	chunkLost: {number: 422, level: 'warn', text: 'agent no longer has a chunk, granted anew'},
--- a/src/entry/job-coordinator.ts
+++ b/src/entry/job-coordinator.ts
@@ -21,6 +21,9 @@
 	readonly api: ObjectApi;
 };
 
+/** Called when there is something to do before the next round is due. */
+export type WorkListener = () => void;
+
 // One slow call must not hold up the other jobs, and a thousand jobs must not send a thousand calls at once.
 const maxCalls = 16;
 const retryMs = 500;
@@ -35,12 +38,14 @@
 	readonly #jobs = new Map<JobId, TrackedJob>();
 	readonly #waiting = new Map<JobId, OpenJob & {busy: boolean}>();
 	readonly #exchange: ChunkExchange;
+	readonly #onWork: WorkListener;
 	#fence = 0 as Fence;
 	#isReady = false;
 
 	/** @param shard - The first character of the hash in the ids of its jobs. */
-	constructor(shard: string, lease: LeaseKeeper, around: CoordinatorSurroundings) {
+	constructor(shard: string, lease: LeaseKeeper, around: CoordinatorSurroundings, onWork: WorkListener) {
 		this.#shard = shard;
+		this.#onWork = onWork;
 		this.#lease = lease;
 		this.#around = around;
 		this.#reader = new JobReader(around.api);
@@ -82,6 +87,7 @@
 	changed(jobId: JobId, job: BatchJob | undefined, version: Revision): void {
 		if (job) {
 			this.#learn({jobId, job, version});
+			this.#onWork();
 			return;
 		}
 
@@ -150,6 +156,7 @@
 		const inherited = this.#exchange.claimInherited(waiting.jobId);
 		if (record !== 'ended') {
 			this.#track(waiting, record, inherited);
+			this.#onWork();
 		}
 	}
 
--- /dev/null
+++ b/src/entry/job-retention.steps.ts
@@ -0,0 +1,57 @@
+/**
+Steps for the removal of ended jobs.
+*/
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import type {JobState} from '../common/batch-types.js';
+import {FakeObjectApi} from '../common/testing/fake-object-api.js';
+import type {TestWorld} from '../common/testing/test-world.js';
+import {SystemClock} from '../platform/system-clock.js';
+import {JobRetention} from './job-retention.js';
+
+type RetentionWorld = TestWorld & {api: FakeObjectApi};
+
+const secondsPerDay = 86_400;
+const msPerSecond = 1000;
+const names = {old: 'batch_aold', recent: 'batch_arecent', running: 'batch_arunning'};
+
+const putJob = async (api: FakeObjectApi, name: string, state: JobState, endedDaysAgo: number | undefined) => {
+	const now = Math.floor(Date.now() / msPerSecond);
+	await api.create('BatchJob', name, {});
+	await api.create('JobStatus', name, {state, endedAt: endedDaysAgo === undefined ? undefined : now - (endedDaysAgo * secondsPerDay)});
+	await Promise.all([1, 2, 3].map(async chunk => api.create('Result', `${name}/${chunk}`, {})));
+	await api.create('ResultPart', `${name}/1/w/0`, {});
+};
+
+const sweep = async (world: RetentionWorld, days: number) => new JobRetention({
+	api: world.api, clock: new SystemClock(), log: {emit: () => undefined}, retentionMs: days * secondsPerDay * msPerSecond, removalPauseMs: 0,
+}).sweep('a', () => true);
+
+Given('a job that ended {int} days ago, one that ended {int} days ago, and one that runs, with 3 results each', async function (this: RetentionWorld, first: number, second: number) {
+	this.api = new FakeObjectApi();
+	await putJob(this.api, names.old, 'completed', first);
+	await putJob(this.api, names.recent, 'completed', second);
+	await putJob(this.api, names.running, 'in_progress', undefined);
+});
+
+When('the shard is swept with a retention of {int} days', async function (this: RetentionWorld, days: number) {
+	await sweep(this, days);
+});
+
+When('the object API goes down after {int} removals of a sweep', async function (this: RetentionWorld, removals: number) {
+	this.api.beforeCall = () => {
+		this.api.down = this.api.calls.remove > removals;
+	};
+
+	const removed = await sweep(this, 30);
+	assert.equal(removed, 0);
+	this.api.beforeCall = undefined;
+	this.api.down = false;
+});
+
+Then('only the first job\'s objects are gone', function (this: RetentionWorld) {
+	const left = (['BatchJob', 'JobStatus', 'Result', 'ResultPart'] as const).flatMap(kind => this.api.all(kind).map(({name}) => name));
+	assert.equal(left.filter(name => name.startsWith(names.old)).length, 0);
+	assert.equal(left.filter(name => name.startsWith(names.recent)).length, 6);
+	assert.equal(left.filter(name => name.startsWith(names.running)).length, 6);
+});
--- /dev/null
+++ b/src/entry/job-retention.ts
@@ -0,0 +1,107 @@
+/**
+Removes the objects of jobs that ended long ago: results, parts of results, then the job and last its status. The holder of the jobs' shard does it, slowly, so that removals stay a small part of the object API's rate.
+
+The order matters. A sweep that is broken off goes on from the status, which is removed last. A job that a client submits again after its old resource is gone is a new one: the old status names the time its job was created, and is passed over.
+*/
+import {endedStates, type JobStatus} from '../common/batch-types.js';
+import {branded, type JobId} from '../common/ids.js';
+import type {Clock, EventLog, ObjectApi} from '../common/services.js';
+import type {ApiError, ObjectKind, ObjectPage} from '../common/types.js';
+import {batchEvents} from './batch-log-events.js';
+
+/** What the clean-up needs. */
+export type RetentionParts = {
+	readonly api: ObjectApi;
+	readonly clock: Clock;
+	readonly log: EventLog;
+	/** How long ended jobs are kept. */
+	readonly retentionMs: number;
+	/** Pause between two removals. */
+	readonly removalPauseMs: number;
+};
+
+const pageSize = 500;
+
+/** Sweeps one shard at a time. */
+export class JobRetention {
+	readonly #parts: RetentionParts;
+
+	constructor(parts: RetentionParts) {
+		this.#parts = parts;
+	}
+
+	/**
+	Removes what is due in a shard.
+
+	@param mayGoOn - False once the shard's lease is no longer held.
+	@returns Jobs removed.
+	*/
+	async sweep(shard: string, mayGoOn: () => boolean): Promise<number> {
+		let removed = 0;
+		let after: string | undefined;
+		let more = true;
+		while (more && mayGoOn()) {
+			const read = await this.#parts.api.list<JobStatus>('JobStatus', {prefix: `batch_${shard}`, after, limit: pageSize});
+			if (read.isLeft()) {
+				return removed;
+			}
+
+			const page = read.extract() as ObjectPage<JobStatus>;
+			const due = page.items.filter(({value}) => this.#isDue(value));
+			for (const {name} of due) {
+				removed += await this.#removeJob(branded(name), mayGoOn) ? 1 : 0;
+			}
+
+			after = page.items.at(-1)?.name;
+			more = page.more;
+		}
+
+		return removed;
+	}
+
+	#isDue({state, endedAt}: JobStatus): boolean {
+		return endedStates.has(state) && endedAt !== undefined && this.#parts.clock.wall() - (endedAt * 1000) >= this.#parts.retentionMs;
+	}
+
+	async #removeJob(jobId: JobId, mayGoOn: () => boolean): Promise<boolean> {
+		const isGone = await this.#removeAll('ResultPart', `${jobId}/`, mayGoOn)
+			&& await this.#removeAll('Result', `${jobId}/`, mayGoOn)
+			&& await this.#remove('BatchJob', jobId, mayGoOn)
+			&& await this.#remove('JobStatus', jobId, mayGoOn);
+		if (isGone) {
+			this.#parts.log.emit(batchEvents.jobRemoved, {jobId});
+		}
+
+		return isGone;
+	}
+
+	async #removeAll(kind: ObjectKind, prefix: string, mayGoOn: () => boolean): Promise<boolean> {
+		for (;;) {
+			const read = await this.#parts.api.list(kind, {prefix, values: false, limit: pageSize});
+			if (read.isLeft()) {
+				return false;
+			}
+
+			const {items, more} = read.extract() as ObjectPage;
+			for (const {name} of items) {
+				if (!await this.#remove(kind, name, mayGoOn)) {
+					return false;
+				}
+			}
+
+			if (!more) {
+				return true;
+			}
+		}
+	}
+
+	async #remove(kind: ObjectKind, name: string, mayGoOn: () => boolean): Promise<boolean> {
+		if (!mayGoOn()) {
+			return false;
+		}
+
+		const removed = await this.#parts.api.remove(kind, name);
+		await this.#parts.clock.sleep(this.#parts.removalPauseMs);
+		return removed.isRight() || (removed.extract() as ApiError).kind === 'notFound';
+	}
+}
--- a/src/entry/job-shards.ts
+++ b/src/entry/job-shards.ts
@@ -11,6 +11,8 @@
 import {batchEvents} from './batch-log-events.js';
 import {JobCoordinator, type CoordinatorSurroundings} from './job-coordinator.js';
 import {JobFeed} from './job-feed.js';
+import {JobRetention} from './job-retention.js';
+import {WakeablePause} from './wakeable-pause.js';
 
 /** What the shards need. */
 export type ShardParts = CoordinatorSurroundings & {
@@ -24,12 +26,17 @@
 	readonly tickMs: number;
 	/** How long one long poll for changes of jobs waits. */
 	readonly watchMs: number;
+	/** How long ended jobs are kept. */
+	readonly retentionMs: number;
+	/** How often a shard is looked through for jobs to remove. */
+	readonly retentionSweepMs: number;
 };
 
 type Shard = {
 	readonly name: string;
 	readonly lease: LeaseKeeper;
 	readonly coordinator: JobCoordinator;
+	readonly pause: WakeablePause;
 	wasHeld: boolean;
 	wasOwned: boolean;
 	tendAt: number;
@@ -41,12 +48,15 @@
 const closeRanks = 3;
 const farTendLeases = 5;
 const jobPrefix = 'batch_';
+// Twenty removals a second at most from one entry.
+const removalPauseMs = 50;
 
 /** Tends all shards from this entry. */
 export class JobShards implements Disposable {
 	readonly #parts: ShardParts;
 	readonly #shards: readonly Shard[];
 	readonly #feed: JobFeed;
+	readonly #retention: JobRetention;
 	#disposed = false;
 
 	constructor(parts: ShardParts) {
@@ -55,10 +65,15 @@
 			const lease = new LeaseKeeper(parts.api, parts.clock, {
 				name: `jobs-${name}`, self: parts.self, ttlMs: parts.leaseMs, trace: parts.trace,
 			});
+			const pause = new WakeablePause(parts.clock);
+			const coordinator = new JobCoordinator(name, lease, parts, () => {
+				pause.wake();
+			});
 			return {
-				name, lease, coordinator: new JobCoordinator(name, lease, parts), wasHeld: false, wasOwned: false, tendAt: 0,
+				name, lease, coordinator, pause, wasHeld: false, wasOwned: false, tendAt: 0,
 			};
 		});
+		this.#retention = new JobRetention({...parts, removalPauseMs});
 		this.#feed = new JobFeed({
 			...parts,
 			onChange: (jobId, job, version) => {
@@ -79,6 +94,7 @@
 	async run(): Promise<void> {
 		await Promise.all([
 			this.#feed.run(),
+			this.#sweepAll(),
 			...this.#shards.map(async shard => this.#tendShard(shard)),
 			...this.#shards.map(async shard => this.#coordinateShard(shard)),
 		]);
@@ -95,6 +111,16 @@
 		this.#feed.dispose();
 	}
 
+	// One shard after the other, so that the pauses between removals hold for the whole entry.
+	async #sweepAll() {
+		while (!this.#disposed) {
+			await this.#parts.clock.sleep(this.#parts.retentionSweepMs);
+			for (const {name, lease} of this.#shards) {
+				await this.#retention.sweep(name, () => lease.isHeld && !this.#disposed);
+			}
+		}
+	}
+
 	// Apart from the coordination: neither may wait for the other when the object API is slow.
 	async #tendShard(shard: Shard) {
 		while (!this.#disposed) {
@@ -123,7 +149,7 @@
 				await shard.coordinator.round();
 			}
 
-			await this.#parts.clock.sleep(this.#parts.tickMs);
+			await shard.pause.sleep(this.#parts.tickMs);
 		}
 	}
 
--- a/src/entry/testing/batch-fleet.ts
+++ b/src/entry/testing/batch-fleet.ts
@@ -14,7 +14,7 @@
 import {ReplicaTable} from '../../common/replica-table.js';
 import type {Disposable, EventLog} from '../../common/services.js';
 import {FakeObjectApi} from '../../common/testing/fake-object-api.js';
-import type {VmEntry} from '../../common/types.js';
+import type {EventDefinition, LogFields, VmEntry} from '../../common/types.js';
 import {NoMetrics} from '../../platform/no-metrics.js';
 import {SeededRandom} from '../../platform/seeded-random.js';
 import type {RpcFailure} from '../../platform/rpc-client.js';
@@ -36,10 +36,11 @@
 
 const tickMs = 10;
 const watchMs = 100;
+const farMs = 1_000_000;
 const maxRunning = 4;
 
 const clock = new SystemClock();
-const log: EventLog = {emit: () => undefined};
+const silent: EventLog = {emit: () => undefined};
 
 /** An agent. */
 export class FleetAgent implements Disposable {
@@ -58,7 +59,7 @@
 		this.vm = vm;
 		this.#incarnation = branded(`${vm}-1`);
 		this.api = new NodeObjectApi(shared);
-		this.#runner = new WorkRunner(this.#admission, log, new NoMetrics());
+		this.#runner = new WorkRunner(this.#admission, silent, new NoMetrics());
 		const around = {
 			api: this.api, clock, gate: new SoloGate(), runner: this.#runner, backend: this.engine, window: maxRunning,
 		};
@@ -115,7 +116,7 @@
 				call: async (target: {address: string}, method: string, params: unknown) => fleet.call(this, target.address, method, params) as never,
 			},
 			clock,
-			log,
+			log: fleet.log,
 			replicas: fleet.replicas,
 			shareOf: () => 1,
 			vm,
@@ -124,6 +125,8 @@
 			...fleet.times,
 			tickMs,
 			watchMs,
+			retentionMs: farMs,
+			retentionSweepMs: farMs,
 			rpcTimeoutMs: 100,
 		});
 		void this.shards.run();
@@ -148,6 +151,14 @@
 	readonly agents: FleetAgent[] = [];
 	readonly entries: FleetEntry[] = [];
 	readonly times: FleetTimes;
+	/** Events that entries logged. */
+	readonly events: Array<{readonly event: EventDefinition; readonly fields: LogFields}> = [];
+	readonly log: EventLog = {
+		emit: (event, fields = {}) => {
+			this.events.push({event, fields});
+		},
+	};
+
 	/** Runs after a call has taken effect at its agent. */
 	rpcHook: RpcHook | undefined;
 	readonly #timer: NodeJS.Timeout;
