--- a/src/entry/file-routes.ts
+++ b/src/entry/file-routes.ts
@@ -33,6 +33,16 @@
 	id: file.id, object: 'file', bytes: file.bytes, created_at: file.createdAt, filename: file.filename, purpose, status: 'processed',
 });
 
+// The client may go away instead; either listener must go with the other, for a large file is waited for thousands of times.
+const drained = async (res: ServerResponse): Promise<void> => new Promise(resolve => {
+	const finish = () => {
+		res.off('drain', finish).off('close', finish);
+		resolve();
+	};
+
+	res.on('drain', finish).on('close', finish);
+});
+
 /** Serves files. */
 export class FileRoutes {
 	readonly #parts: FileParts;
@@ -214,10 +224,7 @@
 
 			const text = (lines.extract() as readonly unknown[]).map(line => `${JSON.stringify(line)}\n`).join('');
 			if (!res.write(text) && !res.destroyed) {
-				await new Promise(resolve => {
-					res.once('drain', resolve);
-					res.once('close', resolve);
-				});
+				await drained(res);
 			}
 		}
 
