--- a/src/platform/http-object-api.steps.ts
+++ b/src/platform/http-object-api.steps.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict';
-import {createServer, type RequestListener} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type {RequestListener} from 'node:http';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {type TestWorld} from '../common/testing/test-world.js';
 import type {ApiError} from '../common/types.js';
 import {HttpClient} from './http-client.js';
 import {HttpObjectApi} from './http-object-api.js';
+import {freeAddress, serveOnLoopback} from './testing/serve-on-loopback.js';
 
 type ApiWorld = TestWorld & {address: string; outcome: string};
 
@@ -22,39 +22,18 @@
 	silence: () => undefined,
 };
 
-const serve = async (world: TestWorld, listener: RequestListener): Promise<string> => {
-	const server = createServer(listener);
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	world.register({
-		dispose() {
-			server.close();
-			server.closeAllConnections();
-		},
-	});
-	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
-};
-
 Given('an object API that answers with status {int}', async function (this: ApiWorld, status: number) {
-	this.address = await serve(this, answering(status));
+	this.address = await serveOnLoopback(this, answering(status));
 });
 
 Object.entries(listeners).forEach(([answer, listener]) => {
 	Given(`an object API that answers with ${answer}`, async function (this: ApiWorld) {
-		this.address = await serve(this, listener);
+		this.address = await serveOnLoopback(this, listener);
 	});
 });
 
 Given('an object API that answers with no listener', async function (this: ApiWorld) {
-	const server = createServer();
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	this.address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-	await new Promise(resolve => {
-		server.close(resolve);
-	});
+	this.address = await freeAddress();
 });
 
 When('an object is created through it', async function (this: ApiWorld) {
