Agent: cancelled work does not come back to the queue

Cause: an item that was being taken back for online work and was cancelled meanwhile still carried the mark of preemption, and was queued again when the engine let go. The admission was ruled out: it queues what it is told. Change: cancelling clears the mark. Before: the new scenario fails, the item runs twice; after: once, and nothing is left.

--- a/src/agent/work-runner.ts
+++ b/src/agent/work-runner.ts
@@ -72,7 +72,13 @@
 
 	/** Cancels work wherever it is. Waiting work is dropped without a word; running work sees its signal abort. */
 	cancel(key: string): void {
-		this.#running.get(key)?.controller.abort();
+		const running = this.#running.get(key);
+		if (running) {
+			// It may be on its way back to the queue; cancelled work must not run again.
+			running.preempted = false;
+			running.controller.abort();
+		}
+
 		if (this.#admission.withdraw(key)) {
 			this.#waiting.delete(key);
 		}
