Admission: a long batch prompt gives way to online work

Cause: a batch prompt larger than the room for prefill starts whenever less than the room is in use, and one in prefill was never taken back while places were free. Slots and the pacing of starts were ruled out: no slot was short, and one start alone does the harm. Change: while online work is present a long prompt is held back, or taken back before its first token; after 60 s it gives way no longer, so that its job ends on an engine that is never idle.

--- a/src/common/admission.feature
+++ b/src/common/admission.feature
@@ -40,3 +40,18 @@
 		And the backend server takes 100 ms for each token
 		When an online request of account "kiosk" with a deadline of 3000 ms is offered
 		Then it is refused as "deadline" with a time to come back of at least 3000 ms
+
+	Scenario: A long batch prompt gives way to an online request
+		The engine has begun to compute a batch item's prompt of 100000 tokens when a caller's request comes. Beside it every step would take many times as long, and the caller would wait seconds for the first token although there are places left. The agent cancels the item, holds it back while online work is there, and starts it again afterwards.
+		Given a batch item with a prompt of 100000 tokens has started
+		When an online request of account "kiosk" is offered
+		Then the long batch item is taken back
+		And it does not start again while the online request runs
+		And it starts again 100 ms after the online request has ended
+
+	Scenario: A long batch prompt does not wait for ever
+		An engine is never without online work. A batch item with a long prompt would give way for good and its job would never end. After a minute it gives way no longer.
+		Given a batch item with a prompt of 100000 tokens has started
+		When an online request of account "kiosk" is offered
+		Then the long batch item is taken back
+		And it starts again while the online request runs, 61 s after it was first held back
--- a/src/common/admission.steps.ts
+++ b/src/common/admission.steps.ts
@@ -175,3 +175,51 @@
 	assert.equal(refusal.reason, reason);
 	assert.ok(refusal.retryAfterMs >= ms, `${refusal.retryAfterMs} ms`);
 });
+
+const longItemOf = (state: State) => state.steps.find(step => step.kind === 'start' && (step.ticket.promptTokens ?? 0) > costTokens)!.ticket;
+const startsOf = (state: State, {key}: Ticket) => state.steps.filter(step => step.kind === 'start' && step.ticket.key === key).length;
+
+/** Lets time pass in which the online request, if it still runs, gets its tokens. */
+const passTime = (state: State, ms: number) => {
+	const slices = 20;
+	const tokensPerSlice = 64;
+	Array.from({length: slices}).forEach(() => {
+		state.clock.advance(ms / slices);
+		state.admission.progressed(state.offered!.key, tokensPerSlice);
+		state.steps.push(...state.admission.steps());
+	});
+};
+
+Given('a batch item with a prompt of {int} tokens has started', function (this: TestWorld, promptTokens: number) {
+	const state = stateOf(this);
+	offer(state, {...ticketOf(state, 'batch', 'notes'), promptTokens, costTokens: promptTokens + costTokens});
+	assert.equal(startsOf(state, longItemOf(state)), 1);
+});
+
+Then('the long batch item is taken back', function (this: TestWorld) {
+	const state = stateOf(this);
+	const {key} = longItemOf(state);
+	assert.ok(state.steps.some(step => step.kind === 'preempt' && step.ticket.key === key));
+	state.admission.preempted(key);
+	state.steps.push(...state.admission.steps());
+});
+
+Then('it does not start again while the online request runs', function (this: TestWorld) {
+	const state = stateOf(this);
+	passTime(state, 10_000);
+	assert.equal(startsOf(state, longItemOf(state)), 1);
+});
+
+Then('it starts again {int} ms after the online request has ended', function (this: TestWorld, ms: number) {
+	const state = stateOf(this);
+	state.admission.finish(state.offered!.key);
+	passTime(state, ms);
+	assert.equal(startsOf(state, longItemOf(state)), 2);
+});
+
+Then('it starts again while the online request runs, {int} s after it was first held back', function (this: TestWorld, seconds: number) {
+	const state = stateOf(this);
+	passTime(state, seconds * 1000);
+	assert.equal(state.admission.onlineRunning, 1);
+	assert.equal(startsOf(state, longItemOf(state)), 2);
+});
--- a/src/common/admission.ts
+++ b/src/common/admission.ts
@@ -4,6 +4,7 @@
 The class does no I/O. Callers offer work and report its progress and end; the steps to carry out come back from `steps`.
 */
 import {BatchPacer} from './batch-pacer.js';
+import {LongPrompts} from './long-prompts.js';
 import {FairQueue, type QueueItem} from './fair-queue.js';
 import type {RefusalReason, WorkClass} from './protocol.js';
 import {ServiceRate} from './service-rate.js';
@@ -62,6 +63,7 @@
 	readonly #running = {online: new Map<string, Running>(), batch: new Map<string, Running>()};
 	readonly #preempting = new Set<string>();
 	readonly #batchRoom: number;
+	readonly #longPrompts: LongPrompts<Ticket>;
 	#runningTokens = 0;
 	#batchPrefillTokens = 0;
 	#nextDeadline = Number.POSITIVE_INFINITY;
@@ -70,6 +72,7 @@
 		this.#clock = clock;
 		this.#limits = limits;
 		this.#rate = new ServiceRate(limits);
+		this.#longPrompts = new LongPrompts(clock);
 		const batchWeight = limits.batchWeight ?? defaultBatchWeight;
 		this.pacer = new BatchPacer(clock, {maxRunning: limits.maxRunning, batchWeight});
 		this.#batchRoom = limits.maxRunning - Math.floor(limits.maxRunning * reservedShare * (1 - batchWeight));
@@ -89,7 +92,7 @@
 	}
 
 	get batchQueued(): number {
-		return this.#queues.batch.length;
+		return this.#queues.batch.length + this.#longPrompts.length;
 	}
 
 	/** Tokens of online work that is queued or running, less those that running work has got already. */
@@ -157,6 +160,7 @@
 		}
 
 		const {ticket, startedAt, tokens} = running;
+		this.#longPrompts.forget(key);
 		if (served) {
 			this.#rate.finished(ticket.costTokens, this.#clock.now() - startedAt);
 		}
@@ -202,7 +206,8 @@
 
 	#dequeue(ticket: Ticket): boolean {
 		this.#queued.delete(ticket.key);
-		return this.#queues[ticket.workClass].remove(ticket);
+		this.#longPrompts.forget(ticket.key);
+		return this.#longPrompts.remove(ticket) || this.#queues[ticket.workClass].remove(ticket);
 	}
 
 	#leave(key: string): Running | undefined {
@@ -282,6 +287,7 @@
 			return [];
 		}
 
+		this.#holdLongPrompts();
 		const {limit, prefillRoom} = this.pacer;
 		return this.#startFrom('batch', () => this.#size < this.#batchRoom
 			&& this.batchRunning < limit
@@ -289,6 +295,19 @@
 			&& this.pacer.mayStart());
 	}
 
+	#holdLongPrompts() {
+		this.#longPrompts.release(this.pacer.isOnlinePresent).toReversed().forEach(ticket => {
+			this.#queues.batch.unshift(ticket);
+		});
+		for (let next = this.#queues.batch.peek(); next && this.#mustGiveWay(next); next = this.#queues.batch.peek()) {
+			this.#longPrompts.hold(this.#queues.batch.shift()!);
+		}
+	}
+
+	#mustGiveWay(ticket: Ticket): boolean {
+		return this.pacer.isOnlinePresent && promptTokensOf(ticket) > this.pacer.prefillRoom && this.#longPrompts.givesWay(ticket);
+	}
+
 	#startFrom(workClass: WorkClass, hasRoom: () => boolean): AdmissionStep[] {
 		const started: AdmissionStep[] = [];
 		while (this.#queues[workClass].length > 0 && hasRoom()) {
@@ -318,14 +337,11 @@
 	// The engine would make online work wait behind batch work for as long as that takes; a cancelled item frees its place within a step and is resumed later.
 	#preemptions(): AdmissionStep[] {
 		const overLimit = this.batchRunning - this.#preempting.size - this.pacer.limit;
-		const wanted = Math.max(this.onlineQueued - this.#preempting.size, overLimit);
-		if (wanted <= 0) {
-			return [];
-		}
-
-		return [...this.#running.batch.values()]
-			.filter(({ticket}) => !this.#preempting.has(ticket.key))
-			.slice(-wanted)
+		const wanted = Math.max(0, this.onlineQueued - this.#preempting.size, overLimit);
+		const candidates = [...this.#running.batch.values()].filter(({ticket}) => !this.#preempting.has(ticket.key));
+		const inTheWay = candidates.filter(({ticket, tokens}) => tokens === 0 && this.#mustGiveWay(ticket));
+		const others = wanted > inTheWay.length ? candidates.filter(running => !inTheWay.includes(running)).slice(inTheWay.length - wanted) : [];
+		return [...inTheWay, ...others]
 			.map(({ticket}) => {
 				this.#preempting.add(ticket.key);
 				return {kind: 'preempt', ticket};
