Failures before sending are told by the system call; an empty VM list is not believed

Cause: an error code alone does not tell whether a connection had been made: a router's unreachable host can end one that has carried the request, and would have passed for not sent. And a VM list without any backend server made all replicas leaving at once. Change: the operating system's errors count as not sent only in connect; a list with no backend server at all leaves the table as it is.

--- a/src/common/replica-table.ts
+++ b/src/common/replica-table.ts
@@ -65,6 +65,11 @@
 	/** Takes over the VM list's backend server VMs. */
 	applyVmList(vms: readonly VmEntry[]): void {
 		const listed = new Map(vms.filter(vm => vm.role === 'backend').map(vm => [vm.name, vm]));
+		if (listed.size === 0 && this.#rows.size > 0) {
+			// A list without a single backend server is a fault of the platform sooner than the end of the fleet, and believing it would refuse every request. The replicas' own reports go on saying who is there.
+			return;
+		}
+
 		listed.forEach(vm => {
 			this.#applyVm(vm);
 		});
--- a/src/platform/http-client.ts
+++ b/src/platform/http-client.ts
@@ -45,8 +45,17 @@
 const connectTimeoutMs = 1000;
 const keepAliveMs = 15_000;
 
-// The last two: undici refuses the request itself, for instance for a header that it does not take.
-const notSentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT', 'EADDRNOTAVAIL', 'UND_ERR_INVALID_ARG', 'UND_ERR_NOT_SUPPORTED']);
+// Undici made no connection, or refused the request itself, for instance for a header that it does not take.
+const notSentCodes = new Set(['UND_ERR_CONNECT_TIMEOUT', 'UND_ERR_INVALID_ARG', 'UND_ERR_NOT_SUPPORTED']);
+
+// The operating system's errors count only when it was connecting: a router's "host unreachable" can also end a connection that has carried the request, which would then pass for not run.
+const connectCalls = new Set(['connect', 'bind']);
+
+/** Whether an error excludes that any byte of the request was sent. */
+export const isBeforeSending = (err: unknown): boolean => {
+	const {code, syscall} = err as {code?: string; syscall?: string};
+	return notSentCodes.has(code ?? '') || connectCalls.has(syscall ?? '');
+};
 
 const dispatcherOptions = {
 	connect: {timeout: connectTimeoutMs},
@@ -154,7 +163,7 @@
 
 	#failure(err: unknown, silent: boolean, req: HttpRequest): HttpFailure {
 		const code = codeOf(err);
-		if (notSentCodes.has(code)) {
+		if (isBeforeSending(err)) {
 			return {kind: 'notSent', reason: code};
 		}
 
