A malformed object ends no process

Cause: values of the object API were read as their declared types. A ClientAccount without keySha256 threw in Accounts, a BatchJob without spec in the job reader, an OnlineService without spec or with a timeout that is no number in the service route. An uncaught error stops the process, and a restarted one reads the same object again. citronctl refuses such objects, but other writers of the object API are not bound by it; that the HTTP or watch adapter altered the values was ruled out.

Change: resource-check.ts names what this system reads of each kind that operators write. The tables of entry and agent pass over an object that it finds fault with (events 506 and 331): the last good one stays, also when a whole list names only the malformed one. Jobs are checked in the coordinator's list and feed (event 403) and where callers' routes read them (503, malformed_object).

Left: status still counts a refused version as in force, as it goes by the newest change a node has heard of.

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -4,7 +4,8 @@
 import {randomUUID} from 'node:crypto';
 import type {Either} from 'purify-ts/Either';
 import {Admission} from '../common/admission.js';
-import {ConfigTable} from '../common/config-table.js';
+import {checkedTable} from '../common/checked-table.js';
+import type {ConfigTable} from '../common/config-table.js';
 import {CacheMirror} from '../common/cache-mirror.js';
 import {branded} from '../common/ids.js';
 import {NodeLifecycle} from '../common/node-lifecycle.js';
@@ -25,6 +26,7 @@
 import type {Backend} from './backend.js';
 import {BatchWorker} from './batch-worker.js';
 import {AgentConfigFollower} from './config-follower.js';
+import {agentConfigEvents} from './config-log-events.js';
 import {CacheFollower} from './cache-follower.js';
 import {EngineBackend} from './engine-backend.js';
 import {agentEvents} from './log-events.js';
@@ -67,7 +69,7 @@
 	readonly #cache: CacheMirror | undefined;
 	readonly #cacheFollower: CacheFollower | undefined;
 	readonly #server: HttpServer;
-	readonly #config = new ConfigTable();
+	readonly #config: ConfigTable;
 	readonly #follower: AgentConfigFollower;
 	readonly #lifecycle = new NodeLifecycle();
 	#serves: readonly string[] = [];
@@ -76,6 +78,7 @@
 		const {clock, log, metrics} = services;
 		this.#cfg = cfg;
 		this.#services = services;
+		this.#config = checkedTable(log, agentConfigEvents.objectRefused);
 		this.#backend = (backendMakers[cfg.backend.type] as (backend: AgentSettings['backend'], http: HttpClient) => Backend)(cfg.backend, this.#http);
 		this.#admission = new Admission(clock, {...cfg.backend, ...cfg.limits});
 		this.#runner = new WorkRunner(this.#admission, log, metrics);
--- a/src/common/config-table.ts
+++ b/src/common/config-table.ts
@@ -34,8 +34,17 @@
 const keyOf = (kind: ObjectKind, name: string) => `${kind}/${name}`;
 const inScope = (event: WatchEvent, {kinds, name}: ConfigScope) => (kinds?.includes(event.kind) ?? true) && (name === undefined || event.name === name);
 
+/** Checks an object before it is put in force. */
+export type ConfigCheck = {
+	/** What is wrong with the value; undefined when nothing is. */
+	readonly faultOf: (kind: ObjectKind, name: string, value: unknown) => string | undefined;
+	/** Called for each object that is not put in force. */
+	readonly onRefused: (event: WatchEvent, fault: string) => void;
+};
+
 /** Holds configuration objects by kind and name. */
 export class ConfigTable {
+	readonly #check: ConfigCheck | undefined;
 	readonly #entries = new Map<string, WatchEvent>();
 	readonly #listeners = new Set<ConfigListener>();
 	readonly #batchListeners = new Set<() => void>();
@@ -44,6 +53,11 @@
 	#deletionsKnownFrom = 0;
 	#tombstones = 0;
 
+	/** @param check - Objects that it finds fault with are passed over; by default all are taken. */
+	constructor(check?: ConfigCheck) {
+		this.#check = check;
+	}
+
 	/** Everything up to this version is in force here. 0: nothing was read yet. */
 	get revision(): Revision {
 		return this.#revision as Revision;
@@ -161,6 +175,13 @@
 			return false;
 		}
 
+		// One malformed object would end every process that reads its fields, and again after each restart. The last good one stays in force; as an object of the same name was seen, a whole list does not delete it either.
+		const fault = event.type === 'put' ? this.#check?.faultOf(event.kind, event.name, event.value) : undefined;
+		if (fault !== undefined) {
+			this.#check?.onRefused(event, fault);
+			return false;
+		}
+
 		this.#entries.set(key, event);
 		this.#countTombstone(known, event);
 		return true;
--- a/src/entry/batch-log-events.ts
+++ b/src/entry/batch-log-events.ts
@@ -7,6 +7,7 @@
 	jobAccepted: {number: 400, level: 'info', text: 'batch job accepted'},
 	jobResent: {number: 401, level: 'info', text: 'batch job was there already, resent by its client'},
 	jobCancelled: {number: 402, level: 'info', text: 'batch job cancelled'},
+	jobRefused: {number: 403, level: 'error', text: 'object of a batch job is malformed and passed over, what was known of the job stays'},
 	jobAdopted: {number: 410, level: 'info', text: 'coordinator takes up a batch job'},
 	jobEnded: {number: 411, level: 'info', text: 'batch job ended'},
 	jobLate: {number: 412, level: 'warn', text: 'batch job will be late, gets more of the idle room'},
--- a/src/entry/config-log-events.ts
+++ b/src/entry/config-log-events.ts
@@ -10,6 +10,7 @@
 	relisted: {number: 503, level: 'info', text: 'whole configuration read again, the object API no longer knows the changes between'},
 	snapshotFailed: {number: 504, level: 'warn', text: 'snapshot of the configuration could not be written or read'},
 	versionsWentBack: {number: 505, level: 'error', text: 'object API shows older versions than those in force, they are not taken'},
+	objectRefused: {number: 506, level: 'error', text: 'object is malformed and not put in force, the last good one stays'},
 	statusLeaseTaken: {number: 510, level: 'info', text: 'this entry reports where versions are in force'},
 	statusLeaseLost: {number: 511, level: 'info', text: 'this entry no longer reports where versions are in force'},
 	statusFailed: {number: 512, level: 'warn', text: 'a status could not be written, it is tried again'},
--- a/src/entry/job-coordinator.ts
+++ b/src/entry/job-coordinator.ts
@@ -48,7 +48,7 @@
 		this.#onWork = onWork;
 		this.#lease = lease;
 		this.#around = around;
-		this.#reader = new JobReader(around.api);
+		this.#reader = new JobReader(around.api, around.log);
 		this.#exchange = new ChunkExchange(shard, this.#jobs, around);
 	}
 
--- a/src/entry/job-feed.ts
+++ b/src/entry/job-feed.ts
@@ -3,13 +3,18 @@
 */
 import type {BatchJob} from '../../typings/resources.js';
 import {branded, type JobId, type Revision} from '../common/ids.js';
-import type {Clock, Disposable, ObjectApi} from '../common/services.js';
-import type {ApiError, WatchBatch} from '../common/types.js';
+import {resourceFault} from '../common/resource-check.js';
+import type {
+	Clock, Disposable, EventLog, ObjectApi,
+} from '../common/services.js';
+import type {ApiError, WatchBatch, WatchEvent} from '../common/types.js';
+import {batchEvents} from './batch-log-events.js';
 
 /** What a feed needs. */
 export type FeedParts = {
 	readonly api: ObjectApi;
 	readonly clock: Clock;
+	readonly log: EventLog;
 	/** How long one long poll waits. */
 	readonly watchMs: number;
 	/** Receives each change. */
@@ -73,9 +78,18 @@
 	}
 
 	#passOn({events, version}: WatchBatch) {
-		events.forEach(event => {
+		events.filter(event => this.#isWellFormed(event)).forEach(event => {
 			this.#parts.onChange(branded(event.name), event.value as BatchJob | undefined, event.version);
 		});
 		this.#since = version;
 	}
+
+	#isWellFormed({type, kind, name, version, value}: WatchEvent): boolean {
+		const fault = type === 'put' ? resourceFault(kind, name, value) : undefined;
+		if (fault !== undefined) {
+			this.#parts.log.emit(batchEvents.jobRefused, {jobId: name, version, fault});
+		}
+
+		return fault === undefined;
+	}
 }
--- a/src/entry/job-reader.ts
+++ b/src/entry/job-reader.ts
@@ -6,8 +6,10 @@
 	chunkOfResultName, endedStates, type FileRecord, type JobStatus,
 } from '../common/batch-types.js';
 import {branded, type JobId, type Revision} from '../common/ids.js';
-import type {ObjectApi} from '../common/services.js';
+import {resourceFault} from '../common/resource-check.js';
+import type {EventLog, ObjectApi} from '../common/services.js';
 import type {ObjectKind, ObjectPage, StoredObject} from '../common/types.js';
+import {batchEvents} from './batch-log-events.js';
 
 /** A job as it stands in the object API. */
 export type OpenJob = {readonly jobId: JobId; readonly job: BatchJob; readonly version: Revision};
@@ -31,9 +33,11 @@
 /** Reads jobs. */
 export class JobReader {
 	readonly #api: ObjectApi;
+	readonly #log: EventLog;
 
-	constructor(api: ObjectApi) {
+	constructor(api: ObjectApi, log: EventLog) {
 		this.#api = api;
+		this.#log = log;
 	}
 
 	/** The jobs of a shard that have not ended; undefined when they can not be read. */
@@ -46,7 +50,7 @@
 		}
 
 		const ended = new Map(statuses.items.filter(({value}) => endedStates.has(value.state)).map(({name, value}) => [name, value]));
-		const open = jobs.items.filter(({name, value}) => {
+		const open = jobs.items.filter(stored => this.#isWellFormed(stored)).filter(({name, value}) => {
 			const status = ended.get(name);
 			return !status || !speaksOf(status, value);
 		});
@@ -83,6 +87,16 @@
 		return results?.items.map(({name}) => chunkOfResultName(name));
 	}
 
+	// Without this, one job without a spec would end each entry that takes the shard over, one after the other.
+	#isWellFormed({name, version, value}: StoredObject): boolean {
+		const fault = resourceFault('BatchJob', name, value);
+		if (fault !== undefined) {
+			this.#log.emit(batchEvents.jobRefused, {jobId: name, version, fault});
+		}
+
+		return fault === undefined;
+	}
+
 	async #listAll<T>(kind: ObjectKind, prefix: string, values: boolean): Promise<Pick<ObjectPage<T>, 'items' | 'version'> | undefined> {
 		const items: Array<StoredObject<T>> = [];
 		let first: ObjectPage<T> | undefined;
--- a/src/entry/job-store.ts
+++ b/src/entry/job-store.ts
@@ -9,6 +9,7 @@
 } from '../common/batch-types.js';
 import {ConcurrencyLimit} from '../common/concurrency-limit.js';
 import {branded, type FileId, type JobId} from '../common/ids.js';
+import {resourceFault} from '../common/resource-check.js';
 import type {ObjectApi} from '../common/services.js';
 import type {
 	ApiError as PlatformError, ObjectKind, ObjectPage, StoredObject,
@@ -37,6 +38,11 @@
 	? invalidRequest('no such object', {status: 404, code: 'not_found'})
 	: unavailable('the platform\'s object API does not answer; nothing was accepted', comeBackMs);
 
+/** The value, unless it is malformed: then its caller gets an answer, and the process goes on. */
+const wellFormed = <T>(kind: ObjectKind, name: string, value: T): Either<ApiError, T> => resourceFault(kind, name, value) === undefined
+	? Right(value)
+	: Left(unavailable(`the object ${kind} ${name} is malformed, an operator has to mend it`, comeBackMs, 'malformed_object'));
+
 // The last try may still take effect: it would be untrue to say that nothing was accepted.
 const outcomeUnknown: ApiError = {
 	...unavailable('the platform\'s object API did not answer; send the job again under the same key to learn whether it was accepted', comeBackMs, 'outcome_unknown'),
@@ -199,7 +205,7 @@
 	async #read<T>(kind: ObjectKind, name: string): Promise<Either<ApiError, T>> {
 		const read = await this.#api.get<T>(kind, name);
 		this.#gate.note(read.isLeft() ? read.extract() : undefined);
-		return read.map(({value}) => value).mapLeft(platformError);
+		return read.mapLeft(platformError).chain(({value}) => wellFormed(kind, name, value));
 	}
 
 	async #allJobs(account: Account): Promise<Either<ApiError, Array<StoredObject<BatchJob>>>> {
@@ -217,7 +223,7 @@
 		}
 
 		// Two accounts may share the prefix.
-		return Right(jobs.filter(({value}) => value.spec.account === account.name));
+		return Right(jobs.filter(({name, value}) => wellFormed('BatchJob', name, value).isRight() && value.spec.account === account.name));
 	}
 
 	async #setDeleted(account: Account, id: string, isDeleted: boolean): Promise<Either<ApiError, FileRecord>> {
@@ -251,7 +257,7 @@
 			const err = created.extract() as PlatformError;
 			this.#gate.note(err);
 			if (err.kind === 'conflict') {
-				return err.current ? Right(err.current.value as T) : this.#read<T>(kind, name);
+				return err.current ? wellFormed(kind, name, err.current.value as T) : this.#read<T>(kind, name);
 			}
 
 			isUnknown ||= err.kind === 'unknown';
