A request that crashes engines is final after three lost runs

Cause: while an answer was being completed, neither the number of attempts nor the retry budget applied, and each failure pushed the window for completion on. So a request that takes its engine down went from engine to engine until its deadline, and each crash took the other answers in that engine with it. Ruled out: leaving it to the retry budget, which a busy entry refills with its successes.

Change: three runs lost with their engine are final, whatever the way. The window (10 s) applies only to an answer of which the caller has a part, is fixed by the first loss, and is moved only by a later loss that chunks came before. Everything else gets its final 502 at once, with Retry-After and "X-Citronyard-Run: run".

--- a/src/entry/online-request.ts
+++ b/src/entry/online-request.ts
@@ -11,6 +11,7 @@
 import type {AttemptOutcome, AttemptPlace} from './attempt-client.js';
 import {AttemptRecovery, type CurrentAttempt, type Settlement} from './attempt-recovery.js';
 import type {AnswerSink} from './answer-sink.js';
+import {CompletionWindow} from './completion-window.js';
 import {
 	deadlinePassed, type Caller, type OnlineWork, type RequestOutcome, type RequestSurroundings,
 } from './online-work.js';
@@ -22,8 +23,6 @@
 const maxAttempts = 5;
 const retryBaseMs = 20;
 const retryMaxMs = 500;
-/** How long a replica is looked for that completes an answer which has begun: a backend server restarts in that time. */
-const completeMs = 10_000;
 /** When to come back if nobody says: a replica that restarts needs about this long. */
 const defaultRetryAfterMs = 1000;
 
@@ -35,12 +34,12 @@
 	readonly #caller: Caller;
 	readonly #recovery: AttemptRecovery;
 	readonly #tried = new Set<VmName>();
+	readonly #completion = new CompletionWindow();
 	readonly #handlers: {[Kind in Outcome['kind']]: Handler<Kind>};
 	#attempts = 0;
 	#nextChunk = 0;
 	#place: AttemptPlace | undefined;
 	#run: 'notRun' | 'unknown' | 'run' = 'notRun';
-	#completeUntil = Number.NEGATIVE_INFINITY;
 	#lastRefusal: RequestOutcome | undefined;
 
 	constructor(work: OnlineWork, sink: AnswerSink, around: RequestSurroundings, caller: Caller) {
@@ -108,7 +107,7 @@
 
 	// An answer that has begun can not be sent to its caller a second time, so a place to complete it is looked for longer.
 	get #isCompleting() {
-		return this.#run !== 'notRun' && this.#around.clock.now() < Math.min(this.#completeUntil, this.#work.deadlineAt);
+		return this.#sink.hasBegun && this.#deadlineInMs > 0 && this.#completion.isOpen(this.#around.clock.now());
 	}
 
 	// Given up on: the final answer goes out at once, with when to come back. "Not run" is said only when it holds for every attempt.
@@ -237,6 +236,7 @@
 			return {kind: 'rejected', status: failure.status ?? 502, body: failure.body ?? ''};
 		}
 
+		this.#completion.ranAndLost();
 		return this.#repeatOrUnknown(failure.reason, 'run');
 	}
 
@@ -277,8 +277,8 @@
 		}
 
 		this.#run = this.#run === 'run' || this.#nextChunk > 0 ? 'run' : run;
-		this.#completeUntil = Math.max(this.#completeUntil, this.#around.clock.now() + completeMs);
-		return this.#sink.canContinue ? 'again' : {kind: 'failed', reason, run: this.#run};
+		this.#completion.stopped(this.#around.clock.now(), this.#nextChunk > 0);
+		return this.#sink.canContinue && !this.#completion.isSpent ? 'again' : {kind: 'failed', reason, run: this.#run};
 	}
 
 	// Nobody waits for the answer any more. At the deadline the caller still learns whether it was run.
--- /dev/null
+++ b/src/entry/poison-request.steps.ts
@@ -0,0 +1,57 @@
+/**
+Steps in which a request takes down every engine that gets it.
+*/
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {apiKey, modelName, RelayedFleet} from './testing/relayed-fleet.js';
+import {
+	deltaEvent, openStream, ScriptedEngine, type EngineScript,
+} from './testing/scripted-engine.js';
+import type {RelayedWorld} from './whole-answer.steps.js';
+
+export type EngineWorld = RelayedWorld & {engines: ScriptedEngine[]; res: Response; text: string};
+
+/** Starts a fleet whose engines all follow a script. */
+export const startScripted = async (world: EngineWorld, replicas: number, script: EngineScript): Promise<void> => {
+	world.relayed = world.register(await RelayedFleet.start(replicas));
+	const vms = [...world.relayed.fleet.engines.keys()];
+	world.engines = await Promise.all(vms.map(async vm => world.register(await ScriptedEngine.replace(world.relayed, vm, script))));
+};
+
+/** Sends a generation and reads its answer to the end. */
+export const generate = async (world: EngineWorld, body: object, headers: Record<string, string> = {}): Promise<void> => {
+	world.res = await fetch(`http://${world.relayed.fleet.entryAddress()}/v1/chat/completions`, {
+		method: 'POST', headers: {authorization: `Bearer ${apiKey}`, ...headers}, body: JSON.stringify({model: modelName, messages: [{role: 'user', content: 'hello'}], ...body}),
+	});
+	world.text = await world.res.text();
+};
+
+/** Generations that the engines were given. */
+export const runsOf = (world: EngineWorld) => world.engines.reduce((sum, engine) => sum + engine.runs, 0);
+
+const crashes: Readonly<Record<string, EngineScript>> = {
+	'before they answer'(res) {
+		res.destroy();
+	},
+	'after their first token'(res) {
+		openStream(res).write(deltaEvent({content: 'BRAKE '}), () => {
+			res.destroy();
+		});
+	},
+};
+
+Given('a relayed fleet whose {int} engines crash {}', async function (this: EngineWorld, replicas: number, when: string) {
+	await startScripted(this, replicas, crashes[when]!);
+});
+
+When('the engines get a request with stream {word} and a deadline of {int} s', async function (this: EngineWorld, stream: string, seconds: number) {
+	await generate(this, {stream: stream === 'true'}, {'x-citronyard-deadline-ms': String(seconds * 1000)});
+});
+
+Then('its engines ran it at most {int} times, and the caller is told that it was run', function (this: EngineWorld, times: number) {
+	assert.ok(runsOf(this) <= times, `${runsOf(this)} runs`);
+	assert.match(this.text, /backend_failed/v);
+	if (this.res.status !== 200) {
+		assert.deepEqual([this.res.status, this.res.headers.get('x-citronyard-run'), this.res.headers.get('retry-after')], [502, 'run', '1']);
+	}
+});
