The idempotent header is read in any letter case, or refused

Cause: a generation was non-idempotent only for the exact value "false". A client library that prints "False" had its request run again after the engine crashed under it. For plain services, any value but "true" took an idempotent call for non-idempotent, in silence.

Change: one reader for both routes: absent leaves what is declared, "true" and "false" count in any letter case, anything else is answered with 400 before the request runs.

Feature "The header says": 3 of 4 scenarios fail before (False, FALSE, no), all pass after.

--- a/src/entry/at-most-once.feature
+++ b/src/entry/at-most-once.feature
@@ -24,3 +24,17 @@
     Given a relayed fleet with 1 replicas
     When the caller of a non-idempotent call of 400 ms goes away
     Then the call is finished, and its answer can be read at the agent
+
+  Scenario Outline: The header says <header>
+    Client libraries print "false" in their own way. A value that was misread would run the generation again after its engine
+    crashed under it; one that can not be read at all is refused before anything runs.
+    Given a relayed fleet whose 2 engines crash before they answer
+    When the engines get a request with the header "X-Citronyard-Idempotent: <header>"
+    Then the caller is answered with <status> as "<run>", and the engines ran it <times> times
+
+    Examples:
+      | header | status | run     | times |
+      | false  | 502    | unknown | 1     |
+      | False  | 502    | unknown | 1     |
+      | FALSE  | 502    | unknown | 1     |
+      | no     | 400    | not-run | 0     |
--- a/src/entry/generation-routes.ts
+++ b/src/entry/generation-routes.ts
@@ -16,6 +16,7 @@
 	errorBody, errorOf, invalidRequest, sendError, type ApiError,
 } from './api-error.js';
 import {generationPaths, parseGeneration, type GenerationRequest} from './generation-request.js';
+import {idempotentOf} from './idempotent-header.js';
 import type {OnlineFrontend} from './online-frontend.js';
 import type {RequestOutcome} from './online-work.js';
 
@@ -60,6 +61,8 @@
 	}
 }
 
+type CheckedGeneration = GenerationRequest & {readonly idempotent: boolean};
+
 const idPrefixes: Readonly<Record<string, string>> = {'/v1/chat/completions': 'chatcmpl-', '/v1/completions': 'cmpl-'};
 
 /** Serves generations. */
@@ -101,17 +104,18 @@
 		}
 
 		const body = await readBody(req, this.#maxBodyBytes);
-		const parsed: Either<ApiError, GenerationRequest> = body
+		const parsed: Either<ApiError, CheckedGeneration> = body
 			.mapLeft(() => invalidRequest(`the body is larger than ${this.#maxBodyBytes} bytes`, {status: 413, code: 'body_too_large'}))
 			.chain(bytes => parseGeneration(path, (bytes).toString('utf8')))
-			.chain(request => this.#frontend.requireModel(request.model).map(() => request));
+			.chain(request => this.#frontend.requireModel(request.model).map(() => request))
+			.chain(request => idempotentOf(req, true).map(idempotent => ({...request, idempotent})));
 		if (parsed.isLeft()) {
 			this.#closeUnread(req, res);
 			sendError(res, parsed.extract());
 			return;
 		}
 
-		await this.#answer(path, account.extract() as Account, parsed.extract() as GenerationRequest, {req, res});
+		await this.#answer(path, account.extract() as Account, parsed.extract() as CheckedGeneration, {req, res});
 	}
 
 	// The rest of a body that is too large is not read: the connection can not carry another request.
@@ -121,7 +125,7 @@
 		}
 	}
 
-	async #answer(path: string, account: Account, request: GenerationRequest, {req, res}: {req: IncomingMessage; res: ServerResponse}) {
+	async #answer(path: string, account: Account, request: CheckedGeneration, {req, res}: {req: IncomingMessage; res: ServerResponse}) {
 		const id = `${idPrefixes[path] ?? ''}${randomUUID()}`;
 		const stream = new CallerStream(res, id, request.includeUsage);
 		const sink = request.stream
@@ -135,7 +139,7 @@
 			work: {
 				kind: 'generate', target: request.model, path, body: request.body,
 			},
-			idempotent: req.headers['x-citronyard-idempotent'] !== 'false',
+			idempotent: request.idempotent,
 			costTokens: request.costTokens,
 			promptTokens: request.promptTokens,
 			promptBlocks: request.promptBlocks,
--- a/src/entry/poison-request.steps.ts
+++ b/src/entry/poison-request.steps.ts
@@ -55,3 +55,11 @@
 		assert.deepEqual([this.res.status, this.res.headers.get('x-citronyard-run'), this.res.headers.get('retry-after')], [502, 'run', '1']);
 	}
 });
+
+When('the engines get a request with the header "X-Citronyard-Idempotent: {word}"', async function (this: EngineWorld, value: string) {
+	await generate(this, {}, {'x-citronyard-idempotent': value});
+});
+
+Then('the caller is answered with {int} as {string}, and the engines ran it {int} times', function (this: EngineWorld, status: number, run: string, times: number) {
+	assert.deepEqual([this.res.status, this.res.headers.get('x-citronyard-run'), runsOf(this)], [status, run, times], this.text);
+});
--- a/src/entry/service-routes.ts
+++ b/src/entry/service-routes.ts
@@ -4,6 +4,7 @@
 import {randomUUID} from 'node:crypto';
 import type {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Either} from 'purify-ts/Either';
 import type {OnlineService} from '../../typings/resources.js';
 import {branded} from '../common/ids.js';
 import {readBody} from '../platform/read-body.js';
@@ -13,6 +14,7 @@
 import {
 	errorOf, invalidRequest, sendError, type ApiError,
 } from './api-error.js';
+import {idempotentHeader, idempotentOf} from './idempotent-header.js';
 import type {Exchange, OnlineFrontend} from './online-frontend.js';
 
 const defaultIdempotentMethods: readonly string[] = ['GET', 'HEAD', 'OPTIONS'];
@@ -20,14 +22,14 @@
 // A call of a plain service counts as this many tokens when replicas are compared.
 const callCostTokens = 100;
 // The key is the caller's secret towards this system, not towards the service.
-const ownHeaders = new Set(['authorization', 'x-citronyard-idempotent', 'x-citronyard-deadline-ms']);
+const ownHeaders = new Set(['authorization', idempotentHeader, 'x-citronyard-deadline-ms']);
 
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
 const passedHeaders = (req: IncomingMessage) => Object.fromEntries(Object.entries(req.headers)
 	.filter(([name, value]) => value !== undefined && !ownHeaders.has(name))) as Record<string, string | string[]>;
 
-type ServiceCall = {readonly account: Account; readonly service: OnlineService; readonly path: string; readonly body: Buffer};
+type ServiceCall = {readonly account: Account; readonly service: OnlineService; readonly path: string; readonly body: Buffer; readonly idempotent: boolean};
 
 /** Serves calls of plain services. */
 export class ServiceRoutes {
@@ -50,7 +52,8 @@
 	async #call(req: IncomingMessage, res: ServerResponse, {url, params}: RouteMatch) {
 		const name = params.service ?? '';
 		const known = this.#frontend.accounts.identify(req)
-			.chain(account => this.#frontend.requireService(name).map(service => ({account, service})));
+			.chain(account => this.#frontend.requireService(name).map(service => ({account, service})))
+			.chain(({account, service}) => this.#idempotentOf(req, service.spec).map(idempotent => ({account, service, idempotent})));
 		if (known.isLeft()) {
 			sendError(res, known.extract());
 			return;
@@ -63,13 +66,14 @@
 			return;
 		}
 
-		const {account, service} = known.extract() as {account: Account; service: OnlineService};
 		await this.#run({
-			account, service, path: `${params.path ?? '/'}${url.search}`, body: body.extract() as Buffer,
+			...known.extract() as Omit<ServiceCall, 'path' | 'body'>, path: `${params.path ?? '/'}${url.search}`, body: body.extract() as Buffer,
 		}, {req, res});
 	}
 
-	async #run({account, service: {metadata, spec}, path, body}: ServiceCall, {req, res}: Exchange) {
+	async #run({
+		account, service: {metadata, spec}, path, body, idempotent,
+	}: ServiceCall, {req, res}: Exchange) {
 		const sink = new CallSink();
 		const outcome = await this.#frontend.run({
 			id: branded(`call-${randomUUID()}`),
@@ -77,7 +81,7 @@
 			work: {
 				kind: 'call', target: metadata.name, method: req.method ?? 'GET', path, headers: passedHeaders(req), bodyBase64: body.toString('base64'),
 			},
-			idempotent: this.#isIdempotent(req, spec),
+			idempotent,
 			costTokens: callCostTokens,
 			maxMs: spec.timeoutMs ?? defaultTimeoutMs,
 		}, sink, {req, res});
@@ -89,10 +93,9 @@
 		this.#send(sink, req, res);
 	}
 
-	#isIdempotent(req: IncomingMessage, spec: OnlineService['spec']): boolean {
-		const header = req.headers['x-citronyard-idempotent'];
+	#idempotentOf(req: IncomingMessage, spec: OnlineService['spec']): Either<ApiError, boolean> {
 		const methods = spec.idempotentMethods ?? defaultIdempotentMethods;
-		return header === undefined ? methods.includes(req.method ?? '') : header === 'true';
+		return idempotentOf(req, methods.includes(req.method ?? ''));
 	}
 
 	#send(sink: CallSink, req: IncomingMessage, res: ServerResponse) {
