An upload has one outcome, however its form ends

Cause: a form without its closing boundary fails the file's stream; the promise that packs it was dropped when the form failed, so its rejection ended the process. A second file was never read, and a form ends only when all of its files are: no answer came. A line nested 50,000 deep passed JSON.parse and overflowed the stack in JSON.stringify. A line without a break was collected whole by readline: 304 MB for 150 MB sent.

Change: upload-receiver.ts, apart from the routes, owns the outcome and handles the packing's failure; further files are read and dropped; a cut request ends the form. upload-lines.ts splits at line feeds alone and keeps at most a chunk's bytes of a line (413 line_too_long). So U+2028 in a JSON string no longer ends a line either. json-depth.ts refuses callers' JSON of more than 100 levels, in uploads and in generations.

Before: each safeguard disabled in turn, the feature ends with the process (boundary) or fails one scenario (second file, depth, cap).

An item of more than chunkBytes (768 KiB) was accepted up to the object API's limit of 1 MiB; it is refused now.

--- a/src/entry/file-routes.ts
+++ b/src/entry/file-routes.ts
@@ -1,11 +1,7 @@
 /**
 The routes for files: uploads of batch inputs, and the contents of inputs, outputs and errors. Outputs are put together from the chunks' results as they are read.
 */
-import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {createInterface} from 'node:readline';
-import type {Readable} from 'node:stream';
-import busboy from 'busboy';
 import {Left, Right, type Either} from 'purify-ts/Either';
 import type {FileRecord, ItemResult} from '../common/batch-types.js';
 import type {Clock, ObjectApi} from '../common/services.js';
@@ -13,8 +9,9 @@
 import type {Account, Accounts} from './accounts.js';
 import {invalidRequest, sendError, type ApiError} from './api-error.js';
 import {parseResultFileId} from './batch-view.js';
-import {ItemPacker, type PackLimits, type PackedFile} from './item-packer.js';
+import type {PackLimits} from './item-packer.js';
 import type {JobStore} from './job-store.js';
+import {receiveUpload} from './upload-receiver.js';
 
 /** What the file routes are made of. */
 export type FileParts = {
@@ -25,8 +22,6 @@
 	readonly limits: PackLimits;
 };
 
-type Upload = {readonly packed: Either<ApiError, PackedFile>; readonly bytes: number; readonly filename: string};
-
 const isFailed = (result: ItemResult) => result.error !== null || (result.response?.status_code ?? 0) >= 400;
 
 const fileObject = (file: Pick<FileRecord, 'id' | 'bytes' | 'createdAt' | 'filename'>, purpose: string) => ({
@@ -86,7 +81,7 @@
 			return;
 		}
 
-		const upload = await this.#receive(req);
+		const upload = await receiveUpload(req, this.#parts);
 		const {bytes, filename} = upload;
 		const createdAt = Math.floor(this.#parts.clock.wall() / 1000);
 		const stored = upload.packed.isRight()
@@ -102,49 +97,6 @@
 		});
 	}
 
-	async #receive(req: IncomingMessage): Promise<Upload> {
-		const failed = (message: string): Upload => ({packed: Left(invalidRequest(message, {param: 'file'})), bytes: 0, filename: ''});
-		let form: busboy.Busboy;
-		try {
-			form = busboy({headers: req.headers});
-		} catch {
-			return failed('the body is not multipart/form-data');
-		}
-
-		return new Promise(resolve => {
-			let upload: Promise<Upload> | undefined;
-			form.on('file', (_name, stream, info) => {
-				upload ??= this.#pack(stream, info.filename ?? '');
-			});
-			form.on('error', () => {
-				resolve(failed('the form is broken'));
-			});
-			form.on('close', () => {
-				resolve(upload ?? failed('the form has no file'));
-			});
-			req.once('aborted', () => {
-				resolve(failed('the upload was cut'));
-			});
-			req.pipe(form);
-		});
-	}
-
-	async #pack(stream: Readable, filename: string): Promise<Upload> {
-		const packer = new ItemPacker(this.#parts.api, this.#parts.clock, this.#parts.limits);
-		let bytes = 0;
-		let err: ApiError | undefined;
-		// After an error the rest is read and dropped, so that the answer reaches a client that is still sending.
-		for await (const line of createInterface({input: stream, crlfDelay: Number.POSITIVE_INFINITY})) {
-			bytes += Buffer.byteLength(line) + 1;
-			if (!err) {
-				const added = await packer.add(line);
-				err = added.isLeft() ? added.extract() : undefined;
-			}
-		}
-
-		return {packed: err ? Left(err) : await packer.finish(), bytes, filename};
-	}
-
 	async #show(account: Account, id: string, res: ServerResponse) {
 		const result = parseResultFileId(id);
 		const shown = result
--- a/src/entry/generation-request.ts
+++ b/src/entry/generation-request.ts
@@ -3,6 +3,7 @@
 */
 import {Left, Right, type Either} from 'purify-ts/Either';
 import type {BlockHash} from '../common/ids.js';
+import {isNestedDeeper, maxJsonDepth} from '../common/json-depth.js';
 import {blockHashes} from '../common/prefix-blocks.js';
 import {promptTextOf, promptTokensOf} from '../common/prompt-text.js';
 import type {JsonObject} from '../common/protocol.js';
@@ -87,6 +88,11 @@
 		return Left(invalidRequest('the body is not a JSON object', {code: 'invalid_json'}));
 	}
 
+	// Passing it on would overflow the stack here or at the agent.
+	if (isNestedDeeper(body)) {
+		return Left(invalidRequest(`the body is nested more than ${maxJsonDepth} levels deep`, {code: 'invalid_json'}));
+	}
+
 	const err = (checksByPath[path] ?? []).map(check => check(body)).find(found => found !== undefined);
 	if (err) {
 		return Left(err);
--- a/src/entry/item-packer.ts
+++ b/src/entry/item-packer.ts
@@ -8,6 +8,7 @@
 import {Left, Right, type Either} from 'purify-ts/Either';
 import type {BatchItem, InputChunk} from '../common/batch-types.js';
 import {FingerprintSet} from '../common/fingerprint-set.js';
+import {isNestedDeeper, maxJsonDepth} from '../common/json-depth.js';
 import type {Clock, ObjectApi} from '../common/services.js';
 import type {ApiError as PlatformError} from '../common/types.js';
 import {invalidRequest, unavailable, type ApiError} from './api-error.js';
@@ -125,6 +126,10 @@
 			return this.#fail('is not JSON');
 		}
 
+		if (isNestedDeeper(item)) {
+			return this.#fail(`is nested more than ${maxJsonDepth} levels deep`);
+		}
+
 		if (!isRecord(item) || typeof item.custom_id !== 'string' || !isRecord(item.body) || typeof item.body.model !== 'string') {
 			return this.#fail('wants custom_id, url and a body with a model');
 		}
