--- a/src/agent/online-attempts.ts
+++ b/src/agent/online-attempts.ts
@@ -8,15 +8,16 @@
 import {blockHashes, tokensPerBlock} from '../common/prefix-blocks.js';
 import {promptTextOf} from '../common/prompt-text.js';
 import type {Ticket} from '../common/admission.js';
-import {
-	readerHeader, type AttemptEnd, type AttemptFailure, type AttemptKey, type AttemptRefusal, type AttemptRequest, type LedgerAnswer, type LoadReport, type RefusalReason, type RevokeRequest,
+import type {
+	AttemptEnd, AttemptFailure, AttemptKey, AttemptRefusal, AttemptRequest, LedgerAnswer, LoadReport, RefusalReason, RevokeRequest,
 } from '../common/protocol.js';
 import {parseObject} from '../common/parse-object.js';
-import type {LedgerReader, RequestLedger} from '../common/request-ledger.js';
+import type {RequestLedger} from '../common/request-ledger.js';
 import type {Clock, Disposable, EventLog} from '../common/services.js';
 import {readBody} from '../platform/read-body.js';
 import type {Route} from '../platform/http-server.js';
 import {SseWriter} from '../platform/sse-writer.js';
+import {streamAnswer} from './answer-stream.js';
 import type {Backend, BackendFailure} from './backend.js';
 import {agentEvents} from './log-events.js';
 import type {Work, WorkRunner} from './work-runner.js';
@@ -39,8 +40,6 @@
 
 const sweepMs = 1000;
 
-const readerOf = (req: IncomingMessage) => String(req.headers[readerHeader] ?? '');
-
 const tableKey = (key: AttemptKey) => `${key.id}/${key.attempt}`;
 
 /** Takes attempts, gives out their answers, revokes and cancels them. */
@@ -274,43 +273,16 @@
 	}
 
 	#attach(key: AttemptKey, from: number, req: IncomingMessage, res: ServerResponse): SseWriter | undefined {
-		const {ledger} = this.#around;
-		let writer: SseWriter | undefined;
-		const open = () => {
-			writer ??= new SseWriter(res);
-			return writer;
-		};
-
-		const reader: LedgerReader = {
-			name: readerOf(req),
-			chunk(index, data) {
-				open().send('chunk', data, index);
-			},
-			end(end) {
-				open().send(end.event, end.data);
-				open().end();
-				res.once('close', () => {
-					if (res.writableFinished) {
-						ledger.delivered(key);
-					}
-				});
-			},
-			replaced() {
-				open().end();
-			},
-		};
-		res.once('close', () => {
-			writer?.dispose();
-			if (ledger.leave(key, reader)) {
+		return streamAnswer({
+			ledger: this.#around.ledger,
+			key,
+			from,
+			req,
+			res,
+			onLost: () => {
 				this.#watchOrphan(key);
-			}
+			},
 		});
-		if (ledger.read(key, Math.max(0, from), reader)) {
-			return open();
-		}
-
-		res.writeHead(404).end();
-		return undefined;
 	}
 
 	// The entry may be about to ask again on another connection; if nobody does, the entry is gone and the engine's time is better spent elsewhere.
