--- a/src/standins/standin-server.ts
+++ b/src/standins/standin-server.ts
@@ -1,6 +1,7 @@
 /**
 The HTTP server below every stand-in: it listens on a free port, keeps track of its connections, and applies the faults that all stand-ins share before a request reaches its handler. Requests below `/control/` are never subject to faults, and their connections close after the answer so that no client reuses them for its traffic.
 */
+import {setMaxListeners} from 'node:events';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
@@ -56,6 +57,8 @@
 	private constructor(options: ServerOptions) {
 		this.#options = options;
 		this.#routes = new RouteTable(options.routes);
+		// Every request that waits listens to the stop; their number is no leak.
+		setMaxListeners(0, this.#stop.signal);
 		this.#server.keepAliveTimeout = keepAliveMs;
 		this.#server.requestTimeout = 0;
 		this.#server.on('connection', socket => {
