An engine's answer with an event that can not be read is not whole

Cause: the agent passed each event of the engine on as it came. A chunk over two data lines, legal in an event stream, broke the agent's own event in two, and the entry gave the stream up there; the index of the chunk was counted before it was accepted, so that the stream was taken up behind it, and the answer went out as whole without it. The same befell a line that is not JSON, and an error event with a blank.

Change: the agent parses each event; one over several lines is put on one, and one that is no object or tells of an error ends the run as lost. The entry counts a chunk only once its sink has accepted it (so does the follower of an idempotency key), and takes an answer for whole only when the end counts as many chunks as were taken.

--- a/src/agent/engine-backend.ts
+++ b/src/agent/engine-backend.ts
@@ -3,6 +3,7 @@
 */
 import {Left, Right, type Either} from 'purify-ts/Either';
 import type {EventSourceMessage} from 'eventsource-parser';
+import {parseObject} from '../common/parse-object.js';
 import type {GenerateWork} from '../common/protocol.js';
 import type {HttpClient, HttpFailure, HttpResponse} from '../platform/http-client.js';
 import {followEvents} from '../platform/sse-reader.js';
@@ -12,8 +13,11 @@
 const headTimeoutMs = 600_000;
 const probeTimeoutMs = 1000;
 const doneMarker = '[DONE]';
-// How engines tell of an error after the head of the stream went out.
-const errorPrefix = '{"error"';
+const lineBreak = /[\r\n]/v;
+
+// An answer with a chunk that can not be read has a gap; passed on, it would be taken for whole. An engine tells of an error after the head of the stream in an event of its own.
+const chunkOf = (data: string): Either<string, string> => parseObject<{readonly error?: unknown}>(data)
+	.chain(chunk => chunk.error ? Left('error event') : Right(lineBreak.test(data) ? JSON.stringify(chunk) : data));
 
 /** Generates answers on the engine at one address. */
 export class EngineBackend implements Backend {
@@ -71,16 +75,8 @@
 
 		let done = false;
 		const end = await followEvents(res.body, 0, (event: EventSourceMessage) => {
-			if (event.data.startsWith(errorPrefix)) {
-				return false;
-			}
-
 			done ||= event.data === doneMarker;
-			if (!done) {
-				req.onChunk(event.data);
-			}
-
-			return true;
+			return done || chunkOf(event.data).ifRight(req.onChunk).isRight();
 		});
 		return done ? Right(undefined) : Left(failureInResponse(`stream ${end} before its end marker`, req));
 	}
--- a/src/entry/keyed-request.ts
+++ b/src/entry/keyed-request.ts
@@ -177,9 +177,9 @@
 				signal: this.#caller.signal,
 				pause: this.#caller.pause,
 				onChunk: (index, data) => {
-					const isNext = index === received;
-					received += isNext ? 1 : 0;
-					return isNext ? this.#sink.chunk(data) : index < received;
+					const isTaken = index === received && this.#sink.chunk(data);
+					received += isTaken ? 1 : 0;
+					return isTaken || index < received;
 				},
 			},
 			received: () => received,
--- a/src/entry/online-request.ts
+++ b/src/entry/online-request.ts
@@ -201,20 +201,18 @@
 		};
 	}
 
-	// A stream that is taken up may repeat chunks; each is passed on once. One that left chunks out is of no use.
+	// A stream that is taken up may repeat chunks; each is passed on once. One that left chunks out is of no use, and one that can not be used does not count as taken.
 	#take(index: number, data: string): boolean {
-		if (index !== this.#nextChunk) {
-			return index < this.#nextChunk;
-		}
-
-		this.#nextChunk += 1;
-		return this.#sink.chunk(data);
+		const isTaken = index === this.#nextChunk && this.#sink.chunk(data);
+		this.#nextChunk += isTaken ? 1 : 0;
+		return isTaken || index < this.#nextChunk;
 	}
 
 	#ended({end}: Extract<AttemptOutcome, {kind: 'end'}>, {replica}: CurrentAttempt): Step {
 		this.#around.replicas.heard(replica.vm, end.load);
 		this.#around.replicas.prefixes.confirmed(replica.vm, end.cachedBlocks, end.cacheSeq ?? 0);
-		return this.#whole();
+		// The end counts the chunks: with one missing, the answer would pass for whole without it.
+		return end.chunks === this.#nextChunk ? this.#whole() : this.#repeatOrUnknown('chunks of the answer are missing', 'run');
 	}
 
 	#whole(): Step {
--- a/src/entry/poison-request.steps.ts
+++ b/src/entry/poison-request.steps.ts
@@ -5,7 +5,7 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {apiKey, modelName, RelayedFleet} from './testing/relayed-fleet.js';
 import {
-	deltaEvent, openStream, ScriptedEngine, type EngineScript,
+	deltaEvent, endOfAnswer, openStream, ScriptedEngine, type EngineScript,
 } from './testing/scripted-engine.js';
 import type {RelayedWorld} from './whole-answer.steps.js';
 
@@ -40,6 +40,18 @@
 	},
 };
 
+const middles: Readonly<Record<string, string>> = {
+	'a chunk over two lines': 'data: {"choices":\ndata: [{"index":0,"delta":{"content":"BRAKE "}}]}\n\n',
+	'an event without JSON': 'data: oops\n\n',
+	'an error': 'data: { "error": {"message": "generation failed"}}\n\n',
+};
+
+Given('a relayed fleet whose engines send {} in the middle', async function (this: EngineWorld, event: string) {
+	await startScripted(this, 1, res => {
+		openStream(res).end(`${deltaEvent({content: 'do '})}${middles[event]}${deltaEvent({content: 'now'})}${endOfAnswer}`);
+	});
+});
+
 Given('a relayed fleet whose {int} engines crash {}', async function (this: EngineWorld, replicas: number, when: string) {
 	await startScripted(this, replicas, crashes[when]!);
 });
@@ -63,3 +75,11 @@
 Then('the caller is answered with {int} as {string}, and the engines ran it {int} times', function (this: EngineWorld, status: number, run: string, times: number) {
 	assert.deepEqual([this.res.status, this.res.headers.get('x-citronyard-run'), runsOf(this)], [status, run, times], this.text);
 });
+
+/** The texts of an answer's parts, of one kind of field, put together. */
+export const saidBy = (text: string, field: string) => [...text.matchAll(new RegExp(`"${field}":"(?<said>[^"]*)"`, 'gv'))].map(match => match.groups!.said).join('');
+
+Then('the caller is told {string}', function (this: EngineWorld, told: string) {
+	const isWhole = this.text.includes('[DONE]') || this.text.includes('"chat.completion"');
+	assert.equal(isWhole ? saidBy(this.text, 'content') : saidBy(this.text, 'code'), told, this.text);
+});
--- a/src/entry/whole-answer.feature
+++ b/src/entry/whole-answer.feature
@@ -36,3 +36,19 @@
     Given a relayed fleet with 1 replicas
     When a caller closes its connection after 20 of 2000 tokens
     Then the engine cancels the request
+
+  Scenario Outline: An engine's answer holds <event>, stream <stream>
+    The event in the middle carries a word of the answer, or nothing that can be read. A caller that got the rest under an end
+    marker would take a part for the whole: a chunk over two lines is put on one, anything else ends the run as lost.
+    Given a relayed fleet whose engines send <event> in the middle
+    When the engines get a request with stream <stream> and a deadline of 10 s
+    Then the caller is told "<told>"
+
+    Examples:
+      | event                  | stream | told            |
+      | a chunk over two lines | true   | do BRAKE now    |
+      | a chunk over two lines | false  | do BRAKE now    |
+      | an event without JSON | true   | backend_failed  |
+      | an event without JSON | false  | backend_failed  |
+      | an error               | true   | backend_failed  |
+      | an error               | false  | backend_failed  |
