Entries keep in touch with a few replicas of each model

Cause: every entry asked every agent for its load four times a second; by the slopes that is 660 % of a core and 11.7 MB/s an entry at 5,200 agents, where 2.1 % and 19 KB/s are allowed. Change: a pure policy chooses a few replicas of each model and service (16 unless set otherwise) by rendezvous hash, three quarters of them from the entry's own failure domain, with a replacement for one that fails again and again; the poller asks only those, not those heard of lately by an answer, and at most loadPollsPerSecond in all, the silence limit growing with the interval. At today's sizes every replica is still among them. Not measured: how well four replicas a model balance against all of them.

--- a/src/common/replica-table.ts
+++ b/src/common/replica-table.ts
@@ -41,16 +41,15 @@
 
 /** The replicas, by VM. */
 export class ReplicaTable {
+	/** Milliseconds without a report after which a replica gets no new work. */
+	silentMs: number;
 	/** Prompt blocks that the replicas are known to hold. */
 	readonly prefixes = new PrefixIndex(maxPrefixBlocks);
 	readonly #rows = new Map<VmName, Row>();
 	readonly #clock: Clock;
-	readonly #silentMs: number;
-
-	/** @param silentMs - Milliseconds without a report after which a replica gets no new work. */
 	constructor(clock: Clock, silentMs: number) {
 		this.#clock = clock;
-		this.#silentMs = silentMs;
+		this.silentMs = silentMs;
 	}
 
 	/** All replicas. */
@@ -121,14 +120,9 @@
 		}
 	}
 
-	/** Milliseconds without a report after which a replica gets no new work. */
-	get silentMs(): number {
-		return this.#silentMs;
-	}
-
 	/** The replicas that may get new work for `target`, for instance `model:tyre-scribe`. */
 	routable(target: string, now = this.#clock.now()): ReplicaView[] {
-		return [...this.#rows.values()].filter(row => isRoutable(row, {target, now, silentMs: this.#silentMs}));
+		return [...this.#rows.values()].filter(row => isRoutable(row, {target, now, silentMs: this.silentMs}));
 	}
 
 	/** True when some replica serves the target, be it reachable now or not. */
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -41,6 +41,7 @@
 import {JobStore} from './job-store.js';
 import {entryEvents} from './log-events.js';
 import {OnlineFrontend} from './online-frontend.js';
+import {ReplicaSubset} from './replica-subset.js';
 import {ReplicaPoller} from './replica-poller.js';
 import {ServiceRoutes} from './service-routes.js';
 import type {EntrySettings} from './settings.js';
@@ -158,7 +159,8 @@
 	}
 
 	#makePoller() {
-		const {platform, online} = this.#cfg;
+		const {platform, online, vm, failureDomain} = this.#cfg;
+		const subset = new ReplicaSubset(this.#replicas, this.#config, {self: vm, failureDomain: branded(failureDomain), perTarget: online.replicasPerTarget});
 		return new ReplicaPoller({
 			...this.#services,
 			...online,
@@ -167,6 +169,7 @@
 			vmList: new HttpVmList(this.#http, platform.vmList, platform.timeoutMs),
 			rpc: this.#rpc,
 			replicas: this.#replicas,
+			subset: () => subset.current,
 		});
 	}
 
--- a/src/entry/replica-poller.ts
+++ b/src/entry/replica-poller.ts
@@ -1,6 +1,7 @@
 /**
 Keeps the replica table up to date: reads the VM list, and asks each agent for its load.
 */
+import type {VmName} from '../common/ids.js';
 import type {LoadReport} from '../common/protocol.js';
 import type {ReplicaTable, ReplicaView} from '../common/replica-table.js';
 import type {
@@ -21,12 +22,21 @@
 	readonly vmListPollMs: number;
 	/** Milliseconds that one report may take. */
 	readonly loadTimeoutMs: number;
+	/** Milliseconds without a report after which a replica that is asked every `loadPollMs` gets no new work. */
+	readonly silenceMs: number;
+	/** Reports that are asked for in a second at the most; with more replicas than this allows, each is asked less often. */
+	readonly loadPollsPerSecond: number;
+	/** The replicas to keep in touch with; see {@link chooseSubset}. */
+	readonly subset: () => ReadonlySet<VmName>;
 };
 
+const msPerSecond = 1000;
+
 /** Polls until disposed. */
 export class ReplicaPoller implements Disposable {
 	readonly #parts: PollerParts;
 	readonly #asking = new Set<string>();
+	readonly #askedAt = new Map<VmName, number>();
 	#entries: readonly VmEntry[] = [];
 	#disposed = false;
 
@@ -48,10 +58,12 @@
 		this.#disposed = true;
 	}
 
-	/** Reads the VM list once and asks every agent once. */
+	/** Reads the VM list once and asks each replica of the subset once. */
 	async readAll(): Promise<void> {
+		const {replicas, subset} = this.#parts;
 		await this.#readList();
-		await Promise.all(this.#parts.replicas.all.map(async replica => this.#ask(replica)));
+		const members = [...subset()].flatMap(vm => replicas.get(vm) ?? []);
+		await Promise.all(members.map(async replica => this.#ask(replica)));
 	}
 
 	async #pollList() {
@@ -69,27 +81,46 @@
 			.ifRight(vms => {
 				this.#entries = vms.filter(vm => vm.role === 'entry');
 				replicas.applyVmList(vms);
+				this.#forgetGone();
 			})
 			.ifLeft(err => {
 				log.emit(entryEvents.vmListFailed, {reason: err.kind});
 			});
 	}
 
+	#forgetGone() {
+		[...this.#askedAt.keys()].filter(vm => !this.#parts.replicas.get(vm)).forEach(vm => {
+			this.#askedAt.delete(vm);
+		});
+	}
+
 	async #pollLoads() {
 		while (!this.#disposed) {
 			await this.#parts.clock.sleep(this.#parts.loadPollMs);
-			this.#parts.replicas.all.forEach(replica => {
-				void this.#ask(replica);
-			});
+			this.#askThoseDue();
 		}
 	}
 
+	// Loads ride on answers too: a replica that answered lately is not asked.
+	#askThoseDue() {
+		const {clock, replicas, subset, loadPollMs, loadPollsPerSecond, silenceMs} = this.#parts;
+		const members = [...subset()].flatMap(vm => replicas.get(vm) ?? []);
+		const intervalMs = Math.max(loadPollMs, members.length * msPerSecond / loadPollsPerSecond);
+		// A replica that is asked less often is heard of less often too.
+		replicas.silentMs = silenceMs * intervalMs / loadPollMs;
+		const dueAt = clock.now() - intervalMs + (loadPollMs / 2);
+		members.filter(({vm, heardAt}) => Math.max(heardAt, this.#askedAt.get(vm) ?? Number.NEGATIVE_INFINITY) <= dueAt).forEach(replica => {
+			void this.#ask(replica);
+		});
+	}
+
 	async #ask(replica: ReplicaView) {
 		if (this.#asking.has(replica.vm)) {
 			return;
 		}
 
 		this.#asking.add(replica.vm);
+		this.#askedAt.set(replica.vm, this.#parts.clock.now());
 		const {rpc, replicas, loadTimeoutMs} = this.#parts;
 		const report = await rpc.call<LoadReport>({address: replica.address, timeoutMs: loadTimeoutMs}, 'agent.load', {cacheSince: replicas.prefixes.seqOf(replica.vm)});
 		this.#asking.delete(replica.vm);
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -21,6 +21,10 @@
 		silenceMs: durationMs(1000),
 		/** How often each agent is asked for its load. */
 		loadPollMs: durationMs(250),
+		/** Reports of load asked for in a second at the most, over all agents; with more agents each is asked less often. */
+		loadPollsPerSecond: z.number().positive().default(100),
+		/** Replicas of each model and service that this entry keeps in touch with. */
+		replicasPerTarget: z.int().min(1).default(16),
 		/** How often the VM list is read. */
 		vmListPollMs: durationMs(1000),
 		maxBodyBytes: sizeBytes(4_194_304),
