Placement under a lease, and orders that a paused holder can not undo

Cause: nothing told an engine which models and versions to load; a new ModelVersion had no effect. Orders also need a fence that holds for engines that ignore fencing numbers.

Change: one entry, under the lease `placement`, takes a step a second from what is to what is wanted (pure policy: spread over failure domains, minReady, loads under way bounded) and writes an Assignment per engine where it differs. The agent gets its own by the configuration stream and gives its engine the orders that are left. Before it obeys a new assignment, and after each restart, it reads the epoch: the holder's number and the version up to which it knows all assignments; an assignment with a lower number and a later version is held back. ServedModel gets the conditions Ready and RolledOut; a report on a new generation marks the other controllers' conditions Unknown until they report too. LoadReport tells what the engine has loaded.

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -3,6 +3,7 @@
 */
 import {randomUUID} from 'node:crypto';
 import type {Either} from 'purify-ts/Either';
+import type {BackendServer} from '../../typings/resources.js';
 import {Admission} from '../common/admission.js';
 import {checkedTable} from '../common/checked-table.js';
 import type {ConfigTable} from '../common/config-table.js';
@@ -30,7 +31,9 @@
 import {CacheFollower} from './cache-follower.js';
 import {EngineBackend} from './engine-backend.js';
 import {agentEvents} from './log-events.js';
+import {ModelReconciler} from './model-reconciler.js';
 import {OnlineAttempts} from './online-attempts.js';
+import {OrderFence} from './order-fence.js';
 import {ResultWriter} from './result-writer.js';
 import {ServiceBackend} from './service-backend.js';
 import type {AgentSettings} from './settings.js';
@@ -71,6 +74,7 @@
 	readonly #server: HttpServer;
 	readonly #config: ConfigTable;
 	readonly #follower: AgentConfigFollower;
+	readonly #reconciler: ModelReconciler | undefined;
 	readonly #lifecycle = new NodeLifecycle();
 	#serves: readonly string[] = [];
 
@@ -99,6 +103,7 @@
 		});
 		this.#batch = this.#makeBatchWorker();
 		this.#follower = this.#makeFollower();
+		this.#reconciler = this.#makeReconciler();
 		this.#server = new HttpServer([...this.#attempts.routes, rpcRoute(this.#methods())], {
 			notFound(_req, res) {
 				res.writeHead(404).end();
@@ -131,6 +136,7 @@
 			void this.#pollServes();
 			void this.#cacheFollower?.run();
 			void this.#follower.run();
+			void this.#reconciler?.run();
 			this.#services.log.emit(agentEvents.listening, {address: this.address, vm: this.#cfg.vm, incarnation: this.#incarnation});
 		}
 
@@ -151,6 +157,7 @@
 			batchRunning: this.#admission.batchRunning,
 			batchRoom: this.#batch.room,
 			maxRunning: this.#cfg.backend.maxRunning,
+			loaded: this.#reconciler?.loaded,
 			configRevision: this.#config.revision,
 		};
 	}
@@ -175,6 +182,7 @@
 
 	dispose(): void {
 		this.#lifecycle.dispose();
+		this.#reconciler?.dispose();
 		this.#follower.dispose();
 		this.#cacheFollower?.dispose();
 		this.#batch.dispose();
@@ -210,6 +218,15 @@
 		});
 	}
 
+	#makeReconciler(): ModelReconciler | undefined {
+		const {platform, vm} = this.#cfg;
+		const api = new HttpObjectApi(this.#http, {address: platform.objectApi, timeoutMs: platform.timeoutMs});
+		const checksFence = () => this.#config.get<BackendServer>('BackendServer', vm)?.spec.checksFence ?? false;
+		return this.#backend.models && new ModelReconciler({
+			...this.#services, table: this.#config, vm, control: this.#backend.models, fence: new OrderFence(api, checksFence),
+		});
+	}
+
 	#makeBatchWorker(): BatchWorker {
 		const {clock, random} = this.#services;
 		const {platform, backend, limits} = this.#cfg;
--- a/src/agent/backend.ts
+++ b/src/agent/backend.ts
@@ -3,6 +3,7 @@
 */
 import type {Either} from 'purify-ts/Either';
 import type {BackendWork} from '../common/protocol.js';
+import type {ModelControl} from './model-control.js';
 
 /** Work for the backend server. */
 export type BackendRequest = {
@@ -25,6 +26,8 @@
 
 /** A backend server. */
 export type Backend = {
+	/** How its models are changed, where it has any. */
+	readonly models?: ModelControl;
 	/** Resolves when the answer is whole, or with why it is not. Never rejects. */
 	run(req: BackendRequest): Promise<Either<BackendFailure, void>>;
 	/** What it can serve now, as `model:<name>` or `service:<name>`; empty when it does not answer. */
--- a/src/agent/engine-backend.ts
+++ b/src/agent/engine-backend.ts
@@ -8,6 +8,8 @@
 import type {HttpClient, HttpFailure, HttpResponse} from '../platform/http-client.js';
 import {followEvents} from '../platform/sse-reader.js';
 import type {Backend, BackendFailure, BackendRequest} from './backend.js';
+import {EngineModels} from './engine-models.js';
+import type {ModelControl} from './model-control.js';
 import {failureBeforeResponse, failureInResponse} from './backend-failures.js';
 
 const headTimeoutMs = 600_000;
@@ -21,6 +23,7 @@
 
 /** Generates answers on the engine at one address. */
 export class EngineBackend implements Backend {
+	readonly models: ModelControl;
 	readonly #http: HttpClient;
 	readonly #address: string;
 
@@ -28,6 +31,7 @@
 	constructor(http: HttpClient, address: string) {
 		this.#http = http;
 		this.#address = address;
+		this.models = new EngineModels(http, address);
 	}
 
 	async run(req: BackendRequest): Promise<Either<BackendFailure, void>> {
--- /dev/null
+++ b/src/common/placement-policy.ts
@@ -0,0 +1,146 @@
+/**
+Decides which engine gets which models and versions. Pure and level-triggered: it is asked over and over with what is, and moves it a step towards what is wanted, never below the replicas that must stay ready.
+*/
+import type {PlacedModel} from './placement.js';
+import {rankMembers} from './rendezvous.js';
+
+/** A model as operators want it. */
+export type WantedModel = PlacedModel & {
+	/** Default: every server that may have it. */
+	readonly replicas?: number;
+	/** Default: one less than the replicas. */
+	readonly minReady?: number;
+};
+
+/** An engine as it is. */
+export type PlacementServer = {
+	readonly vm: string;
+	readonly failureDomain: string;
+	/** Models that may be placed here. */
+	readonly allowed: readonly string[];
+	/** What it has loaded; undefined while nobody knows. */
+	readonly loaded: readonly PlacedModel[] | undefined;
+	/** What it was told to have; undefined before the first time. */
+	readonly assigned: readonly PlacedModel[] | undefined;
+};
+
+/** What one engine is to have. */
+export type PlacementChoice = {
+	readonly vm: string;
+	readonly models: readonly PlacedModel[];
+	readonly unload: readonly string[];
+};
+
+/** How far a model is. */
+export type ModelProgress = {
+	readonly model: string;
+	/** Replicas aimed at: those wanted, or as many as there are servers for. */
+	readonly target: number;
+	readonly minReady: number;
+	/** Chosen servers that have any version. */
+	readonly ready: number;
+	/** Chosen servers that have the wanted version. */
+	readonly rolledOut: number;
+	/** Servers chosen, and those that came next. */
+	readonly chosen: readonly string[];
+	readonly runnersUp: readonly string[];
+};
+
+/** The step to take. */
+export type Placement = {
+	readonly choices: readonly PlacementChoice[];
+	readonly progress: readonly ModelProgress[];
+};
+
+type Plan = {readonly progress: ModelProgress; readonly versions: ReadonlyMap<string, PlacedModel>};
+
+const modelIn = (models: readonly PlacedModel[] | undefined, name: string) => models?.find(({model}) => model === name);
+const isVersion = (model: PlacedModel | undefined, wanted: PlacedModel) => model?.version === wanted.version && model.adapter === wanted.adapter;
+const bare = ({model, version, adapter}: PlacedModel): PlacedModel => ({model, version, ...(adapter !== undefined && {adapter})});
+
+/** Loads under way: told, but not there. */
+const loadsUnderWay = (servers: readonly PlacementServer[]) => servers
+	.flatMap(({assigned, loaded}) => (assigned ?? []).filter(wanted => loaded !== undefined && !isVersion(modelIn(loaded, wanted.model), wanted)))
+	.length;
+
+/** Keeps who has the model, so that nothing is unloaded before as many others have it; then takes servers where the failure domain has the fewest. */
+const chooseServers = (wanted: WantedModel, candidates: readonly PlacementServer[], target: number) => {
+	const ranked = rankMembers(wanted.model, candidates.map(({vm}) => vm)).map(vm => candidates.find(server => server.vm === vm)!);
+	const weight = ({assigned, loaded}: PlacementServer) => (modelIn(loaded, wanted.model) ? 2 : 0) + (modelIn(assigned, wanted.model) ? 1 : 0);
+	const chosen: PlacementServer[] = [];
+	const left = [...ranked];
+	while (chosen.length < target && left.length > 0) {
+		const inDomain = ({failureDomain}: PlacementServer) => chosen.filter(server => server.failureDomain === failureDomain).length;
+		const next = left.toSorted((a, b) => weight(b) - weight(a) || inDomain(a) - inDomain(b) || (a.assigned?.length ?? 0) - (b.assigned?.length ?? 0))[0]!;
+		chosen.push(next);
+		left.splice(left.indexOf(next), 1);
+	}
+
+	return {chosen, left};
+};
+
+const planModel = (wanted: WantedModel, servers: readonly PlacementServer[], spareLoads: number): Plan => {
+	const candidates = servers.filter(({allowed}) => allowed.includes(wanted.model));
+	const target = Math.min(wanted.replicas ?? candidates.length, candidates.length);
+	// Where nothing may be missing, no server could ever change its version.
+	const minReady = Math.max(0, Math.min(wanted.minReady ?? target - 1, target - 1));
+	const {chosen, left} = chooseServers(wanted, candidates, target);
+	const isReady = ({loaded}: PlacementServer) => modelIn(loaded, wanted.model) !== undefined;
+	const isChanging = ({assigned, loaded}: PlacementServer) => isVersion(modelIn(assigned, wanted.model), wanted) && !isVersion(modelIn(loaded, wanted.model), wanted);
+	let mayMiss = chosen.filter(server => isReady(server) && !isChanging(server)).length - minReady;
+	let loads = spareLoads;
+	const versions = new Map(chosen.map((server): [string, PlacedModel | undefined] => {
+		const current = modelIn(server.assigned, wanted.model) ?? modelIn(server.loaded, wanted.model);
+		if (isVersion(current, wanted) && current) {
+			return [server.vm, bare(wanted)];
+		}
+
+		// An engine that changes its version may not answer meanwhile: it counts as missing.
+		const missing = isReady(server) ? 1 : 0;
+		if (loads <= 0 || (isReady(server) && mayMiss < 1)) {
+			return [server.vm, current && bare(current)];
+		}
+
+		loads -= 1;
+		mayMiss -= missing;
+		return [server.vm, bare(wanted)];
+	}).filter((row): row is [string, PlacedModel] => row[1] !== undefined));
+	const ready = chosen.filter(server => isReady(server)).length;
+	return {
+		progress: {
+			model: wanted.model,
+			target,
+			minReady,
+			ready,
+			rolledOut: chosen.filter(({loaded}) => isVersion(modelIn(loaded, wanted.model), wanted)).length,
+			chosen: chosen.map(({vm}) => vm),
+			runnersUp: left.map(({vm}) => vm).slice(0, 3),
+		},
+		versions,
+	};
+};
+
+/**
+Takes the next step.
+
+@param servers - The live engines.
+@param maxLoads - Loads that may be under way at once, over the whole fleet: what the weight store bears.
+*/
+export const placeModels = (wanted: readonly WantedModel[], servers: readonly PlacementServer[], maxLoads: number): Placement => {
+	let spareLoads = maxLoads - loadsUnderWay(servers);
+	const plans = wanted.map(model => {
+		const plan = planModel(model, servers, spareLoads);
+		const begun = servers.filter(({vm, assigned, loaded}) => {
+			const next = plan.versions.get(vm);
+			return next && !isVersion(modelIn(assigned, model.model), next) && !isVersion(modelIn(loaded, model.model), next);
+		});
+		spareLoads -= begun.length;
+		return plan;
+	});
+	const choices = servers.map(({vm, allowed}): PlacementChoice => ({
+		vm,
+		models: plans.flatMap(({versions}) => versions.get(vm) ?? []),
+		unload: plans.filter(({progress, versions}) => allowed.includes(progress.model) && !versions.has(vm)).map(({progress}) => progress.model),
+	}));
+	return {choices, progress: plans.map(({progress}) => progress)};
+};
--- a/src/common/protocol.ts
+++ b/src/common/protocol.ts
@@ -5,6 +5,7 @@
 	AccountName, BlockHash, Branded, Fence, FileId, JobId, RequestId, Revision, VmName,
 } from './ids.js';
 import type {CacheDrops} from './prefix-index.js';
+import type {PlacedModel} from './placement.js';
 
 /** Names one run of an agent process; a restarted agent has another, and knows nothing of the requests before. */
 export type Incarnation = Branded<string, 'Incarnation'>;
@@ -148,6 +149,8 @@
 	readonly maxRunning: number;
 	/** Changes of the engine's cache, when they were asked for. */
 	readonly cache?: CacheDrops;
+	/** Models that the engine had loaded when it was last asked; undefined when it is not known, or for a plain service. */
+	readonly loaded?: readonly PlacedModel[];
 	/** The newest configuration in force at the agent. */
 	readonly configRevision: Revision;
 };
--- a/src/demo/local-fleet.ts
+++ b/src/demo/local-fleet.ts
@@ -25,7 +25,7 @@
 	/** Merged into every agent's settings. */
 	readonly agent?: Partial<Pick<AgentSettings, 'drainMs'>> & {readonly limits?: Partial<AgentSettings['limits']>; readonly maxRunning?: number; readonly tokensPerSecond?: number};
 	/** Merged into every entry's settings. */
-	readonly entry?: {readonly online?: Partial<EntrySettings['online']>; readonly batch?: Partial<EntrySettings['batch']>; readonly drainMs?: number};
+	readonly entry?: {readonly online?: Partial<EntrySettings['online']>; readonly batch?: Partial<EntrySettings['batch']>; readonly placement?: Partial<EntrySettings['placement']>; readonly drainMs?: number};
 	/** The address that the VM list shows for an agent; its own by default. A test puts a relay between. */
 	readonly agentAddress?: (vm: string, address: string) => Promise<string>;
 };
--- a/src/entry/config-log-events.ts
+++ b/src/entry/config-log-events.ts
@@ -14,4 +14,7 @@
 	statusLeaseTaken: {number: 510, level: 'info', text: 'this entry reports where versions are in force'},
 	statusLeaseLost: {number: 511, level: 'info', text: 'this entry no longer reports where versions are in force'},
 	statusFailed: {number: 512, level: 'warn', text: 'a status could not be written, it is tried again'},
+	placed: {number: 520, level: 'info', text: 'models placed on an engine'},
+	placementTaken: {number: 521, level: 'info', text: 'this entry places models'},
+	placementLost: {number: 522, level: 'info', text: 'this entry no longer places models'},
 } as const satisfies Record<string, EventDefinition>;
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -41,8 +41,9 @@
 import {JobStore} from './job-store.js';
 import {entryEvents} from './log-events.js';
 import {OnlineFrontend} from './online-frontend.js';
-import {ReplicaSubset} from './replica-subset.js';
+import {PlacementController} from './placement-controller.js';
 import {ReplicaPoller} from './replica-poller.js';
+import {ReplicaSubset} from './replica-subset.js';
 import {ServiceRoutes} from './service-routes.js';
 import type {EntrySettings} from './settings.js';
 
@@ -69,6 +70,7 @@
 	readonly #config: ConfigTable;
 	readonly #follower: ConfigFollower;
 	readonly #reporter: InForceReporter;
+	readonly #placement: PlacementController;
 	readonly #replicas: ReplicaTable;
 	readonly #poller: ReplicaPoller;
 	readonly #accounts: Accounts;
@@ -88,6 +90,7 @@
 		this.#poller = this.#makePoller();
 		this.#follower = this.#makeFollower();
 		this.#reporter = this.#makeReporter();
+		this.#placement = this.#makePlacement();
 		this.#accounts = new Accounts(this.#config);
 		this.#frontend = this.#makeFrontend();
 		this.#shards = this.#makeShards();
@@ -119,6 +122,7 @@
 			void this.#poller.run();
 			void this.#follower.run();
 			void this.#reporter.run();
+			void this.#placement.run();
 			void this.#shards.run();
 			void this.#sweeper.run();
 			this.#services.log.emit(entryEvents.listening, {address: this.address, vm: this.#cfg.vm});
@@ -134,7 +138,7 @@
 		log.emit(entryEvents.drainBegun, {open: this.#frontend.open});
 		this.#lifecycle.send('drain');
 		this.#server.announceClose();
-		await Promise.all([this.#shards.release(), this.#reporter.release()]);
+		await Promise.all([this.#shards.release(), this.#reporter.release(), this.#placement.release()]);
 		const noticeUntil = clock.now() + this.#cfg.drainNoticeMs;
 		while (clock.now() < until && (clock.now() < noticeUntil || this.#frontend.open > 0)) {
 			await clock.sleep(drainPollMs);
@@ -151,6 +155,7 @@
 		this.#shards.dispose();
 		this.#sweeper.dispose();
 		this.#poller.dispose();
+		this.#placement.dispose();
 		this.#reporter.dispose();
 		this.#follower.dispose();
 		this.#accounts.dispose();
@@ -202,6 +207,19 @@
 		});
 	}
 
+	#makePlacement() {
+		return new PlacementController({
+			...this.#services,
+			...this.#cfg.placement,
+			api: this.#api,
+			table: this.#config,
+			vm: this.#cfg.vm,
+			self: branded(`${this.#cfg.vm}-${randomUUID()}`),
+			entries: () => this.#liveEntries().map(({name}) => name),
+			replicas: () => this.#replicas.all,
+		});
+	}
+
 	#makeFrontend() {
 		return new OnlineFrontend({
 			...this.#services,
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -54,6 +54,14 @@
 		retentionSweepMs: durationMs(3_600_000),
 		chunkBytes: sizeBytes(786_432),
 	}).prefault({}),
+	placement: z.strictObject({
+		/** Loads of weights under way at once in the whole fleet: what the weight store bears. */
+		maxLoads: z.int().min(1).default(4),
+		/** How often a step is taken. */
+		tickMs: durationMs(1000),
+		/** How long the placement's lease lasts. */
+		leaseMs: durationMs(9000),
+	}).prefault({}),
 	/** A folder on the VM's own disk for a snapshot of the configuration. Without it none is kept. */
 	dataFolder: z.string().min(1).optional(),
 	/** A file to which the inputs of every decision are appended, for replay. Without it none is written. */
--- a/src/entry/status-writer.ts
+++ b/src/entry/status-writer.ts
@@ -30,11 +30,19 @@
 	return {...condition, lastTransitionTime: old?.status === condition.status ? old.lastTransitionTime : now};
 });
 
+const outdated = (condition: Condition, now: string): Condition => condition.status === 'Unknown'
+	? condition
+	: {
+		...condition, status: 'Unknown', reason: 'NewGeneration', message: 'nothing has been reported of this generation yet', lastTransitionTime: now,
+	};
+
 const merged = (report: StatusReport, before: ResourceStatus | undefined, now: string): ResourceStatus => {
-	const conditions = before?.conditions ?? [];
+	const generation = Math.max(report.observedGeneration, before?.observedGeneration ?? 0);
+	// What was said of an older generation says nothing of this one.
+	const conditions = before && before.observedGeneration < generation ? before.conditions.map(condition => outdated(condition, now)) : before?.conditions ?? [];
 	const types = new Set(report.conditions.map(({type}) => type));
 	return {
-		...before, ...report, conditions: [...conditions.filter(({type}) => !types.has(type)), ...withTimes(report.conditions, conditions, now)],
+		...before, ...report, observedGeneration: generation, conditions: [...conditions.filter(({type}) => !types.has(type)), ...withTimes(report.conditions, conditions, now)],
 	};
 };
 
