A connection from agent to engine that goes silent ends its run

Cause: nothing watched the connections from agent to engine. One that had gone silent for good gave no byte and no error: a batch item on it never ended, so neither did its job, and a caller waited out its deadline. Ruled out: a timeout on quiet alone, which takes an engine that is full or reads a long prompt for silent.

Change: a run that is quiet for backend.silenceMs (5 s), or for 20 usual pauses between chunks where that is longer, is the occasion to ask the engine for its load on a connection of its own. The run ends as lost when the engine has fewer requests than it was given, or when the run had begun and none waits; asked twice, since an end may be on its way. The pool is renewed and the engine told to cancel. Lost work goes the known ways: resumed, repeated when idempotent, else unknown. Left: plain services, whose calls are legitimately quiet, and engines that do not report their load.

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -54,7 +54,7 @@
 const drainLingerMs = 2000;
 
 const backendMakers: {[Type in AgentSettings['backend']['type']]: (cfg: Extract<AgentSettings['backend'], {type: Type}>, http: HttpClient) => Backend} = {
-	engine: (cfg, http) => new EngineBackend(http, cfg.address),
+	engine: (cfg, http) => new EngineBackend(http, cfg.address, cfg.silenceMs),
 	service: (cfg, http) => new ServiceBackend(http, cfg.address, cfg.service),
 };
 
--- a/src/agent/engine-backend.ts
+++ b/src/agent/engine-backend.ts
@@ -11,9 +11,11 @@
 import {EngineModels} from './engine-models.js';
 import type {ModelControl} from './model-control.js';
 import {failureBeforeResponse, failureInResponse} from './backend-failures.js';
+import {SilenceWatch, type EngineState} from './silence-watch.js';
 
 const headTimeoutMs = 600_000;
 const probeTimeoutMs = 1000;
+const defaultSilenceMs = 5000;
 const doneMarker = '[DONE]';
 const lineBreak = /[\r\n]/v;
 
@@ -26,15 +28,52 @@
 	readonly models: ModelControl;
 	readonly #http: HttpClient;
 	readonly #address: string;
+	readonly #watch: SilenceWatch;
 
-	/** @param address - The engine's `ip:port`. */
-	constructor(http: HttpClient, address: string) {
+	/**
+	@param address - The engine's `ip:port`.
+	@param silenceMs - The shortest quiet of a run, in milliseconds, after which its connection is looked into; see {@link SilenceWatch}.
+	*/
+	constructor(http: HttpClient, address: string, silenceMs = defaultSilenceMs) {
 		this.#http = http;
 		this.#address = address;
 		this.models = new EngineModels(http, address);
+		this.#watch = new SilenceWatch({silenceMs, probe: async () => this.#probe()});
 	}
 
 	async run(req: BackendRequest): Promise<Either<BackendFailure, void>> {
+		return this.#watch.during(async (run, silent) => {
+			const onChunk = (data: string) => {
+				run.heard();
+				req.onChunk(data);
+			};
+
+			const ended = await this.#run({...req, onChunk}, AbortSignal.any([req.signal, silent]));
+			if (silent.aborted) {
+				this.#abandon(req);
+			}
+
+			return ended;
+		});
+	}
+
+	async serves(): Promise<readonly string[]> {
+		const sent = await this.#http.send({
+			address: this.#address, method: 'GET', path: '/v1/models', timeoutMs: probeTimeoutMs, signal: AbortSignal.timeout(2 * probeTimeoutMs),
+		});
+		if (sent.isLeft()) {
+			return [];
+		}
+
+		try {
+			const list = await (sent.extract() as HttpResponse).body.json() as {data?: Array<{id: string}>};
+			return list.data?.map(model => `model:${model.id}`) ?? [];
+		} catch {
+			return [];
+		}
+	}
+
+	async #run(req: BackendRequest, signal: AbortSignal): Promise<Either<BackendFailure, void>> {
 		const work = req.work as GenerateWork;
 		const body = {
 			...work.body, stream: true, stream_options: {include_usage: true}, request_id: req.key, resume: work.resume,
@@ -46,27 +85,38 @@
 			headers: {'content-type': 'application/json'},
 			body: JSON.stringify(body),
 			timeoutMs: headTimeoutMs,
-			signal: req.signal,
+			signal,
 		});
 		return sent.isLeft()
 			? Left(failureBeforeResponse(sent.extract(), req))
 			: this.#follow(sent.extract() as HttpResponse, req);
 	}
 
-	async serves(): Promise<readonly string[]> {
+	// The pool's other connections are likely to be silent, too, and the engine may still generate what nobody can read.
+	#abandon({key}: BackendRequest) {
+		this.#http.renew(this.#address);
+		void this.#http.send({
+			address: this.#address,
+			method: 'POST',
+			path: '/v1/cancel',
+			headers: {'content-type': 'application/json'},
+			body: JSON.stringify({request_id: key}),
+			timeoutMs: probeTimeoutMs,
+			fresh: true,
+		}).then(sent => sent.map(async res => res.body.dump().catch(() => undefined)));
+	}
+
+	async #probe(): Promise<EngineState | undefined> {
 		const sent = await this.#http.send({
-			address: this.#address, method: 'GET', path: '/v1/models', timeoutMs: probeTimeoutMs, signal: AbortSignal.timeout(2 * probeTimeoutMs),
+			address: this.#address, method: 'GET', path: '/v1/load', timeoutMs: probeTimeoutMs, signal: AbortSignal.timeout(2 * probeTimeoutMs), fresh: true,
 		});
 		if (sent.isLeft()) {
-			return [];
+			return undefined;
 		}
 
-		try {
-			const list = await (sent.extract() as HttpResponse).body.json() as {data?: Array<{id: string}>};
-			return list.data?.map(model => `model:${model.id}`) ?? [];
-		} catch {
-			return [];
-		}
+		const text = await (sent.extract() as HttpResponse).body.text().catch(() => '');
+		const state = parseObject<EngineState>(text).toMaybe().extract();
+		return Number.isFinite(state?.running) && Number.isFinite(state?.waiting) ? state : undefined;
 	}
 
 	async #follow(res: HttpResponse, req: BackendRequest): Promise<Either<BackendFailure, void>> {
--- a/src/agent/settings.ts
+++ b/src/agent/settings.ts
@@ -13,6 +13,8 @@
 	maxRunning: z.int().min(1).default(32),
 	/** Tokens the engine computes in a second when full; for estimates of waits. */
 	tokensPerSecond: z.number().positive().default(5000),
+	/** The shortest quiet of a request after which the engine is asked whether it still has it. */
+	silenceMs: durationMs(5000),
 });
 
 const serviceSchema = z.strictObject({
