Malformed messages and VM lists are refused where they come in

Cause: parameters of JSON-RPC methods and rows of the VM list were taken as their declared types. config.changes with counts [null] was kept, and threw when the next node's question summed the counts, outside the call that brought it. A VM list {"vms":{}} or [null] threw in the poller's loop. Both end the process. Errors within a method were ruled out: the library answers those.

The VM list is taken whole or not at all: without its malformed row a VM would count as leaving. Event 230 now says why a list was not taken. The single tests are shared with the check of objects (field-tests.ts).

A malformed row keeps the list from being renewed until it is mended; agents' own refusals and reports still tell who serves.

--- /dev/null
+++ b/src/common/message-tests.ts
@@ -0,0 +1,29 @@
+/**
+Tests of the parameters that nodes send each other, by method. A peer of another version, or another process at a peer's old address, may send anything; what is taken unchecked breaks much later, when it is read: a count that is no object in the sums for a third node, a fencing number that is no number in each comparison after it.
+*/
+import {
+	isAmount, isCount, isFlag, isObject, isText, listOf, objectOf, oneOf, optional, type FieldTest,
+} from './field-tests.js';
+
+const attemptKey = objectOf({id: isText, attempt: isCount});
+const chunkKey = objectOf({jobId: isText, chunk: isCount});
+const areCounts = listOf(objectOf({version: isCount, nodes: isCount}));
+
+const chunkGrant = objectOf({
+	jobId: isText, chunk: isCount, inputName: isText, fileId: isText, endpoint: isText, model: isText, account: isText, share: isAmount, fence: isCount, expiresInMs: isAmount, isolate: isFlag, round: isCount,
+});
+
+/** The tests of all methods between nodes that take parameters. */
+export const messageTests: Readonly<Record<string, FieldTest>> = {
+	'config.changes': objectOf({
+		node: isText, since: isCount, waitMs: isAmount, scope: optional(objectOf({kinds: optional(listOf(isText)), name: optional(isText)})), counts: optional(areCounts), wantsDigest: optional(isFlag),
+	}),
+	'config.counts': optional(isObject),
+	'agent.load': objectOf({cacheSince: optional(isCount)}),
+	'ledger.revoke': objectOf({key: attemptKey, issuedAt: isAmount, deadlineInMs: Number.isFinite}),
+	'attempt.cancel': objectOf({key: attemptKey}),
+	'batch.grant': objectOf({shard: isText, grant: chunkGrant}),
+	'batch.renew': objectOf({
+		shard: isText, fence: isCount, round: isCount, expiresInMs: isAmount, keep: value => oneOf('all')(value) || listOf(chunkKey)(value),
+	}),
+};
--- a/src/common/resource-check.ts
+++ b/src/common/resource-check.ts
@@ -1,22 +1,14 @@
 /**
 Checks the objects that operators and their tools write, where they come in from the object API. The object API takes any value, and citronctl's own check does not bind other writers. Only what this system reads is checked, so that a newer version's additional fields do no harm.
 */
+import {
+	isCount, isFlag, isObject, isPositive, isText, isTime, listOf, oneOf, optional, wrongField, type FieldTests,
+} from './field-tests.js';
 import type {ObjectKind} from './types.js';
 
-type Fields = Readonly<Record<string, unknown>>;
-type Test = (value: unknown) => boolean;
+const areTexts = listOf(isText);
 
-const isObject = (value: unknown): value is Fields => typeof value === 'object' && value !== null && !Array.isArray(value);
-const isText: Test = value => typeof value === 'string' && value !== '';
-const isTime: Test = value => typeof value === 'string' && !Number.isNaN(Date.parse(value));
-const isFlag: Test = value => typeof value === 'boolean';
-const isCount: Test = value => Number.isSafeInteger(value) && (value as number) >= 0;
-const isPositive: Test = value => Number.isFinite(value) && (value as number) > 0;
-const areTexts: Test = value => Array.isArray(value) && value.every(text => isText(text));
-const optional = (test: Test): Test => value => value === undefined || test(value);
-const oneOf = (...values: readonly unknown[]): Test => value => values.includes(value);
-
-const specTests: Partial<Record<ObjectKind, Readonly<Record<string, Test>>>> = {
+const specTests: Partial<Record<ObjectKind, FieldTests>> = {
 	ServedModel: {version: isText, replicas: optional(isCount), minReady: optional(isCount)},
 	ModelVersion: {weights: isText, adapter: optional(isText), bytes: optional(isCount)},
 	OnlineService: {idempotentMethods: optional(areTexts), timeoutMs: optional(isPositive)},
@@ -48,7 +40,6 @@
 		return 'metadata.name is not the object\'s name';
 	}
 
-	const {spec} = value;
-	const wrong = Object.keys(tests).find(field => !tests[field]!(spec[field]));
+	const wrong = wrongField(value.spec, tests);
 	return wrong && `spec.${wrong} is missing or malformed`;
 };
--- a/src/entry/replica-poller.ts
+++ b/src/entry/replica-poller.ts
@@ -84,7 +84,7 @@
 				this.#forgetGone();
 			})
 			.ifLeft(err => {
-				log.emit(entryEvents.vmListFailed, {reason: err.kind});
+				log.emit(entryEvents.vmListFailed, {reason: err.kind === 'unavailable' ? err.reason : err.kind});
 			});
 	}
 
--- a/src/platform/http-vm-list.ts
+++ b/src/platform/http-vm-list.ts
@@ -2,10 +2,17 @@
 The platform's VM list over HTTP.
 */
 import {Left, Right, type Either} from 'purify-ts/Either';
+import {
+	isText, listOf, objectOf, oneOf,
+} from '../common/field-tests.js';
 import type {VmList} from '../common/services.js';
 import type {ApiError, VmEntry} from '../common/types.js';
 import type {HttpClient, HttpFailure, HttpResponse} from './http-client.js';
 
+const areVms = listOf(objectOf({
+	name: isText, role: oneOf('entry', 'backend'), address: isText, failureDomain: isText, state: oneOf('live', 'leaving'),
+}));
+
 /** See {@link VmList}. */
 export class HttpVmList implements VmList {
 	readonly #client: HttpClient;
@@ -36,10 +43,11 @@
 
 	async #parse(res: HttpResponse): Promise<Either<ApiError, readonly VmEntry[]>> {
 		try {
-			const {vms} = await res.body.json() as {vms?: VmEntry[]};
-			return res.status === 200 && vms
-				? Right(vms)
-				: Left({kind: 'unavailable', reason: `status ${res.status}`});
+			const body = await res.body.json() as {vms?: VmEntry[]} | undefined;
+			// A list with a malformed row is not taken at all: without the row, its VM would count as leaving and lose its work. The list before stands.
+			return res.status === 200 && areVms(body?.vms)
+				? Right(body!.vms!)
+				: Left({kind: 'unavailable', reason: `status ${res.status}, or a malformed list`});
 		} catch (err) {
 			return Left({kind: 'unavailable', reason: String(err)});
 		}
