Fields of an answer that are not known are kept, and not sent twice

Cause: the assembler read the delta's fields that it knows and dropped the rest. A caller without a stream never saw a reasoning model's `reasoning_content`; and when its engine was lost in the reasoning, the resume point, which is text alone, was empty, so that another engine began again and the caller of a stream read the reasoning twice.

Change: unknown text fields of a delta are put together and stand in the message; of other values the last one counts. Once one has come there is no resume point: a stream that has begun ends with an error, an answer that its caller has nothing of yet starts again from nothing. A chunk of an unknown field after a resume is no longer taken for one of the role alone.

--- a/src/common/answer-assembler.ts
+++ b/src/common/answer-assembler.ts
@@ -26,6 +26,12 @@
 
 type ToolCall = {id?: string; type: string; function: {name: string; arguments: string}};
 
+const knownFields = new Set(['role', 'content', 'refusal', 'tool_calls']);
+
+/** Fields of a delta that are not in the API as it was written, for instance `reasoning_content`; without the empty ones. */
+const otherFields = (delta: Delta): Array<[string, unknown]> => Object.entries(delta)
+	.filter(([name, value]) => !knownFields.has(name) && value !== null && value !== '');
+
 class ChoiceParts {
 	role = 'assistant';
 	text = '';
@@ -34,6 +40,7 @@
 	readonly toolCalls: ToolCall[] = [];
 	readonly logprobs: unknown[] = [];
 	hasLogprobs = false;
+	readonly others = new Map<string, unknown>();
 
 	add(choice: ChunkChoice) {
 		this.role = choice.delta?.role ?? this.role;
@@ -41,6 +48,9 @@
 		this.finishReason = choice.finish_reason ?? this.finishReason;
 		this.refusal = choice.delta?.refusal ? (this.refusal ?? '') + choice.delta.refusal : this.refusal;
 		this.#addLogprobs(choice);
+		otherFields(choice.delta ?? {}).forEach(([name, value]) => {
+			this.#addOther(name, value);
+		});
 		choice.delta?.tool_calls?.forEach(delta => {
 			this.#addToolCall(delta);
 		});
@@ -53,6 +63,12 @@
 		}
 	}
 
+	// Text comes in pieces; of anything else the last value counts.
+	#addOther(name: string, value: unknown) {
+		const earlier = this.others.get(name);
+		this.others.set(name, typeof earlier === 'string' && typeof value === 'string' ? earlier + value : value);
+	}
+
 	#addToolCall(delta: ToolCallDelta) {
 		const call = this.toolCalls[delta.index] ?? {id: delta.id, type: delta.type ?? 'function', function: {name: '', arguments: ''}};
 		this.toolCalls[delta.index] = call;
@@ -92,8 +108,9 @@
 	/** Where another engine can go on; undefined when the answer holds more than the text of one choice. */
 	get resumePoint(): ResumePoint | undefined {
 		const first = this.#choices.get(0);
-		const isPlain = this.#choices.size <= 1 && (first?.toolCalls.length ?? 0) === 0 && !first?.hasLogprobs;
-		return isPlain ? {text: first?.text ?? '', tokens: this.#tokens} : undefined;
+		// The resume point is text alone: an engine that gets it would send anything else, a reasoning for instance, a second time.
+		const isPlain = (first?.toolCalls.length ?? 0) === 0 && (first?.others.size ?? 0) === 0 && !first?.hasLogprobs;
+		return isPlain && this.#choices.size <= 1 ? {text: first?.text ?? '', tokens: this.#tokens} : undefined;
 	}
 
 	/** Adds one chunk. */
@@ -138,7 +155,8 @@
 		this.#choices.set(choice.index, parts);
 		parts.add(choice);
 		const text = choice.delta?.content ?? choice.text ?? '';
-		if (text !== '' || choice.delta?.tool_calls) {
+		const hasMore = Boolean(choice.delta?.tool_calls) || otherFields(choice.delta ?? {}).length > 0;
+		if (text !== '' || hasMore) {
 			this.#tokens += 1;
 		}
 	}
@@ -150,6 +168,7 @@
 				role: parts.role,
 				content: parts.text === '' && parts.toolCalls.length > 0 ? null : parts.text,
 				refusal: parts.refusal ?? null,
+				...Object.fromEntries(parts.others),
 				...(parts.toolCalls.length > 0 && {tool_calls: parts.toolCalls}),
 			},
 			logprobs: parts.hasLogprobs ? {content: parts.logprobs} : null,
--- a/src/entry/answer-sink.ts
+++ b/src/entry/answer-sink.ts
@@ -20,7 +20,9 @@
 	chunk(data: string): boolean;
 };
 
-const isOnlyRole = (chunk: AnswerChunk) => !chunk.usage && (chunk.choices ?? []).every(choice => (choice.delta?.content ?? choice.text ?? '') === '' && !choice.finish_reason && !choice.delta?.tool_calls);
+const saysNothing = (delta: object) => Object.entries(delta).every(([name, value]) => name === 'role' || value === null || value === '');
+
+const isOnlyRole = (chunk: AnswerChunk) => !chunk.usage && (chunk.choices ?? []).every(choice => (choice.text ?? '') === '' && !choice.finish_reason && saysNothing(choice.delta ?? {}));
 
 /** Collects a generation and hands each chunk on. */
 export class GenerationSink implements AnswerSink {
--- a/src/entry/poison-request.steps.ts
+++ b/src/entry/poison-request.steps.ts
@@ -52,6 +52,29 @@
 	});
 });
 
+const reasoning = deltaEvent({role: 'assistant', content: ''}) + deltaEvent({reasoning_content: 'R1 '}) + deltaEvent({reasoning_content: 'R2 '});
+
+const reason: EngineScript = res => {
+	openStream(res).end(`${reasoning}${deltaEvent({content: 'A1 '})}${deltaEvent({content: 'A2'})}${endOfAnswer}`);
+};
+
+Given('a relayed fleet whose {int} engines reason before they answer', async function (this: EngineWorld, replicas: number) {
+	await startScripted(this, replicas, reason);
+});
+
+Given('a relayed fleet whose {int} engines reason before they answer, the first run lost in its reasoning', async function (this: EngineWorld, replicas: number) {
+	await startScripted(this, replicas, (res, run) => {
+		if (runsOf(this) > 1) {
+			reason(res, run);
+			return;
+		}
+
+		openStream(res).write(reasoning, () => {
+			res.destroy();
+		});
+	});
+});
+
 Given('a relayed fleet whose {int} engines crash {}', async function (this: EngineWorld, replicas: number, when: string) {
 	await startScripted(this, replicas, crashes[when]!);
 });
@@ -83,3 +106,7 @@
 	const isWhole = this.text.includes('[DONE]') || this.text.includes('"chat.completion"');
 	assert.equal(isWhole ? saidBy(this.text, 'content') : saidBy(this.text, 'code'), told, this.text);
 });
+
+Then('the caller reads the reasoning {string} and the text {string}', function (this: EngineWorld, reasoned: string, said: string) {
+	assert.deepEqual([saidBy(this.text, 'reasoning_content'), saidBy(this.text, 'content')], [reasoned, said], this.text);
+});
--- a/src/entry/whole-answer.feature
+++ b/src/entry/whole-answer.feature
@@ -52,3 +52,21 @@
       | an event without JSON | false  | backend_failed  |
       | an error               | true   | backend_failed  |
       | an error               | false  | backend_failed  |
+
+  Scenario: A reasoning model's answer that was not asked for as a stream
+    Before its text the engine streams a reasoning, in a field that is not in the API as it was written.
+    Given a relayed fleet whose 1 engines reason before they answer
+    When the engines get a request with stream false and a deadline of 10 s
+    Then the caller reads the reasoning "R1 R2 " and the text "A1 A2"
+
+  Scenario Outline: A reasoning model is lost in its reasoning, stream <stream>
+    The engine's resume point is text alone. What a caller has of the reasoning would come a second time from another engine,
+    so its stream ends with an error; a caller that has nothing yet gets the whole answer of another.
+    Given a relayed fleet whose 2 engines reason before they answer, the first run lost in its reasoning
+    When the engines get a request with stream <stream> and a deadline of 10 s
+    Then the caller reads the reasoning "R1 R2 " and the text "<text>"
+
+    Examples:
+      | stream | text  |
+      | true   |       |
+      | false  | A1 A2 |
