Placement hears of every engine while it holds its lease

Cause: since entries keep in touch with a few replicas of each model, the holder of placement took the engines it no longer asked for lost after ten seconds, where a model has more than sixteen. Change: while an entry holds the lease of placement it asks every agent, each the less often the more there are; an engine is lost only when it is silent by that measure too.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -165,7 +165,7 @@
 
 	#makePoller() {
 		const {platform, online, vm, failureDomain} = this.#cfg;
-		const subset = new ReplicaSubset(this.#replicas, this.#config, {self: vm, failureDomain: branded(failureDomain), perTarget: online.replicasPerTarget});
+		const subset = new ReplicaSubset(this.#replicas, this.#config, {self: vm, failureDomain: branded(failureDomain), perTarget: online.replicasPerTarget}, () => this.#placement.isHolder);
 		return new ReplicaPoller({
 			...this.#services,
 			...online,
@@ -209,6 +209,7 @@
 
 	#makePlacement() {
 		return new PlacementController({
+			silentMs: () => this.#replicas.silentMs,
 			...this.#services,
 			...this.#cfg.placement,
 			api: this.#api,
--- a/src/entry/placement-controller.ts
+++ b/src/entry/placement-controller.ts
@@ -35,6 +35,8 @@
 	readonly entries: () => readonly string[];
 	/** All backend servers that this entry knows. */
 	readonly replicas: () => readonly ReplicaView[];
+	/** Milliseconds without a report after which an engine is silent; grows with the fleet, as reports become rarer. */
+	readonly silentMs: () => number;
 	/** Loads that may be under way at once. */
 	readonly maxLoads: number;
 	readonly leaseMs: number;
@@ -45,7 +47,7 @@
 const tendsPerLease = 3;
 /** Entries that look after the lease; see the reporter of versions in force. */
 const candidates = 3;
-/** An engine that was not heard for so long is lost, whatever the VM list says. */
+/** An engine that was not heard for so long, and is silent, is lost, whatever the VM list says. */
 const lostMs = 10_000;
 /** A new holder waits so long for the agents' first reports before it decides without some. */
 const hearMs = 5000;
@@ -70,6 +72,11 @@
 		this.#writer = new StatusWriter(parts.api, parts.clock);
 	}
 
+	/** True while this entry places; it then needs reports of all engines, not of a few. */
+	get isHolder(): boolean {
+		return this.#lease.isHeld;
+	}
+
 	/** Places for good. Resolves after `dispose`. */
 	async run(): Promise<void> {
 		while (!this.#disposed) {
@@ -164,9 +171,10 @@
 	}
 
 	#servers(): PlacementServer[] {
-		const {table, replicas, clock} = this.#parts;
+		const {table, replicas, clock, silentMs} = this.#parts;
+		const lostAt = clock.now() - Math.max(lostMs, silentMs());
 		return replicas()
-			.filter(({leaving, load, heardAt}) => !leaving && load?.draining !== true && (heardAt === Number.NEGATIVE_INFINITY || clock.now() - heardAt < lostMs))
+			.filter(({leaving, load, heardAt}) => !leaving && load?.draining !== true && (heardAt === Number.NEGATIVE_INFINITY || heardAt > lostAt))
 			.flatMap(({vm, failureDomain, load}): PlacementServer[] => {
 				const spec = table.get<BackendServer>('BackendServer', vm)?.spec;
 				return spec?.type === 'engine'
--- a/src/entry/replica-subset.ts
+++ b/src/entry/replica-subset.ts
@@ -12,10 +12,13 @@
 	readonly #replicas: ReplicaTable;
 	readonly #config: ConfigTable;
 	readonly #place: Pick<SubsetQuestion, 'self' | 'failureDomain' | 'perTarget'>;
+	readonly #needsAll: () => boolean;
 	#signature = '';
 	#current: ReadonlySet<VmName> = new Set();
 
-	constructor(replicas: ReplicaTable, config: ConfigTable, place: Pick<SubsetQuestion, 'self' | 'failureDomain' | 'perTarget'>) {
+	/** @param needsAll - True while this entry has to know every replica, for instance because it places models. */
+	constructor(replicas: ReplicaTable, config: ConfigTable, place: Pick<SubsetQuestion, 'self' | 'failureDomain' | 'perTarget'>, needsAll: () => boolean) {
+		this.#needsAll = needsAll;
 		this.#replicas = replicas;
 		this.#config = config;
 		this.#place = place;
@@ -24,6 +27,10 @@
 	/** The subset by what is known now. */
 	get current(): ReadonlySet<VmName> {
 		const replicas = this.#replicas.all;
+		if (this.#needsAll()) {
+			return new Set(replicas.map(({vm}) => vm));
+		}
+
 		const signature = `${this.#config.revision} ${replicas.map(replica => `${replica.vm}${replica.leaving ? '-' : ''}${isReplaced(replica) ? '!' : ''}`).join(' ')}`;
 		if (signature !== this.#signature) {
 			this.#signature = signature;
