An engine that is full has not run the request

Cause: an engine's 429 was taken for its judgement of the request: no other replica was asked, and the caller got it as "run" without Retry-After. Batch items knew better, by a rule of their own.

Change: the engine's 429 is an outcome of its own (`full`, with the engine's Retry-After, else 1 s). Online it is a refusal like that of the agent's own queue: another replica is tried within the usual bounds, and the last refusal is told as 429, not-run, with Retry-After. A batch item waits as before. Another 4xx stays the engine's final judgement.

Feature "Refused by every engine, which are full": fails before (429, run, no Retry-After), passes after.

--- a/src/agent/backend.ts
+++ b/src/agent/backend.ts
@@ -16,10 +16,11 @@
 };
 
 /**
-Why there is no whole answer. `rejected`: the backend server's own final error. `unreachable`: not a byte of the request was sent, so it was not run. `lost`: it may have been run. `cancelled`: the signal aborted.
+Why there is no whole answer. `rejected`: the backend server's own final error. `full`: it took the request but has no room, and did not run it. `unreachable`: not a byte of the request was sent, so it was not run. `lost`: it may have been run. `cancelled`: the signal aborted.
 */
 export type BackendFailure
 	= | {readonly kind: 'rejected'; readonly status: number; readonly body: string}
+		| {readonly kind: 'full'; readonly retryAfterMs: number}
 		| {readonly kind: 'unreachable'; readonly reason: string}
 		| {readonly kind: 'lost'; readonly reason: string}
 		| {readonly kind: 'cancelled'};
--- a/src/agent/engine-backend.ts
+++ b/src/agent/engine-backend.ts
@@ -16,6 +16,9 @@
 const headTimeoutMs = 600_000;
 const probeTimeoutMs = 1000;
 const defaultSilenceMs = 5000;
+const tooManyRequests = 429;
+/** When to come back to a full engine that does not say. */
+const fullRetryAfterMs = 1000;
 const doneMarker = '[DONE]';
 const lineBreak = /[\r\n]/v;
 
@@ -92,6 +95,16 @@
 			: this.#follow(sent.extract() as HttpResponse, req);
 	}
 
+	// An engine that is full has not judged the request, and has not run it.
+	#failureOf({status, headers}: HttpResponse, body: string): BackendFailure {
+		if (status === tooManyRequests) {
+			const retryAfterMs = Number(headers['retry-after']) * 1000;
+			return {kind: 'full', retryAfterMs: retryAfterMs > 0 ? retryAfterMs : fullRetryAfterMs};
+		}
+
+		return status >= 500 ? {kind: 'lost', reason: `status ${status}`} : {kind: 'rejected', status, body};
+	}
+
 	// The pool's other connections are likely to be silent, too, and the engine may still generate what nobody can read.
 	#abandon({key}: BackendRequest) {
 		this.#http.renew(this.#address);
@@ -121,10 +134,8 @@
 
 	async #follow(res: HttpResponse, req: BackendRequest): Promise<Either<BackendFailure, void>> {
 		if (res.status !== 200) {
-			const text = await res.body.text().catch(() => '');
-			return Left(res.status >= 500
-				? {kind: 'lost', reason: `status ${res.status}`}
-				: {kind: 'rejected', status: res.status, body: text});
+			const body = await res.body.text().catch(() => '');
+			return Left(this.#failureOf(res, body));
 		}
 
 		let done = false;
--- a/src/agent/item-run.ts
+++ b/src/agent/item-run.ts
@@ -24,8 +24,6 @@
 	readonly backend: Backend;
 };
 
-const tooManyRequests = 429;
-
 /** One item of a chunk. */
 export class ItemRun {
 	/** Times the backend server went away while this item ran alone. */
@@ -119,7 +117,9 @@
 
 	#failedBy(failure: BackendFailure): ItemOutcome {
 		const handlers: Record<BackendFailure['kind'], () => ItemOutcome> = {
-			rejected: () => this.#isBusy(failure) ? {kind: 'unreachable'} : {kind: 'result', failed: true, result: this.#rejected(failure)},
+			rejected: () => ({kind: 'result', failed: true, result: this.#rejected(failure)}),
+			// An engine that is full has not judged the item.
+			full: () => ({kind: 'unreachable'}),
 			unreachable: () => ({kind: 'unreachable'}),
 			lost: () => ({kind: 'crashed', reason: failure.kind === 'lost' ? failure.reason : ''}),
 			cancelled: () => ({kind: 'cancelled'}),
@@ -127,11 +127,6 @@
 		return handlers[failure.kind]();
 	}
 
-	// An engine that is full has not judged the item.
-	#isBusy(failure: BackendFailure) {
-		return failure.kind === 'rejected' && failure.status === tooManyRequests;
-	}
-
 	#rejected(failure: BackendFailure): ItemResult {
 		const {status, body} = failure as Extract<BackendFailure, {kind: 'rejected'}>;
 		return {
--- a/src/agent/online-attempts.ts
+++ b/src/agent/online-attempts.ts
@@ -241,6 +241,9 @@
 					kind: 'rejected', reason: `backend server answered ${status}`, status, body,
 				});
 			},
+			full: ({retryAfterMs}) => {
+				this.#refuse(attempt, 'queueFull', retryAfterMs);
+			},
 			unreachable: () => {
 				this.#refuse(attempt, 'backendUnreachable', 0);
 			},
--- a/src/entry/not-run.feature
+++ b/src/entry/not-run.feature
@@ -32,6 +32,13 @@
       | the agent drains and its refusal is lost       |
       | nobody listens                                 |
 
+  Scenario: Refused by every engine, which are full
+    An engine without room answers 429 before it runs anything, and says when to come back. The caller learns the same.
+    Given a relayed fleet whose 2 engines are full for 3 s
+    When the engines get a request with the header "X-Citronyard-Idempotent: false"
+    Then the caller is answered with 429 as "not-run", to come back after 3 s
+    And the engines were asked at most 5 times
+
   Scenario: A refusal after a part was run
     One replica begins an answer and dies, the other refuses. "Not run" would be a lie.
     Given a relayed fleet with 2 replicas
--- a/src/entry/poison-request.steps.ts
+++ b/src/entry/poison-request.steps.ts
@@ -52,6 +52,12 @@
 	});
 });
 
+Given('a relayed fleet whose {int} engines are full for {int} s', async function (this: EngineWorld, replicas: number, seconds: number) {
+	await startScripted(this, replicas, res => {
+		res.writeHead(429, {'retry-after': String(seconds)}).end('{"error":{"message":"no room"}}');
+	});
+});
+
 const reasoning = deltaEvent({role: 'assistant', content: ''}) + deltaEvent({reasoning_content: 'R1 '}) + deltaEvent({reasoning_content: 'R2 '});
 
 const reason: EngineScript = res => {
@@ -110,3 +116,12 @@
 Then('the caller reads the reasoning {string} and the text {string}', function (this: EngineWorld, reasoned: string, said: string) {
 	assert.deepEqual([saidBy(this.text, 'reasoning_content'), saidBy(this.text, 'content')], [reasoned, said], this.text);
 });
+
+Then('the caller is answered with {int} as {string}, to come back after {int} s', function (this: EngineWorld, status: number, run: string, seconds: number) {
+	const {headers} = this.res;
+	assert.deepEqual([this.res.status, headers.get('x-citronyard-run'), headers.get('retry-after')], [status, run, String(seconds)], this.text);
+});
+
+Then('the engines were asked at most {int} times', function (this: EngineWorld, times: number) {
+	assert.ok(runsOf(this) <= times, `${runsOf(this)} times`);
+});
