A request that ends in an exception gives its place back

Cause: the account's place and the entry's count of open requests were given back only after a request had returned. A body nested 50,000 deep overflowed the stack in the middle: the place was kept for good, and a stop waited for the request. (Such a body is refused with 400 since the check of its depth; ruled out as enough, since any other exception would leak the place in the same way.)

Change: the place, the timer and the listener are given back in any case. A row of the callers' API covers the nested body.

--- a/src/entry/callers-api.feature
+++ b/src/entry/callers-api.feature
@@ -19,6 +19,7 @@
       | a body that is too large    | 413    | body_too_large    |
       | broken JSON                 | 400    | invalid_json      |
       | JSON that is no object      | 400    | invalid_json      |
+      | a body of 50000 levels      | 400    | invalid_json      |
       | an unknown model            | 404    | model_not_found   |
       | an unknown API key          | 401    | invalid_api_key   |
       | no API key                  | 401    | invalid_api_key   |
--- a/src/entry/callers-api.steps.ts
+++ b/src/entry/callers-api.steps.ts
@@ -20,6 +20,7 @@
 const authorization = `Bearer ${apiKey}`;
 const messages = [{role: 'user' as const, content: 'When does the bus to the clinic leave?'}];
 const tooManyBytes = 5_000_000;
+const levels = 50_000;
 
 const send = async (world: RelayedWorld, path: string, options: RequestOptions, body?: string): Promise<Response> => {
 	const req = request(`http://${world.relayed.fleet.entryAddress()}${path}`, {method: 'POST', headers: {authorization}, ...options});
@@ -40,6 +41,7 @@
 	'a body that is too large': async world => send(world, chatPath, {headers: {authorization, 'content-length': tooManyBytes}}, 'x'.repeat(tooManyBytes)),
 	'broken JSON': async world => send(world, chatPath, {}, '{"model": '),
 	'JSON that is no object': async world => send(world, chatPath, {}, 'null'),
+	'a body of 50000 levels': async world => send(world, chatPath, {}, `{"model":"${modelName}","messages":[{"role":"user","content":"x"}],"extra":${'['.repeat(levels)}${']'.repeat(levels)}}`),
 	'an unknown model': async world => send(world, chatPath, {}, JSON.stringify({model: 'unheard-of', messages})),
 	'an unknown API key': async world => send(world, chatPath, {headers: {authorization: 'Bearer nobody'}}, '{}'),
 	'no API key': async world => send(world, chatPath, {headers: {}}, '{}'),
--- a/src/entry/online-frontend.ts
+++ b/src/entry/online-frontend.ts
@@ -108,7 +108,7 @@
 		return service ? Right(service) : Left(invalidRequest(`the service ${name} does not exist`, {status: 404, code: 'service_not_found'}));
 	}
 
-	/** Runs a request to its final outcome. Never rejects. */
+	/** Runs a request to its final outcome. Rejects only for a broken invariant; its place is given back then, too. */
 	async run(request: FrontendRequest, sink: AnswerSink, exchange: Exchange): Promise<RequestOutcome> {
 		const begun = this.accounts.begin(request.account);
 		if (begun.isLeft()) {
@@ -116,15 +116,26 @@
 		}
 
 		this.#open.add(exchange.res);
+		// A place that is not given back when a request ends in an exception would count against its account for good, and a stop would wait for the request.
+		try {
+			return await this.#runOpen(request, sink, exchange);
+		} finally {
+			(begun.extract() as () => void)();
+			this.#open.delete(exchange.res);
+		}
+	}
+
+	async #runOpen(request: FrontendRequest, sink: AnswerSink, exchange: Exchange): Promise<RequestOutcome> {
 		const startedAt = this.#parts.clock.now();
 		const run = this.#start(request, sink, exchange);
-		const outcome = await run.request.run();
-		run.stop();
-		void this.#awaitSettled(run.request);
-		(begun.extract() as () => void)();
-		this.#open.delete(exchange.res);
-		this.#record(request, outcome, run.request.attempts, startedAt);
-		return outcome;
+		try {
+			const outcome = await run.request.run();
+			this.#record(request, outcome, run.request.attempts, startedAt);
+			return outcome;
+		} finally {
+			run.stop();
+			void this.#awaitSettled(run.request);
+		}
 	}
 
 	#start(request: FrontendRequest, sink: AnswerSink, {req, res}: Exchange) {
