A new job adopts no results of an earlier one with its id

Cause: a job's id comes from account and key alone. After its BatchJob was deleted, a job submitted under the same key found the results of the old one under `<job>/<chunk>`, was complete at once and gave the old input's results as its own. The status was told apart by createdTime already in the coordinator, though not where callers read it.

Change: the names of results start with the job's id and a digest of its creation time and input (`<job>/<digest>/<chunk>`), still one conditional create a chunk. Grants and reports carry that prefix: an agent drops a run of the earlier job, a coordinator takes no report of one. Callers see no status of an earlier job.

Weighed: the digest in the result's value instead of its name. The old object would then hold the name, and the new result could not be created.

Results written under the former names are not read by this version.

--- a/src/agent/batch-worker.ts
+++ b/src/agent/batch-worker.ts
@@ -81,7 +81,11 @@
 		}
 
 		const known = this.#held.get(nameOf(grant));
-		if (known?.run.isGranted && !known.ended) {
+		if (known && known.run.report.results !== grant.results) {
+			// The job was cleaned away and submitted anew under the same key.
+			known.run.cancel();
+			this.#held.delete(nameOf(grant));
+		} else if (known?.run.isGranted && !known.ended) {
 			this.#grantAgain(known, grant);
 			return {accepted: true};
 		}
--- a/src/agent/chunk-run.ts
+++ b/src/agent/chunk-run.ts
@@ -67,6 +67,7 @@
 		return {
 			jobId: this.grant.jobId,
 			chunk: this.grant.chunk,
+			results: this.grant.results,
 			state: this.#state,
 			completed: this.#done - this.#failed,
 			failed: this.#failed,
--- a/src/agent/result-writer.ts
+++ b/src/agent/result-writer.ts
@@ -42,7 +42,7 @@
 		const items = results.map(item => this.#fitting(item));
 		const failed = failedBefore + items.filter((item, index) => item !== results[index]).length;
 		const pieces = this.#pieces(items);
-		const parts = pieces.length > 1 ? pieces.map((_, index) => `${resultName(grant.jobId, grant.chunk)}/${this.#writer}/${index}`) : [];
+		const parts = pieces.length > 1 ? pieces.map((_, index) => `${resultName(grant.results, grant.chunk)}/${this.#writer}/${index}`) : [];
 		for (const [index, name] of parts.entries()) {
 			const part: ResultPart = {items: pieces[index] ?? []};
 			if (await this.#createOnce('ResultPart', name, part) === 'lapsed') {
@@ -58,7 +58,7 @@
 			items: parts.length > 0 ? [] : items,
 			parts,
 		};
-		return this.#createOnce('Result', resultName(grant.jobId, grant.chunk), result);
+		return this.#createOnce('Result', resultName(grant.results, grant.chunk), result);
 	}
 
 	async #createOnce(kind: ObjectKind, name: string, value: ChunkResult | ResultPart): Promise<CommitOutcome> {
--- a/src/common/batch-types.ts
+++ b/src/common/batch-types.ts
@@ -1,10 +1,12 @@
 /**
 Shapes of a batch job's objects. A file's items are packed into input chunks; each chunk's result is one object that is created once and never changed.
 */
-import type {
-	AccountName, Fence, FileId, JobId,
+import type {BatchJobSpec} from '../../typings/resources.js';
+import {
+	branded, type AccountName, type Branded, type Fence, type FileId, type JobId,
 } from './ids.js';
 import type {JsonObject} from './protocol.js';
+import {h64ToString} from './xxhash.js';
 
 /** One item of a batch, a line of the uploaded file. */
 export type BatchItem = {
@@ -45,7 +47,7 @@
 	readonly error: {readonly code: string; readonly message: string} | null;
 };
 
-/** The result of a chunk: kind `Result`, named `<job>/<chunk>`. Its creation is the commit. */
+/** The result of a chunk: kind `Result`, see {@link resultName}. Its creation is the commit. */
 export type ChunkResult = {
 	/** Who wrote it: VM, incarnation and run, so that a writer whose answer was lost recognises its own. */
 	readonly writer: string;
@@ -99,8 +101,19 @@
 
 const chunkDigits = 6;
 
+/** Where the results of one job are: the start of their names. */
+export type ResultPrefix = Branded<string, 'ResultPrefix'>;
+
+/**
+The start of the names of a job's results. The id alone does not do: a job that was cleaned away and submitted anew under its key has the same one, and would be complete at once, with the results of the old input.
+*/
+export const resultPrefix = (jobId: JobId, {createdTime, inputFileId}: Pick<BatchJobSpec, 'createdTime' | 'inputFileId'>): ResultPrefix => branded(`${jobId}/${h64ToString(`${createdTime}/${inputFileId}`)}`);
+
+/** True when the status belongs to this job, and not to an earlier one with the same id. */
+export const speaksOf = (status: JobStatus, {createdTime}: Pick<BatchJobSpec, 'createdTime'>): boolean => status.jobCreatedTime === undefined || status.jobCreatedTime === createdTime;
+
 /** The name of a chunk's result. */
-export const resultName = (jobId: JobId, chunk: number) => `${jobId}/${String(chunk).padStart(chunkDigits, '0')}`;
+export const resultName = (prefix: ResultPrefix, chunk: number) => `${prefix}/${String(chunk).padStart(chunkDigits, '0')}`;
 
 /** The chunk number in a result's name. */
 export const chunkOfResultName = (name: string) => Number(name.slice(-chunkDigits));
--- a/src/common/job-run.ts
+++ b/src/common/job-run.ts
@@ -2,8 +2,8 @@
 What a coordinator knows of one job: which chunks are committed, which are granted to which agent, and which still have to be. It is rebuilt from the object API whenever a coordinator takes a job over, so nothing of it needs to last. It keeps a few bytes a chunk, whatever the number of items.
 */
 import type {BatchJobSpec} from '../../typings/resources.js';
-import type {
-	CommittedCounts, FileRecord, JobState, JobStatus,
+import {
+	resultPrefix, type CommittedCounts, type FileRecord, type JobState, type JobStatus, type ResultPrefix,
 } from './batch-types.js';
 import type {Fence, JobId, VmName} from './ids.js';
 import type {ChunkReport, Incarnation} from './protocol.js';
@@ -73,6 +73,11 @@
 		});
 	}
 
+	/** Where its results are. */
+	get results(): ResultPrefix {
+		return resultPrefix(this.jobId, this.spec);
+	}
+
 	get target(): string {
 		return `model:${this.file.model}`;
 	}
--- a/src/common/message-tests.ts
+++ b/src/common/message-tests.ts
@@ -10,7 +10,7 @@
 const areCounts = listOf(objectOf({version: isCount, nodes: isCount}));
 
 const chunkGrant = objectOf({
-	jobId: isText, chunk: isCount, inputName: isText, fileId: isText, endpoint: isText, model: isText, account: isText, share: isAmount, fence: isCount, expiresInMs: isAmount, isolate: isFlag, round: isCount,
+	jobId: isText, chunk: isCount, inputName: isText, results: isText, fileId: isText, endpoint: isText, model: isText, account: isText, share: isAmount, fence: isCount, expiresInMs: isAmount, isolate: isFlag, round: isCount,
 });
 
 /** The tests of all methods between nodes that take parameters. */
--- a/src/common/protocol.ts
+++ b/src/common/protocol.ts
@@ -1,6 +1,7 @@
 /**
 The messages between an entry and an agent. An online request is one or more attempts; an attempt is one HTTP request to an agent, answered by an event stream whose events carry the index of the chunk, so that a stream that broke is taken up where it stopped.
 */
+import type {ResultPrefix} from './batch-types.js';
 import type {
 	AccountName, BlockHash, Branded, Fence, FileId, JobId, RequestId, Revision, VmName,
 } from './ids.js';
@@ -175,6 +176,8 @@
 	readonly jobId: JobId;
 	readonly chunk: number;
 	readonly inputName: string;
+	/** Where its result belongs. */
+	readonly results: ResultPrefix;
 	readonly fileId: FileId;
 	readonly endpoint: string;
 	readonly model: string;
@@ -194,6 +197,8 @@
 export type ChunkReport = {
 	readonly jobId: JobId;
 	readonly chunk: number;
+	/** As in {@link ChunkGrant}: tells the chunk of a job from that of an earlier one with the same id. */
+	readonly results: ResultPrefix;
 	/** `superseded`: the result was there already, written by another run; its counts are not those of this report. */
 	readonly state: 'running' | 'committing' | 'committed' | 'superseded';
 	readonly completed: number;
--- a/src/entry/batch-faults.feature
+++ b/src/entry/batch-faults.feature
@@ -114,6 +114,18 @@
     And the job completes
     And each item has one result
 
+  Scenario: A job is deleted, and another input is sent under its key
+    An operator clears an ended job away, the client uses its key again. The new job has the id of the old one:
+    were the old results taken for its own, the client would receive those of the old input as complete.
+
+    Given 1 entries and 2 agents
+    And a job of 8 items
+    Then the job completes
+    When the job is deleted and 12 items are sent under its key
+    Then the new job completes
+    And each item has one result
+    And 20 items have been run
+
   Scenario: The object API is down in the middle of a job
     The client's finished items are not lost and not run again. Leases lapse, but nobody else can take them:
     coordinators renew what agents hold, agents keep finished chunks and commit them when it is back.
--- a/src/entry/batch-faults.steps.ts
+++ b/src/entry/batch-faults.steps.ts
@@ -11,7 +11,7 @@
 import {BatchFleet, shortGrants, usualTimes} from './testing/batch-fleet.js';
 import {atCall, losses} from './testing/batch-losses.js';
 import {
-	awaitHeld, cancel, chunkItems, committed, heldChunks, holder, resultsOf, stateOf, statusOf, storeOf, submit, submitJob, until, upload, type FaultWorld,
+	awaitHeld, cancel, chunkItems, committed, heldChunks, holder, later, resultsOf, resultsPrefix, stateOf, statusOf, storeOf, submit, submitJob, until, upload, type FaultWorld,
 } from './testing/batch-world.js';
 
 /** Meets the next commits with one fault after the other. */
@@ -142,6 +142,11 @@
 	assert.deepEqual(resent.map(job => job.unsafeCoerce().id), [this.jobId, this.jobId]);
 });
 
+When('the job is deleted and {int} items are sent under its key', async function (this: FaultWorld, items: number) {
+	await this.fleet.api.remove('BatchJob', this.jobId);
+	await submitJob(this, items, undefined, later);
+});
+
 When('the object API is down until every lease has lapsed and every held chunk has been run', async function (this: FaultWorld) {
 	await awaitHeld(this);
 	this.fleet.api.down = true;
@@ -200,6 +205,10 @@
 	await until(() => stateOf(this) === 'completed', 'completed');
 });
 
+Then('the new job completes', async function (this: FaultWorld) {
+	await until(() => stateOf(this) === 'completed' && statusOf(this)?.jobCreatedTime === later, 'the new job completed');
+});
+
 Then('the job is cancelled', async function (this: FaultWorld) {
 	await until(() => stateOf(this) === 'cancelled', 'cancelled');
 });
@@ -227,6 +236,10 @@
 	assert.equal(prompts.length, new Set(prompts).size);
 });
 
+Then('{int} items have been run', function (this: FaultWorld, items: number) {
+	assert.equal(this.fleet.agents.reduce((sum, {engine}) => sum + engine.begun.length, 0), items);
+});
+
 Then('nothing is added to the job after that', async function (this: FaultWorld) {
 	const before = await resultsOf(this);
 	const sealed = JSON.stringify(statusOf(this));
@@ -244,7 +257,7 @@
 Then('its results are those of whole chunks that were committed', async function (this: FaultWorld) {
 	const status = statusOf(this)!;
 	const names = new Set(committed(this).map(({name}) => name));
-	assert.ok(status.sealedChunks?.every(chunk => names.has(resultName(this.jobId, chunk))));
+	assert.ok(status.sealedChunks?.every(chunk => names.has(resultName(resultsPrefix(this), chunk))));
 	const results = await resultsOf(this);
 	assert.equal(results.length, status.completed + status.failed);
 	assert.ok(results.length > 0);
--- a/src/entry/chunk-exchange.ts
+++ b/src/entry/chunk-exchange.ts
@@ -162,8 +162,9 @@
 			return;
 		}
 
-		if (report) {
-			run.reported(report);
+		const ownReport = report?.results === run.results ? report : undefined;
+		if (ownReport) {
+			run.reported(ownReport);
 			return;
 		}
 
@@ -209,6 +210,7 @@
 		const grant: ChunkGrant = {
 			jobId: run.jobId,
 			chunk,
+			results: run.results,
 			inputName: run.file.chunks[chunk]!.name,
 			fileId: run.file.id,
 			endpoint: run.spec.endpoint,
--- a/src/entry/file-routes.ts
+++ b/src/entry/file-routes.ts
@@ -3,7 +3,7 @@
 */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Left, Right, type Either} from 'purify-ts/Either';
-import type {FileRecord, ItemResult} from '../common/batch-types.js';
+import {resultPrefix, type FileRecord, type ItemResult} from '../common/batch-types.js';
 import type {Clock, ObjectApi} from '../common/services.js';
 import type {Route} from '../platform/http-server.js';
 import type {Account, Accounts} from './accounts.js';
@@ -149,13 +149,13 @@
 
 	async #resultLines(account: Account, {jobId, isErrors}: {jobId: FileOfJob['jobId']; isErrors: boolean}): Promise<Either<ApiError, LineSource[]>> {
 		const job = await this.#parts.store.readJob(account, jobId);
-		return job.chain(({status}) => {
+		return job.chain(({status, job: {spec}}) => {
 			if (status?.sealedChunks === undefined) {
 				return Left(invalidRequest('the job has not ended', {status: 404, code: 'not_found'}));
 			}
 
 			return Right(status.sealedChunks.map(chunk => async () => {
-				const results = await this.#parts.store.readResults(jobId, chunk);
+				const results = await this.#parts.store.readResults(resultPrefix(jobId, spec), chunk);
 				return results.map(items => items.filter(item => isFailed(item) === isErrors));
 			}));
 		});
--- a/src/entry/job-coordinator.ts
+++ b/src/entry/job-coordinator.ts
@@ -166,7 +166,7 @@
 		const run = new JobRun({
 			jobId, spec: job.spec, file, committed, counted: known?.counted, startedAt: known?.startedAt ?? Math.floor(clock.wall() / 1000),
 		});
-		inherited.forEach(({vm, report}) => {
+		inherited.filter(({report}) => report.results === run.results).forEach(({vm, report}) => {
 			run.grantedTo({
 				chunk: report.chunk, vm, incarnation: replicas.get(vm)?.load?.incarnation, at: clock.now(), report,
 			});
@@ -209,7 +209,7 @@
 	// The agent may have committed the chunk before it went away.
 	async #settleMissing(run: JobRun, missing: MissingChunk) {
 		const {api, log} = this.#around;
-		const result = await this.#calls.run(async () => api.get<ChunkResult>('Result', resultName(run.jobId, missing.chunk)));
+		const result = await this.#calls.run(async () => api.get<ChunkResult>('Result', resultName(run.results, missing.chunk)));
 		result
 			.ifRight(({value}) => {
 				run.committed(missing.chunk, value);
@@ -224,7 +224,7 @@
 
 	async #finishCancelled(tracked: TrackedJob) {
 		const {run} = tracked;
-		const committed = await this.#calls.run(async () => this.#reader.committedChunks(run.jobId));
+		const committed = await this.#calls.run(async () => this.#reader.committedChunks(run.results));
 		committed?.forEach(chunk => {
 			run.committed(chunk, undefined);
 		});
@@ -246,7 +246,7 @@
 	}
 
 	async #count(run: JobRun, chunk: number) {
-		const result = await this.#calls.run(async () => this.#around.api.get<ChunkResult>('Result', resultName(run.jobId, chunk)));
+		const result = await this.#calls.run(async () => this.#around.api.get<ChunkResult>('Result', resultName(run.results, chunk)));
 		result.ifRight(({value}) => {
 			run.committed(chunk, value);
 		});
--- a/src/entry/job-reader.ts
+++ b/src/entry/job-reader.ts
@@ -3,7 +3,7 @@
 */
 import type {BatchJob} from '../../typings/resources.js';
 import {
-	chunkOfResultName, endedStates, type FileRecord, type JobStatus,
+	chunkOfResultName, endedStates, resultPrefix, speaksOf, type FileRecord, type JobStatus, type ResultPrefix,
 } from '../common/batch-types.js';
 import {branded, type JobId, type Revision} from '../common/ids.js';
 import {resourceFault} from '../common/resource-check.js';
@@ -27,9 +27,6 @@
 
 const pageSize = 500;
 
-/** True when the status belongs to this job, and not to an earlier one with the same id. */
-const speaksOf = (status: JobStatus, job: BatchJob) => status.jobCreatedTime === undefined || status.jobCreatedTime === job.spec.createdTime;
-
 /** Reads jobs. */
 export class JobReader {
 	readonly #api: ObjectApi;
@@ -52,7 +49,7 @@
 		const ended = new Map(statuses.items.filter(({value}) => endedStates.has(value.state)).map(({name, value}) => [name, value]));
 		const open = jobs.items.filter(stored => this.#isWellFormed(stored)).filter(({name, value}) => {
 			const status = ended.get(name);
-			return !status || !speaksOf(status, value);
+			return !status || !speaksOf(status, value.spec);
 		});
 		return {
 			version: jobs.version,
@@ -72,19 +69,19 @@
 		}
 
 		const status = read.toMaybe().extract();
-		if (status && endedStates.has(status.value.state) && speaksOf(status.value, job)) {
+		if (status && endedStates.has(status.value.state) && speaksOf(status.value, job.spec)) {
 			return 'ended';
 		}
 
 		const file = await this.#api.get<FileRecord>('File', job.spec.inputFileId);
-		const committed = file.isRight() ? await this.committedChunks(jobId) : undefined;
+		const committed = file.isRight() ? await this.committedChunks(resultPrefix(jobId, job.spec)) : undefined;
 		return committed && {file: (file.extract() as StoredObject<FileRecord>).value, committed, status};
 	}
 
 	/** The chunks of a job that have results; undefined when they can not be read. */
-	async committedChunks(jobId: JobId): Promise<number[] | undefined> {
-		const results = await this.#listAll('Result', `${jobId}/`, false);
-		return results?.items.map(({name}) => chunkOfResultName(name));
+	async committedChunks(results: ResultPrefix): Promise<number[] | undefined> {
+		const found = await this.#listAll('Result', `${results}/`, false);
+		return found?.items.map(({name}) => chunkOfResultName(name));
 	}
 
 	// Without this, one job without a spec would end each entry that takes the shard over, one after the other.
--- a/src/entry/job-store.ts
+++ b/src/entry/job-store.ts
@@ -5,7 +5,7 @@
 import {Left, Right, type Either} from 'purify-ts/Either';
 import type {BatchJob, BatchJobSpec} from '../../typings/resources.js';
 import {
-	resultName, type ChunkResult, type FileRecord, type ItemResult, type JobStatus, type ResultPart,
+	resultName, speaksOf, type ChunkResult, type FileRecord, type ItemResult, type JobStatus, type ResultPart, type ResultPrefix,
 } from '../common/batch-types.js';
 import {ConcurrencyLimit} from '../common/concurrency-limit.js';
 import {branded, type FileId, type JobId} from '../common/ids.js';
@@ -125,7 +125,7 @@
 	/** Reads a job of the account with its progress. */
 	async readJob(account: Account, id: string): Promise<Either<ApiError, JobView>> {
 		const job = await this.#read<BatchJob>('BatchJob', id);
-		const status = job.isRight() ? await this.#readStatus(branded(id)) : Right<JobStatus | undefined, ApiError>(undefined);
+		const status = job.isRight() ? await this.#readStatus(branded(id), job.extract()) : Right<JobStatus | undefined, ApiError>(undefined);
 		return job.chain(found => found.spec.account === account.name
 			? status.map(progress => ({id: branded<JobId>(id), job: found, status: progress}))
 			: Left(platformError({kind: 'notFound'})));
@@ -168,7 +168,7 @@
 		const page = jobs.slice(start, start + limit);
 		const reads = new ConcurrencyLimit(maxStatusReads);
 		const views = await Promise.all(page.map(async ({name, value}) => reads.run(async () => {
-			const status = await this.#readStatus(branded(name));
+			const status = await this.#readStatus(branded(name), value);
 			return status.map((progress): JobView => ({id: branded<JobId>(name), job: value, status: progress}));
 		})));
 		const failed = views.find(view => view.isLeft());
@@ -178,8 +178,8 @@
 	}
 
 	/** The results of one chunk; empty when it has none. */
-	async readResults(jobId: JobId, chunk: number): Promise<Either<ApiError, readonly ItemResult[]>> {
-		const read = await this.#api.get<ChunkResult>('Result', resultName(jobId, chunk));
+	async readResults(results: ResultPrefix, chunk: number): Promise<Either<ApiError, readonly ItemResult[]>> {
+		const read = await this.#api.get<ChunkResult>('Result', resultName(results, chunk));
 		if (read.isLeft()) {
 			const err = read.extract();
 			return err.kind === 'notFound' ? Right([]) : Left(platformError(err));
@@ -193,13 +193,13 @@
 			: Right([...value.items, ...parts.flatMap(part => (part.extract() as ResultPart).items)]);
 	}
 
-	async #readStatus(id: JobId): Promise<Either<ApiError, JobStatus | undefined>> {
+	async #readStatus(id: JobId, {spec}: BatchJob): Promise<Either<ApiError, JobStatus | undefined>> {
 		const status = await this.#api.get<JobStatus>('JobStatus', id);
 		if (status.isLeft() && (status.extract()).kind === 'notFound') {
 			return Right(undefined);
 		}
 
-		return status.map(({value}) => value).mapLeft(platformError);
+		return status.map(({value}) => speaksOf(value, spec) ? value : undefined).mapLeft(platformError);
 	}
 
 	async #read<T>(kind: ObjectKind, name: string): Promise<Either<ApiError, T>> {
--- a/src/entry/testing/batch-world.ts
+++ b/src/entry/testing/batch-world.ts
@@ -3,7 +3,10 @@
 */
 import assert from 'node:assert/strict';
 import {setTimeout as sleep} from 'node:timers/promises';
-import type {ChunkResult, ItemResult, JobStatus} from '../../common/batch-types.js';
+import type {BatchJob} from '../../../typings/resources.js';
+import {
+	resultPrefix, type ChunkResult, type ItemResult, type JobStatus,
+} from '../../common/batch-types.js';
 import {branded, type AccountName, type JobId} from '../../common/ids.js';
 import type {ObjectApi} from '../../common/services.js';
 import type {TestWorld} from '../../common/testing/test-world.js';
@@ -30,6 +33,7 @@
 const giveUpMs = 15_000;
 const account: Account = {name: branded<AccountName>('pit'), share: 1, maxInFlight: 1};
 export const now = '2026-01-01T00:00:00.000Z';
+export const later = '2026-01-02T00:00:00.000Z';
 
 export const until = async (isTrue: () => boolean, what: string) => {
 	const polls = Math.ceil(giveUpMs / pollMs);
@@ -61,23 +65,26 @@
 	return file.unsafeCoerce().id;
 };
 
-export const submit = async (store: JobStore, inputFileId: string) => store.createJob(account, {
-	jobKey: 'k', inputFileId, endpoint: '/v1/completions', dueTime: '2099-01-01T00:00:00.000Z', createdTime: now,
+export const submit = async (store: JobStore, inputFileId: string, createdTime = now) => store.createJob(account, {
+	jobKey: 'k', inputFileId, endpoint: '/v1/completions', dueTime: '2099-01-01T00:00:00.000Z', createdTime,
 });
 
-export const submitJob = async (world: FaultWorld, items: number, poisoned?: number) => {
+export const submitJob = async (world: FaultWorld, items: number, poisoned?: number, createdTime = now) => {
 	world.items = items;
-	const job = await submit(storeOf(world.fleet.api), await upload(world, items, poisoned));
+	const job = await submit(storeOf(world.fleet.api), await upload(world, items, poisoned), createdTime);
 	world.jobId = job.unsafeCoerce().id;
 };
 
 export const statusOf = (world: FaultWorld) => world.fleet.api.all<JobStatus>('JobStatus').find(({name}) => name === world.jobId)?.value;
 export const stateOf = (world: FaultWorld) => statusOf(world)?.state;
 
+/** Where the job's results are. */
+export const resultsPrefix = (world: FaultWorld) => resultPrefix(world.jobId, world.fleet.api.all<BatchJob>('BatchJob').find(({name}) => name === world.jobId)!.value.spec);
+
 export const resultsOf = async (world: FaultWorld): Promise<ItemResult[]> => {
 	const store = storeOf(world.fleet.api);
 	const chunks = statusOf(world)?.sealedChunks ?? [];
-	const lists = await Promise.all(chunks.map(async chunk => store.readResults(world.jobId, chunk)));
+	const lists = await Promise.all(chunks.map(async chunk => store.readResults(resultsPrefix(world), chunk)));
 	return lists.flatMap(list => [...list.unsafeCoerce()]);
 };
 
