What callers are told of their jobs is true

Cause: a cancellation whose answer was lost, followed by an outage, was answered with "nothing was accepted", not run; the job was cancelled. A sealed chunk whose Result was not found counted as one without items, so that an output with lines missing ended like a whole one, with 200.

Change: cancelJob remembers that a write's outcome is unknown, and answers outcome_unknown when it can not read the job after that. A job that could be read but not written was answered as if the cancellation had been taken; it is tried again, then refused.

--- a/src/entry/job-store.ts
+++ b/src/entry/job-store.ts
@@ -49,6 +49,18 @@
 	run: 'unknown',
 };
 
+const notFoundStatus = 404;
+
+const resultsLost: ApiError = {
+	status: 500, type: 'server_error', code: 'results_lost', message: 'results of this job are missing in the platform\'s object API', run: 'run',
+};
+
+// The last write may have taken effect, or still do.
+const cancellationUnknown: ApiError = {
+	...unavailable('the platform\'s object API did not answer; cancel the job again to learn whether it is cancelled', comeBackMs, 'outcome_unknown'),
+	run: 'unknown',
+};
+
 // The account comes first, so that its jobs are found by a prefix of their names.
 const jobIdPrefix = (account: Account) => `batch_${hashOf(account.name).slice(0, accountHashLength)}`;
 
@@ -133,23 +145,22 @@
 
 	/** Marks a job as cancelled. Repeats through races with other writers; an ended job stays as it is. */
 	async cancelJob(account: Account, id: string, now: string): Promise<Either<ApiError, JobView>> {
+		let isUnknown = false;
 		for (let tries = 0; tries < storeTries; tries += 1) {
 			const read = await this.readJob(account, id);
-			const stored = await this.#api.get<BatchJob>('BatchJob', id);
 			const isDone = read.map(({job, status}) => job.spec.cancelled ?? status?.endedAt !== undefined).orDefault(true);
-			if (isDone || stored.isLeft()) {
-				return read;
+			if (isDone) {
+				// A write whose answer was lost may have cancelled the job: when the object API fails after it, its caller must not hear that nothing was changed.
+				return isUnknown ? read.mapLeft(() => cancellationUnknown) : read;
 			}
 
-			const {value, version} = stored.extract() as StoredObject<BatchJob>;
-			const next: BatchJob = {
-				...value, metadata: {...value.metadata, generation: (value.metadata.generation ?? 1) + 1}, spec: {...value.spec, cancelled: true, cancelledTime: now},
-			};
-			await this.#api.update('BatchJob', id, next, version);
+			const written = await this.#writeCancelled(id, now);
+			isUnknown ||= written.isLeft() && (written.extract()).kind === 'unknown';
 		}
 
 		const settled = await this.readJob(account, id);
-		return settled.chain(view => view.job.spec.cancelled ? Right(view) : Left(unavailable('the cancellation could not be stored, try again', comeBackMs)));
+		const failed = isUnknown ? cancellationUnknown : unavailable('the cancellation could not be stored, try again', comeBackMs);
+		return settled.mapLeft(() => failed).chain(view => view.job.spec.cancelled ? Right(view) : Left(failed));
 	}
 
 	/**
@@ -177,22 +188,36 @@
 			: Right({views: views.map(view => view.unsafeCoerce()), hasMore: start + limit < jobs.length});
 	}
 
-	/** The results of one chunk; empty when it has none. */
+	/** The results of one chunk that the job's sealed list names; an error when one of its objects is gone. */
 	async readResults(results: ResultPrefix, chunk: number): Promise<Either<ApiError, readonly ItemResult[]>> {
 		const read = await this.#api.get<ChunkResult>('Result', resultName(results, chunk));
 		if (read.isLeft()) {
 			const err = read.extract();
-			return err.kind === 'notFound' ? Right([]) : Left(platformError(err));
+			// The sealed list names it: passed over, the rest would look like the whole.
+			return Left(err.kind === 'notFound' ? resultsLost : platformError(err));
 		}
 
 		const {value} = read.extract() as StoredObject<ChunkResult>;
 		const parts = await Promise.all(value.parts.map(async name => this.#read<ResultPart>('ResultPart', name)));
 		const lost = parts.find(part => part.isLeft());
 		return lost
-			? Left(lost.extract())
+			? Left(lost.extract().status === notFoundStatus ? resultsLost : lost.extract())
 			: Right([...value.items, ...parts.flatMap(part => (part.extract() as ResultPart).items)]);
 	}
 
+	async #writeCancelled(id: string, now: string): Promise<Either<PlatformError, unknown>> {
+		const stored = await this.#api.get<BatchJob>('BatchJob', id);
+		if (stored.isLeft()) {
+			return stored;
+		}
+
+		const {value, version} = stored.extract() as StoredObject<BatchJob>;
+		const next: BatchJob = {
+			...value, metadata: {...value.metadata, generation: (value.metadata.generation ?? 1) + 1}, spec: {...value.spec, cancelled: true, cancelledTime: now},
+		};
+		return this.#api.update('BatchJob', id, next, version);
+	}
+
 	async #readStatus(id: JobId, {spec}: BatchJob): Promise<Either<ApiError, JobStatus | undefined>> {
 		const status = await this.#api.get<JobStatus>('JobStatus', id);
 		if (status.isLeft() && (status.extract()).kind === 'notFound') {
