A restart does not revert the configuration

Cause: two peers that agree were believed whatever their revision. The same held for an object API that was set back to a backup.

Before: with the comparison taken out two of the feature's three scenarios fail.

Weighed: taking the older configuration after a while, so that the entry serves something. It would put back in force what operators have seen gone; the way back is the one described for an object API set back.

--- a/src/common/config-bootstrap.ts
+++ b/src/common/config-bootstrap.ts
@@ -39,9 +39,12 @@
 const shortestRetryMs = 200;
 const retrySpreadMs = 800;
 
+// What was in force here must not be reverted by a restart. Two peers that agree may both have been cut off since long before the snapshot was written, and an object API may have been set back to a backup.
+const isBehind = ({snapshot}: BootstrapParts, revision: Revision): boolean => snapshot !== undefined && revision < snapshot.revision;
+
 const fromApi: Step = async parts => {
 	const read = await parts.readApi();
-	return read.map((changes): FirstConfig | undefined => ({changes, source: 'objectApi'})).orDefault(undefined);
+	return read.map((changes): FirstConfig | undefined => isBehind(parts, changes.revision) ? undefined : {changes, source: 'objectApi'}).orDefault(undefined);
 };
 
 const askFor = async ({ask, node, scope}: BootstrapParts, peer: string, since: Revision): Promise<ConfigAnswer | undefined> => {
@@ -81,7 +84,7 @@
 			table.apply(answer);
 		}
 
-		if (answer && !isFirst && answer.digest === table.digest()) {
+		if (answer && !isFirst && answer.digest === table.digest() && !isBehind(parts, table.revision)) {
 			return {changes: table.changesSince(0 as Revision), source: 'peers'};
 		}
 	}
--- a/src/entry/config-follower.ts
+++ b/src/entry/config-follower.ts
@@ -7,7 +7,7 @@
 import {ConfigPeerFollower} from '../common/config-peer-follower.js';
 import type {ConfigAnswer, ConfigPoll, InForceCount} from '../common/config-protocol.js';
 import {readConfig} from '../common/config-reader.js';
-import type {ConfigTable} from '../common/config-table.js';
+import type {ConfigChanges, ConfigTable} from '../common/config-table.js';
 import {placeOfEntry, type ConfigPlace} from '../common/config-upstream.js';
 import type {
 	Clock, Disposable, EventLog, ObjectApi, RandomSource,
@@ -125,14 +125,15 @@
 	}
 
 	async #begin() {
-		const {api, vm, table, log} = this.#parts;
+		const {vm, table, log} = this.#parts;
+		const snapshot = await this.#snapshot?.read();
 		const first = await firstConfig({
 			...this.#parts,
 			node: vm,
 			peers: () => this.#place.upstreams,
-			readApi: async () => readConfig(api, configKinds),
+			readApi: async () => this.#readApi(snapshot),
 			prefersApi: () => this.#place.isWatcher,
-			snapshot: await this.#snapshot?.read(),
+			snapshot,
 		}, () => this.#disposed);
 		if (first && !this.#disposed) {
 			table.apply(first.changes);
@@ -141,6 +142,16 @@
 		}
 	}
 
+	async #readApi(snapshot: ConfigChanges | undefined) {
+		const read = await readConfig(this.#parts.api, configKinds);
+		read.ifRight(({revision}) => {
+			if (snapshot && revision < snapshot.revision) {
+				this.#parts.log.emit(configEvents.versionsWentBack, {from: snapshot.revision, revision});
+			}
+		});
+		return read;
+	}
+
 	#onLost() {
 		if (!this.isConnected) {
 			this.#feed.answerNow();
