A lease whose object is deleted is taken anew

Cause: LeaseKeeper kept its view when the object was not found. After an operator had cleared the Lease objects away, or after a restore, each renewal failed and nobody took the lease again: the shard's jobs stood still for good. Taking it anew with fencing number 1 would not have done, as agents refuse numbers below those they know.

Change: a lease that is gone is no longer held at once; whoever knew it waits for as long as it lasts, then creates it with a fencing number above the object API's version. Each change of hands is a change of an object, so no number given out is above that version, and an entry that never saw the lease starts above them too. A look at a lease that does not exist costs one more call.

Before: with both conditions taken out, both scenarios fail.

Left: an entry that never saw the lease creates it without waiting, while the last holder may act until its renewal fails; fencing numbers cover that time.

--- /dev/null
+++ b/src/common/lease-keeper.steps.ts
@@ -0,0 +1,82 @@
+/**
+Steps for leases whose objects are deleted.
+*/
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {branded} from './ids.js';
+import {LeaseKeeper} from './lease-keeper.js';
+import {FakeObjectApi} from './testing/fake-object-api.js';
+import {ManualClock} from './testing/manual-clock.js';
+import type {TestWorld} from './testing/test-world.js';
+
+type LeaseWorld = TestWorld & {clock: ManualClock; api: FakeObjectApi; keepers: LeaseKeeper[]; fenceBefore: number};
+
+const ttlMs = 1000;
+const name = 'jobs-0';
+const handovers = 3;
+
+const keeperOf = (world: LeaseWorld, self: string) => new LeaseKeeper(world.api, world.clock, {name, self: branded(self), ttlMs});
+
+const tendAll = async ({keepers}: LeaseWorld) => {
+	for (const [rank, keeper] of keepers.entries()) {
+		await keeper.tend(rank);
+	}
+};
+
+Given('two entries tend a lease', async function (this: LeaseWorld) {
+	this.clock = new ManualClock();
+	this.api = new FakeObjectApi();
+	this.keepers = [keeperOf(this, 'entry-1'), keeperOf(this, 'entry-2')];
+	await tendAll(this);
+});
+
+Given('the first holds it', async function (this: LeaseWorld) {
+	const [first, second] = this.keepers as [LeaseKeeper, LeaseKeeper];
+	// Changing hands raises the fencing number.
+	for (let handover = 0; handover < handovers; handover += 1) {
+		await first.release();
+		await second.tend(0);
+		await second.release();
+		await first.tend(0);
+	}
+
+	assert.ok(first.isHeld);
+	this.fenceBefore = first.fence;
+});
+
+When('the lease\'s object is deleted and the first tends it', async function (this: LeaseWorld) {
+	await this.api.remove('Lease', name);
+	await this.keepers[0]!.tend(0);
+});
+
+When('the lease\'s object is deleted and a new entry tends it', async function (this: LeaseWorld) {
+	await this.api.remove('Lease', name);
+	const late = keeperOf(this, 'entry-3');
+	await late.tend(0);
+	this.keepers = [late];
+});
+
+When('both tend it before a lease\'s time has passed', async function (this: LeaseWorld) {
+	await tendAll(this);
+	this.clock.advance(ttlMs - 1);
+	await tendAll(this);
+});
+
+When('both tend it after a lease\'s time has passed', async function (this: LeaseWorld) {
+	this.clock.advance(1);
+	await tendAll(this);
+});
+
+Then('neither holds it', function (this: LeaseWorld) {
+	assert.ok(this.keepers.every(({isHeld}) => !isHeld));
+});
+
+Then('one holds it, with a higher fencing number', function (this: LeaseWorld) {
+	const holders = this.keepers.filter(({isHeld}) => isHeld);
+	assert.equal(holders.length, 1);
+	assert.ok(holders[0]!.fence > this.fenceBefore);
+});
+
+Then('the new entry\'s fencing number is higher', function (this: LeaseWorld) {
+	assert.ok(this.keepers[0]!.fence > this.fenceBefore);
+});
--- a/src/common/lease-keeper.ts
+++ b/src/common/lease-keeper.ts
@@ -71,9 +71,14 @@
 		}
 
 		const {self, ttlMs} = this.#options;
+		const highestFence = this.#view.value ? undefined : await this.#highestFence();
+		if (!this.#view.value && highestFence === undefined) {
+			return;
+		}
+
 		const now = this.#clock.now();
 		const question: LeaseQuestion = {
-			view: this.#view, self, rank, ttlMs, now,
+			view: this.#view, self, rank, ttlMs, now, ...(highestFence !== undefined && {highestFence}),
 		};
 		const decision = decideLease(question);
 		this.#options.trace?.write({
@@ -96,9 +101,31 @@
 
 	async #look() {
 		const read = await this.#api.get<LeaseValue>('Lease', this.#options.name);
-		read.ifRight(stored => {
-			this.#see(stored);
-		});
+		read
+			.ifRight(stored => {
+				this.#see(stored);
+			})
+			.ifLeft(err => {
+				this.#noteGone(err);
+			});
+	}
+
+	// Each change of hands is a change of an object, so no fencing number is above the object API's own version. Starting anew from 1 after the object was deleted, a holder would be refused by whoever has seen a higher number, for ever.
+	async #highestFence(): Promise<number | undefined> {
+		const listed = await this.#api.list('Lease', {prefix: this.#options.name, values: false, limit: 1});
+		return listed.toMaybe().extract()?.version;
+	}
+
+	// An operator cleared the lease away, or it was lost in a restore. Were the old view kept, every renewal would fail, and nobody would ever take the lease again.
+	#noteGone(err: ApiError) {
+		if (err.kind !== 'notFound' || !this.#view.value) {
+			return;
+		}
+
+		this.#heldUntil = Number.NEGATIVE_INFINITY;
+		this.#view = {
+			value: undefined, version: undefined, seenAt: this.#clock.now(), isDeleted: true,
+		};
 	}
 
 	#see({value, version}: {value: LeaseValue; version: Revision}) {
@@ -127,6 +154,7 @@
 
 	// After a conflict somebody else wrote; after an unknown outcome it may have been ourselves. Both are settled by the next look; until then an earlier renewal's deadline stands.
 	#failed(err: ApiError) {
+		this.#noteGone(err);
 		if (err.kind !== 'conflict') {
 			return;
 		}
--- a/src/common/lease.ts
+++ b/src/common/lease.ts
@@ -23,6 +23,8 @@
 	readonly version: Revision | undefined;
 	/** The clock's `now` when this version was first seen here. */
 	readonly seenAt: number;
+	/** True when the object was there before: its last holder may still act for as long as the lease lasts. */
+	readonly isDeleted?: boolean;
 };
 
 /** What to do. */
@@ -39,6 +41,8 @@
 	readonly rank: number;
 	readonly ttlMs: number;
 	readonly now: number;
+	/** No fencing number above this was ever given out; 0 by default. */
+	readonly highestFence?: number;
 };
 
 const wait: LeaseDecision = {kind: 'wait'};
@@ -51,9 +55,10 @@
 
 /** Decides about one lease at one moment. */
 export const decideLease = (question: LeaseQuestion): LeaseDecision => {
-	const {view, self, rank, ttlMs, now} = question;
+	const {view, self, rank, ttlMs, now, highestFence = 0} = question;
 	if (!view.value || view.version === undefined) {
-		return now - view.seenAt >= rank * ttlMs ? {kind: 'create', value: {holder: self, fence: 1 as Fence, ttlMs}} : wait;
+		const patience = (rank + (view.isDeleted ? 1 : 0)) * ttlMs;
+		return now - view.seenAt >= patience ? {kind: 'create', value: {holder: self, fence: (highestFence + 1) as Fence, ttlMs}} : wait;
 	}
 
 	if (view.value.holder === self) {
