Retention removes no job that was submitted anew

It costs one read for each job removed.

Before: with the check taken out the new scenario fails. After: it passes.

--- a/src/entry/job-retention.feature
+++ b/src/entry/job-retention.feature
@@ -13,3 +13,12 @@
     When the object API goes down after 2 removals of a sweep
     And the shard is swept with a retention of 30 days
     Then only the first job's objects are gone
+
+  Scenario: A job sent anew under the key of one that was cleared away
+    An operator deleted the old job alone, the client uses its key again. The old status, long past the retention time,
+    stands until the new job's first. Were it taken at its word, the job that was just accepted would be removed.
+
+    Given a job that ended 40 days ago, one that ended 2 days ago, and one that runs, with 3 results each
+    And another job is sent under the key of the first, whose old status still stands
+    When the shard is swept with a retention of 30 days
+    Then the job that was sent is still there
--- a/src/entry/job-retention.steps.ts
+++ b/src/entry/job-retention.steps.ts
@@ -38,6 +38,22 @@
 	await sweep(this, days);
 });
 
+Given('another job is sent under the key of the first, whose old status still stands', async function (this: RetentionWorld) {
+	const status = this.api.all<object>('JobStatus').find(({name}) => name === names.old);
+	await this.api.update('JobStatus', names.old, {...status!.value, jobCreatedTime: '2026-01-01T00:00:00.000Z'}, status!.version);
+	await this.api.remove('BatchJob', names.old);
+	await this.api.create('BatchJob', names.old, {
+		metadata: {name: names.old},
+		spec: {
+			account: 'pit', jobKey: 'k', inputFileId: 'file-1', endpoint: '/v1/completions', dueTime: '2026-03-02T00:00:00.000Z', createdTime: '2026-03-01T00:00:00.000Z',
+		},
+	});
+});
+
+Then('the job that was sent is still there', function (this: RetentionWorld) {
+	assert.ok(this.api.all('BatchJob').some(({name}) => name === names.old));
+});
+
 When('the object API goes down after {int} removals of a sweep', async function (this: RetentionWorld, removals: number) {
 	this.api.beforeCall = () => {
 		this.api.down = this.api.calls.remove > removals;
--- a/src/entry/job-retention.ts
+++ b/src/entry/job-retention.ts
@@ -3,10 +3,14 @@
 
 The order matters. A sweep that is broken off goes on from the status, which is removed last. A job that a client submits again after its old resource is gone is a new one: the old status names the time its job was created, and is passed over.
 */
-import {endedStates, type JobStatus} from '../common/batch-types.js';
+import type {BatchJob} from '../../typings/resources.js';
+import {endedStates, speaksOf, type JobStatus} from '../common/batch-types.js';
 import {branded, type JobId} from '../common/ids.js';
+import {resourceFault} from '../common/resource-check.js';
 import type {Clock, EventLog, ObjectApi} from '../common/services.js';
-import type {ApiError, ObjectKind, ObjectPage} from '../common/types.js';
+import type {
+	ApiError, ObjectKind, ObjectPage, StoredObject,
+} from '../common/types.js';
 import {batchEvents} from './batch-log-events.js';
 
 /** What the clean-up needs. */
@@ -48,8 +52,8 @@
 
 			const page = read.extract() as ObjectPage<JobStatus>;
 			const due = page.items.filter(({value}) => this.#isDue(value));
-			for (const {name} of due) {
-				removed += await this.#removeJob(branded(name), mayGoOn) ? 1 : 0;
+			for (const status of due) {
+				removed += await this.#removeJob(status, mayGoOn) ? 1 : 0;
 			}
 
 			after = page.items.at(-1)?.name;
@@ -63,7 +67,13 @@
 		return endedStates.has(state) && endedAt !== undefined && this.#parts.clock.wall() - (endedAt * 1000) >= this.#parts.retentionMs;
 	}
 
-	async #removeJob(jobId: JobId, mayGoOn: () => boolean): Promise<boolean> {
+	async #removeJob({name, value}: StoredObject<JobStatus>, mayGoOn: () => boolean): Promise<boolean> {
+		const jobId = branded<JobId>(name);
+		// The job may have been cleaned away and submitted anew under its key, with this status still that of the old one. What was accepted must not be removed.
+		if (!await this.#isStillThis(jobId, value)) {
+			return false;
+		}
+
 		const isGone = await this.#removeAll('ResultPart', `${jobId}/`, mayGoOn)
 			&& await this.#removeAll('Result', `${jobId}/`, mayGoOn)
 			&& await this.#remove('BatchJob', jobId, mayGoOn)
@@ -75,6 +85,14 @@
 		return isGone;
 	}
 
+	async #isStillThis(jobId: JobId, status: JobStatus): Promise<boolean> {
+		const read = await this.#parts.api.get<BatchJob>('BatchJob', jobId);
+		return read.caseOf({
+			Left: err => err.kind === 'notFound',
+			Right: ({value}) => resourceFault('BatchJob', jobId, value) !== undefined || speaksOf(status, value.spec),
+		});
+	}
+
 	async #removeAll(kind: ObjectKind, prefix: string, mayGoOn: () => boolean): Promise<boolean> {
 		for (;;) {
 			const read = await this.#parts.api.list(kind, {prefix, values: false, limit: pageSize});
