--- a/bench/slopes/core-cases.ts
+++ b/bench/slopes/core-cases.ts
@@ -10,6 +10,7 @@
 import type {LoadReport} from '../../src/common/protocol.js';
 import {ReplicaTable} from '../../src/common/replica-table.js';
 import {chooseReplica} from '../../src/common/route-policy.js';
+import {chooseSubset} from '../../src/common/subset-policy.js';
 import type {VmEntry, WatchEvent} from '../../src/common/types.js';
 import {Accounts} from '../../src/entry/accounts.js';
 import {SeededRandom} from '../../src/platform/seeded-random.js';
@@ -17,6 +18,7 @@
 import {heapBytes, microsPerCall, type SlopeCase} from './slope.js';
 
 const silentMs = 3_600_000;
+const models = 37;
 const target = 'model:tyre-scribe';
 const clock = new SystemClock();
 const random = new SeededRandom(1);
@@ -108,6 +110,15 @@
 			return microsPerCall(() => route(table));
 		},
 	},
+	{
+		name: 'subset of replicas chosen anew, four of each of 37 models', unit: 'µs', per: 'replica', sizes: replicaSizes, cost(size) {
+			const {all: replicas} = tableOf(size, 0).table;
+			const targets = new Map(replicas.map(({vm}, index) => [vm, [`model:model-${index % models}`]]));
+			return microsPerCall(() => chooseSubset({
+				self: 'entry-1', failureDomain: branded('durgapur-hall'), replicas, perTarget: 4, targetsOf: vm => targets.get(vm),
+			}));
+		},
+	},
 	{
 		name: 'VM list parsed and applied', unit: 'µs', per: 'VM', sizes: replicaSizes, cost(size) {
 			const {table, vms} = tableOf(size, 0);
--- a/src/agent/work-runner.ts
+++ b/src/agent/work-runner.ts
@@ -26,8 +26,8 @@
 	readonly #metrics: Metrics;
 	readonly #waiting = new Map<string, Work>();
 	readonly #running = new Map<string, Running>();
-	readonly #timer: NodeJS.Timeout;
 	readonly #handlers: {[Kind in AdmissionStep['kind']]: (step: Extract<AdmissionStep, {kind: Kind}>) => void};
+	#timer: NodeJS.Timeout | undefined;
 
 	constructor(admission: Admission, log: EventLog, metrics: Metrics) {
 		this.#admission = admission;
@@ -44,9 +44,6 @@
 				this.#refuse(step.ticket, step.reason, step.retryAfterMs);
 			},
 		};
-		this.#timer = setInterval(() => {
-			this.advance();
-		}, sweepMs);
 	}
 
 	/** Work that waits or runs. */
@@ -94,6 +91,7 @@
 		this.#admission.steps().forEach(step => {
 			this.#carryOut(step);
 		});
+		this.#watch();
 	}
 
 	dispose(): void {
@@ -103,6 +101,19 @@
 		});
 	}
 
+	// Time alone lets work start or expire, but only where there is work: an idle agent does not wake up fifty times a second.
+	#watch() {
+		if (this.size === 0) {
+			clearInterval(this.#timer);
+			this.#timer = undefined;
+			return;
+		}
+
+		this.#timer ??= setInterval(() => {
+			this.advance();
+		}, sweepMs);
+	}
+
 	#carryOut(step: AdmissionStep) {
 		(this.#handlers[step.kind] as (step: AdmissionStep) => void)(step);
 	}
