An answer that is not the object API's is none; what is disposed sends no more

Cause: features about whole answers failed now and then with 'page.items is not iterable'. A 200 without an object's version, from whatever else answers at the address, passed for an empty list; and a coordinator that was taking its shard over when its entry was disposed went on trying, with a client that opened new connections, until the port belonged to the next scenario's server. Load on the machine was ruled out as the cause, it only made the meeting likelier. Change: an answer without a version, or a list without items, is a lost answer; a disposed client sends nothing, and disposing the shards ends a take-over.

--- a/src/entry/job-shards.ts
+++ b/src/entry/job-shards.ts
@@ -109,6 +109,10 @@
 	dispose(): void {
 		this.#disposed = true;
 		this.#feed.dispose();
+		// Ends a take-over that is still trying.
+		this.#shards.forEach(({coordinator}) => {
+			coordinator.forget();
+		});
 	}
 
 	// One shard after the other, so that the pauses between removals hold for the whole entry.
--- a/src/platform/http-client.ts
+++ b/src/platform/http-client.ts
@@ -71,6 +71,7 @@
 /** Sends requests over kept connections. */
 export class HttpClient implements Disposable {
 	readonly #pools = new Map<string, Agent>();
+	#disposed = false;
 
 	/**
 	Sends a request and waits for the head of the response.
@@ -78,6 +79,10 @@
 	@returns The response, or why there is none. Never rejects.
 	*/
 	async send(req: HttpRequest): Promise<Either<HttpFailure, HttpResponse>> {
+		if (this.#disposed) {
+			return Left({kind: 'notSent', reason: 'the client is disposed'});
+		}
+
 		if (req.signal?.aborted) {
 			return Left({kind: 'aborted', reason: 'aborted before it was sent'});
 		}
@@ -127,7 +132,9 @@
 		void pool?.close().catch(() => undefined);
 	}
 
+	/** Ends all connections. Whoever still sends afterwards reaches nobody: the address may belong to something else by then. */
 	dispose(): void {
+		this.#disposed = true;
 		for (const pool of this.#pools.values()) {
 			void pool.destroy().catch(() => undefined);
 		}
--- a/src/platform/http-object-api.feature
+++ b/src/platform/http-object-api.feature
@@ -14,8 +14,14 @@
       | answer           | kind        |
       | status 500       | unknown     |
       | status 502       | unknown     |
+      | status 200       | unknown     |
       | a cut connection | unknown     |
       | silence          | unknown     |
       | status 503       | unavailable |
       | status 412       | conflict    |
       | no listener      | unavailable |
+
+  Scenario: What answers at the address is not the object API
+    Given an object API that answers with status 200
+    When a list is read from it
+    Then the read's outcome is "unavailable"
--- a/src/platform/http-object-api.steps.ts
+++ b/src/platform/http-object-api.steps.ts
@@ -46,3 +46,13 @@
 Then('the change\'s outcome is {string}', function (this: ApiWorld, kind: string) {
 	assert.equal(this.outcome, kind);
 });
+
+When('a list is read from it', async function (this: ApiWorld) {
+	const client = this.register(new HttpClient());
+	const page = await new HttpObjectApi(client, {address: this.address, timeoutMs}).list('BatchJob');
+	this.outcome = page.isLeft() ? page.extract().kind : 'read';
+});
+
+Then('the read\'s outcome is {string}', function (this: ApiWorld, kind: string) {
+	assert.equal(this.outcome, kind);
+});
--- a/src/platform/http-object-api.ts
+++ b/src/platform/http-object-api.ts
@@ -32,6 +32,13 @@
 
 const parsed = (text: string): unknown => text === '' ? {} : JSON.parse(text);
 
+// Every answer of the object API bears a version. After a VM was replaced, its address may answer with anything; such an answer must not pass for a list without items.
+const isAnswer = (answer: unknown): boolean => typeof (answer as {version?: unknown} | null)?.version === 'number';
+
+const withList = <T>(answer: T, list: keyof T): Either<ApiError, T> => Array.isArray(answer[list])
+	? Right(answer)
+	: Left({kind: 'unavailable', reason: `an answer without ${String(list)}`});
+
 const errorsByStatus: Record<number, (text: string) => ApiError> = {
 	404: () => ({kind: 'notFound'}),
 	410: () => ({kind: 'expired'}),
@@ -77,12 +84,14 @@
 		params.set('after', query.after ?? '');
 		params.set('limit', String(query.limit ?? 500));
 		params.set('values', query.values === false ? '0' : '1');
-		return this.#call<ObjectPage<T>>('GET', `/v1/objects/${kind}?${params.toString()}`, readFailure);
+		const page = await this.#call<ObjectPage<T>>('GET', `/v1/objects/${kind}?${params.toString()}`, readFailure);
+		return page.chain(answer => withList(answer, 'items'));
 	}
 
 	async watch(kinds: readonly ObjectKind[], since: Revision, waitMs: number): Promise<Either<ApiError, WatchBatch>> {
 		const path = `/v1/watch?kinds=${kinds.join(',')}&since=${since}&waitMs=${waitMs}`;
-		return this.#call<WatchBatch>('GET', path, readFailure, {extraMs: waitMs});
+		const batch = await this.#call<WatchBatch>('GET', path, readFailure, {extraMs: waitMs});
+		return batch.chain(answer => withList(answer, 'events'));
 	}
 
 	#path(kind: ObjectKind, name: string) {
@@ -138,7 +147,8 @@
 
 	#interpret<T>({res, text}: Answer, onFailure: (failure: HttpFailure) => ApiError): Either<ApiError, T> {
 		if (res.status < 300) {
-			return Right(parsed(text) as T);
+			const answer = parsed(text);
+			return isAnswer(answer) ? Right(answer as T) : Left(onFailure({kind: 'lost', reason: `status ${res.status} without an answer`}));
 		}
 
 		const toError = errorsByStatus[res.status];
