--- a/cucumber.js
+++ b/cucumber.js
@@ -13,6 +13,8 @@
 	import: ['src/**/*.hooks.ts', 'src/**/*.steps.ts', 'bench/**/*.steps.ts', 'scripts/**/*.steps.ts'],
 	format: ['./scripts/counts-formatter.js', ['./scripts/results-formatter.js', '.tmp/scenarios.json']],
 	retry: 0,
+	// What a failed scenario left running must not keep the run from ending.
+	forceExit: true,
 	strict: true,
 };
 
