Rename src/platform to src/io, the project's own input and output

Cause: the users' platform gets an adapter in a folder named platform/, and two folders of that name would be taken for each other.

--- a/bench/calls.benchmark.ts
+++ b/bench/calls.benchmark.ts
@@ -4,9 +4,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {keyHash} from '../src/entry/accounts.js';
 import {fleetResources, LocalFleet, type FleetPlan} from '../src/demo/local-fleet.js';
-import {NoMetrics} from '../src/platform/no-metrics.js';
-import {SeededRandom} from '../src/platform/seeded-random.js';
-import {SystemClock} from '../src/platform/system-clock.js';
+import {NoMetrics} from '../src/io/no-metrics.js';
+import {SeededRandom} from '../src/io/seeded-random.js';
+import {SystemClock} from '../src/io/system-clock.js';
 import type {CallReport, MethodCounts} from '../src/standins/call-counts.js';
 import {figure} from './figure.js';
 import type {Benchmark, Figure} from './types.js';
--- a/bench/config-nodes.ts
+++ b/bench/config-nodes.ts
@@ -14,13 +14,13 @@
 } from '../src/common/services.js';
 import type {VmEntry} from '../src/common/types.js';
 import {ConfigFollower} from '../src/entry/config-follower.js';
-import {configAsker, configChangesMethod} from '../src/platform/config-asker.js';
-import {HttpClient} from '../src/platform/http-client.js';
-import {HttpObjectApi} from '../src/platform/http-object-api.js';
-import {HttpVmList} from '../src/platform/http-vm-list.js';
-import {RpcClient} from '../src/platform/rpc-client.js';
-import {rpcRoute} from '../src/platform/rpc-route.js';
-import {SystemClock} from '../src/platform/system-clock.js';
+import {configAsker, configChangesMethod} from '../src/io/config-asker.js';
+import {HttpClient} from '../src/io/http-client.js';
+import {HttpObjectApi} from '../src/io/http-object-api.js';
+import {HttpVmList} from '../src/io/http-vm-list.js';
+import {RpcClient} from '../src/io/rpc-client.js';
+import {rpcRoute} from '../src/io/rpc-route.js';
+import {SystemClock} from '../src/io/system-clock.js';
 import type {ObjectApiStandin} from '../src/standins/object-api-standin.js';
 import type {VmListStandin} from '../src/standins/vm-list-standin.js';
 
--- a/bench/isolation.benchmark.ts
+++ b/bench/isolation.benchmark.ts
@@ -2,7 +2,7 @@
 What batch work does to online work, and what is left for batch work: online requests in bursts on a fleet that is full of batch items, against the same requests alone and against batch work alone, at both deployments' sizes and at both readings of the engine's step.
 */
 import {chooseReplica} from '../src/common/route-policy.js';
-import {SeededRandom} from '../src/platform/seeded-random.js';
+import {SeededRandom} from '../src/io/seeded-random.js';
 import {figure} from './figure.js';
 import {FleetModel, accountOf, type ModelPolicy} from './model/fleet-model.js';
 import type {ReplicaModel} from './model/replica-model.js';
--- a/bench/model/online-run.ts
+++ b/bench/model/online-run.ts
@@ -3,7 +3,7 @@
 */
 import type {AdmissionLimits} from '../../src/common/admission.js';
 import {chooseReplica} from '../../src/common/route-policy.js';
-import {SeededRandom} from '../../src/platform/seeded-random.js';
+import {SeededRandom} from '../../src/io/seeded-random.js';
 import {
 	FleetModel, accountOf, type ModelOutcome, type ModelPolicy,
 } from './fleet-model.js';
--- a/bench/routing.benchmark.ts
+++ b/bench/routing.benchmark.ts
@@ -6,7 +6,7 @@
 import {rankMembers} from '../src/common/rendezvous.js';
 import type {ReplicaView} from '../src/common/replica-table.js';
 import {chooseReplica} from '../src/common/route-policy.js';
-import {SeededRandom} from '../src/platform/seeded-random.js';
+import {SeededRandom} from '../src/io/seeded-random.js';
 import {figure} from './figure.js';
 import {
 	FleetModel, accountOf, type ModelPolicy, type ModelQuestion,
--- a/bench/slopes/core-cases.ts
+++ b/bench/slopes/core-cases.ts
@@ -13,8 +13,8 @@
 import {chooseSubset} from '../../src/common/subset-policy.js';
 import type {VmEntry, WatchEvent} from '../../src/common/types.js';
 import {Accounts} from '../../src/entry/accounts.js';
-import {SeededRandom} from '../../src/platform/seeded-random.js';
-import {SystemClock} from '../../src/platform/system-clock.js';
+import {SeededRandom} from '../../src/io/seeded-random.js';
+import {SystemClock} from '../../src/io/system-clock.js';
 import {heapBytes, microsPerCall, type SlopeCase} from './slope.js';
 
 const silentMs = 3_600_000;
--- a/bench/soak.benchmark.ts
+++ b/bench/soak.benchmark.ts
@@ -4,7 +4,7 @@
 import {writeFileSync} from 'node:fs';
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {SeededRandom} from '../src/platform/seeded-random.js';
+import {SeededRandom} from '../src/io/seeded-random.js';
 import {figure} from './figure.js';
 import {Disturber} from './soak/disturbances.js';
 import {SoakCallers} from './soak/soak-callers.js';
--- a/scripts/judge-run.steps.ts
+++ b/scripts/judge-run.steps.ts
@@ -7,7 +7,7 @@
 import path from 'node:path';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {type TestWorld} from '../src/common/testing/test-world.js';
-import {runToEnd, type Ended} from '../src/platform/testing/run-process.js';
+import {runToEnd, type Ended} from '../src/io/testing/run-process.js';
 
 type JudgeWorld = TestWorld & {
 	folder: string;
--- a/scripts/record-trace.ts
+++ b/scripts/record-trace.ts
@@ -11,10 +11,10 @@
 import {DecisionLog} from '../src/demo/decision-log.js';
 import {fleetResources, LocalFleet, type FleetPlan} from '../src/demo/local-fleet.js';
 import {Caller} from '../src/load/caller.js';
-import {traceLine} from '../src/platform/jsonl-trace.js';
-import {NoMetrics} from '../src/platform/no-metrics.js';
-import {SeededRandom} from '../src/platform/seeded-random.js';
-import {SystemClock} from '../src/platform/system-clock.js';
+import {traceLine} from '../src/io/jsonl-trace.js';
+import {NoMetrics} from '../src/io/no-metrics.js';
+import {SeededRandom} from '../src/io/seeded-random.js';
+import {SystemClock} from '../src/io/system-clock.js';
 
 const folder = 'src/common/testing/traces';
 const kept = {route: 280, lease: 200} as const;
--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -17,13 +17,13 @@
 import type {
 	Clock, Disposable, EventLog, Metrics, ObjectApi, RandomSource,
 } from '../common/services.js';
-import {configAsker} from '../platform/config-asker.js';
-import {HttpClient} from '../platform/http-client.js';
-import {HttpObjectApi} from '../platform/http-object-api.js';
-import {HttpServer, type ListenFailure} from '../platform/http-server.js';
-import {HttpVmList} from '../platform/http-vm-list.js';
-import {RpcClient} from '../platform/rpc-client.js';
-import {rpcRoute, type RpcMethods} from '../platform/rpc-route.js';
+import {configAsker} from '../io/config-asker.js';
+import {HttpClient} from '../io/http-client.js';
+import {HttpObjectApi} from '../io/http-object-api.js';
+import {HttpServer, type ListenFailure} from '../io/http-server.js';
+import {HttpVmList} from '../io/http-vm-list.js';
+import {RpcClient} from '../io/rpc-client.js';
+import {rpcRoute, type RpcMethods} from '../io/rpc-route.js';
 import type {Backend} from './backend.js';
 import {BatchWorker} from './batch-worker.js';
 import {AgentConfigFollower} from './config-follower.js';
--- a/src/agent/answer-stream.ts
+++ b/src/agent/answer-stream.ts
@@ -4,7 +4,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {readerHeader, type AttemptKey} from '../common/protocol.js';
 import type {LedgerReader, RequestLedger} from '../common/request-ledger.js';
-import {SseWriter} from '../platform/sse-writer.js';
+import {SseWriter} from '../io/sse-writer.js';
 
 /** Whose answer goes where. */
 export type AnswerStream = {
--- a/src/agent/backend-failures.ts
+++ b/src/agent/backend-failures.ts
@@ -1,7 +1,7 @@
 /**
 Turns HTTP failures towards the backend server into what they say about the work.
 */
-import type {HttpFailure} from '../platform/http-client.js';
+import type {HttpFailure} from '../io/http-client.js';
 import type {BackendFailure, BackendRequest} from './backend.js';
 
 /**
--- a/src/agent/cache-follower.ts
+++ b/src/agent/cache-follower.ts
@@ -3,7 +3,7 @@
 */
 import type {CacheEvent, CacheMirror} from '../common/cache-mirror.js';
 import type {Clock, Disposable} from '../common/services.js';
-import type {HttpClient, HttpResponse} from '../platform/http-client.js';
+import type {HttpClient, HttpResponse} from '../io/http-client.js';
 
 /** What the follower is made of. */
 export type CacheFollowerParts = {
--- a/src/agent/engine-models.ts
+++ b/src/agent/engine-models.ts
@@ -3,7 +3,7 @@
 */
 import {Left, Right, type Either} from 'purify-ts/Either';
 import type {ModelOrder, PlacedModel} from '../common/placement.js';
-import type {HttpClient, HttpResponse} from '../platform/http-client.js';
+import type {HttpClient, HttpResponse} from '../io/http-client.js';
 import type {ModelControl, OrderFailure} from './model-control.js';
 
 type ListedModel = {readonly id: string; readonly version?: string; readonly adapter?: string};
--- a/src/agent/main.ts
+++ b/src/agent/main.ts
@@ -1,7 +1,7 @@
 /**
 The program `citronyard-agent`.
 */
-import {runProgram} from '../platform/program.js';
+import {runProgram} from '../io/program.js';
 import {Agent} from './agent.js';
 import {agentSettingsSchema} from './settings.js';
 
--- a/src/agent/online-attempts.ts
+++ b/src/agent/online-attempts.ts
@@ -14,9 +14,9 @@
 import {parseObject} from '../common/parse-object.js';
 import type {RequestLedger} from '../common/request-ledger.js';
 import type {Clock, Disposable, EventLog} from '../common/services.js';
-import {readBody} from '../platform/read-body.js';
-import type {Route} from '../platform/http-server.js';
-import {SseWriter} from '../platform/sse-writer.js';
+import {readBody} from '../io/read-body.js';
+import type {Route} from '../io/http-server.js';
+import {SseWriter} from '../io/sse-writer.js';
 import {streamAnswer} from './answer-stream.js';
 import type {Backend, BackendFailure} from './backend.js';
 import {agentEvents} from './log-events.js';
--- a/src/agent/service-backend.ts
+++ b/src/agent/service-backend.ts
@@ -4,7 +4,7 @@
 import {Buffer} from 'node:buffer';
 import {Left, Right, type Either} from 'purify-ts/Either';
 import type {CallHead, CallWork} from '../common/protocol.js';
-import type {HttpClient, HttpFailure, HttpResponse} from '../platform/http-client.js';
+import type {HttpClient, HttpFailure, HttpResponse} from '../io/http-client.js';
 import type {Backend, BackendFailure, BackendRequest} from './backend.js';
 import {failureBeforeResponse, failureInResponse} from './backend-failures.js';
 
--- a/src/agent/settings.ts
+++ b/src/agent/settings.ts
@@ -4,7 +4,7 @@
 import * as z from 'zod';
 import {
 	addressSchema, commonSettings, durationMs, listenAddressSchema, platformSettings, sizeBytes,
-} from '../platform/settings-schemas.js';
+} from '../io/settings-schemas.js';
 
 const engineSchema = z.strictObject({
 	type: z.literal('engine'),
--- a/src/agent/silence-watch.steps.ts
+++ b/src/agent/silence-watch.steps.ts
@@ -7,7 +7,7 @@
 import type {Either} from 'purify-ts/Either';
 import type {TestWorld} from '../common/testing/test-world.js';
 import {until} from '../common/testing/until.js';
-import {HttpClient} from '../platform/http-client.js';
+import {HttpClient} from '../io/http-client.js';
 import {EngineStandin} from '../standins/engine-standin.js';
 import type {BackendFailure} from './backend.js';
 import {EngineBackend} from './engine-backend.js';
--- a/src/agent/work-runner.steps.ts
+++ b/src/agent/work-runner.steps.ts
@@ -7,8 +7,8 @@
 import {branded, type AccountName} from '../common/ids.js';
 import type {WorkClass} from '../common/protocol.js';
 import type {TestWorld} from '../common/testing/test-world.js';
-import {NoMetrics} from '../platform/no-metrics.js';
-import {SystemClock} from '../platform/system-clock.js';
+import {NoMetrics} from '../io/no-metrics.js';
+import {SystemClock} from '../io/system-clock.js';
 import {WorkRunner} from './work-runner.js';
 
 type RunnerWorld = TestWorld & {runner: WorkRunner; itemRuns: number; endItem: (outcome: 'done' | 'cut') => void; endOnline: (outcome: 'done') => void; wasAborted: boolean};
--- a/src/binaries.steps.ts
+++ b/src/binaries.steps.ts
@@ -11,7 +11,7 @@
 import type {TestWorld} from './common/testing/test-world.js';
 import {BatchClient, type ItemLine} from './load/batch-job.js';
 import {Caller, type CallerAnswer, type GenerationCall} from './load/caller.js';
-import {runToEnd} from './platform/testing/run-process.js';
+import {runToEnd} from './io/testing/run-process.js';
 import {expectedTokens} from './standins/expected-tokens.js';
 import {promptTextOf} from './standins/prompt-text.js';
 
--- a/src/ctl/citronctl.steps.ts
+++ b/src/ctl/citronctl.steps.ts
@@ -12,7 +12,7 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {type TestWorld} from '../common/testing/test-world.js';
 import {ObjectApiStandin} from '../standins/object-api-standin.js';
-import {runToEnd, type Ended} from '../platform/testing/run-process.js';
+import {runToEnd, type Ended} from '../io/testing/run-process.js';
 
 type CtlWorld = TestWorld & {
 	ended: Ended;
--- a/src/ctl/commands/apply.ts
+++ b/src/ctl/commands/apply.ts
@@ -3,7 +3,7 @@
 */
 import {Left, Right, type Either} from 'purify-ts/Either';
 import {type AnyResource} from '../../../typings/resources.js';
-import {exitCodes} from '../../platform/exit-codes.js';
+import {exitCodes} from '../../io/exit-codes.js';
 import {type Command, type Options} from '../command.js';
 import {type CtlContext} from '../ctl-context.js';
 import {ctlError, fromSettingsError, type CtlError} from '../ctl-error.js';
--- a/src/ctl/commands/job.ts
+++ b/src/ctl/commands/job.ts
@@ -6,7 +6,7 @@
 import path from 'node:path';
 import process from 'node:process';
 import {Left, Right, type Either} from 'purify-ts/Either';
-import {exitCodes} from '../../platform/exit-codes.js';
+import {exitCodes} from '../../io/exit-codes.js';
 import {type Command, type Options} from '../command.js';
 import {type CtlContext} from '../ctl-context.js';
 import {ctlError, type CtlError} from '../ctl-error.js';
--- a/src/ctl/ctl-error.ts
+++ b/src/ctl/ctl-error.ts
@@ -2,8 +2,8 @@
 Why a command did not succeed: what to tell the operator, and the code to exit with.
 */
 import {type ApiError} from '../common/types.js';
-import {exitCodes, type ExitCode} from '../platform/exit-codes.js';
-import {describeSettingsError, type SettingsError} from '../platform/settings-error.js';
+import {exitCodes, type ExitCode} from '../io/exit-codes.js';
+import {describeSettingsError, type SettingsError} from '../io/settings-error.js';
 
 /** A failed command. */
 export type CtlError = {
--- a/src/ctl/ctl-settings.ts
+++ b/src/ctl/ctl-settings.ts
@@ -3,10 +3,10 @@
 */
 import {Either, Left, Right} from 'purify-ts/Either';
 import * as z from 'zod';
-import {parseAddress} from '../platform/address.js';
-import {exitCodes} from '../platform/exit-codes.js';
-import {loadSettings} from '../platform/settings.js';
-import {addressSchema, durationMs} from '../platform/settings-schemas.js';
+import {parseAddress} from '../io/address.js';
+import {exitCodes} from '../io/exit-codes.js';
+import {loadSettings} from '../io/settings.js';
+import {addressSchema, durationMs} from '../io/settings-schemas.js';
 import {type Options} from './command.js';
 import {ctlError, fromSettingsError, type CtlError} from './ctl-error.js';
 
--- a/src/ctl/entry-client.ts
+++ b/src/ctl/entry-client.ts
@@ -2,8 +2,8 @@
 The part of the entry's API that batch jobs need: files and batches, as the OpenAI API has them. Submitting is safe to repeat, since a job resent under the same key finds itself.
 */
 import {Left, Right, type Either} from 'purify-ts/Either';
-import {exitCodes, type ExitCode} from '../platform/exit-codes.js';
-import type {HttpClient, HttpRequest, HttpResponse} from '../platform/http-client.js';
+import {exitCodes, type ExitCode} from '../io/exit-codes.js';
+import type {HttpClient, HttpRequest, HttpResponse} from '../io/http-client.js';
 import {ctlError, type CtlError} from './ctl-error.js';
 
 /** A batch job as the entry reports it. */
--- a/src/ctl/kind-names.ts
+++ b/src/ctl/kind-names.ts
@@ -2,7 +2,7 @@
 Kinds as operators type them: in any case, in singular or plural, or short.
 */
 import {Left, Right, type Either} from 'purify-ts/Either';
-import {exitCodes} from '../platform/exit-codes.js';
+import {exitCodes} from '../io/exit-codes.js';
 import {ctlError, type CtlError} from './ctl-error.js';
 import {resourceKinds, type ResourceKind} from './resource-schemas.js';
 
--- a/src/ctl/main.ts
+++ b/src/ctl/main.ts
@@ -4,9 +4,9 @@
 import process from 'node:process';
 import sade from 'sade';
 import {Left, Right, type Either} from 'purify-ts/Either';
-import {exitCodes} from '../platform/exit-codes.js';
-import {reportUsageErrors, tellUnknownOption} from '../platform/usage-errors.js';
-import {version} from '../platform/version.js';
+import {exitCodes} from '../io/exit-codes.js';
+import {reportUsageErrors, tellUnknownOption} from '../io/usage-errors.js';
+import {version} from '../io/version.js';
 import type {Command, Options} from './command.js';
 import {applyCommand, validateCommand} from './commands/apply.js';
 import {deleteCommand} from './commands/delete.js';
--- a/src/ctl/resource-file.steps.ts
+++ b/src/ctl/resource-file.steps.ts
@@ -6,8 +6,8 @@
 import {type Either} from 'purify-ts/Either';
 import {type AnyResource} from '../../typings/resources.js';
 import {type TestWorld} from '../common/testing/test-world.js';
-import {JsoncDocument} from '../platform/jsonc-document.js';
-import {type SettingsError} from '../platform/settings-error.js';
+import {JsoncDocument} from '../io/jsonc-document.js';
+import {type SettingsError} from '../io/settings-error.js';
 import {resourcesOf} from './resource-file.js';
 
 type FileWorld = TestWorld & {
--- a/src/ctl/resource-file.ts
+++ b/src/ctl/resource-file.ts
@@ -4,8 +4,8 @@
 import {createHash} from 'node:crypto';
 import {Either, Left, Right} from 'purify-ts/Either';
 import {type AnyResource} from '../../typings/resources.js';
-import {JsoncDocument} from '../platform/jsonc-document.js';
-import {type SettingsError} from '../platform/settings-error.js';
+import {JsoncDocument} from '../io/jsonc-document.js';
+import {type SettingsError} from '../io/settings-error.js';
 import {
 	resourceKinds, resourceSchema, type ClientAccountFileSpec, type ResourceFile, type ResourceKind,
 } from './resource-schemas.js';
--- a/src/ctl/resource-schemas.ts
+++ b/src/ctl/resource-schemas.ts
@@ -5,7 +5,7 @@
 import type {
 	BackendServerSpec, BatchJobSpec, ClientAccountSpec, ModelVersionSpec, OnlineServiceSpec, ServedModelSpec,
 } from '../../typings/resources.js';
-import {countOf, durationMs, sizeBytes} from '../platform/settings-schemas.js';
+import {countOf, durationMs, sizeBytes} from '../io/settings-schemas.js';
 
 const longestName = 120;
 const namePattern = /^[a-z\d](?:[a-z\d.\-]*[a-z\d])?$/v;
--- a/src/ctl/resource-writer.steps.ts
+++ b/src/ctl/resource-writer.steps.ts
@@ -8,7 +8,7 @@
 import {type Clock} from '../common/services.js';
 import {FakeObjectApi} from '../common/testing/fake-object-api.js';
 import {type TestWorld} from '../common/testing/test-world.js';
-import {SeededRandom} from '../platform/seeded-random.js';
+import {SeededRandom} from '../io/seeded-random.js';
 import {type CtlError} from './ctl-error.js';
 import {ResourceWriter, type WriteOutcome} from './resource-writer.js';
 
--- a/src/ctl/resource-writer.ts
+++ b/src/ctl/resource-writer.ts
@@ -5,7 +5,7 @@
 import {type AnyResource} from '../../typings/resources.js';
 import type {Clock, ObjectApi, RandomSource} from '../common/services.js';
 import type {ApiError, StoredObject} from '../common/types.js';
-import {exitCodes} from '../platform/exit-codes.js';
+import {exitCodes} from '../io/exit-codes.js';
 import {ctlError, fromApiError, type CtlError} from './ctl-error.js';
 import {differences} from './differences.js';
 import {type ResourceKind} from './resource-schemas.js';
--- a/src/ctl/write-rules.ts
+++ b/src/ctl/write-rules.ts
@@ -2,7 +2,7 @@
 What an operator may not write, though its shape is right.
 */
 import {type AnyResource, type BatchJob} from '../../typings/resources.js';
-import {exitCodes} from '../platform/exit-codes.js';
+import {exitCodes} from '../io/exit-codes.js';
 import {ctlError, type CtlError} from './ctl-error.js';
 import {differences} from './differences.js';
 import {type ResourceKind} from './resource-schemas.js';
--- a/src/demo/main.ts
+++ b/src/demo/main.ts
@@ -3,10 +3,10 @@
 */
 import process from 'node:process';
 import sade from 'sade';
-import {SystemClock} from '../platform/system-clock.js';
-import {SeededRandom} from '../platform/seeded-random.js';
-import {NoMetrics} from '../platform/no-metrics.js';
-import {version} from '../platform/version.js';
+import {SystemClock} from '../io/system-clock.js';
+import {SeededRandom} from '../io/seeded-random.js';
+import {NoMetrics} from '../io/no-metrics.js';
+import {version} from '../io/version.js';
 import {entryEvents} from '../entry/log-events.js';
 import {batchEvents} from '../entry/batch-log-events.js';
 import {keyHash} from '../entry/accounts.js';
--- a/src/entry/attempt-client.ts
+++ b/src/entry/attempt-client.ts
@@ -8,9 +8,9 @@
 } from '../common/protocol.js';
 import {parseObject} from '../common/parse-object.js';
 import type {IssuedAttempt} from '../common/request-ledger.js';
-import type {HttpClient, HttpFailure, HttpResponse} from '../platform/http-client.js';
-import type {RpcClient, RpcFailure} from '../platform/rpc-client.js';
-import {followEvents, type EventHandler, type StreamPause} from '../platform/sse-reader.js';
+import type {HttpClient, HttpFailure, HttpResponse} from '../io/http-client.js';
+import type {RpcClient, RpcFailure} from '../io/rpc-client.js';
+import {followEvents, type EventHandler, type StreamPause} from '../io/sse-reader.js';
 
 /** How following an attempt ended. Only the first three came from the agent. */
 export type AttemptOutcome
--- a/src/entry/batch-openai.steps.ts
+++ b/src/entry/batch-openai.steps.ts
@@ -7,9 +7,9 @@
 import OpenAI, {toFile} from 'openai';
 import type {TestWorld} from '../common/testing/test-world.js';
 import {fleetResources, LocalFleet, type FleetPlan} from '../demo/local-fleet.js';
-import {NoMetrics} from '../platform/no-metrics.js';
-import {SeededRandom} from '../platform/seeded-random.js';
-import {SystemClock} from '../platform/system-clock.js';
+import {NoMetrics} from '../io/no-metrics.js';
+import {SeededRandom} from '../io/seeded-random.js';
+import {SystemClock} from '../io/system-clock.js';
 import {keyHash} from './accounts.js';
 
 type ClientWorld = TestWorld & {
--- a/src/entry/chunk-exchange.ts
+++ b/src/entry/chunk-exchange.ts
@@ -9,7 +9,7 @@
 } from '../common/protocol.js';
 import type {ReplicaTable, ReplicaView} from '../common/replica-table.js';
 import type {Clock, EventLog} from '../common/services.js';
-import type {RpcClient} from '../platform/rpc-client.js';
+import type {RpcClient} from '../io/rpc-client.js';
 import {batchEvents} from './batch-log-events.js';
 import {claimOf, type TrackedJob} from './tracked-job.js';
 
--- a/src/entry/config-follower.steps.ts
+++ b/src/entry/config-follower.steps.ts
@@ -13,7 +13,7 @@
 import {FakeObjectApi} from '../common/testing/fake-object-api.js';
 import type {TestWorld} from '../common/testing/test-world.js';
 import {until} from '../common/testing/until.js';
-import {SeededRandom} from '../platform/seeded-random.js';
+import {SeededRandom} from '../io/seeded-random.js';
 import {ConfigSnapshot} from './config-snapshot.js';
 import {
 	clock, ConfigFleet, modelKind, silentLog, type ConfigNode,
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -14,16 +14,16 @@
 import type {
 	Clock, Disposable, EventLog, Metrics, ObjectApi, RandomSource,
 } from '../common/services.js';
-import {configAsker, configChangesMethod} from '../platform/config-asker.js';
-import {HttpClient} from '../platform/http-client.js';
-import {HttpObjectApi} from '../platform/http-object-api.js';
+import {configAsker, configChangesMethod} from '../io/config-asker.js';
+import {HttpClient} from '../io/http-client.js';
+import {HttpObjectApi} from '../io/http-object-api.js';
 import {
 	HttpServer, type Fallbacks, type ListenFailure, type Route,
-} from '../platform/http-server.js';
-import {HttpVmList} from '../platform/http-vm-list.js';
-import {forPeersOnly} from '../platform/peer-route.js';
-import {RpcClient} from '../platform/rpc-client.js';
-import {rpcRoute, type RpcMethods} from '../platform/rpc-route.js';
+} from '../io/http-server.js';
+import {HttpVmList} from '../io/http-vm-list.js';
+import {forPeersOnly} from '../io/peer-route.js';
+import {RpcClient} from '../io/rpc-client.js';
+import {rpcRoute, type RpcMethods} from '../io/rpc-route.js';
 import {Accounts} from './accounts.js';
 import {invalidRequest, sendError} from './api-error.js';
 import {ApiGate} from './api-gate.js';
--- a/src/entry/file-routes.ts
+++ b/src/entry/file-routes.ts
@@ -5,7 +5,7 @@
 import {Left, Right, type Either} from 'purify-ts/Either';
 import {resultPrefix, type FileRecord, type ItemResult} from '../common/batch-types.js';
 import type {Clock, ObjectApi} from '../common/services.js';
-import type {Route} from '../platform/http-server.js';
+import type {Route} from '../io/http-server.js';
 import type {Account, Accounts} from './accounts.js';
 import {invalidRequest, sendError, type ApiError} from './api-error.js';
 import {parseResultFileId} from './batch-view.js';
--- a/src/entry/generation-routes.ts
+++ b/src/entry/generation-routes.ts
@@ -8,8 +8,8 @@
 import type {ServedModel} from '../../typings/resources.js';
 import type {AnswerChunk} from '../common/answer-assembler.js';
 import {branded} from '../common/ids.js';
-import {readBody} from '../platform/read-body.js';
-import type {Route} from '../platform/http-server.js';
+import {readBody} from '../io/read-body.js';
+import type {Route} from '../io/http-server.js';
 import type {Account} from './accounts.js';
 import {GenerationSink} from './answer-sink.js';
 import {
--- a/src/entry/in-force-gather.ts
+++ b/src/entry/in-force-gather.ts
@@ -5,7 +5,7 @@
 import type {InForceCount} from '../common/config-protocol.js';
 import {configWatchers} from '../common/config-upstream.js';
 import type {VmEntry} from '../common/types.js';
-import type {RpcClient, RpcFailure} from '../platform/rpc-client.js';
+import type {RpcClient, RpcFailure} from '../io/rpc-client.js';
 
 /** The method's name. */
 export const configCountsMethod = 'config.counts';
--- a/src/entry/item-packer.steps.ts
+++ b/src/entry/item-packer.steps.ts
@@ -8,7 +8,7 @@
 import type {InputChunk} from '../common/batch-types.js';
 import {FakeObjectApi} from '../common/testing/fake-object-api.js';
 import type {TestWorld} from '../common/testing/test-world.js';
-import {SystemClock} from '../platform/system-clock.js';
+import {SystemClock} from '../io/system-clock.js';
 import type {ApiError} from './api-error.js';
 import {ItemPacker, type PackedFile, type PackLimits} from './item-packer.js';
 
--- a/src/entry/job-retention.steps.ts
+++ b/src/entry/job-retention.steps.ts
@@ -6,7 +6,7 @@
 import type {JobState} from '../common/batch-types.js';
 import {FakeObjectApi} from '../common/testing/fake-object-api.js';
 import type {TestWorld} from '../common/testing/test-world.js';
-import {SystemClock} from '../platform/system-clock.js';
+import {SystemClock} from '../io/system-clock.js';
 import {JobRetention} from './job-retention.js';
 
 type RetentionWorld = TestWorld & {api: FakeObjectApi};
--- a/src/entry/main.ts
+++ b/src/entry/main.ts
@@ -2,10 +2,10 @@
 The program `citronyard-entry`.
 */
 import {Right, type Either} from 'purify-ts/Either';
-import {JsonlTrace} from '../platform/jsonl-trace.js';
+import {JsonlTrace} from '../io/jsonl-trace.js';
 import {
 	runProgram, type ProgramServices, type RunningProgram, type StartError,
-} from '../platform/program.js';
+} from '../io/program.js';
 import {Entry} from './entry.js';
 import {entrySettingsSchema, type EntrySettings} from './settings.js';
 
--- a/src/entry/malformed-objects.steps.ts
+++ b/src/entry/malformed-objects.steps.ts
@@ -11,7 +11,7 @@
 import type {TestWorld} from '../common/testing/test-world.js';
 import {until} from '../common/testing/until.js';
 import type {LogFields, ObjectKind} from '../common/types.js';
-import {SystemClock} from '../platform/system-clock.js';
+import {SystemClock} from '../io/system-clock.js';
 import {Accounts, keyHash} from './accounts.js';
 import {configEvents} from './config-log-events.js';
 import {JobFeed} from './job-feed.js';
--- a/src/entry/online-frontend.steps.ts
+++ b/src/entry/online-frontend.steps.ts
@@ -7,7 +7,7 @@
 import {Right} from 'purify-ts/Either';
 import {branded} from '../common/ids.js';
 import type {TestWorld} from '../common/testing/test-world.js';
-import {SystemClock} from '../platform/system-clock.js';
+import {SystemClock} from '../io/system-clock.js';
 import type {Account} from './accounts.js';
 import {CallSink} from './answer-sink.js';
 import {OnlineFrontend, type Exchange, type FrontendParts} from './online-frontend.js';
--- a/src/entry/placement-controller.steps.ts
+++ b/src/entry/placement-controller.steps.ts
@@ -10,11 +10,11 @@
 import type {TestWorld} from '../common/testing/test-world.js';
 import {until} from '../common/testing/until.js';
 import {fleetResources, LocalFleet, type FleetPlan} from '../demo/local-fleet.js';
-import {HttpClient} from '../platform/http-client.js';
-import {HttpObjectApi} from '../platform/http-object-api.js';
-import {NoMetrics} from '../platform/no-metrics.js';
-import {SeededRandom} from '../platform/seeded-random.js';
-import {SystemClock} from '../platform/system-clock.js';
+import {HttpClient} from '../io/http-client.js';
+import {HttpObjectApi} from '../io/http-object-api.js';
+import {NoMetrics} from '../io/no-metrics.js';
+import {SeededRandom} from '../io/seeded-random.js';
+import {SystemClock} from '../io/system-clock.js';
 import {EngineModels} from '../agent/engine-models.js';
 import {keyHash} from './accounts.js';
 
--- a/src/entry/replica-poller.ts
+++ b/src/entry/replica-poller.ts
@@ -8,7 +8,7 @@
 	Clock, Disposable, EventLog, VmList,
 } from '../common/services.js';
 import type {VmEntry} from '../common/types.js';
-import type {RpcClient} from '../platform/rpc-client.js';
+import type {RpcClient} from '../io/rpc-client.js';
 import {entryEvents} from './log-events.js';
 
 /** What the poller is made of. */
--- a/src/entry/service-calls.steps.ts
+++ b/src/entry/service-calls.steps.ts
@@ -4,7 +4,7 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {agentEvents} from '../agent/log-events.js';
-import type {RequestFault} from '../platform/testing/tcp-relay.js';
+import type {RequestFault} from '../io/testing/tcp-relay.js';
 import {entryEvents} from './log-events.js';
 import {
 	apiKey, modelName, RelayedFleet, serviceName, until,
--- a/src/entry/service-routes.ts
+++ b/src/entry/service-routes.ts
@@ -7,8 +7,8 @@
 import type {Either} from 'purify-ts/Either';
 import type {OnlineService} from '../../typings/resources.js';
 import {branded} from '../common/ids.js';
-import {readBody} from '../platform/read-body.js';
-import type {Route, RouteMatch} from '../platform/http-server.js';
+import {readBody} from '../io/read-body.js';
+import type {Route, RouteMatch} from '../io/http-server.js';
 import type {Account} from './accounts.js';
 import {CallSink} from './answer-sink.js';
 import {
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -4,7 +4,7 @@
 import * as z from 'zod';
 import {
 	commonSettings, countOf, durationMs, listenAddressSchema, platformSettings, sizeBytes,
-} from '../platform/settings-schemas.js';
+} from '../io/settings-schemas.js';
 
 /** What the entry reads from its settings file. */
 export const entrySettingsSchema = z.strictObject({
--- a/src/entry/testing/batch-world.ts
+++ b/src/entry/testing/batch-world.ts
@@ -10,7 +10,7 @@
 import {branded, type AccountName, type JobId} from '../../common/ids.js';
 import type {ObjectApi} from '../../common/services.js';
 import type {TestWorld} from '../../common/testing/test-world.js';
-import {SystemClock} from '../../platform/system-clock.js';
+import {SystemClock} from '../../io/system-clock.js';
 import type {Account} from '../accounts.js';
 import {ApiGate} from '../api-gate.js';
 import {ItemPacker} from '../item-packer.js';
--- a/src/entry/testing/config-fleet.ts
+++ b/src/entry/testing/config-fleet.ts
@@ -8,8 +8,8 @@
 import {FakeObjectApi} from '../../common/testing/fake-object-api.js';
 import type {TestWorld} from '../../common/testing/test-world.js';
 import type {VmEntry} from '../../common/types.js';
-import {SeededRandom} from '../../platform/seeded-random.js';
-import {SystemClock} from '../../platform/system-clock.js';
+import {SeededRandom} from '../../io/seeded-random.js';
+import {SystemClock} from '../../io/system-clock.js';
 import {ConfigFollower} from '../config-follower.js';
 import {ConfigNetwork, type LinkFault} from './config-network.js';
 
--- a/src/entry/testing/relayed-fleet.ts
+++ b/src/entry/testing/relayed-fleet.ts
@@ -4,10 +4,10 @@
 import type {EventLog} from '../../common/services.js';
 import type {EventDefinition, LogFields} from '../../common/types.js';
 import {fleetResources, LocalFleet, type FleetPlan} from '../../demo/local-fleet.js';
-import {NoMetrics} from '../../platform/no-metrics.js';
-import {SeededRandom} from '../../platform/seeded-random.js';
-import {SystemClock} from '../../platform/system-clock.js';
-import {TcpRelay} from '../../platform/testing/tcp-relay.js';
+import {NoMetrics} from '../../io/no-metrics.js';
+import {SeededRandom} from '../../io/seeded-random.js';
+import {SystemClock} from '../../io/system-clock.js';
+import {TcpRelay} from '../../io/testing/tcp-relay.js';
 import {keyHash} from '../accounts.js';
 
 /** An event that was logged. */
--- a/src/entry/upload-receiver.steps.ts
+++ b/src/entry/upload-receiver.steps.ts
@@ -7,7 +7,7 @@
 import {Then, When} from '@cucumber/cucumber';
 import {FakeObjectApi} from '../common/testing/fake-object-api.js';
 import type {TestWorld} from '../common/testing/test-world.js';
-import {SystemClock} from '../platform/system-clock.js';
+import {SystemClock} from '../io/system-clock.js';
 import {receiveUpload, type Upload} from './upload-receiver.js';
 
 type UploadWorld = TestWorld & {upload: Upload};
--- a/src/platform/program.steps.ts
+++ b/src/io/program.steps.ts
@@ -15,7 +15,7 @@
 
 type Logged = {readonly event: number};
 
-const sampleProgram = ['--import', 'tsx', 'src/platform/testing/sample-program.ts'];
+const sampleProgram = ['--import', 'tsx', 'src/io/testing/sample-program.ts'];
 
 const loggedEvents = (stdout: string): number[] => stdout.split('\n')
 	.filter(line => line.startsWith('{'))
--- a/src/load/caller.ts
+++ b/src/load/caller.ts
@@ -3,8 +3,8 @@
 */
 import type {EventSourceMessage} from 'eventsource-parser';
 import type {Disposable} from '../common/services.js';
-import {HttpClient, type HttpFailure, type HttpResponse} from '../platform/http-client.js';
-import {followEvents} from '../platform/sse-reader.js';
+import {HttpClient, type HttpFailure, type HttpResponse} from '../io/http-client.js';
+import {followEvents} from '../io/sse-reader.js';
 
 /** A generation, as a caller asks for it. */
 export type GenerationCall = {
--- a/src/load/load-run.steps.ts
+++ b/src/load/load-run.steps.ts
@@ -7,7 +7,7 @@
 import type {AddressInfo} from 'node:net';
 import {Given, Then, When} from '@cucumber/cucumber';
 import type {TestWorld} from '../common/testing/test-world.js';
-import {SeededRandom} from '../platform/seeded-random.js';
+import {SeededRandom} from '../io/seeded-random.js';
 import {LoadMix, type PlannedRequest} from './load-mix.js';
 import {LoadRun, type LoadReport} from './load-run.js';
 import {loadSettingsSchema} from './settings.js';
--- a/src/load/load-run.ts
+++ b/src/load/load-run.ts
@@ -3,7 +3,7 @@
 */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Disposable} from '../common/services.js';
-import {SeededRandom} from '../platform/seeded-random.js';
+import {SeededRandom} from '../io/seeded-random.js';
 import {BatchClient, type BatchItem, type BatchObject} from './batch-job.js';
 import {Caller, type CallerAnswer, type CallerOptions} from './caller.js';
 import {LoadMix, type PlannedRequest} from './load-mix.js';
--- a/src/load/main.ts
+++ b/src/load/main.ts
@@ -3,11 +3,11 @@
 */
 import process from 'node:process';
 import sade from 'sade';
-import {exitCodes} from '../platform/exit-codes.js';
-import {loadSettings} from '../platform/settings.js';
-import {describeSettingsError} from '../platform/settings-error.js';
-import {reportUsageErrors, tellUnknownOption} from '../platform/usage-errors.js';
-import {version} from '../platform/version.js';
+import {exitCodes} from '../io/exit-codes.js';
+import {loadSettings} from '../io/settings.js';
+import {describeSettingsError} from '../io/settings-error.js';
+import {reportUsageErrors, tellUnknownOption} from '../io/usage-errors.js';
+import {version} from '../io/version.js';
 import type {LatencySummary} from './latency-histogram.js';
 import {LoadRun, type LoadReport} from './load-run.js';
 import {loadSettingsSchema, type LoadSettings} from './settings.js';
--- a/src/load/settings.ts
+++ b/src/load/settings.ts
@@ -2,8 +2,8 @@
 Settings of a load: who asks for what, how often and for how long. Everything is bounded in count and in time, and entries must be on loopback.
 */
 import * as z from 'zod';
-import {parseAddress} from '../platform/address.js';
-import {addressSchema, countOf, durationMs} from '../platform/settings-schemas.js';
+import {parseAddress} from '../io/address.js';
+import {addressSchema, countOf, durationMs} from '../io/settings-schemas.js';
 
 const maxSeconds = 3600;
 const maxRequests = 1_000_000;
--- a/src/standins/engine-standin.ts
+++ b/src/standins/engine-standin.ts
@@ -3,7 +3,7 @@
 */
 import {Left, Right, type Either} from 'purify-ts/Either';
 import type {Disposable} from '../common/services.js';
-import {SeededRandom} from '../platform/seeded-random.js';
+import {SeededRandom} from '../io/seeded-random.js';
 import {AnswerWriter, type AnswerKind} from './answer-writer.js';
 import {CacheEventLog} from './cache-event-log.js';
 import {faultsRoute} from './control-route.js';
--- a/src/standins/exchange.ts
+++ b/src/standins/exchange.ts
@@ -4,7 +4,7 @@
 import type {Buffer} from 'node:buffer';
 import type {IncomingMessage, OutgoingHttpHeaders, ServerResponse} from 'node:http';
 import {Left, Right, type Either} from 'purify-ts/Either';
-import {readBody, type BodyFailure} from '../platform/read-body.js';
+import {readBody, type BodyFailure} from '../io/read-body.js';
 
 /** What a request's body may be refused for. */
 export type BodyError = {readonly status: 400 | 413; readonly message: string};
--- a/src/standins/object-api-standin.ts
+++ b/src/standins/object-api-standin.ts
@@ -4,7 +4,7 @@
 import type {OutgoingHttpHeaders} from 'node:http';
 import {z} from 'zod';
 import type {Disposable} from '../common/services.js';
-import {SeededRandom} from '../platform/seeded-random.js';
+import {SeededRandom} from '../io/seeded-random.js';
 import {CallCounts, type CallMethod, type CallReport} from './call-counts.js';
 import {faultsRoute} from './control-route.js';
 import type {Exchange} from './exchange.js';
--- a/src/standins/standin-program.steps.ts
+++ b/src/standins/standin-program.steps.ts
@@ -7,7 +7,7 @@
 import path from 'node:path';
 import {Then, When} from '@cucumber/cucumber';
 import {type TestWorld} from '../common/testing/test-world.js';
-import {RunningProcess, runToEnd, type Ended} from '../platform/testing/run-process.js';
+import {RunningProcess, runToEnd, type Ended} from '../io/testing/run-process.js';
 
 type ProgramWorld = TestWorld & {
 	ended: Ended;
