--- a/scripts/build.js
+++ b/scripts/build.js
@@ -1,13 +1,19 @@
 /**
-Bundles each program into one file under `dist/`, so that an idle process loads no more code than it runs.
+Bundles each program into one file, so that an idle process loads no more code than it runs: the programs of the product under `dist/`, or with `--platform` those that run on the users' platform under `target/`.
 */
 import {chmod, rm} from 'node:fs/promises';
 import {existsSync, readFileSync} from 'node:fs';
+import process from 'node:process';
 import {build} from 'esbuild';
 
 const {version} = JSON.parse(readFileSync('package.json', 'utf8'));
 
-const programs = {
+const platformPrograms = {
+	'citronyard-front': 'platform/main-front.ts',
+	'citronyard-keeper': 'platform/main-keeper.ts',
+};
+
+const productPrograms = {
 	'citronyard-entry': 'src/entry/main.ts',
 	'citronyard-agent': 'src/agent/main.ts',
 	citronctl: 'src/ctl/main.ts',
@@ -16,13 +22,17 @@
 	'citronyard-demo': 'src/demo/main.ts',
 };
 
+const isForPlatform = process.argv.includes('--platform');
+const programs = isForPlatform ? platformPrograms : productPrograms;
+const outdir = isForPlatform ? 'target' : 'dist';
+
 // A program without a main module yet is left out; the features of each program ask for its bundle by name.
 const present = Object.fromEntries(Object.entries(programs).filter(([, main]) => existsSync(main)));
 
-await rm('dist', {recursive: true, force: true});
+await rm(outdir, {recursive: true, force: true});
 await build({
 	entryPoints: present,
-	outdir: 'dist',
+	outdir,
 	bundle: true,
 	platform: 'node',
 	target: 'node20',
@@ -38,4 +48,4 @@
 	banner: {js: '#!/usr/bin/env node\nimport {createRequire as bundleRequire} from \'node:module\';\nconst require = bundleRequire(import.meta.url);'},
 	logLevel: 'warning',
 });
-await Promise.all(Object.keys(present).map(async name => chmod(`dist/${name}.js`, 0o755)));
+await Promise.all(Object.keys(present).map(async name => chmod(`${outdir}/${name}.js`, 0o755)));
--- a/src/common/services.ts
+++ b/src/common/services.ts
@@ -3,7 +3,7 @@
 */
 import type {Either} from 'purify-ts/Either';
 import type {
-	ApiError, EventDefinition, ListQuery, LogFields, ObjectKind, ObjectPage, StoredObject, VmEntry, WatchBatch,
+	ApiError, EventDefinition, ListQuery, LogFields, ObjectKind, ObjectPage, StoredObject, VmEntry, WatchBatch, WatchOptions,
 } from './types.js';
 import type {Revision} from './ids.js';
 
@@ -56,7 +56,7 @@
 	remove(kind: ObjectKind, name: string, version?: Revision): Promise<Either<ApiError, Revision>>;
 	list<T>(kind: ObjectKind, query?: ListQuery): Promise<Either<ApiError, ObjectPage<T>>>;
 	/** Waits up to `waitMs` for changes after `since`. Fails as `expired` when `since` is too old: list, then watch on. */
-	watch(kinds: readonly ObjectKind[], since: Revision, waitMs: number): Promise<Either<ApiError, WatchBatch>>;
+	watch(kinds: readonly ObjectKind[], since: Revision, waitMs: number, options?: WatchOptions): Promise<Either<ApiError, WatchBatch>>;
 };
 
 /** The platform's list of VMs. It lags behind the truth. */
--- /dev/null
+++ b/src/gateway/attempt.ts
@@ -0,0 +1,253 @@
+/**
+One attempt to have a replica run a call: the request on one connection, and what came of it. It tells apart what a caller may be told: that the replica has certainly not run the call, or that only the replica knows.
+*/
+import type {Buffer} from 'node:buffer';
+import type {Dispatcher} from 'undici';
+import type {Disposable} from '../common/services.js';
+import {isBeforeSending} from '../io/http-client.js';
+import type {ReplicaConnection, ReplicaConnections} from './replica-connections.js';
+import type {AnswerFields, AttemptFields, CallDialect} from './types.js';
+
+/** What is sent, the same for each attempt of a call. */
+export type CallMessage = {
+	readonly method: string;
+	/** Path and query. */
+	readonly target: string;
+	/** The caller's, as names and values by turns. */
+	readonly headers: readonly string[];
+	readonly body?: Buffer;
+};
+
+/** The head of a replica's answer. */
+export type AnswerHead = {
+	readonly status: number;
+	readonly statusMessage: string;
+	/** Names and values by turns, as the replica sent them. */
+	readonly rawHeaders: string[];
+	/** Lower-case names. */
+	readonly headers: NodeJS.Dict<string | string[]>;
+	/** False when only the end of the connection ends the answer. */
+	readonly isFramed: boolean;
+};
+
+/**
+How an attempt ended.
+
+`notSent`: no byte of the call can have reached the replica. `refused`: the replica states that it has not run it. `misdirected`: another replica has the address. `silent` and `lost`: only the replica knows. `complete`: the whole answer came. `dropped`: this side gave the attempt up.
+*/
+export type AttemptEnd
+	= | {readonly kind: 'notSent'; readonly reason: string}
+		| {readonly kind: 'refused'; readonly status: number}
+		| {readonly kind: 'misdirected'}
+		| {readonly kind: 'silent'; readonly reason: string}
+		| {readonly kind: 'lost'; readonly reason: string}
+		| {readonly kind: 'complete'}
+		| {readonly kind: 'dropped'};
+
+/** Hears of an attempt: a head, bytes, an end, in this order; `onEnd` exactly once. */
+export type AttemptListener = {
+	onHead(head: AnswerHead): void;
+	onBytes(bytes: Buffer): void;
+	onEnd(end: AttemptEnd): void;
+};
+
+/** How long an attempt waits, in milliseconds. */
+export type AttemptPatience = {
+	/** Until the connection is made. */
+	readonly connectMs: number;
+	/** From then on, without a byte. */
+	readonly silenceMs: number;
+};
+
+/** What an attempt is made of. */
+export type AttemptParts = {
+	readonly connections: ReplicaConnections;
+	readonly connection: ReplicaConnection;
+	readonly dialect: CallDialect;
+	readonly message: CallMessage;
+	readonly fields: AttemptFields;
+	readonly patience: AttemptPatience;
+	readonly listener: AttemptListener;
+};
+
+const misdirectedStatus = 421;
+
+const textOf = (headers: unknown): string[] => (headers as readonly Buffer[]).map(String);
+
+/** See the module's head. */
+export class Attempt implements Disposable {
+	readonly #parts: AttemptParts;
+	#timer: NodeJS.Timeout | undefined;
+	#silenceTimer: NodeJS.Timeout | undefined;
+	#controller: Dispatcher.DispatchController | undefined;
+	#isSent = false;
+	#isOver = false;
+	#isFramed = true;
+	#refusal: AttemptEnd | undefined;
+
+	constructor(parts: AttemptParts) {
+		this.#parts = parts;
+	}
+
+	get isOver(): boolean {
+		return this.#isOver;
+	}
+
+	/** Sends. The end may be told before this returns. */
+	start(): void {
+		const {connectMs} = this.#parts.patience;
+		this.#timer = setTimeout(() => {
+			this.#giveUp({kind: 'notSent', reason: `no connection within ${connectMs} ms`});
+		}, connectMs);
+		this.#send();
+	}
+
+	/** Reads no more until `resume`, so that a slow caller does not fill this process's memory. */
+	pause(): void {
+		this.#controller?.pause();
+		clearTimeout(this.#silenceTimer);
+		this.#silenceTimer = undefined;
+	}
+
+	resume(): void {
+		this.#controller?.resume();
+		this.#watchSilence();
+	}
+
+	/** Closes the connection, so that the replica stops its work at once. */
+	dispose(): void {
+		this.#giveUp({kind: 'dropped'});
+	}
+
+	#send() {
+		const {connection, dialect, message, fields} = this.#parts;
+		const headers = dialect.toReplica(message.headers, fields);
+		connection.dispatch({
+			path: message.target,
+			method: message.method as Dispatcher.HttpMethod,
+			headers,
+			body: message.body && message.body.length > 0 ? message.body : undefined,
+		}, {
+			onRequestStart: controller => {
+				this.#controller = controller;
+				this.#isSent = true;
+				clearTimeout(this.#timer);
+				this.#watchSilence();
+			},
+			onResponseStart: (controller, status, answerHeaders, statusMessage) => {
+				this.#onHead(status, answerHeaders, textOf(controller.rawHeaders), statusMessage ?? '');
+			},
+			onResponseData: (_controller, bytes) => {
+				this.#onBytes(bytes);
+			},
+			onResponseEnd: () => {
+				this.#onResponseEnd();
+			},
+			onResponseError: (_controller, err) => {
+				this.#onError(err);
+			},
+		});
+	}
+
+	#watchSilence() {
+		if (this.#isOver) {
+			return;
+		}
+
+		if (this.#silenceTimer) {
+			this.#silenceTimer.refresh();
+			return;
+		}
+
+		const {silenceMs} = this.#parts.patience;
+		this.#silenceTimer = setTimeout(() => {
+			this.#giveUp({kind: 'silent', reason: `no byte within ${silenceMs} ms`});
+		}, silenceMs);
+	}
+
+	#onHead(status: number, headers: NodeJS.Dict<string | string[]>, rawHeaders: string[], statusMessage: string) {
+		if (this.#isOver || status < 200) {
+			return;
+		}
+
+		this.#watchSilence();
+		const fields = this.#parts.dialect.readAnswer(status, headers);
+		if (!this.#isOwnAnswer(fields)) {
+			// A replica may send a second answer late, where the next one is due. The connection's answers no longer match its requests.
+			this.#giveUp({kind: 'lost', reason: 'the answer belongs to another call'});
+			return;
+		}
+
+		this.#refusal = this.#refusalOf(status, fields);
+		if (this.#refusal) {
+			return;
+		}
+
+		this.#isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+		this.#parts.listener.onHead({
+			status, statusMessage, rawHeaders, headers, isFramed: this.#isFramed,
+		});
+	}
+
+	#isOwnAnswer({requestId}: AnswerFields): boolean {
+		return requestId === undefined || requestId === this.#parts.fields.requestId;
+	}
+
+	#refusalOf(status: number, {hasNotRun}: AnswerFields): AttemptEnd | undefined {
+		if (status === misdirectedStatus) {
+			return {kind: 'misdirected'};
+		}
+
+		return hasNotRun ? {kind: 'refused', status} : undefined;
+	}
+
+	#onBytes(bytes: Buffer) {
+		if (this.#isOver || this.#refusal) {
+			return;
+		}
+
+		this.#watchSilence();
+		this.#parts.listener.onBytes(bytes);
+	}
+
+	#onResponseEnd() {
+		if (this.#isOver) {
+			return;
+		}
+
+		const {connections, connection} = this.#parts;
+		if (!this.#isFramed && connection.hasSocketFailed) {
+			this.#giveUp({kind: 'lost', reason: 'reset within an answer without a length'});
+			return;
+		}
+
+		connections.giveBack(connection);
+		this.#end(this.#refusal ?? {kind: 'complete'});
+	}
+
+	#onError(err: Error) {
+		const reason = (err as {code?: string}).code ?? err.message;
+		this.#giveUp(this.#isSent && !isBeforeSending(err) ? {kind: 'lost', reason} : {kind: 'notSent', reason});
+	}
+
+	#giveUp(end: AttemptEnd) {
+		if (this.#isOver) {
+			return;
+		}
+
+		const {connections, connection} = this.#parts;
+		connections.discard(connection);
+		if (end.kind === 'silent') {
+			connections.renew();
+		}
+
+		this.#end(this.#refusal ?? end);
+	}
+
+	#end(end: AttemptEnd) {
+		this.#isOver = true;
+		clearTimeout(this.#timer);
+		clearTimeout(this.#silenceTimer);
+		this.#parts.listener.onEnd(end);
+	}
+}
--- /dev/null
+++ b/src/gateway/batch/batch-book.ts
@@ -0,0 +1,162 @@
+/**
+All batch jobs as the object API's records tell them, in the order of their versions: part of the blackboard.
+
+Whether a job fits under its route's limit is decided here, from the records before it, and so alike in every process: two processes that take jobs in at the same moment need not ask each other, since each finds the other's job before or after its own. Nothing of a job runs, and no caller is told that it was accepted, before its record has come back in this order.
+*/
+import {EventEmitter} from 'node:events';
+import type {Revision} from '../../common/ids.js';
+import type {StoredObject, WatchEvent} from '../../common/types.js';
+import type {ObjectFeed} from '../object-feed.js';
+import type {BatchJobId} from '../types.js';
+import {BatchJob} from './batch-job.js';
+import {
+	readRecord, tokensOf, type BatchRecord, type EndRecord, type HandoverRecord, type JobRecord, type PageRecord,
+} from './batch-records.js';
+
+const byVersion = (a: StoredObject, b: StoredObject): number => a.version - b.version;
+
+const jobNamePattern = /^job-(?<job>.+)$/v;
+
+type Appliers = {readonly [K in BatchRecord['type']]: (record: Extract<BatchRecord, {type: K}>, revision: Revision) => void};
+
+/** See the module's head. */
+export class BatchBook {
+	readonly #events = new EventEmitter();
+	readonly #jobs = new Map<BatchJobId, BatchJob>();
+	#isKnown = false;
+	#recordCount = 0;
+
+	readonly #appliers: Appliers = {
+		job: (record: JobRecord, revision: Revision) => {
+			this.#addJob(record, revision);
+		},
+		page: (record: PageRecord) => {
+			this.#jobs.get(record.job)?.addPage(record);
+		},
+		end: (record: EndRecord) => {
+			this.#jobs.get(record.job)?.end();
+		},
+		handover: (record: HandoverRecord) => {
+			this.#jobs.get(record.job)?.addProgress(record.items);
+		},
+	};
+
+	constructor(feed: ObjectFeed) {
+		this.#events.setMaxListeners(0);
+		feed.onSnapshot(items => {
+			this.#takeSnapshot(items);
+		});
+		feed.onChanges(events => {
+			this.#takeChanges(events);
+		});
+	}
+
+	/** Whether the records have been read at all. */
+	get isKnown(): boolean {
+		return this.#isKnown;
+	}
+
+	get openJobs(): BatchJob[] {
+		return [...this.#jobs.values()].filter(({isOpen}) => isOpen);
+	}
+
+	get all(): Iterable<BatchJob> {
+		return this.#jobs.values();
+	}
+
+	/** Records taken so far. */
+	get recordCount(): number {
+		return this.#recordCount;
+	}
+
+	job(id: BatchJobId): BatchJob | undefined {
+		return this.#jobs.get(id);
+	}
+
+	/** Tokens of accepted items without a result on a route. */
+	waitingTokens(route: string): number {
+		return [...this.#jobs.values()].reduce((sum, job) => job.record.route === route ? sum + job.waitingTokens : sum, 0);
+	}
+
+	/** Calls the listener after records were taken, with the jobs that they concern. */
+	onChange(listener: (jobs: ReadonlySet<BatchJobId>) => void): void {
+		this.#events.on('change', listener);
+	}
+
+	/**
+	Waits for a change of a job.
+
+	@param isEnough - Asked at once and after each change.
+	@returns Whether it was enough before the time was up.
+	*/
+	async until(id: BatchJobId, isEnough: () => boolean, limitMs: number): Promise<boolean> {
+		if (isEnough() || limitMs <= 0) {
+			return isEnough();
+		}
+
+		return new Promise(resolve => {
+			const finish = (outcome: boolean) => {
+				clearTimeout(timer);
+				this.#events.off('change', onChange);
+				resolve(outcome);
+			};
+
+			const onChange = (jobs: ReadonlySet<BatchJobId>) => {
+				if (jobs.has(id) && isEnough()) {
+					finish(true);
+				}
+			};
+
+			const timer = setTimeout(() => {
+				finish(false);
+			}, limitMs);
+			this.#events.on('change', onChange);
+		});
+	}
+
+	/** A caller asked for the end of a job, and the record of it is still to be written. */
+	endEarly(id: BatchJobId): void {
+		this.#jobs.get(id)?.end();
+		this.#events.emit('change', new Set([id]));
+	}
+
+	#takeSnapshot(items: readonly StoredObject[]) {
+		const before = [...this.#jobs.keys()];
+		this.#jobs.clear();
+		const concerned = items.toSorted(byVersion).flatMap(({value, version}) => this.#apply(value, version));
+		this.#isKnown = true;
+		this.#events.emit('change', new Set([...before, ...concerned]));
+	}
+
+	#takeChanges(events: readonly WatchEvent[]) {
+		const concerned = events.flatMap(event => event.type === 'put' ? this.#apply(event.value, event.version) : this.#remove(event.name));
+		this.#events.emit('change', new Set(concerned));
+	}
+
+	#apply(value: unknown, version: Revision): BatchJobId[] {
+		const record = readRecord(value);
+		if (!record) {
+			return [];
+		}
+
+		this.#recordCount += 1;
+		(this.#appliers[record.type] as (record: BatchRecord, revision: Revision) => void)(record, version);
+		return [record.job];
+	}
+
+	#remove(name: string): BatchJobId[] {
+		const id = jobNamePattern.exec(name)?.groups?.['job'] as BatchJobId | undefined;
+		if (id === undefined) {
+			return [];
+		}
+
+		this.#jobs.delete(id);
+		return [id];
+	}
+
+	#addJob(record: JobRecord, revision: Revision) {
+		const {route, maxWaitingTokens, items} = record;
+		const isAdmitted = maxWaitingTokens === 0 || this.waitingTokens(route) + tokensOf(items) <= maxWaitingTokens;
+		this.#jobs.set(record.job, new BatchJob(record, revision, isAdmitted));
+	}
+}
--- /dev/null
+++ b/src/gateway/batch/batch-runner.ts
@@ -0,0 +1,299 @@
+/**
+Runs the items of the jobs that this process has claimed, in the places that online calls leave free, and gives places back as soon as online calls need them. An item that is cut off goes on later from its last event, so what is lost is the reading of its prompt.
+*/
+import type {
+	Clock, Disposable, EventLog, Metrics, ObjectApi, RandomSource,
+} from '../../common/services.js';
+import type {ConfigBoard} from '../config-board.js';
+import type {LoadBoard} from '../load-board.js';
+import {gatewayEvents} from '../log-events.js';
+import type {ObjectFeed} from '../object-feed.js';
+import {chooseForBatch, itemsToCut} from '../replica-choice.js';
+import type {ReplicaDirectory} from '../replica-directory.js';
+import type {Link, ReplicaLinks} from '../replica-links.js';
+import type {Replica} from '../replica.js';
+import type {
+	BatchJobId, CallDialect, GatewayRoute, MemberName,
+} from '../types.js';
+import type {BatchBook} from './batch-book.js';
+import type {BatchJob} from './batch-job.js';
+import {
+	recordNames, type BatchItem, type HandoverRecord,
+} from './batch-records.js';
+import {ItemRun, type ItemRunEnd} from './item-run.js';
+import type {JobClaims} from './job-claims.js';
+import {JobRun, type ItemState} from './job-run.js';
+import {ResultWriter} from './result-writer.js';
+
+/** How the headers of an item are put together. */
+export type ItemHeaders = (host: string, itemId: string, headers: BatchItem['headers']) => string[];
+
+/** What the runner reads and writes. */
+export type BatchRunnerParts = {
+	readonly self: MemberName;
+	readonly api: ObjectApi;
+	readonly feed: ObjectFeed;
+	readonly book: BatchBook;
+	readonly claims: JobClaims;
+	readonly board: ConfigBoard;
+	readonly directory: ReplicaDirectory;
+	readonly loads: LoadBoard;
+	readonly links: ReplicaLinks;
+	readonly dialect: CallDialect;
+	readonly itemHeaders: ItemHeaders;
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly log: EventLog;
+	readonly metrics: Metrics;
+	readonly failureDomain: string;
+};
+
+/** Places of each replica that items leave free, so that an online call that comes meets a free place and no item must be cut off for it. */
+const reservedPlaces = 2;
+
+/** Changes of load come in bursts; the free places are looked at once for all that come within this many milliseconds. */
+const gatherMs = 10;
+
+/** Without any change, milliseconds until free places and claims are looked at again. */
+const reviewMs = 150;
+
+/** A route that is missing from the configuration for this long, in milliseconds, is gone for good; its items will not be done. */
+const routeGoneMs = 3000;
+
+/** The wall clocks of two processes may differ by this much, in milliseconds; an item is given up only once its time is over by every clock. */
+const clockSlackMs = 5000;
+
+/** A shutdown waits this long, in milliseconds, for what it leaves to its peers to be written. */
+const handoverLimitMs = 1500;
+
+const leastWorkFirst = (a: ItemState, b: ItemState): number => a.events.length - b.events.length;
+
+/** See the module's head. */
+export class BatchRunner implements Disposable {
+	readonly #parts: BatchRunnerParts;
+	readonly #runs = new Map<BatchJobId, JobRun>();
+	readonly #routeGoneSince = new Map<BatchJobId, number>();
+	#pending: NodeJS.Timeout | undefined;
+	#review: NodeJS.Timeout | undefined;
+	#isStopped = false;
+
+	constructor(parts: BatchRunnerParts) {
+		this.#parts = parts;
+		const {loads, book} = parts;
+		loads.onOwnChange(replica => {
+			this.#onLoad(replica);
+		});
+		loads.onPeerChange(replica => {
+			this.#onLoad(replica);
+		});
+		book.onChange(() => {
+			this.#takeClaims();
+			this.#fillSoon();
+		});
+	}
+
+	/** Begins to run items. */
+	start(): void {
+		this.#review = setInterval(() => {
+			this.#takeClaims();
+			this.#fill();
+		}, reviewMs);
+	}
+
+	/** Gives all jobs away, with what is known of their items, and cuts their runs off. */
+	async handOver(): Promise<void> {
+		this.#isStopped = true;
+		const runs = [...this.#runs.values()];
+		runs.forEach(run => {
+			run.cutAll();
+		});
+		await Promise.all(runs.map(async run => this.#leave(run)));
+		this.#parts.claims.releaseAll();
+		this.#takeClaims();
+	}
+
+	dispose(): void {
+		this.#isStopped = true;
+		clearInterval(this.#review);
+		clearTimeout(this.#pending);
+		this.#runs.forEach(run => {
+			run.dispose();
+		});
+		this.#runs.clear();
+	}
+
+	async #leave(run: JobRun) {
+		const {api, self, clock} = this.#parts;
+		const {job} = run;
+		const items = run.progress();
+		if (job && items.length > 0) {
+			const record: HandoverRecord = {type: 'handover', job: job.id, items};
+			const written = api.create('BatchRecord', recordNames.handover(job.id, `${self}-${clock.wall()}`), record);
+			await Promise.race([written, clock.sleep(handoverLimitMs)]);
+		}
+
+		await run.writer.flush(handoverLimitMs);
+	}
+
+	/** Opens a run for each claimed job and closes those that are claimed no more. */
+	#takeClaims() {
+		const {claims, book} = this.#parts;
+		claims.review();
+		[...this.#runs.keys()].filter(id => !claims.has(id)).forEach(id => {
+			this.#runs.get(id)?.dispose();
+			this.#runs.delete(id);
+		});
+		claims.claimed.filter(id => !this.#runs.has(id)).forEach(id => {
+			const job = () => book.job(id);
+			this.#runs.set(id, new JobRun(job, new ResultWriter(this.#parts, job), this.#parts.clock));
+		});
+	}
+
+	#onLoad(replica: Replica) {
+		const count = itemsToCut(replica);
+		if (count > 0) {
+			this.#cut(replica, count);
+		}
+
+		this.#fillSoon();
+	}
+
+	/** The runs that have brought least are cut off, since they lose least by it. */
+	#cut(replica: Replica, count: number) {
+		[...this.#runs.values()]
+			.flatMap(run => run.running)
+			.filter(({run}) => run?.replica === replica)
+			.toSorted(leastWorkFirst)
+			.slice(0, count)
+			.forEach(({run}) => {
+				run?.dispose();
+			});
+	}
+
+	#fillSoon() {
+		this.#pending ??= setTimeout(() => {
+			this.#fill();
+		}, gatherMs);
+	}
+
+	/** Fills free places, the job that is due first being served first. */
+	#fill() {
+		clearTimeout(this.#pending);
+		this.#pending = undefined;
+		if (this.#isStopped) {
+			return;
+		}
+
+		const runs = [...this.#runs.values()].filter(({job}) => job?.isOpen);
+		const dueAt = ({job}: JobRun): number => job ? this.#dueAt(job) : Infinity;
+		runs.toSorted((a, b) => dueAt(a) - dueAt(b)).forEach(run => {
+			this.#fillFrom(run);
+		});
+	}
+
+	#fillFrom(run: JobRun) {
+		const {job} = run;
+		const route = job && this.#routeOf(job);
+		if (!job || !route) {
+			this.#giveUpWithoutRoute(run);
+			return;
+		}
+
+		this.#routeGoneSince.delete(job.id);
+		if (this.#isOverdue(job, route)) {
+			run.unfinished().forEach(state => {
+				run.giveUp(state);
+			});
+			return;
+		}
+
+		run.waiting().every(state => this.#start(run, job, route, state));
+	}
+
+	/** The route by which the job's items go now; an operator may have moved it to another service. */
+	#routeOf({record}: BatchJob): GatewayRoute | undefined {
+		const {routes} = this.#parts.board;
+		const route = routes.named(record.route);
+		return route && routes.match(record.host, record.items[0]?.path ?? '') === route ? route : undefined;
+	}
+
+	#giveUpWithoutRoute(run: JobRun) {
+		const {clock, board} = this.#parts;
+		const id = run.job?.id;
+		if (id === undefined || !board.config) {
+			return;
+		}
+
+		const since = this.#routeGoneSince.get(id) ?? clock.now();
+		this.#routeGoneSince.set(id, since);
+		if (clock.now() - since > routeGoneMs) {
+			run.unfinished().forEach(state => {
+				run.giveUp(state);
+			});
+		}
+	}
+
+	#isOverdue({record}: BatchJob, {batch}: GatewayRoute): boolean {
+		return this.#parts.clock.wall() > record.submittedAt + (batch?.giveUpMs ?? Infinity) + clockSlackMs;
+	}
+
+	#dueAt({record}: BatchJob): number {
+		return record.submittedAt + (this.#parts.board.routes.named(record.route)?.batch?.dueMs ?? 0);
+	}
+
+	/** @returns Whether a place was found, so that further items may find one too. */
+	#start(run: JobRun, job: BatchJob, route: GatewayRoute, state: ItemState): boolean {
+		const replica = this.#choose(route);
+		const link = replica && this.#parts.links.take(replica);
+		if (!replica || !link) {
+			return false;
+		}
+
+		this.#send(run, job, route, state, {replica, link});
+		return true;
+	}
+
+	#choose({targets}: GatewayRoute): Replica | undefined {
+		const {directory, clock, random, failureDomain} = this.#parts;
+		const replicas = targets.filter(({weight}) => weight > 0).flatMap(({service}) => directory.takingWork(service));
+		return chooseForBatch(replicas, reservedPlaces, {
+			now: clock.now(), random, failureDomain, tried: new Set(),
+		});
+	}
+
+	#send(run: JobRun, job: BatchJob, route: GatewayRoute, state: ItemState, {replica, link}: {replica: Replica; link: Link}) {
+		const {loads, dialect, itemHeaders, log, clock} = this.#parts;
+		const {item, events} = state;
+		log.emit(gatewayEvents.itemStarted, {
+			job: job.id, item: item.id, replica: replica.record.id, resumeAfter: events.length, dueInMs: Math.round(this.#dueAt(job) - clock.wall()),
+		});
+		const giveBack = loads.take(replica, 'batch');
+		const startedAt = clock.now();
+		state.run = new ItemRun({
+			item,
+			replica,
+			link,
+			dialect,
+			headers: itemHeaders(job.record.host, item.id, item.headers),
+			events,
+			onEnd: (end, reason) => {
+				giveBack();
+				log.emit(gatewayEvents.itemRunEnded, {
+					job: job.id, item: item.id, replica: replica.record.id, outcome: end, events: events.length, reason, elapsedMs: Math.round(clock.now() - startedAt),
+				});
+				this.#onRunEnd(run, route, state, replica, end);
+			},
+		});
+		state.run.start();
+	}
+
+	#onRunEnd(run: JobRun, route: GatewayRoute, state: ItemState, replica: Replica, end: ItemRunEnd) {
+		this.#parts.metrics.count('gateway.itemRuns', 1, {outcome: end});
+		if (end === 'unreachable') {
+			replica.noteFailure(this.#parts.clock.now());
+		}
+
+		run.noteEnd(state, end, route);
+		this.#fillSoon();
+	}
+}
--- /dev/null
+++ b/src/gateway/batch/item-run.ts
@@ -0,0 +1,154 @@
+/**
+One run of a batch item at a replica: from the event after those that are known to the end of the stream, or until the run is cut off for an online call.
+*/
+import {Buffer} from 'node:buffer';
+import {createParser, type EventSourceMessage} from 'eventsource-parser';
+import type {Disposable} from '../../common/services.js';
+import {
+	Attempt, type AnswerHead, type AttemptEnd, type AttemptPatience,
+} from '../attempt.js';
+import type {Link} from '../replica-links.js';
+import type {Replica} from '../replica.js';
+import type {CallDialect} from '../types.js';
+import type {BatchItem} from './batch-records.js';
+
+/**
+What came of a run. `finished`: the whole text is known. `failed`: the replica answered that the run failed. `hopeless`: it answered that the item can never be done. `declined`: it has not run. `broken`: what is known of the text can be gone on from.
+*/
+export type ItemRunEnd = 'finished' | 'failed' | 'hopeless' | 'declined' | 'unreachable' | 'broken' | 'cut';
+
+/** Hears the end of a run, once. */
+export type ItemRunListener = (end: ItemRunEnd, reason: string) => void;
+
+/** What a run is made of. */
+export type ItemRunParts = {
+	readonly item: BatchItem;
+	readonly replica: Replica;
+	readonly link: Link;
+	readonly dialect: CallDialect;
+	/** Names and values by turns. */
+	readonly headers: readonly string[];
+	/** The data of the events that are known already. The run adds to them. */
+	readonly events: string[];
+	readonly onEnd: ItemRunListener;
+};
+
+/** An engine may be full of online calls for a second or two; a run without a byte for longer than this, in milliseconds, has lost its replica or its connection. */
+const patience: AttemptPatience = {connectMs: 300, silenceMs: 2500};
+
+const statusEnds: Readonly<Record<number, ItemRunEnd>> = {
+	422: 'hopeless',
+	500: 'failed',
+};
+
+const endsByAttempt: Readonly<Record<Exclude<AttemptEnd['kind'], 'complete'>, ItemRunEnd>> = {
+	notSent: 'unreachable',
+	refused: 'declined',
+	misdirected: 'unreachable',
+	silent: 'broken',
+	lost: 'broken',
+	dropped: 'cut',
+};
+
+/** See the module's head. */
+export class ItemRun implements Disposable {
+	readonly replica: Replica;
+	readonly #parts: ItemRunParts;
+	readonly #attempt: Attempt;
+	readonly #decoder = new TextDecoder();
+	readonly #parser = createParser({
+		onEvent: event => {
+			this.#onEvent(event);
+		},
+	});
+
+	#head: AnswerHead | undefined;
+	#isBroken = false;
+	#isOver = false;
+
+	constructor(parts: ItemRunParts) {
+		const {item, replica, link, dialect, headers, events} = parts;
+		this.#parts = parts;
+		this.replica = replica;
+		this.#attempt = new Attempt({
+			...link,
+			dialect,
+			message: {
+				method: 'POST', target: item.path, headers, body: Buffer.from(item.body, 'base64'),
+			},
+			fields: {requestId: item.id, replica: replica.record.id, lastEventId: events.length},
+			patience,
+			listener: {
+				onHead: head => {
+					this.#head = head;
+				},
+				onBytes: bytes => {
+					this.#onBytes(bytes);
+				},
+				onEnd: end => {
+					this.#onAttemptEnd(end);
+				},
+			},
+		});
+	}
+
+	/** Sends. The end may be told before this returns. */
+	start(): void {
+		this.#attempt.start();
+	}
+
+	/** Events known by now, those of earlier runs included. */
+	get progress(): number {
+		return this.#parts.events.length;
+	}
+
+	/** Cuts the run off; what it has brought stays. */
+	dispose(): void {
+		this.#attempt.dispose();
+	}
+
+	#onBytes(bytes: Buffer) {
+		if (this.#head?.status === 200 && !this.#isBroken) {
+			this.#parser.feed(this.#decoder.decode(bytes, {stream: true}));
+		}
+	}
+
+	/** Events count from 1 without gaps. One that does not follow the last belongs to another run. */
+	#onEvent({id, data}: EventSourceMessage) {
+		const {events} = this.#parts;
+		if (this.#isBroken) {
+			return;
+		}
+
+		if (Number(id) !== events.length + 1) {
+			this.#isBroken = true;
+			return;
+		}
+
+		events.push(data);
+	}
+
+	#onAttemptEnd(end: AttemptEnd) {
+		if (this.#isOver) {
+			return;
+		}
+
+		this.#isOver = true;
+		if (end.kind === 'complete') {
+			this.#parts.onEnd(this.#endOfAnswer(), `status ${this.#head?.status ?? 0}`);
+			return;
+		}
+
+		this.#parts.onEnd(endsByAttempt[end.kind], 'reason' in end ? end.reason : end.kind);
+	}
+
+	#endOfAnswer(): ItemRunEnd {
+		const status = this.#head?.status ?? 0;
+		if (status !== 200) {
+			return statusEnds[status] ?? 'broken';
+		}
+
+		// Only a length, or the mark of the last chunk, tells that a text is whole; a text without either may have been cut anywhere.
+		return this.#isBroken || !this.#head?.isFramed ? 'broken' : 'finished';
+	}
+}
--- /dev/null
+++ b/src/gateway/batch/job-claims.ts
@@ -0,0 +1,124 @@
+/**
+Which process runs which job. Every process ranks all processes for a job alike, and the first takes it; who has taken a job says so to its peers and keeps it until it shuts down or falls silent. Two may take the same job for a moment, when messages between them are lost: their results agree all the same, since a page of results is created only once, and the one that ranks lower gives the job up as soon as it hears of the other.
+*/
+import type {Clock, EventLog} from '../../common/services.js';
+import {rankMembers} from '../../common/rendezvous.js';
+import {gatewayEvents} from '../log-events.js';
+import type {PeerTable} from '../peers/peer-table.js';
+import type {BatchJobId, MemberName} from '../types.js';
+import type {BatchBook} from './batch-book.js';
+import type {BatchJob} from './batch-job.js';
+
+/** What claims are decided from. */
+export type ClaimsParts = {
+	readonly self: MemberName;
+	readonly book: BatchBook;
+	readonly peers: PeerTable;
+	readonly clock: Clock;
+	readonly log: EventLog;
+	readonly isLeaving: () => boolean;
+};
+
+/** A process that has just started hears within this time, in milliseconds, which jobs its peers run; two of their messages. */
+const listenFirstMs = 600;
+
+/** A job that the first of the ranking has not taken after this long, in milliseconds, is open to the next: the first may be cut off from the object API and not know of it. */
+const turnMs = 600;
+
+/** See the module's head. */
+export class JobClaims {
+	readonly #parts: ClaimsParts;
+	readonly #startedAt: number;
+	readonly #claimed = new Set<BatchJobId>();
+	readonly #unclaimedSince = new Map<BatchJobId, number>();
+
+	constructor(parts: ClaimsParts) {
+		this.#parts = parts;
+		this.#startedAt = parts.clock.now();
+	}
+
+	/** Jobs that this process runs. */
+	get claimed(): readonly BatchJobId[] {
+		return [...this.#claimed];
+	}
+
+	has(job: BatchJobId): boolean {
+		return this.#claimed.has(job);
+	}
+
+	/** Decides anew. Call it when jobs or peers have changed, and every now and then. */
+	review(): void {
+		const {book, isLeaving} = this.#parts;
+		const open = book.openJobs;
+		const openIds = new Set(open.map(({id}) => id));
+		[...this.#claimed].filter(id => !openIds.has(id)).forEach(id => {
+			this.#claimed.delete(id);
+		});
+		[...this.#unclaimedSince.keys()].filter(id => !openIds.has(id)).forEach(id => {
+			this.#unclaimedSince.delete(id);
+		});
+		if (isLeaving()) {
+			return;
+		}
+
+		open.forEach(job => {
+			this.#reviewJob(job);
+		});
+	}
+
+	/** Gives all jobs away. */
+	releaseAll(): void {
+		[...this.#claimed].forEach(id => {
+			this.#set(id, false);
+		});
+	}
+
+	#reviewJob({id}: BatchJob) {
+		const holders = this.#holdersElsewhere(id);
+		if (this.#claimed.has(id)) {
+			if (holders.length > 0 && rankMembers(id, [this.#parts.self, ...holders])[0] !== this.#parts.self) {
+				this.#set(id, false);
+			}
+
+			return;
+		}
+
+		if (holders.length > 0) {
+			this.#unclaimedSince.delete(id);
+			return;
+		}
+
+		if (this.#isOwnTurn(id)) {
+			this.#set(id, true);
+		}
+	}
+
+	#holdersElsewhere(id: BatchJobId): MemberName[] {
+		return this.#parts.peers.live.filter(({state, jobs}) => !state.isLeaving && jobs.has(id)).map(({state}) => state.member);
+	}
+
+	#isOwnTurn(id: BatchJobId): boolean {
+		const {self, peers, clock} = this.#parts;
+		const now = clock.now();
+		if (now - this.#startedAt < listenFirstMs) {
+			return false;
+		}
+
+		const since = this.#unclaimedSince.get(id) ?? now;
+		this.#unclaimedSince.set(id, since);
+		const members = peers.live.filter(({state}) => !state.isLeaving).map(({state}) => state.member);
+		const turns = 1 + Math.floor((now - since) / turnMs);
+		return rankMembers(id, [self, ...members]).slice(0, turns).includes(self);
+	}
+
+	#set(id: BatchJobId, isClaimed: boolean) {
+		if (isClaimed) {
+			this.#claimed.add(id);
+		} else {
+			this.#claimed.delete(id);
+		}
+
+		this.#unclaimedSince.delete(id);
+		this.#parts.log.emit(gatewayEvents.jobClaimChanged, {job: id, claimed: isClaimed});
+	}
+}
--- /dev/null
+++ b/src/gateway/batch/job-intake.ts
@@ -0,0 +1,179 @@
+/**
+Takes batch jobs in. A caller that hears "accepted" may forget the job, so its record stands in the object API before; one that hears "refused" will send it elsewhere, so its record must not stand, now or later. Where neither is certain, the caller is told just that.
+*/
+import {errorOf} from '../../common/error-of.js';
+import type {
+	Clock, EventLog, Metrics, ObjectApi,
+} from '../../common/services.js';
+import type {ApiError} from '../../common/types.js';
+import {gatewayEvents} from '../log-events.js';
+import type {ObjectFeed} from '../object-feed.js';
+import type {BatchJobId, GatewayRoute} from '../types.js';
+import type {BatchBook} from './batch-book.js';
+import {
+	recordNames, tokensOf, type BatchItem, type JobRecord,
+} from './batch-records.js';
+
+/** A job as a caller sent it. */
+export type JobSubmission = {
+	readonly job: BatchJobId;
+	readonly route: GatewayRoute;
+	readonly host: string;
+	readonly items: readonly BatchItem[];
+};
+
+/** `full`: more tokens wait than may. `away`: nothing was written. `uncertain`: the job may stand. */
+export type SubmissionOutcome = 'accepted' | 'full' | 'away' | 'tooLarge' | 'uncertain';
+
+/** What the intake reads and writes. */
+export type IntakeParts = {
+	readonly api: ObjectApi;
+	readonly feed: ObjectFeed;
+	readonly book: BatchBook;
+	readonly clock: Clock;
+	readonly log: EventLog;
+	readonly metrics: Metrics;
+};
+
+/** For how long a record is tried to be written, in milliseconds: callers wait a few seconds, and must have time left to try elsewhere. */
+const writeLimitMs = 1500;
+
+/** Between two tries, in milliseconds. */
+const retryMs = 100;
+
+/** A record comes back with the feed within a few milliseconds; after this many it is asked for. */
+const feedPatienceMs = 60;
+
+/** Reads of the object API until a record that was written must have come back. */
+const maxSyncs = 3;
+
+/** See the module's head. */
+export class JobIntake {
+	readonly #parts: IntakeParts;
+
+	constructor(parts: IntakeParts) {
+		this.#parts = parts;
+	}
+
+	/** @returns What the caller may be told. */
+	async submit(submission: JobSubmission): Promise<SubmissionOutcome> {
+		const {clock, book, log, metrics} = this.#parts;
+		const startedAt = clock.now();
+		const outcome = await this.#submit(submission);
+		const {job, route, items} = submission;
+		log.emit(gatewayEvents.jobSubmitted, {
+			id: job, route: route.name, items: items.length, tokens: tokensOf(items), waitingTokens: book.waitingTokens(route.name), cap: route.batch?.maxWaitingTokens, outcome, elapsedMs: Math.round(clock.now() - startedAt),
+		});
+		metrics.count('gateway.jobs', 1, {outcome});
+		return outcome;
+	}
+
+	async #submit(submission: JobSubmission): Promise<SubmissionOutcome> {
+		const {book, feed} = this.#parts;
+		const {job} = submission;
+		if (book.job(job)?.isAdmitted) {
+			return 'accepted';
+		}
+
+		if (!this.#seemsToFit(submission)) {
+			// What is known may lag: results may have made room, or the job may have been accepted elsewhere.
+			const isCertain = await feed.sync();
+			if (!isCertain) {
+				return 'away';
+			}
+
+			if (book.job(job)?.isAdmitted) {
+				return 'accepted';
+			}
+
+			if (!book.job(job) && !this.#seemsToFit(submission)) {
+				return 'full';
+			}
+		}
+
+		return this.#write(submission);
+	}
+
+	#seemsToFit({route, items}: JobSubmission): boolean {
+		const limit = route.batch?.maxWaitingTokens ?? 0;
+		return limit === 0 || this.#parts.book.waitingTokens(route.name) + tokensOf(items) <= limit;
+	}
+
+	async #write(submission: JobSubmission): Promise<SubmissionOutcome> {
+		const {job} = submission;
+		const standing = this.#parts.book.job(job);
+		if (standing && !standing.isAdmitted) {
+			// Left by a process that could not take its refusal back; the job gets a new place in the order.
+			const isRemoved = await this.#takeBack(job);
+			if (!isRemoved) {
+				return 'uncertain';
+			}
+		}
+
+		const written = await this.#create(submission);
+		return written === 'written' ? this.#judge(job) : written;
+	}
+
+	async #create(submission: JobSubmission): Promise<'written' | SubmissionOutcome> {
+		const {api, clock} = this.#parts;
+		const record = this.#recordOf(submission);
+		const startedAt = clock.now();
+		let mayStand = false;
+		while (clock.now() - startedAt < writeLimitMs) {
+			const created = await api.create('BatchRecord', recordNames.job(record.job), record);
+			const err = errorOf(created);
+			if (!err || err.kind === 'conflict') {
+				return 'written';
+			}
+
+			if (err.kind === 'tooLarge') {
+				return 'tooLarge';
+			}
+
+			mayStand ||= mayHaveTakenEffect(err);
+			if (!mayStand && clock.now() - startedAt > writeLimitMs / 3) {
+				break;
+			}
+
+			await clock.sleep(retryMs);
+		}
+
+		return mayStand ? 'uncertain' : 'away';
+	}
+
+	#recordOf({job, route, host, items}: JobSubmission): JobRecord {
+		return {
+			type: 'job', job, route: route.name, host, submittedAt: this.#parts.clock.wall(), maxWaitingTokens: route.batch?.maxWaitingTokens ?? 0, items,
+		};
+	}
+
+	/** The record has a place in the order of versions; what stands before it decides. */
+	async #judge(job: BatchJobId): Promise<SubmissionOutcome> {
+		const {book, feed} = this.#parts;
+		const isThere = () => book.job(job) !== undefined;
+		await book.until(job, isThere, feedPatienceMs);
+		for (let syncs = 0; syncs < maxSyncs && !isThere(); syncs += 1) {
+			await feed.sync();
+		}
+
+		const entry = book.job(job);
+		if (!entry) {
+			return 'uncertain';
+		}
+
+		if (entry.isAdmitted) {
+			return 'accepted';
+		}
+
+		return await this.#takeBack(job) ? 'full' : 'uncertain';
+	}
+
+	/** @returns Whether the record certainly stands no more. */
+	async #takeBack(job: BatchJobId): Promise<boolean> {
+		const {api, book} = this.#parts;
+		const removed = await api.remove('BatchRecord', recordNames.job(job), book.job(job)?.revision);
+		return removed.isRight() || errorOf(removed)?.kind === 'notFound';
+	}
+}
+
+const mayHaveTakenEffect = ({kind}: ApiError): boolean => kind === 'unknown';
--- /dev/null
+++ b/src/gateway/batch/job-reader.ts
@@ -0,0 +1,165 @@
+/**
+Answers questions about batch jobs at any process. What this process has not heard of may still exist, so it asks the object API before it says that something does not; when that cannot be asked, it says that it is not sure.
+*/
+import {Buffer} from 'node:buffer';
+import {errorOf} from '../../common/error-of.js';
+import type {
+	Clock, EventLog, ObjectApi,
+} from '../../common/services.js';
+import {gatewayEvents} from '../log-events.js';
+import type {ObjectFeed} from '../object-feed.js';
+import type {BatchItemId, BatchJobId} from '../types.js';
+import type {BatchBook} from './batch-book.js';
+import type {BatchJob} from './batch-job.js';
+import {recordNames, type EndRecord, type ItemResult} from './batch-records.js';
+
+/** Why a question has no answer. */
+export type NoAnswer = 'unknown' | 'unsure';
+
+/** Results from a position on. */
+export type ResultsPage = {
+	readonly total: number;
+	readonly next: number;
+	readonly results: readonly ItemResult[];
+};
+
+/** A question for results. */
+export type ResultsQuestion = {
+	readonly job: BatchJobId;
+	/** The first position, counted from 0. */
+	readonly after: number;
+	/** Milliseconds that the caller is willing to wait for the first result. */
+	readonly waitMs: number;
+};
+
+/** What the reader needs. */
+export type ReaderParts = {
+	readonly api: ObjectApi;
+	readonly feed: ObjectFeed;
+	readonly book: BatchBook;
+	readonly clock: Clock;
+	readonly log: EventLog;
+};
+
+/** An answer holds no more than this, in bytes of output, and one result at least. */
+const maxPageBytes = 900_000;
+
+/** Without word from the object API for this long, in milliseconds, another process may have shown results that are not known here. */
+const trustedMs = 2500;
+
+/** An end that could not be written is tried again for this long, in milliseconds, even though its caller was told that it is not certain. */
+const endLimitMs = 20_000;
+
+const endRetryMs = 300;
+
+/** See the module's head. */
+export class JobReader {
+	readonly #parts: ReaderParts;
+
+	constructor(parts: ReaderParts) {
+		this.#parts = parts;
+	}
+
+	async results({job, after, waitMs}: ResultsQuestion): Promise<ResultsPage | NoAnswer> {
+		const found = await this.#find(job);
+		if (typeof found === 'string') {
+			return found;
+		}
+
+		const {book, feed} = this.#parts;
+		const current = () => book.job(job);
+		if (after > found.results.length && !(await feed.sync())) {
+			return 'unsure';
+		}
+
+		const isAnswerable = () => (current()?.results.length ?? 0) > after || current()?.isOpen !== true;
+		await book.until(job, isAnswerable, waitMs);
+		if (!isAnswerable() && !(await this.#isTrusted())) {
+			return 'unsure';
+		}
+
+		const entry = current();
+		return entry ? pageOf(entry, after) : 'unknown';
+	}
+
+	/** @returns The bytes that the item is sent with. */
+	async body(job: BatchJobId, item: BatchItemId): Promise<Buffer | NoAnswer> {
+		const found = await this.#find(job);
+		if (typeof found === 'string') {
+			return found;
+		}
+
+		const entry = found.item(item);
+		return entry ? Buffer.from(entry.body, 'base64') : 'unknown';
+	}
+
+	/** Ends a job. */
+	async end(job: BatchJobId): Promise<'ended' | NoAnswer> {
+		const found = await this.#find(job);
+		const outcome = typeof found === 'string' ? found : await this.#end(job);
+		this.#parts.log.emit(gatewayEvents.jobEnded, {id: job, outcome});
+		return outcome;
+	}
+
+	async #end(job: BatchJobId): Promise<'ended' | NoAnswer> {
+		// Whoever wants no more of a job is not helped by its running on while the record waits to be written.
+		this.#parts.book.endEarly(job);
+		if (await this.#writeEnd(job)) {
+			return 'ended';
+		}
+
+		void this.#keepWritingEnd(job);
+		return 'unsure';
+	}
+
+	async #writeEnd(job: BatchJobId): Promise<boolean> {
+		const record: EndRecord = {type: 'end', job};
+		const created = await this.#parts.api.create('BatchRecord', recordNames.end(job), record);
+		return created.isRight() || errorOf(created)?.kind === 'conflict';
+	}
+
+	async #keepWritingEnd(job: BatchJobId): Promise<void> {
+		const {clock} = this.#parts;
+		const startedAt = clock.now();
+		let isWritten = false;
+		while (!isWritten && clock.now() - startedAt < endLimitMs) {
+			await clock.sleep(endRetryMs);
+			isWritten = await this.#writeEnd(job);
+		}
+
+		this.#parts.log.emit(gatewayEvents.jobEnded, {id: job, outcome: isWritten ? 'written later' : 'not written'});
+	}
+
+	async #find(id: BatchJobId): Promise<BatchJob | NoAnswer> {
+		const {book, feed} = this.#parts;
+		const known = admitted(book.job(id));
+		if (known) {
+			return known;
+		}
+
+		const isCertain = await feed.sync();
+		return admitted(book.job(id)) ?? (isCertain ? 'unknown' : 'unsure');
+	}
+
+	async #isTrusted(): Promise<boolean> {
+		const {feed, clock} = this.#parts;
+		return clock.now() - feed.heardAt < trustedMs || feed.sync();
+	}
+}
+
+const admitted = (job: BatchJob | undefined): BatchJob | undefined => job?.isAdmitted ? job : undefined;
+
+const pageOf = ({results, record}: BatchJob, after: number): ResultsPage => {
+	const page: ItemResult[] = [];
+	let bytes = 0;
+	results.slice(after).every(result => {
+		bytes += result.output.length;
+		const fits = page.length === 0 || bytes <= maxPageBytes;
+		if (fits) {
+			page.push(result);
+		}
+
+		return fits;
+	});
+	return {total: record.items.length, next: Math.min(after, results.length) + page.length, results: page};
+};
--- /dev/null
+++ b/src/gateway/batch/result-writer.ts
@@ -0,0 +1,146 @@
+/**
+Writes the results of one job as pages. A page is created under the next number, never changed: where two processes run a job at once, each believing it is the one, the first to create a page decides, and the other goes on behind it without what stands there already.
+*/
+import type {
+	Clock, Disposable, EventLog, ObjectApi,
+} from '../../common/services.js';
+import {errorOf} from '../../common/error-of.js';
+import {gatewayEvents} from '../log-events.js';
+import type {ObjectFeed} from '../object-feed.js';
+import type {BatchItemId} from '../types.js';
+import type {BatchBook} from './batch-book.js';
+import type {BatchJob} from './batch-job.js';
+import {recordNames, type ItemResult, type PageRecord} from './batch-records.js';
+
+/** What the writer needs. */
+export type ResultWriterParts = {
+	readonly api: ObjectApi;
+	readonly feed: ObjectFeed;
+	readonly book: BatchBook;
+	readonly clock: Clock;
+	readonly log: EventLog;
+};
+
+/** Results are gathered for this long, in milliseconds: each page costs a call, and readers ask about twice a second. */
+const gatherMs = 200;
+
+/** After a page that could not be written, in milliseconds. */
+const retryMs = 200;
+
+/** A page holds no more than this, in bytes of output, and one result at least; the object API's limit is a megabyte with all names and escapes. */
+const maxPageBytes = 600_000;
+
+/** Until a page that was written comes back with the feed, in milliseconds; then it is asked for. */
+const feedPatienceMs = 100;
+
+/** See the module's head. */
+export class ResultWriter implements Disposable {
+	readonly #parts: ResultWriterParts;
+	readonly #job: () => BatchJob | undefined;
+	readonly #pending = new Map<BatchItemId, ItemResult>();
+	#writing: Promise<void> | undefined;
+	#isDisposed = false;
+	#isHurried = false;
+
+	/** @param job - The job as the book has it now. */
+	constructor(parts: ResultWriterParts, job: () => BatchJob | undefined) {
+		this.#parts = parts;
+		this.#job = job;
+	}
+
+	/** Whether an item has a result that is not listed yet. */
+	has(item: BatchItemId): boolean {
+		return this.#pending.has(item);
+	}
+
+	/** Takes a result; it is written soon. */
+	add(result: ItemResult): void {
+		this.#pending.set(result.id, result);
+		this.#writing ??= this.#writeAll();
+	}
+
+	/** Writes what is there without gathering more. Resolves when all is written, or after the time. */
+	async flush(limitMs: number): Promise<void> {
+		this.#isHurried = true;
+		await Promise.race([this.#writing, this.#parts.clock.sleep(limitMs)]);
+	}
+
+	/** Writes no more. */
+	dispose(): void {
+		this.#isDisposed = true;
+	}
+
+	async #writeAll() {
+		const {clock} = this.#parts;
+		if (!this.#isLast()) {
+			await clock.sleep(gatherMs);
+		}
+
+		while (!this.#isDisposed && this.#dropListed()) {
+			const isWritten = await this.#writePage();
+			if (!isWritten && !this.#isDisposed) {
+				await clock.sleep(retryMs);
+			}
+		}
+
+		this.#writing = undefined;
+	}
+
+	/** Nothing is gained by gathering when no further result will come. */
+	#isLast(): boolean {
+		const job = this.#job();
+		return this.#isHurried || (job !== undefined && job.results.length + this.#pending.size >= job.record.items.length);
+	}
+
+	/** @returns Whether anything is left to write. */
+	#dropListed(): boolean {
+		const job = this.#job();
+		if (!job?.isOpen) {
+			this.#pending.clear();
+			return false;
+		}
+
+		[...this.#pending.keys()].filter(id => job.isListed(id)).forEach(id => {
+			this.#pending.delete(id);
+		});
+		return this.#pending.size > 0;
+	}
+
+	async #writePage(): Promise<boolean> {
+		const {api, feed, book, log} = this.#parts;
+		const job = this.#job();
+		if (!job) {
+			return true;
+		}
+
+		const page: PageRecord = {
+			type: 'page', job: job.id, number: job.pages, results: this.#nextResults(),
+		};
+		const created = await api.create('BatchRecord', recordNames.page(page.job, page.number), page);
+		const err = errorOf(created);
+		log.emit(gatewayEvents.resultsCommitted, {
+			job: job.id, page: page.number, results: page.results.length, outcome: err?.kind ?? 'written',
+		});
+		if (err && err.kind !== 'conflict') {
+			return false;
+		}
+
+		const isBack = await book.until(job.id, () => (this.#job()?.pages ?? Infinity) > page.number, feedPatienceMs);
+		return isBack || feed.sync();
+	}
+
+	#nextResults(): ItemResult[] {
+		let bytes = 0;
+		const results: ItemResult[] = [];
+		[...this.#pending.values()].every(result => {
+			bytes += result.output.length;
+			const fits = results.length === 0 || bytes <= maxPageBytes;
+			if (fits) {
+				results.push(result);
+			}
+
+			return fits;
+		});
+		return results;
+	}
+}
--- /dev/null
+++ b/src/gateway/config-controller.ts
@@ -0,0 +1,52 @@
+/**
+Brings the operators' configuration from the object API onto the blackboard.
+*/
+import type {EventLog} from '../common/services.js';
+import type {ConfigBoard} from './config-board.js';
+import {gatewayEvents} from './log-events.js';
+import type {ObjectFeed} from './object-feed.js';
+import type {RecordReaders} from './record-readers.js';
+
+/** What the controller reads and writes. */
+export type ConfigControllerParts = {
+	readonly board: ConfigBoard;
+	readonly feed: ObjectFeed;
+	readonly records: RecordReaders;
+	readonly log: EventLog;
+};
+
+/** See the module's head. */
+export class ConfigController {
+	readonly #parts: ConfigControllerParts;
+
+	constructor(parts: ConfigControllerParts) {
+		this.#parts = parts;
+		parts.feed.onSnapshot(items => {
+			items.forEach(({name, value}) => {
+				this.#take(name, value);
+			});
+		});
+		parts.feed.onChanges(events => {
+			events.filter(({type}) => type === 'put').forEach(({name, value}) => {
+				this.#take(name, value);
+			});
+		});
+	}
+
+	#take(name: string, value: unknown) {
+		const {board, records, log} = this.#parts;
+		if (name !== records.configName) {
+			return;
+		}
+
+		records.readConfig(value)
+			.ifLeft(reason => {
+				log.emit(gatewayEvents.configUnreadable, {name, reason});
+			})
+			.ifRight(config => {
+				if (board.offer(config)) {
+					log.emit(gatewayEvents.configInForce, {version: config.version, routes: config.routes.length, services: config.services.length});
+				}
+			});
+	}
+}
--- /dev/null
+++ b/src/gateway/event-framer.ts
@@ -0,0 +1,66 @@
+/**
+Cuts a stream of server-sent events at event boundaries, without changing a byte. A caller must never see the head of an event from one run and its tail from another, so a stream that may be taken up again passes on whole events only, and remembers the last one.
+*/
+import {Buffer} from 'node:buffer';
+
+const boundary = '\n\n';
+const idPattern = /^id: ?(?<id>\d+)$/gmv;
+
+const empty: Buffer = Buffer.alloc(0);
+
+/** Follows one stream over all its runs. */
+export class EventFramer {
+	#rest: Buffer = empty;
+	#lastId: number;
+	#isInOrder = true;
+
+	/** @param lastId - The last event that the caller has already. */
+	constructor(lastId: number) {
+		this.#lastId = lastId;
+	}
+
+	/** The id of the last event that was passed on. */
+	get lastId(): number {
+		return this.#lastId;
+	}
+
+	/** False once an event was missing or came twice; what followed was held back. */
+	get isInOrder(): boolean {
+		return this.#isInOrder;
+	}
+
+	/** Whether part of an event is held back. */
+	get hasRest(): boolean {
+		return this.#rest.length > 0;
+	}
+
+	/** @returns The bytes up to the end of the last whole event; may be empty. */
+	feed(bytes: Buffer): Buffer {
+		const all = this.#rest.length > 0 ? Buffer.concat([this.#rest, bytes]) : bytes;
+		const end = all.lastIndexOf(boundary);
+		if (end === -1) {
+			this.#rest = all;
+			return empty;
+		}
+
+		const whole = all.subarray(0, end + boundary.length);
+		this.#rest = all.subarray(whole.length);
+		this.#isInOrder &&= this.#follow(whole);
+		return this.#isInOrder ? whole : empty;
+	}
+
+	/** Forgets part of an event: its run has ended, and the next begins with the event anew. */
+	dropRest(): void {
+		this.#rest = empty;
+	}
+
+	#follow(whole: Buffer): boolean {
+		const ids = [...whole.toString('latin1').matchAll(idPattern)].map(({groups}) => Number(groups?.['id']));
+		const isInOrder = ids.every((id, i) => id === this.#lastId + i + 1);
+		if (isInOrder) {
+			this.#lastId += ids.length;
+		}
+
+		return isInOrder;
+	}
+}
--- /dev/null
+++ b/src/gateway/front-server.ts
@@ -0,0 +1,290 @@
+/**
+Takes callers' connections and hands each call to what serves its route: an online call to a replica, a batch job to the intake, a question about a job to its reader.
+*/
+import {Buffer} from 'node:buffer';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {Left, Right, type Either} from 'purify-ts/Either';
+import type {Disposable} from '../common/services.js';
+import {formatAddress, parseAddress} from '../io/address.js';
+import {exitCodes} from '../io/exit-codes.js';
+import type {StartError} from '../io/program.js';
+import type {JobIntake, SubmissionOutcome} from './batch/job-intake.js';
+import type {JobReader, NoAnswer} from './batch/job-reader.js';
+import type {JobCall, JobCallDialect} from './job-calls.js';
+import {gatewayEvents} from './log-events.js';
+import {OnlineCall} from './online-call.js';
+import type {GatewayParts} from './parts.js';
+import {branded} from '../common/ids.js';
+import type {BatchJobId, CallFields, GatewayRoute} from './types.js';
+
+/** What the server hands calls to. */
+export type FrontServerParts = GatewayParts & {
+	readonly intake: JobIntake;
+	readonly reader: JobReader;
+	readonly jobCalls: JobCallDialect;
+};
+
+/** Callers reuse a connection that has been idle for a good part of the configured time; it is kept this much longer than that, so that no call crosses the close. */
+const idleFactor = 2;
+
+/** Until a configuration says otherwise, in milliseconds. */
+const defaultIdleMs = 60_000;
+
+/** A body that no configuration bounds yet may not fill this process's memory, in bytes. */
+const defaultBodyBytes = 4_194_304;
+
+/** The largest head of a call that Node reads, in bytes; the configured bound may be lower. */
+const maxHeaderBytes = 65_536;
+
+/** When to come back, in milliseconds: a process that has just started knows the configuration within a second. */
+const notReadyMs = 500;
+const quotaMs = 1000;
+const awayMs = 700;
+
+type JobAnswers = {readonly [K in SubmissionOutcome]: {readonly status: number; readonly comeBackMs?: number}};
+
+/** 503 and 429 promise that nothing of the job will run; `uncertain` promises nothing. */
+const submissionAnswers: JobAnswers = {
+	accepted: {status: 202},
+	full: {status: 429, comeBackMs: quotaMs},
+	away: {status: 503, comeBackMs: awayMs},
+	tooLarge: {status: 413},
+	uncertain: {status: 504},
+};
+
+const noAnswerStatus: Readonly<Record<NoAnswer, number>> = {unknown: 404, unsure: 503};
+
+const answer = (res: ServerResponse, status: number, comeBackMs?: number) => {
+	if (res.headersSent || res.destroyed) {
+		return;
+	}
+
+	res.writeHead(status, {'content-length': '0', ...(comeBackMs !== undefined && {'retry-after': String(comeBackMs / 1000)})});
+	res.end();
+};
+
+const answerBody = (res: ServerResponse, type: string, body: string | Buffer) => {
+	res.writeHead(200, {'content-type': type, 'content-length': String(Buffer.byteLength(body))});
+	res.end(body);
+};
+
+type JobHandlers = {readonly [K in JobCall['kind']]: (call: Extract<JobCall, {kind: K}>, res: ServerResponse) => Promise<void>};
+
+/** See the module's head. */
+export class FrontServer implements Disposable {
+	readonly #parts: FrontServerParts;
+	readonly #server: Server;
+	readonly #calls = new Set<OnlineCall>();
+	#isLeaving = false;
+
+	readonly #jobHandlers: JobHandlers = {
+		results: async (call, res) => {
+			const page = await this.#parts.reader.results(call);
+			if (typeof page === 'string') {
+				this.#answerNothing(res, call, page);
+				return;
+			}
+
+			answerBody(res, 'application/json', this.#parts.jobCalls.writeResults(page));
+		},
+		body: async (call, res) => {
+			const body = await this.#parts.reader.body(call.job, call.item);
+			if (typeof body === 'string') {
+				this.#answerNothing(res, call, body);
+				return;
+			}
+
+			answerBody(res, 'application/octet-stream', body);
+		},
+		end: async (call, res) => {
+			const outcome = await this.#parts.reader.end(call.job);
+			if (outcome !== 'ended') {
+				this.#answerNothing(res, call, outcome);
+				return;
+			}
+
+			answer(res, 200);
+		},
+	};
+
+	constructor(parts: FrontServerParts) {
+		this.#parts = parts;
+		this.#server = createServer({keepAliveTimeout: defaultIdleMs, requestTimeout: 0, maxHeaderSize: maxHeaderBytes}, (req, res) => {
+			void this.#serve(req, res);
+		});
+		parts.board.onChange(({limits}) => {
+			this.#server.keepAliveTimeout = Math.max(defaultIdleMs, idleFactor * limits.idleTimeoutMs);
+			this.#server.headersTimeout = limits.headerTimeoutMs;
+		});
+	}
+
+	/** `ip:port` that it listens on. */
+	get address(): string {
+		const {address, port} = this.#server.address() as AddressInfo;
+		return formatAddress({host: address, port});
+	}
+
+	/** Calls under way. */
+	get size(): number {
+		return this.#calls.size;
+	}
+
+	/** @param address - `ip:port`; port 0 takes any free port. */
+	async listen(address: string): Promise<Either<StartError, string>> {
+		const {host, port} = parseAddress(address) ?? {host: '', port: 0};
+		return new Promise(resolve => {
+			this.#server.once('error', err => {
+				resolve(Left({exitCode: exitCodes.unavailable, message: `can not listen on ${address}: ${err.message}`}));
+			});
+			this.#server.listen({host, port, backlog: 1024}, () => {
+				resolve(Right(this.address));
+			});
+		});
+	}
+
+	/** Asks each caller to close its connection after its next answer. */
+	announceLeaving(): void {
+		this.#isLeaving = true;
+	}
+
+	/** Takes no more connections, closes idle ones, and resolves once the last call has ended. */
+	async close(): Promise<void> {
+		this.#isLeaving = true;
+		const closed = new Promise<void>(resolve => {
+			this.#server.close(() => {
+				resolve();
+			});
+		});
+		this.#server.closeIdleConnections();
+		await closed;
+	}
+
+	dispose(): void {
+		this.#calls.forEach(call => {
+			call.dispose();
+		});
+		this.#server.close();
+		this.#server.closeAllConnections();
+	}
+
+	async #serve(req: IncomingMessage, res: ServerResponse) {
+		const arrivedAt = this.#parts.clock.now();
+		res.on('error', () => undefined);
+		if (this.#isLeaving) {
+			res.shouldKeepAlive = false;
+		}
+
+		const jobCall = this.#parts.jobCalls.match(req);
+		if (jobCall) {
+			req.resume();
+			await (this.#jobHandlers[jobCall.kind] as (call: JobCall, res: ServerResponse) => Promise<void>)(jobCall, res);
+			return;
+		}
+
+		const route = this.#routeOf(req);
+		if (!route) {
+			this.#rejectUnrouted(req, res);
+			return;
+		}
+
+		const body = await this.#readBody(req);
+		if (body === 'tooLarge') {
+			res.shouldKeepAlive = false;
+			answer(res, 413);
+			return;
+		}
+
+		if (body === 'broken') {
+			return;
+		}
+
+		const fields = this.#parts.dialect.readCall(req.headers);
+		if (route.kind === 'batch') {
+			await this.#submit(req, res, {route, fields, body});
+			return;
+		}
+
+		this.#callReplica(req, res, {
+			route, fields, body, arrivedAt,
+		});
+	}
+
+	#routeOf(req: IncomingMessage): GatewayRoute | undefined {
+		return this.#parts.board.routes.match(req.headers.host ?? '', req.url ?? '');
+	}
+
+	/** A process that knows no configuration yet cannot tell that a route does not exist. */
+	#rejectUnrouted(req: IncomingMessage, res: ServerResponse) {
+		const {board, dialect, log} = this.#parts;
+		const status = board.config ? 404 : 503;
+		log.emit(gatewayEvents.callRejected, {
+			id: dialect.readCall(req.headers).requestId, host: req.headers.host, target: req.url, status, configVersion: board.config?.version,
+		});
+		req.resume();
+		answer(res, status, status === 503 ? notReadyMs : undefined);
+	}
+
+	async #readBody(req: IncomingMessage): Promise<Buffer | 'tooLarge' | 'broken'> {
+		const limit = this.#parts.board.config?.limits.maxBodyBytes ?? defaultBodyBytes;
+		const chunks: Buffer[] = [];
+		let size = 0;
+		try {
+			for await (const chunk of req) {
+				size += (chunk as Buffer).length;
+				if (size > limit) {
+					return 'tooLarge';
+				}
+
+				chunks.push(chunk as Buffer);
+			}
+		} catch {
+			return 'broken';
+		}
+
+		return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+	}
+
+	#callReplica(req: IncomingMessage, res: ServerResponse, {route, fields, body, arrivedAt}: {route: GatewayRoute; fields: CallFields; body: Buffer; arrivedAt: number}) {
+		const call = new OnlineCall(this.#parts, {
+			route,
+			fields,
+			message: {
+				method: req.method ?? 'GET', target: req.url ?? '/', headers: req.rawHeaders, body,
+			},
+			arrivedAt,
+			res,
+		});
+		this.#calls.add(call);
+		res.once('close', () => {
+			this.#calls.delete(call);
+		});
+		call.start();
+	}
+
+	async #submit(req: IncomingMessage, res: ServerResponse, {route, fields, body}: {route: GatewayRoute; fields: CallFields; body: Buffer}) {
+		const {intake, jobCalls, log} = this.#parts;
+		const items = jobCalls.readItems(body.toString('utf8'));
+		if (items.isLeft() || fields.requestId === '') {
+			log.emit(gatewayEvents.callRejected, {
+				id: fields.requestId, host: req.headers.host, target: req.url, status: 400, reason: items.swap().orDefault('a job without an id'),
+			});
+			answer(res, 400);
+			return;
+		}
+
+		const outcome = await intake.submit({
+			job: branded<BatchJobId>(fields.requestId), route, host: req.headers.host ?? '', items: items.unsafeCoerce(),
+		});
+		const {status, comeBackMs} = submissionAnswers[outcome];
+		answer(res, status, comeBackMs);
+	}
+
+	#answerNothing(res: ServerResponse, call: JobCall, reason: NoAnswer) {
+		const status = noAnswerStatus[reason];
+		this.#parts.log.emit(gatewayEvents.jobReadFailed, {id: call.job, question: call.kind, status, reason});
+		answer(res, status, status === 503 ? notReadyMs : undefined);
+	}
+}
--- /dev/null
+++ b/src/gateway/front.ts
@@ -0,0 +1,233 @@
+/**
+The composition root of `citronyard-front`: takes callers' calls, routes them to replicas, and runs batch jobs together with its peers. All fronts are equal, keep nothing on disk, and may stop at any moment.
+*/
+import {createServer, type Server} from 'node:http';
+import process from 'node:process';
+import {Right, type Either} from 'purify-ts/Either';
+import {branded} from '../common/ids.js';
+import {NodeLifecycle} from '../common/node-lifecycle.js';
+import type {
+	Clock, Disposable, EventLog, ObjectApi, RandomSource,
+} from '../common/services.js';
+import type {ObjectKind} from '../common/types.js';
+import {parseAddress} from '../io/address.js';
+import {DatagramChannel} from '../io/datagram-channel.js';
+import type {RunningProgram, StartError} from '../io/program.js';
+import {PrometheusMetrics} from '../io/prometheus-metrics.js';
+import {BatchBook} from './batch/batch-book.js';
+import {BatchRunner, type ItemHeaders} from './batch/batch-runner.js';
+import {JobClaims} from './batch/job-claims.js';
+import {JobIntake} from './batch/job-intake.js';
+import {JobReader} from './batch/job-reader.js';
+import {ConfigBoard} from './config-board.js';
+import {ConfigController} from './config-controller.js';
+import {FrontServer} from './front-server.js';
+import type {JobCallDialect} from './job-calls.js';
+import {LoadBoard} from './load-board.js';
+import {ObjectFeed, type FeedOptions} from './object-feed.js';
+import {MemberRegistry} from './peers/member-registry.js';
+import {PeerAnnouncer} from './peers/peer-announcer.js';
+import {peerStateMethod, type PeerState} from './peers/peer-state.js';
+import {PeerTable} from './peers/peer-table.js';
+import {Readiness} from './readiness.js';
+import type {RecordReaders} from './record-readers.js';
+import {RegistrationController} from './registration-controller.js';
+import {ReplicaDirectory} from './replica-directory.js';
+import {ReplicaLinks} from './replica-links.js';
+import type {FrontSettings} from './settings.js';
+import type {CallDialect, MemberName} from './types.js';
+
+/** What the adapter to a platform brings. */
+export type FrontAdapter = {
+	readonly api: ObjectApi;
+	readonly records: RecordReaders;
+	readonly dialect: CallDialect;
+	readonly jobCalls: JobCallDialect;
+	readonly itemHeaders: ItemHeaders;
+};
+
+/** What the frame of the programs brings. */
+export type FrontServices = {
+	readonly log: EventLog;
+	readonly clock: Clock;
+	readonly random: RandomSource;
+};
+
+/**
+A watch that went silent is noticed after its waiting time and the limit of a call, 2.3 s with the default: a change must be in force at every process 3 s after the connections that it would have come by are lost.
+*/
+const watchMs = 1500;
+
+const feedOptions = {
+	GatewayConfig: {waitMs: watchMs, mayLag: false},
+	Registration: {waitMs: watchMs, mayLag: false},
+	BatchRecord: {waitMs: watchMs, mayLag: true},
+	Member: {waitMs: 4 * watchMs, mayLag: true},
+} as const satisfies Partial<Record<ObjectKind, FeedOptions>>;
+
+/** The balancer asks once a second and takes a process out after two refusals; until then it sends new connections here, which are served. In milliseconds. */
+const rotationMs = 2600;
+
+/** What is left of the time to shut down when requests under way are given up, in milliseconds: enough to write the last log lines. */
+const exitMarginMs = 400;
+
+/** See the module's head. */
+export class Front implements RunningProgram {
+	readonly #settings: FrontSettings;
+	readonly #clock: Clock;
+	readonly #lifecycle = new NodeLifecycle();
+	readonly #metrics = new PrometheusMetrics();
+	readonly #board = new ConfigBoard();
+	readonly #directory = new ReplicaDirectory();
+	readonly #loads = new LoadBoard();
+	readonly #feeds: readonly ObjectFeed[];
+	readonly #channel: DatagramChannel;
+	readonly #announcer: PeerAnnouncer;
+	readonly #registry: MemberRegistry;
+	readonly #links: ReplicaLinks;
+	readonly #peers: PeerTable;
+	readonly #book: BatchBook;
+	readonly #runner: BatchRunner;
+	readonly #readiness: Readiness;
+	readonly #server: FrontServer;
+	readonly #readyServer: Server;
+	readonly #owned: readonly Disposable[];
+
+	constructor(settings: FrontSettings, {log, clock, random}: FrontServices, adapter: FrontAdapter) {
+		this.#settings = settings;
+		this.#clock = clock;
+		const {api, records, dialect, jobCalls, itemHeaders} = adapter;
+		const self = branded<MemberName>(settings.name);
+		const {failureDomain} = settings;
+		const metrics = this.#metrics;
+		const board = this.#board;
+		const directory = this.#directory;
+		const loads = this.#loads;
+		const feedOf = (kind: keyof typeof feedOptions) => new ObjectFeed({api, clock, log}, kind, feedOptions[kind]);
+		const isLeaving = () => this.#lifecycle.isLeaving;
+
+		const configFeed = feedOf('GatewayConfig');
+		const replicaFeed = feedOf('Registration');
+		const recordFeed = feedOf('BatchRecord');
+		const memberFeed = feedOf('Member');
+		this.#feeds = [configFeed, replicaFeed, recordFeed, memberFeed];
+
+		// eslint-disable-next-line no-new -- it lives by its listeners.
+		new ConfigController({
+			board, feed: configFeed, records, log,
+		});
+		const registrations = new RegistrationController({
+			directory, feed: replicaFeed, records, clock, log,
+		});
+		const peers = new PeerTable({
+			self, directory, loads, clock, log,
+		});
+		this.#peers = peers;
+		this.#channel = new DatagramChannel({
+			[peerStateMethod](state: PeerState) {
+				peers.take(state);
+			},
+		});
+		this.#registry = new MemberRegistry({
+			self, api, feed: memberFeed, clock, log,
+		});
+		this.#links = new ReplicaLinks(board, directory, () => peers.sharers);
+		const book = new BatchBook(recordFeed);
+		this.#book = book;
+		const claims = new JobClaims({
+			self, book, peers, clock, log, isLeaving,
+		});
+		this.#runner = new BatchRunner({
+			self, api, feed: recordFeed, book, claims, board, directory, loads, links: this.#links, dialect, itemHeaders, clock, random, log, metrics, failureDomain,
+		});
+		this.#announcer = new PeerAnnouncer({
+			self, channel: this.#channel, peers, directory, loads, clock, isLeaving, memberAddresses: () => this.#registry.addresses, claimedJobs: () => claims.claimed,
+		});
+		this.#readiness = new Readiness({
+			lifecycle: this.#lifecycle, board, directory, log,
+		});
+		this.#server = new FrontServer({
+			board, directory, loads, links: this.#links, dialect, clock, random, log, metrics, failureDomain, jobCalls,
+			intake: new JobIntake({
+				api, feed: recordFeed, book, clock, log, metrics,
+			}),
+			reader: new JobReader({
+				api, feed: recordFeed, book, clock, log,
+			}),
+		});
+		this.#readyServer = createServer((req, res) => {
+			req.resume();
+			res.writeHead(this.#readiness.isReady ? 200 : 503, {'content-length': '0'});
+			res.end();
+		});
+		this.#owned = [this.#runner, this.#announcer, this.#registry, registrations, ...this.#feeds, this.#links, this.#server, this.#channel, this.#metrics, this.#lifecycle];
+	}
+
+	get addresses(): Readonly<Record<string, string>> {
+		return {callers: this.#server.address, peers: this.#channel.address};
+	}
+
+	/** Listens, and begins to follow the object API. It may be ready some time later. */
+	async start(): Promise<Either<StartError, Front>> {
+		const {listen, readyListen, peerListen, metricsListen} = this.#settings;
+		const bound = [await this.#server.listen(listen), await this.#channel.listen(peerListen)];
+		const failed = bound.find(outcome => outcome.isLeft());
+		if (failed) {
+			return failed.map(() => this);
+		}
+
+		const ready = parseAddress(readyListen);
+		this.#readyServer.listen({host: ready?.host, port: ready?.port});
+		if (metricsListen) {
+			this.#metrics.serve(metricsListen, () => {
+				this.#measure();
+			});
+		}
+
+		this.#feeds.forEach(feed => {
+			feed.start();
+		});
+		this.#announcer.start();
+		this.#runner.start();
+		void this.#registry.enter({address: this.#channel.address});
+		this.#lifecycle.send('started');
+		return Right(this);
+	}
+
+	/** Leaves without cutting a call: jobs go to the peers at once, callers as their answers end. */
+	async drain(): Promise<void> {
+		const startedAt = this.#clock.now();
+		this.#lifecycle.send('drain');
+		this.#server.announceLeaving();
+		this.#announcer.announceSoon();
+		const handedOver = this.#runner.handOver();
+		await this.#clock.sleep(rotationMs);
+		const leftMs = this.#settings.shutdownMs - exitMarginMs - (this.#clock.now() - startedAt);
+		await Promise.race([Promise.all([this.#server.close(), handedOver]), this.#clock.sleep(leftMs)]);
+		this.#lifecycle.send('drained');
+	}
+
+	dispose(): void {
+		this.#readyServer.close();
+		this.#readyServer.closeAllConnections();
+		this.#owned.forEach(part => {
+			part.dispose();
+		});
+	}
+
+	#measure() {
+		const metrics = this.#metrics;
+		const now = this.#clock.now();
+		metrics.gauge('gateway.callsUnderWay', this.#server.size);
+		metrics.gauge('gateway.places', this.#loads.online, {kind: 'online'});
+		metrics.gauge('gateway.places', this.#loads.batch, {kind: 'batch'});
+		metrics.gauge('gateway.peers', this.#peers.live.length);
+		metrics.gauge('gateway.replicas', this.#directory.size);
+		metrics.gauge('gateway.connectionsMade', this.#links.made);
+		metrics.gauge('gateway.configVersion', this.#board.config?.version ?? 0);
+		metrics.gauge('gateway.openJobs', this.#book.openJobs.length);
+		const ages = this.#feeds.map(feed => now - feed.heardAt);
+		metrics.gauge('gateway.objectApiSilenceMs', Math.max(...ages));
+		metrics.gauge('process.residentBytes', process.memoryUsage.rss());
+	}
+}
--- /dev/null
+++ b/src/gateway/log-events.ts
@@ -0,0 +1,57 @@
+/**
+The gateway's numbered events, 700 to 799.
+*/
+import type {EventDefinition} from '../common/types.js';
+
+export const gatewayEvents = {
+	/** Fields: id, route, replica, online, batch (in flight there), attempt, resumeAfter. */
+	callRouted: {number: 700, level: 'info', text: 'replica chosen for a call'},
+	/** Fields: id, replica, kind, reason or status. */
+	attemptFailed: {number: 701, level: 'info', text: 'attempt at a replica ended without a whole answer'},
+	/** Fields: id, route, status, reason, elapsedMs, firstByteMs, offers, runs, lastEnd. */
+	callEnded: {number: 702, level: 'info', text: 'call ended'},
+	/** Fields: id, host, target, status, reason, configVersion. */
+	callRejected: {number: 703, level: 'info', text: 'call rejected before it was routed'},
+	/** Fields: version, routes, services. */
+	configInForce: {number: 710, level: 'info', text: 'configuration in force'},
+	/** Fields: name, reason. */
+	configUnreadable: {number: 711, level: 'error', text: 'configuration can not be read, the one before stays in force'},
+	/** Fields: replica, service, address, change. */
+	replicaChanged: {number: 712, level: 'info', text: 'replica registered, changed or gone'},
+	/** Fields: replica, graceMs. */
+	replicaMissed: {number: 713, level: 'info', text: 'registration missing after an outage, kept for now'},
+	/** Fields: kind, reason. */
+	feedLost: {number: 714, level: 'warn', text: 'object API does not answer, what is known is kept'},
+	/** Fields: kind, revision, awayMs. */
+	feedRegained: {number: 715, level: 'info', text: 'object API answers again'},
+	/** Fields: peer, address. */
+	peerJoined: {number: 716, level: 'info', text: 'peer heard'},
+	/** Fields: peer, silentMs. */
+	peerSilent: {number: 717, level: 'warn', text: 'peer is silent, its jobs are open to others'},
+	/** Fields: ready, reason. */
+	readinessChanged: {number: 718, level: 'info', text: 'readiness changed'},
+	/** Fields: member, reason. */
+	memberNotWritten: {number: 719, level: 'warn', text: 'own address could not be written for peers to find'},
+	/** Fields: id, route, items, tokens, waitingTokens, cap, outcome, elapsedMs. */
+	jobSubmitted: {number: 720, level: 'info', text: 'batch job submitted'},
+	/** Fields: id, outcome. */
+	jobEnded: {number: 721, level: 'info', text: 'end of a batch job asked for'},
+	/** Fields: job, item, replica, resumeAfter, dueInMs. */
+	itemStarted: {number: 722, level: 'info', text: 'batch item sent to a replica'},
+	/** Fields: job, item, replica, outcome, events, reason, elapsedMs. */
+	itemRunEnded: {number: 723, level: 'info', text: 'run of a batch item ended'},
+	/** Fields: job, page, results, outcome. */
+	resultsCommitted: {number: 724, level: 'info', text: 'results of a batch job written'},
+	/** Fields: job, claimed. */
+	jobClaimChanged: {number: 725, level: 'info', text: 'batch job is run by this process, or no longer'},
+	/** Fields: job, reason. */
+	jobRemoved: {number: 726, level: 'info', text: 'records of a batch job removed'},
+	/** Fields: id, status, reason. */
+	jobReadFailed: {number: 727, level: 'info', text: 'batch job could not be read'},
+	/** Fields: name, state. */
+	retirementAnswered: {number: 730, level: 'info', text: 'storage VM may be taken away'},
+	/** Fields: signal, problems. */
+	settingsReloaded: {number: 740, level: 'info', text: 'settings read again'},
+	/** Fields: reason. */
+	settingsRefused: {number: 741, level: 'error', text: 'settings are wrong, those before stay in force'},
+} as const satisfies Record<string, EventDefinition>;
--- /dev/null
+++ b/src/gateway/object-feed.ts
@@ -0,0 +1,232 @@
+/**
+Follows one kind of object: a list, then watches from its version on, for ever. Events arrive in the order of their versions, each once, also where the list or an extra read overtakes a watch that is waiting.
+
+A watch is asked for again well before the time within which a change must be in force: a connection that went silent shows only by the answer that does not come.
+*/
+import {EventEmitter} from 'node:events';
+import type {Revision} from '../common/ids.js';
+import type {
+	Clock, Disposable, EventLog, ObjectApi,
+} from '../common/services.js';
+import type {
+	ApiError, ObjectKind, StoredObject, WatchBatch, WatchEvent,
+} from '../common/types.js';
+import {gatewayEvents} from './log-events.js';
+
+/** What a feed needs. */
+export type FeedParts = {
+	readonly api: ObjectApi;
+	readonly clock: Clock;
+	readonly log: EventLog;
+};
+
+/** How a feed asks. */
+export type FeedOptions = {
+	/** Milliseconds that one watch waits. */
+	readonly waitMs: number;
+	/** Whether watches may be answered by a copy that lags. Lists and `sync` never are. */
+	readonly mayLag: boolean;
+};
+
+/** After a failed call, milliseconds until the next: an outage of the object API must not be prolonged by those who wait for its end, and a change must be in force within about two seconds of it. */
+const retryMs = 200;
+
+/** See the module's head. */
+export class ObjectFeed implements Disposable {
+	readonly #parts: FeedParts;
+	readonly #kind: ObjectKind;
+	readonly #options: FeedOptions;
+	readonly #events = new EventEmitter();
+	#revision: Revision | undefined;
+	#isDisposed = false;
+	#lostAt: number | undefined;
+	#regainedAt = -Infinity;
+	#failures = 0;
+	#heardAt = -Infinity;
+	#confirmedAt = -Infinity;
+	#currentSync: Promise<boolean> | undefined;
+	#nextSync: Promise<boolean> | undefined;
+
+	constructor(parts: FeedParts, kind: ObjectKind, options: FeedOptions) {
+		this.#parts = parts;
+		this.#kind = kind;
+		this.#options = options;
+	}
+
+	/** Up to where the objects are known; nothing before the first list. */
+	get revision(): Revision | undefined {
+		return this.#revision;
+	}
+
+	/** When the last outage ended, in milliseconds on the monotonic clock; `undefined` within one. */
+	get regainedAt(): number | undefined {
+		return this.#lostAt === undefined ? this.#regainedAt : undefined;
+	}
+
+	/** When the object API last answered, be it with a copy that lags; milliseconds on the monotonic clock. */
+	get heardAt(): number {
+		return this.#heardAt;
+	}
+
+	/** Calls that failed in a row in the last outage, or so far in this one. */
+	get lastOutageFailures(): number {
+		return this.#failures;
+	}
+
+	/** All that had changed by this moment is known: milliseconds on the monotonic clock. */
+	get confirmedAt(): number {
+		return this.#confirmedAt;
+	}
+
+	/** Calls the listener with all objects there are, after a list. What it does not hold is gone. */
+	onSnapshot(listener: (items: readonly StoredObject[]) => void): void {
+		this.#events.on('snapshot', listener);
+	}
+
+	/** Calls the listener with changes, in the order of their versions. */
+	onChanges(listener: (events: readonly WatchEvent[]) => void): void {
+		this.#events.on('changes', listener);
+	}
+
+	/** Follows until it is disposed. */
+	start(): void {
+		void this.#follow();
+	}
+
+	/**
+	Reads what has changed until now, from the object API itself. Callers that ask while a read is under way share the next one, since the one under way may have been answered before their question came up.
+
+	@returns Whether all is known that had changed when this was called.
+	*/
+	async sync(): Promise<boolean> {
+		this.#nextSync ??= this.#syncAfter(this.#currentSync);
+		return this.#nextSync;
+	}
+
+	dispose(): void {
+		this.#isDisposed = true;
+	}
+
+	async #follow() {
+		while (!this.#isDisposed) {
+			const isDone = this.#revision === undefined ? await this.#list() : await this.#watch(this.#revision);
+			if (!isDone) {
+				await this.#parts.clock.sleep(retryMs);
+			}
+		}
+	}
+
+	async #syncAfter(before: Promise<boolean> | undefined): Promise<boolean> {
+		await before;
+		const own = this.#readOnce();
+		this.#currentSync = own;
+		this.#nextSync = undefined;
+		return own;
+	}
+
+	async #readOnce(): Promise<boolean> {
+		const since = this.#revision;
+		if (since === undefined) {
+			return this.#list();
+		}
+
+		const askedAt = this.#parts.clock.now();
+		const batch = await this.#parts.api.watch([this.#kind], since, 0);
+		return batch.caseOf({
+			Left: err => this.#isKnownAfter(err),
+			Right: changes => this.#apply(changes, since, askedAt),
+		});
+	}
+
+	async #watch(since: Revision): Promise<boolean> {
+		const {waitMs, mayLag} = this.#options;
+		const askedAt = this.#parts.clock.now();
+		const batch = await this.#parts.api.watch([this.#kind], since, waitMs, {mayLag});
+		return batch.caseOf({
+			Left: err => this.#isKnownAfter(err),
+			Right: changes => {
+				this.#apply(changes, since, mayLag ? -Infinity : askedAt);
+				return true;
+			},
+		});
+	}
+
+	/** History that is gone is read anew by a list; every other failure keeps what is known. */
+	#isKnownAfter(err: ApiError): boolean {
+		if (err.kind === 'expired') {
+			this.#revision = undefined;
+			return false;
+		}
+
+		this.#noteFailure(err);
+		return false;
+	}
+
+	async #list(): Promise<boolean> {
+		const askedAt = this.#parts.clock.now();
+		const items: StoredObject[] = [];
+		let after: string | undefined;
+		let version: Revision | undefined;
+		do {
+			const page = await this.#parts.api.list(this.#kind, {after});
+			if (page.isLeft()) {
+				this.#noteFailure(page.extract());
+				return false;
+			}
+
+			const {items: found, more, version: listedAt} = page.unsafeCoerce();
+			items.push(...found);
+			// Later pages are read later: what changed between them is seen again by a watch from the first.
+			version ??= listedAt;
+			after = more ? found.at(-1)?.name : undefined;
+		} while (after !== undefined);
+
+		this.#noteAnswer();
+		this.#confirmedAt = Math.max(this.#confirmedAt, askedAt);
+		if (this.#revision === undefined || version === undefined || version >= this.#revision) {
+			this.#revision = version;
+			this.#events.emit('snapshot', items);
+		}
+
+		return true;
+	}
+
+	/**
+	An answer that another has overtaken is left out: what it holds beyond the other comes again with the next watch, and a removal in it could undo a later creation under the same name.
+
+	@returns Whether it was in time.
+	*/
+	#apply({events, version}: WatchBatch, since: Revision, confirmedAt: number): boolean {
+		this.#noteAnswer();
+		if (this.#revision !== since) {
+			return this.#revision !== undefined && version <= this.#revision;
+		}
+
+		this.#confirmedAt = Math.max(this.#confirmedAt, confirmedAt);
+		this.#revision = Math.max(version, since, events.at(-1)?.version ?? 0) as Revision;
+		if (events.length > 0) {
+			this.#events.emit('changes', events);
+		}
+
+		return true;
+	}
+
+	#noteAnswer() {
+		const {clock, log} = this.#parts;
+		this.#heardAt = clock.now();
+		if (this.#lostAt !== undefined) {
+			log.emit(gatewayEvents.feedRegained, {kind: this.#kind, revision: this.#revision, awayMs: Math.round(clock.now() - this.#lostAt)});
+			this.#lostAt = undefined;
+			this.#regainedAt = clock.now();
+		}
+	}
+
+	#noteFailure(err: ApiError) {
+		this.#failures += 1;
+		if (this.#lostAt === undefined) {
+			this.#failures = 1;
+			this.#lostAt = this.#parts.clock.now();
+			this.#parts.log.emit(gatewayEvents.feedLost, {kind: this.#kind, reason: 'reason' in err ? err.reason : err.kind});
+		}
+	}
+}
--- /dev/null
+++ b/src/gateway/parts.ts
@@ -0,0 +1,24 @@
+/**
+What the parts of the gateway share: the blackboard's tables and the services that are injected.
+*/
+import type {Clock, EventLog, Metrics, RandomSource} from '../common/services.js';
+import type {ConfigBoard} from './config-board.js';
+import type {LoadBoard} from './load-board.js';
+import type {ReplicaDirectory} from './replica-directory.js';
+import type {ReplicaLinks} from './replica-links.js';
+import type {CallDialect} from './types.js';
+
+/** See the module's head. */
+export type GatewayParts = {
+	readonly board: ConfigBoard;
+	readonly directory: ReplicaDirectory;
+	readonly loads: LoadBoard;
+	readonly links: ReplicaLinks;
+	readonly dialect: CallDialect;
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly log: EventLog;
+	readonly metrics: Metrics;
+	/** Where this process runs. */
+	readonly failureDomain: string;
+};
--- /dev/null
+++ b/src/gateway/peers/peer-announcer.ts
@@ -0,0 +1,92 @@
+/**
+Tells the peers of this process what it has in flight: soon after each change, and at least several times a second.
+*/
+import type {Clock, Disposable} from '../../common/services.js';
+import type {DatagramChannel} from '../../io/datagram-channel.js';
+import type {LoadBoard} from '../load-board.js';
+import type {ReplicaDirectory} from '../replica-directory.js';
+import type {BatchJobId, MemberName} from '../types.js';
+import {peerStateMethod, type PeerState, type SharedLoad} from './peer-state.js';
+import type {PeerTable} from './peer-table.js';
+
+/** Changes are gathered for this long, in milliseconds: short against the near second that an online call holds its place, and 25 messages a second at most to each peer. */
+const gatherMs = 40;
+
+/** Without a change, milliseconds between messages. */
+const heartbeatMs = 250;
+
+/** What the announcer reads. */
+export type AnnouncerParts = {
+	readonly self: MemberName;
+	readonly channel: DatagramChannel;
+	readonly peers: PeerTable;
+	readonly directory: ReplicaDirectory;
+	readonly loads: LoadBoard;
+	readonly clock: Clock;
+	/** Addresses of members that were registered, heard or not. */
+	readonly memberAddresses: () => readonly string[];
+	readonly claimedJobs: () => readonly BatchJobId[];
+	readonly isLeaving: () => boolean;
+};
+
+/** See the module's head. */
+export class PeerAnnouncer implements Disposable {
+	readonly #parts: AnnouncerParts;
+	readonly #startedAt: number;
+	#seq = 0;
+	#pending: NodeJS.Timeout | undefined;
+	#heartbeat: NodeJS.Timeout | undefined;
+
+	constructor(parts: AnnouncerParts) {
+		this.#parts = parts;
+		this.#startedAt = parts.clock.wall();
+		parts.loads.onOwnChange(() => {
+			this.announceSoon();
+		});
+	}
+
+	/** Begins to send. */
+	start(): void {
+		this.#heartbeat = setInterval(() => {
+			this.#parts.peers.dropSilent();
+			this.#send();
+		}, heartbeatMs);
+		this.#send();
+	}
+
+	/** Sends within the gathering time. */
+	announceSoon(): void {
+		this.#pending ??= setTimeout(() => {
+			this.#send();
+		}, gatherMs);
+	}
+
+	dispose(): void {
+		clearTimeout(this.#pending);
+		clearInterval(this.#heartbeat);
+	}
+
+	#send() {
+		clearTimeout(this.#pending);
+		this.#pending = undefined;
+		this.#heartbeat?.refresh();
+		const {channel, peers, memberAddresses} = this.#parts;
+		const addresses = new Set([...memberAddresses(), ...peers.live.map(({state}) => state.address)]);
+		addresses.delete(channel.address);
+		channel.send([...addresses], peerStateMethod, this.#state());
+	}
+
+	#state(): PeerState {
+		const {self, channel, claimedJobs, isLeaving} = this.#parts;
+		this.#seq += 1;
+		return {
+			member: self, address: channel.address, startedAt: this.#startedAt, seq: this.#seq, isLeaving: isLeaving(), loads: this.#loads(), jobs: claimedJobs(),
+		};
+	}
+
+	#loads(): SharedLoad[] {
+		return [...this.#parts.directory.all]
+			.filter(({online, batch}) => online > 0 || batch > 0)
+			.map(({record, online, batch}) => ({replica: record.id, online, batch}));
+	}
+}
--- /dev/null
+++ b/src/gateway/peers/peer-table.ts
@@ -0,0 +1,113 @@
+/**
+The other processes of the gateway as far as they are heard: part of the blackboard. Whoever is silent for longer than a few messages is taken for gone, its requests in flight are counted no longer, and its jobs are open to others.
+*/
+import {EventEmitter} from 'node:events';
+import type {Clock, EventLog} from '../../common/services.js';
+import {gatewayEvents} from '../log-events.js';
+import type {LoadBoard} from '../load-board.js';
+import type {ReplicaDirectory} from '../replica-directory.js';
+import type {BatchJobId, MemberName, ReplicaId} from '../types.js';
+import type {PeerState} from './peer-state.js';
+
+/** A peer sends at least every 250 ms; this many milliseconds of silence are four messages lost in a row, or the peer. */
+const silenceMs = 1200;
+
+/** A peer that is heard. */
+export type Peer = {
+	readonly state: PeerState;
+	readonly heardAt: number;
+	readonly jobs: ReadonlySet<BatchJobId>;
+};
+
+/** What the table reads and writes. */
+export type PeerTableParts = {
+	readonly self: MemberName;
+	readonly directory: ReplicaDirectory;
+	readonly loads: LoadBoard;
+	readonly clock: Clock;
+	readonly log: EventLog;
+};
+
+/** See the module's head. */
+export class PeerTable {
+	readonly #parts: PeerTableParts;
+	readonly #events = new EventEmitter();
+	readonly #peers = new Map<MemberName, Peer>();
+
+	constructor(parts: PeerTableParts) {
+		this.#parts = parts;
+	}
+
+	/** Peers that are heard. */
+	get live(): readonly Peer[] {
+		return [...this.#peers.values()];
+	}
+
+	/** How many processes share the replicas, this one included. */
+	get sharers(): number {
+		return this.#peers.size + 1;
+	}
+
+	/** Calls the listener when a peer comes, goes, or says that it is leaving. */
+	onMembership(listener: () => void): void {
+		this.#events.on('membership', listener);
+	}
+
+	/** Takes over what a peer says of itself. Messages that another has overtaken change nothing. */
+	take(state: PeerState): void {
+		const {self, clock, log} = this.#parts;
+		if (state.member === self) {
+			return;
+		}
+
+		const known = this.#peers.get(state.member);
+		if (known && !isNewer(state, known.state)) {
+			return;
+		}
+
+		this.#peers.set(state.member, {state, heardAt: clock.now(), jobs: new Set(state.jobs)});
+		this.#takeLoads(state, known?.state);
+		if (!known) {
+			log.emit(gatewayEvents.peerJoined, {peer: state.member, address: state.address});
+		}
+
+		if (!known || known.state.isLeaving !== state.isLeaving || known.state.startedAt !== state.startedAt) {
+			this.#events.emit('membership');
+		}
+	}
+
+	/** Drops the peers that have gone silent. Call it every now and then. */
+	dropSilent(): void {
+		const {clock, log} = this.#parts;
+		const now = clock.now();
+		const silent = [...this.#peers.values()].filter(({heardAt}) => now - heardAt > silenceMs);
+		silent.forEach(({state, heardAt}) => {
+			log.emit(gatewayEvents.peerSilent, {peer: state.member, silentMs: Math.round(now - heardAt)});
+			this.#peers.delete(state.member);
+			this.#takeLoads({...state, loads: []}, state);
+		});
+		if (silent.length > 0) {
+			this.#events.emit('membership');
+		}
+	}
+
+	#takeLoads(after: PeerState, before: PeerState | undefined) {
+		const listed = new Set<ReplicaId>(after.loads.map(({replica}) => replica));
+		after.loads.forEach(load => {
+			this.#note(after.member, load.replica, load.online, load.batch);
+		});
+		before?.loads.filter(({replica}) => !listed.has(replica)).forEach(({replica}) => {
+			this.#note(after.member, replica, 0, 0);
+		});
+	}
+
+	#note(peer: MemberName, id: ReplicaId, online: number, batch: number) {
+		const replica = this.#parts.directory.find(id);
+		if (replica) {
+			replica.notePeer(peer, {online, batch});
+			this.#parts.loads.notePeerChange(replica);
+		}
+	}
+}
+
+const isNewer = (state: PeerState, known: PeerState): boolean => state.startedAt === known.startedAt ? state.seq > known.seq : state.startedAt > known.startedAt;
--- /dev/null
+++ b/src/gateway/readiness.ts
@@ -0,0 +1,52 @@
+/**
+Whether this process wants new connections: only with a configuration and a replica to send to, and not while it is leaving. Without the first it could not tell a route that does not exist from one that it has not heard of.
+*/
+import type {NodeLifecycle} from '../common/node-lifecycle.js';
+import type {EventLog} from '../common/services.js';
+import type {ConfigBoard} from './config-board.js';
+import {gatewayEvents} from './log-events.js';
+import type {ReplicaDirectory} from './replica-directory.js';
+
+/** What readiness depends on. */
+export type ReadinessParts = {
+	readonly lifecycle: NodeLifecycle;
+	readonly board: ConfigBoard;
+	readonly directory: ReplicaDirectory;
+	readonly log: EventLog;
+};
+
+/** Why a process is not ready; empty when it is. */
+export type NotReadyReason = '' | 'leaving' | 'no configuration' | 'no replica';
+
+/** See the module's head. */
+export class Readiness {
+	readonly #parts: ReadinessParts;
+	#told: NotReadyReason | undefined;
+
+	constructor(parts: ReadinessParts) {
+		this.#parts = parts;
+	}
+
+	get isReady(): boolean {
+		const reason = this.#reason();
+		if (reason !== this.#told) {
+			this.#told = reason;
+			this.#parts.log.emit(gatewayEvents.readinessChanged, {ready: reason === '', reason});
+		}
+
+		return reason === '';
+	}
+
+	#reason(): NotReadyReason {
+		const {lifecycle, board, directory} = this.#parts;
+		if (!lifecycle.isServing) {
+			return 'leaving';
+		}
+
+		if (!board.config) {
+			return 'no configuration';
+		}
+
+		return directory.size === 0 ? 'no replica' : '';
+	}
+}
--- /dev/null
+++ b/src/gateway/replica-choice.ts
@@ -0,0 +1,83 @@
+/**
+Which replica gets a call. Engines admit first come, first served and run `slots` requests at once, so a call is soonest served where the fewest are in flight. Online calls count batch items for less than themselves, since an item is cut off as soon as an online call needs its place; batch items go only where places stay free for the next online calls.
+*/
+import type {RandomSource} from '../common/services.js';
+import type {Replica} from './replica.js';
+import type {ReplicaId} from './types.js';
+
+/** What a choice depends on besides the replicas' load. */
+export type ChoiceContext = {
+	/** Milliseconds on the monotonic clock. */
+	readonly now: number;
+	readonly random: RandomSource;
+	/** Replicas that this call has tried. */
+	readonly tried: ReadonlySet<ReplicaId>;
+	/** This process's failure domain: between equals, the near replica saves traffic between domains. */
+	readonly failureDomain: string;
+};
+
+/**
+An item that runs delays an online call only by the time that cutting it off takes, about one round trip against the near second of a stream; it still must count for something, or all calls would gather where items run.
+*/
+const batchWeight = 0.15;
+
+/** Less than any difference of load, so that it decides only between equals. */
+const otherDomainCost = 0.05;
+
+/** Chance between equals: processes with the same view must not all pick the same replica. */
+const jitter = 0.04;
+
+const onlineCost = (replica: Replica, {failureDomain, random}: ChoiceContext): number => {
+	const {slots} = replica.record;
+	const load = (replica.allOnline + (batchWeight * replica.allBatch)) / slots;
+	const distance = replica.record.failureDomain === failureDomain ? 0 : otherDomainCost / slots;
+	return load + distance + (random.next() * jitter / slots);
+};
+
+const leastOf = (replicas: readonly Replica[], cost: (replica: Replica) => number): Replica | undefined => {
+	let best: Replica | undefined;
+	let bestCost = Infinity;
+	replicas.forEach(replica => {
+		const own = cost(replica);
+		if (own < bestCost) {
+			best = replica;
+			bestCost = own;
+		}
+	});
+	return best;
+};
+
+/**
+The replica for an online call. Replicas that are doubted are the last resort: with all of a service in doubt, trying one beats refusing.
+
+@param replicas - Those of the service that take work.
+*/
+export const chooseForOnline = (replicas: readonly Replica[], context: ChoiceContext): Replica | undefined => {
+	const untried = replicas.filter(({record}) => !context.tried.has(record.id));
+	const trusted = untried.filter(replica => !replica.isDoubted(context.now));
+	return leastOf(trusted.length > 0 ? trusted : untried, replica => onlineCost(replica, context));
+};
+
+/**
+The replica for a batch item, if one has a place to spare.
+
+@param reserve - Places of each replica that items leave free.
+*/
+export const chooseForBatch = (replicas: readonly Replica[], reserve: number, context: ChoiceContext): Replica | undefined => {
+	const open = replicas.filter(replica => !replica.isDoubted(context.now)
+		&& !context.tried.has(replica.record.id)
+		&& replica.total < Math.max(1, replica.record.slots - reserve));
+	return leastOf(open, replica => replica.total + (context.random.next() * jitter));
+};
+
+/**
+How many of its own items a process cuts off at a replica: its share of what exceeds the places. All processes see about the same load, and each cutting the whole excess would empty the replica.
+*/
+export const itemsToCut = (replica: Replica): number => {
+	const excess = replica.total - replica.record.slots;
+	if (excess <= 0 || replica.batch === 0) {
+		return 0;
+	}
+
+	return Math.min(replica.batch, Math.ceil(excess * replica.batch / replica.allBatch));
+};
--- /dev/null
+++ b/src/gateway/replica-connections.ts
@@ -0,0 +1,189 @@
+/**
+Kept connections to one replica, one request at a time on each. They are kept here and not in a pool of the HTTP library, because what becomes of a request depends on its connection: whether it is new, whether its neighbours went silent, and whether its socket failed while an answer without a length was under way.
+*/
+import type {Socket} from 'node:net';
+import buildConnector from 'undici/lib/core/connect.js';
+import Client from 'undici/lib/dispatcher/client.js';
+import type {Dispatcher} from 'undici';
+import type {Disposable} from '../common/services.js';
+
+/** An idle connection is closed after this long where the replica announces no time of its own, in milliseconds; below the 5 s that Node's and most other servers keep one. */
+const idleMs = 4000;
+
+/** The replica's announced idle time is shortened by this much, in milliseconds, so that a request does not cross the replica's close. */
+const idleMarginMs = 1000;
+
+/** Undici's own watch on connecting; the attempt has a shorter one, with exact timing. */
+const connectLimitMs = 5000;
+
+const connect = buildConnector({timeout: connectLimitMs, allowH2: false});
+
+/** One connection, or the attempt to make it. */
+export class ReplicaConnection implements Disposable {
+	readonly #client: Client;
+	#isUsed = false;
+	#isOver = false;
+	#hasSocketFailed = false;
+
+	/**
+	@param address - `ip:port`.
+	@param onOver - Called once when the connection can carry no more requests.
+	*/
+	constructor(address: string, onOver: (connection: ReplicaConnection) => void) {
+		this.#client = new Client(`http://${address}`, {
+			connect: (options, callback) => {
+				connect(options, (...outcome) => {
+					this.#watch(outcome[1]);
+					callback(...outcome);
+				});
+			},
+			pipelining: 1,
+			keepAliveTimeout: idleMs,
+			keepAliveTimeoutThreshold: idleMarginMs,
+			headersTimeout: 0,
+			bodyTimeout: 0,
+		});
+		this.#client.once('disconnect', () => {
+			this.#isOver = true;
+			onOver(this);
+		});
+	}
+
+	/** True once a request was answered on it: a later failure may be the replica's closing of an idle connection. */
+	get isUsed(): boolean {
+		return this.#isUsed;
+	}
+
+	get isOver(): boolean {
+		return this.#isOver;
+	}
+
+	/**
+	Whether the socket failed, for instance by a reset. Undici takes an answer without a length for complete when its connection is reset; it may have been cut anywhere.
+	*/
+	get hasSocketFailed(): boolean {
+		return this.#hasSocketFailed;
+	}
+
+	dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
+		this.#client.dispatch(options, handler);
+	}
+
+	/** The request was answered in full and as it should be. */
+	noteAnswered(): void {
+		this.#isUsed = true;
+	}
+
+	/** Closes the connection at once, which tells the replica to drop what it runs on it. */
+	dispose(): void {
+		this.#isOver = true;
+		void this.#client.destroy().catch(() => undefined);
+	}
+
+	#watch(socket: Socket | null) {
+		socket?.once('error', () => {
+			this.#hasSocketFailed = true;
+		});
+	}
+}
+
+/** The connections to one replica. */
+export class ReplicaConnections implements Disposable {
+	readonly #address: string;
+	readonly #all = new Set<ReplicaConnection>();
+	#idle: ReplicaConnection[] = [];
+	#made = 0;
+	#isRetired = false;
+
+	/** @param address - `ip:port`. */
+	constructor(address: string) {
+		this.#address = address;
+	}
+
+	/** Connections that are open or being made. */
+	get size(): number {
+		return this.#all.size;
+	}
+
+	/** Connections made so far. */
+	get made(): number {
+		return this.#made;
+	}
+
+	/**
+	A connection to send one request on: the one that was used last, since it is the least likely to be closed by the replica meanwhile.
+
+	@param limit - Connections that may be open at once.
+	@returns Nothing when all are busy.
+	*/
+	take(limit: number): ReplicaConnection | undefined {
+		const idle = this.#idle.pop();
+		if (idle) {
+			return idle;
+		}
+
+		if (this.#all.size >= limit) {
+			return undefined;
+		}
+
+		const connection = new ReplicaConnection(this.#address, over => {
+			this.#forget(over);
+		});
+		this.#all.add(connection);
+		this.#made += 1;
+		return connection;
+	}
+
+	/**
+	Gives a connection back after a complete answer.
+
+	It is used again only after the bytes that have already arrived were looked at: a faulty replica may send a second answer behind the first, which must not be taken for that of the next request.
+	*/
+	giveBack(connection: ReplicaConnection): void {
+		connection.noteAnswered();
+		if (this.#isRetired) {
+			this.discard(connection);
+			return;
+		}
+
+		setImmediate(() => {
+			if (!connection.isOver && this.#all.has(connection)) {
+				this.#idle.push(connection);
+			}
+		});
+	}
+
+	/** Closes a connection that is not to be used again. */
+	discard(connection: ReplicaConnection): void {
+		this.#forget(connection);
+		connection.dispose();
+	}
+
+	/** Closes the idle connections. What has gone silent on one may have on all of them. */
+	renew(): void {
+		this.#idle.forEach(connection => {
+			this.#all.delete(connection);
+			connection.dispose();
+		});
+		this.#idle = [];
+	}
+
+	/** Closes each connection as soon as no request is under way on it. */
+	retire(): void {
+		this.#isRetired = true;
+		this.renew();
+	}
+
+	dispose(): void {
+		this.#all.forEach(connection => {
+			connection.dispose();
+		});
+		this.#all.clear();
+		this.#idle = [];
+	}
+
+	#forget(connection: ReplicaConnection) {
+		this.#all.delete(connection);
+		this.#idle = this.#idle.filter(idle => idle !== connection);
+	}
+}
--- /dev/null
+++ b/src/gateway/replica-directory.ts
@@ -0,0 +1,82 @@
+/**
+The replicas that are registered, by service: the part of the blackboard that the registrations' follower writes and routing reads.
+*/
+import {EventEmitter} from 'node:events';
+import {Replica} from './replica.js';
+import type {GatewayServiceName, ReplicaId, ReplicaRecord} from './types.js';
+
+/** What became of a registration. */
+export type ReplicaChange = {
+	readonly replica: Replica;
+	readonly change: 'joined' | 'draining' | 'changed' | 'left';
+};
+
+const changeBetween = (before: ReplicaRecord, after: ReplicaRecord): ReplicaChange['change'] => after.isDraining && !before.isDraining ? 'draining' : 'changed';
+
+/** Knows every registered replica. */
+export class ReplicaDirectory {
+	readonly #events = new EventEmitter();
+	readonly #byId = new Map<ReplicaId, Replica>();
+	readonly #byService = new Map<GatewayServiceName, Replica[]>();
+
+	get size(): number {
+		return this.#byId.size;
+	}
+
+	get all(): Iterable<Replica> {
+		return this.#byId.values();
+	}
+
+	find(id: ReplicaId): Replica | undefined {
+		return this.#byId.get(id);
+	}
+
+	/** Replicas of a service that take new work. Replaced at each change, never changed in place. */
+	takingWork(service: GatewayServiceName): readonly Replica[] {
+		return this.#byService.get(service) ?? [];
+	}
+
+	/** Takes over a registration, new or changed. */
+	put(record: ReplicaRecord): void {
+		const known = this.#byId.get(record.id);
+		if (!known) {
+			const replica = new Replica(record);
+			this.#byId.set(record.id, replica);
+			this.#index(record.service);
+			this.#tell({replica, change: 'joined'});
+			return;
+		}
+
+		const before = known.record;
+		known.record = record;
+		this.#index(before.service);
+		this.#index(record.service);
+		this.#tell({replica: known, change: changeBetween(before, record)});
+	}
+
+	/** Forgets a registration. Requests under way there go on. */
+	remove(id: ReplicaId): void {
+		const replica = this.#byId.get(id);
+		if (!replica) {
+			return;
+		}
+
+		this.#byId.delete(id);
+		this.#index(replica.record.service);
+		this.#tell({replica, change: 'left'});
+	}
+
+	/** Calls the listener with each change. */
+	onChange(listener: (change: ReplicaChange) => void): void {
+		this.#events.on('change', listener);
+	}
+
+	#index(service: GatewayServiceName) {
+		const takingWork = [...this.#byId.values()].filter(({record}) => record.service === service && !record.isDraining);
+		this.#byService.set(service, takingWork);
+	}
+
+	#tell(change: ReplicaChange) {
+		this.#events.emit('change', change);
+	}
+}
--- /dev/null
+++ b/src/gateway/replica-links.ts
@@ -0,0 +1,84 @@
+/**
+The connections of this process to all replicas, kept by lifetime: a replica that was restarted at the same address starts without the connections of the one before.
+*/
+import type {Disposable} from '../common/services.js';
+import type {ConfigBoard} from './config-board.js';
+import type {Replica} from './replica.js';
+import {ReplicaConnections, type ReplicaConnection} from './replica-connections.js';
+import type {ReplicaDirectory} from './replica-directory.js';
+import type {ReplicaId} from './types.js';
+
+/** A connection, and the set that it goes back to. */
+export type Link = {
+	readonly connections: ReplicaConnections;
+	readonly connection: ReplicaConnection;
+};
+
+/** Connections to a replica of a service that no configuration names yet. */
+const defaultMaxConnections = 64;
+
+/** However many processes share a replica, each may hold this many connections to it. */
+const leastConnections = 8;
+
+/** See the module's head. */
+export class ReplicaLinks implements Disposable {
+	readonly #board: ConfigBoard;
+	readonly #countSharers: () => number;
+	readonly #links = new Map<ReplicaId, ReplicaConnections>();
+	#madeByGone = 0;
+
+	/** @param countSharers - How many processes of the gateway send to the replicas, this one included. */
+	constructor(board: ConfigBoard, directory: ReplicaDirectory, countSharers: () => number) {
+		this.#board = board;
+		this.#countSharers = countSharers;
+		directory.onChange(({replica, change}) => {
+			if (change === 'left') {
+				this.#close(replica.record.id);
+			}
+		});
+	}
+
+	/** Connections made so far, to all replicas. */
+	get made(): number {
+		return [...this.#links.values()].reduce((sum, {made}) => sum + made, this.#madeByGone);
+	}
+
+	/** @returns Nothing when this process's share of the replica's connections is in use. */
+	take(replica: Replica): Link | undefined {
+		const connections = this.#connectionsTo(replica);
+		const connection = connections.take(this.#shareOf(replica));
+		return connection && {connections, connection};
+	}
+
+	dispose(): void {
+		this.#links.forEach(connections => {
+			connections.dispose();
+		});
+		this.#links.clear();
+	}
+
+	#connectionsTo({record}: Replica): ReplicaConnections {
+		const known = this.#links.get(record.id);
+		if (known) {
+			return known;
+		}
+
+		const connections = new ReplicaConnections(record.address);
+		this.#links.set(record.id, connections);
+		return connections;
+	}
+
+	/** A replica resets connections beyond its limit, and with them requests that others have under way. */
+	#shareOf({record}: Replica): number {
+		const all = this.#board.service(record.service)?.maxConnections ?? defaultMaxConnections;
+		return Math.max(leastConnections, Math.floor(all / Math.max(1, this.#countSharers())));
+	}
+
+	/** Requests under way go on: a replica that has left serves them to the end. */
+	#close(id: ReplicaId) {
+		const connections = this.#links.get(id);
+		this.#links.delete(id);
+		this.#madeByGone += connections?.made ?? 0;
+		connections?.retire();
+	}
+}
--- /dev/null
+++ b/src/gateway/replica.ts
@@ -0,0 +1,78 @@
+/**
+One replica as this process sees it: its registration, what runs on it, and whether its recent connections failed.
+*/
+import type {MemberName, ReplicaRecord} from './types.js';
+
+/** Requests in flight at a replica. */
+export type ReplicaLoad = {
+	readonly online: number;
+	readonly batch: number;
+};
+
+const nothing: ReplicaLoad = {online: 0, batch: 0};
+
+/**
+A replica that could not be reached is left alone for this long, and twice as long after each further failure, up to the ceiling, in milliseconds. The first figure is a few times the round trip within a region, so that a reset of one connection costs its replica little; the ceiling is about what a crashed process takes to come back.
+*/
+const firstDoubtMs = 250;
+const maxDoubtMs = 2000;
+
+/** A replica, mutable: its table and the requests under way write it. */
+export class Replica {
+	/** Own requests in flight. */
+	online = 0;
+	batch = 0;
+	record: ReplicaRecord;
+	readonly #peers = new Map<MemberName, ReplicaLoad>();
+	#peerOnline = 0;
+	#peerBatch = 0;
+	#failures = 0;
+	#doubtedUntil = 0;
+
+	constructor(record: ReplicaRecord) {
+		this.record = record;
+	}
+
+	/** Online requests in flight, this process's and its peers'. */
+	get allOnline(): number {
+		return this.online + this.#peerOnline;
+	}
+
+	/** Batch items in flight, this process's and its peers'. */
+	get allBatch(): number {
+		return this.batch + this.#peerBatch;
+	}
+
+	/** All requests in flight. */
+	get total(): number {
+		return this.allOnline + this.allBatch;
+	}
+
+	/** Takes over what a peer says it has in flight here. */
+	notePeer(peer: MemberName, load: ReplicaLoad = nothing): void {
+		const before = this.#peers.get(peer) ?? nothing;
+		this.#peerOnline += load.online - before.online;
+		this.#peerBatch += load.batch - before.batch;
+		if (load.online === 0 && load.batch === 0) {
+			this.#peers.delete(peer);
+		} else {
+			this.#peers.set(peer, load);
+		}
+	}
+
+	/** @param now - Milliseconds on the monotonic clock. */
+	isDoubted(now: number): boolean {
+		return now < this.#doubtedUntil;
+	}
+
+	/** A connection could not be made, or went silent. */
+	noteFailure(now: number): void {
+		this.#failures += 1;
+		this.#doubtedUntil = now + Math.min(maxDoubtMs, firstDoubtMs * (2 ** (this.#failures - 1)));
+	}
+
+	noteAnswer(): void {
+		this.#failures = 0;
+		this.#doubtedUntil = 0;
+	}
+}
--- /dev/null
+++ b/src/gateway/route-table.ts
@@ -0,0 +1,37 @@
+/**
+The routes of one configuration, by host and path. Among the routes of a host, the longest prefix that begins the path is taken.
+*/
+import type {GatewayConfig, GatewayRoute} from './types.js';
+
+const longestFirst = (a: GatewayRoute, b: GatewayRoute): number => b.pathPrefix.length - a.pathPrefix.length;
+
+/** Hosts are compared without their port and without case, as HTTP has it. */
+const plainHost = (host: string): string => host.toLowerCase().replace(/:\d+$/v, '');
+
+/** The path without its query. */
+const plainPath = (target: string): string => target.split('?', 1)[0] ?? target;
+
+/** Finds the route of a call. Never changes: another configuration is another table. */
+export class RouteTable {
+	readonly #byHost: ReadonlyMap<string, readonly GatewayRoute[]>;
+	readonly #byName: ReadonlyMap<string, GatewayRoute>;
+
+	constructor({routes}: Pick<GatewayConfig, 'routes'>) {
+		const hosts = [...new Set(routes.map(({host}) => plainHost(host)))];
+		this.#byHost = new Map(hosts.map(host => [host, routes.filter(route => plainHost(route.host) === host).toSorted(longestFirst)]));
+		this.#byName = new Map(routes.map(route => [route.name, route]));
+	}
+
+	/**
+	@param host - The `Host` of the call.
+	@param target - Path and query.
+	*/
+	match(host: string, target: string): GatewayRoute | undefined {
+		const path = plainPath(target);
+		return this.#byHost.get(plainHost(host))?.find(({pathPrefix}) => path.startsWith(pathPrefix));
+	}
+
+	named(name: string): GatewayRoute | undefined {
+		return this.#byName.get(name);
+	}
+}
--- /dev/null
+++ b/src/gateway/settings.ts
@@ -0,0 +1,55 @@
+/**
+Settings of the gateway's programs. The platform fills them in from its own, by the template in `deploy/`.
+*/
+import * as z from 'zod';
+import {
+	addressSchema, commonSettings, countOf, durationMs, listenAddressSchema, sizeBytes,
+} from '../io/settings-schemas.js';
+
+/** Where the object API is, and how much it takes. */
+export const objectApiSettings = z.strictObject({
+	address: addressSchema,
+	/** Milliseconds for one call. A slow object API answers within 0.3 s; what takes longer is most likely lost. */
+	timeoutMs: durationMs(800),
+	/** The largest object. */
+	maxValueBytes: sizeBytes(1_048_576),
+});
+
+/** See {@link objectApiSettings}. */
+export type ObjectApiSettings = z.infer<typeof objectApiSettings>;
+
+/** Settings of `citronyard-front`. */
+export const frontSettingsSchema = z.strictObject({
+	...commonSettings,
+	/** The name of this process; unique in the fleet. */
+	name: z.string().min(1),
+	failureDomain: z.string().min(1),
+	/** Where callers connect. */
+	listen: listenAddressSchema,
+	/** Where the balancer asks whether callers may connect. */
+	readyListen: listenAddressSchema,
+	/** Where peers send their state, by UDP. */
+	peerListen: listenAddressSchema,
+	/** Where metrics are read, by HTTP at `/metrics`. */
+	metricsListen: listenAddressSchema.optional(),
+	objectApi: objectApiSettings,
+	/** Milliseconds from SIGTERM to SIGKILL. */
+	shutdownMs: durationMs(8000),
+});
+
+/** Settings of `citronyard-front`, checked. */
+export type FrontSettings = z.infer<typeof frontSettingsSchema>;
+
+/** Settings of `citronyard-keeper`. */
+export const keeperSettingsSchema = z.strictObject({
+	...commonSettings,
+	name: z.string().min(1),
+	failureDomain: z.string().min(1),
+	metricsListen: listenAddressSchema.optional(),
+	objectApi: objectApiSettings,
+	/** Retirements that are looked after at once. */
+	maxRetirements: countOf(64),
+});
+
+/** Settings of `citronyard-keeper`, checked. */
+export type KeeperSettings = z.infer<typeof keeperSettingsSchema>;
--- /dev/null
+++ b/src/io/prometheus-metrics.ts
@@ -0,0 +1,82 @@
+/**
+Metrics that wait to be read, as text in the usual exposition format, on an address of their own.
+*/
+import {createServer, type Server} from 'node:http';
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+import type {Disposable, Metrics} from '../common/services.js';
+import {parseAddress} from './address.js';
+
+/** Bounds of the buckets of latencies, in milliseconds: fine around first tokens (tens) and latency targets (hundreds), coarse up to the longest time limits. */
+const latencyBucketsMs = [5, 10, 25, 50, 75, 100, 150, 200, 300, 500, 750, 1000, 2000, 4000, 8000, 16_000];
+
+type Tags = Readonly<Record<string, string>>;
+
+/** Names hold dots, which the format does not allow. */
+const nameOf = (name: string): string => `citronyard_${name.replaceAll(/[^a-zA-Z0-9_]/gv, '_')}`;
+
+/** Keeps metrics in memory. Tags must have few values: each combination is kept. */
+export class PrometheusMetrics implements Metrics, Disposable {
+	readonly #registry = new Registry();
+	readonly #counters = new Map<string, Counter>();
+	readonly #gauges = new Map<string, Gauge>();
+	readonly #histograms = new Map<string, Histogram>();
+	#server: Server | undefined;
+
+	count(name: string, value = 1, tags: Tags = {}): void {
+		const counter = this.#counters.get(name) ?? this.#remember(this.#counters, name, new Counter({
+			name: `${nameOf(name)}_total`, help: name, labelNames: Object.keys(tags), registers: [this.#registry],
+		}));
+		counter.inc(tags, value);
+	}
+
+	gauge(name: string, value: number, tags: Tags = {}): void {
+		const gauge = this.#gauges.get(name) ?? this.#remember(this.#gauges, name, new Gauge({
+			name: nameOf(name), help: name, labelNames: Object.keys(tags), registers: [this.#registry],
+		}));
+		gauge.set(tags, value);
+	}
+
+	timing(name: string, ms: number, tags: Tags = {}): void {
+		const histogram = this.#histograms.get(name) ?? this.#remember(this.#histograms, name, new Histogram({
+			name: `${nameOf(name)}_ms`, help: name, labelNames: Object.keys(tags), buckets: latencyBucketsMs, registers: [this.#registry],
+		}));
+		histogram.observe(tags, ms);
+	}
+
+	/** All metrics, as text. */
+	async text(): Promise<string> {
+		return this.#registry.metrics();
+	}
+
+	/**
+	Serves the metrics at `/metrics`.
+
+	@param address - `ip:port`.
+	@param onRead - Called before each reading, to bring gauges up to date.
+	*/
+	serve(address: string, onRead: () => void): void {
+		const {host, port} = parseAddress(address) ?? {host: '', port: 0};
+		this.#server = createServer(async (_req, res) => {
+			onRead();
+			const body = await this.text();
+			res.writeHead(200, {'content-type': this.#registry.contentType});
+			res.end(body);
+		});
+		this.#server.unref();
+		// A process that serves callers must not stop because its metrics can not be read.
+		this.#server.on('error', () => undefined);
+		this.#server.listen({host, port});
+	}
+
+	dispose(): void {
+		this.#server?.close();
+		this.#server?.closeAllConnections();
+	}
+
+	#remember<T>(known: Map<string, T>, name: string, metric: T): T {
+		known.set(name, metric);
+		return metric;
+	}
+}
