Programs outlive SIGHUP, and wait out an outage

Cause: without a listener SIGHUP ends a Node process (code 129), and a keeper that only waited for its next try had nothing that kept its event loop alive (code 0). Ruled out: memory, broken invariants (no event 104). Change: the frame of the programs reads the settings again on SIGHUP and when the file changes; a wrong file changes nothing. A timer keeps a daemon running until it is told to stop.

--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -50,8 +50,4 @@
 	jobReadFailed: {number: 727, level: 'info', text: 'batch job could not be read'},
 	/** Fields: name, state. */
 	retirementAnswered: {number: 730, level: 'info', text: 'storage VM may be taken away'},
-	/** Fields: signal, problems. */
-	settingsReloaded: {number: 740, level: 'info', text: 'settings read again'},
-	/** Fields: reason. */
-	settingsRefused: {number: 741, level: 'error', text: 'settings are wrong, those before stay in force'},
 } as const satisfies Record<string, EventDefinition>;
--- a/src/io/log-events.ts
+++ b/src/io/log-events.ts
@@ -17,4 +17,8 @@
 	invariantBroken: {number: 104, level: 'error', text: 'broken invariant, the process stops'},
 	/** Fields: signal. A second signal came while the shutdown was under way. */
 	shutdownCutShort: {number: 105, level: 'warn', text: 'graceful shutdown cut short by a second signal'},
+	/** Fields: cause, path. */
+	settingsReloaded: {number: 106, level: 'info', text: 'settings read again'},
+	/** Fields: cause, path, problems. */
+	settingsRefused: {number: 107, level: 'error', text: 'changed settings are wrong, those before stay in force'},
 } as const satisfies Record<string, EventDefinition>;
--- a/src/io/pino-event-log.ts
+++ b/src/io/pino-event-log.ts
@@ -42,6 +42,11 @@
 		}, destination ?? stdout);
 	}
 
+	/** From now on less urgent events than this are left out. */
+	setLevel(level: LogLevel): void {
+		this.#logger.level = level;
+	}
+
 	emit({number, level, text}: EventDefinition, fields?: LogFields): void {
 		this.#hasWaiting = this.#logger.isLevelEnabled(level) || this.#hasWaiting;
 		this.#logger[level]({event: number, ...fields}, text);
--- a/src/io/program-run.ts
+++ b/src/io/program-run.ts
@@ -2,12 +2,18 @@
 The life of a daemon from its start to its exit: signals lead to a graceful shutdown, a broken invariant to an immediate stop.
 */
 import process from 'node:process';
+import type {Either} from 'purify-ts/Either';
 import {exitCodes, type ExitCode} from './exit-codes.js';
 import {platformEvents} from './log-events.js';
 import {type RunningProgram} from './program.js';
 import {type OwnedServices} from './program-services.js';
+import type {SettingsError} from './settings-error.js';
+import {SettingsReload} from './settings-reload.js';
+import type {CommonSettings} from './settings-schemas.js';
 import {version} from './version.js';
 
+const keepAliveMs = 3_600_000;
+
 const stopSignals = ['SIGTERM', 'SIGINT'] as const;
 
 /** One daemon in this process. */
@@ -16,6 +22,9 @@
 	#running: RunningProgram | undefined;
 	#stopping = false;
 	#broken = false;
+	#reload: SettingsReload<CommonSettings> | undefined;
+	/** A daemon runs until it is told to stop, also while it waits for nothing but the time of its next try. */
+	readonly #keepAlive = setInterval(() => undefined, keepAliveMs);
 	readonly #onSignal: (signal: NodeJS.Signals) => void;
 
 	/** @param services - Released when the run ends. */
@@ -41,6 +50,23 @@
 		});
 	}
 
+	/**
+	Takes over changed settings from now on.
+
+	@param path - The settings file.
+	*/
+	reloadFrom(path: string, load: () => Either<SettingsError, CommonSettings>): void {
+		this.#reload = new SettingsReload({
+			path,
+			load,
+			log: this.#services.log,
+			apply: settings => {
+				this.#services.reload(settings);
+				this.#running?.reload?.(settings);
+			},
+		});
+	}
+
 	/** @param running - The program, now that it has started. */
 	follow(running: RunningProgram): void {
 		this.#running = running;
@@ -65,6 +91,8 @@
 		stopSignals.forEach(signal => {
 			process.off(signal, this.#onSignal);
 		});
+		clearInterval(this.#keepAlive);
+		this.#reload?.dispose();
 		this.#running?.dispose();
 		await this.#services.close();
 	}
--- a/src/io/program-services.ts
+++ b/src/io/program-services.ts
@@ -13,6 +13,8 @@
 
 /** Services that the frame owns and releases. */
 export type OwnedServices = ProgramServices & {
+	/** Takes over what may change while the program runs. */
+	reload(settings: CommonSettings): void;
 	/** Resolves once events and metrics are out, within a bounded time. */
 	close(): Promise<void>;
 };
@@ -37,6 +39,9 @@
 		metrics: sink ?? new NoMetrics(),
 		clock: new SystemClock(),
 		random: new SeededRandom(freshSeed()),
+		reload({logLevel: level}) {
+			log.setLevel(level);
+		},
 		async close() {
 			sink?.dispose();
 			await log.written(closeLimitMs);
--- a/src/io/program.ts
+++ b/src/io/program.ts
@@ -38,6 +38,8 @@
 export type RunningProgram = {
 	/** Where it listens, by what for; told in the first log event. */
 	readonly addresses?: Readonly<Record<string, string>>;
+	/** Takes over settings that were changed while it runs; what can not change without a restart is left as it is. */
+	reload?(settings: unknown): void;
 	/** Takes no new work and resolves once the work in hand is done. */
 	drain(): Promise<void>;
 	/** Releases everything at once. Called after `drain`. */
@@ -70,11 +72,12 @@
 	fail(lines, exitCode);
 };
 
-const launch = async <T extends CommonSettings>({name, start}: Program<T>, settings: T): Promise<void> => {
+const launch = async <T extends CommonSettings>({name, start, schema}: Program<T>, settings: T, path: string): Promise<void> => {
 	setRuntimeFlags();
 	const services = createServices(name, settings);
 	const run = new ProgramRun(services);
 	run.guard();
+	run.reloadFrom(path, () => loadSettings(schema, path));
 	const started = await start(settings, services);
 	started.ifRight(running => {
 		run.follow(running);
@@ -111,7 +114,7 @@
 			const loaded = loadSettings(schema, path);
 			loaded.ifLeft(failSettings);
 			if (loaded.isRight() && !check) {
-				await launch(program, loaded.extract());
+				await launch(program, loaded.unsafeCoerce(), path);
 			}
 		})
 		.parse(argv, {unknown: tellUnknownOption, boolean: ['check'], string: ['settings']});
