An attempt ends once, and no answer is put together from two runs

Ruled out: the HTTP library sending a destroyed client's request (its queue is emptied first). Change: the end is decided before the connection is closed; only a stream of events goes on within an answer that has begun.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -5,7 +5,7 @@
 import type {Dispatcher} from 'undici';
 import type {Disposable} from '../common/services.js';
 import {isBeforeSending} from '../io/http-client.js';
-import type {ReplicaConnection, ReplicaConnections} from './replica-connections.js';
+import type {ReplicaConnection} from './replica-connections.js';
 import type {AnswerFields, AttemptFields, CallDialect} from './types.js';
 
 /** What is sent, the same for each attempt of a call. */
@@ -59,10 +59,12 @@
 	readonly silenceMs: number;
 };
 
+/** What an attempt uses of a connection. */
+export type Carrier = Pick<ReplicaConnection, 'dispatch' | 'hasSocketFailed' | 'release' | 'discard' | 'renewSiblings'>;
+
 /** What an attempt is made of. */
 export type AttemptParts = {
-	readonly connections: ReplicaConnections;
-	readonly connection: ReplicaConnection;
+	readonly connection: Carrier;
 	readonly dialect: CallDialect;
 	readonly message: CallMessage;
 	readonly fields: AttemptFields;
@@ -124,7 +126,7 @@
 		const headers = dialect.toReplica(message.headers, fields);
 		connection.dispatch({
 			path: message.target,
-			method: message.method as Dispatcher.HttpMethod,
+			method: message.method,
 			headers,
 			body: message.body && message.body.length > 0 ? message.body : undefined,
 		}, {
@@ -215,13 +217,13 @@
 			return;
 		}
 
-		const {connections, connection} = this.#parts;
+		const {connection} = this.#parts;
 		if (!this.#isFramed && connection.hasSocketFailed) {
 			this.#giveUp({kind: 'lost', reason: 'reset within an answer without a length'});
 			return;
 		}
 
-		connections.giveBack(connection);
+		connection.release();
 		this.#end(this.#refusal ?? {kind: 'complete'});
 	}
 
@@ -235,10 +237,12 @@
 			return;
 		}
 
-		const {connections, connection} = this.#parts;
-		connections.discard(connection);
+		// Closing the connection fails the request, and the failure is told at once: the end must have been decided by then, or it would be told twice and the call sent on twice.
+		this.#isOver = true;
+		const {connection} = this.#parts;
+		connection.discard();
 		if (end.kind === 'silent') {
-			connections.renew();
+			connection.renewSiblings();
 		}
 
 		this.#end(this.#refusal ?? end);
--- a/src/gateway/batch/batch-book.ts
+++ b/src/gateway/batch/batch-book.ts
@@ -145,7 +145,7 @@
 	}
 
 	#remove(name: string): BatchJobId[] {
-		const id = jobNamePattern.exec(name)?.groups?.['job'] as BatchJobId | undefined;
+		const id = jobNamePattern.exec(name)?.groups?.job as BatchJobId | undefined;
 		if (id === undefined) {
 			return [];
 		}
--- a/src/gateway/batch/batch-records.ts
+++ b/src/gateway/batch/batch-records.ts
@@ -90,7 +90,7 @@
 };
 
 /** @returns The record, or nothing where the value is none: another version of the program may have written it. */
-export const readRecord = (value: unknown): BatchRecord | undefined => isObject(value) && recordTests[String(value['type'])]?.(value)
+export const readRecord = (value: unknown): BatchRecord | undefined => isObject(value) && recordTests[String(value.type)]?.(value)
 	? value as BatchRecord
 	: undefined;
 
--- a/src/gateway/batch/batch-runner.ts
+++ b/src/gateway/batch/batch-runner.ts
@@ -10,7 +10,8 @@
 import type {ObjectFeed} from '../object-feed.js';
 import {chooseForBatch, itemsToCut} from '../replica-choice.js';
 import type {ReplicaDirectory} from '../replica-directory.js';
-import type {Link, ReplicaLinks} from '../replica-links.js';
+import type {ReplicaConnection} from '../replica-connections.js';
+import type {ReplicaLinks} from '../replica-links.js';
 import type {Replica} from '../replica.js';
 import type {
 	BatchJobId, CallDialect, GatewayRoute, MemberName,
@@ -48,6 +49,15 @@
 	readonly failureDomain: string;
 };
 
+/** A place that was found for an item. */
+type ItemPlace = {
+	readonly run: JobRun;
+	readonly job: BatchJob;
+	readonly route: GatewayRoute;
+	readonly state: ItemState;
+	readonly replica: Replica;
+};
+
 /** Places of each replica that items leave free, so that an online call that comes meets a free place and no item must be cut off for it. */
 const reservedPlaces = 2;
 
@@ -244,12 +254,14 @@
 	/** @returns Whether a place was found, so that further items may find one too. */
 	#start(run: JobRun, job: BatchJob, route: GatewayRoute, state: ItemState): boolean {
 		const replica = this.#choose(route);
-		const link = replica && this.#parts.links.take(replica);
-		if (!replica || !link) {
+		const connection = replica && this.#parts.links.take(replica);
+		if (!replica || !connection) {
 			return false;
 		}
 
-		this.#send(run, job, route, state, {replica, link});
+		this.#send({
+			run, job, route, state, replica,
+		}, connection);
 		return true;
 	}
 
@@ -261,7 +273,8 @@
 		});
 	}
 
-	#send(run: JobRun, job: BatchJob, route: GatewayRoute, state: ItemState, {replica, link}: {replica: Replica; link: Link}) {
+	#send(place: ItemPlace, connection: ReplicaConnection) {
+		const {job, state, replica} = place;
 		const {loads, dialect, itemHeaders, log, clock} = this.#parts;
 		const {item, events} = state;
 		log.emit(gatewayEvents.itemStarted, {
@@ -272,7 +285,7 @@
 		state.run = new ItemRun({
 			item,
 			replica,
-			link,
+			connection,
 			dialect,
 			headers: itemHeaders(job.record.host, item.id, item.headers),
 			events,
@@ -281,13 +294,13 @@
 				log.emit(gatewayEvents.itemRunEnded, {
 					job: job.id, item: item.id, replica: replica.record.id, outcome: end, events: events.length, reason, elapsedMs: Math.round(clock.now() - startedAt),
 				});
-				this.#onRunEnd(run, route, state, replica, end);
+				this.#onRunEnd(place, end);
 			},
 		});
 		state.run.start();
 	}
 
-	#onRunEnd(run: JobRun, route: GatewayRoute, state: ItemState, replica: Replica, end: ItemRunEnd) {
+	#onRunEnd({run, route, state, replica}: ItemPlace, end: ItemRunEnd) {
 		this.#parts.metrics.count('gateway.itemRuns', 1, {outcome: end});
 		if (end === 'unreachable') {
 			replica.noteFailure(this.#parts.clock.now());
--- a/src/gateway/batch/item-run.ts
+++ b/src/gateway/batch/item-run.ts
@@ -7,7 +7,7 @@
 import {
 	Attempt, type AnswerHead, type AttemptEnd, type AttemptPatience,
 } from '../attempt.js';
-import type {Link} from '../replica-links.js';
+import type {ReplicaConnection} from '../replica-connections.js';
 import type {Replica} from '../replica.js';
 import type {CallDialect} from '../types.js';
 import type {BatchItem} from './batch-records.js';
@@ -24,7 +24,7 @@
 export type ItemRunParts = {
 	readonly item: BatchItem;
 	readonly replica: Replica;
-	readonly link: Link;
+	readonly connection: ReplicaConnection;
 	readonly dialect: CallDialect;
 	/** Names and values by turns. */
 	readonly headers: readonly string[];
@@ -67,11 +67,11 @@
 	#isOver = false;
 
 	constructor(parts: ItemRunParts) {
-		const {item, replica, link, dialect, headers, events} = parts;
+		const {item, replica, connection, dialect, headers, events} = parts;
 		this.#parts = parts;
 		this.replica = replica;
 		this.#attempt = new Attempt({
-			...link,
+			connection,
 			dialect,
 			message: {
 				method: 'POST', target: item.path, headers, body: Buffer.from(item.body, 'base64'),
--- a/src/gateway/event-framer.ts
+++ b/src/gateway/event-framer.ts
@@ -55,7 +55,7 @@
 	}
 
 	#follow(whole: Buffer): boolean {
-		const ids = [...whole.toString('latin1').matchAll(idPattern)].map(({groups}) => Number(groups?.['id']));
+		const ids = [...whole.toString('latin1').matchAll(idPattern)].map(({groups}) => Number(groups?.id));
 		const isInOrder = ids.every((id, i) => id === this.#lastId + i + 1);
 		if (isInOrder) {
 			this.#lastId += ids.length;
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -11,13 +11,13 @@
 import {formatAddress, parseAddress} from '../io/address.js';
 import {exitCodes} from '../io/exit-codes.js';
 import type {StartError} from '../io/program.js';
+import {branded} from '../common/ids.js';
 import type {JobIntake, SubmissionOutcome} from './batch/job-intake.js';
 import type {JobReader, NoAnswer} from './batch/job-reader.js';
 import type {JobCall, JobCallDialect} from './job-calls.js';
 import {gatewayEvents} from './log-events.js';
 import {OnlineCall} from './online-call.js';
 import type {GatewayParts} from './parts.js';
-import {branded} from '../common/ids.js';
 import type {BatchJobId, CallFields, GatewayRoute} from './types.js';
 
 /** What the server hands calls to. */
@@ -44,7 +44,7 @@
 const quotaMs = 1000;
 const awayMs = 700;
 
-type JobAnswers = {readonly [K in SubmissionOutcome]: {readonly status: number; readonly comeBackMs?: number}};
+type JobAnswers = Readonly<Record<SubmissionOutcome, {readonly status: number; readonly comeBackMs?: number}>>;
 
 /** 503 and 429 promise that nothing of the job will run; `uncertain` promises nothing. */
 const submissionAnswers: JobAnswers = {
@@ -284,7 +284,9 @@
 
 	#answerNothing(res: ServerResponse, call: JobCall, reason: NoAnswer) {
 		const status = noAnswerStatus[reason];
-		this.#parts.log.emit(gatewayEvents.jobReadFailed, {id: call.job, question: call.kind, status, reason});
+		this.#parts.log.emit(gatewayEvents.jobReadFailed, {
+			id: call.job, question: call.kind, status, reason,
+		});
 		answer(res, status, status === 503 ? notReadyMs : undefined);
 	}
 }
--- a/src/gateway/online-call.ts
+++ b/src/gateway/online-call.ts
@@ -3,7 +3,7 @@
 
 The answers of the gateway itself keep to what is known. 503 is given only while no replica can have run the call; once one may have, the caller hears 502, or 504 when the time is up, and where part of an answer has been passed on, the connection is cut, so that it cannot be taken for whole.
 */
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import type {Disposable} from '../common/services.js';
 import {
@@ -14,7 +14,10 @@
 import type {GatewayParts} from './parts.js';
 import type {Replica} from './replica.js';
 import {chooseForOnline} from './replica-choice.js';
-import type {CallFields, GatewayRoute, GatewayServiceName, ReplicaId, RouteKind} from './types.js';
+import type {ReplicaConnection} from './replica-connections.js';
+import type {
+	CallFields, GatewayRoute, GatewayServiceName, ReplicaId, RouteKind,
+} from './types.js';
 
 /** A caller's call that has arrived whole. */
 export type ArrivedCall = {
@@ -161,15 +164,15 @@
 
 		const timeLeftMs = this.#timeLimitMs - this.#elapsedMs();
 		const replica = this.#offers < maxOffers && timeLeftMs > leastTimeMs ? this.#choose() : undefined;
-		const link = replica && this.#parts.links.take(replica);
-		if (!replica || !link) {
+		const connection = replica && this.#parts.links.take(replica);
+		if (!replica || !connection) {
 			this.#giveUp();
 			return;
 		}
 
 		this.#offers += 1;
 		this.#tried.add(replica.record.id);
-		this.#send(replica, link, timeLeftMs);
+		this.#send(replica, connection, timeLeftMs);
 	}
 
 	#choose(): Replica | undefined {
@@ -179,7 +182,7 @@
 		});
 	}
 
-	#send(replica: Replica, link: NonNullable<ReturnType<GatewayParts['links']['take']>>, timeLeftMs: number) {
+	#send(replica: Replica, connection: ReplicaConnection, timeLeftMs: number) {
 		const {log, loads, dialect} = this.#parts;
 		const {fields, message, route} = this.#call;
 		log.emit(gatewayEvents.callRouted, {
@@ -187,7 +190,7 @@
 		});
 		this.#giveBackPlace = loads.take(replica, 'online');
 		this.#attempt = new Attempt({
-			...link,
+			connection,
 			dialect,
 			message,
 			fields: {
@@ -291,13 +294,15 @@
 
 	/** Runs at replicas that ended meanwhile do not use up the route's limit: without this, a crash would cost a stream that could go on. */
 	#countRun(replica: Replica) {
-		if (this.#parts.directory.find(replica.record.id)) {
+		if (this.#parts.directory.get(replica.record.id)) {
 			this.#runs += 1;
 		}
 	}
 
+	/** Events go on where they broke off; of any other answer the caller must not get the head of one run and the rest of another. */
 	#mayRunAgain(): boolean {
-		return this.#isRepeatable && this.#runs < this.#call.route.maxRuns;
+		const canGoOn = this.#framer !== undefined || !this.#call.res.headersSent;
+		return this.#isRepeatable && canGoOn && this.#runs < this.#call.route.maxRuns;
 	}
 
 	#finish(replica: Replica) {
@@ -319,7 +324,9 @@
 		}
 
 		this.#writeHead();
-		this.#held?.forEach(bytes => res.write(bytes));
+		this.#held?.forEach(bytes => {
+			res.write(bytes);
+		});
 		res.end();
 		this.#endWith(status, 'answered');
 	}
--- a/src/gateway/parts.ts
+++ b/src/gateway/parts.ts
@@ -1,7 +1,9 @@
 /**
 What the parts of the gateway share: the blackboard's tables and the services that are injected.
 */
-import type {Clock, EventLog, Metrics, RandomSource} from '../common/services.js';
+import type {
+	Clock, EventLog, Metrics, RandomSource,
+} from '../common/services.js';
 import type {ConfigBoard} from './config-board.js';
 import type {LoadBoard} from './load-board.js';
 import type {ReplicaDirectory} from './replica-directory.js';
--- a/src/gateway/peers/member-registry.ts
+++ b/src/gateway/peers/member-registry.ts
@@ -28,7 +28,7 @@
 /** Milliseconds until the next try to write the own address. */
 const retryMs = 1000;
 
-const addressOf = (value: unknown): string | undefined => isObject(value) && isText(value['address']) ? value['address'] as string : undefined;
+const addressOf = (value: unknown): string | undefined => isObject(value) && isText(value.address) ? value.address as string : undefined;
 
 /** See the module's head. */
 export class MemberRegistry implements Disposable {
@@ -95,7 +95,8 @@
 			return false;
 		}
 
-		const found = err.current ?? (await api.get<MemberRecord>('Member', self)).toMaybe().extractNullable();
+		const read = await api.get<MemberRecord>('Member', self);
+		const found = err.current ?? read.toMaybe().extractNullable();
 		if (!found) {
 			return false;
 		}
--- a/src/gateway/peers/peer-table.ts
+++ b/src/gateway/peers/peer-table.ts
@@ -71,7 +71,7 @@
 			log.emit(gatewayEvents.peerJoined, {peer: state.member, address: state.address});
 		}
 
-		if (!known || known.state.isLeaving !== state.isLeaving || known.state.startedAt !== state.startedAt) {
+		if (known?.state.isLeaving !== state.isLeaving || known.state.startedAt !== state.startedAt) {
 			this.#events.emit('membership');
 		}
 	}
@@ -102,7 +102,7 @@
 	}
 
 	#note(peer: MemberName, id: ReplicaId, online: number, batch: number) {
-		const replica = this.#parts.directory.find(id);
+		const replica = this.#parts.directory.get(id);
 		if (replica) {
 			replica.notePeer(peer, {online, batch});
 			this.#parts.loads.notePeerChange(replica);
--- a/src/gateway/record-readers.ts
+++ b/src/gateway/record-readers.ts
@@ -14,9 +14,9 @@
 export type RecordReaders = {
 	/** The name of the object that holds the configuration. */
 	readonly configName: string;
+	/** What is written once a VM may be taken away. */
+	readonly retirementDone: unknown;
 	readConfig(value: unknown): Either<string, GatewayConfig>;
 	readReplica(name: string, value: unknown): Either<string, ReplicaRecord>;
 	readRetirement(value: unknown): Either<string, RetirementRequest>;
-	/** What is written once a VM may be taken away. */
-	readonly retirementDone: unknown;
 };
--- a/src/gateway/registration-controller.ts
+++ b/src/gateway/registration-controller.ts
@@ -104,7 +104,7 @@
 
 	#keepFor(id: ReplicaId, graceMs: number) {
 		const {directory, log} = this.#parts;
-		if (this.#missed.has(id) || !directory.find(id)) {
+		if (this.#missed.has(id) || !directory.get(id)) {
 			return;
 		}
 
--- a/src/gateway/replica-connections.ts
+++ b/src/gateway/replica-connections.ts
@@ -18,18 +18,19 @@
 
 const connect = buildConnector({timeout: connectLimitMs, allowH2: false});
 
-/** One connection, or the attempt to make it. */
+/** One connection, or the attempt to make it. It carries one request at a time. */
 export class ReplicaConnection implements Disposable {
 	readonly #client: Client;
-	#isUsed = false;
+	readonly #siblings: ReplicaConnections;
 	#isOver = false;
 	#hasSocketFailed = false;
 
 	/**
 	@param address - `ip:port`.
-	@param onOver - Called once when the connection can carry no more requests.
+	@param siblings - Hears when the connection can carry no more requests.
 	*/
-	constructor(address: string, onOver: (connection: ReplicaConnection) => void) {
+	constructor(address: string, siblings: ReplicaConnections) {
+		this.#siblings = siblings;
 		this.#client = new Client(`http://${address}`, {
 			connect: (options, callback) => {
 				connect(options, (...outcome) => {
@@ -45,15 +46,10 @@
 		});
 		this.#client.once('disconnect', () => {
 			this.#isOver = true;
-			onOver(this);
+			siblings.forget(this);
 		});
 	}
 
-	/** True once a request was answered on it: a later failure may be the replica's closing of an idle connection. */
-	get isUsed(): boolean {
-		return this.#isUsed;
-	}
-
 	get isOver(): boolean {
 		return this.#isOver;
 	}
@@ -69,12 +65,22 @@
 		this.#client.dispatch(options, handler);
 	}
 
-	/** The request was answered in full and as it should be. */
-	noteAnswered(): void {
-		this.#isUsed = true;
+	/** The request was answered in full and as it should be: the connection is free for another. */
+	release(): void {
+		this.#siblings.giveBack(this);
 	}
 
 	/** Closes the connection at once, which tells the replica to drop what it runs on it. */
+	discard(): void {
+		this.#siblings.forget(this);
+		this.dispose();
+	}
+
+	/** Closes the idle connections to the same replica: what has gone silent on one may have on all of them. */
+	renewSiblings(): void {
+		this.#siblings.renew();
+	}
+
 	dispose(): void {
 		this.#isOver = true;
 		void this.#client.destroy().catch(() => undefined);
@@ -126,9 +132,7 @@
 			return undefined;
 		}
 
-		const connection = new ReplicaConnection(this.#address, over => {
-			this.#forget(over);
-		});
+		const connection = new ReplicaConnection(this.#address, this);
 		this.#all.add(connection);
 		this.#made += 1;
 		return connection;
@@ -140,9 +144,8 @@
 	It is used again only after the bytes that have already arrived were looked at: a faulty replica may send a second answer behind the first, which must not be taken for that of the next request.
 	*/
 	giveBack(connection: ReplicaConnection): void {
-		connection.noteAnswered();
 		if (this.#isRetired) {
-			this.discard(connection);
+			connection.discard();
 			return;
 		}
 
@@ -153,13 +156,13 @@
 		});
 	}
 
-	/** Closes a connection that is not to be used again. */
-	discard(connection: ReplicaConnection): void {
-		this.#forget(connection);
-		connection.dispose();
+	/** A connection can carry no more requests. */
+	forget(connection: ReplicaConnection): void {
+		this.#all.delete(connection);
+		this.#idle = this.#idle.filter(idle => idle !== connection);
 	}
 
-	/** Closes the idle connections. What has gone silent on one may have on all of them. */
+	/** Closes the idle connections. */
 	renew(): void {
 		this.#idle.forEach(connection => {
 			this.#all.delete(connection);
@@ -181,9 +184,4 @@
 		this.#all.clear();
 		this.#idle = [];
 	}
-
-	#forget(connection: ReplicaConnection) {
-		this.#all.delete(connection);
-		this.#idle = this.#idle.filter(idle => idle !== connection);
-	}
 }
--- a/src/gateway/replica-directory.ts
+++ b/src/gateway/replica-directory.ts
@@ -27,7 +27,7 @@
 		return this.#byId.values();
 	}
 
-	find(id: ReplicaId): Replica | undefined {
+	get(id: ReplicaId): Replica | undefined {
 		return this.#byId.get(id);
 	}
 
--- a/src/gateway/replica-links.ts
+++ b/src/gateway/replica-links.ts
@@ -8,12 +8,6 @@
 import type {ReplicaDirectory} from './replica-directory.js';
 import type {ReplicaId} from './types.js';
 
-/** A connection, and the set that it goes back to. */
-export type Link = {
-	readonly connections: ReplicaConnections;
-	readonly connection: ReplicaConnection;
-};
-
 /** Connections to a replica of a service that no configuration names yet. */
 const defaultMaxConnections = 64;
 
@@ -44,10 +38,8 @@
 	}
 
 	/** @returns Nothing when this process's share of the replica's connections is in use. */
-	take(replica: Replica): Link | undefined {
-		const connections = this.#connectionsTo(replica);
-		const connection = connections.take(this.#shareOf(replica));
-		return connection && {connections, connection};
+	take(replica: Replica): ReplicaConnection | undefined {
+		return this.#connectionsTo(replica).take(this.#shareOf(replica));
 	}
 
 	dispose(): void {
--- a/src/io/prometheus-metrics.ts
+++ b/src/io/prometheus-metrics.ts
@@ -1,7 +1,7 @@
 /**
 Metrics that wait to be read, as text in the usual exposition format, on an address of their own.
 */
-import {createServer, type Server} from 'node:http';
+import {createServer, type Server, type ServerResponse} from 'node:http';
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
@@ -58,11 +58,9 @@
 	*/
 	serve(address: string, onRead: () => void): void {
 		const {host, port} = parseAddress(address) ?? {host: '', port: 0};
-		this.#server = createServer(async (_req, res) => {
+		this.#server = createServer((_req, res) => {
 			onRead();
-			const body = await this.text();
-			res.writeHead(200, {'content-type': this.#registry.contentType});
-			res.end(body);
+			void this.#answer(res);
 		});
 		this.#server.unref();
 		// A process that serves callers must not stop because its metrics can not be read.
@@ -75,6 +73,12 @@
 		this.#server?.closeAllConnections();
 	}
 
+	async #answer(res: ServerResponse) {
+		const body = await this.text();
+		res.writeHead(200, {'content-type': this.#registry.contentType});
+		res.end(body);
+	}
+
 	#remember<T>(known: Map<string, T>, name: string, metric: T): T {
 		known.set(name, metric);
 		return metric;
