The object API by way of a peer

Ruled out: lack of places (replicas under half full). Change: a front whose call fails for lack of an answer asks a peer that reaches the store, over JSON-RPC, and tries the store itself twice a second. A change that may have taken effect is not made again by the relay.

--- a/cucumber.js
+++ b/cucumber.js
@@ -9,8 +9,8 @@
 
 /** @type {Partial<import('@cucumber/cucumber/api').IConfiguration>} */
 const config = {
-	paths: ['src/**/*.feature', 'bench/**/*.feature', 'scripts/**/*.feature'],
-	import: ['src/**/*.hooks.ts', 'src/**/*.steps.ts', 'bench/**/*.steps.ts', 'scripts/**/*.steps.ts'],
+	paths: ['src/**/*.feature', 'platform/**/*.feature', 'bench/**/*.feature', 'scripts/**/*.feature'],
+	import: ['src/**/*.hooks.ts', 'src/**/*.steps.ts', 'platform/**/*.steps.ts', 'bench/**/*.steps.ts', 'scripts/**/*.steps.ts'],
 	format: ['./scripts/counts-formatter.js', ['./scripts/results-formatter.js', '.tmp/scenarios.json']],
 	retry: 0,
 	// What a failed scenario left running must not keep the run from ending.
--- a/scripts/log-event-page.ts
+++ b/scripts/log-event-page.ts
@@ -25,6 +25,7 @@
 	[4, 'Batch jobs'],
 	[5, 'Configuration, leases, placement'],
 	[6, 'Command line, load, stand-ins, demo'],
+	[7, 'Gateway: calls, replicas, batch jobs on the platform'],
 ];
 
 const head = `# Log events
--- a/src/common/message-tests.ts
+++ b/src/common/message-tests.ts
@@ -19,8 +19,9 @@
 		node: isText, since: isCount, waitMs: isAmount, scope: optional(objectOf({kinds: optional(listOf(isText)), name: optional(isText)})), counts: optional(areCounts), wantsDigest: optional(isFlag),
 	}),
 	'config.counts': optional(isObject),
+	'gateway.objectCall': objectOf({operation: oneOf('get', 'create', 'update', 'remove', 'list', 'watch'), kind: isText}),
 	'gateway.state': objectOf({
-		member: isText, address: isText, startedAt: isAmount, seq: isCount, isLeaving: isFlag, loads: listOf(objectOf({replica: isText, online: isCount, batch: isCount})), jobs: listOf(isText),
+		member: isText, address: isText, rpcAddress: isText, reachesObjectApi: isFlag, startedAt: isAmount, seq: isCount, isLeaving: isFlag, loads: listOf(objectOf({replica: isText, online: isCount, batch: isCount})), jobs: listOf(isText),
 	}),
 	'agent.load': objectOf({cacheSince: optional(isCount)}),
 	'ledger.revoke': objectOf({key: attemptKey, issuedAt: isAmount, deadlineInMs: Number.isFinite}),
--- /dev/null
+++ b/src/gateway/attempt.feature
@@ -0,0 +1,32 @@
+Feature: One attempt at a replica
+  What is said of an attempt decides whether the call may be sent on. A wrong word makes a call run twice,
+  or tells a caller that it has not run when it has.
+
+  Scenario: An attempt that is given up ends once
+    # Connecting takes too long. Giving up closes the connection, and closing it fails the request, which is told
+    # while the attempt is still being given up. If both counted, the call would be offered to two replicas at once.
+    Given an attempt whose connection is never made
+    When its time to connect is over
+    Then it ended once, as "notSent"
+
+  Scenario: An answer that belongs to another call is none
+    Given an attempt for call "c1"
+    When an answer to "c0" comes
+    Then it ended once, as "lost"
+    And its connection is closed
+
+  Scenario: A refusal is told as such
+    Given an attempt for call "c1"
+    When the replica says that it has not run the call
+    Then it ended once, as "refused"
+    And its connection is free again
+
+  Scenario: The end of an answer without a length counts only if its connection has not failed
+    Given an attempt for call "c1"
+    When an answer without a length comes and its connection is reset
+    Then it ended once, as "lost"
+
+  Scenario: Silence ends an attempt
+    Given an attempt for call "c1" that bears 20 ms of silence
+    Then it ended once, as "silent"
+    And the other idle connections to the replica are closed
--- /dev/null
+++ b/src/gateway/attempt.steps.ts
@@ -0,0 +1,132 @@
+/**
+Steps for one attempt at a replica, on a connection that the test plays.
+*/
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import type {Dispatcher} from 'undici';
+import type {TestWorld} from '../common/testing/test-world.js';
+import {until} from '../common/testing/until.js';
+import {Attempt, type AttemptEnd, type Carrier} from './attempt.js';
+import type {CallDialect, ReplicaId} from './types.js';
+
+type AttemptWorld = TestWorld & {
+	carrier: PlayedCarrier;
+	ends: AttemptEnd[];
+};
+
+const dialect: CallDialect = {
+	readCall: () => ({requestId: '', promptParts: []}),
+	toReplica: headers => [...headers],
+	readAnswer: (_status, headers) => ({requestId: headers['call-id'] as string | undefined, hasNotRun: headers['not-run'] !== undefined}),
+};
+
+/** A connection that does what the test says. */
+class PlayedCarrier implements Carrier {
+	hasSocketFailed = false;
+	readonly done: string[] = [];
+	handler!: Dispatcher.DispatchHandler;
+	readonly controller = {rawHeaders: [], pause: () => undefined, resume: () => undefined} as unknown as Dispatcher.DispatchController;
+
+	dispatch(_options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
+		this.handler = handler;
+	}
+
+	release(): void {
+		this.done.push('released');
+	}
+
+	/** As the HTTP library does it: what waits on the connection fails before this returns. */
+	discard(): void {
+		this.done.push('discarded');
+		this.handler.onResponseError?.(this.controller, new Error('destroyed'));
+	}
+
+	renewSiblings(): void {
+		this.done.push('siblings renewed');
+	}
+
+	send(): void {
+		this.handler.onRequestStart?.(this.controller, undefined);
+	}
+
+	answer(status: number, headers: Record<string, string>): void {
+		this.handler.onResponseStart?.(this.controller, status, headers);
+	}
+
+	end(): void {
+		this.handler.onResponseEnd?.(this.controller, {});
+	}
+}
+
+const begin = (world: AttemptWorld, id: string, patience: {connectMs: number; silenceMs: number}) => {
+	world.carrier = new PlayedCarrier();
+	world.ends = [];
+	const attempt = new Attempt({
+		connection: world.carrier,
+		dialect,
+		message: {method: 'POST', target: '/', headers: []},
+		fields: {requestId: id, replica: 'r1' as ReplicaId},
+		patience,
+		listener: {
+			onHead: () => undefined,
+			onBytes: () => undefined,
+			onEnd(end) {
+				world.ends.push(end);
+			},
+		},
+	});
+	world.register(attempt);
+	attempt.start();
+};
+
+const patient = {connectMs: 60_000, silenceMs: 60_000};
+
+Given('an attempt whose connection is never made', function (this: AttemptWorld) {
+	begin(this, 'c1', {connectMs: 5, silenceMs: 60_000});
+});
+
+Given('an attempt for call {string}', function (this: AttemptWorld, id: string) {
+	begin(this, id, patient);
+	this.carrier.send();
+});
+
+Given('an attempt for call {string} that bears {int} ms of silence', function (this: AttemptWorld, id: string, silenceMs: number) {
+	begin(this, id, {connectMs: 60_000, silenceMs});
+	this.carrier.send();
+});
+
+When('its time to connect is over', async function (this: AttemptWorld) {
+	await until(() => this.ends.length > 0, 'the attempt has ended');
+});
+
+When('an answer to {string} comes', function (this: AttemptWorld, id: string) {
+	this.carrier.answer(200, {'call-id': id, 'content-length': '0'});
+});
+
+When('the replica says that it has not run the call', function (this: AttemptWorld) {
+	this.carrier.answer(503, {'call-id': 'c1', 'not-run': '1', 'content-length': '0'});
+	this.carrier.end();
+});
+
+When('an answer without a length comes and its connection is reset', function (this: AttemptWorld) {
+	this.carrier.answer(200, {'call-id': 'c1'});
+	this.carrier.hasSocketFailed = true;
+	this.carrier.end();
+});
+
+Then('it ended once, as {string}', async function (this: AttemptWorld, kind: AttemptEnd['kind']) {
+	await until(() => this.ends.length > 0, 'the attempt has ended');
+	assert.deepEqual(this.ends.map(end => end.kind), [kind]);
+});
+
+Then('its connection is closed', function (this: AttemptWorld) {
+	assert.ok(this.carrier.done.includes('discarded'));
+});
+
+Then('its connection is free again', function (this: AttemptWorld) {
+	assert.deepEqual(this.carrier.done, ['released']);
+});
+
+Then('the other idle connections to the replica are closed', function (this: AttemptWorld) {
+	assert.ok(this.carrier.done.includes('siblings renewed'));
+});
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -2,6 +2,7 @@
 The composition root of `citronyard-front`: takes callers' calls, routes them to replicas, and runs batch jobs together with its peers. All fronts are equal, keep nothing on disk, and may stop at any moment.
 */
 import {createServer, type Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
 import process from 'node:process';
 import {Right, type Either} from 'purify-ts/Either';
 import {branded} from '../common/ids.js';
@@ -10,10 +11,14 @@
 	Clock, Disposable, EventLog, ObjectApi, RandomSource,
 } from '../common/services.js';
 import type {ObjectKind} from '../common/types.js';
-import {parseAddress} from '../io/address.js';
+import {formatAddress, parseAddress} from '../io/address.js';
 import {DatagramChannel} from '../io/datagram-channel.js';
+import {HttpClient} from '../io/http-client.js';
+import {HttpServer} from '../io/http-server.js';
 import type {RunningProgram, StartError} from '../io/program.js';
 import {PrometheusMetrics} from '../io/prometheus-metrics.js';
+import {RpcClient} from '../io/rpc-client.js';
+import {rpcRoute} from '../io/rpc-route.js';
 import {BatchBook} from './batch/batch-book.js';
 import {BatchRunner, type ItemHeaders} from './batch/batch-runner.js';
 import {JobClaims} from './batch/job-claims.js';
@@ -24,8 +29,12 @@
 import {FrontServer} from './front-server.js';
 import type {JobCallDialect} from './job-calls.js';
 import {LoadBoard} from './load-board.js';
+import {gatewayEvents} from './log-events.js';
 import {ObjectFeed, type FeedOptions} from './object-feed.js';
 import {MemberRegistry} from './peers/member-registry.js';
+import {
+	answerObjectCall, objectCallMethod, ObjectRelay, type ObjectCall,
+} from './peers/object-relay.js';
 import {PeerAnnouncer} from './peers/peer-announcer.js';
 import {peerStateMethod, type PeerState} from './peers/peer-state.js';
 import {PeerTable} from './peers/peer-table.js';
@@ -71,6 +80,23 @@
 /** What is left of the time to shut down when requests under way are given up, in milliseconds: enough to write the last log lines. */
 const exitMarginMs = 400;
 
+/** Where peers make calls by this process. */
+const peerServer = (direct: ObjectApi, log: EventLog): HttpServer => new HttpServer([rpcRoute({
+	[objectCallMethod]: async (call: ObjectCall) => answerObjectCall(direct, call),
+})], {
+	notFound(_req, res) {
+		res.writeHead(404);
+		res.end();
+	},
+	wrongMethod(_req, res) {
+		res.writeHead(405);
+		res.end();
+	},
+	broken(err) {
+		log.emit(gatewayEvents.handlerBroken, {reason: String(err)});
+	},
+});
+
 /** See the module's head. */
 export class Front implements RunningProgram {
 	readonly #settings: FrontSettings;
@@ -82,6 +108,7 @@
 	readonly #loads = new LoadBoard();
 	readonly #feeds: readonly ObjectFeed[];
 	readonly #channel: DatagramChannel;
+	readonly #rpcServer: HttpServer;
 	readonly #announcer: PeerAnnouncer;
 	readonly #registry: MemberRegistry;
 	readonly #links: ReplicaLinks;
@@ -96,13 +123,22 @@
 	constructor(settings: FrontSettings, {log, clock, random}: FrontServices, adapter: FrontAdapter) {
 		this.#settings = settings;
 		this.#clock = clock;
-		const {api, records, dialect, jobCalls, itemHeaders} = adapter;
+		const {records, dialect, jobCalls, itemHeaders} = adapter;
 		const self = branded<MemberName>(settings.name);
 		const {failureDomain} = settings;
 		const metrics = this.#metrics;
 		const board = this.#board;
 		const directory = this.#directory;
 		const loads = this.#loads;
+		const peers = new PeerTable({
+			self, directory, loads, clock, log,
+		});
+		this.#peers = peers;
+		const http = new HttpClient();
+		const api = new ObjectRelay({
+			direct: adapter.api, rpc: new RpcClient(http), clock, random, log, helpers: () => peers.live.filter(({state}) => state.reachesObjectApi).map(({state}) => state.rpcAddress),
+		});
+		this.#rpcServer = peerServer(adapter.api, log);
 		const feedOf = (kind: keyof typeof feedOptions) => new ObjectFeed({api, clock, log}, kind, feedOptions[kind]);
 		const isLeaving = () => this.#lifecycle.isLeaving;
 
@@ -119,10 +155,6 @@
 		const registrations = new RegistrationController({
 			directory, feed: replicaFeed, records, clock, log,
 		});
-		const peers = new PeerTable({
-			self, directory, loads, clock, log,
-		});
-		this.#peers = peers;
 		this.#channel = new DatagramChannel({
 			[peerStateMethod](state: PeerState) {
 				peers.take(state);
@@ -141,7 +173,7 @@
 			self, api, feed: recordFeed, book, claims, board, directory, loads, links: this.#links, dialect, itemHeaders, clock, random, log, metrics, failureDomain,
 		});
 		this.#announcer = new PeerAnnouncer({
-			self, channel: this.#channel, peers, directory, loads, clock, isLeaving, memberAddresses: () => this.#registry.addresses, claimedJobs: () => claims.claimed,
+			self, channel: this.#channel, peers, directory, loads, clock, isLeaving, memberAddresses: () => this.#registry.addresses, claimedJobs: () => claims.claimed, rpcAddress: () => this.#rpcServer.address, reachesObjectApi: () => api.isDirect,
 		});
 		this.#readiness = new Readiness({
 			lifecycle: this.#lifecycle, board, directory, log,
@@ -160,24 +192,27 @@
 			res.writeHead(this.#readiness.isReady ? 200 : 503, {'content-length': '0'});
 			res.end();
 		});
-		this.#owned = [this.#runner, this.#announcer, this.#registry, registrations, ...this.#feeds, this.#links, this.#server, this.#channel, this.#metrics, this.#lifecycle];
+		this.#owned = [this.#runner, this.#announcer, this.#registry, registrations, ...this.#feeds, this.#links, this.#server, this.#channel, this.#rpcServer, api, http, this.#metrics, this.#lifecycle];
 	}
 
 	get addresses(): Readonly<Record<string, string>> {
-		return {callers: this.#server.address, peers: this.#channel.address};
+		const {address, port} = this.#readyServer.address() as AddressInfo;
+		return {callers: this.#server.address, peers: this.#channel.address, ready: formatAddress({host: address, port})};
 	}
 
 	/** Listens, and begins to follow the object API. It may be ready some time later. */
 	async start(): Promise<Either<StartError, Front>> {
 		const {listen, readyListen, peerListen, metricsListen} = this.#settings;
-		const bound = [await this.#server.listen(listen), await this.#channel.listen(peerListen)];
+		const bound = [await this.#server.listen(listen), await this.#channel.listen(peerListen), await this.#rpcServer.listen(peerListen)];
 		const failed = bound.find(outcome => outcome.isLeft());
 		if (failed) {
 			return failed.map(() => this);
 		}
 
 		const ready = parseAddress(readyListen);
-		this.#readyServer.listen({host: ready?.host, port: ready?.port});
+		await new Promise<void>(resolve => {
+			this.#readyServer.listen({host: ready?.host, port: ready?.port}, resolve);
+		});
 		if (metricsListen) {
 			this.#metrics.serve(metricsListen, () => {
 				this.#measure();
--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -24,6 +24,10 @@
 	feedLost: {number: 714, level: 'warn', text: 'object API does not answer, what is known is kept'},
 	/** Fields: kind, revision, awayMs. */
 	feedRegained: {number: 715, level: 'info', text: 'object API answers again'},
+	/** Fields: reason, peers (that can help). */
+	objectApiByPeers: {number: 731, level: 'warn', text: 'object API does not answer here, calls go by way of peers'},
+	/** No fields. */
+	objectApiDirect: {number: 732, level: 'info', text: 'object API answers here again'},
 	/** Fields: peer, address. */
 	peerJoined: {number: 716, level: 'info', text: 'peer heard'},
 	/** Fields: peer, silentMs. */
@@ -50,4 +54,6 @@
 	jobReadFailed: {number: 727, level: 'info', text: 'batch job could not be read'},
 	/** Fields: name, state. */
 	retirementAnswered: {number: 730, level: 'info', text: 'storage VM may be taken away'},
+	/** Fields: reason. */
+	handlerBroken: {number: 790, level: 'error', text: 'the handler of a peer\'s call broke an invariant'},
 } as const satisfies Record<string, EventDefinition>;
--- /dev/null
+++ b/src/gateway/peers/object-relay.ts
@@ -0,0 +1,195 @@
+/**
+The object API by way of a peer. The object API may turn some processes away, or be cut off from them, while it serves the others; a process that cannot reach it asks a peer that can, so that it goes on taking jobs in, writing results and hearing of changes.
+*/
+import {Left, Right, type Either} from 'purify-ts/Either';
+import {errorOf} from '../../common/error-of.js';
+import type {Revision} from '../../common/ids.js';
+import type {
+	Clock, Disposable, EventLog, ObjectApi, RandomSource,
+} from '../../common/services.js';
+import type {
+	ApiError, ListQuery, ObjectKind, ObjectPage, StoredObject, WatchBatch, WatchOptions,
+} from '../../common/types.js';
+import type {RpcClient, RpcFailure} from '../../io/rpc-client.js';
+import {gatewayEvents} from '../log-events.js';
+
+/** The method's name between processes. */
+export const objectCallMethod = 'gateway.objectCall';
+
+/** One call of the object API, as it goes to a peer. */
+export type ObjectCall
+	= | {readonly operation: 'get'; readonly kind: ObjectKind; readonly name: string}
+		| {readonly operation: 'create'; readonly kind: ObjectKind; readonly name: string; readonly value: unknown}
+		| {readonly operation: 'update'; readonly kind: ObjectKind; readonly name: string; readonly value: unknown; readonly version: Revision}
+		| {readonly operation: 'remove'; readonly kind: ObjectKind; readonly name: string; readonly version?: Revision}
+		| {readonly operation: 'list'; readonly kind: ObjectKind; readonly query?: ListQuery}
+		| {readonly operation: 'watch'; readonly kind: ObjectKind; readonly since: Revision; readonly waitMs: number; readonly options?: WatchOptions};
+
+/** What a peer answers. */
+export type ObjectCallAnswer
+	= | {readonly isDone: true; readonly value: unknown}
+		| {readonly isDone: false; readonly err: ApiError};
+
+type Operations = {readonly [K in ObjectCall['operation']]: (api: ObjectApi, call: Extract<ObjectCall, {operation: K}>) => Promise<Either<ApiError, unknown>>};
+
+const operations: Operations = {
+	get: async (api, {kind, name}) => api.get(kind, name),
+	create: async (api, {kind, name, value}) => api.create(kind, name, value),
+	update: async (api, {kind, name, value, version}) => api.update(kind, name, value, version),
+	remove: async (api, {kind, name, version}) => api.remove(kind, name, version),
+	list: async (api, {kind, query}) => api.list(kind, query),
+	watch: async (api, {
+		kind, since, waitMs, options,
+	}) => api.watch([kind], since, waitMs, options),
+};
+
+const perform = async (api: ObjectApi, call: ObjectCall): Promise<Either<ApiError, unknown>> =>
+	(operations[call.operation] as (api: ObjectApi, call: ObjectCall) => Promise<Either<ApiError, unknown>>)(api, call);
+
+/** Makes a peer's call at the object API itself: a call is passed on once and never further. */
+export const answerObjectCall = async (direct: ObjectApi, call: ObjectCall): Promise<ObjectCallAnswer> => {
+	const outcome = await perform(direct, call);
+	return outcome.caseOf<ObjectCallAnswer>({
+		Left: err => ({isDone: false, err}),
+		Right: value => ({isDone: true, value}),
+	});
+};
+
+/** What the relay needs. */
+export type ObjectRelayParts = {
+	/** The object API itself. */
+	readonly direct: ObjectApi;
+	readonly rpc: RpcClient;
+	/** Where peers that reach the object API take calls, as `ip:port`. */
+	readonly helpers: () => readonly string[];
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly log: EventLog;
+};
+
+/** A peer answers after its own call of the object API; in milliseconds beyond what the call waits on purpose. */
+const helperTimeoutMs = 1000;
+
+/** While calls go by way of peers, the object API itself is tried this often, in milliseconds: each try is a call that counts. */
+const probeMs = 500;
+
+const changes = new Set<ObjectCall['operation']>(['create', 'update', 'remove']);
+
+const isAway = ({kind}: ApiError): boolean => kind === 'unavailable' || kind === 'unknown';
+
+const errorOfFailure = ({operation}: ObjectCall, failure: RpcFailure): ApiError => changes.has(operation) && failure.kind !== 'notSent'
+	? {kind: 'unknown', reason: `peer: ${failure.reason}`}
+	: {kind: 'unavailable', reason: `peer: ${failure.reason}`};
+
+/** See the module's head. */
+export class ObjectRelay implements ObjectApi, Disposable {
+	readonly #parts: ObjectRelayParts;
+	#isDirect = true;
+	#probe: NodeJS.Timeout | undefined;
+
+	constructor(parts: ObjectRelayParts) {
+		this.#parts = parts;
+	}
+
+	/** Whether the object API itself answered when it was last asked. */
+	get isDirect(): boolean {
+		return this.#isDirect;
+	}
+
+	async get<T>(kind: ObjectKind, name: string): Promise<Either<ApiError, StoredObject<T>>> {
+		return this.#call({operation: 'get', kind, name});
+	}
+
+	async create<T>(kind: ObjectKind, name: string, value: T): Promise<Either<ApiError, StoredObject<T>>> {
+		return this.#call({
+			operation: 'create', kind, name, value,
+		});
+	}
+
+	async update<T>(kind: ObjectKind, name: string, value: T, version: Revision): Promise<Either<ApiError, StoredObject<T>>> {
+		return this.#call({
+			operation: 'update', kind, name, value, version,
+		});
+	}
+
+	async remove(kind: ObjectKind, name: string, version?: Revision): Promise<Either<ApiError, Revision>> {
+		return this.#call({
+			operation: 'remove', kind, name, version,
+		});
+	}
+
+	async list<T>(kind: ObjectKind, query?: ListQuery): Promise<Either<ApiError, ObjectPage<T>>> {
+		return this.#call({operation: 'list', kind, query});
+	}
+
+	async watch(kinds: readonly ObjectKind[], since: Revision, waitMs: number, options?: WatchOptions): Promise<Either<ApiError, WatchBatch>> {
+		const [kind] = kinds;
+		return kind === undefined || kinds.length > 1
+			? Left({kind: 'unavailable', reason: 'one kind a call'})
+			: this.#call({
+				operation: 'watch', kind, since, waitMs, options,
+			});
+	}
+
+	dispose(): void {
+		clearTimeout(this.#probe);
+	}
+
+	async #call<T>(call: ObjectCall): Promise<Either<ApiError, T>> {
+		if (this.#isDirect) {
+			const outcome = await perform(this.#parts.direct, call);
+			const err = errorOf(outcome);
+			if (!err || !isAway(err)) {
+				return outcome as Either<ApiError, T>;
+			}
+
+			this.#doubt(err);
+			// A change that may have taken effect is not made again here: only its caller knows whether that is harmless.
+			return err.kind === 'unknown' ? Left(err) : this.#ask<T>(call, err);
+		}
+
+		return this.#ask<T>(call, {kind: 'unavailable', reason: 'no peer reaches the object API'});
+	}
+
+	/** @param err - What to answer when there is no peer to ask. */
+	async #ask<T>(call: ObjectCall, err: ApiError): Promise<Either<ApiError, T>> {
+		const {helpers, random, rpc} = this.#parts;
+		const addresses = helpers();
+		const address = addresses[Math.floor(random.next() * addresses.length)];
+		if (address === undefined) {
+			return Left(err);
+		}
+
+		const timeoutMs = helperTimeoutMs + ('waitMs' in call ? call.waitMs : 0);
+		const answered = await rpc.call<ObjectCallAnswer>({address, timeoutMs}, objectCallMethod, call);
+		return answered.caseOf<Either<ApiError, T>>({
+			Left: failure => Left(errorOfFailure(call, failure)),
+			Right: answer => answer.isDone ? Right(answer.value as T) : Left(answer.err),
+		});
+	}
+
+	#doubt(err: ApiError) {
+		if (this.#isDirect) {
+			this.#isDirect = false;
+			this.#parts.log.emit(gatewayEvents.objectApiByPeers, {reason: 'reason' in err ? err.reason : err.kind, peers: this.#parts.helpers().length});
+			this.#probeLater();
+		}
+	}
+
+	#probeLater() {
+		this.#probe = setTimeout(() => {
+			void this.#tryDirect();
+		}, probeMs);
+	}
+
+	async #tryDirect() {
+		const outcome = await this.#parts.direct.list('Member');
+		if (outcome.isLeft()) {
+			this.#probeLater();
+			return;
+		}
+
+		this.#isDirect = true;
+		this.#parts.log.emit(gatewayEvents.objectApiDirect);
+	}
+}
--- a/src/gateway/peers/peer-announcer.ts
+++ b/src/gateway/peers/peer-announcer.ts
@@ -27,6 +27,9 @@
 	readonly memberAddresses: () => readonly string[];
 	readonly claimedJobs: () => readonly BatchJobId[];
 	readonly isLeaving: () => boolean;
+	/** `ip:port` where this process takes its peers' calls. */
+	readonly rpcAddress: () => string;
+	readonly reachesObjectApi: () => boolean;
 };
 
 /** See the module's head. */
@@ -77,10 +80,10 @@
 	}
 
 	#state(): PeerState {
-		const {self, channel, claimedJobs, isLeaving} = this.#parts;
+		const {self, channel, claimedJobs, isLeaving, rpcAddress, reachesObjectApi} = this.#parts;
 		this.#seq += 1;
 		return {
-			member: self, address: channel.address, startedAt: this.#startedAt, seq: this.#seq, isLeaving: isLeaving(), loads: this.#loads(), jobs: claimedJobs(),
+			member: self, address: channel.address, rpcAddress: rpcAddress(), reachesObjectApi: reachesObjectApi(), startedAt: this.#startedAt, seq: this.#seq, isLeaving: isLeaving(), loads: this.#loads(), jobs: claimedJobs(),
 		};
 	}
 
--- a/src/gateway/peers/peer-state.ts
+++ b/src/gateway/peers/peer-state.ts
@@ -15,6 +15,10 @@
 	readonly member: MemberName;
 	/** `ip:port` where it takes its peers' state. */
 	readonly address: string;
+	/** `ip:port` where it takes its peers' calls. */
+	readonly rpcAddress: string;
+	/** Whether it can make a peer's calls of the object API. */
+	readonly reachesObjectApi: boolean;
 	/** When the process started, in milliseconds of its wall clock: a restart begins with a new sequence. */
 	readonly startedAt: number;
 	/** Grows with each message of one start. */
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -9,8 +9,8 @@
 /** Where the object API is, and how much it takes. */
 export const objectApiSettings = z.strictObject({
 	address: addressSchema,
-	/** Milliseconds for one call. A slow object API answers within 0.3 s; what takes longer is most likely lost. */
-	timeoutMs: durationMs(800),
+	/** Milliseconds for one call. A slow object API answers within 0.3 s; what takes twice as long is most likely lost. */
+	timeoutMs: durationMs(600),
 	/** The largest object. */
 	maxValueBytes: sizeBytes(1_048_576),
 });
@@ -28,7 +28,7 @@
 	listen: listenAddressSchema,
 	/** Where the balancer asks whether callers may connect. */
 	readyListen: listenAddressSchema,
-	/** Where peers send their state, by UDP. */
+	/** Where peers send their state, by UDP, and their calls, by TCP. */
 	peerListen: listenAddressSchema,
 	/** Where metrics are read, by HTTP at `/metrics`. */
 	metricsListen: listenAddressSchema.optional(),
