Jobs with room are accepted once their record is written; lists bring what watches do not hear

Cause: when the object API discards its history, its watches hear nothing for a second and hang. The relay doubted the object API for a watch that ended, and with all fronts in doubt nobody asked it for half a second. Change: a job that leaves half of its limit free is accepted as soon as its record stands, and its record says so; otherwise a list brings what a watch does not. A watch's failure alone only causes a probe; without a peer to ask, the object API itself is asked.

--- a/src/gateway/batch/batch-book.ts
+++ b/src/gateway/batch/batch-book.ts
@@ -155,8 +155,8 @@
 	}
 
 	#addJob(record: JobRecord, revision: Revision) {
-		const {route, maxWaitingTokens, items} = record;
-		const isAdmitted = maxWaitingTokens === 0 || this.waitingTokens(route) + tokensOf(items) <= maxWaitingTokens;
+		const {route, maxWaitingTokens, isRoomy, items} = record;
+		const isAdmitted = isRoomy || this.waitingTokens(route) + tokensOf(items) <= maxWaitingTokens;
 		this.#jobs.set(record.job, new BatchJob(record, revision, isAdmitted));
 	}
 }
--- a/src/gateway/batch/batch-records.ts
+++ b/src/gateway/batch/batch-records.ts
@@ -2,7 +2,7 @@
 What lasts of a batch job: a record of its submission, pages of its results, and a record of its end. Each is created once and never changed, so that no holder that was paused can undo another's write, and a write whose answer was lost may simply be made again.
 */
 import {
-	isAmount, isCount, isObject, isText, listOf, objectOf, oneOf, type FieldTest,
+	isAmount, isCount, isFlag, isObject, isText, listOf, objectOf, oneOf, type FieldTest,
 } from '../../common/field-tests.js';
 import type {BatchItemId, BatchJobId} from '../types.js';
 
@@ -30,6 +30,8 @@
 	readonly submittedAt: number;
 	/** Tokens that could wait on the route then; 0 for no limit. */
 	readonly maxWaitingTokens: number;
+	/** Whether the process that took it in saw so much room that nothing written at the same time could fill it. */
+	readonly isRoomy: boolean;
 	readonly items: readonly BatchItem[];
 };
 
@@ -82,7 +84,7 @@
 
 const recordTests: Readonly<Record<string, FieldTest>> = {
 	job: objectOf({
-		job: isText, route: isText, host: isText, submittedAt: isAmount, maxWaitingTokens: isAmount, items: listOf(item),
+		job: isText, route: isText, host: isText, submittedAt: isAmount, maxWaitingTokens: isAmount, isRoomy: isFlag, items: listOf(item),
 	}),
 	page: objectOf({job: isText, number: isCount, results: listOf(result)}),
 	end: objectOf({job: isText}),
--- a/src/gateway/batch/job-intake.ts
+++ b/src/gateway/batch/job-intake.ts
@@ -44,8 +44,12 @@
 /** A record comes back with the feed within a few milliseconds; after this many it is asked for. */
 const feedPatienceMs = 60;
 
-/** Reads of the object API until a record that was written must have come back. */
-const maxSyncs = 3;
+/**
+With more than this share of the limit left, a job is accepted as soon as its record is written: what other processes accept within the second or two by which this one's view may lag is far less than half of what may wait.
+*/
+const roomyShare = 0.5;
+
+const limitOf = ({route}: JobSubmission): number => route.batch?.maxWaitingTokens ?? 0;
 
 /** See the module's head. */
 export class JobIntake {
@@ -94,9 +98,21 @@
 		return this.#write(submission);
 	}
 
-	#seemsToFit({route, items}: JobSubmission): boolean {
-		const limit = route.batch?.maxWaitingTokens ?? 0;
-		return limit === 0 || this.#parts.book.waitingTokens(route.name) + tokensOf(items) <= limit;
+	#seemsToFit(submission: JobSubmission): boolean {
+		return this.#roomAfter(submission) >= 0;
+	}
+
+	/** Without a limit there is always room. Close to the limit, the order of the records decides. */
+	#isRoomy(submission: JobSubmission): boolean {
+		const limit = limitOf(submission);
+		return limit === 0 || this.#roomAfter(submission) > limit * roomyShare;
+	}
+
+	/** Tokens that could still wait once the job does, as far as is known. */
+	#roomAfter(submission: JobSubmission): number {
+		const {route, items} = submission;
+		const limit = limitOf(submission);
+		return (limit === 0 ? Infinity : limit) - this.#parts.book.waitingTokens(route.name) - tokensOf(items);
 	}
 
 	async #write(submission: JobSubmission): Promise<SubmissionOutcome> {
@@ -110,13 +126,17 @@
 			}
 		}
 
-		const written = await this.#create(submission);
-		return written === 'written' ? this.#judge(job) : written;
+		const isRoomy = this.#isRoomy(submission);
+		const written = await this.#create(this.#recordOf(submission, isRoomy));
+		if (written !== 'written') {
+			return written;
+		}
+
+		return isRoomy ? 'accepted' : this.#judge(job);
 	}
 
-	async #create(submission: JobSubmission): Promise<'written' | SubmissionOutcome> {
+	async #create(record: JobRecord): Promise<'written' | SubmissionOutcome> {
 		const {api, clock} = this.#parts;
-		const record = this.#recordOf(submission);
 		const startedAt = clock.now();
 		let mayStand = false;
 		while (clock.now() - startedAt < writeLimitMs) {
@@ -141,9 +161,9 @@
 		return mayStand ? 'uncertain' : 'away';
 	}
 
-	#recordOf({job, route, host, items}: JobSubmission): JobRecord {
+	#recordOf({job, route, host, items}: JobSubmission, isRoomy: boolean): JobRecord {
 		return {
-			type: 'job', job, route: route.name, host, submittedAt: this.#parts.clock.wall(), maxWaitingTokens: route.batch?.maxWaitingTokens ?? 0, items,
+			type: 'job', job, route: route.name, host, submittedAt: this.#parts.clock.wall(), maxWaitingTokens: route.batch?.maxWaitingTokens ?? 0, isRoomy, items,
 		};
 	}
 
@@ -152,10 +172,7 @@
 		const {book, feed} = this.#parts;
 		const isThere = () => book.job(job) !== undefined;
 		await book.until(job, isThere, feedPatienceMs);
-		for (let syncs = 0; syncs < maxSyncs && !isThere(); syncs += 1) {
-			await feed.sync();
-		}
-
+		await feed.bring(isThere);
 		const entry = book.job(job);
 		if (!entry) {
 			return 'uncertain';
--- a/src/gateway/batch/job-reader.ts
+++ b/src/gateway/batch/job-reader.ts
@@ -68,7 +68,8 @@
 
 		const {book, feed} = this.#parts;
 		const current = () => book.job(job);
-		if (after > found.results.length && !(await feed.sync())) {
+		if (after > found.results.length && !(await feed.bring(() => (current()?.results.length ?? 0) >= after))) {
+			// The caller has read that position somewhere.
 			return 'unsure';
 		}
 
@@ -131,14 +132,19 @@
 	}
 
 	async #find(id: BatchJobId): Promise<BatchJob | NoAnswer> {
-		const {book, feed} = this.#parts;
+		const {api, book, feed} = this.#parts;
 		const known = admitted(book.job(id));
 		if (known) {
 			return known;
 		}
 
-		const isCertain = await feed.sync();
-		return admitted(book.job(id)) ?? (isCertain ? 'unknown' : 'unsure');
+		const read = await api.get('BatchRecord', recordNames.job(id));
+		if (read.isLeft()) {
+			return errorOf(read)?.kind === 'notFound' ? 'unknown' : 'unsure';
+		}
+
+		await feed.bring(() => book.job(id) !== undefined);
+		return admitted(book.job(id)) ?? (book.job(id) ? 'unknown' : 'unsure');
 	}
 
 	async #isTrusted(): Promise<boolean> {
--- a/src/gateway/batch/result-writer.ts
+++ b/src/gateway/batch/result-writer.ts
@@ -125,8 +125,9 @@
 			return false;
 		}
 
-		const isBack = await book.until(job.id, () => (this.#job()?.pages ?? Infinity) > page.number, feedPatienceMs);
-		return isBack || feed.sync();
+		const isBack = () => (this.#job()?.pages ?? Infinity) > page.number;
+		await book.until(job.id, isBack, feedPatienceMs);
+		return feed.bring(isBack);
 	}
 
 	#nextResults(): ItemResult[] {
--- a/src/gateway/object-feed.ts
+++ b/src/gateway/object-feed.ts
@@ -31,6 +31,9 @@
 /** After a failed call, milliseconds until the next: an outage of the object API must not be prolonged by those who wait for its end, and a change must be in force within about two seconds of it. */
 const retryMs = 200;
 
+/** A read of the latest changes takes some milliseconds, and some hundred where the object API is slow; one that takes longer hangs with the watches. */
+const syncPatienceMs = 250;
+
 /** See the module's head. */
 export class ObjectFeed implements Disposable {
 	readonly #parts: FeedParts;
@@ -103,6 +106,24 @@
 		return this.#nextSync;
 	}
 
+	/**
+	Brings objects that are known to stand in the object API. Watches may hear nothing of them for a while, around the time at which the object API discards its history; a list always shows them.
+
+	@param isThere - Whether they have come.
+	@returns Whether they have.
+	*/
+	async bring(isThere: () => boolean): Promise<boolean> {
+		if (!isThere()) {
+			await Promise.race([this.sync(), this.#parts.clock.sleep(syncPatienceMs)]);
+		}
+
+		if (!isThere()) {
+			await this.#list();
+		}
+
+		return isThere();
+	}
+
 	dispose(): void {
 		this.#isDisposed = true;
 	}
--- a/src/gateway/peers/object-relay.ts
+++ b/src/gateway/peers/object-relay.ts
@@ -136,28 +136,28 @@
 	}
 
 	async #call<T>(call: ObjectCall): Promise<Either<ApiError, T>> {
-		if (this.#isDirect) {
-			const outcome = await perform(this.#parts.direct, call);
-			const err = errorOf(outcome);
-			if (!err || !isAway(err)) {
-				return outcome as Either<ApiError, T>;
-			}
-
-			this.#doubt(err);
-			// A change that may have taken effect is not made again here: only its caller knows whether that is harmless.
-			return err.kind === 'unknown' ? Left(err) : this.#ask<T>(call, err);
+		if (!this.#isDirect) {
+			return this.#ask<T>(call);
+		}
+
+		const outcome = await perform(this.#parts.direct, call);
+		const err = errorOf(outcome);
+		if (!err || !isAway(err)) {
+			return outcome as Either<ApiError, T>;
 		}
 
-		return this.#ask<T>(call, {kind: 'unavailable', reason: 'no peer reaches the object API'});
+		this.#noteFailure(call, err);
+		// A change that may have taken effect is not made again here: only its caller knows whether that is harmless.
+		return err.kind === 'unknown' || this.#isDirect ? Left(err) : this.#ask<T>(call);
 	}
 
-	/** @param err - What to answer when there is no peer to ask. */
-	async #ask<T>(call: ObjectCall, err: ApiError): Promise<Either<ApiError, T>> {
+	/** Without a peer to ask, the object API itself is the only hope. */
+	async #ask<T>(call: ObjectCall): Promise<Either<ApiError, T>> {
 		const {helpers, random, rpc} = this.#parts;
 		const addresses = helpers();
 		const address = addresses[Math.floor(random.next() * addresses.length)];
 		if (address === undefined) {
-			return Left(err);
+			return perform(this.#parts.direct, call) as Promise<Either<ApiError, T>>;
 		}
 
 		const timeoutMs = helperTimeoutMs + ('waitMs' in call ? call.waitMs : 0);
@@ -168,28 +168,47 @@
 		});
 	}
 
-	#doubt(err: ApiError) {
+	/** A watch fails with its connection, and alone says little; any other call shows that the object API does not answer. */
+	#noteFailure({operation}: ObjectCall, err: ApiError) {
+		if (!this.#isDirect || this.#probe !== undefined) {
+			return;
+		}
+
+		if (operation === 'watch') {
+			this.#probeAfter(0, err);
+			return;
+		}
+
+		this.#leave(err);
+	}
+
+	#leave(err: ApiError) {
 		if (this.#isDirect) {
 			this.#isDirect = false;
 			this.#parts.log.emit(gatewayEvents.objectApiByPeers, {reason: 'reason' in err ? err.reason : err.kind, peers: this.#parts.helpers().length});
-			this.#probeLater();
 		}
+
+		this.#probeAfter(probeMs, err);
 	}
 
-	#probeLater() {
+	#probeAfter(ms: number, cause: ApiError) {
+		clearTimeout(this.#probe);
 		this.#probe = setTimeout(() => {
-			void this.#tryDirect();
-		}, probeMs);
+			void this.#tryDirect(cause);
+		}, ms);
 	}
 
-	async #tryDirect() {
+	async #tryDirect(cause: ApiError) {
 		const outcome = await this.#parts.direct.list('Member');
+		this.#probe = undefined;
 		if (outcome.isLeft()) {
-			this.#probeLater();
+			this.#leave(cause);
 			return;
 		}
 
-		this.#isDirect = true;
-		this.#parts.log.emit(gatewayEvents.objectApiDirect);
+		if (!this.#isDirect) {
+			this.#isDirect = true;
+			this.#parts.log.emit(gatewayEvents.objectApiDirect);
+		}
 	}
 }
