--- a/src/common/services.ts
+++ b/src/common/services.ts
@@ -3,7 +3,7 @@
 */
 import type {Either} from 'purify-ts/Either';
 import type {
-	ApiError, EventDefinition, ListQuery, LogFields, ObjectKind, ObjectPage, StoredObject, VmEntry, WatchBatch, WatchOptions,
+	ApiError, EventDefinition, ListQuery, LogFields, ObjectKind, ObjectPage, ReadOptions, StoredObject, VmEntry, WatchBatch,
 } from './types.js';
 import type {Revision} from './ids.js';
 
@@ -47,7 +47,7 @@
 Every call may fail as `unavailable` (not carried out) or as `unknown` (the change may have taken effect); the caller of a change reads back after `unknown`.
 */
 export type ObjectApi = {
-	get<T>(kind: ObjectKind, name: string): Promise<Either<ApiError, StoredObject<T>>>;
+	get<T>(kind: ObjectKind, name: string, options?: ReadOptions): Promise<Either<ApiError, StoredObject<T>>>;
 	/** Fails as `conflict` when the name exists. */
 	create<T>(kind: ObjectKind, name: string, value: T): Promise<Either<ApiError, StoredObject<T>>>;
 	/** Fails as `conflict` unless the object is at `version`. */
@@ -56,7 +56,7 @@
 	remove(kind: ObjectKind, name: string, version?: Revision): Promise<Either<ApiError, Revision>>;
 	list<T>(kind: ObjectKind, query?: ListQuery): Promise<Either<ApiError, ObjectPage<T>>>;
 	/** Waits up to `waitMs` for changes after `since`. Fails as `expired` when `since` is too old: list, then watch on. */
-	watch(kinds: readonly ObjectKind[], since: Revision, waitMs: number, options?: WatchOptions): Promise<Either<ApiError, WatchBatch>>;
+	watch(kinds: readonly ObjectKind[], since: Revision, waitMs: number, options?: ReadOptions): Promise<Either<ApiError, WatchBatch>>;
 };
 
 /** The platform's list of VMs. It lags behind the truth. */
--- a/src/common/types.ts
+++ b/src/common/types.ts
@@ -3,8 +3,8 @@
 */
 import type {FailureDomain, Revision, VmName} from './ids.js';
 
-/** Kinds of object that citronyard keeps in the object API. The first six are resources that operators write; the last five belong to the gateway. */
-export const objectKinds = ['ServedModel', 'ModelVersion', 'OnlineService', 'BatchJob', 'ClientAccount', 'BackendServer', 'Lease', 'File', 'InputChunk', 'Result', 'ResultPart', 'Claim', 'Assignment', 'JobStatus', 'ResourceStatus', 'GatewayConfig', 'Registration', 'Member', 'BatchRecord', 'Retirement'] as const;
+/** Kinds of object that citronyard keeps in the object API. The first six are resources that operators write; the last six belong to the gateway. */
+export const objectKinds = ['ServedModel', 'ModelVersion', 'OnlineService', 'BatchJob', 'ClientAccount', 'BackendServer', 'Lease', 'File', 'InputChunk', 'Result', 'ResultPart', 'Claim', 'Assignment', 'JobStatus', 'ResourceStatus', 'GatewayConfig', 'Registration', 'Member', 'BatchRecord', 'BatchContent', 'Retirement'] as const;
 
 /** One of {@link objectKinds}. */
 export type ObjectKind = (typeof objectKinds)[number];
@@ -47,8 +47,8 @@
 	readonly more: boolean;
 };
 
-/** How a watch may be answered. */
-export type WatchOptions = {
+/** How a read may be answered. */
+export type ReadOptions = {
 	/** True lets a copy answer that may lag behind by seconds, which costs the object API less. */
 	readonly mayLag?: boolean;
 };
--- a/src/gateway/batch/batch-book.ts
+++ b/src/gateway/batch/batch-book.ts
@@ -37,7 +37,7 @@
 			this.#jobs.get(record.job)?.end();
 		},
 		handover: (record: HandoverRecord) => {
-			this.#jobs.get(record.job)?.addProgress(record.items);
+			this.#jobs.get(record.job)?.addHandover(record.content);
 		},
 	};
 
--- a/src/gateway/batch/batch-job.ts
+++ b/src/gateway/batch/batch-job.ts
@@ -4,9 +4,15 @@
 import type {Revision} from '../../common/ids.js';
 import type {BatchItemId, BatchJobId} from '../types.js';
 import {
-	tokensOf, type BatchItem, type ItemProgress, type ItemResult, type JobRecord, type PageRecord,
+	tokensOf, type ItemOutline, type JobRecord, type PageRecord, type ResultOutline,
 } from './batch-records.js';
 
+/** Where the text of a result stands. */
+export type ListedResult = ResultOutline & {
+	/** The name of the page's content. */
+	readonly content: string;
+};
+
 /** Mutable: the book of jobs writes it, everything else reads. */
 export class BatchJob {
 	readonly record: JobRecord;
@@ -15,10 +21,10 @@
 	/** Whether it fitted when it was created. */
 	readonly isAdmitted: boolean;
 	readonly tokens: number;
-	readonly #items: ReadonlyMap<BatchItemId, BatchItem>;
+	readonly #items: ReadonlyMap<BatchItemId, ItemOutline>;
 	readonly #listed = new Set<BatchItemId>();
-	readonly #results: ItemResult[] = [];
-	readonly #progress = new Map<BatchItemId, ItemProgress>();
+	readonly #results: ListedResult[] = [];
+	readonly #handovers: string[] = [];
 	#pages = 0;
 	#listedTokens = 0;
 	#hasEnded = false;
@@ -36,7 +42,7 @@
 	}
 
 	/** Its results so far, by position. */
-	get results(): readonly ItemResult[] {
+	get results(): readonly ListedResult[] {
 		return this.#results;
 	}
 
@@ -59,17 +65,17 @@
 		return this.isAdmitted && !this.#hasEnded ? this.tokens - this.#listedTokens : 0;
 	}
 
-	item(id: BatchItemId): BatchItem | undefined {
-		return this.#items.get(id);
+	/** Names of the contents that processes which shut down have left. */
+	get handovers(): readonly string[] {
+		return this.#handovers;
 	}
 
-	isListed(id: BatchItemId): boolean {
-		return this.#listed.has(id);
+	has(id: BatchItemId): boolean {
+		return this.#items.has(id);
 	}
 
-	/** What a process that shut down had of an item. */
-	progressOf(id: BatchItemId): ItemProgress | undefined {
-		return this.#progress.get(id);
+	isListed(id: BatchItemId): boolean {
+		return this.#listed.has(id);
 	}
 
 	end(): void {
@@ -77,36 +83,29 @@
 	}
 
 	/** @returns Whether the page is the next one; any other is known already or not a page of this job. */
-	addPage({number, results}: PageRecord): boolean {
+	addPage({number, results, content}: PageRecord): boolean {
 		if (number !== this.#pages) {
 			return false;
 		}
 
 		this.#pages += 1;
 		results.forEach(result => {
-			this.#add(result);
+			this.#add({...result, content});
 		});
 		return true;
 	}
 
-	/** The longer progress of an item counts; each is a prefix of the same text or belongs to a run that failed before. */
-	addProgress(items: readonly ItemProgress[]): void {
-		items.filter(({id}) => this.#items.has(id)).forEach(progress => {
-			const known = this.#progress.get(progress.id);
-			if (!known || progress.events.length > known.events.length) {
-				this.#progress.set(progress.id, progress);
-			}
-		});
+	addHandover(content: string): void {
+		this.#handovers.push(content);
 	}
 
 	/** An item has one position: a second result for it, which no writer makes, would be left out. */
-	#add(result: ItemResult) {
+	#add(result: ListedResult) {
 		const item = this.#items.get(result.id);
 		if (item && !this.#listed.has(result.id)) {
 			this.#listed.add(result.id);
 			this.#listedTokens += item.tokens;
 			this.#results.push(result);
-			this.#progress.delete(result.id);
 		}
 	}
 }
--- /dev/null
+++ b/src/gateway/batch/batch-policy.feature
@@ -0,0 +1,42 @@
+Feature: Who gets the places that online calls leave
+  Under the heaviest load there are fewer places than work. What is done on time then depends on which items
+  wait, and on how many processes reach for the same place.
+
+  Scenario: An item that can be on time goes before one that can not
+    # Due times alone would serve the hopeless item first, and make the other late as well.
+    Given runs that take 5000 ms
+    And item "hopeless" is due in 2000 ms
+    And item "feasible" is due in 6000 ms
+    Then the order is "feasible, hopeless"
+
+  Scenario: Of the items that can be on time, the one that is due first
+    Given runs that take 5000 ms
+    And item "later" is due in 16000 ms
+    And item "sooner" is due in 9000 ms
+    Then the order is "sooner, later"
+
+  Scenario: What an item has behind it counts
+    # Nine tenths of its text are known, so two seconds suffice.
+    Given runs that take 5000 ms
+    And item "begun" is due in 2000 ms with 90 of 100 events
+    And item "feasible" is due in 6000 ms
+    Then the order is "begun, feasible"
+
+  Scenario Outline: The closer the time, the fewer places stay free
+    Then an item with <slack> ms to spare leaves <places> places free
+
+    Examples:
+      | slack | places |
+      | 12000 | 2      |
+      | 5000  | 1      |
+      | 500   | 0      |
+      | -3000 | 0      |
+
+  Scenario: Processes share the free places without a word
+    # 17 processes see 34 free places at the same moment. Each takes its share; none is taken twice over.
+    When 17 processes look at 34 free places
+    Then they take 34 places
+
+  Scenario: A share below one place is taken as often as it is large
+    When 20 processes look at 5 free places 200 times
+    Then they take between 4 and 6 places a time
--- /dev/null
+++ b/src/gateway/batch/batch-policy.steps.ts
@@ -0,0 +1,60 @@
+/**
+Steps for the policy of batch places.
+*/
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import type {TestWorld} from '../../common/testing/test-world.js';
+import {SeededRandom} from '../../io/seeded-random.js';
+import {
+	allowance, byUrgency, reservedPlaces, type RunLength, type WaitingItem,
+} from './batch-policy.js';
+
+type PolicyWorld = TestWorld & {
+	length: RunLength;
+	items: Array<WaitingItem & {readonly name: string}>;
+	taken: number;
+};
+
+const now = 1_000_000;
+const eventsPerItem = 100;
+
+Given('runs that take {int} ms', function (this: PolicyWorld, ms: number) {
+	this.length = {msPerEvent: ms / eventsPerItem, eventsPerItem};
+	this.items = [];
+});
+
+Given('item {string} is due in {int} ms', function (this: PolicyWorld, name: string, ms: number) {
+	this.items.push({name, dueAt: now + ms, events: 0});
+});
+
+Given('item {string} is due in {int} ms with {int} of 100 events', function (this: PolicyWorld, name: string, ms: number, events: number) {
+	this.items.push({name, dueAt: now + ms, events});
+});
+
+Then('the order is {string}', function (this: PolicyWorld, names: string) {
+	assert.equal(this.items.toSorted(byUrgency(this.length, now)).map(({name}) => name).join(', '), names);
+});
+
+Then('an item with {int} ms to spare leaves {int} places free', (slack: number, places: number) => {
+	assert.equal(reservedPlaces(slack), places);
+});
+
+const takenBy = (processes: number, free: number, random: SeededRandom): number => Array.from({length: processes}, () => allowance(free, processes, random.next()))
+	.reduce((sum, taken) => sum + taken, 0);
+
+When('{int} processes look at {int} free places', function (this: PolicyWorld, processes: number, free: number) {
+	this.taken = takenBy(processes, free, new SeededRandom(1));
+});
+
+When('{int} processes look at {int} free places {int} times', function (this: PolicyWorld, processes: number, free: number, times: number) {
+	const random = new SeededRandom(1);
+	this.taken = Array.from({length: times}, () => takenBy(processes, free, random)).reduce((sum, taken) => sum + taken, 0) / times;
+});
+
+Then('they take {int} places', function (this: PolicyWorld, places: number) {
+	assert.equal(this.taken, places);
+});
+
+Then('they take between {int} and {int} places a time', function (this: PolicyWorld, least: number, most: number) {
+	assert.ok(this.taken >= least && this.taken <= most, String(this.taken));
+});
--- /dev/null
+++ b/src/gateway/batch/batch-policy.ts
@@ -0,0 +1,75 @@
+/**
+Who of the waiting batch items gets a place, and how many places a process takes at once. Pure: it reads no clock and sends nothing.
+
+It answers two patterns of load. *More work than places*: online calls come in waves that fill all places for seconds, and what is left does not suffice for all items by their due times; then an item that can still be on time goes before one that cannot, or all would be late together. *Many processes, few places*: each sees the others' runs some ten milliseconds late, and if each filled what it sees as free, a place would be taken many times over, the replicas would refuse most of it, and refusals cost connections; so each takes its share of what is free, and the rest at its next look.
+*/
+
+/** An item that waits. */
+export type WaitingItem = {
+	/** When it is due, in milliseconds of the wall clock. */
+	readonly dueAt: number;
+	/** Events that are known of its text. */
+	readonly events: number;
+};
+
+/** How long runs take, learnt from those that ended; in milliseconds and events. */
+export type RunLength = {
+	readonly msPerEvent: number;
+	readonly eventsPerItem: number;
+};
+
+/** Until runs have ended: an engine step of some ms brings several tokens, and an event some steps. */
+export const assumedRunLength: RunLength = {msPerEvent: 30, eventsPerItem: 150};
+
+/** A new observation counts for this share: the last ten runs or so decide. */
+const learningShare = 0.1;
+
+/** @returns What is known after one more run, of `events` events in `elapsedMs`, which brought an item to its end with `total` events. */
+export const learn = (known: RunLength, {events, elapsedMs, total}: {events: number; elapsedMs: number; total: number}): RunLength => events === 0
+	? known
+	: {
+		msPerEvent: known.msPerEvent + (learningShare * ((elapsedMs / events) - known.msPerEvent)),
+		eventsPerItem: known.eventsPerItem + (learningShare * (total - known.eventsPerItem)),
+	};
+
+/** Milliseconds that an item still needs at a replica. */
+export const remainingMs = ({events}: WaitingItem, {msPerEvent, eventsPerItem}: RunLength): number => Math.max(1, eventsPerItem - events) * msPerEvent;
+
+/** Milliseconds that an item can still wait and be on time; negative when it will be late. */
+export const slackMs = (item: WaitingItem, length: RunLength, wallNow: number): number => item.dueAt - wallNow - remainingMs(item, length);
+
+/**
+The order of places: items that can be on time, the one that is due first before the others; then the late ones, the one with least work left before the others.
+*/
+export const byUrgency = (length: RunLength, wallNow: number) => (a: WaitingItem, b: WaitingItem): number => {
+	const isLateA = slackMs(a, length, wallNow) < 0;
+	const isLateB = slackMs(b, length, wallNow) < 0;
+	if (isLateA !== isLateB) {
+		return isLateA ? 1 : -1;
+	}
+
+	return isLateA ? b.events - a.events : a.dueAt - b.dueAt;
+};
+
+/**
+Places of each replica that items leave free for the next online calls, so that these need not wait until an item has been cut off. With time to spare two are left, as many calls as come to a replica within the tenth of a second that a cut may take; the closer an item is to its time, the fewer.
+*/
+const reserveSteps: ReadonlyArray<{readonly slackMs: number; readonly places: number}> = [
+	{slackMs: 8000, places: 2},
+	{slackMs: 3000, places: 1},
+];
+
+/** @param slack - See {@link slackMs}. */
+export const reservedPlaces = (slack: number): number => reserveSteps.find(step => slack >= step.slackMs)?.places ?? 0;
+
+/**
+Places that one process takes at a look.
+
+@param free - Places that it sees free, over all replicas.
+@param sharers - Processes that look for places, this one included.
+@param chance - A number in [0, 1): a share below one place is taken as often as it is large.
+*/
+export const allowance = (free: number, sharers: number, chance: number): number => {
+	const share = free / Math.max(1, sharers);
+	return Math.floor(share) + (chance < share % 1 ? 1 : 0);
+};
--- a/src/gateway/batch/batch-records.ts
+++ b/src/gateway/batch/batch-records.ts
@@ -1,5 +1,7 @@
 /**
 What lasts of a batch job: a record of its submission, pages of its results, and a record of its end. Each is created once and never changed, so that no holder that was paused can undo another's write, and a write whose answer was lost may simply be made again.
+
+Records are short, since every process follows all of them. Prompts and texts stand in contents, each written before the record that names it and read only by those who need it: a process with a narrow link would otherwise spend seconds after its start on texts that nobody asks it for.
 */
 import {
 	isAmount, isCount, isFlag, isObject, isText, listOf, objectOf, oneOf, type FieldTest,
@@ -18,6 +20,9 @@
 	readonly tokens: number;
 };
 
+/** What every process knows of an item. */
+export type ItemOutline = Pick<BatchItem, 'id' | 'tokens'>;
+
 /** A job as it was accepted. */
 export type JobRecord = {
 	readonly type: 'job';
@@ -26,12 +31,22 @@
 	readonly route: string;
 	/** The `Host` that it was sent to, and that its items are sent with. */
 	readonly host: string;
+	/** The path that it was sent to, by which its route is found. */
+	readonly target: string;
 	/** Wall clock of the process that took it in, in milliseconds. */
 	readonly submittedAt: number;
 	/** Tokens that could wait on the route then; 0 for no limit. */
 	readonly maxWaitingTokens: number;
 	/** Whether the process that took it in saw so much room that nothing written at the same time could fill it. */
 	readonly isRoomy: boolean;
+	readonly items: readonly ItemOutline[];
+	/** The name of its {@link JobContent}. */
+	readonly content: string;
+};
+
+/** The items of a job in full. */
+export type JobContent = {
+	readonly type: 'items';
 	readonly items: readonly BatchItem[];
 };
 
@@ -43,12 +58,23 @@
 	readonly output: string;
 };
 
+/** What every process knows of a result. */
+export type ResultOutline = Pick<ItemResult, 'id' | 'state'>;
+
 /** Results in the order of their positions. Page n + 1 begins where page n ends. */
 export type PageRecord = {
 	readonly type: 'page';
 	readonly job: BatchJobId;
 	/** Counted from 0, without gaps. */
 	readonly number: number;
+	readonly results: readonly ResultOutline[];
+	/** The name of its {@link PageContent}. */
+	readonly content: string;
+};
+
+/** The results of a page in full, in the same order. */
+export type PageContent = {
+	readonly type: 'results';
 	readonly results: readonly ItemResult[];
 };
 
@@ -71,24 +97,44 @@
 export type HandoverRecord = {
 	readonly type: 'handover';
 	readonly job: BatchJobId;
+	/** The name of its {@link HandoverContent}. */
+	readonly content: string;
+};
+
+/** See {@link HandoverRecord}. */
+export type HandoverContent = {
+	readonly type: 'progress';
 	readonly items: readonly ItemProgress[];
 };
 
+/** Any content. */
+export type BatchContent = JobContent | PageContent | HandoverContent;
+
 /** Any record of a batch job. */
 export type BatchRecord = JobRecord | PageRecord | EndRecord | HandoverRecord;
 
-const item: FieldTest = objectOf({
-	id: isText, path: isText, headers: Array.isArray, body: value => typeof value === 'string', tokens: isAmount,
-});
-const result: FieldTest = objectOf({id: isText, state: oneOf('completed', 'errored'), output: value => typeof value === 'string'});
+const isString: FieldTest = value => typeof value === 'string';
+const state = oneOf('completed', 'errored');
 
 const recordTests: Readonly<Record<string, FieldTest>> = {
 	job: objectOf({
-		job: isText, route: isText, host: isText, submittedAt: isAmount, maxWaitingTokens: isAmount, isRoomy: isFlag, items: listOf(item),
+		job: isText, route: isText, host: isText, target: isText, submittedAt: isAmount, maxWaitingTokens: isAmount, isRoomy: isFlag, items: listOf(objectOf({id: isText, tokens: isAmount})), content: isText,
+	}),
+	page: objectOf({
+		job: isText, number: isCount, results: listOf(objectOf({id: isText, state})), content: isText,
 	}),
-	page: objectOf({job: isText, number: isCount, results: listOf(result)}),
 	end: objectOf({job: isText}),
-	handover: objectOf({job: isText, items: listOf(objectOf({id: isText, events: listOf(value => typeof value === 'string'), failures: isCount}))}),
+	handover: objectOf({job: isText, content: isText}),
+};
+
+const contentTests: Readonly<Record<BatchContent['type'], FieldTest>> = {
+	items: objectOf({
+		items: listOf(objectOf({
+			id: isText, path: isText, headers: Array.isArray, body: isString, tokens: isAmount,
+		})),
+	}),
+	results: objectOf({results: listOf(objectOf({id: isText, state, output: isString}))}),
+	progress: objectOf({items: listOf(objectOf({id: isText, events: listOf(isString), failures: isCount}))}),
 };
 
 /** @returns The record, or nothing where the value is none: another version of the program may have written it. */
@@ -96,6 +142,11 @@
 	? value as BatchRecord
 	: undefined;
 
+/** @returns The content, or nothing where the value is none of the type. */
+export const readContent = <T extends BatchContent['type']>(type: T, value: unknown): Extract<BatchContent, {type: T}> | undefined => isObject(value) && value.type === type && contentTests[type](value)
+	? value as Extract<BatchContent, {type: T}>
+	: undefined;
+
 /** Names of records in the object API. */
 export const recordNames = {
 	job: (job: BatchJobId): string => `job-${job}`,
@@ -105,4 +156,4 @@
 } as const;
 
 /** Tokens of all items of a job. */
-export const tokensOf = (items: readonly BatchItem[]): number => items.reduce((sum, {tokens}) => sum + tokens, 0);
+export const tokensOf = (items: readonly ItemOutline[]): number => items.reduce((sum, {tokens}) => sum + tokens, 0);
--- a/src/gateway/batch/batch-runner.ts
+++ b/src/gateway/batch/batch-runner.ts
@@ -10,6 +10,8 @@
 import type {ObjectFeed} from '../object-feed.js';
 import {chooseForBatch, itemsToCut} from '../replica-choice.js';
 import type {ReplicaDirectory} from '../replica-directory.js';
+import {gatherMs} from '../peers/peer-announcer.js';
+import type {PeerTable} from '../peers/peer-table.js';
 import type {ReplicaConnection} from '../replica-connections.js';
 import type {ReplicaLinks} from '../replica-links.js';
 import type {Replica} from '../replica.js';
@@ -19,8 +21,12 @@
 import type {BatchBook} from './batch-book.js';
 import type {BatchJob} from './batch-job.js';
 import {
-	recordNames, type BatchItem, type HandoverRecord,
+	allowance, assumedRunLength, byUrgency, learn, reservedPlaces, slackMs, type WaitingItem,
+} from './batch-policy.js';
+import {
+	recordNames, type BatchItem, type HandoverRecord, type ItemProgress,
 } from './batch-records.js';
+import type {ContentStore} from './content-store.js';
 import {ItemRun, type ItemRunEnd} from './item-run.js';
 import type {JobClaims} from './job-claims.js';
 import {JobRun, type ItemState} from './job-run.js';
@@ -35,6 +41,8 @@
 	readonly api: ObjectApi;
 	readonly feed: ObjectFeed;
 	readonly book: BatchBook;
+	readonly contents: ContentStore;
+	readonly peers: PeerTable;
 	readonly claims: JobClaims;
 	readonly board: ConfigBoard;
 	readonly directory: ReplicaDirectory;
@@ -49,20 +57,24 @@
 	readonly failureDomain: string;
 };
 
-/** A place that was found for an item. */
-type ItemPlace = {
+/** An item that waits for a place. */
+type WaitingPlace = WaitingItem & {
 	readonly run: JobRun;
 	readonly job: BatchJob;
 	readonly route: GatewayRoute;
 	readonly state: ItemState;
-	readonly replica: Replica;
 };
 
-/** Places of each replica that items leave free, so that an online call that comes meets a free place and no item must be cut off for it. */
-const reservedPlaces = 2;
+/** A place that was found for an item. */
+type ItemPlace = WaitingPlace & {
+	readonly replica: Replica;
+};
 
 /** Changes of load come in bursts; the free places are looked at once for all that come within this many milliseconds. */
-const gatherMs = 10;
+const burstMs = 10;
+
+/** After places were taken, the peers must have heard of it before more are; a message travels for this long at most within a region, in milliseconds. */
+const travelMs = 20;
 
 /** Without any change, milliseconds until free places and claims are looked at again. */
 const reviewMs = 150;
@@ -83,6 +95,8 @@
 	readonly #parts: BatchRunnerParts;
 	readonly #runs = new Map<BatchJobId, JobRun>();
 	readonly #routeGoneSince = new Map<BatchJobId, number>();
+	#runLength = assumedRunLength;
+	#nextFillAt = 0;
 	#pending: NodeJS.Timeout | undefined;
 	#review: NodeJS.Timeout | undefined;
 	#isStopped = false;
@@ -133,18 +147,27 @@
 	}
 
 	async #leave(run: JobRun) {
-		const {api, self, clock} = this.#parts;
+		const {clock} = this.#parts;
 		const {job} = run;
 		const items = run.progress();
 		if (job && items.length > 0) {
-			const record: HandoverRecord = {type: 'handover', job: job.id, items};
-			const written = api.create('BatchRecord', recordNames.handover(job.id, `${self}-${clock.wall()}`), record);
+			const written = this.#writeHandover(job.id, items);
 			await Promise.race([written, clock.sleep(handoverLimitMs)]);
 		}
 
 		await run.writer.flush(handoverLimitMs);
 	}
 
+	async #writeHandover(job: BatchJobId, items: readonly ItemProgress[]) {
+		const {api, contents, self, clock} = this.#parts;
+		const content = contents.newName(job);
+		const written = await contents.write(content, {type: 'progress', items});
+		if (written.isRight()) {
+			const record: HandoverRecord = {type: 'handover', job, content};
+			await api.create('BatchRecord', recordNames.handover(job, `${self}-${clock.wall()}`), record);
+		}
+	}
+
 	/** Opens a run for each claimed job and closes those that are claimed no more. */
 	#takeClaims() {
 		const {claims, book} = this.#parts;
@@ -155,7 +178,15 @@
 		});
 		claims.claimed.filter(id => !this.#runs.has(id)).forEach(id => {
 			const job = () => book.job(id);
-			this.#runs.set(id, new JobRun(job, new ResultWriter(this.#parts, job), this.#parts.clock));
+			const {contents, clock} = this.#parts;
+			this.#runs.set(id, new JobRun({
+				job, writer: new ResultWriter(this.#parts, job), contents, clock,
+			}));
+		});
+		this.#runs.forEach(run => {
+			void run.load().then(() => {
+				this.#fillSoon();
+			});
 		});
 	}
 
@@ -181,12 +212,13 @@
 	}
 
 	#fillSoon() {
+		const now = this.#parts.clock.now();
 		this.#pending ??= setTimeout(() => {
 			this.#fill();
-		}, gatherMs);
+		}, Math.max(burstMs, this.#nextFillAt - now));
 	}
 
-	/** Fills free places, the job that is due first being served first. */
+	/** Fills this process's share of the free places, with the most urgent items. */
 	#fill() {
 		clearTimeout(this.#pending);
 		this.#pending = undefined;
@@ -194,37 +226,70 @@
 			return;
 		}
 
-		const runs = [...this.#runs.values()].filter(({job}) => job?.isOpen);
-		const dueAt = ({job}: JobRun): number => job ? this.#dueAt(job) : Infinity;
-		runs.toSorted((a, b) => dueAt(a) - dueAt(b)).forEach(run => {
-			this.#fillFrom(run);
+		const {clock} = this.#parts;
+		const wallNow = clock.wall();
+		const waiting = [...this.#runs.values()].flatMap(run => this.#waitingOf(run)).toSorted(byUrgency(this.#runLength, wallNow));
+		if (waiting.length === 0) {
+			return;
+		}
+
+		let left = this.#allowance(waiting[0]!);
+		waiting.every(item => {
+			const isStarted = left > 0 && this.#start(item);
+			left -= isStarted ? 1 : 0;
+			return left > 0;
 		});
+		this.#nextFillAt = clock.now() + (this.#sharers() > 1 ? gatherMs(this.#parts.peers.live.length) + travelMs : 0);
 	}
 
-	#fillFrom(run: JobRun) {
+	#waitingOf(run: JobRun): WaitingPlace[] {
 		const {job} = run;
-		const route = job && this.#routeOf(job);
-		if (!job || !route) {
+		if (!job?.isOpen) {
+			return [];
+		}
+
+		const route = this.#routeOf(job);
+		if (!route) {
 			this.#giveUpWithoutRoute(run);
-			return;
+			return [];
 		}
 
 		this.#routeGoneSince.delete(job.id);
 		if (this.#isOverdue(job, route)) {
-			run.unfinished().forEach(state => {
-				run.giveUp(state);
-			});
-			return;
+			run.giveUpAll();
+			return [];
 		}
 
-		run.waiting().every(state => this.#start(run, job, route, state));
+		const dueAt = this.#dueAt(job);
+		return run.waiting().map(state => ({
+			run, job, route, state, dueAt, events: state.events.length,
+		}));
+	}
+
+	/** @param first - The most urgent item; it decides how many places stay free. */
+	#allowance(first: WaitingPlace): number {
+		const {random} = this.#parts;
+		const reserve = this.#reserveFor(first);
+		const free = this.#replicasOf(first.route)
+			.map(({total, record}) => Math.max(0, record.slots - reserve - total))
+			.reduce((sum, places) => sum + places, 0);
+		return allowance(free, this.#sharers(), random.next());
+	}
+
+	#reserveFor(item: WaitingPlace): number {
+		return reservedPlaces(slackMs(item, this.#runLength, this.#parts.clock.wall()));
+	}
+
+	/** Processes that look for places. */
+	#sharers(): number {
+		return 1 + this.#parts.peers.live.filter(({jobs}) => jobs.size > 0).length;
 	}
 
 	/** The route by which the job's items go now; an operator may have moved it to another service. */
 	#routeOf({record}: BatchJob): GatewayRoute | undefined {
 		const {routes} = this.#parts.board;
 		const route = routes.named(record.route);
-		return route && routes.match(record.host, record.items[0]?.path ?? '') === route ? route : undefined;
+		return route && routes.match(record.host, record.target) === route ? route : undefined;
 	}
 
 	#giveUpWithoutRoute(run: JobRun) {
@@ -237,9 +302,7 @@
 		const since = this.#routeGoneSince.get(id) ?? clock.now();
 		this.#routeGoneSince.set(id, since);
 		if (clock.now() - since > routeGoneMs) {
-			run.unfinished().forEach(state => {
-				run.giveUp(state);
-			});
+			run.giveUpAll();
 		}
 	}
 
@@ -251,26 +314,23 @@
 		return record.submittedAt + (this.#parts.board.routes.named(record.route)?.batch?.dueMs ?? 0);
 	}
 
-	/** @returns Whether a place was found, so that further items may find one too. */
-	#start(run: JobRun, job: BatchJob, route: GatewayRoute, state: ItemState): boolean {
-		const replica = this.#choose(route);
-		const connection = replica && this.#parts.links.take(replica);
+	/** @returns Whether a place was found. */
+	#start(item: WaitingPlace): boolean {
+		const {clock, random, failureDomain, links} = this.#parts;
+		const replica = chooseForBatch(this.#replicasOf(item.route), this.#reserveFor(item), {
+			now: clock.now(), random, failureDomain, tried: new Set(),
+		});
+		const connection = replica && links.take(replica);
 		if (!replica || !connection) {
 			return false;
 		}
 
-		this.#send({
-			run, job, route, state, replica,
-		}, connection);
+		this.#send({...item, replica}, connection);
 		return true;
 	}
 
-	#choose({targets}: GatewayRoute): Replica | undefined {
-		const {directory, clock, random, failureDomain} = this.#parts;
-		const replicas = targets.filter(({weight}) => weight > 0).flatMap(({service}) => directory.takingWork(service));
-		return chooseForBatch(replicas, reservedPlaces, {
-			now: clock.now(), random, failureDomain, tried: new Set(),
-		});
+	#replicasOf({targets}: GatewayRoute): readonly Replica[] {
+		return targets.filter(({weight}) => weight > 0).flatMap(({service}) => this.#parts.directory.takingWork(service));
 	}
 
 	#send(place: ItemPlace, connection: ReplicaConnection) {
@@ -282,6 +342,7 @@
 		});
 		const giveBack = loads.take(replica, 'batch');
 		const startedAt = clock.now();
+		const known = events.length;
 		state.run = new ItemRun({
 			item,
 			replica,
@@ -294,6 +355,10 @@
 				log.emit(gatewayEvents.itemRunEnded, {
 					job: job.id, item: item.id, replica: replica.record.id, outcome: end, events: events.length, reason, elapsedMs: Math.round(clock.now() - startedAt),
 				});
+				if (end === 'finished') {
+					this.#runLength = learn(this.#runLength, {events: events.length - known, elapsedMs: clock.now() - startedAt, total: events.length});
+				}
+
 				this.#onRunEnd(place, end);
 			},
 		});
@@ -304,6 +369,8 @@
 		this.#parts.metrics.count('gateway.itemRuns', 1, {outcome: end});
 		if (end === 'unreachable') {
 			replica.noteFailure(this.#parts.clock.now());
+		} else if (end === 'declined') {
+			replica.noteFull(this.#parts.clock.now());
 		}
 
 		run.noteEnd(state, end, route);
--- a/src/gateway/batch/job-intake.ts
+++ b/src/gateway/batch/job-intake.ts
@@ -1,6 +1,7 @@
 /**
 Takes batch jobs in. A caller that hears "accepted" may forget the job, so its record stands in the object API before; one that hears "refused" will send it elsewhere, so its record must not stand, now or later. Where neither is certain, the caller is told just that.
 */
+import type {Either} from 'purify-ts/Either';
 import {errorOf} from '../../common/error-of.js';
 import type {
 	Clock, EventLog, Metrics, ObjectApi,
@@ -10,6 +11,7 @@
 import type {ObjectFeed} from '../object-feed.js';
 import type {BatchJobId, GatewayRoute} from '../types.js';
 import type {BatchBook} from './batch-book.js';
+import type {ContentStore} from './content-store.js';
 import {
 	recordNames, tokensOf, type BatchItem, type JobRecord,
 } from './batch-records.js';
@@ -19,6 +21,8 @@
 	readonly job: BatchJobId;
 	readonly route: GatewayRoute;
 	readonly host: string;
+	/** The path that it was sent to. */
+	readonly target: string;
 	readonly items: readonly BatchItem[];
 };
 
@@ -30,19 +34,20 @@
 	readonly api: ObjectApi;
 	readonly feed: ObjectFeed;
 	readonly book: BatchBook;
+	readonly contents: ContentStore;
 	readonly clock: Clock;
 	readonly log: EventLog;
 	readonly metrics: Metrics;
 };
 
-/** For how long a record is tried to be written, in milliseconds: callers wait a few seconds, and must have time left to try elsewhere. */
+/** For how long a write is tried, in milliseconds: callers wait a few seconds, and must have time left to try elsewhere. */
 const writeLimitMs = 1500;
 
 /** Between two tries, in milliseconds. */
 const retryMs = 100;
 
-/** A record comes back with the feed within a few milliseconds; after this many it is asked for. */
-const feedPatienceMs = 60;
+/** A record comes back with the feed as soon as the feed looks again; after this many milliseconds it is asked for. */
+const feedPatienceMs = 250;
 
 /**
 With more than this share of the limit left, a job is accepted as soon as its record is written: what other processes accept within the second or two by which this one's view may lag is far less than half of what may wait.
@@ -127,7 +132,8 @@
 		}
 
 		const isRoomy = this.#isRoomy(submission);
-		const written = await this.#create(this.#recordOf(submission, isRoomy));
+		const content = this.#parts.contents.newName(job);
+		const written = await this.#writeBoth(this.#recordOf(submission, isRoomy, content), submission.items);
 		if (written !== 'written') {
 			return written;
 		}
@@ -135,13 +141,24 @@
 		return isRoomy ? 'accepted' : this.#judge(job);
 	}
 
-	async #create(record: JobRecord): Promise<'written' | SubmissionOutcome> {
-		const {api, clock} = this.#parts;
+	/** The content stands before the record that names it; alone it means nothing. */
+	async #writeBoth(record: JobRecord, items: readonly BatchItem[]): Promise<'written' | SubmissionOutcome> {
+		const {api, contents} = this.#parts;
+		const contentOutcome = await this.#tryFor(async () => contents.write(record.content, {type: 'items', items}));
+		if (contentOutcome !== 'written') {
+			return contentOutcome === 'uncertain' ? 'away' : contentOutcome;
+		}
+
+		return this.#tryFor(async () => api.create('BatchRecord', recordNames.job(record.job), record));
+	}
+
+	async #tryFor(write: () => Promise<Either<ApiError, unknown>>): Promise<'written' | SubmissionOutcome> {
+		const {clock} = this.#parts;
 		const startedAt = clock.now();
 		let mayStand = false;
 		while (clock.now() - startedAt < writeLimitMs) {
-			const created = await api.create('BatchRecord', recordNames.job(record.job), record);
-			const err = errorOf(created);
+			const written = await write();
+			const err = errorOf(written);
 			if (!err || err.kind === 'conflict') {
 				return 'written';
 			}
@@ -161,9 +178,18 @@
 		return mayStand ? 'uncertain' : 'away';
 	}
 
-	#recordOf({job, route, host, items}: JobSubmission, isRoomy: boolean): JobRecord {
+	#recordOf({job, route, host, target, items}: JobSubmission, isRoomy: boolean, content: string): JobRecord {
 		return {
-			type: 'job', job, route: route.name, host, submittedAt: this.#parts.clock.wall(), maxWaitingTokens: route.batch?.maxWaitingTokens ?? 0, isRoomy, items,
+			type: 'job',
+			job,
+			route: route.name,
+			host,
+			target,
+			submittedAt: this.#parts.clock.wall(),
+			maxWaitingTokens: route.batch?.maxWaitingTokens ?? 0,
+			isRoomy,
+			items: items.map(({id, tokens}) => ({id, tokens})),
+			content,
 		};
 	}
 
--- a/src/gateway/batch/job-reader.ts
+++ b/src/gateway/batch/job-reader.ts
@@ -12,6 +12,7 @@
 import type {BatchBook} from './batch-book.js';
 import type {BatchJob} from './batch-job.js';
 import {recordNames, type EndRecord, type ItemResult} from './batch-records.js';
+import type {ContentStore} from './content-store.js';
 
 /** Why a question has no answer. */
 export type NoAnswer = 'unknown' | 'unsure';
@@ -37,6 +38,7 @@
 	readonly api: ObjectApi;
 	readonly feed: ObjectFeed;
 	readonly book: BatchBook;
+	readonly contents: ContentStore;
 	readonly clock: Clock;
 	readonly log: EventLog;
 };
@@ -80,7 +82,7 @@
 		}
 
 		const entry = current();
-		return entry ? pageOf(entry, after) : 'unknown';
+		return entry ? this.#page(entry, after) : 'unknown';
 	}
 
 	/** @returns The bytes that the item is sent with. */
@@ -90,8 +92,15 @@
 			return found;
 		}
 
-		const entry = found.item(item);
-		return entry ? Buffer.from(entry.body, 'base64') : 'unknown';
+		if (!found.has(item)) {
+			return 'unknown';
+		}
+
+		const read = await this.#parts.contents.read('items', found.record.content);
+		return read.caseOf<Buffer | NoAnswer>({
+			Left: () => 'unsure',
+			Right: ({items}) => Buffer.from(items.find(({id}) => id === item)?.body ?? '', 'base64'),
+		});
 	}
 
 	/** Ends a job. */
@@ -102,6 +111,27 @@
 		return outcome;
 	}
 
+	/** Reads the contents of as many results as an answer may hold; one that cannot be read ends the answer before it. */
+	async #page({results, record}: BatchJob, after: number): Promise<ResultsPage | NoAnswer> {
+		const page: ItemResult[] = [];
+		const listed = results.slice(after);
+		let bytes = 0;
+		for (const {id, content} of listed) {
+			const read = await this.#parts.contents.read('results', content);
+			const result = read.toMaybe().extract()?.results.find(candidate => candidate.id === id);
+			bytes += result?.output.length ?? 0;
+			if (!result || (page.length > 0 && bytes > maxPageBytes)) {
+				break;
+			}
+
+			page.push(result);
+		}
+
+		return listed.length > 0 && page.length === 0
+			? 'unsure'
+			: {total: record.items.length, next: Math.min(after, results.length) + page.length, results: page};
+	}
+
 	async #end(job: BatchJobId): Promise<'ended' | NoAnswer> {
 		// Whoever wants no more of a job is not helped by its running on while the record waits to be written.
 		this.#parts.book.endEarly(job);
@@ -154,18 +184,3 @@
 }
 
 const admitted = (job: BatchJob | undefined): BatchJob | undefined => job?.isAdmitted ? job : undefined;
-
-const pageOf = ({results, record}: BatchJob, after: number): ResultsPage => {
-	const page: ItemResult[] = [];
-	let bytes = 0;
-	results.slice(after).every(result => {
-		bytes += result.output.length;
-		const fits = page.length === 0 || bytes <= maxPageBytes;
-		if (fits) {
-			page.push(result);
-		}
-
-		return fits;
-	});
-	return {total: record.items.length, next: Math.min(after, results.length) + page.length, results: page};
-};
--- a/src/gateway/batch/job-run.ts
+++ b/src/gateway/batch/job-run.ts
@@ -5,6 +5,7 @@
 import type {BatchItemId, GatewayRoute} from '../types.js';
 import type {BatchJob} from './batch-job.js';
 import type {BatchItem, ItemProgress} from './batch-records.js';
+import type {ContentStore} from './content-store.js';
 import type {ItemRun, ItemRunEnd} from './item-run.js';
 import type {ResultWriter} from './result-writer.js';
 
@@ -25,26 +26,31 @@
 	failed: 200, declined: 150, unreachable: 100, broken: 50,
 };
 
+/** What a run of a job needs. */
+export type JobRunParts = {
+	/** The job as the book has it now. */
+	readonly job: () => BatchJob | undefined;
+	readonly writer: ResultWriter;
+	readonly contents: ContentStore;
+	readonly clock: Clock;
+};
+
 /** See the module's head. */
 export class JobRun implements Disposable {
-	readonly #job: () => BatchJob | undefined;
-	readonly #writer: ResultWriter;
-	readonly #clock: Clock;
+	readonly #parts: JobRunParts;
 	readonly #states = new Map<BatchItemId, ItemState>();
+	#loading: Promise<void> | undefined;
 
-	/** @param job - The job as the book has it now. */
-	constructor(job: () => BatchJob | undefined, writer: ResultWriter, clock: Clock) {
-		this.#job = job;
-		this.#writer = writer;
-		this.#clock = clock;
+	constructor(parts: JobRunParts) {
+		this.#parts = parts;
 	}
 
 	get job(): BatchJob | undefined {
-		return this.#job();
+		return this.#parts.job();
 	}
 
 	get writer(): ResultWriter {
-		return this.#writer;
+		return this.#parts.writer;
 	}
 
 	/** Runs under way. */
@@ -52,41 +58,42 @@
 		return [...this.#states.values()].filter(({run}) => run !== undefined);
 	}
 
+	/** Reads the items in full, and what earlier processes have left of them. Until then none waits. Call it again while it fails. */
+	async load(): Promise<void> {
+		if (this.#states.size === 0) {
+			this.#loading ??= this.#load();
+			await this.#loading;
+			this.#loading = undefined;
+		}
+	}
+
 	/** Items that may be sent now. */
 	waiting(): ItemState[] {
-		const job = this.#job();
+		const {job} = this;
 		if (!job?.isOpen) {
 			return [];
 		}
 
-		const now = this.#clock.now();
-		return job.record.items
-			.filter(({id}) => !job.isListed(id) && !this.#writer.has(id))
-			.map(item => this.#stateOf(job, item))
-			.filter(({run, notBefore}) => run === undefined && notBefore <= now);
-	}
-
-	/** Items without a result, running or not. */
-	unfinished(): ItemState[] {
-		const job = this.#job();
-		return job
-			? job.record.items.filter(({id}) => !job.isListed(id) && !this.#writer.has(id)).map(item => this.#stateOf(job, item))
-			: [];
+		const now = this.#parts.clock.now();
+		return [...this.#states.values()].filter(({item, run, notBefore}) => run === undefined && notBefore <= now && this.#isUnfinished(job, item.id));
 	}
 
 	/** What the next process to run the job can go on from. */
 	progress(): ItemProgress[] {
-		return this.unfinished()
-			.filter(({events, failures}) => events.length > 0 || failures > 0)
-			.map(({item, events, failures}) => ({id: item.id, events: [...events], failures}));
+		const {job} = this;
+		return job
+			? [...this.#states.values()]
+				.filter(({item, events, failures}) => this.#isUnfinished(job, item.id) && (events.length > 0 || failures > 0))
+				.map(({item, events, failures}) => ({id: item.id, events: [...events], failures}))
+			: [];
 	}
 
 	/** Takes over the end of an item's run. */
 	noteEnd(state: ItemState, end: ItemRunEnd, route: Pick<GatewayRoute, 'maxRuns'>): void {
 		state.run = undefined;
-		state.notBefore = this.#clock.now() + (pauseMs[end] ?? 0);
+		state.notBefore = this.#parts.clock.now() + (pauseMs[end] ?? 0);
 		if (end === 'finished') {
-			this.#writer.add({id: state.item.id, state: 'completed', output: state.events.join('\n')});
+			this.writer.add({id: state.item.id, state: 'completed', output: state.events.join('\n')});
 			return;
 		}
 
@@ -95,20 +102,23 @@
 		}
 
 		if (end === 'hopeless' || state.failures >= route.maxRuns) {
-			this.giveUp(state);
+			this.#giveUp(state.item.id);
 		}
 	}
 
-	/** Lists the item as one that has not been done. */
-	giveUp(state: ItemState): void {
-		state.run?.dispose();
-		this.#writer.add({id: state.item.id, state: 'errored', output: ''});
+	/** Lists all items that have no result as not done. */
+	giveUpAll(): void {
+		const {job} = this;
+		this.cutAll();
+		job?.record.items.filter(({id}) => this.#isUnfinished(job, id)).forEach(({id}) => {
+			this.#giveUp(id);
+		});
 	}
 
 	/** Cuts all runs off and writes no more. */
 	dispose(): void {
 		this.cutAll();
-		this.#writer.dispose();
+		this.writer.dispose();
 	}
 
 	/** Cuts all runs off; what they have brought stays. */
@@ -118,17 +128,38 @@
 		});
 	}
 
-	#stateOf(job: BatchJob, item: BatchItem): ItemState {
-		const known = this.#states.get(item.id);
-		if (known) {
-			return known;
+	#giveUp(id: BatchItemId) {
+		this.writer.add({id, state: 'errored', output: ''});
+	}
+
+	#isUnfinished(job: BatchJob, id: BatchItemId): boolean {
+		return !job.isListed(id) && !this.writer.has(id);
+	}
+
+	async #load() {
+		const {job} = this;
+		if (!job) {
+			return;
 		}
 
-		const left = job.progressOf(item.id);
-		const state: ItemState = {
-			item, events: [...left?.events ?? []], failures: left?.failures ?? 0, notBefore: 0, run: undefined,
-		};
-		this.#states.set(item.id, state);
-		return state;
+		const {contents} = this.#parts;
+		const [items, ...handovers] = await Promise.all([
+			contents.read('items', job.record.content),
+			...job.handovers.map(async name => contents.read('progress', name)),
+		]);
+		const left = handovers.flatMap(handover => handover.toMaybe().extract()?.items ?? []);
+		items.ifRight(content => {
+			content.items.forEach(item => {
+				this.#states.set(item.id, stateOf(item, left.filter(({id}) => id === item.id)));
+			});
+		});
 	}
 }
+
+/** The longest progress counts: all are beginnings of one text. A failure that one process counted, the next one knew of. */
+const stateOf = (item: BatchItem, left: readonly ItemProgress[]): ItemState => {
+	const longest = left.toSorted((a, b) => b.events.length - a.events.length)[0];
+	return {
+		item, events: [...longest?.events ?? []], failures: Math.max(0, ...left.map(({failures}) => failures)), notBefore: 0, run: undefined,
+	};
+};
--- a/src/gateway/batch/result-writer.ts
+++ b/src/gateway/batch/result-writer.ts
@@ -7,16 +7,18 @@
 import {errorOf} from '../../common/error-of.js';
 import {gatewayEvents} from '../log-events.js';
 import type {ObjectFeed} from '../object-feed.js';
-import type {BatchItemId} from '../types.js';
+import type {BatchItemId, BatchJobId} from '../types.js';
 import type {BatchBook} from './batch-book.js';
 import type {BatchJob} from './batch-job.js';
 import {recordNames, type ItemResult, type PageRecord} from './batch-records.js';
+import type {ContentStore} from './content-store.js';
 
 /** What the writer needs. */
 export type ResultWriterParts = {
 	readonly api: ObjectApi;
 	readonly feed: ObjectFeed;
 	readonly book: BatchBook;
+	readonly contents: ContentStore;
 	readonly clock: Clock;
 	readonly log: EventLog;
 };
@@ -31,7 +33,7 @@
 const maxPageBytes = 600_000;
 
 /** Until a page that was written comes back with the feed, in milliseconds; then it is asked for. */
-const feedPatienceMs = 100;
+const feedPatienceMs = 400;
 
 /** See the module's head. */
 export class ResultWriter implements Disposable {
@@ -39,6 +41,7 @@
 	readonly #job: () => BatchJob | undefined;
 	readonly #pending = new Map<BatchItemId, ItemResult>();
 	#writing: Promise<void> | undefined;
+	#written: {readonly key: string; readonly name: string} | undefined;
 	#isDisposed = false;
 	#isHurried = false;
 
@@ -113,13 +116,19 @@
 			return true;
 		}
 
+		const results = this.#nextResults();
+		const content = await this.#writeContent(job.id, results);
+		if (content === undefined) {
+			return false;
+		}
+
 		const page: PageRecord = {
-			type: 'page', job: job.id, number: job.pages, results: this.#nextResults(),
+			type: 'page', job: job.id, number: job.pages, results: results.map(({id, state}) => ({id, state})), content,
 		};
 		const created = await api.create('BatchRecord', recordNames.page(page.job, page.number), page);
 		const err = errorOf(created);
 		log.emit(gatewayEvents.resultsCommitted, {
-			job: job.id, page: page.number, results: page.results.length, outcome: err?.kind ?? 'written',
+			job: job.id, page: page.number, results: results.length, outcome: err?.kind ?? 'written',
 		});
 		if (err && err.kind !== 'conflict') {
 			return false;
@@ -130,6 +139,24 @@
 		return feed.bring(isBack);
 	}
 
+	/** @returns Its name; nothing when it could not be written. Results that were written before are not written again. */
+	async #writeContent(job: BatchJobId, results: readonly ItemResult[]): Promise<string | undefined> {
+		const {contents} = this.#parts;
+		const key = results.map(({id}) => id).join(' ');
+		if (this.#written?.key === key) {
+			return this.#written.name;
+		}
+
+		const name = contents.newName(job);
+		const written = await contents.write(name, {type: 'results', results});
+		if (written.isLeft()) {
+			return undefined;
+		}
+
+		this.#written = {key, name};
+		return name;
+	}
+
 	#nextResults(): ItemResult[] {
 		let bytes = 0;
 		const results: ItemResult[] = [];
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -276,7 +276,7 @@
 		}
 
 		const outcome = await intake.submit({
-			job: branded<BatchJobId>(fields.requestId), route, host: req.headers.host ?? '', items: items.unsafeCoerce(),
+			job: branded<BatchJobId>(fields.requestId), route, host: req.headers.host ?? '', target: req.url ?? '', items: items.unsafeCoerce(),
 		});
 		const {status, comeBackMs} = submissionAnswers[outcome];
 		answer(res, status, comeBackMs);
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -21,6 +21,7 @@
 import {rpcRoute} from '../io/rpc-route.js';
 import {BatchBook} from './batch/batch-book.js';
 import {BatchRunner, type ItemHeaders} from './batch/batch-runner.js';
+import {ContentStore} from './batch/content-store.js';
 import {JobClaims} from './batch/job-claims.js';
 import {JobIntake} from './batch/job-intake.js';
 import {JobReader} from './batch/job-reader.js';
@@ -70,7 +71,7 @@
 const feedOptions = {
 	GatewayConfig: {waitMs: watchMs, mayLag: false},
 	Registration: {waitMs: watchMs, mayLag: false},
-	BatchRecord: {waitMs: watchMs, mayLag: true},
+	BatchRecord: {waitMs: watchMs, mayLag: true, paceMs: 150},
 	Member: {waitMs: 4 * watchMs, mayLag: true},
 } as const satisfies Partial<Record<ObjectKind, FeedOptions>>;
 
@@ -164,13 +165,14 @@
 			self, api, feed: memberFeed, clock, log,
 		});
 		this.#links = new ReplicaLinks(board, directory, () => peers.sharers);
+		const contents = new ContentStore(api);
 		const book = new BatchBook(recordFeed);
 		this.#book = book;
 		const claims = new JobClaims({
 			self, book, peers, clock, log, isLeaving,
 		});
 		this.#runner = new BatchRunner({
-			self, api, feed: recordFeed, book, claims, board, directory, loads, links: this.#links, dialect, itemHeaders, clock, random, log, metrics, failureDomain,
+			self, api, feed: recordFeed, book, contents, peers, claims, board, directory, loads, links: this.#links, dialect, itemHeaders, clock, random, log, metrics, failureDomain,
 		});
 		this.#announcer = new PeerAnnouncer({
 			self, channel: this.#channel, peers, directory, loads, clock, isLeaving, memberAddresses: () => this.#registry.addresses, claimedJobs: () => claims.claimed, rpcAddress: () => this.#rpcServer.address, reachesObjectApi: () => api.isDirect,
@@ -181,10 +183,10 @@
 		this.#server = new FrontServer({
 			board, directory, loads, links: this.#links, dialect, clock, random, log, metrics, failureDomain, jobCalls,
 			intake: new JobIntake({
-				api, feed: recordFeed, book, clock, log, metrics,
+				api, feed: recordFeed, book, contents, clock, log, metrics,
 			}),
 			reader: new JobReader({
-				api, feed: recordFeed, book, clock, log,
+				api, feed: recordFeed, book, contents, clock, log,
 			}),
 		});
 		this.#readyServer = createServer((req, res) => {
--- a/src/gateway/object-feed.ts
+++ b/src/gateway/object-feed.ts
@@ -26,6 +26,8 @@
 	readonly waitMs: number;
 	/** Whether watches may be answered by a copy that lags. Lists and `sync` never are. */
 	readonly mayLag: boolean;
+	/** Milliseconds to wait after changes before the next watch, so that many changes come with one call; 0 by default. */
+	readonly paceMs?: number;
 };
 
 /** After a failed call, milliseconds until the next: an outage of the object API must not be prolonged by those who wait for its end, and a change must be in force within about two seconds of it. */
@@ -45,6 +47,7 @@
 	#lostAt: number | undefined;
 	#regainedAt = -Infinity;
 	#failures = 0;
+	#paceMs = 0;
 	#heardAt = -Infinity;
 	#confirmedAt = -Infinity;
 	#currentSync: Promise<boolean> | undefined;
@@ -131,8 +134,10 @@
 	async #follow() {
 		while (!this.#isDisposed) {
 			const isDone = this.#revision === undefined ? await this.#list() : await this.#watch(this.#revision);
-			if (!isDone) {
-				await this.#parts.clock.sleep(retryMs);
+			const pauseMs = isDone ? this.#paceMs : retryMs;
+			this.#paceMs = 0;
+			if (pauseMs > 0) {
+				await this.#parts.clock.sleep(pauseMs);
 			}
 		}
 	}
@@ -226,6 +231,7 @@
 		this.#confirmedAt = Math.max(this.#confirmedAt, confirmedAt);
 		this.#revision = Math.max(version, since, events.at(-1)?.version ?? 0) as Revision;
 		if (events.length > 0) {
+			this.#paceMs = this.#options.paceMs ?? 0;
 			this.#events.emit('changes', events);
 		}
 
--- a/src/gateway/peers/object-relay.ts
+++ b/src/gateway/peers/object-relay.ts
@@ -8,7 +8,7 @@
 	Clock, Disposable, EventLog, ObjectApi, RandomSource,
 } from '../../common/services.js';
 import type {
-	ApiError, ListQuery, ObjectKind, ObjectPage, StoredObject, WatchBatch, WatchOptions,
+	ApiError, ListQuery, ObjectKind, ObjectPage, ReadOptions, StoredObject, WatchBatch,
 } from '../../common/types.js';
 import type {RpcClient, RpcFailure} from '../../io/rpc-client.js';
 import {gatewayEvents} from '../log-events.js';
@@ -18,12 +18,12 @@
 
 /** One call of the object API, as it goes to a peer. */
 export type ObjectCall
-	= | {readonly operation: 'get'; readonly kind: ObjectKind; readonly name: string}
+	= | {readonly operation: 'get'; readonly kind: ObjectKind; readonly name: string; readonly options?: ReadOptions}
 		| {readonly operation: 'create'; readonly kind: ObjectKind; readonly name: string; readonly value: unknown}
 		| {readonly operation: 'update'; readonly kind: ObjectKind; readonly name: string; readonly value: unknown; readonly version: Revision}
 		| {readonly operation: 'remove'; readonly kind: ObjectKind; readonly name: string; readonly version?: Revision}
 		| {readonly operation: 'list'; readonly kind: ObjectKind; readonly query?: ListQuery}
-		| {readonly operation: 'watch'; readonly kind: ObjectKind; readonly since: Revision; readonly waitMs: number; readonly options?: WatchOptions};
+		| {readonly operation: 'watch'; readonly kind: ObjectKind; readonly since: Revision; readonly waitMs: number; readonly options?: ReadOptions};
 
 /** What a peer answers. */
 export type ObjectCallAnswer
@@ -33,7 +33,7 @@
 type Operations = {readonly [K in ObjectCall['operation']]: (api: ObjectApi, call: Extract<ObjectCall, {operation: K}>) => Promise<Either<ApiError, unknown>>};
 
 const operations: Operations = {
-	get: async (api, {kind, name}) => api.get(kind, name),
+	get: async (api, {kind, name, options}) => api.get(kind, name, options),
 	create: async (api, {kind, name, value}) => api.create(kind, name, value),
 	update: async (api, {kind, name, value, version}) => api.update(kind, name, value, version),
 	remove: async (api, {kind, name, version}) => api.remove(kind, name, version),
@@ -96,8 +96,10 @@
 		return this.#isDirect;
 	}
 
-	async get<T>(kind: ObjectKind, name: string): Promise<Either<ApiError, StoredObject<T>>> {
-		return this.#call({operation: 'get', kind, name});
+	async get<T>(kind: ObjectKind, name: string, options?: ReadOptions): Promise<Either<ApiError, StoredObject<T>>> {
+		return this.#call({
+			operation: 'get', kind, name, options,
+		});
 	}
 
 	async create<T>(kind: ObjectKind, name: string, value: T): Promise<Either<ApiError, StoredObject<T>>> {
@@ -122,7 +124,7 @@
 		return this.#call({operation: 'list', kind, query});
 	}
 
-	async watch(kinds: readonly ObjectKind[], since: Revision, waitMs: number, options?: WatchOptions): Promise<Either<ApiError, WatchBatch>> {
+	async watch(kinds: readonly ObjectKind[], since: Revision, waitMs: number, options?: ReadOptions): Promise<Either<ApiError, WatchBatch>> {
 		const [kind] = kinds;
 		return kind === undefined || kinds.length > 1
 			? Left({kind: 'unavailable', reason: 'one kind a call'})
--- a/src/gateway/peers/peer-announcer.ts
+++ b/src/gateway/peers/peer-announcer.ts
@@ -9,8 +9,20 @@
 import {peerStateMethod, type PeerState, type SharedLoad} from './peer-state.js';
 import type {PeerTable} from './peer-table.js';
 
-/** Changes are gathered for this long, in milliseconds: short against the near second that an online call holds its place, and 25 messages a second at most to each peer. */
-const gatherMs = 40;
+/** Changes are gathered for this long at least, in milliseconds: short against the near second that an online call holds its place, and 25 messages a second at most to each peer. */
+const leastGatherMs = 40;
+
+/** And for this long for each peer, so that the messages of one process stay at 125 a second however many peers it has. */
+const gatherMsForEachPeer = 8;
+
+/** An online call that finds no free place at a replica with items is told this soon, in milliseconds, so that whoever runs the items cuts one off. */
+const urgentMs = 5;
+
+/**
+@param peers - How many peers are heard.
+@returns Milliseconds until a change has been told.
+*/
+export const gatherMs = (peers: number): number => Math.max(leastGatherMs, gatherMsForEachPeer * peers);
 
 /** Without a change, milliseconds between messages. */
 const heartbeatMs = 250;
@@ -37,14 +49,16 @@
 	readonly #parts: AnnouncerParts;
 	readonly #startedAt: number;
 	#seq = 0;
+	#pendingAt = 0;
 	#pending: NodeJS.Timeout | undefined;
 	#heartbeat: NodeJS.Timeout | undefined;
 
 	constructor(parts: AnnouncerParts) {
 		this.#parts = parts;
 		this.#startedAt = parts.clock.wall();
-		parts.loads.onOwnChange(() => {
-			this.announceSoon();
+		parts.loads.onOwnChange(({total, allBatch, batch, record}) => {
+			const peersMustCut = total > record.slots && allBatch > batch;
+			this.#announceWithin(peersMustCut ? urgentMs : gatherMs(parts.peers.live.length));
 		});
 	}
 
@@ -59,9 +73,7 @@
 
 	/** Sends within the gathering time. */
 	announceSoon(): void {
-		this.#pending ??= setTimeout(() => {
-			this.#send();
-		}, gatherMs);
+		this.#announceWithin(leastGatherMs);
 	}
 
 	dispose(): void {
@@ -69,6 +81,19 @@
 		clearInterval(this.#heartbeat);
 	}
 
+	#announceWithin(ms: number) {
+		const dueAt = this.#parts.clock.now() + ms;
+		if (this.#pending && this.#pendingAt <= dueAt) {
+			return;
+		}
+
+		clearTimeout(this.#pending);
+		this.#pendingAt = dueAt;
+		this.#pending = setTimeout(() => {
+			this.#send();
+		}, ms);
+	}
+
 	#send() {
 		clearTimeout(this.#pending);
 		this.#pending = undefined;
--- a/src/gateway/replica-choice.ts
+++ b/src/gateway/replica-choice.ts
@@ -65,6 +65,7 @@
 */
 export const chooseForBatch = (replicas: readonly Replica[], reserve: number, context: ChoiceContext): Replica | undefined => {
 	const open = replicas.filter(replica => !replica.isDoubted(context.now)
+		&& !replica.isFull(context.now)
 		&& !context.tried.has(replica.record.id)
 		&& replica.total < Math.max(1, replica.record.slots - reserve));
 	return leastOf(open, replica => replica.total + (context.random.next() * jitter));
--- a/src/gateway/replica.ts
+++ b/src/gateway/replica.ts
@@ -17,6 +17,9 @@
 const firstDoubtMs = 250;
 const maxDoubtMs = 2000;
 
+/** A replica that declined an item gets none for this long, in milliseconds: several messages of each peer, so that its true load is known by then. */
+const fullMs = 300;
+
 /** A replica, mutable: its table and the requests under way write it. */
 export class Replica {
 	/** Own requests in flight. */
@@ -28,6 +31,7 @@
 	#peerBatch = 0;
 	#failures = 0;
 	#doubtedUntil = 0;
+	#fullUntil = 0;
 
 	constructor(record: ReplicaRecord) {
 		this.record = record;
@@ -71,6 +75,16 @@
 		this.#doubtedUntil = now + Math.min(maxDoubtMs, firstDoubtMs * (2 ** (this.#failures - 1)));
 	}
 
+	/** The replica declined an item for lack of a place; what is known of its load lags behind. */
+	noteFull(now: number): void {
+		this.#fullUntil = now + fullMs;
+	}
+
+	/** Whether items are to go elsewhere for now. */
+	isFull(now: number): boolean {
+		return now < this.#fullUntil;
+	}
+
 	noteAnswer(): void {
 		this.#failures = 0;
 		this.#doubtedUntil = 0;
