--- a/src/gateway/batch/batch-book.ts
+++ b/src/gateway/batch/batch-book.ts
@@ -17,7 +17,10 @@
 
 const jobNamePattern = /^job-(?<job>.+)$/v;
 
-type Appliers = {readonly [K in BatchRecord['type']]: (record: Extract<BatchRecord, {type: K}>, revision: Revision) => void};
+type Appliers = {readonly [K in BatchRecord['type']]: (record: Extract<BatchRecord, {type: K}>, origin: Origin) => void};
+
+/** Where a record stands. */
+type Origin = {readonly name: string; readonly revision: Revision};
 
 /** See the module's head. */
 export class BatchBook {
@@ -27,7 +30,7 @@
 	#recordCount = 0;
 
 	readonly #appliers: Appliers = {
-		job: (record: JobRecord, revision: Revision) => {
+		job: (record: JobRecord, {revision}: Origin) => {
 			this.#addJob(record, revision);
 		},
 		page: (record: PageRecord) => {
@@ -36,8 +39,8 @@
 		end: (record: EndRecord) => {
 			this.#jobs.get(record.job)?.end();
 		},
-		handover: (record: HandoverRecord) => {
-			this.#jobs.get(record.job)?.addHandover(record.content);
+		handover: (record: HandoverRecord, {name}: Origin) => {
+			this.#jobs.get(record.job)?.addHandover(record.content, name);
 		},
 	};
 
@@ -123,24 +126,24 @@
 	#takeSnapshot(items: readonly StoredObject[]) {
 		const before = [...this.#jobs.keys()];
 		this.#jobs.clear();
-		const concerned = items.toSorted(byVersion).flatMap(({value, version}) => this.#apply(value, version));
+		const concerned = items.toSorted(byVersion).flatMap(({name, value, version}) => this.#apply(value, {name, revision: version}));
 		this.#isKnown = true;
 		this.#events.emit('change', new Set([...before, ...concerned]));
 	}
 
 	#takeChanges(events: readonly WatchEvent[]) {
-		const concerned = events.flatMap(event => event.type === 'put' ? this.#apply(event.value, event.version) : this.#remove(event.name));
+		const concerned = events.flatMap(event => event.type === 'put' ? this.#apply(event.value, {name: event.name, revision: event.version}) : this.#remove(event.name));
 		this.#events.emit('change', new Set(concerned));
 	}
 
-	#apply(value: unknown, version: Revision): BatchJobId[] {
+	#apply(value: unknown, origin: Origin): BatchJobId[] {
 		const record = readRecord(value);
 		if (!record) {
 			return [];
 		}
 
 		this.#recordCount += 1;
-		(this.#appliers[record.type] as (record: BatchRecord, revision: Revision) => void)(record, version);
+		(this.#appliers[record.type] as (record: BatchRecord, origin: Origin) => void)(record, origin);
 		return [record.job];
 	}
 
--- a/src/gateway/batch/batch-job.ts
+++ b/src/gateway/batch/batch-job.ts
@@ -25,6 +25,7 @@
 	readonly #listed = new Set<BatchItemId>();
 	readonly #results: ListedResult[] = [];
 	readonly #handovers: string[] = [];
+	readonly #handoverRecords: string[] = [];
 	#pages = 0;
 	#listedTokens = 0;
 	#hasEnded = false;
@@ -51,6 +52,16 @@
 		return this.#pages;
 	}
 
+	/** Names of the contents of its pages. */
+	get pageContents(): readonly string[] {
+		return [...new Set(this.#results.map(({content}) => content))];
+	}
+
+	/** Names of its hand-over records. */
+	get handoverRecords(): readonly string[] {
+		return this.#handoverRecords;
+	}
+
 	get hasEnded(): boolean {
 		return this.#hasEnded;
 	}
@@ -95,8 +106,13 @@
 		return true;
 	}
 
-	addHandover(content: string): void {
+	/**
+	@param content - The name of what was left.
+	@param record - The name of the record that says so.
+	*/
+	addHandover(content: string, record: string): void {
 		this.#handovers.push(content);
+		this.#handoverRecords.push(record);
 	}
 
 	/** An item has one position: a second result for it, which no writer makes, would be left out. */
--- /dev/null
+++ b/src/gateway/batch/batch-retention.ts
@@ -0,0 +1,104 @@
+/**
+Removes what is kept of batch jobs whose results need not be readable any longer. The job's own record goes last: as long as it stands, whoever comes next finds what is still to be removed.
+*/
+import {errorOf} from '../../common/error-of.js';
+import {rankMembers} from '../../common/rendezvous.js';
+import type {
+	Clock, Disposable, EventLog, ObjectApi,
+} from '../../common/services.js';
+import type {ObjectKind} from '../../common/types.js';
+import {gatewayEvents} from '../log-events.js';
+import type {PeerTable} from '../peers/peer-table.js';
+import type {MemberName} from '../types.js';
+import type {BatchBook} from './batch-book.js';
+import type {BatchJob} from './batch-job.js';
+import {recordNames} from './batch-records.js';
+
+/** What retention reads and writes. */
+export type RetentionParts = {
+	readonly self: MemberName;
+	readonly api: ObjectApi;
+	readonly book: BatchBook;
+	readonly peers: PeerTable;
+	readonly clock: Clock;
+	readonly log: EventLog;
+	/** Milliseconds after its submission for which a finished job can be read. */
+	readonly keptMs: number;
+};
+
+/** How often jobs are looked through, in milliseconds; one that stays some seconds longer costs nothing. */
+const lookMs = 10_000;
+
+/** Wall clocks of two processes may differ by this much, in milliseconds. */
+const clockSlackMs = 5000;
+
+type Removal = {readonly kind: ObjectKind; readonly name: string};
+
+/** All that belongs to a job, its own record last. */
+const removalsOf = (job: BatchJob): Removal[] => [
+	...[...job.pageContents, ...job.handovers, job.record.content].map(name => ({kind: 'BatchContent' as const, name})),
+	...Array.from({length: job.pages}, (_, number) => ({kind: 'BatchRecord' as const, name: recordNames.page(job.id, number)})),
+	...job.handoverRecords.map(name => ({kind: 'BatchRecord' as const, name})),
+	...(job.hasEnded ? [{kind: 'BatchRecord' as const, name: recordNames.end(job.id)}] : []),
+	{kind: 'BatchRecord' as const, name: recordNames.job(job.id)},
+];
+
+/** See the module's head. */
+export class BatchRetention implements Disposable {
+	readonly #parts: RetentionParts;
+	#timer: NodeJS.Timeout | undefined;
+	#isBusy = false;
+
+	constructor(parts: RetentionParts) {
+		this.#parts = parts;
+	}
+
+	start(): void {
+		this.#timer = setInterval(() => {
+			void this.removeOld();
+		}, lookMs);
+	}
+
+	/** Removes the jobs whose time is over and that fall to this process. */
+	async removeOld(): Promise<void> {
+		if (this.#isBusy) {
+			return;
+		}
+
+		this.#isBusy = true;
+		const old = [...this.#parts.book.all].filter(job => this.#isOver(job) && this.#isOwn(job));
+		for (const job of old) {
+			await this.#remove(job);
+		}
+
+		this.#isBusy = false;
+	}
+
+	dispose(): void {
+		clearInterval(this.#timer);
+	}
+
+	#isOver(job: BatchJob): boolean {
+		const {clock, keptMs} = this.#parts;
+		return !job.isOpen && clock.wall() > job.record.submittedAt + keptMs + clockSlackMs;
+	}
+
+	#isOwn({id}: BatchJob): boolean {
+		const {self, peers} = this.#parts;
+		return rankMembers(id, [self, ...peers.live.map(({state}) => state.member)])[0] === self;
+	}
+
+	/** What is gone already was removed by a process before this one. Any other failure ends this try; the next look goes on. */
+	async #remove(job: BatchJob): Promise<void> {
+		const {api, log} = this.#parts;
+		for (const {kind, name} of removalsOf(job)) {
+			const removed = await api.remove(kind, name);
+			const err = errorOf(removed);
+			if (err && err.kind !== 'notFound') {
+				return;
+			}
+		}
+
+		log.emit(gatewayEvents.jobRemoved, {job: job.id});
+	}
+}
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -20,6 +20,7 @@
 import {RpcClient} from '../io/rpc-client.js';
 import {rpcRoute} from '../io/rpc-route.js';
 import {BatchBook} from './batch/batch-book.js';
+import {BatchRetention} from './batch/batch-retention.js';
 import {BatchRunner, type ItemHeaders} from './batch/batch-runner.js';
 import {ContentStore} from './batch/content-store.js';
 import {JobClaims} from './batch/job-claims.js';
@@ -116,6 +117,7 @@
 	readonly #peers: PeerTable;
 	readonly #book: BatchBook;
 	readonly #runner: BatchRunner;
+	readonly #retention: BatchRetention;
 	readonly #readiness: Readiness;
 	readonly #server: FrontServer;
 	readonly #readyServer: Server;
@@ -174,6 +176,9 @@
 		this.#runner = new BatchRunner({
 			self, api, feed: recordFeed, book, contents, peers, claims, board, directory, loads, links: this.#links, dialect, itemHeaders, clock, random, log, metrics, failureDomain,
 		});
+		this.#retention = new BatchRetention({
+			self, api, book, peers, clock, log, keptMs: settings.resultsKeptMs,
+		});
 		this.#announcer = new PeerAnnouncer({
 			self, channel: this.#channel, peers, directory, loads, clock, isLeaving, memberAddresses: () => this.#registry.addresses, claimedJobs: () => claims.claimed, rpcAddress: () => this.#rpcServer.address, reachesObjectApi: () => api.isDirect,
 		});
@@ -194,7 +199,7 @@
 			res.writeHead(this.#readiness.isReady ? 200 : 503, {'content-length': '0'});
 			res.end();
 		});
-		this.#owned = [this.#runner, this.#announcer, this.#registry, registrations, ...this.#feeds, this.#links, this.#server, this.#channel, this.#rpcServer, api, http, this.#metrics, this.#lifecycle];
+		this.#owned = [this.#retention, this.#runner, this.#announcer, this.#registry, registrations, ...this.#feeds, this.#links, this.#server, this.#channel, this.#rpcServer, api, http, this.#metrics, this.#lifecycle];
 	}
 
 	get addresses(): Readonly<Record<string, string>> {
@@ -226,6 +231,7 @@
 		});
 		this.#announcer.start();
 		this.#runner.start();
+		this.#retention.start();
 		void this.#registry.enter({address: this.#channel.address});
 		this.#lifecycle.send('started');
 		return Right(this);
--- /dev/null
+++ b/src/gateway/gateway-tables.feature
@@ -0,0 +1,62 @@
+Feature: What a front knows
+  The tables that routing and batch jobs read must be the same at every front where it counts, and never go
+  back; the object API's answers may overtake each other, lag, or lose their history.
+
+  Scenario: Every process finds the same job too many
+    # Three jobs that fit only two at a time are written at once. Processes that read the records in one list, or one
+    # by one, must refuse the same job: one is not told of the others' decisions.
+    Given a limit of 1000 tokens
+    And jobs "a, b, c" of 400 tokens each are written
+    Then a process that lists the records admits "a, b"
+    And a process that follows the records admits "a, b"
+
+  Scenario: Results make room
+    Given a limit of 1000 tokens
+    And jobs "a, b" of 400 tokens each are written
+    And a page with all results of "a" is written
+    And jobs "c" of 400 tokens each are written
+    Then a process that lists the records admits "a, b, c"
+    And a process that follows the records admits "a, b, c"
+
+  Scenario: A page of results is taken once, and only in its turn
+    Given a limit of 1000 tokens
+    And jobs "a" of 400 tokens each are written
+    And page 0 of "a" with result "a-0" is written
+    And page 0 of "a" with result "a-0" is written again
+    Then a process that follows the records knows 1 result of "a"
+
+  Scenario: The history is gone
+    # Watches are told to begin anew; nothing may be lost or come twice by it.
+    Given a limit of 1000 tokens
+    And a process follows the records
+    And jobs "a" of 400 tokens each are written
+    When the object API discards its history while the process is away
+    And jobs "b" of 400 tokens each are written
+    Then that process admits "a, b"
+
+  Scenario: An older configuration never comes back in force
+    Given the configuration of version 9 is in force
+    When a copy that lags brings version 6
+    Then version 9 is still in force
+
+  Scenario: Replicas whose registrations lapsed in an outage are kept until they can be back
+    # The object API is away; nobody can renew, and all registrations lapse. Dropping all replicas at once would
+    # refuse every call although all of them are well.
+    Given replicas "r1, r2, r3" are registered
+    When the object API is away, and all registrations have lapsed when it is back
+    Then the front still knows replicas "r1, r2, r3"
+    And "r2" is registered again
+    Then 3 seconds later the front knows replicas "r2"
+
+  Scenario: A replica that leaves without an outage is dropped at once
+    Given replicas "r1, r2, r3, r4" are registered
+    When the registration of "r1" is removed
+    Then the front soon knows replicas "r2, r3, r4"
+
+  Scenario: A finished job is removed after its time, its own record last
+    Given a limit of 1000 tokens
+    And jobs "a, b" of 400 tokens each are written
+    And a page with all results of "a" is written
+    When the time for which results are kept is over
+    Then only records of "b" are left
+    And the job's own record was removed last
--- /dev/null
+++ b/src/gateway/gateway-tables.steps.ts
@@ -0,0 +1,238 @@
+/**
+Steps for the tables of a front, on an object API in memory.
+*/
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {Right} from 'purify-ts/Either';
+import {branded} from '../common/ids.js';
+import type {EventLog} from '../common/services.js';
+import {FakeObjectApi} from '../common/testing/fake-object-api.js';
+import type {TestWorld} from '../common/testing/test-world.js';
+import {until} from '../common/testing/until.js';
+import type {ObjectKind} from '../common/types.js';
+import {SystemClock} from '../io/system-clock.js';
+import {BatchBook} from './batch/batch-book.js';
+import {
+	recordNames, type JobRecord, type PageRecord,
+} from './batch/batch-records.js';
+import {BatchRetention} from './batch/batch-retention.js';
+import {ConfigBoard} from './config-board.js';
+import {LoadBoard} from './load-board.js';
+import {ObjectFeed} from './object-feed.js';
+import {PeerTable} from './peers/peer-table.js';
+import type {RecordReaders} from './record-readers.js';
+import {RegistrationController} from './registration-controller.js';
+import {ReplicaDirectory} from './replica-directory.js';
+import type {
+	BatchItemId, BatchJobId, GatewayConfig, MemberName, ReplicaRecord,
+} from './types.js';
+
+type TablesWorld = TestWorld & {
+	api: FakeObjectApi;
+	limit: number;
+	book: BatchBook;
+	board: ConfigBoard;
+	directory: ReplicaDirectory;
+	removed: string[];
+};
+
+const log: EventLog = {emit: () => undefined};
+const clock = new SystemClock();
+const jobId = (name: string): BatchJobId => branded<BatchJobId>(name);
+const listOf = (names: string): string[] => names.split(', ');
+const itemId = (job: string): BatchItemId => branded<BatchItemId>(`${job}-0`);
+
+const feedOf = (world: TablesWorld, kind: ObjectKind): ObjectFeed => world.register(new ObjectFeed({api: world.api, clock, log}, kind, {waitMs: 50, mayLag: false}));
+
+const jobRecord = (world: TablesWorld, job: string, tokens: number): JobRecord => ({
+	type: 'job', job: jobId(job), route: 'notes', host: 'h', target: '/', submittedAt: 0, maxWaitingTokens: world.limit, isRoomy: false, items: [{id: itemId(job), tokens}], content: `items-${job}`,
+});
+
+const writePage = async ({api}: TablesWorld, job: string, number: number) => {
+	const page: PageRecord = {
+		type: 'page', job: jobId(job), number, results: [{id: itemId(job), state: 'completed'}], content: `text-${job}-${number}`,
+	};
+	return api.create('BatchRecord', recordNames.page(page.job, number), page);
+};
+
+const admitted = (book: BatchBook): string[] => [...book.all].filter(({isAdmitted}) => isAdmitted).map(({id}) => id as string);
+
+const followed = (world: TablesWorld): BatchBook => {
+	const feed = feedOf(world, 'BatchRecord');
+	const book = new BatchBook(feed);
+	feed.start();
+	return book;
+};
+
+Given('a limit of {int} tokens', function (this: TablesWorld, limit: number) {
+	this.api = new FakeObjectApi();
+	this.limit = limit;
+	// This process is there from the first record on and sees each by itself.
+	this.book = followed(this);
+});
+
+Given('jobs {string} of {int} tokens each are written', async function (this: TablesWorld, names: string, tokens: number) {
+	for (const name of listOf(names)) {
+		await this.api.create('BatchRecord', recordNames.job(jobId(name)), jobRecord(this, name, tokens));
+	}
+});
+
+Given('a page with all results of {string} is written', async function (this: TablesWorld, job: string) {
+	await writePage(this, job, 0);
+});
+
+Given('page {int} of {string} with result {string} is written', async function (this: TablesWorld, number: number, job: string, _result: string) {
+	await writePage(this, job, number);
+});
+
+Given('page {int} of {string} with result {string} is written again', async function (this: TablesWorld, number: number, job: string, _result: string) {
+	const again = await writePage(this, job, number);
+	assert.ok(again.isLeft());
+	await writePage(this, job, number + 1);
+});
+
+Given('a process follows the records', async function (this: TablesWorld) {
+	await until(() => this.book.isKnown, 'the records are known');
+});
+
+When('the object API discards its history while the process is away', async function (this: TablesWorld) {
+	this.api.down = true;
+	await this.api.create('BatchRecord', 'ignored', {});
+	this.api.down = false;
+	this.api.compact();
+});
+
+Then('a process that lists the records admits {string}', async function (this: TablesWorld, names: string) {
+	const book = followed(this);
+	await until(() => book.isKnown, 'the records are known');
+	assert.deepEqual(admitted(book), listOf(names));
+});
+
+const followerAdmits = async ({book}: TablesWorld, names: string) => {
+	await until(() => admitted(book).length >= listOf(names).length, `${names} are admitted`);
+	assert.deepEqual(admitted(book), listOf(names));
+};
+
+Then('a process that follows the records admits {string}', async function (this: TablesWorld, names: string) {
+	await followerAdmits(this, names);
+});
+
+Then('that process admits {string}', async function (this: TablesWorld, names: string) {
+	await followerAdmits(this, names);
+});
+
+Then('a process that follows the records knows {int} result(s) of {string}', async function (this: TablesWorld, count: number, job: string) {
+	await until(() => this.book.job(jobId(job))?.pages === 2, 'both pages have come');
+	assert.equal(this.book.job(jobId(job))?.results.length, count);
+});
+
+const configOf = (version: number): GatewayConfig => ({
+	version, routes: [], services: [], limits: {
+		maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+	},
+});
+
+Given('the configuration of version {int} is in force', function (this: TablesWorld, version: number) {
+	this.board = new ConfigBoard();
+	assert.ok(this.board.offer(configOf(version)));
+});
+
+When('a copy that lags brings version {int}', function (this: TablesWorld, version: number) {
+	assert.equal(this.board.offer(configOf(version)), false);
+});
+
+Then('version {int} is still in force', function (this: TablesWorld, version: number) {
+	assert.equal(this.board.config?.version, version);
+});
+
+const replicaRecords: RecordReaders = {
+	configName: 'main',
+	retirementDone: {},
+	readConfig: () => Right(configOf(1)),
+	readReplica: (_name, value) => Right(value as ReplicaRecord),
+	readRetirement: () => Right({withinMs: 0}),
+};
+
+const registrationOf = (id: string): ReplicaRecord => ({
+	id, service: 'engines', address: '127.0.0.1:1', failureDomain: 'hall', slots: 8, isDraining: false,
+} as unknown as ReplicaRecord);
+
+const known = ({directory}: TablesWorld): string[] => [...directory.all].map(({record}) => record.id as string).toSorted((a, b) => (a < b ? -1 : 1));
+
+Given('replicas {string} are registered', async function (this: TablesWorld, names: string) {
+	this.api = new FakeObjectApi();
+	this.directory = new ReplicaDirectory();
+	for (const name of listOf(names)) {
+		await this.api.create('Registration', name, registrationOf(name));
+	}
+
+	const feed = feedOf(this, 'Registration');
+	this.register(new RegistrationController({
+		directory: this.directory, feed, records: replicaRecords, clock, log,
+	}));
+	feed.start();
+	await until(() => this.directory.size === listOf(names).length, 'all replicas are known');
+});
+
+When('the object API is away, and all registrations have lapsed when it is back', async function (this: TablesWorld) {
+	this.api.down = true;
+	await new Promise(resolve => {
+		setTimeout(resolve, 700);
+	});
+	this.api.down = false;
+	for (const {name} of this.api.all('Registration')) {
+		await this.api.remove('Registration', name);
+	}
+
+	const calls = this.api.calls.watch;
+	await until(() => this.api.calls.watch > calls + 3, 'the front has looked again');
+});
+
+When('the registration of {string} is removed', async function (this: TablesWorld, name: string) {
+	await this.api.remove('Registration', name);
+});
+
+Given('{string} is registered again', async function (this: TablesWorld, name: string) {
+	await this.api.create('Registration', name, registrationOf(name));
+});
+
+Then('the front still knows replicas {string}', function (this: TablesWorld, names: string) {
+	assert.deepEqual(known(this), listOf(names));
+});
+
+Then('the front soon knows replicas {string}', async function (this: TablesWorld, names: string) {
+	await until(() => known(this).join(', ') === names, `only ${names} are known`);
+});
+
+Then('{int} seconds later the front knows replicas {string}', async function (this: TablesWorld, _seconds: number, names: string) {
+	await until(() => known(this).join(', ') === names, `only ${names} are known`);
+});
+
+When('the time for which results are kept is over', async function (this: TablesWorld) {
+	await until(() => admitted(this.book).length === 2, 'both jobs are known');
+	this.removed = [];
+	this.api.beforeCall = (call, _kind, name) => {
+		if (call === 'remove') {
+			this.removed.push(name);
+		}
+	};
+
+	const self = branded<MemberName>('front-1');
+	const loads = new LoadBoard();
+	const directory = new ReplicaDirectory();
+	const retention = this.register(new BatchRetention({
+		self, api: this.api, book: this.book, clock, log, keptMs: 0, peers: new PeerTable({
+			self, directory, loads, clock, log,
+		}),
+	}));
+	await until(() => this.book.job(jobId('a'))?.isOpen === false, 'all results of a are known');
+	await retention.removeOld();
+});
+
+Then('only records of {string} are left', function (this: TablesWorld, job: string) {
+	assert.deepEqual(this.api.all<JobRecord>('BatchRecord').map(({value}) => value.job as string), [job]);
+});
+
+Then('the job\'s own record was removed last', function (this: TablesWorld) {
+	assert.equal(this.removed.at(-1), 'job-a');
+});
--- a/src/gateway/peers/object-relay.ts
+++ b/src/gateway/peers/object-relay.ts
@@ -86,6 +86,7 @@
 	readonly #parts: ObjectRelayParts;
 	#isDirect = true;
 	#probe: NodeJS.Timeout | undefined;
+	#failedAt = -Infinity;
 
 	constructor(parts: ObjectRelayParts) {
 		this.#parts = parts;
@@ -153,13 +154,24 @@
 		return err.kind === 'unknown' || this.#isDirect ? Left(err) : this.#ask<T>(call);
 	}
 
-	/** Without a peer to ask, the object API itself is the only hope. */
+	/** Without a peer to ask, the object API itself is the only hope; it is asked no more often than the probes ask it. In an outage each feed of each process would otherwise ask several times a second, for nothing. */
+	async #askDirectly<T>(call: ObjectCall): Promise<Either<ApiError, T>> {
+		const {direct, clock} = this.#parts;
+		if (clock.now() - this.#failedAt < probeMs) {
+			return Left({kind: 'unavailable', reason: 'neither the object API nor a peer that reaches it answers'});
+		}
+
+		this.#failedAt = clock.now();
+		const outcome = await perform(direct, call);
+		return outcome as Either<ApiError, T>;
+	}
+
 	async #ask<T>(call: ObjectCall): Promise<Either<ApiError, T>> {
 		const {helpers, random, rpc} = this.#parts;
 		const addresses = helpers();
 		const address = addresses[Math.floor(random.next() * addresses.length)];
 		if (address === undefined) {
-			return perform(this.#parts.direct, call) as Promise<Either<ApiError, T>>;
+			return this.#askDirectly(call);
 		}
 
 		const timeoutMs = helperTimeoutMs + ('waitMs' in call ? call.waitMs : 0);
@@ -185,6 +197,7 @@
 	}
 
 	#leave(err: ApiError) {
+		this.#failedAt = this.#parts.clock.now();
 		if (this.#isDirect) {
 			this.#isDirect = false;
 			this.#parts.log.emit(gatewayEvents.objectApiByPeers, {reason: 'reason' in err ? err.reason : err.kind, peers: this.#parts.helpers().length});
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -3,7 +3,7 @@
 */
 import * as z from 'zod';
 import {
-	addressSchema, commonSettings, countOf, durationMs, listenAddressSchema, sizeBytes,
+	addressSchema, commonSettings, durationMs, listenAddressSchema, sizeBytes,
 } from '../io/settings-schemas.js';
 
 /** Where the object API is, and how much it takes. */
@@ -33,6 +33,8 @@
 	/** Where metrics are read, by HTTP at `/metrics`. */
 	metricsListen: listenAddressSchema.optional(),
 	objectApi: objectApiSettings,
+	/** Milliseconds after its submission for which the results of a finished job can be read. */
+	resultsKeptMs: durationMs(86_400_000),
 	/** Milliseconds from SIGTERM to SIGKILL. */
 	shutdownMs: durationMs(8000),
 });
@@ -47,8 +49,6 @@
 	failureDomain: z.string().min(1),
 	metricsListen: listenAddressSchema.optional(),
 	objectApi: objectApiSettings,
-	/** Retirements that are looked after at once. */
-	maxRetirements: countOf(64),
 });
 
 /** Settings of `citronyard-keeper`, checked. */
