--- /dev/null
+++ b/src/ctl/explain/log-story.feature
@@ -0,0 +1,30 @@
+Feature: What became of a call or a job
+  When a user complains, the engineer on call has an id and the logs. `citronctl explain` tells the story of the
+  id over all processes and names the cause.
+
+  Scenario Outline: The cause of a failed call
+    Given the logs of <case>
+    Then the story of "c1" has <lines> lines and its cause tells: <cause>
+
+    Examples:
+      | case                                    | lines | cause                                          |
+      | a stream that broke off                 | 3     | at replica i-7, ended as lost (UND_ERR_SOCKET) |
+      | a call to replicas that were full       | 4     | ended as refused                               |
+      | a call that took longer than its route  | 2     | the time of its route                          |
+      | a call without a route                  | 1     | no route for h/x in configuration 9            |
+      | a call before the first configuration   | 1     | knew no configuration yet                      |
+      | a caller that left                      | 2     | closed its connection after 80 ms              |
+
+  Scenario Outline: The cause of a job's trouble
+    Given the logs of <case>
+    Then the story of "j1" has <lines> lines and its cause tells: <cause>
+
+    Examples:
+      | case                                    | lines | cause                                          |
+      | a job that did not fit                  | 1     | 900 tokens wait of 1000 allowed                |
+      | a job while the object API was away     | 1     | nothing of the job was written                 |
+      | a job that moved to another front       | 6     | run by front-1, then front-2                   |
+
+  Scenario: Lines of a collector, and lines that are none
+    Given the logs of a stream that broke off, each with a collector's words before it, and some garbage
+    Then the story of "c1" has 3 lines and its cause tells: ended as lost
--- /dev/null
+++ b/src/ctl/explain/log-story.ts
@@ -0,0 +1,158 @@
+/**
+Puts the story of one call or batch job together from the log lines of all processes, and names the cause where the lines show one.
+*/
+import {gatewayEvents} from '../../gateway/log-events.js';
+
+/** A line of a log. */
+export type LogLine = {
+	readonly event: number;
+	/** ISO 8601; processes' clocks may differ by some milliseconds. */
+	readonly time: string;
+	/** The process that wrote it. */
+	readonly node: string;
+	readonly msg: string;
+	readonly fields: Readonly<Record<string, unknown>>;
+};
+
+/** What is known of an id. */
+export type Story = {
+	readonly id: string;
+	/** Lines that name the id, the oldest first. */
+	readonly lines: readonly LogLine[];
+	/** A sentence; undefined where the lines show no end. */
+	readonly cause: string | undefined;
+};
+
+const frameFields = new Set(['event', 'time', 'node', 'program', 'level', 'msg']);
+
+/** Fields that name a call, a job or an item. */
+const idFields = ['id', 'job', 'item'] as const;
+
+const textOf = (value: unknown, byDefault = ''): string => typeof value === 'string' ? value : byDefault;
+
+const parsed = (text: string): Record<string, unknown> | undefined => {
+	try {
+		const value = JSON.parse(text) as unknown;
+		return typeof value === 'object' && value !== null ? value as Record<string, unknown> : undefined;
+	} catch {
+		return undefined;
+	}
+};
+
+/**
+@param line - A line of a log; what a collector has put before the JSON is left out.
+@returns Nothing where the line is no event.
+*/
+export const readLogLine = (line: string): LogLine | undefined => {
+	const begin = line.indexOf('{');
+	const value = begin === -1 ? undefined : parsed(line.slice(begin));
+	if (!value || typeof value.event !== 'number') {
+		return undefined;
+	}
+
+	const fields = Object.fromEntries(Object.entries(value).filter(([name]) => !frameFields.has(name)));
+	return {
+		event: value.event, time: textOf(value.time), node: textOf(value.node, textOf(value.program)), msg: textOf(value.msg), fields,
+	};
+};
+
+type Explain = (lines: readonly LogLine[], end: LogLine) => string;
+
+const last = (lines: readonly LogLine[], {number}: {readonly number: number}): LogLine | undefined => lines.findLast(({event}) => event === number);
+
+const attemptText = (line: LogLine | undefined): string => line
+	? `its last attempt, at replica ${textOf(line.fields.replica)}, ended as ${textOf(line.fields.kind)}${line.fields.reason === undefined ? '' : ` (${textOf(line.fields.reason)})`}`
+	: 'no attempt was made';
+
+/** What a call's final answer came of, by its reason. */
+const callReasons: Readonly<Record<string, Explain>> = {
+	answered: (_lines, {fields}) => Number(fields.status) < 400
+		? `answered with ${String(fields.status)} after ${String(fields.elapsedMs)} ms, first byte after ${String(fields.firstByteMs)} ms, in ${String(fields.offers)} attempt(s)`
+		: `the replica itself answered ${String(fields.status)}`,
+	noReplica: () => 'refused with 503, not run: no replica of the service was registered and taking work',
+	full: lines => `refused with 503, not run: every replica that was asked declined or could not be reached; ${attemptText(last(lines, gatewayEvents.attemptFailed))}`,
+	'time is up': lines => `answered 504: the time of its route or of its caller was over; ${attemptText(last(lines, gatewayEvents.attemptFailed))}`,
+	'time is up within the answer': () => 'cut: the time of its route or of its caller was over while the answer was under way',
+	'the caller left': (_lines, {fields}) => `the caller closed its connection after ${String(fields.elapsedMs)} ms`,
+	'the replica broke off': lines => `broken off and not repeated, since its route allows no further run; ${attemptText(last(lines, gatewayEvents.attemptFailed))}`,
+	'no replica is left for another run': lines => `broken off, and no other replica was left to run it; ${attemptText(last(lines, gatewayEvents.attemptFailed))}`,
+	'an event of the stream is missing or came twice': () => 'cut: a replica sent events that do not follow each other',
+};
+
+/** What a job's submission came to, by its outcome. */
+const submissionOutcomes: Readonly<Record<string, Explain>> = {
+	full: (_lines, {fields}) => `refused with 429: ${String(fields.waitingTokens)} tokens wait of ${String(fields.cap)} allowed, and the job has ${String(fields.tokens)}`,
+	away: () => 'refused with 503: the object API did not answer, and nothing of the job was written',
+	uncertain: () => 'answered 504: the object API did not confirm the record, which may stand',
+	tooLarge: () => 'answered 413: the job is larger than an object may be',
+	accepted: lines => jobProgress(lines),
+};
+
+const countOutcomes = (lines: readonly LogLine[]): string => {
+	const counts = new Map<string, number>();
+	lines.filter(({event}) => event === gatewayEvents.itemRunEnded.number).forEach(({fields}) => {
+		const outcome = textOf(fields.outcome);
+		counts.set(outcome, (counts.get(outcome) ?? 0) + 1);
+	});
+	return [...counts].map(([outcome, count]) => `${count} ${outcome}`).join(', ');
+};
+
+const jobProgress = (lines: readonly LogLine[]): string => {
+	const submitted = lines.find(({event}) => event === gatewayEvents.jobSubmitted.number);
+	const pages = lines.filter(({event, fields}) => event === gatewayEvents.resultsCommitted.number && fields.outcome === 'written');
+	const results = pages.reduce((sum, {fields}) => sum + Number(fields.results), 0);
+	const lastPage = pages.at(-1);
+	const tookMs = lastPage && submitted ? Date.parse(lastPage.time) - Date.parse(submitted.time) : undefined;
+	const ended = last(lines, gatewayEvents.jobEnded);
+	const holders = [...new Set(lines.filter(({event, fields}) => event === gatewayEvents.jobClaimChanged.number && fields.claimed === true).map(({node}) => node))];
+	return [
+		`accepted; ${results} of ${String(submitted?.fields.items)} results written${tookMs === undefined ? '' : `, the last ${tookMs} ms after it came`}`,
+		`runs of its items: ${countOutcomes(lines) || 'none'}`,
+		`run by ${holders.join(', then ') || 'nobody'}`,
+		...(ended ? [`its caller ended it (${textOf(ended.fields.outcome)})`] : []),
+	].join('; ');
+};
+
+const itemOutcomes: Readonly<Record<string, Explain>> = {
+	finished: lines => `done; its runs: ${countOutcomes(lines)}`,
+	hopeless: () => 'errored: the replica says that it can never be done (422)',
+	failed: lines => `its last run failed at the replica; its runs: ${countOutcomes(lines)}`,
+	cut: lines => `its last run was cut off for an online call or a shutdown; its runs: ${countOutcomes(lines)}`,
+	broken: lines => `its last run broke off; its runs: ${countOutcomes(lines)}`,
+	declined: lines => `its last run was declined by a replica that was full; its runs: ${countOutcomes(lines)}`,
+	unreachable: lines => `its replica could not be reached; its runs: ${countOutcomes(lines)}`,
+};
+
+/** The lines that tell an end, the most telling first. */
+const ends: ReadonlyArray<{readonly number: number; readonly by: string; readonly table: Readonly<Record<string, Explain>>}> = [
+	{number: gatewayEvents.callEnded.number, by: 'reason', table: callReasons},
+	{number: gatewayEvents.jobSubmitted.number, by: 'outcome', table: submissionOutcomes},
+	{number: gatewayEvents.itemRunEnded.number, by: 'outcome', table: itemOutcomes},
+];
+
+const rejection = (lines: readonly LogLine[]): string | undefined => {
+	const rejected = last(lines, gatewayEvents.callRejected);
+	const {status, host, target, configVersion, reason} = rejected?.fields ?? {};
+	const reasons: Readonly<Record<number, string>> = {
+		404: `answered 404: no route for ${textOf(host)}${textOf(target)} in configuration ${String(configVersion)}`,
+		503: 'refused with 503: the process knew no configuration yet',
+		400: `answered 400: ${textOf(reason)}`,
+	};
+	return rejected && reasons[Number(status)];
+};
+
+const causeOf = (lines: readonly LogLine[]): string | undefined => {
+	const told = ends.map(({number, by, table}) => {
+		const end = lines.findLast(({event}) => event === number);
+		return end && table[textOf(end.fields[by])]?.(lines, end);
+	});
+	return told.find(text => text !== undefined) ?? rejection(lines);
+};
+
+/** @returns The story of an id. */
+export const storyOf = (id: string, lines: readonly LogLine[]): Story => {
+	const own = lines
+		.filter(({fields}) => idFields.some(name => fields[name] === id))
+		.toSorted((a, b) => (a.time < b.time ? -1 : 1));
+	return {id, lines: own, cause: causeOf(own)};
+};
--- a/src/ctl/main.ts
+++ b/src/ctl/main.ts
@@ -10,6 +10,7 @@
 import type {Command, Options} from './command.js';
 import {applyCommand, validateCommand} from './commands/apply.js';
 import {deleteCommand} from './commands/delete.js';
+import {explainCommand} from './commands/explain.js';
 import {
 	jobCancelCommand, jobResultsCommand, jobSubmitCommand, jobWatchCommand,
 } from './commands/job.js';
@@ -27,6 +28,7 @@
 	describeCommand,
 	watchCommand,
 	deleteCommand,
+	explainCommand,
 	statusCommand,
 	jobSubmitCommand,
 	jobWatchCommand,
--- a/src/io/pino-event-log.ts
+++ b/src/io/pino-event-log.ts
@@ -11,6 +11,8 @@
 export type EventLogOptions = {
 	/** The name of the program. */
 	readonly program: string;
+	/** The name of the process in the fleet, where it has one. */
+	readonly node?: string;
 	/** Less urgent events are left out. */
 	readonly level: LogLevel;
 	/** Where lines go; standard output by default. */
@@ -28,7 +30,7 @@
 	readonly #stdout: ReturnType<typeof pino.destination> | undefined;
 	#hasWaiting = false;
 
-	constructor({program, level, destination}: EventLogOptions) {
+	constructor({program, node, level, destination}: EventLogOptions) {
 		const stdout = destination ? undefined : pino.destination({fd: 1, sync: false, maxLength: waitingLimitBytes});
 		this.#stdout = stdout;
 		stdout?.on('drain', () => {
@@ -36,7 +38,7 @@
 		});
 		this.#logger = pino({
 			level,
-			base: {program},
+			base: node === undefined ? {program} : {program, node},
 			timestamp: pino.stdTimeFunctions.isoTime,
 			formatters: {level: label => ({level: label})},
 		}, destination ?? stdout);
--- a/src/io/program-services.ts
+++ b/src/io/program-services.ts
@@ -30,8 +30,8 @@
 @param settings - The common settings.
 @returns The services.
 */
-export const createServices = (program: string, {logLevel, metrics}: CommonSettings): OwnedServices => {
-	const log = new PinoEventLog({program, level: logLevel});
+export const createServices = (program: string, {logLevel, metrics, name}: CommonSettings & {readonly name?: string}): OwnedServices => {
+	const log = new PinoEventLog({program, node: name, level: logLevel});
 	const address = metrics && parseAddress(metrics.address);
 	const sink = metrics && address ? new DogstatsdMetrics({address, prefix: metrics.prefix, tags: {program}}) : undefined;
 	return {
