Keepers hold batch jobs on their disks while the object API is away

Ruled out: holding submissions open (202 within 500 ms is the target), memory of the peers (all machines may lose power right after an acceptance). Change: a roomy job that is not written within 150 ms, or cannot be, is handed to the keepers; once one disk more than may be lost has synced it, it is accepted and run. Each keeper writes what it holds into the object API as soon as that is back; records are only created, so copies do no harm. Pages of results wait for the job's own record; an end may come before it.

--- a/src/common/message-tests.ts
+++ b/src/common/message-tests.ts
@@ -19,6 +19,7 @@
 		node: isText, since: isCount, waitMs: isAmount, scope: optional(objectOf({kinds: optional(listOf(isText)), name: optional(isText)})), counts: optional(areCounts), wantsDigest: optional(isFlag),
 	}),
 	'config.counts': optional(isObject),
+	'gateway.holdJob': objectOf({record: isObject, content: isObject}),
 	'gateway.objectCall': objectOf({operation: oneOf('get', 'create', 'update', 'remove', 'list', 'watch'), kind: isText}),
 	'gateway.state': objectOf({
 		member: isText, address: isText, rpcAddress: isText, reachesObjectApi: isFlag, startedAt: isAmount, seq: isCount, isLeaving: isFlag, loads: listOf(objectOf({replica: isText, online: isCount, batch: isCount})), jobs: listOf(isText),
--- a/src/gateway/batch/batch-book.ts
+++ b/src/gateway/batch/batch-book.ts
@@ -4,7 +4,7 @@
 Whether a job fits under its route's limit is decided here, from the records before it, and so alike in every process: two processes that take jobs in at the same moment need not ask each other, since each finds the other's job before or after its own. Nothing of a job runs, and no caller is told that it was accepted, before its record has come back in this order.
 */
 import {EventEmitter} from 'node:events';
-import type {Revision} from '../../common/ids.js';
+import {branded, type Revision} from '../../common/ids.js';
 import type {StoredObject, WatchEvent} from '../../common/types.js';
 import type {ObjectFeed} from '../object-feed.js';
 import type {BatchJobId} from '../types.js';
@@ -22,10 +22,17 @@
 /** Where a record stands. */
 type Origin = {readonly name: string; readonly revision: Revision};
 
+/** A held job has no place among the versions yet. */
+const heldRevision = branded<Revision>(0);
+
 /** See the module's head. */
 export class BatchBook {
 	readonly #events = new EventEmitter();
 	readonly #jobs = new Map<BatchJobId, BatchJob>();
+	/** Accepted here, and not in the object API yet. */
+	readonly #held = new Map<BatchJobId, JobRecord>();
+	/** Ended, and not in the object API yet. */
+	readonly #endedBefore = new Set<BatchJobId>();
 	#isKnown = false;
 	#recordCount = 0;
 
@@ -37,7 +44,7 @@
 			this.#jobs.get(record.job)?.addPage(record);
 		},
 		end: (record: EndRecord) => {
-			this.#jobs.get(record.job)?.end();
+			this.#end(record.job);
 		},
 		handover: (record: HandoverRecord, {name}: Origin) => {
 			this.#jobs.get(record.job)?.addHandover(record.content, name);
@@ -117,9 +124,23 @@
 		});
 	}
 
+	/** This process has accepted a job that keepers hold until its record can be written. */
+	addHeld(record: JobRecord): void {
+		if (!this.#jobs.has(record.job)) {
+			this.#held.set(record.job, record);
+			this.#addHeldJob(record);
+			this.#events.emit('change', new Set([record.job]));
+		}
+	}
+
+	/** Tokens of jobs that this process has accepted and that are held. */
+	get heldTokens(): number {
+		return [...this.#held.values()].reduce((sum, {items}) => sum + tokensOf(items), 0);
+	}
+
 	/** A caller asked for the end of a job, and the record of it is still to be written. */
 	endEarly(id: BatchJobId): void {
-		this.#jobs.get(id)?.end();
+		this.#end(id);
 		this.#events.emit('change', new Set([id]));
 	}
 
@@ -127,6 +148,10 @@
 		const before = [...this.#jobs.keys()];
 		this.#jobs.clear();
 		const concerned = items.toSorted(byVersion).flatMap(({name, value, version}) => this.#apply(value, {name, revision: version}));
+		// What is held is in no list yet.
+		this.#held.forEach(record => {
+			this.#addHeldJob(record);
+		});
 		this.#isKnown = true;
 		this.#events.emit('change', new Set([...before, ...concerned]));
 	}
@@ -157,9 +182,30 @@
 		return [id];
 	}
 
+	/** Held jobs were accepted with so much room that no order of records decides. */
+	#addHeldJob(record: JobRecord) {
+		this.#jobs.set(record.job, new BatchJob(record, heldRevision, {isAdmitted: true, isHeld: true}));
+		if (this.#endedBefore.has(record.job)) {
+			this.#jobs.get(record.job)?.end();
+		}
+	}
+
+	/** The end of a job that was held may stand in the object API before the job does. */
+	#end(id: BatchJobId) {
+		const job = this.#jobs.get(id);
+		job?.end();
+		if (!job || job.isHeld) {
+			this.#endedBefore.add(id);
+		}
+	}
+
 	#addJob(record: JobRecord, revision: Revision) {
 		const {route, maxWaitingTokens, isRoomy, items} = record;
 		const isAdmitted = isRoomy || this.waitingTokens(route) + tokensOf(items) <= maxWaitingTokens;
-		this.#jobs.set(record.job, new BatchJob(record, revision, isAdmitted));
+		this.#held.delete(record.job);
+		this.#jobs.set(record.job, new BatchJob(record, revision, {isAdmitted}));
+		if (this.#endedBefore.delete(record.job)) {
+			this.#jobs.get(record.job)?.end();
+		}
 	}
 }
--- a/src/gateway/batch/batch-job.ts
+++ b/src/gateway/batch/batch-job.ts
@@ -20,6 +20,8 @@
 	readonly revision: Revision;
 	/** Whether it fitted when it was created. */
 	readonly isAdmitted: boolean;
+	/** Whether its record is still to come to stand in the object API: nothing that refers to it may be written before. */
+	readonly isHeld: boolean;
 	readonly tokens: number;
 	readonly #items: ReadonlyMap<BatchItemId, ItemOutline>;
 	readonly #listed = new Set<BatchItemId>();
@@ -30,10 +32,11 @@
 	#listedTokens = 0;
 	#hasEnded = false;
 
-	constructor(record: JobRecord, revision: Revision, isAdmitted: boolean) {
+	constructor(record: JobRecord, revision: Revision, {isAdmitted, isHeld = false}: {isAdmitted: boolean; isHeld?: boolean}) {
 		this.record = record;
 		this.revision = revision;
 		this.isAdmitted = isAdmitted;
+		this.isHeld = isHeld;
 		this.tokens = tokensOf(record.items);
 		this.#items = new Map(record.items.map(item => [item.id, item]));
 	}
--- a/src/gateway/batch/content-store.ts
+++ b/src/gateway/batch/content-store.ts
@@ -50,6 +50,11 @@
 		return Right(undefined);
 	}
 
+	/** Keeps a content that is to be written later by others. */
+	keep(name: string, content: BatchContent): void {
+		this.#keep(name, content);
+	}
+
 	async read<T extends BatchContent['type']>(type: T, name: string): Promise<Either<ApiError, Extract<BatchContent, {type: T}>>> {
 		const kept = this.#kept.get(name);
 		if (kept) {
--- a/src/gateway/batch/job-claims.ts
+++ b/src/gateway/batch/job-claims.ts
@@ -73,7 +73,8 @@
 		});
 	}
 
-	#reviewJob({id}: BatchJob) {
+	/** Of a held job no other process knows. */
+	#reviewJob({id, isHeld}: BatchJob) {
 		const holders = this.#holdersElsewhere(id);
 		if (this.#claimed.has(id)) {
 			if (holders.length > 0 && rankMembers(id, [this.#parts.self, ...holders])[0] !== this.#parts.self) {
@@ -88,7 +89,7 @@
 			return;
 		}
 
-		if (this.#isOwnTurn(id)) {
+		if (isHeld || this.#isOwnTurn(id)) {
 			this.#set(id, true);
 		}
 	}
--- a/src/gateway/batch/job-intake.ts
+++ b/src/gateway/batch/job-intake.ts
@@ -10,6 +10,8 @@
 import {gatewayEvents} from '../log-events.js';
 import type {ObjectFeed} from '../object-feed.js';
 import type {BatchJobId, GatewayRoute} from '../types.js';
+import type {HeldJob} from '../keeping/held-job.js';
+import type {JobHolders} from '../keeping/job-holders.js';
 import type {BatchBook} from './batch-book.js';
 import type {ContentStore} from './content-store.js';
 import {
@@ -35,6 +37,9 @@
 	readonly feed: ObjectFeed;
 	readonly book: BatchBook;
 	readonly contents: ContentStore;
+	readonly holders: JobHolders;
+	/** How many processes take jobs in, this one included. */
+	readonly sharers: () => number;
 	readonly clock: Clock;
 	readonly log: EventLog;
 	readonly metrics: Metrics;
@@ -43,6 +48,9 @@
 /** For how long a write is tried, in milliseconds: callers wait a few seconds, and must have time left to try elsewhere. */
 const writeLimitMs = 1500;
 
+/** The object API answers two writes within some ten milliseconds; a job that waits longer than this, in milliseconds, is held by keepers meanwhile, so that it is accepted within the usual latency target of half a second. */
+const patienceMs = 150;
+
 /** Between two tries, in milliseconds. */
 const retryMs = 100;
 
@@ -71,7 +79,7 @@
 		const outcome = await this.#submit(submission);
 		const {job, route, items} = submission;
 		log.emit(gatewayEvents.jobSubmitted, {
-			id: job, route: route.name, items: items.length, tokens: tokensOf(items), waitingTokens: book.waitingTokens(route.name), cap: route.batch?.maxWaitingTokens, outcome, elapsedMs: Math.round(clock.now() - startedAt),
+			id: job, route: route.name, items: items.length, tokens: tokensOf(items), waitingTokens: book.waitingTokens(route.name), cap: route.batch?.maxWaitingTokens, outcome, isHeld: book.job(job)?.isHeld, elapsedMs: Math.round(clock.now() - startedAt),
 		});
 		metrics.count('gateway.jobs', 1, {outcome});
 		return outcome;
@@ -133,7 +141,13 @@
 
 		const isRoomy = this.#isRoomy(submission);
 		const content = this.#parts.contents.newName(job);
-		const written = await this.#writeBoth(this.#recordOf(submission, isRoomy, content), submission.items);
+		const record = this.#recordOf(submission, isRoomy, content);
+		const writing = this.#writeBoth(record, submission.items);
+		if (isRoomy && this.#mayBeHeld(submission)) {
+			return this.#writeOrHold(writing, {record, content: {type: 'items', items: submission.items}});
+		}
+
+		const written = await writing;
 		if (written !== 'written') {
 			return written;
 		}
@@ -141,6 +155,41 @@
 		return isRoomy ? 'accepted' : this.#judge(job);
 	}
 
+	/** Processes do not know of each other's held jobs: together they may hold no more than what a roomy job leaves free. */
+	#mayBeHeld(submission: JobSubmission): boolean {
+		const {holders, book, sharers} = this.#parts;
+		const limit = limitOf(submission);
+		const share = limit === 0 ? Infinity : limit * (1 - roomyShare) / sharers();
+		return holders.areEnough && book.heldTokens + tokensOf(submission.items) <= share;
+	}
+
+	/** Whichever comes first: the record in the object API, or enough copies on disks that will bring it there. */
+	async #writeOrHold(writing: Promise<'written' | SubmissionOutcome>, job: HeldJob): Promise<SubmissionOutcome> {
+		const {clock, holders, book, contents} = this.#parts;
+		const first = await Promise.race([writing, clock.sleep(patienceMs)]);
+		if (first === 'written') {
+			return 'accepted';
+		}
+
+		if (first === 'tooLarge') {
+			return first;
+		}
+
+		const held = await holders.hold(job);
+		if (held === 'held') {
+			contents.keep(job.record.content, job.content);
+			book.addHeld(job.record);
+			return 'accepted';
+		}
+
+		const written = await writing;
+		if (written === 'written') {
+			return 'accepted';
+		}
+
+		return held === 'partly' && written === 'away' ? 'uncertain' : written;
+	}
+
 	/** The content stands before the record that names it; alone it means nothing. */
 	async #writeBoth(record: JobRecord, items: readonly BatchItem[]): Promise<'written' | SubmissionOutcome> {
 		const {api, contents} = this.#parts;
--- a/src/gateway/batch/result-writer.ts
+++ b/src/gateway/batch/result-writer.ts
@@ -116,6 +116,11 @@
 			return true;
 		}
 
+		if (job.isHeld) {
+			// Other processes would not know what the page belongs to, and would leave it out.
+			return false;
+		}
+
 		const results = this.#nextResults();
 		const content = await this.#writeContent(job.id, results);
 		if (content === undefined) {
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -14,11 +14,10 @@
 import {formatAddress, parseAddress} from '../io/address.js';
 import {DatagramChannel} from '../io/datagram-channel.js';
 import {HttpClient} from '../io/http-client.js';
-import {HttpServer} from '../io/http-server.js';
+import type {HttpServer} from '../io/http-server.js';
 import type {RunningProgram, StartError} from '../io/program.js';
 import {PrometheusMetrics} from '../io/prometheus-metrics.js';
 import {RpcClient} from '../io/rpc-client.js';
-import {rpcRoute} from '../io/rpc-route.js';
 import {BatchBook} from './batch/batch-book.js';
 import {BatchRetention} from './batch/batch-retention.js';
 import {BatchRunner, type ItemHeaders} from './batch/batch-runner.js';
@@ -29,16 +28,18 @@
 import {ConfigBoard} from './config-board.js';
 import {ConfigController} from './config-controller.js';
 import {FrontServer} from './front-server.js';
+import {JobHolders} from './keeping/job-holders.js';
 import type {JobCallDialect} from './job-calls.js';
 import {LoadBoard} from './load-board.js';
-import {gatewayEvents} from './log-events.js';
 import {ObjectFeed, type FeedOptions} from './object-feed.js';
+import {MemberEntry} from './peers/member-entry.js';
 import {MemberRegistry} from './peers/member-registry.js';
 import {
 	answerObjectCall, objectCallMethod, ObjectRelay, type ObjectCall,
 } from './peers/object-relay.js';
 import {PeerAnnouncer} from './peers/peer-announcer.js';
 import {peerStateMethod, type PeerState} from './peers/peer-state.js';
+import {peerServer} from './peers/peer-server.js';
 import {PeerTable} from './peers/peer-table.js';
 import {Readiness} from './readiness.js';
 import type {RecordReaders} from './record-readers.js';
@@ -82,23 +83,6 @@
 /** What is left of the time to shut down when requests under way are given up, in milliseconds: enough to write the last log lines. */
 const exitMarginMs = 400;
 
-/** Where peers make calls by this process. */
-const peerServer = (direct: ObjectApi, log: EventLog): HttpServer => new HttpServer([rpcRoute({
-	[objectCallMethod]: async (call: ObjectCall) => answerObjectCall(direct, call),
-})], {
-	notFound(_req, res) {
-		res.writeHead(404);
-		res.end();
-	},
-	wrongMethod(_req, res) {
-		res.writeHead(405);
-		res.end();
-	},
-	broken(err) {
-		log.emit(gatewayEvents.handlerBroken, {reason: String(err)});
-	},
-});
-
 /** See the module's head. */
 export class Front implements RunningProgram {
 	readonly #settings: FrontSettings;
@@ -113,6 +97,7 @@
 	readonly #rpcServer: HttpServer;
 	readonly #announcer: PeerAnnouncer;
 	readonly #registry: MemberRegistry;
+	readonly #entry: MemberEntry;
 	readonly #links: ReplicaLinks;
 	readonly #peers: PeerTable;
 	readonly #book: BatchBook;
@@ -138,10 +123,13 @@
 		});
 		this.#peers = peers;
 		const http = new HttpClient();
+		const rpc = new RpcClient(http);
 		const api = new ObjectRelay({
-			direct: adapter.api, rpc: new RpcClient(http), clock, random, log, helpers: () => peers.live.filter(({state}) => state.reachesObjectApi).map(({state}) => state.rpcAddress),
+			direct: adapter.api, rpc, clock, random, log, helpers: () => peers.live.filter(({state}) => state.reachesObjectApi).map(({state}) => state.rpcAddress),
 		});
-		this.#rpcServer = peerServer(adapter.api, log);
+		this.#rpcServer = peerServer({
+			[objectCallMethod]: async (call: ObjectCall) => answerObjectCall(adapter.api, call),
+		}, log);
 		const feedOf = (kind: keyof typeof feedOptions) => new ObjectFeed({api, clock, log}, kind, feedOptions[kind]);
 		const isLeaving = () => this.#lifecycle.isLeaving;
 
@@ -163,8 +151,9 @@
 				peers.take(state);
 			},
 		});
-		this.#registry = new MemberRegistry({
-			self, api, feed: memberFeed, clock, log,
+		this.#registry = new MemberRegistry(memberFeed);
+		this.#entry = new MemberEntry({
+			self, api, clock, log,
 		});
 		this.#links = new ReplicaLinks(board, directory, () => peers.sharers);
 		const contents = new ContentStore(api);
@@ -188,7 +177,15 @@
 		this.#server = new FrontServer({
 			board, directory, loads, links: this.#links, dialect, clock, random, log, metrics, failureDomain, jobCalls,
 			intake: new JobIntake({
-				api, feed: recordFeed, book, contents, clock, log, metrics,
+				api,
+				feed: recordFeed,
+				book,
+				contents,
+				clock,
+				log,
+				metrics,
+				sharers: () => peers.sharers,
+				holders: new JobHolders({rpc, keepers: () => this.#registry.keeperAddresses, toleratedLosses: settings.toleratedLosses}),
 			}),
 			reader: new JobReader({
 				api, feed: recordFeed, book, contents, clock, log,
@@ -199,7 +196,7 @@
 			res.writeHead(this.#readiness.isReady ? 200 : 503, {'content-length': '0'});
 			res.end();
 		});
-		this.#owned = [this.#retention, this.#runner, this.#announcer, this.#registry, registrations, ...this.#feeds, this.#links, this.#server, this.#channel, this.#rpcServer, api, http, this.#metrics, this.#lifecycle];
+		this.#owned = [this.#retention, this.#runner, this.#announcer, this.#entry, registrations, ...this.#feeds, this.#links, this.#server, this.#channel, this.#rpcServer, api, http, this.#metrics, this.#lifecycle];
 	}
 
 	get addresses(): Readonly<Record<string, string>> {
@@ -232,7 +229,7 @@
 		this.#announcer.start();
 		this.#runner.start();
 		this.#retention.start();
-		void this.#registry.enter({address: this.#channel.address});
+		void this.#entry.enter({address: this.#channel.address, role: 'front'});
 		this.#lifecycle.send('started');
 		return Right(this);
 	}
--- /dev/null
+++ b/src/gateway/keeping/held-job.ts
@@ -0,0 +1,23 @@
+/**
+A batch job that was accepted while the object API was away: its record and its items, as they will be written there.
+*/
+import {
+	readContent, readRecord, type JobContent, type JobRecord,
+} from '../batch/batch-records.js';
+
+/** See the module's head. */
+export type HeldJob = {
+	readonly record: JobRecord;
+	readonly content: JobContent;
+};
+
+/** The method by which a front asks a keeper to hold a job. */
+export const holdJobMethod = 'gateway.holdJob';
+
+/** @returns The job, or nothing where the value is none. */
+export const readHeldJob = (value: unknown): HeldJob | undefined => {
+	const {record, content} = (value ?? {}) as Partial<Record<keyof HeldJob, unknown>>;
+	const job = readRecord(record);
+	const items = readContent('items', content);
+	return job?.type === 'job' && items ? {record: job, content: items} : undefined;
+};
--- /dev/null
+++ b/src/gateway/keeping/job-holders.ts
@@ -0,0 +1,69 @@
+/**
+Asks keepers to hold a job while the object API does not take it. A job is held once enough disks have it that it outlives the loss of as many as may be lost at once.
+*/
+import type {RpcClient} from '../../io/rpc-client.js';
+import {holdJobMethod, type HeldJob} from './held-job.js';
+
+/** `none`: no keeper has it. `partly`: some may, so it may come to stand in the object API. */
+export type HoldOutcome = 'held' | 'partly' | 'none';
+
+/** What asking needs. */
+export type JobHoldersParts = {
+	readonly rpc: RpcClient;
+	/** Where keepers take calls, as `ip:port`. */
+	readonly keepers: () => readonly string[];
+	/** Disks that may be lost at once. */
+	readonly toleratedLosses: number;
+};
+
+type Answer = {readonly isHeld: boolean};
+
+/** A keeper syncs a file and a folder, some ten milliseconds each; in milliseconds. */
+const answerMs = 400;
+
+/** Keepers that are asked beyond those that are needed: entries of some may be out of date. */
+const spareKeepers = 3;
+
+/** See the module's head. */
+export class JobHolders {
+	readonly #parts: JobHoldersParts;
+
+	constructor(parts: JobHoldersParts) {
+		this.#parts = parts;
+	}
+
+	/** Whether there are enough keepers to ask. */
+	get areEnough(): boolean {
+		return this.#parts.keepers().length >= this.#copies;
+	}
+
+	get #copies(): number {
+		return this.#parts.toleratedLosses + 1;
+	}
+
+	/** Resolves as soon as enough keepers have the job. */
+	async hold(job: HeldJob): Promise<HoldOutcome> {
+		const {keepers, rpc} = this.#parts;
+		const asked = keepers().slice(0, this.#copies + spareKeepers);
+		let held = 0;
+		let doubtful = 0;
+		return new Promise(resolve => {
+			const calls = asked.map(async address => {
+				const answered = await rpc.call<Answer>({address, timeoutMs: answerMs}, holdJobMethod, job);
+				answered
+					.ifRight(({isHeld}) => {
+						held += isHeld ? 1 : 0;
+					})
+					.ifLeft(({kind}) => {
+						doubtful += kind === 'notSent' ? 0 : 1;
+					});
+				if (held >= this.#copies) {
+					resolve('held');
+				}
+			});
+			void Promise.all(calls).then(() => {
+				resolve(held + doubtful > 0 ? 'partly' : 'none');
+			});
+		});
+	}
+}
--- /dev/null
+++ b/src/gateway/keeping/job-journal.ts
@@ -0,0 +1,68 @@
+/**
+Jobs on a disk, one file each. A job counts as held only once its file and the folder's entry for it have reached the disk: after a power loss anything later may be missing or torn.
+*/
+import {
+	mkdir, open, readdir, readFile, unlink,
+} from 'node:fs/promises';
+import path from 'node:path';
+import {readHeldJob, type HeldJob} from './held-job.js';
+
+const suffix = '.json';
+
+/** Each acceptance has a content of its own, so two fronts that accept the same job never write one file. */
+const fileOf = ({record}: HeldJob): string => `${encodeURIComponent(record.content)}${suffix}`;
+
+/** See the module's head. */
+export class JobJournal {
+	readonly #dir: string;
+
+	/** @param dir - A folder of its own; it is made when it is missing. */
+	constructor(dir: string) {
+		this.#dir = dir;
+	}
+
+	/** @returns The jobs that were held before. A torn file was never confirmed to anybody and is left out. */
+	async load(): Promise<HeldJob[]> {
+		await mkdir(this.#dir, {recursive: true});
+		const names = await readdir(this.#dir);
+		const jobs = await Promise.all(names.filter(name => name.endsWith(suffix)).map(async name => this.#read(name)));
+		return jobs.filter(job => job !== undefined);
+	}
+
+	/** Rejects when the disk does not take it, for instance because it is full. */
+	async hold(job: HeldJob): Promise<void> {
+		const file = await open(path.join(this.#dir, fileOf(job)), 'w');
+		try {
+			await file.writeFile(JSON.stringify(job));
+			await file.sync();
+		} finally {
+			await file.close();
+		}
+
+		await this.#syncDir();
+	}
+
+	/** Without a sync of the folder, a power loss could bring back a job that has long been done and removed. */
+	async drop(job: HeldJob): Promise<void> {
+		await unlink(path.join(this.#dir, fileOf(job)));
+		await this.#syncDir();
+	}
+
+	async #read(name: string): Promise<HeldJob | undefined> {
+		const text = await readFile(path.join(this.#dir, name), 'utf8');
+		try {
+			return readHeldJob(JSON.parse(text));
+		} catch {
+			return undefined;
+		}
+	}
+
+	async #syncDir() {
+		const dir = await open(this.#dir, 'r');
+		try {
+			await dir.sync();
+		} finally {
+			await dir.close();
+		}
+	}
+}
--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -36,7 +36,7 @@
 	readinessChanged: {number: 718, level: 'info', text: 'readiness changed'},
 	/** Fields: member, reason. */
 	memberNotWritten: {number: 719, level: 'warn', text: 'own address could not be written for peers to find'},
-	/** Fields: id, route, items, tokens, waitingTokens, cap, outcome, elapsedMs. */
+	/** Fields: id, route, items, tokens, waitingTokens, cap, outcome, isHeld, elapsedMs. */
 	jobSubmitted: {number: 720, level: 'info', text: 'batch job submitted'},
 	/** Fields: id, outcome. */
 	jobEnded: {number: 721, level: 'info', text: 'end of a batch job asked for'},
@@ -52,6 +52,12 @@
 	jobRemoved: {number: 726, level: 'info', text: 'records of a batch job removed'},
 	/** Fields: id, status, reason. */
 	jobReadFailed: {number: 727, level: 'info', text: 'batch job could not be read'},
+	/** Fields: id, items. */
+	jobHeld: {number: 733, level: 'info', text: 'batch job held on disk until the object API takes it'},
+	/** Fields: id, reason. */
+	jobNotHeld: {number: 734, level: 'error', text: 'batch job could not be held on disk, or not be dropped'},
+	/** Fields: id. */
+	heldJobWritten: {number: 735, level: 'info', text: 'held batch job stands in the object API'},
 	/** Fields: name, state. */
 	retirementAnswered: {number: 730, level: 'info', text: 'storage VM may be taken away'},
 	/** Fields: reason. */
--- /dev/null
+++ b/src/gateway/peers/member-entry.ts
@@ -0,0 +1,73 @@
+/**
+How a process of the gateway makes itself known: it writes its address into the object API when it starts.
+*/
+import type {
+	Clock, Disposable, EventLog, ObjectApi,
+} from '../../common/services.js';
+import type {ApiError, StoredObject} from '../../common/types.js';
+import {gatewayEvents} from '../log-events.js';
+import type {MemberName} from '../types.js';
+import {readMember, type MemberRecord} from './member-registry.js';
+
+/** What the entry needs. */
+export type MemberEntryParts = {
+	readonly self: MemberName;
+	readonly api: ObjectApi;
+	readonly clock: Clock;
+	readonly log: EventLog;
+};
+
+/** Milliseconds until the next try to write the own address. */
+const retryMs = 1000;
+
+/** See the module's head. */
+export class MemberEntry implements Disposable {
+	readonly #parts: MemberEntryParts;
+	#isDisposed = false;
+
+	constructor(parts: MemberEntryParts) {
+		this.#parts = parts;
+	}
+
+	/** Writes this process's address, again and again until it stands there. */
+	async enter(record: MemberRecord): Promise<void> {
+		while (!this.#isDisposed && !(await this.#write(record))) {
+			await this.#parts.clock.sleep(retryMs);
+		}
+	}
+
+	dispose(): void {
+		this.#isDisposed = true;
+	}
+
+	async #write(record: MemberRecord): Promise<boolean> {
+		const {self, api} = this.#parts;
+		const created = await api.create('Member', self, record);
+		return created.caseOf<boolean | Promise<boolean>>({
+			Left: async err => this.#correct(err, record),
+			Right: () => true,
+		});
+	}
+
+	/** The entry of an earlier start stands there, perhaps with another address. */
+	async #correct(err: ApiError, record: MemberRecord): Promise<boolean> {
+		const {self, api, log} = this.#parts;
+		if (err.kind !== 'conflict') {
+			log.emit(gatewayEvents.memberNotWritten, {member: self, reason: err.kind});
+			return false;
+		}
+
+		const read = await api.get<MemberRecord>('Member', self);
+		const found = err.current ?? read.toMaybe().extractNullable();
+		if (!found) {
+			return false;
+		}
+
+		if (readMember(found.value)?.address === record.address) {
+			return true;
+		}
+
+		const updated = await api.update('Member', self, record, (found as StoredObject).version);
+		return updated.isRight();
+	}
+}
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -3,7 +3,7 @@
 */
 import * as z from 'zod';
 import {
-	addressSchema, commonSettings, durationMs, listenAddressSchema, sizeBytes,
+	addressSchema, commonSettings, countOf, durationMs, listenAddressSchema, sizeBytes,
 } from '../io/settings-schemas.js';
 
 /** Where the object API is, and how much it takes. */
@@ -35,6 +35,8 @@
 	objectApi: objectApiSettings,
 	/** Milliseconds after its submission for which the results of a finished job can be read. */
 	resultsKeptMs: durationMs(86_400_000),
+	/** Disks that may be lost at once; a job that the object API does not take is held by one keeper more. */
+	toleratedLosses: countOf(1),
 	/** Milliseconds from SIGTERM to SIGKILL. */
 	shutdownMs: durationMs(8000),
 });
@@ -47,7 +49,12 @@
 	...commonSettings,
 	name: z.string().min(1),
 	failureDomain: z.string().min(1),
+	/** Where fronts hand jobs over, by TCP. */
+	peerListen: listenAddressSchema,
+	/** Where metrics are read, by HTTP at `/metrics`. */
 	metricsListen: listenAddressSchema.optional(),
+	/** The folder on the disk. */
+	dataDir: z.string().min(1),
 	objectApi: objectApiSettings,
 });
 
