--- a/src/gateway/keeping/held-jobs.ts
+++ b/src/gateway/keeping/held-jobs.ts
@@ -26,7 +26,7 @@
 	readonly #parts: HeldJobsParts;
 	readonly #jobs = new Map<string, HeldJob>();
 	#isDisposed = false;
-	#writing: Promise<void> | undefined;
+	#isWriting = false;
 
 	constructor(parts: HeldJobsParts) {
 		this.#parts = parts;
@@ -66,7 +66,10 @@
 
 	#take(job: HeldJob) {
 		this.#jobs.set(job.record.content, job);
-		this.#writing ??= this.#writeAll();
+		if (!this.#isWriting) {
+			this.#isWriting = true;
+			void this.#writeAll();
+		}
 	}
 
 	async #writeAll() {
@@ -78,7 +81,7 @@
 			}
 		}
 
-		this.#writing = undefined;
+		this.#isWriting = false;
 	}
 
 	async #write(job: HeldJob): Promise<boolean> {
