--- a/src/common/services.ts
+++ b/src/common/services.ts
@@ -33,7 +33,7 @@
 	emit(event: EventDefinition, fields?: LogFields): void;
 };
 
-/** Counters, gauges and timings. Names are listed in docs/OPERATING.md. */
+/** Counters, gauges and timings. Names are listed in docs/OPERATIONS.md. */
 export type Metrics = {
 	count(name: string, value?: number, tags?: Readonly<Record<string, string>>): void;
 	gauge(name: string, value: number, tags?: Readonly<Record<string, string>>): void;
--- a/src/ctl/explain/log-story.ts
+++ b/src/ctl/explain/log-story.ts
@@ -64,6 +64,19 @@
 	? `its last attempt, at replica ${textOf(line.fields.replica)}, ended as ${textOf(line.fields.kind)}${line.fields.reason === undefined ? '' : ` (${textOf(line.fields.reason)})`}`
 	: 'no attempt was made';
 
+/** Where a call was when it ended from outside. */
+const whereabouts = (lines: readonly LogLine[]): string => {
+	const routed = last(lines, gatewayEvents.callRouted);
+	const failed = last(lines, gatewayEvents.attemptFailed);
+	if (!routed) {
+		return 'it had not been sent to a replica';
+	}
+
+	return failed && failed.time > routed.time
+		? attemptText(failed)
+		: `it was at replica ${textOf(routed.fields.replica)}, attempt ${String(routed.fields.attempt)}, which had ${String(routed.fields.online)} online calls and ${String(routed.fields.batch)} items in flight when it was sent`;
+};
+
 /** What a call's final answer came of, by its reason. */
 const callReasons: Readonly<Record<string, Explain>> = {
 	answered: (_lines, {fields}) => Number(fields.status) < 400
@@ -71,9 +84,9 @@
 		: `the replica itself answered ${String(fields.status)}`,
 	noReplica: () => 'refused with 503, not run: no replica of the service was registered and taking work',
 	full: lines => `refused with 503, not run: every replica that was asked declined or could not be reached; ${attemptText(last(lines, gatewayEvents.attemptFailed))}`,
-	'time is up': lines => `answered 504: the time of its route or of its caller was over; ${attemptText(last(lines, gatewayEvents.attemptFailed))}`,
-	'time is up within the answer': () => 'cut: the time of its route or of its caller was over while the answer was under way',
-	'the caller left': (_lines, {fields}) => `the caller closed its connection after ${String(fields.elapsedMs)} ms`,
+	'time is up': (lines, {fields}) => `answered 504: the time of its route or of its caller was over after ${String(fields.elapsedMs)} ms; ${whereabouts(lines)}`,
+	'time is up within the answer': lines => `cut: the time of its route or of its caller was over while the answer was under way; ${whereabouts(lines)}`,
+	'the caller left': (lines, {fields}) => `the caller closed its connection after ${String(fields.elapsedMs)} ms; ${whereabouts(lines)}`,
 	'the replica broke off': lines => `broken off and not repeated, since its route allows no further run; ${attemptText(last(lines, gatewayEvents.attemptFailed))}`,
 	'no replica is left for another run': lines => `broken off, and no other replica was left to run it; ${attemptText(last(lines, gatewayEvents.attemptFailed))}`,
 	'an event of the stream is missing or came twice': () => 'cut: a replica sent events that do not follow each other',
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -65,17 +65,24 @@
 	readonly random: RandomSource;
 };
 
+/** Between two watches, and for the list that follows a lost one, in milliseconds. */
+const catchUpMarginMs = 900;
+
+/** The shortest watch, in milliseconds: each is a call that counts. */
+const leastWatchMs = 1000;
+
 /**
-A watch that went silent is noticed after its waiting time and the limit of a call, 2.3 s with the default: a change must be in force at every process 3 s after the connections that it would have come by are lost.
+A watch that went silent is noticed after its waiting time and the limit of a call; what it has missed must be in force in time all the same.
 */
-const watchMs = 1500;
-
-const feedOptions = {
-	GatewayConfig: {waitMs: watchMs, mayLag: false},
-	Registration: {waitMs: watchMs, mayLag: false},
-	BatchRecord: {waitMs: watchMs, mayLag: true, paceMs: 150},
-	Member: {waitMs: 4 * watchMs, mayLag: true},
-} as const satisfies Partial<Record<ObjectKind, FeedOptions>>;
+const feedOptions = ({catchUpMs, objectApi}: FrontSettings) => {
+	const waitMs = Math.max(leastWatchMs, catchUpMs - objectApi.timeoutMs - catchUpMarginMs);
+	return {
+		GatewayConfig: {waitMs, mayLag: false},
+		Registration: {waitMs, mayLag: false},
+		BatchRecord: {waitMs, mayLag: true, paceMs: 150},
+		Member: {waitMs: 4 * waitMs, mayLag: true},
+	} as const satisfies Partial<Record<ObjectKind, FeedOptions>>;
+};
 
 /** The balancer asks once a second and takes a process out after two refusals; until then it sends new connections here, which are served. In milliseconds. */
 const rotationMs = 2600;
@@ -130,7 +137,8 @@
 		this.#rpcServer = peerServer({
 			[objectCallMethod]: async (call: ObjectCall) => answerObjectCall(adapter.api, call),
 		}, log);
-		const feedOf = (kind: keyof typeof feedOptions) => new ObjectFeed({api, clock, log}, kind, feedOptions[kind]);
+		const options = feedOptions(settings);
+		const feedOf = (kind: keyof typeof options) => new ObjectFeed({api, clock, log}, kind, options[kind]);
 		const isLeaving = () => this.#lifecycle.isLeaving;
 
 		const configFeed = feedOf('GatewayConfig');
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -33,6 +33,8 @@
 	/** Where metrics are read, by HTTP at `/metrics`. */
 	metricsListen: listenAddressSchema.optional(),
 	objectApi: objectApiSettings,
+	/** Milliseconds within which a lost connection to the object API must have been noticed and mended. */
+	catchUpMs: durationMs(3000),
 	/** Milliseconds after its submission for which the results of a finished job can be read. */
 	resultsKeptMs: durationMs(86_400_000),
 	/** Disks that may be lost at once; a job that the object API does not take is held by one keeper more. */
--- a/src/io/program.feature
+++ b/src/io/program.feature
@@ -9,6 +9,21 @@
     Then the daemon printed "work done" and exited with 0
     And the daemon logged events "100, 101, 102"
 
+  Scenario: Settings are read again
+    # An operator edits the file and sends SIGHUP. Without a listener the signal would end the process.
+    Given a daemon that "drains" has started
+    When the daemon's settings are changed to "debug" and it gets "SIGHUP"
+    And the daemon gets "SIGTERM" once event 106 is logged
+    Then the daemon printed "work done" and exited with 0
+    And the daemon logged events "100, 106, 101, 102"
+
+  Scenario: Wrong settings change nothing
+    Given a daemon that "drains" has started
+    When the daemon's settings are changed to "nonsense" and it gets "SIGHUP"
+    And the daemon gets "SIGTERM" once event 107 is logged
+    Then the daemon printed "work done" and exited with 0
+    And the daemon logged events "100, 107, 101, 102"
+
   Scenario: A second signal cuts the shutdown short
     Given a daemon that "hangs" has started
     When the daemon gets "SIGTERM"
--- a/src/io/program.steps.ts
+++ b/src/io/program.steps.ts
@@ -11,6 +11,7 @@
 
 type ProgramWorld = TestWorld & {
 	daemon: RunningProcess;
+	settingsFile: string;
 };
 
 type Logged = {readonly event: number};
@@ -25,6 +26,7 @@
 	const dir = await mkdtemp(path.join(tmpdir(), 'program-'));
 	world.register(async () => rm(dir, {recursive: true}));
 	const file = path.join(dir, 'settings.jsonc');
+	world.settingsFile = file;
 	await writeFile(file, JSON.stringify({listen: '127.0.0.1:0', queueBytes: 0, behaviour}));
 	world.daemon = world.register(new RunningProcess([...sampleProgram, '--settings', file, ...flags]));
 };
@@ -49,6 +51,13 @@
 	this.daemon.signal(signal);
 });
 
+When('the daemon\'s settings are changed to {string} and it gets {string}', async function (this: ProgramWorld, logLevel: string, signal: NodeJS.Signals) {
+	await writeFile(this.settingsFile, JSON.stringify({
+		listen: '127.0.0.1:0', queueBytes: 0, behaviour: 'drains', logLevel,
+	}));
+	this.daemon.signal(signal);
+});
+
 When('the daemon gets {string} once event {int} is logged', async function (this: ProgramWorld, signal: NodeJS.Signals, number: number) {
 	await eventLogged(this.daemon, number);
 	this.daemon.signal(signal);
