A peer that dies under load is noticed

Silent peers were dropped by the heartbeat's timer, and each message put that off; under load a change is told every 40 ms, so it never fell due. The dead front's jobs stayed with it, and its calls went on counting at the replicas. Ruled out: lost messages, a suspended process (no gap in its log). Change: silence is looked for with each message. Test: fails before (the peer is still there after 1.6 s of changes), passes after.

--- a/src/gateway/gateway-tables.feature
+++ b/src/gateway/gateway-tables.feature
@@ -60,3 +60,10 @@
     When the time for which results are kept is over
     Then only records of "b" are left
     And the job's own record was removed last
+
+  Scenario: A peer that dies under load is noticed
+    # Changes of load follow each other so closely that no heartbeat falls due. The dead peer's jobs must be open to
+    # others, and its calls must not count, all the same.
+    Given a front that heard "front-2" once, with 5 calls at "r1"
+    When its own load changes all the time for longer than a peer may be silent
+    Then it has dropped "front-2" and counts 0 calls of others at "r1"
--- a/src/gateway/gateway-tables.steps.ts
+++ b/src/gateway/gateway-tables.steps.ts
@@ -10,6 +10,7 @@
 import type {TestWorld} from '../common/testing/test-world.js';
 import {until} from '../common/testing/until.js';
 import type {ObjectKind} from '../common/types.js';
+import {DatagramChannel} from '../io/datagram-channel.js';
 import {SystemClock} from '../io/system-clock.js';
 import {BatchBook} from './batch/batch-book.js';
 import {
@@ -19,12 +20,13 @@
 import {ConfigBoard} from './config-board.js';
 import {LoadBoard} from './load-board.js';
 import {ObjectFeed} from './object-feed.js';
+import {PeerAnnouncer} from './peers/peer-announcer.js';
 import {PeerTable} from './peers/peer-table.js';
 import type {RecordReaders} from './record-readers.js';
 import {RegistrationController} from './registration-controller.js';
 import {ReplicaDirectory} from './replica-directory.js';
 import type {
-	BatchItemId, BatchJobId, GatewayConfig, MemberName, ReplicaRecord,
+	BatchItemId, BatchJobId, GatewayConfig, MemberName, ReplicaId, ReplicaRecord,
 } from './types.js';
 
 type TablesWorld = TestWorld & {
@@ -34,6 +36,8 @@
 	board: ConfigBoard;
 	directory: ReplicaDirectory;
 	removed: string[];
+	loads: LoadBoard;
+	peers: PeerTable;
 };
 
 const log: EventLog = {emit: () => undefined};
@@ -236,3 +240,38 @@
 Then('the job\'s own record was removed last', function (this: TablesWorld) {
 	assert.equal(this.removed.at(-1), 'job-a');
 });
+
+Given('a front that heard {string} once, with {int} calls at {string}', async function (this: TablesWorld, peer: string, online: number, replica: string) {
+	this.directory = new ReplicaDirectory();
+	this.directory.put(registrationOf(replica));
+	this.loads = new LoadBoard();
+	this.peers = new PeerTable({
+		self: branded<MemberName>('front-1'), directory: this.directory, loads: this.loads, clock, log,
+	});
+	const channel = this.register(new DatagramChannel({}));
+	await channel.listen('127.0.0.1:0');
+	const announcer = this.register(new PeerAnnouncer({
+		self: branded<MemberName>('front-1'), channel, peers: this.peers, directory: this.directory, loads: this.loads, clock, memberAddresses: () => [], claimedJobs: () => [], isLeaving: () => false, rpcAddress: () => '127.0.0.1:1', reachesObjectApi: () => true,
+	}));
+	announcer.start();
+	this.peers.take({
+		member: branded<MemberName>(peer), address: '127.0.0.1:1', rpcAddress: '127.0.0.1:1', reachesObjectApi: true, startedAt: 1, seq: 1, isLeaving: false, loads: [{replica: branded<ReplicaId>(replica), online, batch: 0}], jobs: [],
+	});
+	assert.equal(this.directory.get(branded<ReplicaId>(replica))?.allOnline, online);
+});
+
+When('its own load changes all the time for longer than a peer may be silent', async function (this: TablesWorld) {
+	const [replica] = this.directory.all;
+	const longEnough = clock.now() + 1600;
+	while (clock.now() < longEnough) {
+		this.loads.take(replica!, 'online')();
+		await new Promise(resolve => {
+			setTimeout(resolve, 10);
+		});
+	}
+});
+
+Then('it has dropped {string} and counts {int} calls of others at {string}', function (this: TablesWorld, _peer: string, count: number, replica: string) {
+	assert.deepEqual(this.peers.live, []);
+	assert.equal(this.directory.get(branded<ReplicaId>(replica))?.allOnline, count);
+});
--- a/src/gateway/peers/peer-announcer.ts
+++ b/src/gateway/peers/peer-announcer.ts
@@ -65,7 +65,6 @@
 	/** Begins to send. */
 	start(): void {
 		this.#heartbeat = setInterval(() => {
-			this.#parts.peers.dropSilent();
 			this.#send();
 		}, heartbeatMs);
 		this.#send();
@@ -99,6 +98,8 @@
 		this.#pending = undefined;
 		this.#heartbeat?.refresh();
 		const {channel, peers, memberAddresses} = this.#parts;
+		// Under load every message comes from a change and the heartbeat never falls due, so silence is looked for with each message: a peer that died would otherwise keep its jobs until the load ends.
+		peers.dropSilent();
 		const addresses = new Set([...memberAddresses(), ...peers.live.map(({state}) => state.address)]);
 		addresses.delete(channel.address);
 		channel.send([...addresses], peerStateMethod, this.#state());
