A replica that starts again under its id comes as a new one; a spoilt registration names none

A replica may start again under its id with an empty memory, told by when it started; the directory took such an entry for a change of the known one, so that doubt, counts and connections of the dead start went on. And an entry of another writer counted as ready whatever its state, or kept its last readable content in force. Change: registrations carry the start; another start under a known id ends the known replica (its connections are cut, nobody is left to answer on them) and joins as a new one, and peers' loads name the start they belong to. An entry that cannot be read, or lacks the start where others tell it, drops its replica; logged once per change (737). Ruled out: telling the later start by its time alone, since a clock may be set back between two starts; taking every other time for a later start, since a write of the earlier one may take effect late and would cut live streams.

--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -16,6 +16,8 @@
 	configInForce: {number: 710, level: 'info', text: 'configuration in force'},
 	/** Fields: name, reason. */
 	configUnreadable: {number: 711, level: 'error', text: 'configuration can not be read, the one before stays in force'},
+	/** Fields: name, reason. */
+	registrationUnreadable: {number: 737, level: 'warn', text: 'registration can not be read, it names no replica'},
 	/** Fields: replica, service, address, change. */
 	replicaChanged: {number: 712, level: 'info', text: 'replica registered, changed or gone'},
 	/** Fields: replica, graceMs. */
--- a/src/gateway/online-call.ts
+++ b/src/gateway/online-call.ts
@@ -294,7 +294,7 @@
 
 	/** Runs at replicas that ended meanwhile do not use up the route's limit: without this, a crash would cost a stream that could go on. */
 	#countRun(replica: Replica) {
-		if (this.#parts.directory.get(replica.record.id)) {
+		if (this.#parts.directory.get(replica.record.id) === replica) {
 			this.#runs += 1;
 		}
 	}
--- a/src/gateway/peers/peer-announcer.ts
+++ b/src/gateway/peers/peer-announcer.ts
@@ -116,6 +116,8 @@
 	#loads(): SharedLoad[] {
 		return [...this.#parts.directory.all]
 			.filter(({online, batch}) => online > 0 || batch > 0)
-			.map(({record, online, batch}) => ({replica: record.id, online, batch}));
+			.map(({record, online, batch}) => ({
+				replica: record.id, startedAt: record.startedAt, online, batch,
+			}));
 	}
 }
--- a/src/gateway/peers/peer-table.ts
+++ b/src/gateway/peers/peer-table.ts
@@ -7,7 +7,7 @@
 import type {LoadBoard} from '../load-board.js';
 import type {ReplicaDirectory} from '../replica-directory.js';
 import type {BatchJobId, MemberName, ReplicaId} from '../types.js';
-import type {PeerState} from './peer-state.js';
+import type {PeerState, SharedLoad} from './peer-state.js';
 
 /** A peer sends at least every 250 ms; this many milliseconds of silence are four messages lost in a row, or the peer. */
 const silenceMs = 1200;
@@ -94,19 +94,23 @@
 	#takeLoads(after: PeerState, before: PeerState | undefined) {
 		const listed = new Set<ReplicaId>(after.loads.map(({replica}) => replica));
 		after.loads.forEach(load => {
-			this.#note(after.member, load.replica, load.online, load.batch);
+			this.#note(after.member, load);
 		});
 		before?.loads.filter(({replica}) => !listed.has(replica)).forEach(({replica}) => {
-			this.#note(after.member, replica, 0, 0);
+			this.#note(after.member, {replica, online: 0, batch: 0});
 		});
 	}
 
-	#note(peer: MemberName, id: ReplicaId, online: number, batch: number) {
+	/** Requests at an earlier start of a replica take no place at this one. */
+	#note(peer: MemberName, {replica: id, startedAt, online, batch}: SharedLoad) {
 		const replica = this.#parts.directory.get(id);
-		if (replica) {
-			replica.notePeer(peer, {online, batch});
-			this.#parts.loads.notePeerChange(replica);
+		if (!replica) {
+			return;
 		}
+
+		const isOfThisStart = startedAt === replica.record.startedAt;
+		replica.notePeer(peer, isOfThisStart ? {online, batch} : undefined);
+		this.#parts.loads.notePeerChange(replica);
 	}
 }
 
--- a/src/gateway/registration-controller.ts
+++ b/src/gateway/registration-controller.ts
@@ -1,8 +1,11 @@
 /**
 Brings the replicas' registrations from the object API onto the blackboard.
 
+A registration that cannot be read was written by somebody else than a replica, or was spoilt. It names no replica to send calls to, and a replica that it named before is used no more; the others hold. The replica itself, if it lives, writes the entry anew with its next heartbeat.
+
 Registrations lapse while the object API is away, since replicas cannot renew them, and come back soon after it does. A replica whose registration is missing right after an outage is therefore kept for a while: dropping it at once would empty a service whose replicas are all well.
 */
+import {Left, Right} from 'purify-ts/Either';
 import type {Clock, Disposable, EventLog} from '../common/services.js';
 import type {StoredObject, WatchEvent} from '../common/types.js';
 import {branded} from '../common/ids.js';
@@ -10,7 +13,7 @@
 import type {ObjectFeed} from './object-feed.js';
 import type {RecordReaders} from './record-readers.js';
 import type {ReplicaDirectory} from './replica-directory.js';
-import type {ReplicaId} from './types.js';
+import type {ReplicaId, ReplicaRecord} from './types.js';
 
 /** Live replicas are registered again about two seconds after an outage; in milliseconds, with a margin for the watch. It must stay below what a leaving replica is allowed to receive work for, which is counted from 3 s after the outage. */
 const graceAfterOutageMs = 2300;
@@ -34,6 +37,10 @@
 export class RegistrationController implements Disposable {
 	readonly #parts: RegistrationControllerParts;
 	readonly #missed = new Map<ReplicaId, NodeJS.Timeout>();
+	/** Why registrations cannot be read, by name: each reason is logged once, though the entry comes again with every list. */
+	readonly #unreadable = new Map<string, string>();
+	/** Replicas either all tell when they started or, of older software, none does; an entry without it is then not a replica's. */
+	#areStartsTold = false;
 
 	constructor(parts: RegistrationControllerParts) {
 		this.#parts = parts;
@@ -61,9 +68,10 @@
 		const {directory} = this.#parts;
 		const present = new Set(items.map(({name}) => name));
 		const missing = [...directory.all].map(({record}) => record.id).filter(id => !present.has(id));
-		items.forEach(({name, value}) => {
-			this.#put(name, value);
+		[...this.#unreadable.keys()].filter(name => !present.has(name)).forEach(name => {
+			this.#unreadable.delete(name);
 		});
+		this.#putAll(items);
 		this.#removeAll(missing);
 	}
 
@@ -71,22 +79,46 @@
 		// A registration that lapsed and came back within the same batch is not missing.
 		const last = new Map(events.map(event => [event.name, event]));
 		const news = [...last.values()];
-		news.filter(({type}) => type === 'put').forEach(({name, value}) => {
-			this.#put(name, value);
+		const gone = news.filter(({type}) => type === 'delete').map(({name}) => name);
+		gone.forEach(name => {
+			this.#unreadable.delete(name);
 		});
-		this.#removeAll(news.filter(({type}) => type === 'delete').map(({name}) => branded<ReplicaId>(name)));
+		this.#putAll(news.filter(({type}) => type === 'put'));
+		this.#removeAll(gone.map(name => branded<ReplicaId>(name)));
 	}
 
-	#put(name: string, value: unknown) {
-		const {directory, records, log} = this.#parts;
-		records.readReplica(name, value)
-			.ifLeft(reason => {
-				log.emit(gatewayEvents.configUnreadable, {name, reason});
-			})
-			.ifRight(record => {
-				this.#forgive(record.id);
-				directory.put(record);
-			});
+	#putAll(entries: ReadonlyArray<{readonly name: string; readonly value?: unknown}>) {
+		const {records} = this.#parts;
+		const read = entries.map(({name, value}) => ({name, outcome: records.readReplica(name, value)}));
+		this.#areStartsTold ||= read.some(({outcome}) => outcome.isRight() && outcome.unsafeCoerce().startedAt !== undefined);
+		read.forEach(({name, outcome}) => {
+			outcome
+				.chain(record => this.#areStartsTold && record.startedAt === undefined ? Left('it does not tell when the replica started') : Right(record))
+				.ifLeft(reason => {
+					this.#drop(name, reason);
+				})
+				.ifRight(record => {
+					this.#put(record);
+				});
+		});
+	}
+
+	#put(record: ReplicaRecord) {
+		this.#unreadable.delete(record.id);
+		this.#forgive(record.id);
+		this.#parts.directory.put(record);
+	}
+
+	/** An entry that cannot be read names no replica. */
+	#drop(name: string, reason: string) {
+		if (this.#unreadable.get(name) !== reason) {
+			this.#unreadable.set(name, reason);
+			this.#parts.log.emit(gatewayEvents.registrationUnreadable, {name, reason});
+		}
+
+		const id = branded<ReplicaId>(name);
+		this.#forgive(id);
+		this.#parts.directory.remove(id);
 	}
 
 	#removeAll(ids: readonly ReplicaId[]) {
--- a/src/gateway/replica-connections.ts
+++ b/src/gateway/replica-connections.ts
@@ -188,7 +188,7 @@
 		this.#idle = [];
 	}
 
-	/** Closes each connection as soon as no request is under way on it. */
+	/** Closes each connection as soon as no request is under way on it: a replica that has left serves those to the end. */
 	retire(): void {
 		this.#isRetired = true;
 		this.renew();
--- /dev/null
+++ b/src/gateway/replica-directory.steps.ts
@@ -0,0 +1,90 @@
+/**
+Steps for replicas that start again under their id, on the tables alone.
+*/
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {branded} from '../common/ids.js';
+import type {EventLog} from '../common/services.js';
+import type {TestWorld} from '../common/testing/test-world.js';
+import {SystemClock} from '../io/system-clock.js';
+import {LoadBoard} from './load-board.js';
+import {PeerTable} from './peers/peer-table.js';
+import {ReplicaDirectory} from './replica-directory.js';
+import type {
+	GatewayServiceName, MemberName, ReplicaId, ReplicaRecord,
+} from './types.js';
+
+type DirectoryWorld = TestWorld & {
+	directory: ReplicaDirectory;
+	peers: PeerTable;
+	seq: number;
+	told: string[];
+	ends: Array<() => void>;
+};
+
+const log: EventLog = {emit: () => undefined};
+
+const recordOf = (id: string, startedAt: number): ReplicaRecord => ({
+	id: branded<ReplicaId>(id), service: branded<GatewayServiceName>('engines'), address: '127.0.0.1:1', failureDomain: 'hall', slots: 8, isDraining: false, startedAt,
+});
+
+const replicaOf = ({directory}: DirectoryWorld, id: string) => directory.get(branded<ReplicaId>(id))!;
+
+const tell = (world: DirectoryWorld, peer: string, {online, replica, startedAt}: {online: number; replica: string; startedAt: number}) => {
+	world.seq += 1;
+	world.peers.take({
+		member: branded<MemberName>(peer), address: '127.0.0.1:1', rpcAddress: '127.0.0.1:1', reachesObjectApi: true, startedAt: 1, seq: world.seq, isLeaving: false, loads: [{
+			replica: branded<ReplicaId>(replica), startedAt, online, batch: 0,
+		}], jobs: [],
+	});
+};
+
+Given('replica {string} started at {int} is known, with {int} own calls and {int} of peer {string}', function (this: DirectoryWorld, id: string, startedAt: number, own: number, others: number, peer: string) {
+	this.directory = new ReplicaDirectory();
+	this.directory.put(recordOf(id, startedAt));
+	this.told = [];
+	this.directory.onChange(({change}) => {
+		this.told.push(change);
+	});
+	const loads = new LoadBoard();
+	this.peers = new PeerTable({
+		self: branded<MemberName>('front-1'), directory: this.directory, loads, clock: new SystemClock(), log,
+	});
+	this.seq = 0;
+	this.ends = Array.from({length: own}, () => loads.take(replicaOf(this, id), 'online'));
+	tell(this, peer, {online: others, replica: id, startedAt});
+	assert.equal(replicaOf(this, id).total, own + others);
+});
+
+Given('connections to {string} have failed {int} times', function (this: DirectoryWorld, id: string, times: number) {
+	Array.from({length: times}).forEach(() => {
+		replicaOf(this, id).noteFailure(0);
+	});
+	assert.ok(replicaOf(this, id).isDoubted(100));
+});
+
+When('{string} is registered as started at {int}', function (this: DirectoryWorld, id: string, startedAt: number) {
+	this.directory.put(recordOf(id, startedAt));
+});
+
+When('the {int} own calls end', function (this: DirectoryWorld, _count: number) {
+	this.ends.forEach(end => {
+		end();
+	});
+});
+
+When('peer {string} tells of {int} call(s) at {string} started at {int}', function (this: DirectoryWorld, peer: string, online: number, replica: string, startedAt: number) {
+	tell(this, peer, {online, replica, startedAt});
+});
+
+Then('{int} call(s) is/are counted at {string}', function (this: DirectoryWorld, count: number, id: string) {
+	assert.equal(replicaOf(this, id).total, count);
+});
+
+Then('{string} is trusted', function (this: DirectoryWorld, id: string) {
+	assert.equal(replicaOf(this, id).isDoubted(100), false);
+});
+
+Then('the directory told {string} of {string}', function (this: DirectoryWorld, changes: string, _id: string) {
+	assert.equal(this.told.join(', '), changes);
+});
--- a/src/gateway/replica-directory.ts
+++ b/src/gateway/replica-directory.ts
@@ -8,7 +8,8 @@
 /** What became of a registration. */
 export type ReplicaChange = {
 	readonly replica: Replica;
-	readonly change: 'joined' | 'draining' | 'changed' | 'left';
+	/** `restarted`: this start has ended, and another one joins under the same id. */
+	readonly change: 'joined' | 'draining' | 'changed' | 'left' | 'restarted';
 };
 
 const changeBetween = (before: ReplicaRecord, after: ReplicaRecord): ReplicaChange['change'] => after.isDraining && !before.isDraining ? 'draining' : 'changed';
@@ -18,6 +19,8 @@
 	readonly #events = new EventEmitter();
 	readonly #byId = new Map<ReplicaId, Replica>();
 	readonly #byService = new Map<GatewayServiceName, Replica[]>();
+	/** Starts that later ones under the same id have followed. */
+	readonly #endedStarts = new Map<ReplicaId, Set<number>>();
 
 	get size(): number {
 		return this.#byId.size;
@@ -40,10 +43,12 @@
 	put(record: ReplicaRecord): void {
 		const known = this.#byId.get(record.id);
 		if (!known) {
-			const replica = new Replica(record);
-			this.#byId.set(record.id, replica);
-			this.#index(record.service);
-			this.#tell({replica, change: 'joined'});
+			this.#join(record);
+			return;
+		}
+
+		if (known.record.startedAt !== record.startedAt) {
+			this.#follow(known, record);
 			return;
 		}
 
@@ -62,6 +67,7 @@
 		}
 
 		this.#byId.delete(id);
+		this.#endedStarts.delete(id);
 		this.#index(replica.record.service);
 		this.#tell({replica, change: 'left'});
 	}
@@ -71,6 +77,33 @@
 		this.#events.on('change', listener);
 	}
 
+	#join(record: ReplicaRecord) {
+		const replica = new Replica(record);
+		this.#byId.set(record.id, replica);
+		this.#index(record.service);
+		this.#tell({replica, change: 'joined'});
+	}
+
+	/**
+	Another start under a known id. Which one is the later is told by the order in which they were first seen and not by their times: the clock of a VM may have been set back between two starts. A write of an earlier start that takes effect late must not bring it back; callers would lose the streams that the later one serves.
+	*/
+	#follow(known: Replica, record: ReplicaRecord) {
+		const {id, startedAt} = known.record;
+		const ended = this.#endedStarts.get(id) ?? new Set();
+		if (record.startedAt === undefined || ended.has(record.startedAt)) {
+			return;
+		}
+
+		if (startedAt !== undefined) {
+			this.#endedStarts.set(id, ended.add(startedAt));
+		}
+
+		this.#byId.delete(id);
+		this.#index(known.record.service);
+		this.#tell({replica: known, change: 'restarted'});
+		this.#join(record);
+	}
+
 	#index(service: GatewayServiceName) {
 		const takingWork = [...this.#byId.values()].filter(({record}) => record.service === service && !record.isDraining);
 		this.#byService.set(service, takingWork);
--- a/src/gateway/replica-links.ts
+++ b/src/gateway/replica-links.ts
@@ -1,5 +1,5 @@
 /**
-The connections of this process to all replicas, kept by lifetime: a replica that was restarted at the same address starts without the connections of the one before.
+The connections of this process to all replicas, kept by start: a replica that starts again, at the same address or under the same id, begins without the connections of the start before.
 */
 import type {Disposable} from '../common/services.js';
 import type {ConfigBoard} from './config-board.js';
@@ -27,7 +27,10 @@
 		this.#countSharers = countSharers;
 		directory.onChange(({replica, change}) => {
 			if (change === 'left') {
-				this.#close(replica.record.id);
+				this.#remove(replica.record.id)?.retire();
+			} else if (change === 'restarted') {
+				// Nobody is left to answer what is under way. A VM that lost its power resets nothing, and callers would wait until the silence is noticed, 1.2 s for calls that may be repeated and to the end of their time for others.
+				this.#remove(replica.record.id)?.dispose();
 			}
 		});
 	}
@@ -66,11 +69,10 @@
 		return Math.max(leastConnections, Math.floor(all / Math.max(1, this.#countSharers())));
 	}
 
-	/** Requests under way go on: a replica that has left serves them to the end. */
-	#close(id: ReplicaId) {
+	#remove(id: ReplicaId): ReplicaConnections | undefined {
 		const connections = this.#links.get(id);
 		this.#links.delete(id);
 		this.#madeByGone += connections?.made ?? 0;
-		connections?.retire();
+		return connections;
 	}
 }
--- a/src/gateway/replica.ts
+++ b/src/gateway/replica.ts
@@ -1,5 +1,5 @@
 /**
-One replica as this process sees it: its registration, what runs on it, and whether its recent connections failed.
+One start of a replica as this process sees it: its registration, what runs on it, and whether its recent connections failed. A replica that starts again under its id is another object: nothing that was counted or feared of the earlier start holds for it.
 */
 import type {MemberName, ReplicaRecord} from './types.js';
 
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -3,7 +3,7 @@
 */
 import type {Branded} from '../common/ids.js';
 
-/** One lifetime of a replica. A restart is another replica, even at the same address. */
+/** A replica. It may start again under the same id; which start a record speaks of tells {@link ReplicaRecord.startedAt}. */
 export type ReplicaId = Branded<string, 'ReplicaId'>;
 /** A service of the gateway's configuration. */
 export type GatewayServiceName = Branded<string, 'GatewayServiceName'>;
@@ -87,6 +87,8 @@
 	/** Requests that it runs at once. */
 	readonly slots: number;
 	readonly isDraining: boolean;
+	/** When it started, in milliseconds of its own wall clock. Two starts under one id differ in it, and are two replicas to whoever counts or remembers. Where it is missing, a replica never starts again under its id. */
+	readonly startedAt?: number;
 };
 
 /** A part of a prompt that requests share. */
