Replicas that can not be reached are found out before callers wait for them

Requests on kept connections waited 1,200 ms for a byte. Change: the time for a connection is learnt by failure domain as TCP learns its timeout, 60 to 300 ms; a replica that was not reached gets no calls until a connection of the process's own is made; a request that hears nothing for longer than its service usually pauses (100 to 250 ms) asks whether the replica can be reached, by bytes on any connection or one dial for all, and goes on elsewhere if not. Calls that may not be repeated wait as before. Timers that fire after a pause of the process look at the sockets first. The new scenarios of the attempt need the new question; they were not run on the code before.

--- a/src/gateway/attempt.feature
+++ b/src/gateway/attempt.feature
@@ -30,3 +30,14 @@
     Given an attempt for call "c1" that bears 20 ms of silence
     Then it ended once, as "silent"
     And the other idle connections to the replica are closed
+
+  Scenario: A request at a replica that can no longer be reached does not wait until its patience is over
+    # The replica's VM has lost its power: no byte comes, and no connection can be made.
+    Given an attempt for call "c1" at a replica that can no longer be reached
+    Then it ended once, as "cutOff"
+    And the other idle connections to the replica are closed
+
+  Scenario: A replica that is only busy keeps its request
+    # Without a byte for longer than usual, but connections to it are made: the request waits for a place there.
+    Given an attempt for call "c1" at a replica that is busy
+    Then it ended once, as "silent"
--- a/src/gateway/attempt.steps.ts
+++ b/src/gateway/attempt.steps.ts
@@ -6,6 +6,7 @@
 import type {Dispatcher} from 'undici';
 import type {TestWorld} from '../common/testing/test-world.js';
 import {until} from '../common/testing/until.js';
+import {SystemClock} from '../io/system-clock.js';
 import {Attempt, type AttemptEnd, type Carrier} from './attempt.js';
 import type {CallDialect, ReplicaId} from './types.js';
 
@@ -23,6 +24,7 @@
 /** A connection that does what the test says. */
 class PlayedCarrier implements Carrier {
 	isReset = false;
+	isNew = true;
 	readonly done: string[] = [];
 	handler!: Dispatcher.DispatchHandler;
 	readonly controller = {rawHeaders: [], pause: () => undefined, resume: () => undefined} as unknown as Dispatcher.DispatchController;
@@ -62,15 +64,20 @@
 	}
 }
 
-const begin = (world: AttemptWorld, id: string, patience: {connectMs: number; silenceMs: number}) => {
+const begin = (world: AttemptWorld, id: string, patience: {connectMs?: number; silenceMs?: number; suspectMs?: number; isReachable?: boolean}) => {
+	const {connectMs = 60_000, silenceMs = 60_000, suspectMs = 60_000, isReachable = true} = patience;
 	world.carrier = new PlayedCarrier();
 	world.ends = [];
 	const attempt = new Attempt({
 		connection: world.carrier,
+		contact: {
+			connectMs, suspectMs, noteConnected: () => undefined, noteBytes: () => undefined, isReachable: async () => isReachable,
+		},
+		clock: new SystemClock(),
 		dialect,
 		message: {method: 'POST', target: '/', headers: []},
 		fields: {requestId: id, replica: 'r1' as ReplicaId},
-		patience,
+		patience: {silenceMs, canGoElsewhere: true},
 		listener: {
 			onHead: () => undefined,
 			onBytes: () => undefined,
@@ -83,19 +90,27 @@
 	attempt.start();
 };
 
-const patient = {connectMs: 60_000, silenceMs: 60_000};
-
 Given('an attempt whose connection is never made', function (this: AttemptWorld) {
-	begin(this, 'c1', {connectMs: 5, silenceMs: 60_000});
+	begin(this, 'c1', {connectMs: 5});
 });
 
 Given('an attempt for call {string}', function (this: AttemptWorld, id: string) {
-	begin(this, id, patient);
+	begin(this, id, {});
 	this.carrier.send();
 });
 
 Given('an attempt for call {string} that bears {int} ms of silence', function (this: AttemptWorld, id: string, silenceMs: number) {
-	begin(this, id, {connectMs: 60_000, silenceMs});
+	begin(this, id, {silenceMs});
+	this.carrier.send();
+});
+
+Given('an attempt for call {string} at a replica that can no longer be reached', function (this: AttemptWorld, id: string) {
+	begin(this, id, {suspectMs: 20, isReachable: false});
+	this.carrier.send();
+});
+
+Given('an attempt for call {string} at a replica that is busy', function (this: AttemptWorld, id: string) {
+	begin(this, id, {suspectMs: 5, silenceMs: 60});
 	this.carrier.send();
 });
 
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -3,8 +3,9 @@
 */
 import type {Buffer} from 'node:buffer';
 import type {Dispatcher} from 'undici';
-import type {Disposable} from '../common/services.js';
+import type {Clock, Disposable} from '../common/services.js';
 import {isBeforeSending} from '../io/http-client.js';
+import type {AttemptContact} from './contacts/replica-contacts.js';
 import type {ReplicaConnection} from './replica-connections.js';
 import type {AnswerFields, AttemptFields, CallDialect} from './types.js';
 
@@ -33,13 +34,14 @@
 /**
 How an attempt ended.
 
-`notSent`: no byte of the call can have reached the replica. `refused`: the replica states that it has not run it. `misdirected`: another replica has the address. `silent` and `lost`: only the replica knows. `complete`: the whole answer came. `dropped`: this side gave the attempt up.
+`notSent`: no byte of the call can have reached the replica. `refused`: the replica states that it has not run it. `misdirected`: another replica has the address. `silent`, `cutOff` and `lost`: only the replica knows; `cutOff` where it can no longer be reached. `complete`: the whole answer came. `dropped`: this side gave the attempt up.
 */
 export type AttemptEnd
 	= | {readonly kind: 'notSent'; readonly reason: string}
 		| {readonly kind: 'refused'; readonly status: number}
 		| {readonly kind: 'misdirected'}
 		| {readonly kind: 'silent'; readonly reason: string}
+		| {readonly kind: 'cutOff'; readonly reason: string}
 		| {readonly kind: 'lost'; readonly reason: string}
 		| {readonly kind: 'complete'}
 		| {readonly kind: 'dropped'};
@@ -53,18 +55,20 @@
 
 /** How long an attempt waits, in milliseconds. */
 export type AttemptPatience = {
-	/** Until the connection is made. */
-	readonly connectMs: number;
-	/** From then on, without a byte. */
+	/** From when the request was sent on, without a byte. */
 	readonly silenceMs: number;
+	/** Whether the call can go on elsewhere, so that nothing is gained by waiting for a replica that cannot be reached. Any other call waits: its replica's answer may still come. */
+	readonly canGoElsewhere: boolean;
 };
 
 /** What an attempt uses of a connection. */
-export type Carrier = Pick<ReplicaConnection, 'dispatch' | 'wasReset' | 'release' | 'discard' | 'renewSiblings'>;
+export type Carrier = Pick<ReplicaConnection, 'isNew' | 'dispatch' | 'wasReset' | 'release' | 'discard' | 'renewSiblings'>;
 
 /** What an attempt is made of. */
 export type AttemptParts = {
 	readonly connection: Carrier;
+	readonly contact: AttemptContact;
+	readonly clock: Clock;
 	readonly dialect: CallDialect;
 	readonly message: CallMessage;
 	readonly fields: AttemptFields;
@@ -81,6 +85,8 @@
 	readonly #parts: AttemptParts;
 	#timer: NodeJS.Timeout | undefined;
 	#silenceTimer: NodeJS.Timeout | undefined;
+	/** Without a byte, in milliseconds; counted in steps, when the timer fires. */
+	#silentMs = 0;
 	#controller: Dispatcher.DispatchController | undefined;
 	#isSent = false;
 	#isOver = false;
@@ -97,9 +103,14 @@
 
 	/** Sends. The end may be told before this returns. */
 	start(): void {
-		const {connectMs} = this.#parts.patience;
+		const connectMs = Math.round(this.#parts.contact.connectMs);
 		this.#timer = setTimeout(() => {
-			this.#giveUp({kind: 'notSent', reason: `no connection within ${connectMs} ms`});
+			// After a pause of this process, the connection may have been made and not been looked at yet: timers come before sockets.
+			setImmediate(() => {
+				if (!this.#isSent) {
+					this.#giveUp({kind: 'notSent', reason: `no connection within ${connectMs} ms`});
+				}
+			});
 		}, connectMs);
 		this.#send();
 	}
@@ -109,6 +120,7 @@
 		this.#controller?.pause();
 		clearTimeout(this.#silenceTimer);
 		this.#silenceTimer = undefined;
+		this.#silentMs = 0;
 	}
 
 	resume(): void {
@@ -122,7 +134,11 @@
 	}
 
 	#send() {
-		const {connection, dialect, message, fields} = this.#parts;
+		const {
+			connection, dialect, message, fields, contact, clock,
+		} = this.#parts;
+		const startedAt = clock.now();
+		const {isNew} = connection;
 		const headers = dialect.toReplica(message.headers, fields);
 		connection.dispatch({
 			path: message.target,
@@ -134,6 +150,10 @@
 				this.#controller = controller;
 				this.#isSent = true;
 				clearTimeout(this.#timer);
+				if (isNew) {
+					contact.noteConnected(clock.now() - startedAt);
+				}
+
 				this.#watchSilence();
 			},
 			onResponseStart: (controller, status, answerHeaders, statusMessage) => {
@@ -156,15 +176,43 @@
 			return;
 		}
 
+		this.#silentMs = 0;
 		if (this.#silenceTimer) {
 			this.#silenceTimer.refresh();
 			return;
 		}
 
-		const {silenceMs} = this.#parts.patience;
+		const {patience: {silenceMs, canGoElsewhere}, contact: {suspectMs}} = this.#parts;
+		const stepMs = canGoElsewhere ? Math.min(suspectMs, silenceMs) : silenceMs;
 		this.#silenceTimer = setTimeout(() => {
+			this.#silentMs += stepMs;
+			// What came within a pause of this process is looked at first.
+			setImmediate(() => {
+				this.#onSilence();
+			});
+		}, stepMs);
+	}
+
+	#onSilence() {
+		const {silenceMs} = this.#parts.patience;
+		if (this.#isOver || this.#silentMs === 0) {
+			return;
+		}
+
+		if (this.#silentMs >= silenceMs) {
 			this.#giveUp({kind: 'silent', reason: `no byte within ${silenceMs} ms`});
-		}, silenceMs);
+			return;
+		}
+
+		this.#silenceTimer?.refresh();
+		void this.#suspect();
+	}
+
+	async #suspect() {
+		const isReachable = await this.#parts.contact.isReachable();
+		if (!isReachable && this.#silentMs > 0) {
+			this.#giveUp({kind: 'cutOff', reason: `no byte within ${Math.round(this.#silentMs)} ms, and no connection can be made`});
+		}
 	}
 
 	#onHead(status: number, headers: NodeJS.Dict<string | string[]>, rawHeaders: string[], statusMessage: string) {
@@ -172,7 +220,7 @@
 			return;
 		}
 
-		this.#watchSilence();
+		this.#noteBytes();
 		const fields = this.#parts.dialect.readAnswer(status, headers);
 		if (!this.#isOwnAnswer(fields)) {
 			// A replica may send a second answer late, where the next one is due. The connection's answers no longer match its requests.
@@ -208,10 +256,15 @@
 			return;
 		}
 
-		this.#watchSilence();
+		this.#noteBytes();
 		this.#parts.listener.onBytes(bytes);
 	}
 
+	#noteBytes() {
+		this.#parts.contact.noteBytes();
+		this.#watchSilence();
+	}
+
 	#onResponseEnd() {
 		if (this.#isOver) {
 			return;
@@ -257,7 +310,7 @@
 		this.#isOver = true;
 		const {connection} = this.#parts;
 		connection.discard();
-		if (end.kind === 'silent') {
+		if (end.kind === 'silent' || end.kind === 'cutOff') {
 			connection.renewSiblings();
 		}
 
--- a/src/gateway/batch/batch-runner.ts
+++ b/src/gateway/batch/batch-runner.ts
@@ -6,6 +6,7 @@
 } from '../../common/services.js';
 import type {RpcClient} from '../../io/rpc-client.js';
 import type {ConfigBoard} from '../config-board.js';
+import type {ReplicaContacts} from '../contacts/replica-contacts.js';
 import type {LoadBoard} from '../load-board.js';
 import {gatewayEvents} from '../log-events.js';
 import type {ObjectFeed} from '../object-feed.js';
@@ -51,6 +52,7 @@
 	readonly directory: ReplicaDirectory;
 	readonly loads: LoadBoard;
 	readonly links: ReplicaLinks;
+	readonly contacts: ReplicaContacts;
 	readonly dialect: CallDialect;
 	readonly itemHeaders: ItemHeaders;
 	readonly clock: Clock;
@@ -96,6 +98,18 @@
 	readonly #leaver: JobLeaver;
 	/** Left by former holders, of jobs that this process does not run yet. */
 	readonly #received = new Map<BatchJobId, JobHandover>();
+	readonly #onReplicaFault: Readonly<Partial<Record<ItemRunEnd, (replica: Replica) => void>>> = {
+		unreachable: replica => {
+			this.#parts.contacts.noteUnreachable(replica);
+		},
+		misdirected: replica => {
+			replica.noteFailure(this.#parts.clock.now());
+		},
+		declined: replica => {
+			replica.noteFull(this.#parts.clock.now());
+		},
+	};
+
 	#runLength = assumedRunLength;
 	#nextFillAt = 0;
 	#pending: NodeJS.Timeout | undefined;
@@ -288,7 +302,9 @@
 
 	#send(place: ItemPlace, connection: ReplicaConnection) {
 		const {job, state, replica} = place;
-		const {loads, dialect, itemHeaders, log, clock} = this.#parts;
+		const {
+			loads, contacts, dialect, itemHeaders, log, clock,
+		} = this.#parts;
 		const {item, events} = state;
 		log.emit(gatewayEvents.itemStarted, {
 			job: job.id, item: item.id, replica: replica.record.id, resumeAfter: events.length, dueInMs: Math.round(this.#terms.dueAt(job) - clock.wall()),
@@ -300,6 +316,8 @@
 			item,
 			replica,
 			connection,
+			contact: contacts.of(replica),
+			clock,
 			dialect,
 			headers: itemHeaders(job.record.host, item.id, item.headers),
 			events,
@@ -320,12 +338,7 @@
 
 	#onRunEnd({run, route, state, replica}: ItemPlace, end: ItemRunEnd) {
 		this.#parts.metrics.count('gateway.itemRuns', 1, {outcome: end});
-		if (end === 'unreachable') {
-			replica.noteFailure(this.#parts.clock.now());
-		} else if (end === 'declined') {
-			replica.noteFull(this.#parts.clock.now());
-		}
-
+		this.#onReplicaFault[end]?.(replica);
 		run.noteEnd(state, end, route);
 		this.#fillSoon();
 	}
--- a/src/gateway/batch/item-run.ts
+++ b/src/gateway/batch/item-run.ts
@@ -3,19 +3,20 @@
 */
 import {Buffer} from 'node:buffer';
 import {createParser, type EventSourceMessage} from 'eventsource-parser';
-import type {Disposable} from '../../common/services.js';
+import type {Clock, Disposable} from '../../common/services.js';
 import {
 	Attempt, type AnswerHead, type AttemptEnd, type AttemptPatience,
 } from '../attempt.js';
+import type {AttemptContact} from '../contacts/replica-contacts.js';
 import type {ReplicaConnection} from '../replica-connections.js';
 import type {Replica} from '../replica.js';
 import type {CallDialect} from '../types.js';
 import type {BatchItem} from './batch-records.js';
 
 /**
-What came of a run. `finished`: the whole text is known. `failed`: the replica answered that the run failed. `hopeless`: it answered that the item can never be done. `declined`: it has not run. `broken`: what is known of the text can be gone on from.
+What came of a run. `finished`: the whole text is known. `failed`: the replica answered that the run failed. `hopeless`: it answered that the item can never be done. `declined`: it has not run. `unreachable` and `misdirected`: nor that, since no connection could be made, or another replica has the address. `broken`: what is known of the text can be gone on from.
 */
-export type ItemRunEnd = 'finished' | 'failed' | 'hopeless' | 'declined' | 'unreachable' | 'broken' | 'cut';
+export type ItemRunEnd = 'finished' | 'failed' | 'hopeless' | 'declined' | 'unreachable' | 'misdirected' | 'broken' | 'cut';
 
 /** Hears the end of a run, once. */
 export type ItemRunListener = (end: ItemRunEnd, reason: string) => void;
@@ -25,6 +26,8 @@
 	readonly item: BatchItem;
 	readonly replica: Replica;
 	readonly connection: ReplicaConnection;
+	readonly contact: AttemptContact;
+	readonly clock: Clock;
 	readonly dialect: CallDialect;
 	/** Names and values by turns. */
 	readonly headers: readonly string[];
@@ -34,7 +37,7 @@
 };
 
 /** An engine may be full of online calls for a second or two; a run without a byte for longer than this, in milliseconds, has lost its replica or its connection. */
-const patience: AttemptPatience = {connectMs: 300, silenceMs: 2500};
+const patience: AttemptPatience = {silenceMs: 2500, canGoElsewhere: true};
 
 const statusEnds: Readonly<Record<number, ItemRunEnd>> = {
 	422: 'hopeless',
@@ -44,8 +47,9 @@
 const endsByAttempt: Readonly<Record<Exclude<AttemptEnd['kind'], 'complete'>, ItemRunEnd>> = {
 	notSent: 'unreachable',
 	refused: 'declined',
-	misdirected: 'unreachable',
+	misdirected: 'misdirected',
 	silent: 'broken',
+	cutOff: 'broken',
 	lost: 'broken',
 	dropped: 'cut',
 };
@@ -67,11 +71,15 @@
 	#isOver = false;
 
 	constructor(parts: ItemRunParts) {
-		const {item, replica, connection, dialect, headers, events} = parts;
+		const {
+			item, replica, connection, contact, clock, dialect, headers, events,
+		} = parts;
 		this.#parts = parts;
 		this.replica = replica;
 		this.#attempt = new Attempt({
 			connection,
+			contact,
+			clock,
 			dialect,
 			message: {
 				method: 'POST', target: item.path, headers, body: Buffer.from(item.body, 'base64'),
--- a/src/gateway/batch/job-run.ts
+++ b/src/gateway/batch/job-run.ts
@@ -24,7 +24,7 @@
 
 /** After a run that did not succeed, milliseconds until the next: a replica that fails at once must not be asked without a pause. */
 const pauseMs: Readonly<Partial<Record<ItemRunEnd, number>>> = {
-	failed: 200, declined: 150, unreachable: 100, broken: 50,
+	failed: 200, declined: 150, unreachable: 100, misdirected: 100, broken: 50,
 };
 
 /** What a run of a job needs. */
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -13,6 +13,7 @@
 import type {ObjectKind} from '../common/types.js';
 import {formatAddress, parseAddress} from '../io/address.js';
 import {DatagramChannel} from '../io/datagram-channel.js';
+import {dial} from '../io/dial.js';
 import {HttpClient} from '../io/http-client.js';
 import type {HttpServer} from '../io/http-server.js';
 import type {RunningProgram, StartError} from '../io/program.js';
@@ -28,6 +29,7 @@
 import {JobReader} from './batch/job-reader.js';
 import {ConfigBoard} from './config-board.js';
 import {ConfigController} from './config-controller.js';
+import {ReplicaContacts} from './contacts/replica-contacts.js';
 import {FrontServer} from './front-server.js';
 import {JobHolders} from './keeping/job-holders.js';
 import type {JobCallDialect} from './job-calls.js';
@@ -179,6 +181,9 @@
 		});
 		const sharers = () => peers.sharers;
 		this.#links = new ReplicaLinks(board, directory, sharers);
+		const contacts = new ReplicaContacts({
+			directory, clock, log, dial,
+		});
 		const contents = new ContentStore(api);
 		const book = new BatchBook(recordFeed);
 		this.#book = book;
@@ -186,7 +191,7 @@
 			self, book, peers, clock, log, isLeaving,
 		});
 		this.#runner = new BatchRunner({
-			self, api, feed: recordFeed, book, contents, peers, rpc, claims, board, directory, loads, links: this.#links, dialect, itemHeaders, clock, random, log, metrics, failureDomain,
+			self, api, feed: recordFeed, book, contents, peers, rpc, claims, board, directory, loads, links: this.#links, contacts, dialect, itemHeaders, clock, random, log, metrics, failureDomain,
 		});
 		this.#retention = new BatchRetention({
 			self, api, book, peers, clock, log, keptMs: settings.resultsKeptMs,
@@ -198,7 +203,7 @@
 			lifecycle: this.#lifecycle, board, directory, log,
 		});
 		this.#server = new FrontServer({
-			board, directory, loads, links: this.#links, dialect, clock, random, log, metrics, sharers, failureDomain, jobCalls,
+			board, directory, loads, links: this.#links, contacts, dialect, clock, random, log, metrics, sharers, failureDomain, jobCalls,
 			intake: new JobIntake({
 				api,
 				feed: recordFeed,
@@ -219,7 +224,7 @@
 			res.writeHead(this.#readiness.isReady ? 200 : 503, {'content-length': '0'});
 			res.end();
 		});
-		this.#owned = [this.#retention, this.#runner, this.#announcer, this.#entry, registrations, ...this.#feeds, this.#links, this.#server, this.#channel, this.#rpcServer, api, http, this.#metrics, this.#lifecycle];
+		this.#owned = [this.#retention, this.#runner, this.#announcer, this.#entry, registrations, ...this.#feeds, contacts, this.#links, this.#server, this.#channel, this.#rpcServer, api, http, this.#metrics, this.#lifecycle];
 	}
 
 	get addresses(): Readonly<Record<string, string>> {
--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -20,6 +20,10 @@
 	registrationUnreadable: {number: 737, level: 'warn', text: 'registration can not be read, it names no replica'},
 	/** Fields: replica, service, address, change. */
 	replicaChanged: {number: 712, level: 'info', text: 'replica registered, changed or gone'},
+	/** Fields: replica, isReachable, silentMs, limitMs. */
+	replicaSuspected: {number: 738, level: 'info', text: 'replica is silent, a connection was tried'},
+	/** Fields: replica. */
+	replicaReachable: {number: 739, level: 'info', text: 'replica can be reached again'},
 	/** Fields: replica, graceMs. */
 	replicaMissed: {number: 713, level: 'info', text: 'registration missing after an outage, kept for now'},
 	/** Fields: kind, reason. */
--- a/src/gateway/online-call.ts
+++ b/src/gateway/online-call.ts
@@ -29,9 +29,6 @@
 	readonly res: ServerResponse;
 };
 
-/** A connection within a region is made in a few milliseconds; a replica that needs this long has gone dark or refuses silently. Below the usual latency targets, so that another replica can still answer on time. */
-const connectMs = 300;
-
 /** Without a byte for this long, a call that may be repeated is sent elsewhere, in milliseconds. A queue at an engine clears within about one run, 0.8 s; callers give a stream up after 2 s. */
 const repeatableSilenceMs = 1200;
 
@@ -92,7 +89,7 @@
 
 	readonly #onAttemptEnd: EndHandlers = {
 		notSent: (_end, replica) => {
-			replica.noteFailure(this.#parts.clock.now());
+			this.#parts.contacts.noteUnreachable(replica);
 			this.#offer();
 		},
 		refused: () => {
@@ -107,6 +104,9 @@
 			replica.noteFailure(this.#parts.clock.now());
 			this.#afterBreak(replica);
 		},
+		cutOff: (_end, replica) => {
+			this.#afterBreak(replica);
+		},
 		lost: (_end, replica) => {
 			this.#afterBreak(replica);
 		},
@@ -183,7 +183,9 @@
 	}
 
 	#send(replica: Replica, connection: ReplicaConnection, timeLeftMs: number) {
-		const {log, loads, dialect} = this.#parts;
+		const {
+			log, loads, dialect, contacts, clock,
+		} = this.#parts;
 		const {fields, message, route} = this.#call;
 		log.emit(gatewayEvents.callRouted, {
 			id: fields.requestId, route: route.name, replica: replica.record.id, online: replica.allOnline, batch: replica.allBatch, attempt: this.#offers, resumeAfter: this.#framer?.lastId,
@@ -191,6 +193,8 @@
 		this.#giveBackPlace = loads.take(replica, 'online');
 		this.#attempt = new Attempt({
 			connection,
+			contact: contacts.of(replica),
+			clock,
 			dialect,
 			message,
 			fields: {
@@ -199,7 +203,7 @@
 				timeLeftMs: fields.timeLeftMs === undefined ? undefined : timeLeftMs,
 				lastEventId: this.#framer ? this.#framer.lastId : fields.lastEventId,
 			},
-			patience: {connectMs, silenceMs: this.#isRepeatable ? repeatableSilenceMs : this.#timeLimitMs},
+			patience: {silenceMs: this.#isRepeatable ? repeatableSilenceMs : this.#timeLimitMs, canGoElsewhere: this.#isRepeatable},
 			listener: {
 				onHead: head => {
 					this.#onHead(head);
--- a/src/gateway/parts.ts
+++ b/src/gateway/parts.ts
@@ -5,6 +5,7 @@
 	Clock, EventLog, Metrics, RandomSource,
 } from '../common/services.js';
 import type {ConfigBoard} from './config-board.js';
+import type {ReplicaContacts} from './contacts/replica-contacts.js';
 import type {LoadBoard} from './load-board.js';
 import type {ReplicaDirectory} from './replica-directory.js';
 import type {ReplicaLinks} from './replica-links.js';
@@ -16,6 +17,7 @@
 	readonly directory: ReplicaDirectory;
 	readonly loads: LoadBoard;
 	readonly links: ReplicaLinks;
+	readonly contacts: ReplicaContacts;
 	readonly dialect: CallDialect;
 	readonly clock: Clock;
 	readonly random: RandomSource;
--- a/src/gateway/replica-connections.ts
+++ b/src/gateway/replica-connections.ts
@@ -27,6 +27,7 @@
 	readonly #client: Client;
 	readonly #siblings: ReplicaConnections;
 	#isOver = false;
+	#isNew = true;
 	#hasSocketFailed = false;
 	#socket: Socket | undefined;
 
@@ -59,6 +60,11 @@
 		return this.#isOver;
 	}
 
+	/** Whether no request has been answered on it: it is made with its first one. */
+	get isNew(): boolean {
+		return this.#isNew;
+	}
+
 	/**
 	Whether the replica reset the connection rather than ended it; to be asked at the end of an answer without a length, before anything else happens to the socket.
 
@@ -83,6 +89,7 @@
 
 	/** The request was answered in full and as it should be: the connection is free for another. */
 	release(): void {
+		this.#isNew = false;
 		this.#siblings.giveBack(this);
 	}
 
--- a/src/gateway/replica.ts
+++ b/src/gateway/replica.ts
@@ -26,6 +26,9 @@
 	online = 0;
 	batch = 0;
 	record: ReplicaRecord;
+	/** When something last came from it, on any connection, and when a connection made for the question last showed that it can be reached; in milliseconds on the monotonic clock. */
+	heardAt = -Infinity;
+	reachedAt = -Infinity;
 	readonly #peers = new Map<MemberName, ReplicaLoad>();
 	#peerOnline = 0;
 	#peerBatch = 0;
@@ -74,7 +77,12 @@
 		return now < this.#doubtedUntil;
 	}
 
-	/** A connection could not be made, or went silent. */
+	/** No connection can be made. It is doubted until one can, see `ReplicaContacts`. */
+	noteUnreachable(): void {
+		this.#doubtedUntil = Infinity;
+	}
+
+	/** A connection went silent, or its address belongs to another. */
 	noteFailure(now: number): void {
 		this.#failures += 1;
 		this.#doubtedUntil = now + Math.min(maxDoubtMs, firstDoubtMs * (2 ** (this.#failures - 1)));
