Calls that cannot get a place in their time are refused at once; the runs of jobs are a module of their own

Change: how long a service needs for a call that finds a free place is learnt; where even the least loaded replica has more calls ahead than fit into the time left, the call gets 503 at once, and when there will be room. Items are not counted, since they give way. Whole path: existing features.

--- a/src/ctl/explain/log-story.ts
+++ b/src/ctl/explain/log-story.ts
@@ -84,6 +84,7 @@
 		: `the replica itself answered ${String(fields.status)}`,
 	noReplica: () => 'refused with 503, not run: no replica of the service was registered and taking work',
 	full: lines => `refused with 503, not run: every replica that was asked declined or could not be reached; ${attemptText(last(lines, gatewayEvents.attemptFailed))}`,
+	hopeless: () => 'refused with 503, not run: so many calls were in flight at every replica of the service that it would not have got a place in its time',
 	'time is up': (lines, {fields}) => `answered 504: the time of its route or of its caller was over after ${String(fields.elapsedMs)} ms; ${whereabouts(lines)}`,
 	'time is up within the answer': lines => `cut: the time of its route or of its caller was over while the answer was under way; ${whereabouts(lines)}`,
 	'the caller left': (lines, {fields}) => `the caller closed its connection after ${String(fields.elapsedMs)} ms; ${whereabouts(lines)}`,
--- a/src/gateway/batch/batch-runner.ts
+++ b/src/gateway/batch/batch-runner.ts
@@ -29,11 +29,11 @@
 import type {ContentStore} from './content-store.js';
 import {ItemRun, type ItemRunEnd} from './item-run.js';
 import type {JobClaims} from './job-claims.js';
-import {JobLeaver, type JobHandover} from './job-handover.js';
-import {JobRun, type ItemState} from './job-run.js';
+import type {JobHandover} from './job-handover.js';
+import type {JobRun, ItemState} from './job-run.js';
+import {JobRuns} from './job-runs.js';
 import {JobTerms} from './job-terms.js';
 import {PlaceFinder, type PlaceSeeker} from './place-finder.js';
-import {ResultWriter} from './result-writer.js';
 
 /** How the headers of an item are put together. */
 export type ItemHeaders = (host: string, itemId: string, headers: BatchItem['headers']) => string[];
@@ -83,20 +83,14 @@
 /** Without any change, milliseconds until free places and claims are looked at again. */
 const reviewMs = 150;
 
-/** Handovers of jobs that are not known yet, because the object API's news of them is late; a process runs some dozen jobs. */
-const maxReceived = 200;
-
 const leastWorkFirst = (a: ItemState, b: ItemState): number => a.events.length - b.events.length;
 
 /** See the module's head. */
 export class BatchRunner implements Disposable {
 	readonly #parts: BatchRunnerParts;
-	readonly #runs = new Map<BatchJobId, JobRun>();
+	readonly #runs: JobRuns;
 	readonly #finder: PlaceFinder;
 	readonly #terms: JobTerms;
-	readonly #leaver: JobLeaver;
-	/** Left by former holders, of jobs that this process does not run yet. */
-	readonly #received = new Map<BatchJobId, JobHandover>();
 	readonly #onReplicaFault: Readonly<Partial<Record<ItemRunEnd, (replica: Replica) => void>>> = {
 		unreachable: replica => {
 			this.#parts.contacts.noteUnreachable(replica);
@@ -120,7 +114,7 @@
 		const {loads, book, board, clock} = parts;
 		this.#finder = new PlaceFinder(parts);
 		this.#terms = new JobTerms(board, clock);
-		this.#leaver = new JobLeaver(parts);
+		this.#runs = new JobRuns(parts, this.#terms);
 		loads.onOwnChange(replica => {
 			this.#onLoad(replica);
 		});
@@ -144,15 +138,7 @@
 	/** Gives all jobs away, with what is known of their items, and cuts their runs off. */
 	async handOver(): Promise<void> {
 		this.#isStopped = true;
-		const runs = [...this.#runs.values()];
-		runs.forEach(run => {
-			run.cutAll();
-		});
-		await Promise.all([...this.#runs].map(async ([id, run]) => {
-			await this.#leaver.leave(run);
-			this.#parts.claims.release(id);
-		}));
-		this.#takeClaims();
+		await this.#runs.handOver();
 	}
 
 	/**
@@ -161,57 +147,24 @@
 	@returns False when this process shuts down itself.
 	*/
 	takeOver(handover: JobHandover): boolean {
-		if (this.#isStopped) {
-			return false;
-		}
-
-		this.#received.set(handover.job, handover);
-		if (this.#received.size > maxReceived) {
-			const [oldest] = this.#received.keys();
-			this.#received.delete(oldest!);
+		const isTaken = this.#runs.takeOver(handover);
+		if (isTaken) {
+			this.#takeClaims();
 		}
 
-		this.#parts.claims.accept(handover.job);
-		this.#takeClaims();
-		return true;
+		return isTaken;
 	}
 
 	dispose(): void {
 		this.#isStopped = true;
 		clearInterval(this.#review);
 		clearTimeout(this.#pending);
-		this.#runs.forEach(run => {
-			run.dispose();
-		});
-		this.#runs.clear();
+		this.#runs.dispose();
 	}
 
-	/** Opens a run for each claimed job and closes those that are claimed no more. */
 	#takeClaims() {
-		const {claims, book} = this.#parts;
-		claims.review();
-		[...this.#runs.keys()].filter(id => !claims.has(id)).forEach(id => {
-			this.#runs.get(id)?.dispose();
-			this.#runs.delete(id);
-			this.#terms.forget(id);
-		});
-		claims.claimed.filter(id => !this.#runs.has(id)).forEach(id => {
-			const job = () => book.job(id);
-			const {contents, clock} = this.#parts;
-			this.#runs.set(id, new JobRun({
-				job, writer: new ResultWriter(this.#parts, job, accepted => this.#terms.dueAt(accepted)), contents, clock,
-			}));
-		});
-		this.#runs.forEach((run, id) => {
-			const handover = this.#received.get(id);
-			if (handover) {
-				this.#received.delete(id);
-				run.receive(handover);
-			}
-
-			void run.load().then(() => {
-				this.#fillSoon();
-			});
+		this.#runs.review(() => {
+			this.#fillSoon();
 		});
 	}
 
@@ -226,7 +179,7 @@
 
 	/** The runs that have brought least are cut off, since they lose least by it. */
 	#cut(replica: Replica, count: number) {
-		[...this.#runs.values()]
+		this.#runs.all
 			.flatMap(run => run.running)
 			.filter(({run}) => run?.replica === replica)
 			.toSorted(leastWorkFirst)
@@ -253,7 +206,7 @@
 
 		const {clock} = this.#parts;
 		const wallNow = clock.wall();
-		const waiting = [...this.#runs.values()].flatMap(run => this.#waitingOf(run)).toSorted(byUrgency(this.#runLength, wallNow));
+		const waiting = this.#runs.all.flatMap(run => this.#waitingOf(run)).toSorted(byUrgency(this.#runLength, wallNow));
 		if (waiting.length === 0) {
 			return;
 		}
--- /dev/null
+++ b/src/gateway/batch/job-runs.ts
@@ -0,0 +1,127 @@
+/**
+The jobs that this process runs: a run is opened for each job that it has claimed and closed with the claim; a planned stop passes them to peers, and those of peers that stop are taken over.
+*/
+import type {Clock, Disposable} from '../../common/services.js';
+import type {BatchJobId} from '../types.js';
+import type {BatchBook} from './batch-book.js';
+import type {ContentStore} from './content-store.js';
+import type {JobClaims} from './job-claims.js';
+import {JobLeaver, type JobHandover, type JobLeaverParts} from './job-handover.js';
+import {JobRun} from './job-run.js';
+import type {JobTerms} from './job-terms.js';
+import {ResultWriter, type ResultWriterParts} from './result-writer.js';
+
+/** What the runs are made from. */
+export type JobRunsParts = JobLeaverParts & ResultWriterParts & {
+	readonly book: BatchBook;
+	readonly contents: ContentStore;
+	readonly claims: JobClaims;
+	readonly clock: Clock;
+};
+
+/** Handovers of jobs that are not known yet, because the object API's news of them is late; a process runs some dozen jobs. */
+const maxReceived = 200;
+
+/** See the module's head. */
+export class JobRuns implements Disposable {
+	readonly #parts: JobRunsParts;
+	readonly #terms: JobTerms;
+	readonly #leaver: JobLeaver;
+	readonly #runs = new Map<BatchJobId, JobRun>();
+	/** Left by former holders, of jobs that this process does not run yet. */
+	readonly #received = new Map<BatchJobId, JobHandover>();
+	#isLeaving = false;
+
+	constructor(parts: JobRunsParts, terms: JobTerms) {
+		this.#parts = parts;
+		this.#terms = terms;
+		this.#leaver = new JobLeaver(parts);
+	}
+
+	get all(): readonly JobRun[] {
+		return [...this.#runs.values()];
+	}
+
+	/**
+	Opens a run for each claimed job and closes those that are claimed no more.
+
+	@param onLoaded - Called when a run knows its items.
+	*/
+	review(onLoaded: () => void): void {
+		const {claims} = this.#parts;
+		claims.review();
+		[...this.#runs.keys()].filter(id => !claims.has(id)).forEach(id => {
+			this.#close(id);
+		});
+		claims.claimed.filter(id => !this.#runs.has(id)).forEach(id => {
+			this.#open(id);
+		});
+		this.#runs.forEach((run, id) => {
+			this.#passReceived(run, id);
+			void run.load().then(onLoaded);
+		});
+	}
+
+	/** Gives all jobs away, with what is known of their items, and cuts their runs off. */
+	async handOver(): Promise<void> {
+		this.#isLeaving = true;
+		this.all.forEach(run => {
+			run.cutAll();
+		});
+		await Promise.all([...this.#runs].map(async ([id, run]) => {
+			await this.#leaver.leave(run);
+			this.#parts.claims.release(id);
+			this.#close(id);
+		}));
+	}
+
+	/**
+	Takes a job over from a process that shuts down.
+
+	@returns False when this process shuts down itself.
+	*/
+	takeOver(handover: JobHandover): boolean {
+		if (this.#isLeaving) {
+			return false;
+		}
+
+		this.#received.set(handover.job, handover);
+		if (this.#received.size > maxReceived) {
+			const [oldest] = this.#received.keys();
+			this.#received.delete(oldest!);
+		}
+
+		this.#parts.claims.accept(handover.job);
+		return true;
+	}
+
+	dispose(): void {
+		this.#isLeaving = true;
+		[...this.#runs.keys()].forEach(id => {
+			this.#close(id);
+		});
+	}
+
+	#open(id: BatchJobId) {
+		const {book, contents, clock} = this.#parts;
+		const job = () => book.job(id);
+		const writer = new ResultWriter(this.#parts, job, accepted => this.#terms.dueAt(accepted));
+		this.#runs.set(id, new JobRun({
+			job, writer, contents, clock,
+		}));
+	}
+
+	#close(id: BatchJobId) {
+		this.#runs.get(id)?.dispose();
+		this.#runs.delete(id);
+		this.#terms.forget(id);
+	}
+
+	#passReceived(run: JobRun, id: BatchJobId) {
+		const handover = this.#received.get(id);
+		if (handover) {
+			this.#received.delete(id);
+			run.receive(handover);
+		}
+	}
+}
--- a/src/gateway/contacts/expected-time.ts
+++ b/src/gateway/contacts/expected-time.ts
@@ -24,6 +24,14 @@
 	#deviation = 0;
 	#observations = 0;
 
+	get meanMs(): number {
+		return this.#mean;
+	}
+
+	get observations(): number {
+		return this.#observations;
+	}
+
 	/** @param ms - How long it took this time. */
 	observe(ms: number): void {
 		this.#observations += 1;
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -50,6 +50,7 @@
 import {RegistrationController} from './registration-controller.js';
 import {ReplicaDirectory} from './replica-directory.js';
 import {ReplicaLinks} from './replica-links.js';
+import {ServiceTimes} from './service-times.js';
 import type {FrontSettings} from './settings.js';
 import type {CallDialect, MemberName} from './types.js';
 
@@ -203,7 +204,7 @@
 			lifecycle: this.#lifecycle, board, directory, log,
 		});
 		this.#server = new FrontServer({
-			board, directory, loads, links: this.#links, contacts, dialect, clock, random, log, metrics, sharers, failureDomain, jobCalls,
+			board, directory, loads, links: this.#links, contacts, serviceTimes: new ServiceTimes(), dialect, clock, random, log, metrics, sharers, failureDomain, jobCalls,
 			intake: new JobIntake({
 				api,
 				feed: recordFeed,
--- a/src/gateway/online-call.ts
+++ b/src/gateway/online-call.ts
@@ -73,6 +73,9 @@
 	#runs = 0;
 	#isOver = false;
 	#firstByteMs = 0;
+	#sentAt = 0;
+	/** Whether the replica that has the call had a free place when it was sent. */
+	#hasFoundPlace = false;
 	#lastEnd: AttemptEnd['kind'] | undefined;
 
 	readonly #onAttemptEnd: EndHandlers = {
@@ -131,8 +134,15 @@
 		});
 	}
 
-	/** Sends the call to its first replica. */
+	/** Sends the call to its first replica; one that cannot get a place in its time is refused at once. */
 	start(): void {
+		const waitMs = this.#parts.serviceTimes.waitMs(this.#service, this.#parts.directory.takingWork(this.#service));
+		const leftMs = this.#timeLimitMs - this.#elapsedMs();
+		if (waitMs > leftMs) {
+			this.#refuse('hopeless', Math.max(comeBackMs.full, waitMs - leftMs));
+			return;
+		}
+
 		this.#offer();
 	}
 
@@ -188,6 +198,8 @@
 		log.emit(gatewayEvents.callRouted, {
 			id: fields.requestId, route: route.name, replica: replica.record.id, online: replica.allOnline, batch: replica.allBatch, attempt: this.#offers, resumeAfter: this.#answer.lastEventId,
 		});
+		this.#sentAt = clock.now();
+		this.#hasFoundPlace = replica.total < replica.record.slots;
 		this.#giveBackPlace = loads.take(replica, 'online');
 		this.#attempt = new Attempt({
 			connection,
@@ -285,6 +297,10 @@
 		}
 
 		this.#answer.finish();
+		if (this.#hasFoundPlace && status < 300 && this.#runs === 0) {
+			this.#parts.serviceTimes.note(this.#service, this.#parts.clock.now() - this.#sentAt);
+		}
+
 		this.#endWith(status, 'answered');
 	}
 
@@ -300,16 +316,16 @@
 		}
 
 		const reason = this.#offers === 0 ? 'noReplica' : 'full';
-		this.#refuse(reason);
+		this.#refuse(reason, comeBackMs[reason]);
 	}
 
-	#refuse(reason: keyof typeof comeBackMs) {
+	#refuse(reason: string, afterMs: number) {
 		if (this.#answer.hasBegun) {
 			this.#cut(reason);
 			return;
 		}
 
-		this.#answer.reply(503, {'retry-after': String(comeBackMs[reason] / 1000)});
+		this.#answer.reply(503, {'retry-after': String(Math.ceil(afterMs) / 1000)});
 		this.#endWith(503, reason);
 	}
 
--- a/src/gateway/parts.ts
+++ b/src/gateway/parts.ts
@@ -9,6 +9,7 @@
 import type {LoadBoard} from './load-board.js';
 import type {ReplicaDirectory} from './replica-directory.js';
 import type {ReplicaLinks} from './replica-links.js';
+import type {ServiceTimes} from './service-times.js';
 import type {CallDialect} from './types.js';
 
 /** See the module's head. */
@@ -18,6 +19,7 @@
 	readonly loads: LoadBoard;
 	readonly links: ReplicaLinks;
 	readonly contacts: ReplicaContacts;
+	readonly serviceTimes: ServiceTimes;
 	readonly dialect: CallDialect;
 	readonly clock: Clock;
 	readonly random: RandomSource;
