--- a/src/gateway/batch/batch-runner.ts
+++ b/src/gateway/batch/batch-runner.ts
@@ -29,7 +29,7 @@
 import type {ContentStore} from './content-store.js';
 import {ItemRun, type ItemRunEnd} from './item-run.js';
 import type {JobClaims} from './job-claims.js';
-import type {JobHandover} from './job-handover.js';
+import type {JobHandover} from './job-leaver.js';
 import type {JobRun, ItemState} from './job-run.js';
 import {JobRuns} from './job-runs.js';
 import {JobTerms} from './job-terms.js';
--- a/src/gateway/batch/job-run.ts
+++ b/src/gateway/batch/job-run.ts
@@ -7,7 +7,7 @@
 import type {BatchItem, ItemProgress} from './batch-records.js';
 import type {ContentStore} from './content-store.js';
 import type {ItemRun, ItemRunEnd} from './item-run.js';
-import type {JobHandover} from './job-handover.js';
+import type {JobHandover} from './job-leaver.js';
 import type {ResultWriter} from './result-writer.js';
 
 /** What is known of an item between its runs. */
--- a/src/gateway/batch/job-runs.ts
+++ b/src/gateway/batch/job-runs.ts
@@ -6,7 +6,7 @@
 import type {BatchBook} from './batch-book.js';
 import type {ContentStore} from './content-store.js';
 import type {JobClaims} from './job-claims.js';
-import {JobLeaver, type JobHandover, type JobLeaverParts} from './job-handover.js';
+import {JobLeaver, type JobHandover, type JobLeaverParts} from './job-leaver.js';
 import {JobRun} from './job-run.js';
 import type {JobTerms} from './job-terms.js';
 import {ResultWriter, type ResultWriterParts} from './result-writer.js';
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -24,7 +24,7 @@
 import {BatchRunner, type ItemHeaders} from './batch/batch-runner.js';
 import {ContentStore} from './batch/content-store.js';
 import {JobClaims} from './batch/job-claims.js';
-import {takeOverMethod, type JobHandover, type JobHandoverAnswer} from './batch/job-handover.js';
+import {takeOverMethod, type JobHandover, type JobHandoverAnswer} from './batch/job-leaver.js';
 import {JobIntake} from './batch/job-intake.js';
 import {JobReader} from './batch/job-reader.js';
 import {ConfigBoard} from './config-board.js';
--- /dev/null
+++ b/src/io/dial.steps.ts
@@ -0,0 +1,60 @@
+/**
+Steps for dialling.
+*/
+import assert from 'node:assert/strict';
+import {createServer, type AddressInfo, type Server} from 'node:net';
+import {Given, Then, When} from '@cucumber/cucumber';
+import type {TestWorld} from '../common/testing/test-world.js';
+import {dial} from './dial.js';
+
+type DialWorld = TestWorld & {
+	server: Server;
+	address: string;
+};
+
+/** Longer than any connection on loopback takes, in milliseconds. */
+const longMs = 10_000;
+
+Given('a listener', async function (this: DialWorld) {
+	this.server = createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.resume();
+	});
+	this.register({
+		dispose: () => {
+			this.server.close();
+		},
+	});
+	await new Promise<void>(resolve => {
+		this.server.listen(0, '127.0.0.1', resolve);
+	});
+	this.address = `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+});
+
+When('it ends', async function (this: DialWorld) {
+	await new Promise(resolve => {
+		this.server.close(resolve);
+	});
+});
+
+Then('a connection to it can be made', async function (this: DialWorld) {
+	assert.equal(await dial(this.address, longMs), true);
+});
+
+Then('no connection to it can be made', async function (this: DialWorld) {
+	assert.equal(await dial(this.address, longMs), false);
+});
+
+Then('a connection to it can be made within {int} ms though this process stands still for {int} ms', async function (this: DialWorld, limitMs: number, stillMs: number) {
+	const dialled = dial(this.address, limitMs);
+	const until = performance.now() + stillMs;
+	while (performance.now() < until) {
+		// Stands still.
+	}
+
+	assert.equal(await dialled, true);
+});
+
+Then('no connection to {string} can be made', async function (this: DialWorld, address: string) {
+	assert.equal(await dial(address, longMs), false);
+});
