--- a/src/io/dial.steps.ts
+++ b/src/io/dial.steps.ts
@@ -55,6 +55,6 @@
 	assert.equal(await dialled, true);
 });
 
-Then('no connection to {string} can be made', async function (this: DialWorld, address: string) {
+Then('no connection to {string} can be made', async (address: string) => {
 	assert.equal(await dial(address, longMs), false);
 });
