--- a/src/gateway/batch/job-run.ts
+++ b/src/gateway/batch/job-run.ts
@@ -75,7 +75,7 @@
 		}
 	}
 
-	/** Takes over what the former holder of the job has left; kept until the items are known. */
+	/** Takes over what the former holder of the job has left. */
 	receive(handover: JobHandover): void {
 		this.#received = handover;
 		if (this.#states.size > 0) {
--- a/src/gateway/contacts/replica-contacts.ts
+++ b/src/gateway/contacts/replica-contacts.ts
@@ -29,7 +29,7 @@
 /** Engines send something every 30 ms while they serve a request, and nothing while it waits for a place. Below the floor, ordinary jitter would be asked about; above the ceiling, a stream that goes on elsewhere has had a pause that its caller notices. */
 const suspectBounds: LimitBounds = {floorMs: 100, ceilingMs: 250};
 
-/** A replica that was just reached is not asked about again for this long, in milliseconds: under a wave of calls many wait for a place at once, and each connection takes some of the replica's time. It is also how long a replica that dies right after it was asked goes unnoticed. */
+/** A replica that was just reached is not asked about again for this long, in milliseconds: under a wave of calls many wait for a place at once, and each connection takes some of the replica's time. */
 const trustMs = 500;
 
 /** An unreachable replica is tried again after this long, and twice as long after each further try, up to the ceiling; in milliseconds. A crashed process is back after some seconds. */
@@ -42,7 +42,7 @@
 	readonly connectMs: number;
 	/** Milliseconds without a byte after which `isReachable` is to be asked. */
 	readonly suspectMs: number;
-	/** The request was sent, on a connection that was made for it within so many milliseconds. Not to be called for a kept connection, which says nothing of the way to the replica. */
+	/** The request was sent on a connection that was made for it within so many milliseconds; on a kept one it tells nothing. */
 	noteConnected(ms: number): void;
 	/** Something has come from the replica. */
 	noteBytes(): void;
--- a/src/gateway/peers/peer-state.ts
+++ b/src/gateway/peers/peer-state.ts
@@ -1,7 +1,9 @@
 /**
 What the processes of the gateway tell each other: how much each has in flight at each replica, and which batch jobs it runs. It is sent anew at each change and every now and then, so that nothing depends on one message, and silence means that a peer is gone.
 */
-import type {BatchJobId, MemberName, ReplicaId} from '../types.js';
+import type {
+	BatchJobId, MemberName, ReplicaId,
+} from '../types.js';
 
 /** Requests of one process in flight at one replica. */
 export type SharedLoad = {
--- a/src/gateway/replica-choice.ts
+++ b/src/gateway/replica-choice.ts
@@ -26,7 +26,7 @@
 */
 const batchWeight = 0.15;
 
-/** A failure of late counts like so many calls in flight at a replica, as a share of its places; and all failures together like no more than the ceiling, which is above any load. In the model (replica-choice.feature), one replica of five that fails 40 % of its calls at once makes 1.3 % of all calls fail in place of 11 %, and one that fails all of them 1.6 % in place of 80 %; ten seconds after its recovery it has nine tenths of its part again. Too strong where many replicas lose single answers under a full load, since it counts failures and not their share of the calls: with half of 34 replicas losing a twentieth of theirs at the peaks, 668 of 4,721 calls were late in place of 284. */
+/** A failure of late counts like so many calls in flight at a replica, as a share of its places; and all failures together like no more than the ceiling, which is above any load. In the model (replica-choice.feature), one replica of five that fails 40 % of its calls at once makes 1.3 % of all calls fail in place of 11 %, and one that fails all of them 1.6 % in place of 80 %; ten seconds after its recovery it has nine tenths of its part again. */
 const failureWeight = 0.5;
 const mostFailureCost = 3;
 
--- a/src/gateway/replica.ts
+++ b/src/gateway/replica.ts
@@ -91,7 +91,7 @@
 		this.#doubtedUntil = Infinity;
 	}
 
-	/** A connection went silent though the replica can be reached, or its address belongs to another: it is doubted for a time, since no connection would show that it is well again. */
+	/** A connection went silent, or its address belongs to another. */
 	noteFailure(now: number): void {
 		this.#doubts += 1;
 		this.#doubtedUntil = now + Math.min(maxDoubtMs, firstDoubtMs * (2 ** (this.#doubts - 1)));
