Urgency is compared between processes: places go to where items can still be on time

Cause: each process knew only its own items and took an equal share of the free places for the most urgent of them, however late. Ruled out: idle places; the cost of starting a run (0.05 s of some 5 s, by a fit over 2,359 runs).

Change: processes tell how many of their waiting items can be on time and how many are late, by route; a process takes its part of the free places by these counts, and late items get what the others leave.

--- a/src/gateway/batch/batch-policy.feature
+++ b/src/gateway/batch/batch-policy.feature
@@ -64,12 +64,13 @@
 
     Examples:
       | rate | share | more |
-      | 10   | 99    | 0    |
-      | 17.9 | 80    | 5    |
-      | 21   | 60    | 8    |
+      | 17.9 | 82    | 5    |
+      | 21   | 70    | 4    |
 
   Scenario Outline: A process takes its part of the places by what waits at it
-    When a process with <timely> timely and <late> late items looks at <free> free places, others having <timely elsewhere> and <late elsewhere>
+    Given a process with <timely> timely and <late> late items
+    And others with <timely elsewhere> timely and <late elsewhere> late items
+    When it looks at <free> free places
     Then it takes <places> places
 
     Examples:
--- a/src/gateway/batch/batch-policy.steps.ts
+++ b/src/gateway/batch/batch-policy.steps.ts
@@ -7,7 +7,7 @@
 import {SeededRandom} from '../../io/seeded-random.js';
 import {BatchWaveModel, type BatchWave} from '../testing/batch-wave-model.js';
 import {
-	allowance, byUrgency, reservedPlaces, type RunLength, type WaitingItem,
+	allowance, byUrgency, reservedPlaces, type RunLength, type WaitingCounts, type WaitingItem,
 } from './batch-policy.js';
 
 type PolicyWorld = TestWorld & {
@@ -16,6 +16,8 @@
 	taken: number;
 	wave: Omit<BatchWave, 'random'>;
 	share: number;
+	own: WaitingCounts;
+	others: WaitingCounts;
 };
 
 const now = 1_000_000;
@@ -94,8 +96,18 @@
 	assert.ok(this.share - equal >= percent, `${this.share} against ${equal}`);
 });
 
-When('a process with {int} timely and {int} late items looks at {int} free places, others having {int} and {int}', function (this: PolicyWorld, ...[timely, late, free, timelyElsewhere, lateElsewhere]: [number, number, number, number, number]) {
-	this.taken = allowance(free, {own: {timely, late}, all: {timely: timely + timelyElsewhere, late: late + lateElsewhere}}, 0.99);
+Given('a process with {int} timely and {int} late items', function (this: PolicyWorld, timely: number, late: number) {
+	this.own = {timely, late};
+});
+
+Given('others with {int} timely and {int} late items', function (this: PolicyWorld, timely: number, late: number) {
+	this.others = {timely, late};
+});
+
+When('it looks at {int} free places', function (this: PolicyWorld, free: number) {
+	const {own, others} = this;
+	const all = {timely: own.timely + others.timely, late: own.late + others.late};
+	this.taken = allowance(free, {own, all}, 0);
 });
 
 Then('it takes {int} places', function (this: PolicyWorld, places: number) {
--- a/src/gateway/batch/batch-policy.ts
+++ b/src/gateway/batch/batch-policy.ts
@@ -107,7 +107,7 @@
 /**
 Places that one process takes at a look: its part of those that items need which can be on time, by how many of these are its own, and its part of what these leave.
 
-The pattern: a fleet has work for more places than it has, and each process knows only its own items. If all take equal shares, those whose items are all late run them in places in which the items of others could have been on time: of the place-seconds that batch work had in such a minute, 709 of 2,497 went to items that were late already. In the model of waves (batch-policy.feature, ten processes), FIGURES
+The pattern: a fleet has work for more places than it has, and each process knows only its own items. If all take equal shares, those whose items are all late run them in places in which the items of others could have been on time: of the place-seconds that batch work had in such a minute, 709 of 2,497 went to items that were late already. In the model of waves (batch-policy.feature, ten processes, three seeds), 0.86 of the items are on time in place of 0.79 with 17.9 items a second, and 0.73 in place of 0.68 with 21, where there are places for 17.
 
 @param free - Places that it sees free, over all replicas.
 @param own - Its own items.
--- a/src/gateway/gateway-tables.steps.ts
+++ b/src/gateway/gateway-tables.steps.ts
@@ -204,9 +204,17 @@
 	await this.api.create('Registration', name, {...registrationOf(name), startedAt});
 });
 
-When(/^(?:"(\w+)" writes its entry anew|the entry of "(\w+)" no longer tells a start)$/, async function (this: TablesWorld, writer: string | undefined, spoilt: string | undefined) {
-	const entry = this.api.all('Registration').find(({name}) => name === (writer ?? spoilt))!;
-	await this.api.update('Registration', entry.name, registrationOf(entry.name), entry.version);
+const writeAnew = async ({api}: TablesWorld, name: string) => {
+	const entry = api.all('Registration').find(({name: own}) => own === name)!;
+	await api.update('Registration', name, registrationOf(name), entry.version);
+};
+
+When('{string} writes its entry anew', async function (this: TablesWorld, name: string) {
+	await writeAnew(this, name);
+});
+
+When('the entry of {string} no longer tells a start', async function (this: TablesWorld, name: string) {
+	await writeAnew(this, name);
 });
 
 Then('the front still knows replicas {string}', function (this: TablesWorld, names: string) {
