--- a/src/demo/main.ts
+++ b/src/demo/main.ts
@@ -42,7 +42,8 @@
 	print(`  curl -N ${url}/v1/chat/completions -H 'Authorization: Bearer ${apiKey}' -H 'Content-Type: application/json' -d '{"model": "${model}", "stream": true, "messages": [{"role": "user", "content": "Is truck 7 safe?"}]}'`);
 };
 
-const run = async (once: boolean): Promise<void> => {
+const run = async (stay: boolean): Promise<void> => {
+	print(stay ? 'After the tour, a few seconds, the demo goes on until Ctrl-C.\n' : 'The demo ends by itself after the tour, a few seconds; with --stay it goes on.\n');
 	const log = new DecisionLog();
 	const fleet = await LocalFleet.start(plan, {
 		clock: new SystemClock(), random: new SeededRandom(1), log, metrics: new NoMetrics(),
@@ -54,11 +55,12 @@
 		throw err;
 	}
 
-	if (once) {
+	if (!stay) {
 		fleet.dispose();
 		return;
 	}
 
+	showUsage(`http://${fleet.entryAddress()}`);
 	print('\nCtrl-C ends the demo.');
 };
 
@@ -71,16 +73,16 @@
 		url, apiKey, model, service, print,
 	}).run();
 	showDecisions(log);
-	showUsage(url);
 };
 
 sade('citronyard-demo', true)
 	.version(version)
 	.describe('Runs the whole path in one process on stand-ins, and shows it.')
-	.option('--once', 'End after the tour; the exit code tells whether all went well')
-	.action(async ({once}: {once?: boolean}) => {
+	.option('--stay', 'Go on after the tour, for clients of your own')
+	.option('--once', 'End after the tour, as without it')
+	.action(async ({stay, once}: {stay?: boolean; once?: boolean}) => {
 		try {
-			await run(once === true);
+			await run(stay === true && once !== true);
 		} catch (err) {
 			process.stderr.write(`citronyard-demo: ${(err as Error).message}\n`);
 			process.exitCode = 1;
