--- a/src/gateway/replica-choice.feature
+++ b/src/gateway/replica-choice.feature
@@ -57,3 +57,18 @@
     And half of the replicas lose 5 % of their answers
     Then at most 1 % more of the calls wait too long than if none was lost
     And at least 1.5 % more would if losses were counted without the requests that went well
+
+  Scenario Outline: Replicas that are added carry their part within a second, and are not overrun
+    # Empty replicas join while all others are full. If they were found slowly they would stay idle beside loaded ones;
+    # if each process sent all its calls there before it hears of the others, the calls would wait there instead.
+    Given <processes> processes and <replicas> replicas of 7 places
+    And <rate> calls a second, with news every <news> ms
+    And <added> of the replicas are added, empty, within a wave
+    Then in their first second each gets <least> to <most> times the calls that each of the others gets
+    And none ever has more than 10 calls
+
+    Examples:
+      | processes | replicas | rate | news | added | least | most |
+      | 58        | 49       | 232  | 114  | 6     | 1.0   | 1.6  |
+      | 22        | 34       | 183  | 42   | 4     | 1.0   | 1.6  |
+      | 5         | 16       | 84   | 40   | 3     | 1.0   | 1.8  |
--- a/src/gateway/replica-choice.steps.ts
+++ b/src/gateway/replica-choice.steps.ts
@@ -9,13 +9,15 @@
 import {itemsToCut} from './replica-choice.js';
 import {Replica} from './replica.js';
 import {playGreyFault, type GreyFault, type GreyOutcome} from './testing/grey-model.js';
-import {WaveModel, type Wave} from './testing/wave-model.js';
+import {WaveModel, type JoinOutcome, type Wave} from './testing/wave-model.js';
 import type {GatewayServiceName, MemberName, ReplicaId} from './types.js';
 
 type ChoiceWorld = TestWorld & {
 	fleet: Pick<Wave, 'processes' | 'replicas' | 'slots'>;
 	wave: Omit<Wave, 'random'>;
 	share: number;
+	joined: readonly JoinOutcome[];
+	lateWithoutLosses: number | undefined;
 	place: {readonly slots: number; readonly online: number};
 	items: number[];
 	fault: Omit<GreyFault, 'random' | 'isNoted'>;
@@ -49,18 +51,41 @@
 	this.wave = {...this.wave, losing: percent / 100};
 });
 
-const moreThanWithout = (wave: Omit<Wave, 'random'>): number => 100 * (meanShare(wave) - meanShare({...wave, losing: 0}));
+/** Percentage points of late calls that the losses add. */
+const addedByLosses = (world: ChoiceWorld, judges: Wave['judges']): number => {
+	world.lateWithoutLosses ??= meanShare({...world.wave, losing: 0});
+	return 100 * (meanShare({...world.wave, judges}) - world.lateWithoutLosses);
+};
 
 Then('at most {int} % more of the calls wait too long than if none was lost', function (this: ChoiceWorld, percent: number) {
-	const more = moreThanWithout(this.wave);
+	const more = addedByLosses(this, 'share');
 	assert.ok(more <= percent, String(more));
 });
 
 Then('at least {float} % more would if losses were counted without the requests that went well', function (this: ChoiceWorld, percent: number) {
-	const more = moreThanWithout({...this.wave, judges: 'count'});
+	const more = addedByLosses(this, 'count');
 	assert.ok(more >= percent, String(more));
 });
 
+Given('{int} of the replicas are added, empty, within a wave', function (this: ChoiceWorld, joining: number) {
+	this.wave = {...this.wave, joining};
+});
+
+Then('in their first second each gets {float} to {float} times the calls that each of the others gets', function (this: ChoiceWorld, least: number, most: number) {
+	this.joined = seeds.map(seed => {
+		const model = new WaveModel({...this.wave, random: new SeededRandom(seed)});
+		model.run();
+		return model.joined;
+	});
+	const part = this.joined.reduce((sum, one) => sum + one.part, 0) / seeds.length;
+	assert.ok(part >= least && part <= most, String(part));
+});
+
+Then('none ever has more than {int} calls', function (this: ChoiceWorld, most: number) {
+	const found = Math.max(...this.joined.map(one => one.most));
+	assert.ok(found <= most, String(found));
+});
+
 Given('a replica of {int} places with {int} calls', function (this: ChoiceWorld, slots: number, online: number) {
 	this.place = {slots, online};
 });
--- a/src/gateway/testing/wave-model.ts
+++ b/src/gateway/testing/wave-model.ts
@@ -26,6 +26,16 @@
 	readonly losing?: number;
 	/** What a failure tells the choice: its share of the requests, or, as a mere count would, that all fail. */
 	readonly judges?: 'share' | 'count';
+	/** The last so many replicas are added, empty, within the second wave. */
+	readonly joining?: number;
+};
+
+/** What replicas that are added get in their first second. */
+export type JoinOutcome = {
+	/** Calls at each, of those at each of the others; 1 is an equal part. */
+	readonly part: number;
+	/** The most calls at one of them at a time, queue included. */
+	readonly most: number;
 };
 
 type Call = {readonly from: number; readonly arrivedAt: number; readonly isRerun: boolean};
@@ -40,6 +50,10 @@
 const serviceMs = 680;
 const serviceSpread = 0.4;
 
+/** Replicas are added then, in milliseconds: half a second into a wave, when all others are full. */
+const joinAt = periodMs + calmMs + 500;
+const joinWatchMs = 1000;
+
 /** Processes tell outcomes this often, in milliseconds, as fronts do. */
 const outcomesEveryMs = 250;
 
@@ -60,6 +74,8 @@
 	readonly #happenings: Happening[] = [];
 	readonly #waits: number[] = [];
 	readonly #outcomesToldAt: number[];
+	readonly #callsOfFirstSecond = {atJoined: 0, elsewhere: 0};
+	#mostAtJoined = 0;
 	#now = 0;
 
 	constructor(wave: Wave) {
@@ -73,9 +89,10 @@
 		this.#queues = Array.from({length: replicas}, () => []);
 	}
 
-	/** @returns The share of calls that waited too long for a place. */
+	/** Where replicas are added, only until their first second is over. @returns The share of calls that waited too long for a place. */
 	run(): number {
-		const {processes, gatherMs, random} = this.#wave;
+		const {processes, gatherMs, random, joining} = this.#wave;
+		const endsAt = joining ? joinAt + joinWatchMs : lengthMs;
 		this.#views.forEach((_, process) => {
 			this.#at(random.next() * gatherMs, () => {
 				this.#tell(process);
@@ -84,7 +101,7 @@
 		this.#at(0, () => {
 			this.#arrive(Math.floor(random.next() * processes));
 		});
-		while (this.#now < lengthMs) {
+		while (this.#now < endsAt) {
 			const next = this.#happenings.shift()!;
 			this.#now = next.at;
 			next.act();
@@ -93,6 +110,13 @@
 		return this.#waits.filter(wait => wait > lateMs).length / this.#waits.length;
 	}
 
+	/** What the replicas that were added got. Call it after `run`. */
+	get joined(): JoinOutcome {
+		const {replicas, joining = 0} = this.#wave;
+		const {atJoined, elsewhere} = this.#callsOfFirstSecond;
+		return {part: (atJoined / joining) / (elsewhere / (replicas - joining)), most: this.#mostAtJoined};
+	}
+
 	#arrive(process: number) {
 		const {processes, perSecond, random} = this.#wave;
 		this.#send({from: process, arrivedAt: this.#now, isRerun: false});
@@ -104,12 +128,29 @@
 
 	#send(call: Call) {
 		const {processes, random, sharersTold = processes} = this.#wave;
-		const view = this.#views[call.from]!;
+		const {replicas, joining = 0} = this.#wave;
+		const known = this.#now < joinAt ? replicas - joining : replicas;
+		const view = this.#views[call.from]!.slice(0, known);
 		const chosen = chooseForOnline(view, {
 			now: this.#now, random, tried: new Set(), failureDomain: 'hall', sharers: sharersTold, canGoElsewhere: true,
 		})!;
 		chosen.online += 1;
-		this.#offer(view.indexOf(chosen), call);
+		const index = view.indexOf(chosen);
+		this.#offer(index, call);
+		this.#noteJoin(index);
+	}
+
+	#noteJoin(replica: number) {
+		if (this.#now < joinAt || this.#now > joinAt + joinWatchMs) {
+			return;
+		}
+
+		const {replicas, joining = 0} = this.#wave;
+		const isJoined = replica >= replicas - joining;
+		this.#callsOfFirstSecond[isJoined ? 'atJoined' : 'elsewhere'] += 1;
+		if (isJoined) {
+			this.#mostAtJoined = Math.max(this.#mostAtJoined, this.#running[replica]! + this.#queues[replica]!.length);
+		}
 	}
 
 	#offer(replica: number, call: Call) {
