--- /dev/null
+++ b/src/gateway/batch/place-finder.steps.ts
@@ -0,0 +1,94 @@
+/**
+Steps for the places that a process takes, on the tables alone and in time that the steps set.
+*/
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {branded} from '../../common/ids.js';
+import type {Clock, EventLog} from '../../common/services.js';
+import type {TestWorld} from '../../common/testing/test-world.js';
+import {SeededRandom} from '../../io/seeded-random.js';
+import {LoadBoard} from '../load-board.js';
+import type {SharedWaiting} from '../peers/peer-state.js';
+import {PeerTable} from '../peers/peer-table.js';
+import {ReplicaDirectory} from '../replica-directory.js';
+import type {ReplicaLinks} from '../replica-links.js';
+import type {
+	GatewayRoute, GatewayServiceName, MemberName, ReplicaId,
+} from '../types.js';
+import {assumedRunLength, countWaiting} from './batch-policy.js';
+import {PlaceFinder, type PlaceSeeker} from './place-finder.js';
+
+type FinderWorld = TestWorld & {
+	now: number;
+	peers: PeerTable;
+	finder: PlaceFinder;
+	taken: number;
+};
+
+const log: EventLog = {emit: () => undefined};
+const service = branded<GatewayServiceName>('engines');
+const route = {name: 'notes', kind: 'batch', targets: [{service, weight: 1}]} as unknown as GatewayRoute;
+
+const addReplica = (directory: ReplicaDirectory, id: string, slots: number) => {
+	directory.put({
+		id: branded<ReplicaId>(id), service, address: '127.0.0.1:1', failureDomain: 'hall', slots, isDraining: false,
+	});
+	return directory.get(branded<ReplicaId>(id))!;
+};
+
+const tell = ({peers}: FinderWorld, member: string, waiting: readonly SharedWaiting[] | undefined) => {
+	peers.take({
+		member: branded<MemberName>(member), address: '127.0.0.1:1', rpcAddress: '127.0.0.1:1', reachesObjectApi: true, startedAt: 1, seq: 1, isLeaving: false, loads: [], jobs: [], waiting,
+	});
+};
+
+Given('a replica of {int} places with {int} calls, and one of {int} places without any', function (this: FinderWorld, slots: number, online: number, otherSlots: number) {
+	this.now = 0;
+	const clock: Clock = {now: () => this.now, wall: () => this.now, sleep: async () => undefined};
+	const directory = new ReplicaDirectory();
+	addReplica(directory, 'r1', slots).online = online;
+	addReplica(directory, 'r2', otherSlots);
+	this.peers = new PeerTable({
+		self: branded<MemberName>('front-1'), directory, loads: new LoadBoard(), clock, log,
+	});
+	this.finder = new PlaceFinder({
+		directory, links: {} as unknown as ReplicaLinks, peers: this.peers, clock, random: new SeededRandom(1), failureDomain: 'hall',
+	});
+});
+
+Given('peer {string} tells of {int} timely and {int} late items', function (this: FinderWorld, member: string, timely: number, late: number) {
+	tell(this, member, [{route: route.name, timely, late}]);
+});
+
+Given('peer {string} tells of {int} timely and {int} late items of another route', function (this: FinderWorld, member: string, timely: number, late: number) {
+	tell(this, member, [{route: 'digests', timely, late}]);
+});
+
+Given('peer {string} tells nothing of its items', function (this: FinderWorld, member: string) {
+	tell(this, member, undefined);
+});
+
+Given('it has been silent for {int} seconds', function (this: FinderWorld, seconds: number) {
+	this.now += 1000 * seconds;
+	this.peers.dropSilent();
+});
+
+const look = (world: FinderWorld, {items, dueInMs, times}: {items: number; dueInMs: number; times: number}) => {
+	const seeker: PlaceSeeker = {
+		route, dueAt: world.now + dueInMs, events: 0, failedAt: new Set(),
+	};
+	const own = countWaiting(Array.from({length: items}, () => seeker), assumedRunLength, world.now);
+	world.taken = Array.from({length: times}, () => world.finder.allowance(seeker, own, assumedRunLength)).reduce((sum, places) => sum + places, 0) / times;
+};
+
+When('{int} items that are late look for places {int} times', function (this: FinderWorld, items: number, times: number) {
+	look(this, {items, dueInMs: -1000, times});
+});
+
+When('{int} items that are due in {int} seconds look for places {int} times', function (this: FinderWorld, items: number, seconds: number, times: number) {
+	look(this, {items, dueInMs: 1000 * seconds, times});
+});
+
+Then('they may take {float} places at a time, on the mean', function (this: FinderWorld, places: number) {
+	assert.ok(Math.abs(this.taken - places) <= 0.1, String(this.taken));
+});
--- a/src/gateway/replica-directory.feature
+++ b/src/gateway/replica-directory.feature
@@ -40,3 +40,20 @@
     When "r1" is registered as started at 9000
     And "r1" is registered as started at 1000
     Then the directory told "restarted, joined" of "r1"
+
+  Scenario: What a peer tells of outcomes takes the place of what it told before
+    # Messages come several times a second; if each were added, one failure would count many times over.
+    When peer "front-2" tells of 1 failure in 16 requests at "r1" started at 1000
+    And peer "front-2" tells of 1 failure in 16 requests at "r1" started at 1000
+    Then 5 % of the requests at "r1" pass for failed
+
+  Scenario: Outcomes of all processes count together
+    # Two fronts see few failures each. Either alone could not tell a replica that fails a part from bad luck.
+    When peer "front-2" tells of 1 failure in 16 requests at "r1" started at 1000
+    And peer "front-3" tells of 3 failures in 20 requests at "r1" started at 1000
+    Then 10 % of the requests at "r1" pass for failed
+
+  Scenario: Failures of an earlier start are not held against the later one
+    When "r1" is registered as started at 9000
+    And peer "front-2" tells of 8 failures in 16 requests at "r1" started at 1000
+    Then 0 % of the requests at "r1" pass for failed
--- a/src/gateway/replica-directory.steps.ts
+++ b/src/gateway/replica-directory.steps.ts
@@ -8,6 +8,7 @@
 import type {TestWorld} from '../common/testing/test-world.js';
 import {SystemClock} from '../io/system-clock.js';
 import {LoadBoard} from './load-board.js';
+import type {PeerState} from './peers/peer-state.js';
 import {PeerTable} from './peers/peer-table.js';
 import {ReplicaDirectory} from './replica-directory.js';
 import type {
@@ -30,13 +31,17 @@
 
 const replicaOf = ({directory}: DirectoryWorld, id: string) => directory.get(branded<ReplicaId>(id))!;
 
+const stateOf = (peer: string, seq: number, told: Partial<PeerState>): PeerState => ({
+	member: branded<MemberName>(peer), address: '127.0.0.1:1', rpcAddress: '127.0.0.1:1', reachesObjectApi: true, startedAt: 1, seq, isLeaving: false, loads: [], jobs: [], ...told,
+});
+
 const tell = (world: DirectoryWorld, peer: string, {online, replica, startedAt}: {online: number; replica: string; startedAt: number}) => {
 	world.seq += 1;
-	world.peers.take({
-		member: branded<MemberName>(peer), address: '127.0.0.1:1', rpcAddress: '127.0.0.1:1', reachesObjectApi: true, startedAt: 1, seq: world.seq, isLeaving: false, loads: [{
+	world.peers.take(stateOf(peer, world.seq, {
+		loads: [{
 			replica: branded<ReplicaId>(replica), startedAt, online, batch: 0,
-		}], jobs: [],
-	});
+		}],
+	}));
 };
 
 Given('replica {string} started at {int} is known, with {int} own calls and {int} of peer {string}', function (this: DirectoryWorld, id: string, startedAt: number, own: number, others: number, peer: string) {
@@ -77,6 +82,20 @@
 	tell(this, peer, {online, replica, startedAt});
 });
 
+When('peer {string} tells of {int} failure(s) in {int} requests at {string} started at {int}', function (this: DirectoryWorld, peer: string, failures: number, requests: number, replica: string, startedAt: number) {
+	this.seq += 1;
+	this.peers.take(stateOf(peer, this.seq, {
+		outcomes: [{
+			replica: branded<ReplicaId>(replica), startedAt, requests, failures,
+		}],
+	}));
+});
+
+Then('{int} % of the requests at {string} pass for failed', function (this: DirectoryWorld, percent: number, id: string) {
+	const share = replicaOf(this, id).outcomes.failureShare(new SystemClock().now());
+	assert.equal(Math.round(100 * share), percent);
+});
+
 Then('{int} call(s) is/are counted at {string}', function (this: DirectoryWorld, count: number, id: string) {
 	assert.equal(replicaOf(this, id).total, count);
 });
