One class for the lease that a few entries look after

The reporter of versions in force and the placement controller each had the same eight parts, the same count of candidates and the same look at their lease. Behaviour as before; the features of both pass.

--- a/src/entry/in-force-reporter.ts
+++ b/src/entry/in-force-reporter.ts
@@ -8,28 +8,15 @@
 	inForceCondition, isInForce, isReportDue, isSettled, pendingOf, reportedKinds, withTally, type InForceTally, type PendingVersion,
 } from '../common/config-in-force.js';
 import type {InForceCount} from '../common/config-protocol.js';
-import type {ConfigTable} from '../common/config-table.js';
-import {LeaseKeeper} from '../common/lease-keeper.js';
-import type {HolderName} from '../common/lease.js';
-import {rankMembers} from '../common/rendezvous.js';
-import type {
-	Clock, Disposable, EventLog, ObjectApi,
-} from '../common/services.js';
+import type {Disposable, EventLog} from '../common/services.js';
 import type {WatchEvent} from '../common/types.js';
 import {configEvents} from './config-log-events.js';
+import {EntryLease, type EntryLeaseParts} from './entry-lease.js';
 import {statusName, StatusWriter} from './status-writer.js';
 
 /** What the reporter needs. */
-export type ReporterParts = {
-	readonly api: ObjectApi;
-	readonly clock: Clock;
+export type ReporterParts = EntryLeaseParts & {
 	readonly log: EventLog;
-	readonly table: ConfigTable;
-	/** This entry's VM. */
-	readonly vm: string;
-	readonly self: HolderName;
-	/** Names of the live entry VMs. */
-	readonly entries: () => readonly string[];
 	/** Live VMs that follow the configuration, agents included. */
 	readonly nodesKnown: () => number;
 	/** Asks every watcher for its counts; fails when one of them did not answer. */
@@ -40,25 +27,22 @@
 const leaseMs = 15_000;
 const tendMs = 4000;
 const tickMs = 1000;
-/** Entries that look after the lease. If all did, their looking alone would cost hundreds of calls a second. */
-const candidates = 3;
 const writesPerTick = 10;
 
 /** Reports until disposed. */
 export class InForceReporter implements Disposable {
 	readonly #parts: ReporterParts;
-	readonly #lease: LeaseKeeper;
+	readonly #lease: EntryLease;
 	readonly #writer: StatusWriter;
 	readonly #pending = new Map<string, PendingVersion>();
 	readonly #stop: () => void;
 	#deleted: WatchEvent[] = [];
 	#isLoaded = false;
-	#tendAt = 0;
 	#disposed = false;
 
 	constructor(parts: ReporterParts) {
 		this.#parts = parts;
-		this.#lease = new LeaseKeeper(parts.api, parts.clock, {name: leaseName, self: parts.self, ttlMs: leaseMs});
+		this.#lease = new EntryLease(parts, {name: leaseName, ttlMs: leaseMs, tendMs});
 		this.#writer = new StatusWriter(parts.api, parts.clock);
 		this.#stop = parts.table.onChange(event => {
 			this.#note(event);
@@ -86,20 +70,16 @@
 	}
 
 	async #tend() {
-		const {clock, entries, vm, table, log} = this.#parts;
-		const rank = rankMembers(leaseName, entries()).indexOf(vm);
-		if (clock.now() < this.#tendAt || rank === -1 || rank >= candidates || table.revision === 0) {
+		const wasHeld = this.#isLoaded;
+		if (!await this.#lease.tend()) {
 			return;
 		}
 
-		this.#tendAt = clock.now() + tendMs;
-		const wasHeld = this.#isLoaded;
-		await this.#lease.tend(rank);
 		if (this.#lease.isHeld) {
 			await (wasHeld ? undefined : this.#load());
 		} else if (wasHeld) {
 			this.#forget();
-			log.emit(configEvents.statusLeaseLost, {});
+			this.#parts.log.emit(configEvents.statusLeaseLost, {});
 		}
 	}
 
--- a/src/entry/placement-controller.ts
+++ b/src/entry/placement-controller.ts
@@ -4,35 +4,23 @@
 import type {
 	BackendServer, ModelVersion, ServedModel,
 } from '../../typings/resources.js';
-import type {ConfigTable} from '../common/config-table.js';
 import type {Fence} from '../common/ids.js';
-import {LeaseKeeper} from '../common/lease-keeper.js';
-import type {HolderName} from '../common/lease.js';
 import {
 	epochName, isCurrent, placementLease, type Assignment, type PlacementEpoch,
 } from '../common/placement.js';
 import {
 	placeModels, type ModelProgress, type Placement, type PlacementChoice, type PlacementServer, type WantedModel,
 } from '../common/placement-policy.js';
-import {rankMembers} from '../common/rendezvous.js';
 import type {ReplicaView} from '../common/replica-table.js';
-import type {
-	Clock, Disposable, EventLog, ObjectApi,
-} from '../common/services.js';
+import type {Disposable, EventLog} from '../common/services.js';
 import {h64ToString} from '../common/xxhash.js';
 import {configEvents} from './config-log-events.js';
+import {EntryLease, type EntryLeaseParts} from './entry-lease.js';
 import {StatusWriter, type StatusReport} from './status-writer.js';
 
 /** What the controller needs. */
-export type PlacementParts = {
-	readonly api: ObjectApi;
-	readonly clock: Clock;
+export type PlacementParts = EntryLeaseParts & {
 	readonly log: EventLog;
-	readonly table: ConfigTable;
-	readonly vm: string;
-	readonly self: HolderName;
-	/** Names of the live entry VMs. */
-	readonly entries: () => readonly string[];
 	/** All backend servers that this entry knows. */
 	readonly replicas: () => readonly ReplicaView[];
 	/** Milliseconds without a report after which an engine is silent; grows with the fleet, as reports become rarer. */
@@ -45,8 +33,6 @@
 };
 
 const tendsPerLease = 3;
-/** Entries that look after the lease; see the reporter of versions in force. */
-const candidates = 3;
 /** An engine that was not heard for so long, and is silent, is lost, whatever the VM list says. */
 const lostMs = 10_000;
 /** A new holder waits so long for the agents' first reports before it decides without some. */
@@ -58,17 +44,16 @@
 /** Places until disposed. */
 export class PlacementController implements Disposable {
 	readonly #parts: PlacementParts;
-	readonly #lease: LeaseKeeper;
+	readonly #lease: EntryLease;
 	readonly #writer: StatusWriter;
 	readonly #reported = new Map<string, string>();
 	#epoch: PlacementEpoch | undefined;
 	#beganAt = 0;
-	#tendAt = 0;
 	#disposed = false;
 
 	constructor(parts: PlacementParts) {
 		this.#parts = parts;
-		this.#lease = new LeaseKeeper(parts.api, parts.clock, {name: placementLease, self: parts.self, ttlMs: parts.leaseMs});
+		this.#lease = new EntryLease(parts, {name: placementLease, ttlMs: parts.leaseMs, tendMs: parts.leaseMs / tendsPerLease});
 		this.#writer = new StatusWriter(parts.api, parts.clock);
 	}
 
@@ -104,18 +89,11 @@
 	}
 
 	async #tend() {
-		const {clock, entries, vm, table, leaseMs, log} = this.#parts;
-		const rank = rankMembers(placementLease, entries()).indexOf(vm);
-		if (clock.now() < this.#tendAt || rank === -1 || rank >= candidates || table.revision === 0) {
-			return;
-		}
-
-		this.#tendAt = clock.now() + (leaseMs / tendsPerLease);
-		await this.#lease.tend(rank);
-		if (!this.#lease.isHeld && this.#epoch) {
+		const hasLooked = await this.#lease.tend();
+		if (hasLooked && !this.#lease.isHeld && this.#epoch) {
 			this.#epoch = undefined;
 			this.#reported.clear();
-			log.emit(configEvents.placementLost, {});
+			this.#parts.log.emit(configEvents.placementLost, {});
 		}
 	}
 
