citronctl timeline: what the fronts did, second by second, from their logs

Calls and items in flight, ends, first bytes, runs begun late and cut off, the object API away, jobs without a runner; as a table and as JSON. It shares the reading of logs with explain.

--- a/src/ctl/explain/log-story.steps.ts
+++ b/src/ctl/explain/log-story.steps.ts
@@ -6,7 +6,8 @@
 import type {TestWorld} from '../../common/testing/test-world.js';
 import type {EventDefinition} from '../../common/types.js';
 import {gatewayEvents} from '../../gateway/log-events.js';
-import {readLogLine, storyOf} from './log-story.js';
+import {readLogLine} from '../logs/log-line.js';
+import {storyOf} from './log-story.js';
 
 type StoryWorld = TestWorld & {told: string[]};
 
--- a/src/ctl/explain/log-story.ts
+++ b/src/ctl/explain/log-story.ts
@@ -2,17 +2,7 @@
 Puts the story of one call or batch job together from the log lines of all processes, and names the cause where the lines show one.
 */
 import {gatewayEvents} from '../../gateway/log-events.js';
-
-/** A line of a log. */
-export type LogLine = {
-	readonly event: number;
-	/** ISO 8601; processes' clocks may differ by some milliseconds. */
-	readonly time: string;
-	/** The process that wrote it. */
-	readonly node: string;
-	readonly msg: string;
-	readonly fields: Readonly<Record<string, unknown>>;
-};
+import {textOf, type LogLine} from '../logs/log-line.js';
 
 /** What is known of an id. */
 export type Story = {
@@ -23,39 +13,9 @@
 	readonly cause: string | undefined;
 };
 
-const frameFields = new Set(['event', 'time', 'node', 'program', 'level', 'msg']);
-
 /** Fields that name a call, a job or an item. */
 const idFields = ['id', 'job', 'item'] as const;
 
-const textOf = (value: unknown, byDefault = ''): string => typeof value === 'string' ? value : byDefault;
-
-const parsed = (text: string): Record<string, unknown> | undefined => {
-	try {
-		const value = JSON.parse(text) as unknown;
-		return typeof value === 'object' && value !== null ? value as Record<string, unknown> : undefined;
-	} catch {
-		return undefined;
-	}
-};
-
-/**
-@param line - A line of a log; what a collector has put before the JSON is left out.
-@returns Nothing where the line is no event.
-*/
-export const readLogLine = (line: string): LogLine | undefined => {
-	const begin = line.indexOf('{');
-	const value = begin === -1 ? undefined : parsed(line.slice(begin));
-	if (!value || typeof value.event !== 'number') {
-		return undefined;
-	}
-
-	const fields = Object.fromEntries(Object.entries(value).filter(([name]) => !frameFields.has(name)));
-	return {
-		event: value.event, time: textOf(value.time), node: textOf(value.node, textOf(value.program)), msg: textOf(value.msg), fields,
-	};
-};
-
 type Explain = (lines: readonly LogLine[], end: LogLine) => string;
 
 const last = (lines: readonly LogLine[], {number}: {readonly number: number}): LogLine | undefined => lines.findLast(({event}) => event === number);
--- a/src/ctl/main.ts
+++ b/src/ctl/main.ts
@@ -15,6 +15,7 @@
 	jobCancelCommand, jobResultsCommand, jobSubmitCommand, jobWatchCommand,
 } from './commands/job.js';
 import {describeCommand, getCommand, statusCommand} from './commands/read.js';
+import {timelineCommand} from './commands/timeline.js';
 import {watchCommand} from './commands/watch.js';
 import {type Output} from './ctl-context.js';
 import {ctlError, type CtlError} from './ctl-error.js';
@@ -29,6 +30,7 @@
 	watchCommand,
 	deleteCommand,
 	explainCommand,
+	timelineCommand,
 	statusCommand,
 	jobSubmitCommand,
 	jobWatchCommand,
