What runs in a backend server is a class of its own, and admission's types a module

Behaviour as before, but for one call that nobody makes: progress of 0 tokens counted a batch prompt twice.

--- a/bench/model/fleet-model.ts
+++ b/bench/model/fleet-model.ts
@@ -2,7 +2,7 @@
 A fleet in virtual time: entries with their late views, replicas with the agents' admission before stand-in engines, and one-way delays between them. The decisions are the system's own classes; connections, processes and HTTP are left out.
 */
 import {branded, type AccountName, type BlockHash} from '../../src/common/ids.js';
-import type {AdmissionLimits} from '../../src/common/admission.js';
+import type {AdmissionLimits} from '../../src/common/admission-types.js';
 import {blockHashes} from '../../src/common/prefix-blocks.js';
 import {h32} from '../../src/common/xxhash.js';
 import {ReplicaTable, type ReplicaView} from '../../src/common/replica-table.js';
--- a/bench/model/online-run.ts
+++ b/bench/model/online-run.ts
@@ -1,7 +1,7 @@
 /**
 A run of online requests of several accounts on a modelled fleet, and what its callers saw.
 */
-import type {AdmissionLimits} from '../../src/common/admission.js';
+import type {AdmissionLimits} from '../../src/common/admission-types.js';
 import {chooseReplica} from '../../src/common/route-policy.js';
 import {SeededRandom} from '../../src/io/seeded-random.js';
 import {
--- a/bench/model/replica-model.ts
+++ b/bench/model/replica-model.ts
@@ -1,9 +1,8 @@
 /**
 One replica in virtual time: the agent's admission before an engine. It carries out the admission's steps as the agent's work runner does.
 */
-import {
-	Admission, type AdmissionLimits, type AdmissionStep, type Ticket,
-} from '../../src/common/admission.js';
+import {Admission} from '../../src/common/admission.js';
+import type {AdmissionLimits, AdmissionStep, Ticket} from '../../src/common/admission-types.js';
 import {
 	branded, type BlockHash, type FailureDomain, type Revision, type VmName,
 } from '../../src/common/ids.js';
--- a/src/agent/item-run.ts
+++ b/src/agent/item-run.ts
@@ -1,7 +1,7 @@
 /**
 Runs one batch item on the backend server until it has a result: over preemptions, which keep what was generated, and over crashes, which put the item under suspicion.
 */
-import type {Ticket} from '../common/admission.js';
+import type {Ticket} from '../common/admission-types.js';
 import {AnswerAssembler, type AnswerChunk} from '../common/answer-assembler.js';
 import type {BatchItem, ItemResult} from '../common/batch-types.js';
 import type {Clock} from '../common/services.js';
--- a/src/agent/online-attempts.ts
+++ b/src/agent/online-attempts.ts
@@ -7,7 +7,7 @@
 import type {CacheMirror} from '../common/cache-mirror.js';
 import {blockHashes, tokensPerBlock} from '../common/prefix-blocks.js';
 import {promptTextOf} from '../common/prompt-text.js';
-import type {Ticket} from '../common/admission.js';
+import type {Ticket} from '../common/admission-types.js';
 import type {
 	AttemptEnd, AttemptFailure, AttemptKey, AttemptRefusal, AttemptRequest, LedgerAnswer, LoadReport, RefusalReason, RevokeRequest,
 } from '../common/protocol.js';
--- a/src/agent/work-runner.ts
+++ b/src/agent/work-runner.ts
@@ -1,7 +1,8 @@
 /**
 Runs admitted work on the backend server: carries out the steps of {@link Admission} and tells each piece of work when it starts, is taken back or is refused.
 */
-import type {Admission, AdmissionStep, Ticket} from '../common/admission.js';
+import type {Admission} from '../common/admission.js';
+import type {AdmissionStep, Ticket} from '../common/admission-types.js';
 import type {RefusalReason} from '../common/protocol.js';
 import type {Disposable, EventLog, Metrics} from '../common/services.js';
 import {agentEvents} from './log-events.js';
--- a/src/common/admission.steps.ts
+++ b/src/common/admission.steps.ts
@@ -3,7 +3,8 @@
 */
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
-import {Admission, type AdmissionStep, type Ticket} from './admission.js';
+import {Admission} from './admission.js';
+import type {AdmissionStep, Ticket} from './admission-types.js';
 import {branded, type AccountName} from './ids.js';
 import type {WorkClass} from './protocol.js';
 import {ManualClock} from './testing/manual-clock.js';
--- a/src/common/admission.ts
+++ b/src/common/admission.ts
@@ -4,51 +4,17 @@
 The class does no I/O. Callers offer work and report its progress and end; the steps to carry out come back from `steps`.
 */
 import {AccountSlots, headroomShare} from './account-slots.js';
+import {
+	promptTokensOf, type AdmissionLimits, type AdmissionStep, type Ticket,
+} from './admission-types.js';
 import {BatchPacer} from './batch-pacer.js';
 import {LongPrompts} from './long-prompts.js';
-import {FairQueue, type QueueItem} from './fair-queue.js';
+import {FairQueue} from './fair-queue.js';
 import type {RefusalReason, WorkClass} from './protocol.js';
+import {RunningWork, type Running} from './running-work.js';
 import {ServiceRate} from './service-rate.js';
 import type {Clock} from './services.js';
 
-/** A piece of work that wants into the backend server. */
-export type Ticket = QueueItem & {
-	/** Unique among the tickets of this agent. */
-	readonly key: string;
-	readonly workClass: WorkClass;
-	/** The clock's `now` after which the work is of no use. */
-	readonly deadlineAt: number;
-	/** The prompt's part of `costTokens`; all of it by default. */
-	readonly promptTokens?: number;
-};
-
-/** Limits of one agent. */
-export type AdmissionLimits = {
-	/** Requests the backend server runs at once. */
-	readonly maxRunning: number;
-	/** Online requests that may wait here. */
-	readonly maxQueued: number;
-	/** Tokens the backend server computes in a second when full; what the estimates of the wait start from. */
-	readonly tokensPerSecond: number;
-	/** See {@link PacerSettings.batchWeight}; 0.3 by default. */
-	readonly batchWeight?: number;
-};
-
-/** What the caller has to do. */
-export type AdmissionStep
-	= | {readonly kind: 'start'; readonly ticket: Ticket}
-	/** Cancel a batch item in the backend server; it goes back to its queue. */
-		| {readonly kind: 'preempt'; readonly ticket: Ticket}
-		| {readonly kind: 'refuse'; readonly ticket: Ticket; readonly reason: RefusalReason; readonly retryAfterMs: number};
-
-type Running = {
-	readonly ticket: Ticket;
-	readonly startedAt: number;
-	/** Tokens of the answer so far. */
-	tokens: number;
-	tokenAt: number;
-};
-
 const defaultBatchWeight = 0.3;
 // Of the places in the backend server, the part that batch work leaves free, so that the first online request of a burst starts without waiting for a cancellation.
 const reservedShare = 1 / 16;
@@ -64,12 +30,10 @@
 	readonly #slots: AccountSlots;
 	readonly #queues = {online: new FairQueue<Ticket>(), batch: new FairQueue<Ticket>()};
 	readonly #queued = new Map<string, Ticket>();
-	readonly #running = {online: new Map<string, Running>(), batch: new Map<string, Running>()};
+	readonly #running = new RunningWork();
 	readonly #preempting = new Set<string>();
 	readonly #batchRoom: number;
 	readonly #longPrompts: LongPrompts<Ticket>;
-	#runningTokens = 0;
-	#batchPrefillTokens = 0;
 	#nextDeadline = Number.POSITIVE_INFINITY;
 
 	constructor(clock: Clock, limits: AdmissionLimits) {
@@ -85,11 +49,11 @@
 
 	/** Online requests in the backend server. */
 	get onlineRunning(): number {
-		return this.#running.online.size;
+		return this.#running.count('online');
 	}
 
 	get batchRunning(): number {
-		return this.#running.batch.size;
+		return this.#running.count('batch');
 	}
 
 	get onlineQueued(): number {
@@ -102,7 +66,7 @@
 
 	/** Tokens of online work that is queued or running, less those that running work has got already. */
 	get pendingTokens(): number {
-		return this.#runningTokens + this.#queues.online.queuedTokens;
+		return this.#running.onlineTokensLeft + this.#queues.online.queuedTokens;
 	}
 
 	/**
@@ -132,30 +96,14 @@
 
 	/** Says that the backend server gave tokens of the answer to running work. */
 	progressed(key: string, tokens: number): void {
-		const online = this.#running.online.get(key);
-		const running = online ?? this.#running.batch.get(key);
+		const running = this.#running.get(key);
 		if (!running) {
 			return;
 		}
 
 		const now = this.#clock.now();
-		if (online && running.tokens === 0) {
-			this.#slots.prefilled(running.ticket);
-		}
-
-		if (online && running.tokens > 0) {
-			this.pacer.onlineTokens(now - running.tokenAt, tokens, this.batchRunning);
-		}
-
-		if (!online && running.tokens === 0) {
-			this.#batchPrefillTokens -= promptTokensOf(running.ticket);
-			this.pacer.firstBatchToken(now - running.startedAt);
-		}
-
-		this.#runningTokens -= online ? this.#leftOf(running) : 0;
-		running.tokens += tokens;
-		running.tokenAt = now;
-		this.#runningTokens += online ? this.#leftOf(running) : 0;
+		this.#noteProgress(running, tokens, now);
+		this.#running.progressed(key, tokens, now);
 	}
 
 	/**
@@ -220,28 +168,37 @@
 		return this.#longPrompts.remove(ticket) || this.#queues[ticket.workClass].remove(ticket);
 	}
 
+	#noteProgress({ticket, startedAt, tokens: before, tokenAt}: Running, tokens: number, now: number) {
+		const isFirst = before === 0;
+		if (ticket.workClass === 'batch') {
+			if (isFirst) {
+				this.pacer.firstBatchToken(now - startedAt);
+			}
+
+			return;
+		}
+
+		if (isFirst) {
+			this.#slots.prefilled(ticket);
+		} else {
+			this.pacer.onlineTokens(now - tokenAt, tokens, this.batchRunning);
+		}
+	}
+
 	#leave(key: string): Running | undefined {
-		const running = this.#running.online.get(key) ?? this.#running.batch.get(key);
+		const running = this.#running.end(key);
 		if (!running) {
 			return undefined;
 		}
 
-		this.#running[running.ticket.workClass].delete(key);
 		this.#preempting.delete(key);
 		if (running.ticket.workClass === 'online') {
-			this.#runningTokens -= this.#leftOf(running);
 			this.#slots.ended(running.ticket, running.tokens > 0);
-		} else if (running.tokens === 0) {
-			this.#batchPrefillTokens -= promptTokensOf(running.ticket);
 		}
 
 		return running;
 	}
 
-	#leftOf({ticket, tokens}: Running): number {
-		return tokens === 0 ? ticket.costTokens : Math.max(0, ticket.costTokens - (ticket.promptTokens ?? 0) - tokens);
-	}
-
 	// A queue that one account has filled must not turn the others away: their first requests would be refused for as long as it sends.
 	#displace(ticket: Ticket, waitMs: number): AdmissionStep {
 		const surplus = this.#queues.online.surplusFor(ticket);
@@ -272,7 +229,7 @@
 
 		const now = this.#clock.now();
 		const queuedMs = this.#queues.online.tokensBefore(ticket) * this.#rate.msPerToken;
-		const runningMs = [...this.#running.online.values()].reduce((sum, {ticket: other, startedAt}) => sum + Math.max(0, this.#serviceMs(other) - (now - startedAt)), 0);
+		const runningMs = this.#running.all('online').reduce((sum, {ticket: other, startedAt}) => sum + Math.max(0, this.#serviceMs(other) - (now - startedAt)), 0);
 		return (queuedMs + runningMs) / this.#limits.maxRunning;
 	}
 
@@ -309,7 +266,7 @@
 		const {limit, prefillRoom} = this.pacer;
 		return this.#startFrom('batch', () => this.#size < this.#batchRoom
 			&& this.batchRunning < limit
-			&& this.#batchPrefillTokens < prefillRoom
+			&& this.#running.batchPrefillTokens < prefillRoom
 			&& this.pacer.mayStart());
 	}
 
@@ -349,25 +306,19 @@
 	}
 
 	#begin(ticket: Ticket) {
-		const startedAt = this.#clock.now();
-		this.#running[ticket.workClass].set(ticket.key, {
-			ticket, startedAt, tokens: 0, tokenAt: startedAt,
-		});
+		this.#running.begin(ticket, this.#clock.now());
 		if (ticket.workClass === 'online') {
-			this.#runningTokens += ticket.costTokens;
 			this.#slots.began(ticket);
-			return;
+		} else {
+			this.pacer.started();
 		}
-
-		this.#batchPrefillTokens += promptTokensOf(ticket);
-		this.pacer.started();
 	}
 
 	// The engine would make online work wait behind batch work for as long as that takes; a cancelled item frees its place within a step and is resumed later.
 	#preemptions(): AdmissionStep[] {
 		const overLimit = this.batchRunning - this.#preempting.size - this.pacer.limit;
 		const wanted = Math.max(0, this.onlineQueued - this.#preempting.size, overLimit);
-		const candidates = [...this.#running.batch.values()].filter(({ticket}) => !this.#preempting.has(ticket.key));
+		const candidates = this.#running.all('batch').filter(({ticket}) => !this.#preempting.has(ticket.key));
 		const inTheWay = candidates.filter(({ticket, tokens}) => tokens === 0 && this.#mustGiveWay(ticket));
 		const others = wanted > inTheWay.length ? candidates.filter(running => !inTheWay.includes(running)).slice(inTheWay.length - wanted) : [];
 		return [...inTheWay, ...others]
@@ -377,5 +328,3 @@
 			});
 	}
 }
-
-const promptTokensOf = (ticket: Ticket) => ticket.promptTokens ?? ticket.costTokens;
