--- a/src/ctl/timeline/fleet-timeline.feature
+++ b/src/ctl/timeline/fleet-timeline.feature
@@ -46,7 +46,7 @@
       | at   | node    | event           | fields                     |
       | 100  | front-1 | feedLost        | kind=BatchRecord           |
       | 200  | front-1 | feedLost        | kind=GatewayConfig         |
-      | 300  | front-2 | jobSubmitted    | id=j1 outcome=accepted     |
+      | 300  | front-2 | jobSubmitted    | id=j1 outcome=accepted items=2 |
       | 1400 | front-1 | feedRegained    | kind=BatchRecord           |
       | 2400 | front-1 | feedRegained    | kind=GatewayConfig         |
       | 2500 | front-2 | jobClaimChanged | job=j1 claimed=true        |
@@ -58,6 +58,36 @@
       | 1                | 1                 |
       | 0                | 0                 |
 
+  Scenario: A job that is run, or over, is not without a runner
+    # Its caller sends it again, twice: while it is run and when all its results are listed. Then its runner starts anew.
+    Given the lines of a log
+      | at   | node    | event            | fields                                 |
+      | 100  | front-2 | jobSubmitted     | id=j1 outcome=accepted items=2         |
+      | 200  | front-1 | jobClaimChanged  | job=j1 claimed=true                    |
+      | 1100 | front-2 | jobSubmitted     | id=j1 outcome=accepted items=2         |
+      | 1200 | front-1 | resultsCommitted | job=j1 page=0 results=2 outcome=written |
+      | 2300 | front-2 | jobSubmitted     | id=j1 outcome=accepted items=2         |
+      | 2400 | front-1 | programStarted   |                                        |
+    Then the seconds are
+      | jobsWithoutRunner |
+      | 1                 |
+      | 0                 |
+      | 0                 |
+
+  Scenario: A job whose runner was killed has none until another takes it
+    Given the lines of a log
+      | at   | node    | event            | fields                                 |
+      | 100  | front-2 | jobSubmitted     | id=j1 outcome=accepted items=2         |
+      | 100  | front-1 | jobClaimChanged  | job=j1 claimed=true                    |
+      | 1500 | front-1 | programStarted   |                                        |
+      | 1900 | front-3 | jobClaimChanged  | job=j1 claimed=true                    |
+      | 2100 | front-3 | callRouted       | id=c1                                  |
+    Then the seconds are
+      | jobsWithoutRunner |
+      | 1                 |
+      | 1                 |
+      | 0                 |
+
   Scenario: Lines that tell nothing are left out
     Given the lines of a log
       | at  | node    | event     | fields     |
--- a/src/ctl/timeline/fleet-timeline.ts
+++ b/src/ctl/timeline/fleet-timeline.ts
@@ -7,6 +7,7 @@
 import {platformEvents} from '../../io/log-events.js';
 import {LatencyHistogram} from '../../load/latency-histogram.js';
 import {textOf, type LogLine} from '../logs/log-line.js';
+import {JobRunners} from './job-runners.js';
 
 /** One second of the fleet. Times are of the processes' wall clocks. */
 export type TimelineSecond = {
@@ -44,8 +45,8 @@
 	callsInFlight: 0, callsAnswered: 0, callsRefused: 0, callsFailed: 0, itemsInFlight: 0, runsBegun: 0, runsBegunLate: 0, runsFinished: 0, runsCut: 0, withoutObjectApi: 0, jobsWithoutRunner: 0, firstBytes: new LatencyHistogram(),
 });
 
-/** Something that lasts from one line to another. */
-type Flight = {readonly node: string; readonly since: number; readonly kind: 'callsInFlight' | 'itemsInFlight'};
+/** An attempt of a call or a run of an item whose end has not been told yet. */
+type InFlight = {readonly node: string; readonly since: number; readonly kind: 'callsInFlight' | 'itemsInFlight'};
 
 const secondMs = 1000;
 
@@ -57,35 +58,36 @@
 /** See the module's head. Lines must be taken in the order of their times. */
 export class FleetTimeline {
 	readonly #seconds = new Map<number, Second>();
-	readonly #flights = new Map<string, Flight>();
+	readonly #inFlight = new Map<string, InFlight>();
 	/** When each process wrote its last line. */
 	readonly #lastLines = new Map<string, number>();
 	readonly #feedsAway = new Map<string, Set<string>>();
-	readonly #unrunJobs = new Set<string>();
+	readonly #jobs = new JobRunners();
 	#end = 0;
 
 	readonly #handlers: Readonly<Record<number, Handler>> = {
 		[platformEvents.programStarted.number]: ({node}) => {
-			this.#landAllOf(node);
+			this.#noteAllOver(node);
 			this.#feedsAway.delete(node);
+			this.#jobs.noteStart(node);
 		},
 		[gatewayEvents.callRouted.number]: ({node, fields}, at) => {
-			this.#takeOff(textOf(fields.id), {node, since: at, kind: 'callsInFlight'});
+			this.#noteBegun(textOf(fields.id), {node, since: at, kind: 'callsInFlight'});
 		},
 		[gatewayEvents.attemptFailed.number]: ({node, fields}, at) => {
-			this.#land(`${node} ${textOf(fields.id)}`, at);
+			this.#noteOver(`${node} ${textOf(fields.id)}`, at);
 		},
 		[gatewayEvents.callEnded.number]: ({node, fields}, at) => {
-			this.#land(`${node} ${textOf(fields.id)}`, at);
+			this.#noteOver(`${node} ${textOf(fields.id)}`, at);
 			this.#noteEnd(fields, at);
 		},
 		[gatewayEvents.itemStarted.number]: ({node, fields}, at) => {
-			this.#takeOff(textOf(fields.item), {node, since: at, kind: 'itemsInFlight'});
+			this.#noteBegun(textOf(fields.item), {node, since: at, kind: 'itemsInFlight'});
 			this.#secondOf(at).runsBegun += 1;
 			this.#secondOf(at).runsBegunLate += Number(fields.dueInMs) < 0 ? 1 : 0;
 		},
 		[gatewayEvents.itemRunEnded.number]: ({node, fields}, at) => {
-			this.#land(`${node} ${textOf(fields.item)}`, at);
+			this.#noteOver(`${node} ${textOf(fields.item)}`, at);
 			this.#secondOf(at).runsFinished += fields.outcome === 'finished' ? 1 : 0;
 			this.#secondOf(at).runsCut += fields.outcome === 'cut' ? 1 : 0;
 		},
@@ -102,17 +104,21 @@
 		},
 		[gatewayEvents.jobSubmitted.number]: ({fields}, at) => {
 			if (fields.outcome === 'accepted') {
-				this.#unrunJobs.add(textOf(fields.id));
+				this.#jobs.noteAccepted(textOf(fields.id), Number(fields.items));
 				this.#noteState(at);
 			}
 		},
-		[gatewayEvents.jobClaimChanged.number]: ({fields}) => {
-			if (fields.claimed === true) {
-				this.#unrunJobs.delete(textOf(fields.job));
+		[gatewayEvents.jobClaimChanged.number]: ({node, fields}, at) => {
+			this.#jobs.noteClaim(textOf(fields.job), node, fields.claimed === true);
+			this.#noteState(at);
+		},
+		[gatewayEvents.resultsCommitted.number]: ({fields}) => {
+			if (fields.outcome === 'written') {
+				this.#jobs.noteResults(textOf(fields.job), Number(fields.results));
 			}
 		},
 		[gatewayEvents.jobEnded.number]: ({fields}) => {
-			this.#unrunJobs.delete(textOf(fields.id));
+			this.#jobs.noteOver(textOf(fields.id));
 		},
 	};
 
@@ -136,33 +142,33 @@
 	/** All seconds from the first line to the last. What a process has not told the end of is counted until its last line. */
 	get seconds(): readonly TimelineSecond[] {
 		[...this.#lastLines.keys()].forEach(node => {
-			this.#landAllOf(node);
+			this.#noteAllOver(node);
 		});
 		const starts = [...this.#seconds.keys()].toSorted((a, b) => a - b);
 		return starts.map(start => told(start, this.#seconds.get(start)!));
 	}
 
-	#takeOff(id: string, flight: Flight) {
-		const key = `${flight.node} ${id}`;
-		this.#land(key, flight.since);
-		this.#flights.set(key, flight);
+	#noteBegun(id: string, begun: InFlight) {
+		const key = `${begun.node} ${id}`;
+		this.#noteOver(key, begun.since);
+		this.#inFlight.set(key, begun);
 	}
 
 	/** What a process had in flight when it was killed ended with it; it wrote no line of that. */
-	#landAllOf(node: string) {
+	#noteAllOver(node: string) {
 		const lastAt = this.#lastLines.get(node) ?? 0;
-		[...this.#flights].filter(([, flight]) => flight.node === node).forEach(([key]) => {
-			this.#land(key, lastAt);
+		[...this.#inFlight].filter(([, flight]) => flight.node === node).forEach(([key]) => {
+			this.#noteOver(key, lastAt);
 		});
 	}
 
-	#land(key: string, at: number) {
-		const flight = this.#flights.get(key);
+	#noteOver(key: string, at: number) {
+		const flight = this.#inFlight.get(key);
 		if (!flight) {
 			return;
 		}
 
-		this.#flights.delete(key);
+		this.#inFlight.delete(key);
 		for (let from = flight.since; from < at;) {
 			const until = Math.min(at, startOf(from) + secondMs);
 			this.#secondOf(from)[flight.kind] += (until - from) / secondMs;
@@ -197,7 +203,7 @@
 	#noteState(at: number) {
 		const second = this.#secondOf(at);
 		second.withoutObjectApi = Math.max(second.withoutObjectApi, this.#feedsAway.size);
-		second.jobsWithoutRunner = Math.max(second.jobsWithoutRunner, this.#unrunJobs.size);
+		second.jobsWithoutRunner = Math.max(second.jobsWithoutRunner, this.#jobs.withoutRunner);
 	}
 
 	#secondOf(at: number): Second {
