Sight: log lines of failed calls name what was asked for, and whether the replica has ended

Events 701 and 702 name the digest of the content, event 740 the replica that took no new connection after one broke within a request. No decision reads either.

--- a/src/gateway/contacts/replica-contacts.feature
+++ b/src/gateway/contacts/replica-contacts.feature
@@ -51,3 +51,13 @@
     When a connection to "r1" was not made in time
     And a call at "r1" goes silent
     Then "r1" is doubted for good
+
+  Scenario: Requests that break together ask once whether their replica has ended
+    # Nobody listens any more at the address of a process that is gone.
+    Given no connection can be made
+    When 10 calls that broke at "r1" ask whether it has ended
+    Then they are told yes, after 1 connection was tried
+
+  Scenario: A replica that only lost a connection has not ended
+    When 10 calls that broke at "r1" ask whether it has ended
+    Then they are told no, after 1 connection was tried
--- a/src/gateway/contacts/replica-contacts.steps.ts
+++ b/src/gateway/contacts/replica-contacts.steps.ts
@@ -83,6 +83,11 @@
 	this.answers = await Promise.all(Array.from({length: count}, async () => this.contacts.of(replica).isReachable()));
 });
 
+When('{int} calls that broke at {string} ask whether it has ended', async function (this: ContactsWorld, count: number, id: string) {
+	const replica = replicaOf(this, id);
+	this.answers = await Promise.all(Array.from({length: count}, async () => this.contacts.hasEnded(replica)));
+});
+
 Then('a connection may take {int} ms', function (this: ContactsWorld, ms: number) {
 	assert.equal(contactOf(this).connectMs, ms);
 });
--- a/src/gateway/contacts/replica-contacts.ts
+++ b/src/gateway/contacts/replica-contacts.ts
@@ -55,6 +55,7 @@
 	readonly #connectTimes = new Map<string, ExpectedTime>();
 	readonly #pauses = new Map<GatewayServiceName, ExpectedTime>();
 	readonly #checks = new Map<Replica, Promise<boolean>>();
+	readonly #endings = new Map<Replica, Promise<boolean>>();
 	readonly #tries = new Map<Replica, NodeJS.Timeout>();
 
 	constructor(parts: ReplicaContactsParts) {
@@ -96,6 +97,15 @@
 		}
 	}
 
+	/**
+	Whether a replica that broke a connection has ended: a process that is gone takes no new one, one that only lost a connection does. Requests that break together share one question.
+	*/
+	async hasEnded(replica: Replica): Promise<boolean> {
+		const underWay = this.#endings.get(replica) ?? this.#askWhetherEnded(replica);
+		this.#endings.set(replica, underWay);
+		return underWay;
+	}
+
 	dispose(): void {
 		[...this.#tries.keys()].forEach(replica => {
 			this.#forget(replica);
@@ -145,6 +155,12 @@
 		return isReachable;
 	}
 
+	async #askWhetherEnded(replica: Replica): Promise<boolean> {
+		const isReachable = await this.#parts.dial(replica.record.address, this.#connectMs(replica));
+		this.#endings.delete(replica);
+		return !isReachable;
+	}
+
 	#tryAfter(replica: Replica, ms: number) {
 		this.#tries.set(replica, setTimeout(() => {
 			void this.#try(replica, ms);
--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -6,9 +6,9 @@
 export const gatewayEvents = {
 	/** Fields: id, route, replica, online, batch (in flight there), attempt, resumeAfter. */
 	callRouted: {number: 700, level: 'info', text: 'replica chosen for a call'},
-	/** Fields: id, replica, kind, reason or status. */
+	/** Fields: id, replica, kind, reason or status, content (the same for the same request under another id). */
 	attemptFailed: {number: 701, level: 'info', text: 'attempt at a replica ended without a whole answer'},
-	/** Fields: id, route, status, reason, elapsedMs, firstByteMs, offers, runs, lastEnd. */
+	/** Fields: id, route, status, reason, elapsedMs, firstByteMs, offers, runs, lastEnd; content, where an attempt has failed. */
 	callEnded: {number: 702, level: 'info', text: 'call ended'},
 	/** Fields: id, host, target, status, reason, configVersion. */
 	callRejected: {number: 703, level: 'info', text: 'call rejected before it was routed'},
@@ -24,6 +24,8 @@
 	replicaSuspected: {number: 738, level: 'info', text: 'replica is silent, a connection was tried'},
 	/** Fields: replica. */
 	replicaReachable: {number: 739, level: 'info', text: 'replica can be reached again'},
+	/** Fields: replica, content (what it was running; one line for each request). */
+	replicaEnded: {number: 740, level: 'warn', text: 'a connection broke within a request and the replica takes none any more, so it has ended'},
 	/** Fields: replica, graceMs. */
 	replicaMissed: {number: 713, level: 'info', text: 'registration missing after an outage, kept for now'},
 	/** Fields: kind, reason. */
--- a/src/gateway/online-call.ts
+++ b/src/gateway/online-call.ts
@@ -14,6 +14,7 @@
 import type {GatewayParts} from './parts.js';
 import type {Replica} from './replica.js';
 import {chooseForOnline} from './replica-choice.js';
+import {contentDigest, type ContentDigest} from './quarantine/content-digest.js';
 import type {ReplicaConnection} from './replica-connections.js';
 import type {
 	CallFields, GatewayRoute, GatewayServiceName, ReplicaId, RouteKind,
@@ -77,6 +78,7 @@
 	/** Whether the replica that has the call had a free place when it was sent. */
 	#hasFoundPlace = false;
 	#lastEnd: AttemptEnd['kind'] | undefined;
+	#knownContent: ContentDigest | undefined;
 
 	readonly #onAttemptEnd: EndHandlers = {
 		notSent: (_end, replica) => {
@@ -240,7 +242,13 @@
 		this.#giveBackPlace = undefined;
 		this.#lastEnd = end.kind;
 		if (end.kind !== 'complete' && end.kind !== 'dropped') {
-			this.#parts.log.emit(gatewayEvents.attemptFailed, {id: this.#call.fields.requestId, replica: replica.record.id, ...end});
+			this.#parts.log.emit(gatewayEvents.attemptFailed, {
+				id: this.#call.fields.requestId, replica: replica.record.id, ...end, content: this.#content,
+			});
+		}
+
+		if (end.kind === 'lost') {
+			void this.#noteWhetherEnded(replica);
 		}
 
 		if (!this.#isOver) {
@@ -248,6 +256,19 @@
 		}
 	}
 
+	async #noteWhetherEnded(replica: Replica) {
+		if (await this.#parts.contacts.hasEnded(replica)) {
+			this.#parts.log.emit(gatewayEvents.replicaEnded, {replica: replica.record.id, content: this.#content});
+		}
+	}
+
+	/** Most calls never need it. */
+	get #content(): ContentDigest {
+		const {message, route} = this.#call;
+		this.#knownContent ??= contentDigest({...message, host: route.host});
+		return this.#knownContent;
+	}
+
 	#noteOutcome(replica: Replica, hasFailed: boolean) {
 		replica.outcomes.note(hasFailed, this.#parts.clock.now());
 	}
@@ -364,7 +385,7 @@
 		const {fields, route} = this.#call;
 		const elapsedMs = Math.round(this.#elapsedMs());
 		log.emit(gatewayEvents.callEnded, {
-			id: fields.requestId, route: route.name, status, reason, elapsedMs, firstByteMs: Math.round(this.#firstByteMs), offers: this.#offers, runs: this.#runs, lastEnd: this.#lastEnd,
+			id: fields.requestId, route: route.name, status, reason, elapsedMs, firstByteMs: Math.round(this.#firstByteMs), offers: this.#offers, runs: this.#runs, lastEnd: this.#lastEnd, content: this.#knownContent,
 		});
 		metrics.count('gateway.calls', 1, {kind: route.kind, status: String(status)});
 		metrics.timing('gateway.call', elapsedMs, {kind: route.kind});
