--- a/src/gateway/quarantine/content-digest.steps.ts
+++ b/src/gateway/quarantine/content-digest.steps.ts
@@ -20,6 +20,10 @@
 	this.digest = digestOf(request, body);
 });
 
-Then(/^its digest (equals|differs from) that of "([^"]*)" with the body "([^"]*)"$/v, function (this: DigestWorld, outcome: string, request: string, body: string) {
-	assert.equal(this.digest === digestOf(request, body), outcome === 'equals');
+Then('its digest equals that of {string} with the body {string}', function (this: DigestWorld, request: string, body: string) {
+	assert.equal(this.digest, digestOf(request, body));
+});
+
+Then('its digest differs from that of {string} with the body {string}', function (this: DigestWorld, request: string, body: string) {
+	assert.notEqual(this.digest, digestOf(request, body));
 });
