A request is held back for half a minute first, and written down at once

Cause: read in the code. Three replicas that end at once for another reason may all have had the same popular request; ten minutes without a page that is well are worse than one more crash each half minute at first. And a record waited for half a second though nothing could clear it any more: all processes killed in that time would have forgotten it.

Change: 30 s, twice as long after each further crash (an item as before, 10 s); records are written by the first of the ranking as the request is held back. Acquittals of requests that were not held back are no longer told at once.

--- a/src/gateway/quarantine/quarantine-records.ts
+++ b/src/gateway/quarantine/quarantine-records.ts
@@ -1,7 +1,7 @@
 /**
 Keeps in the object API which requests end the replicas that run them. All processes of the gateway may be killed at the same moment; without a record, each of these requests would end three more replicas afterwards, and again after the next time.
 
-A record is written some moments after its request is first held back, since news of other requests at the same crashes may still clear it. Deleting the record releases the request at every process.
+A record is written as soon as its request is held back. Deleting the record releases the request at every process.
 */
 import {rankMembers} from '../../common/rendezvous.js';
 import type {
@@ -40,12 +40,9 @@
 	readonly log: EventLog;
 };
 
-/** How often it is looked at what is to be written, in milliseconds. */
+/** How often it is looked at what is still to be written or removed, in milliseconds. */
 const lookMs = 500;
 
-/** Peers' news of a crash arrives within this, in milliseconds. */
-const settleMs = 500;
-
 /** The first of the ranking writes at once; after this long, in milliseconds, any process does, since the first may be cut off from the object API. */
 const turnMs = 2000;
 
@@ -84,6 +81,9 @@
 				}
 			});
 		});
+		quarantine.onHeld(() => {
+			void this.#bringInLine();
+		});
 		quarantine.onAcquitted(content => {
 			if (this.#records.delete(content)) {
 				this.#releases.add(content);
@@ -153,7 +153,7 @@
 		return missing.filter(content => {
 			const since = this.#heldSince.get(content) ?? now;
 			this.#heldSince.set(content, since);
-			return now - since >= (this.#isOwn(content) ? settleMs : settleMs + turnMs) && quarantine.heldMs(content, 'online') > 0;
+			return this.#isOwn(content) || now - since >= turnMs;
 		});
 	}
 
@@ -175,11 +175,14 @@
 		});
 	}
 
-	/** Another process was there first: its record comes by the feed. */
 	#onNotWritten(content: ContentDigest, err: ApiError) {
-		if (err.kind !== 'conflict') {
-			this.#parts.log.emit(gatewayEvents.quarantineNotKept, {content, reason: err.kind});
+		if (err.kind === 'conflict' && err.current) {
+			// Another process was there first.
+			this.#take(err.current);
+			return;
 		}
+
+		this.#parts.log.emit(gatewayEvents.quarantineNotKept, {content, reason: err.kind});
 	}
 
 	async #remove(content: ContentDigest): Promise<void> {
--- a/src/gateway/quarantine/quarantine.feature
+++ b/src/gateway/quarantine/quarantine.feature
@@ -6,12 +6,12 @@
     Given a request under which 2 replicas have ended
     Then it may be sent
     When another replica ends under it
-    Then it is held back for 600 seconds as a call and for 10 as an item
+    Then it is held back for 30 seconds as a call and for 10 as an item
 
   Scenario: It does not matter which process had the request there
     Given a request under which 1 replica has ended
     When a peer tells of 2 other replicas that ended under it
-    Then it is held back for 600 seconds as a call and for 10 as an item
+    Then it is held back for 30 seconds as a call and for 10 as an item
 
   Scenario: A replica ends once, however many processes saw it
     Given a request under which 2 replicas have ended
@@ -21,15 +21,15 @@
   Scenario: A replica that starts again under its id can end again
     Given a request under which 2 replicas have ended
     When another start of one of these replicas ends under it
-    Then it is held back for 600 seconds as a call and for 10 as an item
+    Then it is held back for 30 seconds as a call and for 10 as an item
 
   Scenario: It is tried again, less often each time
-    # The fault may have been mended at the replicas; a caller that never gives up must not end one every few minutes.
+    # The fault may have been mended at the replicas; a caller that never gives up must not end one every half minute.
     Given a request under which 3 replicas have ended
-    When the clock moves on by 600 seconds
+    When the clock moves on by 30 seconds
     Then it may be sent
     When another replica ends under it
-    Then it is held back for 1200 seconds as a call and for 20 as an item
+    Then it is held back for 60 seconds as a call and for 20 as an item
 
   Scenario: A run that comes to its end clears a request
     Given a request under which 2 replicas have ended
@@ -58,6 +58,15 @@
     And a peer joins
     Then peers are told of 3 crashes
 
+  Scenario: A popular request that was there when a whole service ended is back within half a minute
+    # Three replicas end at once for a reason of their own, and all had the same request from many callers.
+    Given a request under which 3 replicas have ended
+    When the clock moves on by 30 seconds
+    Then it may be sent
+    When a replica runs it to its end
+    And another replica ends under it
+    Then it may be sent
+
   Scenario: One request that ends replicas costs three of them
     Given 1 request that ends replicas among 60 calls a second
     When nobody is held back
--- a/src/gateway/quarantine/quarantine.ts
+++ b/src/gateway/quarantine/quarantine.ts
@@ -26,16 +26,16 @@
 /**
 Replicas that may end under a request before it is held back.
 
-In the model (quarantine.feature), with one request that ends replicas among 60 calls a second at 13 replicas, 3 replicas end in half a minute in place of 89, and no caller loses its answer in place of 889 of 1,800. With eight such requests it is 21 replicas in place of 112; one ordinary request of 1,800 is held back wrongly, and 5 where two crashes are enough.
+In the model (quarantine.feature), with one request that ends replicas among 60 calls a second at 13 replicas, 3 replicas end in half a minute in place of 89, and no caller loses its answer in place of 889 of 1,800. With eight such requests it is 21 replicas in place of 112, and one ordinary request of 1,800 is held back wrongly; where two crashes are enough, 16 replicas and 11 requests.
 */
 export const enoughCrashes = 3;
 
 /**
-How long a request is held back after its last crash, in milliseconds; twice as long after each further one. Then it is tried once, since what it asked for may have been mended at the replicas.
+How long a request is held back after its last crash, in milliseconds; twice as long after each further one. Then it is tried, since it may be blamed wrongly: three replicas that end at once for another reason may all have had the same popular request. One run that comes to its end clears it.
 
-A caller of an online request has left long before; a kiosk that asks again and again ends one replica in ten minutes in place of ten in a second. An item of a batch job has until its job is given up, and must not be lost if it is blamed wrongly.
+A kiosk that asks for it again and again ends four replicas in the five minutes after that, in place of several in a second; a popular page that is blamed wrongly is missing for half a minute. An item of a batch job is due within some tens of seconds, and is tried sooner.
 */
-const firstHoldMs: Readonly<Record<LoadKind, number>> = {online: 600_000, batch: 10_000};
+const firstHoldMs: Readonly<Record<LoadKind, number>> = {online: 30_000, batch: 10_000};
 
 /** The longest, in milliseconds. */
 const mostHoldMs = 3_600_000;
@@ -49,15 +49,15 @@
 /** Of so many requests at the most, the last ones, peers that come back are told; a peer reads the others from the records. */
 const maxToldAnew = 20;
 
-/** In one message, so that it stays below 6 kB; a crash is told as long as it is among the newest. */
-const maxToldCrashes = 60;
+/** Crashes in one message, and acquittals, the newest of each; about 7 kB. */
+const maxTold = 60;
 
 /** See the module's head. */
 export class Quarantine {
 	readonly #parts: QuarantineParts;
 	readonly #memory = new CrashMemory();
 	readonly #events = new EventEmitter();
-	/** Contents that were held back when they were last looked at. */
+	/** Requests under which enough replicas have ended, whether they may be tried by now or not. */
 	readonly #held = new Set<ContentDigest>();
 	#toldCrashes: ReadonlyArray<Crash & {readonly at: number}> = [];
 	#toldAcquittals: ReadonlyArray<{readonly content: ContentDigest; readonly at: number}> = [];
@@ -81,6 +81,11 @@
 		this.#events.on('news', listener);
 	}
 
+	/** Calls the listener when a request is held back, for the first time or again. */
+	onHeld(listener: () => void): void {
+		this.#events.on('held', listener);
+	}
+
 	/** Calls the listener when a request has been shown to end no replica. */
 	onAcquitted(listener: (content: ContentDigest) => void): void {
 		this.#events.on('acquitted', listener);
@@ -123,9 +128,12 @@
 			return;
 		}
 
+		const isUrgent = this.#held.has(content);
 		this.#toldAcquittals = [...this.#toldAcquittals, {content, at: this.#parts.clock.now()}];
 		this.acquit(content, 'it has run to its end');
-		this.#events.emit('news');
+		if (isUrgent) {
+			this.#events.emit('news');
+		}
 	}
 
 	/** Forgets what is held against a request. */
@@ -157,8 +165,9 @@
 	/** Tells peers again what is held back: one of them may have been cut off, or has just started. */
 	tellAnew(): void {
 		const at = this.#parts.clock.now();
-		const crashes = this.held.slice(-maxToldAnew).flatMap(content => this.#memory.startsOf(content).map(start => ({content, start, at})));
-		this.#toldCrashes = [...this.#toldCrashes, ...crashes];
+		const toTell = new Set(this.held.slice(-maxToldAnew));
+		const crashes = [...toTell].flatMap(content => this.#memory.startsOf(content).map(start => ({content, start, at})));
+		this.#toldCrashes = [...this.#toldCrashes.filter(({content}) => !toTell.has(content)), ...crashes];
 	}
 
 	/** What peers are to be told now; nothing to tell most of the time. */
@@ -167,8 +176,8 @@
 		this.#toldCrashes = this.#toldCrashes.filter(({at}) => at >= since);
 		this.#toldAcquittals = this.#toldAcquittals.filter(({at}) => at >= since);
 		return {
-			crashes: this.#toldCrashes.slice(-maxToldCrashes).map(({content, start}) => ({content, start})),
-			acquitted: this.#toldAcquittals.map(({content}) => content),
+			crashes: this.#toldCrashes.slice(-maxTold).map(({content, start}) => ({content, start})),
+			acquitted: this.#toldAcquittals.slice(-maxTold).map(({content}) => content),
 		};
 	}
 
@@ -187,6 +196,7 @@
 		if (isNew && heldMs > 0) {
 			this.#held.add(content);
 			this.#parts.log.emit(gatewayEvents.contentHeld, {content, crashes: this.#memory.countOf(content), heldMs: Math.round(heldMs)});
+			this.#events.emit('held');
 		}
 
 		return isNew;
