What is known of a request that ends replicas reaches a process that has just started at once

Trace: the record could not be written, since each of the tries, half a second apart, met an outage of 0.3 s, and all fronts were killed after the fourth; later a front that had just started was told of what its peers held back only with their next heartbeat, and had a run meanwhile. Ruled out: lost messages.

Change: whoever holds a request back tells all that it knows of it at once, also to a peer that has just joined, and of requests with two crashes too; records are tried again every 200 ms in place of 500.

--- a/src/gateway/quarantine/crash-memory.ts
+++ b/src/gateway/quarantine/crash-memory.ts
@@ -55,6 +55,11 @@
 		});
 	}
 
+	/** Requests under which so many replicas have ended, those of the last crashes last. */
+	withCrashes(least: number): readonly ContentDigest[] {
+		return [...this.#crashes].filter(([, ended]) => ended.size >= least).map(([content]) => content);
+	}
+
 	/** How many replicas have ended under the request. */
 	countOf(content: ContentDigest): number {
 		return this.#crashes.get(content)?.size ?? 0;
--- a/src/gateway/quarantine/quarantine-records.ts
+++ b/src/gateway/quarantine/quarantine-records.ts
@@ -40,8 +40,8 @@
 	readonly log: EventLog;
 };
 
-/** How often it is looked at what is still to be written or removed, in milliseconds. */
-const lookMs = 500;
+/** How often it is tried again to write or remove what is still to be, in milliseconds: the object API may be away more often than not, and all processes may be killed before long. */
+const lookMs = 200;
 
 /** The first of the ranking writes at once; after this long, in milliseconds, any process does, since the first may be cut off from the object API. */
 const turnMs = 2000;
--- a/src/gateway/quarantine/quarantine.ts
+++ b/src/gateway/quarantine/quarantine.ts
@@ -117,7 +117,7 @@
 		const crash = {content, start: startOf(replica)};
 		const now = this.#parts.clock.now();
 		if (this.#take(crash, now)) {
-			this.#toldCrashes = [...this.#toldCrashes, {...crash, at: now}];
+			this.#tellAllOf([content]);
 			this.#events.emit('news');
 		}
 	}
@@ -162,12 +162,13 @@
 		});
 	}
 
-	/** Tells peers again what is held back: one of them may have been cut off, or has just started. */
+	/** Tells peers again what more than one replica has ended under: one of them may have been cut off, or has just started. */
 	tellAnew(): void {
-		const at = this.#parts.clock.now();
-		const toTell = new Set(this.held.slice(-maxToldAnew));
-		const crashes = [...toTell].flatMap(content => this.#memory.startsOf(content).map(start => ({content, start, at})));
-		this.#toldCrashes = [...this.#toldCrashes.filter(({content}) => !toTell.has(content)), ...crashes];
+		const contents = this.#memory.withCrashes(enoughCrashes - 1).slice(-maxToldAnew);
+		if (contents.length > 0) {
+			this.#tellAllOf(contents);
+			this.#events.emit('news');
+		}
 	}
 
 	/** What peers are to be told now; nothing to tell most of the time. */
@@ -189,6 +190,13 @@
 		});
 	}
 
+	#tellAllOf(contents: readonly ContentDigest[]) {
+		const at = this.#parts.clock.now();
+		const toTell = new Set(contents);
+		const crashes = contents.flatMap(content => this.#memory.startsOf(content).map(start => ({content, start, at})));
+		this.#toldCrashes = [...this.#toldCrashes.filter(({content}) => !toTell.has(content)), ...crashes];
+	}
+
 	#take(crash: Crash, at: number): boolean {
 		const isNew = this.#memory.note(crash, at);
 		const {content} = crash;
@@ -196,6 +204,9 @@
 		if (isNew && heldMs > 0) {
 			this.#held.add(content);
 			this.#parts.log.emit(gatewayEvents.contentHeld, {content, crashes: this.#memory.countOf(content), heldMs: Math.round(heldMs)});
+			// The process that saw the last crash may know of fewer than this one: it may have just started.
+			this.#tellAllOf([content]);
+			this.#events.emit('news');
 			this.#events.emit('held');
 		}
 
