--- a/src/gateway/quarantine/quarantine.feature
+++ b/src/gateway/quarantine/quarantine.feature
@@ -56,7 +56,21 @@
     Given a request under which 3 replicas have ended
     When the clock moves on by 60 seconds
     And a peer joins
-    Then peers are told of 3 crashes
+    Then peers are told of 3 crashes, at once
+
+  Scenario: A peer that comes back is told what a third crash would hold back
+    # Otherwise the third crash happens there, and it knows of one.
+    Given a request under which 2 replicas have ended
+    When the clock moves on by 60 seconds
+    And a peer joins
+    Then peers are told of 2 crashes, at once
+
+  Scenario: Whoever hears of the third crash tells of the others
+    # The process that saw the third has just started and knows of no other.
+    Given a request under which 2 replicas have ended
+    When the clock moves on by 60 seconds
+    And a peer tells of 1 other replicas that ended under it
+    Then peers are told of 3 crashes, at once
 
   Scenario: A popular request that was there when a whole service ended is back within half a minute
     # Three replicas end at once for a reason of their own, and all had the same request from many callers.
--- a/src/gateway/quarantine/quarantine.steps.ts
+++ b/src/gateway/quarantine/quarantine.steps.ts
@@ -15,6 +15,8 @@
 type QuarantineWorld = {
 	now: number;
 	quarantine: Quarantine;
+	/** When there was last something to tell at once. */
+	toldAt: number;
 	/** Replicas that have ended so far. */
 	ended: number;
 	deadly: number;
@@ -48,6 +50,9 @@
 	this.ended = 0;
 	const clock: Clock = {now: () => this.now, wall: () => this.now, sleep: async () => undefined};
 	this.quarantine = new Quarantine({clock, log});
+	this.quarantine.onNews(() => {
+		this.toldAt = this.now;
+	});
 	Array.from({length: count}).forEach(() => {
 		endAnother(this);
 	});
@@ -99,6 +104,11 @@
 	assert.equal(this.quarantine.news().crashes.length, count);
 });
 
+Then('peers are told of {int} crashes, at once', function (this: QuarantineWorld, count: number) {
+	assert.equal(this.toldAt, this.now);
+	assert.equal(this.quarantine.news().crashes.length, count);
+});
+
 Then('peers are told that it was cleared, and of the last crash', function (this: QuarantineWorld) {
 	const {crashes, acquitted} = this.quarantine.news();
 	assert.deepEqual(acquitted, [content]);
