--- a/bench/deadly-requests.benchmark.ts
+++ b/bench/poison-requests.benchmark.ts
@@ -5,7 +5,7 @@
 import {contentDigest, type ContentDigest} from '../src/gateway/quarantine/content-digest.js';
 import type {ReplicaStart} from '../src/gateway/quarantine/crash-memory.js';
 import {enoughCrashes, Quarantine} from '../src/gateway/quarantine/quarantine.js';
-import {CrashModel, type DeadlyOutcome} from '../src/gateway/testing/crash-model.js';
+import {CrashModel, type PoisonOutcome} from '../src/gateway/testing/crash-model.js';
 import {SeededRandom} from '../src/io/seeded-random.js';
 import {SystemClock} from '../src/io/system-clock.js';
 import {figure} from './figure.js';
@@ -21,16 +21,16 @@
 /** A front of the target has 21 calls a second; so much for each is a tenth of the 2.1 % of a core that control may take. */
 const microsBound = 100;
 
-const outcomes = (deadly: number, enough: number, {seed, runs}: {seed: number; runs: number}): DeadlyOutcome[] => Array.from({length: runs}, (_, i) => new CrashModel({
-	deadly, perSecond, enoughCrashes: enough, random: new SeededRandom(seed + i),
+const outcomes = (poison: number, enough: number, {seed, runs}: {seed: number; runs: number}): PoisonOutcome[] => Array.from({length: runs}, (_, i) => new CrashModel({
+	poison, perSecond, enoughCrashes: enough, random: new SeededRandom(seed + i),
 }).play());
 
-const figuresOf = (deadly: number, held: readonly DeadlyOutcome[], free: readonly DeadlyOutcome[]): Figure[] => [
-	figure(`replicas ended, ${deadly} such, not held back`, 'in 30 s', free.map(({ended}) => ended)),
-	figure(`replicas ended, ${deadly} such`, 'in 30 s', held.map(({ended}) => ended), {atMost: enoughCrashes * deadly}),
-	figure(`answers lost, ${deadly} such, not held back`, 'in 30 s', free.map(({lost}) => lost)),
-	figure(`answers lost, ${deadly} such`, 'in 30 s', held.map(({lost}) => lost)),
-	figure(`held back wrongly, ${deadly} such`, 'in 30 s', held.map(({heldWrongly}) => heldWrongly)),
+const figuresOf = (poison: number, held: readonly PoisonOutcome[], free: readonly PoisonOutcome[]): Figure[] => [
+	figure(`replicas ended, ${poison} such, not held back`, 'in 30 s', free.map(({ended}) => ended)),
+	figure(`replicas ended, ${poison} such`, 'in 30 s', held.map(({ended}) => ended), {atMost: enoughCrashes * poison}),
+	figure(`answers lost, ${poison} such, not held back`, 'in 30 s', free.map(({lost}) => lost)),
+	figure(`answers lost, ${poison} such`, 'in 30 s', held.map(({lost}) => lost)),
+	figure(`held back wrongly, ${poison} such`, 'in 30 s', held.map(({heldWrongly}) => heldWrongly)),
 ];
 
 const microsOfCall = (): number => {
@@ -49,12 +49,12 @@
 
 /** See {@link Benchmark}. */
 export const benchmark: Benchmark = {
-	name: 'deadly-requests',
+	name: 'poison-requests',
 	describe: 'Replicas that requests end and answers that are lost in the model, without and with holding back, and what it costs a call.',
 	async run({runs = defaultRuns, seed, progress}) {
-		const figures = [1, 8].flatMap(deadly => {
-			progress(`${deadly} such`);
-			return figuresOf(deadly, outcomes(deadly, enoughCrashes, {seed, runs}), outcomes(deadly, Infinity, {seed, runs}));
+		const figures = [1, 8].flatMap(poison => {
+			progress(`${poison} such`);
+			return figuresOf(poison, outcomes(poison, enoughCrashes, {seed, runs}), outcomes(poison, Infinity, {seed, runs}));
 		});
 		progress('the time of a call');
 		microsOfCall();
--- a/src/gateway/quarantine/quarantine.steps.ts
+++ b/src/gateway/quarantine/quarantine.steps.ts
@@ -6,7 +6,7 @@
 import {branded} from '../../common/ids.js';
 import type {Clock, EventLog} from '../../common/services.js';
 import {SeededRandom} from '../../io/seeded-random.js';
-import {CrashModel, type DeadlyOutcome} from '../testing/crash-model.js';
+import {CrashModel, type PoisonOutcome} from '../testing/crash-model.js';
 import type {GatewayServiceName, ReplicaId, ReplicaRecord} from '../types.js';
 import type {ContentDigest} from './content-digest.js';
 import {startOf} from './crash-memory.js';
@@ -19,9 +19,9 @@
 	toldAt: number;
 	/** Replicas that have ended so far. */
 	ended: number;
-	deadly: number;
+	poison: number;
 	perSecond: number;
-	outcomes: DeadlyOutcome[];
+	outcomes: PoisonOutcome[];
 };
 
 const log: EventLog = {emit: () => undefined};
@@ -34,11 +34,11 @@
 
 const crashOf = (number: number) => ({content, start: startOf(replicaOf(number))});
 
-const play = ({deadly, perSecond}: QuarantineWorld, enough: number): DeadlyOutcome[] => seeds.map(seed => new CrashModel({
-	deadly, perSecond, enoughCrashes: enough, random: new SeededRandom(seed),
+const play = ({poison, perSecond}: QuarantineWorld, enough: number): PoisonOutcome[] => seeds.map(seed => new CrashModel({
+	poison, perSecond, enoughCrashes: enough, random: new SeededRandom(seed),
 }).play());
 
-const meanOf = (outcomes: readonly DeadlyOutcome[], value: (outcome: DeadlyOutcome) => number): number => outcomes.reduce((sum, outcome) => sum + value(outcome), 0) / outcomes.length;
+const meanOf = (outcomes: readonly PoisonOutcome[], value: (outcome: PoisonOutcome) => number): number => outcomes.reduce((sum, outcome) => sum + value(outcome), 0) / outcomes.length;
 
 const endAnother = (world: QuarantineWorld) => {
 	world.ended += 1;
@@ -115,8 +115,8 @@
 	assert.deepEqual(crashes, [crashOf(this.ended)]);
 });
 
-Given('{int} request(s) that end(s) replicas among {int} calls a second', function (this: QuarantineWorld, deadly: number, perSecond: number) {
-	this.deadly = deadly;
+Given('{int} request(s) that end(s) replicas among {int} calls a second', function (this: QuarantineWorld, poison: number, perSecond: number) {
+	this.poison = poison;
 	this.perSecond = perSecond;
 });
 
--- a/src/gateway/testing/crash-model.ts
+++ b/src/gateway/testing/crash-model.ts
@@ -1,15 +1,15 @@
 /**
 A service whose replicas a few requests end, again and again, in virtual time and without a network.
 
-The load is that of departure boards on the users' deployments: 13 replicas of 8 places, calls of 0.8 s that fill about half of them. A call that loses its replica is run once more at another one, and its caller sends it once more. A deadly request ends its replica 0.1 s after it has begun; it comes again 0.15 s after each failure, and its replica is back after 3.2 s.
+The load is that of departure boards on the users' deployments: 13 replicas of 8 places, calls of 0.8 s that fill about half of them. A call that loses its replica is run once more at another one, and its caller sends it once more. A poison request ends its replica 0.1 s after it has begun; it comes again 0.15 s after each failure, and its replica is back after 3.2 s.
 */
 import type {RandomSource} from '../../common/services.js';
 import type {ContentDigest} from '../quarantine/content-digest.js';
 import {CrashMemory, type ReplicaStart} from '../quarantine/crash-memory.js';
 
 /** The load. */
-export type DeadlyLoad = {
-	readonly deadly: number;
+export type PoisonLoad = {
+	readonly poison: number;
 	readonly perSecond: number;
 	/** Replicas that may end under a request before it is held back. */
 	readonly enoughCrashes: number;
@@ -17,7 +17,7 @@
 };
 
 /** What came of it. */
-export type DeadlyOutcome = {
+export type PoisonOutcome = {
 	/** Replicas that ended. */
 	readonly ended: number;
 	/** Ordinary requests in all, and those of them that were held back, or got no whole answer for another reason. */
@@ -28,7 +28,7 @@
 
 type Request = {
 	readonly content: ContentDigest;
-	readonly isDeadly: boolean;
+	readonly isPoison: boolean;
 	runsLeft: number;
 	triesLeft: number;
 };
@@ -42,7 +42,7 @@
 const engines = 13;
 const places = 8;
 const ordinaryMs = 800;
-const deadlyMs = 100;
+const poisonMs = 100;
 const comesAgainMs = 150;
 const awayMs = 3200;
 const runsOfTry = 2;
@@ -50,7 +50,7 @@
 
 /** See the module's head. */
 export class CrashModel {
-	readonly #load: DeadlyLoad;
+	readonly #load: PoisonLoad;
 	readonly #memory = new CrashMemory();
 	readonly #engines: Engine[] = Array.from({length: engines}, (_, i) => ({
 		name: `e${i}`, starts: 1, downUntil: 0, runs: [],
@@ -63,14 +63,14 @@
 	#heldWrongly = 0;
 	#lost = 0;
 
-	constructor(load: DeadlyLoad) {
+	constructor(load: PoisonLoad) {
 		this.#load = load;
 	}
 
-	play(): DeadlyOutcome {
-		const {deadly, perSecond, random} = this.#load;
-		Array.from({length: deadly}).forEach((_, i) => {
-			this.#due.push({at: 1000 + (700 * i), request: this.#request(`deadly ${i}`, true)});
+	play(): PoisonOutcome {
+		const {poison, perSecond, random} = this.#load;
+		Array.from({length: poison}).forEach((_, i) => {
+			this.#due.push({at: 1000 + (700 * i), request: this.#request(`poison ${i}`, true)});
 		});
 		for (; this.#now < lengthMs; this.#now += stepMs) {
 			if (random.next() < perSecond * stepMs / 1000) {
@@ -87,9 +87,9 @@
 		};
 	}
 
-	#request(content: string, isDeadly: boolean): Request {
+	#request(content: string, isPoison: boolean): Request {
 		return {
-			content: content as ContentDigest, isDeadly, runsLeft: runsOfTry, triesLeft: isDeadly ? Infinity : triesOfCaller,
+			content: content as ContentDigest, isPoison, runsLeft: runsOfTry, triesLeft: isPoison ? Infinity : triesOfCaller,
 		};
 	}
 
@@ -103,7 +103,7 @@
 
 	#run(request: Request) {
 		if (this.#memory.countOf(request.content) >= this.#load.enoughCrashes) {
-			this.#heldWrongly += request.isDeadly ? 0 : 1;
+			this.#heldWrongly += request.isPoison ? 0 : 1;
 			return;
 		}
 
@@ -116,13 +116,13 @@
 		}
 
 		request.runsLeft -= 1;
-		engine.runs.push({request, endsAt: this.#now + (request.isDeadly ? deadlyMs : ordinaryMs)});
+		engine.runs.push({request, endsAt: this.#now + (request.isPoison ? poisonMs : ordinaryMs)});
 	}
 
 	#endRuns() {
 		this.#engines.forEach(engine => {
 			const done = engine.runs.filter(({endsAt}) => endsAt <= this.#now);
-			if (done.some(({request}) => request.isDeadly)) {
+			if (done.some(({request}) => request.isPoison)) {
 				this.#crash(engine);
 				return;
 			}
