--- a/src/ctl/explain/log-story.feature
+++ b/src/ctl/explain/log-story.feature
@@ -27,6 +27,10 @@
       | a job while the object API was away     | 1     | nothing of the job was written                 |
       | a job that moved to another front       | 6     | run by front-1, then front-2                   |
 
+  Scenario: The cause of an item's trouble
+    Given the logs of an item that lost its replica
+    Then the story of "j1-0" has 1 lines and its cause tells: the connection of its last run broke
+
   Scenario: Lines of a collector, and lines that are none
     Given the logs of a stream that broke off, each with a collector's words before it, and some garbage
     Then the story of "c1" has 3 lines and its cause tells: ended as lost
--- a/src/ctl/explain/log-story.steps.ts
+++ b/src/ctl/explain/log-story.steps.ts
@@ -59,6 +59,7 @@
 		id: 'c1', host: 'h', target: '/x', status: 503,
 	})],
 	'a caller that left': [routed(0), ended(1, {status: 0, reason: 'the caller left'})],
+	'an item that lost its replica': [line(0, 'front-1', itemRunEnded, {job: 'j1', item: 'j1-0', outcome: 'lost'})],
 	'a job that did not fit': [submitted('full')],
 	'a job while the object API was away': [submitted('away')],
 	'a job that moved to another front': [
--- a/src/ctl/explain/log-story.ts
+++ b/src/ctl/explain/log-story.ts
@@ -94,6 +94,7 @@
 	hopeless: () => 'errored: the replica says that it can never be done (422)',
 	failed: lines => `its last run failed at the replica; its runs: ${countOutcomes(lines)}`,
 	cut: lines => `its last run was cut off for an online call or a shutdown; its runs: ${countOutcomes(lines)}`,
+	lost: lines => `the connection of its last run broke, perhaps since its replica ended (event 740); its runs: ${countOutcomes(lines)}`,
 	broken: lines => `its last run broke off; its runs: ${countOutcomes(lines)}`,
 	declined: lines => `its last run was declined by a replica that was full; its runs: ${countOutcomes(lines)}`,
 	unreachable: lines => `its replica could not be reached; its runs: ${countOutcomes(lines)}`,
