--- a/src/gateway/testing/crash-model.ts
+++ b/src/gateway/testing/crash-model.ts
@@ -9,6 +9,7 @@
 
 /** The load. */
 export type PoisonLoad = {
+	/** Poison requests that come again and again. */
 	readonly poison: number;
 	readonly perSecond: number;
 	/** Replicas that may end under a request before it is held back. */
@@ -37,6 +38,7 @@
 
 type Engine = {name: string; starts: number; downUntil: number; runs: Run[]};
 
+/** Times in milliseconds, as the head tells them. */
 const lengthMs = 30_000;
 const stepMs = 5;
 const engines = 13;
