Sight: a chosen replica's line tells how old the registrations are, and since when its own is missing

A call that reaches a replica which has left can come from a front that has not heard of it, or from one that keeps a registration that is gone. Both looked the same in the logs. Events 700 and 722 now bear heardMs and missedMs, event 712 tells for how long a replica was kept without a registration. No logic is changed.

--- a/src/gateway/batch/batch-runner.ts
+++ b/src/gateway/batch/batch-runner.ts
@@ -18,6 +18,7 @@
 import type {PeerTable} from '../peers/peer-table.js';
 import type {Quarantine} from '../quarantine/quarantine.js';
 import {WatchedContent} from '../quarantine/watched-content.js';
+import {registrationAge} from '../registration-age.js';
 import type {ReplicaConnection} from '../replica-connections.js';
 import type {ReplicaLinks} from '../replica-links.js';
 import type {Replica} from '../replica.js';
@@ -310,7 +311,7 @@
 		} = this.#parts;
 		const {item, events} = state;
 		log.emit(gatewayEvents.itemStarted, {
-			job: job.id, item: item.id, replica: replica.record.id, resumeAfter: events.length, dueInMs: Math.round(this.#terms.dueAt(job) - clock.wall()),
+			job: job.id, item: item.id, replica: replica.record.id, resumeAfter: events.length, dueInMs: Math.round(this.#terms.dueAt(job) - clock.wall()), ...registrationAge(this.#parts, replica),
 		});
 		const giveBack = loads.take(replica, 'batch');
 		const startedAt = clock.now();
--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -4,7 +4,7 @@
 import type {EventDefinition} from '../common/types.js';
 
 export const gatewayEvents = {
-	/** Fields: id, route, replica, online, batch (in flight there), attempt, resumeAfter. */
+	/** Fields: id, route, replica, online, batch (in flight there), attempt, resumeAfter, heardMs (age of what is known of the registrations), missedMs (since when the replica's own is missing). */
 	callRouted: {number: 700, level: 'info', text: 'replica chosen for a call'},
 	/** Fields: id, replica, kind, reason or status, content (the same for the same request under another id). */
 	attemptFailed: {number: 701, level: 'info', text: 'attempt at a replica ended without a whole answer'},
@@ -18,7 +18,7 @@
 	configUnreadable: {number: 711, level: 'error', text: 'configuration can not be read, the one before stays in force'},
 	/** Fields: name, reason. */
 	registrationUnreadable: {number: 737, level: 'warn', text: 'registration can not be read, it names no replica'},
-	/** Fields: replica, service, address, change. */
+	/** Fields: replica, service, address, change, missedMs (for how long it was kept without a registration). */
 	replicaChanged: {number: 712, level: 'info', text: 'replica registered, changed or gone'},
 	/** Fields: replica, isReachable, silentMs, limitMs. */
 	replicaSuspected: {number: 738, level: 'info', text: 'replica is silent, a connection was tried'},
@@ -54,7 +54,7 @@
 	jobSubmitted: {number: 720, level: 'info', text: 'batch job submitted'},
 	/** Fields: id, outcome. */
 	jobEnded: {number: 721, level: 'info', text: 'end of a batch job asked for'},
-	/** Fields: job, item, replica, resumeAfter, dueInMs. */
+	/** Fields: job, item, replica, resumeAfter, dueInMs, heardMs and missedMs (as of a call). */
 	itemStarted: {number: 722, level: 'info', text: 'batch item sent to a replica'},
 	/** Fields: job, item, replica, outcome, events, reason, elapsedMs. */
 	itemRunEnded: {number: 723, level: 'info', text: 'run of a batch item ended'},
--- a/src/gateway/object-feed.ts
+++ b/src/gateway/object-feed.ts
@@ -88,6 +88,11 @@
 		this.#events.on('changes', listener);
 	}
 
+	/** Calls the listener with the time of each answer, in milliseconds on the monotonic clock; also of those that bring nothing new. */
+	onHeard(listener: (at: number) => void): void {
+		this.#events.on('heard', listener);
+	}
+
 	/** Follows until it is disposed. */
 	start(): void {
 		void this.#follow();
@@ -230,6 +235,7 @@
 	#noteAnswer() {
 		const {clock, log} = this.#parts;
 		this.#heardAt = clock.now();
+		this.#events.emit('heard', this.#heardAt);
 		if (this.#lostAt !== undefined) {
 			log.emit(gatewayEvents.feedRegained, {kind: this.#kind, revision: this.#revision, awayMs: Math.round(clock.now() - this.#lostAt)});
 			this.#lostAt = undefined;
--- a/src/gateway/online-call.ts
+++ b/src/gateway/online-call.ts
@@ -12,6 +12,7 @@
 import {CallerAnswer} from './caller-answer.js';
 import {gatewayEvents} from './log-events.js';
 import type {GatewayParts} from './parts.js';
+import {registrationAge} from './registration-age.js';
 import type {Replica} from './replica.js';
 import {chooseForOnline} from './replica-choice.js';
 import {WatchedContent} from './quarantine/watched-content.js';
@@ -209,7 +210,7 @@
 		} = this.#parts;
 		const {fields, message, route} = this.#call;
 		log.emit(gatewayEvents.callRouted, {
-			id: fields.requestId, route: route.name, replica: replica.record.id, online: replica.allOnline, batch: replica.allBatch, attempt: this.#offers, resumeAfter: this.#answer.lastEventId,
+			id: fields.requestId, route: route.name, replica: replica.record.id, online: replica.allOnline, batch: replica.allBatch, attempt: this.#offers, resumeAfter: this.#answer.lastEventId, ...registrationAge(this.#parts, replica),
 		});
 		this.#sentAt = clock.now();
 		this.#hasFoundPlace = replica.total < replica.record.slots;
--- a/src/gateway/registration-controller.ts
+++ b/src/gateway/registration-controller.ts
@@ -50,9 +50,12 @@
 		parts.feed.onChanges(events => {
 			this.#takeChanges(events);
 		});
-		parts.directory.onChange(({replica: {record}, change}) => {
+		parts.feed.onHeard(at => {
+			parts.directory.heardAt = at;
+		});
+		parts.directory.onChange(({replica: {record, missedAt}, change}) => {
 			parts.log.emit(gatewayEvents.replicaChanged, {
-				replica: record.id, service: record.service, address: record.address, change,
+				replica: record.id, service: record.service, address: record.address, change, missedMs: missedAt === undefined ? undefined : Math.round(parts.clock.now() - missedAt),
 			});
 		});
 	}
@@ -149,11 +152,13 @@
 	}
 
 	#keepFor(id: ReplicaId, graceMs: number) {
-		const {directory, log} = this.#parts;
-		if (this.#missed.has(id) || !directory.get(id)) {
+		const {directory, clock, log} = this.#parts;
+		const replica = directory.get(id);
+		if (this.#missed.has(id) || !replica) {
 			return;
 		}
 
+		replica.missedAt = clock.now();
 		log.emit(gatewayEvents.replicaMissed, {replica: id, graceMs: Math.round(graceMs)});
 		const timer = setTimeout(() => {
 			this.#missed.delete(id);
@@ -163,6 +168,11 @@
 	}
 
 	#forgive(id: ReplicaId) {
+		const replica = this.#parts.directory.get(id);
+		if (replica) {
+			replica.missedAt = undefined;
+		}
+
 		clearTimeout(this.#missed.get(id));
 		this.#missed.delete(id);
 	}
--- a/src/gateway/replica-directory.ts
+++ b/src/gateway/replica-directory.ts
@@ -16,6 +16,8 @@
 
 /** Knows every registered replica. */
 export class ReplicaDirectory {
+	/** When the object API last told of the registrations, in milliseconds on the monotonic clock. */
+	heardAt = -Infinity;
 	readonly #events = new EventEmitter();
 	readonly #byId = new Map<ReplicaId, Replica>();
 	readonly #byService = new Map<GatewayServiceName, Replica[]>();
--- a/src/gateway/replica.ts
+++ b/src/gateway/replica.ts
@@ -32,6 +32,8 @@
 	/** When something last came from it, on any connection, and when a connection made for the question last showed that it can be reached; in milliseconds on the monotonic clock. */
 	heardAt = -Infinity;
 	reachedAt = -Infinity;
+	/** Since when its registration has been missing, in milliseconds on the monotonic clock; `undefined` while it is there. */
+	missedAt: number | undefined;
 	readonly #peers = new Map<MemberName, ReplicaLoad>();
 	#peerOnline = 0;
 	#peerBatch = 0;
