A replica that leaves after a front has lost the object API gets no call after its time

Callers' calls still reached a replica 2.27 s after its registration was gone; 2 s are allowed, for then it may be cut short. Cause: a front keeps a replica whose registration is missing after an outage of the object API, for 2,300 ms from the first answer after the outage; but after a failed call it waited for a change as ever, so the first answer came with the next change, and that was the removal itself, up to 1.5 s after the front was back. Class: an outage is taken to last until something happens, not until it is over.

After a failed call the next one asks without waiting, so the end of the outage is known when it comes. The grace is 2,100 ms, and never more than the time of a replica that leaves, from when its removal was heard. While calls go by way of peers, the object API is tried every 500 ms from the beginning of the last try, not from its end: a silent try cost 600 ms more. So a front hears the object API within 0.9 s of being back, and has dropped what is missing within 3 s of it.

--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -178,7 +178,7 @@
 			board, feed: configFeed, records, log,
 		});
 		const registrations = new RegistrationController({
-			directory, feed: replicaFeed, records, clock, log,
+			directory, feed: replicaFeed, records, clock, log, drainMs: settings.drainMs,
 		});
 		this.#channel = new DatagramChannel({
 			[peerStateMethod](state: PeerState) {
--- a/src/gateway/gateway-tables.steps.ts
+++ b/src/gateway/gateway-tables.steps.ts
@@ -173,7 +173,7 @@
 
 	const feed = feedOf(this, 'Registration');
 	this.register(new RegistrationController({
-		directory: this.directory, feed, records: replicaRecords, clock, log,
+		directory: this.directory, feed, records: replicaRecords, clock, log, drainMs: 2000,
 	}));
 	feed.start();
 	await until(() => this.directory.size === listOf(names).length, 'all replicas are known');
--- a/src/gateway/object-feed.ts
+++ b/src/gateway/object-feed.ts
@@ -1,7 +1,7 @@
 /**
 Follows one kind of object: a list, then watches from its version on, for ever. Events arrive in the order of their versions, each once, also where the list or an extra read overtakes a watch that is waiting.
 
-A watch is asked for again well before the time within which a change must be in force: a connection that went silent shows only by the answer that does not come.
+A watch is asked for again well before the time within which a change must be in force: a connection that went silent shows only by the answer that does not come. After a call that failed, the next one does not wait for a change: an outage would otherwise seem to last until the first change after it, and whoever counts from its end would take that change for a part of it.
 */
 import {EventEmitter} from 'node:events';
 import type {Revision} from '../common/ids.js';
@@ -164,7 +164,8 @@
 
 	async #watch(since: Revision): Promise<boolean> {
 		const {waitMs, mayLag} = this.#options;
-		const batch = await this.#parts.api.watch([this.#kind], since, waitMs, {mayLag});
+		const isAway = this.#lostAt !== undefined;
+		const batch = await this.#parts.api.watch([this.#kind], since, isAway ? 0 : waitMs, {mayLag});
 		return batch.caseOf({
 			Left: err => this.#isKnownAfter(err),
 			Right: changes => {
--- a/src/gateway/peers/object-relay.ts
+++ b/src/gateway/peers/object-relay.ts
@@ -196,14 +196,16 @@
 		this.#leave(err);
 	}
 
-	#leave(err: ApiError) {
-		this.#failedAt = this.#parts.clock.now();
+	/** @param askedAt - When the call began that has failed: the next try is counted from there, so that the end of an outage is noticed as soon after a silent call as after a refusal. */
+	#leave(err: ApiError, askedAt = this.#parts.clock.now()) {
+		const {clock} = this.#parts;
+		this.#failedAt = clock.now();
 		if (this.#isDirect) {
 			this.#isDirect = false;
 			this.#parts.log.emit(gatewayEvents.objectApiByPeers, {reason: 'reason' in err ? err.reason : err.kind, peers: this.#parts.helpers().length});
 		}
 
-		this.#probeAfter(probeMs, err);
+		this.#probeAfter(Math.max(0, askedAt + probeMs - clock.now()), err);
 	}
 
 	#probeAfter(ms: number, cause: ApiError) {
@@ -214,10 +216,11 @@
 	}
 
 	async #tryDirect(cause: ApiError) {
+		const askedAt = this.#parts.clock.now();
 		const outcome = await this.#parts.direct.list('Member');
 		this.#probe = undefined;
 		if (outcome.isLeft()) {
-			this.#leave(cause);
+			this.#leave(cause, askedAt);
 			return;
 		}
 
--- a/src/gateway/registration-controller.ts
+++ b/src/gateway/registration-controller.ts
@@ -3,7 +3,7 @@
 
 A registration that cannot be read was written by somebody else than a replica, or was spoilt. It names no replica to send calls to, and a replica that it named before is used no more; the others hold. The replica itself, if it lives, writes the entry anew with its next heartbeat.
 
-Registrations lapse while the object API is away, since replicas cannot renew them, and come back soon after it does. A replica whose registration is missing right after an outage is therefore kept for a while: dropping it at once would empty a service whose replicas are all well.
+Registrations lapse while the object API is away, since replicas cannot renew them, and come back soon after it does. A replica whose registration is missing right after an outage is therefore kept for a while: dropping it at once would empty a service whose replicas are all well. A process cannot tell whether the object API was away or only itself cut off from it, and whether a registration has lapsed or its replica leaves; so the while is short enough that a replica which leaves gets no call after its time either way.
 */
 import {Left, Right, type Either} from 'purify-ts/Either';
 import type {Clock, Disposable, EventLog} from '../common/services.js';
@@ -15,8 +15,11 @@
 import type {ReplicaDirectory} from './replica-directory.js';
 import type {ReplicaId, ReplicaRecord} from './types.js';
 
-/** Live replicas are registered again about two seconds after an outage; in milliseconds, with a margin for the watch. It must stay below what a leaving replica is allowed to receive work for, which is counted from 3 s after the outage. */
-const graceAfterOutageMs = 2300;
+/** Live replicas are registered again about two seconds after an outage; in milliseconds from the first answer after it. A process that was itself cut off has 3 s, and hears the first answer within 0.9 s of them: a call that had just begun must fail, and the next try begins. */
+const graceAfterOutageMs = 2100;
+
+/** A call is on its way to its replica for this long at most after the replica was chosen, in milliseconds: a round trip between failure domains for the connection, and one way. */
+const travelMs = 100;
 
 /** One call of the object API that failed between two that did not is a lost connection, and too short for registrations to lapse. */
 const leastFailuresOfOutage = 2;
@@ -31,6 +34,8 @@
 	readonly records: RecordReaders;
 	readonly clock: Clock;
 	readonly log: EventLog;
+	/** Milliseconds after its registration is gone within which a replica must get no more calls. */
+	readonly drainMs: number;
 };
 
 /** See the module's head. */
@@ -177,9 +182,10 @@
 		this.#missed.delete(id);
 	}
 
+	/** A registration that is heard to be gone later than the outage's end may have lapsed late, or its replica leaves now: it has only the time of one that leaves. */
 	#graceLeftMs(): number {
-		const {feed, clock} = this.#parts;
+		const {feed, clock, drainMs} = this.#parts;
 		const regainedAt = feed.regainedAt ?? clock.now();
-		return regainedAt + graceAfterOutageMs - clock.now();
+		return Math.min(regainedAt + graceAfterOutageMs - clock.now(), drainMs - travelMs);
 	}
 }
