--- a/src/gateway/gateway-tables.steps.ts
+++ b/src/gateway/gateway-tables.steps.ts
@@ -6,6 +6,7 @@
 import {Right} from 'purify-ts/Either';
 import {branded} from '../common/ids.js';
 import type {EventLog} from '../common/services.js';
+import {ManualClock} from '../common/testing/manual-clock.js';
 import {FakeObjectApi} from '../common/testing/fake-object-api.js';
 import type {TestWorld} from '../common/testing/test-world.js';
 import {until} from '../common/testing/until.js';
@@ -294,3 +295,39 @@
 	assert.deepEqual(this.peers.live, []);
 	assert.equal(this.directory.get(branded<ReplicaId>(replica))?.allOnline, count);
 });
+
+type PausedWorld = TestWorld & {manual: ManualClock; peers: PeerTable};
+
+/** How often a front looks for silent peers, in milliseconds. */
+const lookMs = 250;
+
+Given('a front that hears {string}', function (this: PausedWorld, peer: string) {
+	this.manual = new ManualClock();
+	this.peers = new PeerTable({
+		self: branded<MemberName>('front-1'), directory: new ReplicaDirectory(), loads: new LoadBoard(), quarantine: new Quarantine({clock: this.manual, log}), clock: this.manual, log,
+	});
+	this.peers.dropSilent();
+	this.peers.take({
+		member: branded<MemberName>(peer), address: '127.0.0.1:1', rpcAddress: '127.0.0.1:1', reachesObjectApi: true, startedAt: 1, seq: 1, isLeaving: false, loads: [], jobs: [],
+	});
+});
+
+When('it stands still for {int} ms', function (this: PausedWorld, ms: number) {
+	this.manual.advance(ms);
+	this.peers.dropSilent();
+});
+
+When('it hears nothing more for {int} ms', function (this: PausedWorld, ms: number) {
+	Array.from({length: ms / lookMs}).forEach(() => {
+		this.manual.advance(lookMs);
+		this.peers.dropSilent();
+	});
+});
+
+Then('it still knows {string}', function (this: PausedWorld, peer: string) {
+	assert.deepEqual(this.peers.live.map(({state}) => state.member as string), [peer]);
+});
+
+Then('it has dropped {string}', function (this: PausedWorld, _peer: string) {
+	assert.deepEqual(this.peers.live, []);
+});
