A front that stood still does not take its peers for gone

After two seconds without processor time a front looked for silent peers before it read what they had sent, dropped all of them and claimed their jobs: items ran twice, and texts were begun anew. The class of the incident: what a process itself missed is taken for something that others did. Silence now counts from when the process went on.

--- a/src/gateway/peers/peer-table.ts
+++ b/src/gateway/peers/peer-table.ts
@@ -13,6 +13,9 @@
 /** A peer sends at least every 250 ms; this many milliseconds of silence are four messages lost in a row, or the peer. */
 const silenceMs = 1200;
 
+/** Silence is looked for at least every 250 ms; after a longer time than this between two looks, in milliseconds, this process itself has stood still. */
+const standstillMs = 600;
+
 /** A peer that is heard. */
 export type Peer = {
 	readonly state: PeerState;
@@ -35,9 +38,13 @@
 	readonly #parts: PeerTableParts;
 	readonly #events = new EventEmitter();
 	readonly #peers = new Map<MemberName, Peer>();
+	#lookedAt: number;
+	/** When this process last went on after it had stood still. */
+	#wokeAt = -Infinity;
 
 	constructor(parts: PeerTableParts) {
 		this.#parts = parts;
+		this.#lookedAt = parts.clock.now();
 	}
 
 	/** Peers that are heard. */
@@ -84,7 +91,8 @@
 	dropSilent(): void {
 		const {clock, log} = this.#parts;
 		const now = clock.now();
-		const silent = [...this.#peers.values()].filter(({heardAt}) => now - heardAt > silenceMs);
+		this.#noteStandstill(now);
+		const silent = [...this.#peers.values()].filter(({heardAt}) => now - Math.max(heardAt, this.#wokeAt) > silenceMs);
 		silent.forEach(({state, heardAt}) => {
 			log.emit(gatewayEvents.peerSilent, {peer: state.member, silentMs: Math.round(now - heardAt)});
 			this.#peers.delete(state.member);
@@ -95,6 +103,15 @@
 		}
 	}
 
+	/** Timers come before messages: right after a standstill, what the peers have sent meanwhile is still unread, and all of them would pass for gone. Their jobs would be claimed and run twice. */
+	#noteStandstill(now: number) {
+		if (now - this.#lookedAt > standstillMs) {
+			this.#wokeAt = now;
+		}
+
+		this.#lookedAt = now;
+	}
+
 	#takeOutcomes({member, outcomes = []}: PeerState) {
 		const {directory, clock} = this.#parts;
 		outcomes.forEach(({replica: id, startedAt, ...counts}) => {
