Failed runs of batch items are counted by all processes together

Each failed run now has a name that is the same everywhere; it is told to peers within the gathering time and for two seconds after, handed over with the job, and counted once. An item that has failed as often as its route allows is given up before its next run, wherever its runs were. What a front has not told within some 40 ms of its end is lost with it.

Handed over progress bears failedRuns in place of failures and failedAt: processes of the version before do not read it, and begin such items anew. Ruled out: adding up counts, since two processes that hand over to each other would add the same run twice.

--- a/src/common/message-tests.ts
+++ b/src/common/message-tests.ts
@@ -9,9 +9,10 @@
 const chunkKey = objectOf({jobId: isText, chunk: isCount});
 const areCounts = listOf(objectOf({version: isCount, nodes: isCount}));
 
-const isItemProgress = objectOf({
-	id: isText, events: listOf(isString), failures: isCount, failedAt: optional(listOf(isText)),
-});
+const areFailedRuns = listOf(objectOf({run: isText, item: isText, replica: isText}));
+
+/** What is known of a batch item between its runs, also where it is written into the object API. */
+export const isItemProgress = objectOf({id: isText, events: listOf(isString), failedRuns: areFailedRuns});
 const isItemResult = objectOf({id: isText, state: oneOf('completed', 'errored'), output: isString});
 
 const chunkGrant = objectOf({
@@ -32,7 +33,7 @@
 			replica: isText, startedAt: optional(Number.isSafeInteger), online: isCount, batch: isCount,
 		})), outcomes: optional(listOf(objectOf({
 			replica: isText, startedAt: optional(Number.isSafeInteger), requests: isAmount, failures: isAmount,
-		}))), crashes: optional(listOf(objectOf({content: isText, start: isText}))), acquitted: optional(listOf(isText)), jobs: listOf(isText), waiting: optional(listOf(objectOf({route: isText, timely: isCount, late: isCount}))),
+		}))), crashes: optional(listOf(objectOf({content: isText, start: isText}))), acquitted: optional(listOf(isText)), failedRuns: optional(areFailedRuns), jobs: listOf(isText), waiting: optional(listOf(objectOf({route: isText, timely: isCount, late: isCount}))),
 	}),
 	'agent.load': objectOf({cacheSince: optional(isCount)}),
 	'ledger.revoke': objectOf({key: attemptKey, issuedAt: isAmount, deadlineInMs: Number.isFinite}),
--- a/src/gateway/batch/batch-records.ts
+++ b/src/gateway/batch/batch-records.ts
@@ -6,7 +6,9 @@
 import {
 	isAmount, isCount, isFlag, isObject, isString, isText, listOf, objectOf, oneOf, optional, type FieldTest,
 } from '../../common/field-tests.js';
-import type {BatchItemId, BatchJobId, ReplicaId} from '../types.js';
+import {isItemProgress} from '../../common/message-tests.js';
+import type {BatchItemId, BatchJobId} from '../types.js';
+import type {FailedRun} from './failed-runs.js';
 
 /** One item as its caller handed it in. */
 export type BatchItem = {
@@ -89,10 +91,8 @@
 	readonly id: BatchItemId;
 	/** The data of the events from the first on. */
 	readonly events: readonly string[];
-	/** Runs that the replica ended with a failure. */
-	readonly failures: number;
-	/** Where they were; processes of earlier versions do not tell. */
-	readonly failedAt?: readonly ReplicaId[];
+	/** Runs that a replica ended with a failure, as far as the process knew. */
+	readonly failedRuns: readonly FailedRun[];
 };
 
 /** What a process that shuts down leaves to the one that runs the job next. */
@@ -136,9 +136,7 @@
 	}),
 	results: objectOf({results: listOf(objectOf({id: isText, state, output: isString}))}),
 	progress: objectOf({
-		items: listOf(objectOf({
-			id: isText, events: listOf(isString), failures: isCount, failedAt: optional(listOf(isText)),
-		})),
+		items: listOf(isItemProgress),
 	}),
 };
 
--- a/src/gateway/batch/batch-runner.ts
+++ b/src/gateway/batch/batch-runner.ts
@@ -32,6 +32,7 @@
 } from './batch-policy.js';
 import type {BatchItem} from './batch-records.js';
 import type {ContentStore} from './content-store.js';
+import type {FailedRuns} from './failed-runs.js';
 import {ItemRun, itemMethod, type ItemRunEnd} from './item-run.js';
 import type {JobClaims} from './job-claims.js';
 import type {JobHandover} from './job-leaver.js';
@@ -53,6 +54,7 @@
 	readonly peers: PeerTable;
 	readonly rpc: RpcClient;
 	readonly claims: JobClaims;
+	readonly failedRuns: FailedRuns;
 	readonly board: ConfigBoard;
 	readonly directory: ReplicaDirectory;
 	readonly loads: LoadBoard;
@@ -280,9 +282,10 @@
 			return [];
 		}
 
+		run.giveUpFailed(route);
 		const dueAt = this.#terms.dueAt(job);
 		return run.waiting().filter(state => this.#watch(job, state).heldMs === 0).map(state => ({
-			run, job, route, state, dueAt, events: state.events.length, failedAt: state.failedAt,
+			run, job, route, state, dueAt, events: state.events.length, failedAt: new Set(this.#parts.failedRuns.of(state.item.id).map(({replica}) => replica)),
 		}));
 	}
 
--- a/src/gateway/batch/job-run.steps.ts
+++ b/src/gateway/batch/job-run.steps.ts
@@ -7,10 +7,13 @@
 import {branded} from '../../common/ids.js';
 import type {Clock} from '../../common/services.js';
 import type {TestWorld} from '../../common/testing/test-world.js';
-import type {BatchItemId, BatchJobId, ReplicaId} from '../types.js';
+import type {
+	BatchItemId, BatchJobId, MemberName, ReplicaId,
+} from '../types.js';
 import type {BatchJob} from './batch-job.js';
 import type {BatchItem, ItemProgress} from './batch-records.js';
 import type {ContentStore} from './content-store.js';
+import {FailedRuns, type FailedRunId} from './failed-runs.js';
 import type {ItemRun} from './item-run.js';
 import {JobRun, type ItemState} from './job-run.js';
 import type {ResultWriter} from './result-writer.js';
@@ -18,6 +21,7 @@
 type JobRunWorld = TestWorld & {
 	items: BatchItem[];
 	run: JobRun;
+	failedRuns: FailedRuns;
 	cuts: number;
 };
 
@@ -33,8 +37,9 @@
 	} as unknown as BatchJob;
 	const writer = {has: () => false, add: () => undefined, dispose: () => undefined} as unknown as ResultWriter;
 	const contents = {read: async () => Right({type: 'items', items: world.items})} as unknown as ContentStore;
+	world.failedRuns = new FailedRuns({self: branded<MemberName>('front-1'), clock});
 	world.run = new JobRun({
-		job: () => job, writer, contents, clock,
+		job: () => job, writer, contents, failedRuns: world.failedRuns, clock,
 	});
 };
 
@@ -73,12 +78,12 @@
 });
 
 When('{int} events of item {string} are handed over', function (this: JobRunWorld, events: number, name: string) {
-	handOver(this, {id: itemId(name), events: eventsOf(events), failures: 0});
+	handOver(this, {id: itemId(name), events: eventsOf(events), failedRuns: []});
 });
 
 When('item {string} is handed over with 1 failure at replica {string}', function (this: JobRunWorld, name: string, replica: string) {
 	handOver(this, {
-		id: itemId(name), events: [], failures: 1, failedAt: [branded<ReplicaId>(replica)],
+		id: itemId(name), events: [], failedRuns: [{run: branded<FailedRunId>('front-2/1/1'), item: itemId(name), replica: branded<ReplicaId>(replica)}],
 	});
 });
 
@@ -97,5 +102,6 @@
 });
 
 Then('item {string} is not to go to {string} again', function (this: JobRunWorld, name: string, replica: string) {
-	assert.ok(waitingState(this, name)?.failedAt.has(branded<ReplicaId>(replica)));
+	assert.ok(waitingState(this, name));
+	assert.ok(this.failedRuns.of(itemId(name)).some(run => run.replica === branded<ReplicaId>(replica)));
 });
--- a/src/gateway/batch/job-run.ts
+++ b/src/gateway/batch/job-run.ts
@@ -7,6 +7,7 @@
 import type {BatchJob} from './batch-job.js';
 import type {BatchItem, ItemProgress} from './batch-records.js';
 import type {ContentStore} from './content-store.js';
+import type {FailedRuns} from './failed-runs.js';
 import type {ItemRun, ItemRunEnd} from './item-run.js';
 import type {JobHandover} from './job-leaver.js';
 import type {ResultWriter} from './result-writer.js';
@@ -16,10 +17,6 @@
 	readonly item: BatchItem;
 	/** The data of its events so far. */
 	readonly events: string[];
-	/** Runs that the replica ended with a failure. */
-	failures: number;
-	/** Where they were. */
-	readonly failedAt: Set<ReplicaId>;
 	/** Not to be sent before, in milliseconds on the monotonic clock. */
 	notBefore: number;
 	run: ItemRun | undefined;
@@ -42,6 +39,7 @@
 	readonly job: () => BatchJob | undefined;
 	readonly writer: ResultWriter;
 	readonly contents: ContentStore;
+	readonly failedRuns: FailedRuns;
 	readonly clock: Clock;
 };
 
@@ -102,10 +100,8 @@
 		const {job} = this;
 		return job
 			? [...this.#states.values()]
-				.filter(({item, events, failures}) => this.#isUnfinished(job, item.id) && (events.length > 0 || failures > 0))
-				.map(({item, events, failures, failedAt}) => ({
-					id: item.id, events: [...events], failures, failedAt: [...failedAt],
-				}))
+				.map(({item, events}) => ({id: item.id, events: [...events], failedRuns: this.#parts.failedRuns.of(item.id)}))
+				.filter(({id, events, failedRuns}) => this.#isUnfinished(job, id) && (events.length > 0 || failedRuns.length > 0))
 			: [];
 	}
 
@@ -119,15 +115,21 @@
 		}
 
 		if (end === 'failed') {
-			state.failures += 1;
-			state.failedAt.add(replica);
+			this.#parts.failedRuns.note(state.item.id, replica);
 		}
 
-		if (end === 'hopeless' || state.failures >= route.maxRuns) {
+		if (end === 'hopeless' || this.#hasFailedTooOften(state, route)) {
 			this.#giveUp(state.item.id);
 		}
 	}
 
+	/** Lists items as not done that have failed as often as their route allows, wherever that was. */
+	giveUpFailed(route: Pick<GatewayRoute, 'maxRuns'>): void {
+		this.waiting().filter(state => this.#hasFailedTooOften(state, route)).forEach(({item}) => {
+			this.#giveUp(item.id);
+		});
+	}
+
 	/** Lists all items that have no result as not done. */
 	giveUpAll(): void {
 		const {job} = this;
@@ -167,16 +169,17 @@
 	/**
 	Goes on from the longer text. Where the item runs here already, from an earlier event, the run is cut off: it would make again what is known, and what was handed over would be dropped while the item is late.
 	*/
-	#takeProgress(state: ItemState, {events, failures, failedAt = []}: ItemProgress) {
+	#takeProgress(state: ItemState, {events, failedRuns}: ItemProgress) {
 		if (state.events.length < events.length) {
 			state.run?.dispose();
 			state.events.push(...events.slice(state.events.length));
 		}
 
-		state.failures = Math.max(state.failures, failures);
-		failedAt.forEach(replica => {
-			state.failedAt.add(replica);
-		});
+		this.#parts.failedRuns.take(failedRuns);
+	}
+
+	#hasFailedTooOften({item}: ItemState, {maxRuns}: Pick<GatewayRoute, 'maxRuns'>): boolean {
+		return this.#parts.failedRuns.countOf(item.id) >= maxRuns;
 	}
 
 	#giveUp(id: BatchItemId) {
@@ -193,12 +196,15 @@
 			return;
 		}
 
-		const {contents} = this.#parts;
+		const {contents, failedRuns} = this.#parts;
 		const [items, ...handovers] = await Promise.all([
 			contents.read('items', job.record.content),
 			...job.handovers.map(async name => contents.read('progress', name)),
 		]);
 		const left = handovers.flatMap(handover => handover.toMaybe().extract()?.items ?? []);
+		left.forEach(progress => {
+			failedRuns.take(progress.failedRuns);
+		});
 		items.ifRight(content => {
 			content.items.forEach(item => {
 				this.#states.set(item.id, stateOf(item, left.filter(({id}) => id === item.id)));
@@ -208,14 +214,12 @@
 	}
 }
 
-/** The longest progress counts: all are beginnings of one text. A failure that one process counted, the next one knew of. */
+/** The longest progress counts: all are beginnings of one text. */
 const stateOf = (item: BatchItem, left: readonly ItemProgress[]): ItemState => {
 	const longest = left.toSorted((a, b) => b.events.length - a.events.length)[0];
 	return {
 		item,
 		events: [...longest?.events ?? []],
-		failures: Math.max(0, ...left.map(({failures}) => failures)),
-		failedAt: new Set(left.flatMap(({failedAt = []}) => failedAt)),
 		notBefore: 0,
 		run: undefined,
 		watched: undefined,
--- a/src/gateway/batch/job-runs.ts
+++ b/src/gateway/batch/job-runs.ts
@@ -5,6 +5,7 @@
 import type {BatchJobId} from '../types.js';
 import type {BatchBook} from './batch-book.js';
 import type {ContentStore} from './content-store.js';
+import type {FailedRuns} from './failed-runs.js';
 import type {JobClaims} from './job-claims.js';
 import {JobLeaver, type JobHandover, type JobLeaverParts} from './job-leaver.js';
 import {JobRun} from './job-run.js';
@@ -16,6 +17,7 @@
 	readonly book: BatchBook;
 	readonly contents: ContentStore;
 	readonly claims: JobClaims;
+	readonly failedRuns: FailedRuns;
 	readonly clock: Clock;
 };
 
@@ -103,11 +105,13 @@
 	}
 
 	#open(id: BatchJobId) {
-		const {book, contents, clock} = this.#parts;
+		const {
+			book, contents, failedRuns, clock,
+		} = this.#parts;
 		const job = () => book.job(id);
 		const writer = new ResultWriter(this.#parts, job, accepted => this.#terms.dueAt(accepted));
 		this.#runs.set(id, new JobRun({
-			job, writer, contents, clock,
+			job, writer, contents, failedRuns, clock,
 		}));
 	}
 
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -23,6 +23,7 @@
 import {BatchRetention} from './batch/batch-retention.js';
 import {BatchRunner, type ItemHeaders} from './batch/batch-runner.js';
 import {ContentStore} from './batch/content-store.js';
+import {FailedRuns} from './batch/failed-runs.js';
 import {JobClaims} from './batch/job-claims.js';
 import {takeOverMethod, type JobHandover, type JobHandoverAnswer} from './batch/job-leaver.js';
 import {JobIntake} from './batch/job-intake.js';
@@ -156,6 +157,10 @@
 			self, directory, loads, quarantine, clock, log,
 		});
 		this.#peers = peers;
+		const failedRuns = new FailedRuns({self, clock});
+		peers.onState(state => {
+			failedRuns.take(state.failedRuns ?? []);
+		});
 		const http = new HttpClient();
 		const rpc = new RpcClient(http);
 		const direct = new MeteredObjectApi(adapter.api, metrics, clock);
@@ -205,7 +210,7 @@
 			self, book, peers, clock, log, isLeaving,
 		});
 		this.#runner = new BatchRunner({
-			self, api, feed: recordFeed, book, contents, peers, rpc, claims, board, directory, loads, links: this.#links, contacts, quarantine, dialect, itemHeaders, clock, random, log, metrics, failureDomain,
+			self, api, feed: recordFeed, book, contents, peers, rpc, claims, failedRuns, board, directory, loads, links: this.#links, contacts, quarantine, dialect, itemHeaders, clock, random, log, metrics, failureDomain,
 		});
 		this.#retention = new BatchRetention({
 			self, api, book, peers, clock, log, keptMs: settings.resultsKeptMs,
@@ -214,7 +219,7 @@
 			self, quarantine, feed: quarantineFeed, api, peers, clock, log,
 		});
 		this.#announcer = new PeerAnnouncer({
-			self, channel: this.#channel, peers, directory, loads, quarantine, clock, isLeaving, memberAddresses: () => this.#registry.addresses, claimedJobs: () => claims.claimed, waitingItems: () => this.#runner.waiting, rpcAddress: () => this.#rpcServer.address, reachesObjectApi: () => api.isDirect,
+			self, channel: this.#channel, peers, directory, loads, quarantine, failedRuns, clock, isLeaving, memberAddresses: () => this.#registry.addresses, claimedJobs: () => claims.claimed, waitingItems: () => this.#runner.waiting, rpcAddress: () => this.#rpcServer.address, reachesObjectApi: () => api.isDirect,
 		});
 		this.#readiness = new Readiness({
 			lifecycle: this.#lifecycle, board, directory, log,
--- a/src/gateway/gateway-tables.steps.ts
+++ b/src/gateway/gateway-tables.steps.ts
@@ -18,6 +18,7 @@
 	recordNames, type JobRecord, type PageRecord,
 } from './batch/batch-records.js';
 import {BatchRetention} from './batch/batch-retention.js';
+import {FailedRuns} from './batch/failed-runs.js';
 import {ConfigBoard} from './config-board.js';
 import {LoadBoard} from './load-board.js';
 import {ObjectFeed} from './object-feed.js';
@@ -271,7 +272,7 @@
 	const channel = this.register(new DatagramChannel({}));
 	await channel.listen('127.0.0.1:0');
 	const announcer = this.register(new PeerAnnouncer({
-		self: branded<MemberName>('front-1'), channel, peers: this.peers, directory: this.directory, loads: this.loads, quarantine, clock, memberAddresses: () => [], claimedJobs: () => [], waitingItems: () => [], isLeaving: () => false, rpcAddress: () => '127.0.0.1:1', reachesObjectApi: () => true,
+		self: branded<MemberName>('front-1'), channel, peers: this.peers, directory: this.directory, loads: this.loads, quarantine, failedRuns: new FailedRuns({self: branded<MemberName>('front-1'), clock}), clock, memberAddresses: () => [], claimedJobs: () => [], waitingItems: () => [], isLeaving: () => false, rpcAddress: () => '127.0.0.1:1', reachesObjectApi: () => true,
 	}));
 	announcer.start();
 	this.peers.take({
--- a/src/gateway/peers/peer-announcer.ts
+++ b/src/gateway/peers/peer-announcer.ts
@@ -3,6 +3,7 @@
 */
 import type {Clock, Disposable} from '../../common/services.js';
 import type {DatagramChannel} from '../../io/datagram-channel.js';
+import type {FailedRun, FailedRuns} from '../batch/failed-runs.js';
 import type {OutcomeCounts} from '../contacts/recent-outcomes.js';
 import type {LoadBoard} from '../load-board.js';
 import type {CrashNews, Quarantine} from '../quarantine/quarantine.js';
@@ -34,6 +35,9 @@
 /** News of crashes is told at once, and again this often, in milliseconds: a request that ends replicas is back at another process within a tenth of a second, and single messages are lost. */
 const crashesEveryMs = 250;
 
+/** Failed runs of items are told soon, and again this often, in milliseconds; an item's next run follows 200 ms after the one that failed. */
+const failedRunsEveryMs = 250;
+
 /** Outcomes are told this often, in milliseconds, and only where any request failed: they fade over seconds, and in each message they would double its size while half of the replicas fail now and then. */
 const outcomesEveryMs = 250;
 
@@ -48,6 +52,7 @@
 	readonly directory: ReplicaDirectory;
 	readonly loads: LoadBoard;
 	readonly quarantine: Quarantine;
+	readonly failedRuns: FailedRuns;
 	readonly clock: Clock;
 	/** Addresses of members that were registered, heard or not. */
 	readonly memberAddresses: () => readonly string[];
@@ -67,6 +72,7 @@
 	#pendingAt = 0;
 	#outcomesToldAt = -Infinity;
 	#crashesToldAt = -Infinity;
+	#failedRunsToldAt = -Infinity;
 	#pending: NodeJS.Timeout | undefined;
 	#heartbeat: NodeJS.Timeout | undefined;
 	#isDisposed = false;
@@ -82,6 +88,10 @@
 			this.#crashesToldAt = -Infinity;
 			this.#announceWithin(urgentMs);
 		});
+		parts.failedRuns.onNews(() => {
+			this.#failedRunsToldAt = -Infinity;
+			this.#announceWithin(gatherMs(parts.peers.live.length));
+		});
 		parts.peers.onMembership(() => {
 			parts.quarantine.tellAnew();
 		});
@@ -142,7 +152,7 @@
 		} = this.#parts;
 		this.#seq += 1;
 		return {
-			member: self, address: channel.address, rpcAddress: rpcAddress(), reachesObjectApi: reachesObjectApi(), startedAt: this.#startedAt, seq: this.#seq, isLeaving: isLeaving(), loads: this.#loads(), outcomes: this.#outcomesDue(), ...this.#crashesDue(), jobs: claimedJobs(), waiting: waitingItems(),
+			member: self, address: channel.address, rpcAddress: rpcAddress(), reachesObjectApi: reachesObjectApi(), startedAt: this.#startedAt, seq: this.#seq, isLeaving: isLeaving(), loads: this.#loads(), outcomes: this.#outcomesDue(), ...this.#crashesDue(), failedRuns: this.#failedRunsDue(), jobs: claimedJobs(), waiting: waitingItems(),
 		};
 	}
 
@@ -156,6 +166,16 @@
 		return quarantine.news();
 	}
 
+	#failedRunsDue(): readonly FailedRun[] | undefined {
+		const {failedRuns, clock} = this.#parts;
+		if (clock.now() - this.#failedRunsToldAt < failedRunsEveryMs) {
+			return undefined;
+		}
+
+		this.#failedRunsToldAt = clock.now();
+		return failedRuns.news();
+	}
+
 	#outcomesDue(): SharedOutcomes[] | undefined {
 		const now = this.#parts.clock.now();
 		if (now - this.#outcomesToldAt < outcomesEveryMs) {
--- a/src/gateway/peers/peer-state.ts
+++ b/src/gateway/peers/peer-state.ts
@@ -2,6 +2,7 @@
 What the processes of the gateway tell each other: how much each has in flight at each replica, and which batch jobs it runs. It is sent anew at each change and every now and then, so that nothing depends on one message, and silence means that a peer is gone.
 */
 import type {WaitingCounts} from '../batch/batch-policy.js';
+import type {FailedRun} from '../batch/failed-runs.js';
 import type {OutcomeCounts} from '../contacts/recent-outcomes.js';
 import type {ContentDigest} from '../quarantine/content-digest.js';
 import type {Crash} from '../quarantine/crash-memory.js';
@@ -51,6 +52,8 @@
 	readonly crashes?: readonly Crash[];
 	/** Requests that had been there when replicas ended, and have since run to their end. */
 	readonly acquitted?: readonly ContentDigest[];
+	/** Its runs of batch items that have failed of late; told several times, and not in each message. */
+	readonly failedRuns?: readonly FailedRun[];
 	/** Batch jobs that it runs. */
 	readonly jobs: readonly BatchJobId[];
 	/** Routes whose items all run are not listed; processes of earlier versions list none. */
--- a/src/gateway/peers/peer-table.ts
+++ b/src/gateway/peers/peer-table.ts
@@ -62,6 +62,11 @@
 		this.#events.on('membership', listener);
 	}
 
+	/** Calls the listener with each state that is taken over. */
+	onState(listener: (state: PeerState) => void): void {
+		this.#events.on('state', listener);
+	}
+
 	/** Takes over what a peer says of itself. Messages that another has overtaken change nothing. */
 	take(state: PeerState): void {
 		const {self, clock, log} = this.#parts;
@@ -78,6 +83,7 @@
 		this.#takeLoads(state, known?.state);
 		this.#takeOutcomes(state);
 		this.#takeCrashes(state);
+		this.#events.emit('state', state);
 		if (!known) {
 			log.emit(gatewayEvents.peerJoined, {peer: state.member, address: state.address});
 		}
