An entry that stood still does not take its replicas for silent

Callers heard 503, no replica, though all replicas were well: an entry that got no processor time for longer than the time of silence looked at a request before it read the replicas' reports. The poller now notes by how much it woke too late, and silence does not count that time. The scenario fails before, passes after.

--- a/src/entry/poison-request.steps.ts
+++ b/src/entry/poison-request.steps.ts
@@ -16,6 +16,8 @@
 	world.relayed = world.register(await RelayedFleet.start(replicas));
 	const vms = [...world.relayed.fleet.engines.keys()];
 	world.engines = await Promise.all(vms.map(async vm => world.register(await ScriptedEngine.replace(world.relayed, vm, script))));
+	// An entry may have asked an agent while its engine was being replaced.
+	await world.relayed.fleet.awaitModels(apiKey);
 };
 
 /** Sends a generation and reads its answer to the end. */
--- a/src/entry/replica-poller.steps.ts
+++ b/src/entry/replica-poller.steps.ts
@@ -47,7 +47,11 @@
 		clock: this.clock,
 		log: {emit: () => undefined},
 		vmList: {read: async () => Left({kind: 'unavailable', reason: 'away'})},
-		rpc: {call: async () => new Promise<void>(() => undefined)} as unknown as RpcClient,
+		rpc: {
+			call: async () => new Promise<void>(() => {
+			// It never answers.
+			}),
+		} as unknown as RpcClient,
 		replicas: this.table,
 		loadPollMs,
 		vmListPollMs: 60_000,
--- a/src/entry/replica-poller.ts
+++ b/src/entry/replica-poller.ts
@@ -95,8 +95,15 @@
 	}
 
 	async #pollLoads() {
+		const {clock, loadPollMs, replicas} = this.#parts;
 		while (!this.#disposed) {
-			await this.#parts.clock.sleep(this.#parts.loadPollMs);
+			const sleptAt = clock.now();
+			await clock.sleep(loadPollMs);
+			const lateMs = clock.now() - sleptAt - loadPollMs;
+			if (lateMs > loadPollMs) {
+				replicas.noteStandstill(lateMs);
+			}
+
 			this.#askThoseDue();
 		}
 	}
