--- a/src/gateway/batch/batch-policy.ts
+++ b/src/gateway/batch/batch-policy.ts
@@ -58,7 +58,7 @@
 /**
 Milliseconds that an item can still wait and be on time; negative when it will most likely be late.
 
-With more work than places, the items that have just enough time for an undisturbed run are the first in the order of due times, and each wave of calls that cuts them off makes them late all the same: half of a day's items ended within a second or two after their time. So an item counts as on time only with the interruptions that items have just now, and twice their deviation. In the model of waves (batch-policy.feature, three seeds), 0.86 of the items are on time in place of 0.75 with 17.9 items a second, and 0.71 in place of 0.54 with 21, where there are places for 17.
+With more work than places, the items that have just enough time for an undisturbed run are the first in the order of due times, and each wave of calls that cuts them off makes them late all the same, by a second or two. So an item counts as on time only with the interruptions that items have just now, and twice their deviation (batch-policy.feature).
 */
 export const slackMs = (item: WaitingItem, length: RunLength, wallNow: number): number => {
 	const {stretch, stretchDeviation} = length;
@@ -110,7 +110,7 @@
 /**
 Places that one process takes at a look: its part of those that items need which can be on time, by how many of these are its own, and its part of what these leave.
 
-The pattern: a fleet has work for more places than it has, and each process knows only its own items. If all take equal shares, those whose items are all late run them in places in which the items of others could have been on time: of the place-seconds that batch work had in such a minute, 709 of 2,497 went to items that were late already. In the model of waves (batch-policy.feature, ten processes, three seeds), 0.85 of the items are on time in place of 0.79 with 17.9 items a second, and 0.73 in place of 0.68 with 21, where there are places for 17.
+The pattern: a fleet has work for more places than it has, and each process knows only its own items. If all take equal shares, those whose items are all late run them in places in which the items of others could have been on time (batch-policy.feature).
 
 @param free - Places that it sees free, over all replicas.
 @param own - Its own items.
--- a/src/gateway/batch/job-leaver.ts
+++ b/src/gateway/batch/job-leaver.ts
@@ -1,7 +1,7 @@
 /**
 Leaves a job to the next process: results that are ready are listed, and what the items have brought goes to the peer that ranks next for the job, so that their next runs go on from there.
 
-It is passed from process to process, since the next one begins as soon as it has the job: what stood in the object API only came to it after it had begun each text anew. A planned stop of 18 processes in turn cost 154 of 400 items what they had so far, about a fifth of the places that batch work had meanwhile; and the object API may be away. It is written there only where no peer takes it.
+It is passed from process to process, since the next one begins as soon as it has the job: what stood in the object API only came to it after it had begun each text anew. Planned stops in turn cost items what they had so far, and places that others needed; and the object API may be away. It is written there only where no peer takes it.
 */
 import {rankMembers} from '../../common/rendezvous.js';
 import type {Clock, EventLog, ObjectApi} from '../../common/services.js';
--- a/src/gateway/contacts/recent-outcomes.ts
+++ b/src/gateway/contacts/recent-outcomes.ts
@@ -3,7 +3,7 @@
 
 The pattern: a replica answers errors, drops connections or turns requests away with places to spare, for a part of its requests and with connections in good order. It is done with each at once, so it looks emptiest of all and draws the calls of a whole service. Whoever judges by single failures would set good replicas aside with it; whoever sets replicas aside at all may empty a service.
 
-So nobody is set aside, and failures are judged by their share. A mere count grows with the load: when half of the replicas lost a twentieth of their answers, counts drove the calls to the other half, and 668 of 4,721 streams were late in place of 284. What all replicas of a service do alike, such as errors that the calls themselves cause, weighs on all alike and decides nothing.
+So nobody is set aside, and failures are judged by their share. A mere count grows with the load: when half of the replicas lost a twentieth of their answers, counts drove the calls to the other half, where they waited. What all replicas of a service do alike, such as errors that the calls themselves cause, weighs on all alike and decides nothing.
 */
 import type {MemberName} from '../types.js';
 
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -81,7 +81,7 @@
 /** The shortest watch, in milliseconds: each is a call that counts. */
 const leastWatchMs = 800;
 
-/** Replicas register one after the other when a fleet starts or is replaced: with a watch for each, a front made 44 watches in the first 30 s of a fleet with 37 replicas, against 12 of the configuration. A change must be known within some seconds; in milliseconds. */
+/** Replicas register one after the other when a fleet starts or is replaced: a watch for each would be a call for each, at every front. A change must be known within some seconds; in milliseconds. */
 const registrationPaceMs = 200;
 
 /** Records of jobs come many a second; what must be known sooner is asked for. In milliseconds. */
--- a/src/gateway/peers/peer-announcer.ts
+++ b/src/gateway/peers/peer-announcer.ts
@@ -17,7 +17,7 @@
 /** Changes are gathered for this long at least, in milliseconds: short against the near second that an online call holds its place, and 25 messages a second at most to each peer. */
 const leastGatherMs = 40;
 
-/** And for this long for each peer, so that the messages of one process stay at 500 a second however many peers it has. In the model of a wave over 22 processes, 8 % of the calls wait longer than 250 ms when news is gathered for 168 ms, and 3 % when it is for 42 ms. */
+/** And for this long for each peer, so that the messages of one process stay at 500 a second however many peers it has. Later news sends the calls of a wave to replicas that are full by then. */
 const gatherMsForEachPeer = 2;
 
 /** An online call that finds no free place at a replica with items is told this soon, in milliseconds, so that whoever runs the items cuts one off. */
--- a/src/gateway/quarantine/quarantine.ts
+++ b/src/gateway/quarantine/quarantine.ts
@@ -26,7 +26,7 @@
 /**
 Replicas that may end under a request before it is held back.
 
-In the model (quarantine.feature), with one request that ends replicas among 60 calls a second at 13 replicas, 3 replicas end in half a minute in place of 89, and no caller loses its answer in place of 889 of 1,800. With eight such requests it is 21 replicas in place of 112, and one ordinary request of 1,800 is held back wrongly; where two crashes are enough, 16 replicas and 11 requests.
+With fewer, ordinary requests that were at replicas which ended for another reason would be refused; with more, each such request takes that many replicas from all other callers (quarantine.feature).
 */
 export const enoughCrashes = 3;
 
--- a/src/gateway/replica-choice.ts
+++ b/src/gateway/replica-choice.ts
@@ -31,7 +31,7 @@
 /**
 What a failure costs a caller, as a share of the replica's places that are taken before the call. A call that goes on elsewhere loses some hundred milliseconds, about what it would wait behind half of the places. One that may not, or whose second run fails too, is lost, which no load is worth.
 
-In the model (replica-choice.feature), one replica of five that fails 40 % of its calls at once makes fewer than 2 % of all calls fail in place of 11 %; one that fails all of them fewer than 3 % in place of 80 %. Half of the replicas that lose a twentieth of their streams keep their part of them.
+So a replica that fails most of its calls gets few, and replicas that lose a single answer now and then keep their part (replica-choice.feature).
 */
 const rerunCost = 0.5;
 const lossCost = 3;
@@ -48,7 +48,7 @@
 const jitter = 0.04;
 
 /**
-Replicas that are looked at: so many of all that every replica is in the view of about two processes at a time, and three at the least. In the model of a wave over 22 processes, 34 replicas of 7 places and news that is 168 ms old, 20 % of the calls wait longer than 250 ms when the best of all is taken, and 8 % with three by lot; with 3 processes and 18 replicas, lots do no harm (0.2 % against 0.4 %).
+Replicas that are looked at: so many of all that every replica is in the view of about two processes at a time, and three at the least. Few processes see nearly all, and take nearly the best (replica-choice.feature).
 */
 const viewers = 2;
 const fewestLots = 3;
@@ -108,7 +108,7 @@
 /**
 How many of its own items a process cuts off at a replica, so that all together cut off what exceeds the places and no more.
 
-All processes see about the same load and hear of an online call at about the same time. If each cut its share, rounded up, every one of them would cut an item off for one call: with 18 processes and four items at a replica, calls came to a full replica and left it half empty, 5,166 runs were cut off for 876 results, and items that lacked a few events were cut off ten times in a second. So all rank the holders of items for the replica alike, and the first ones give way.
+All processes see about the same load and hear of an online call at about the same time. If each cut its share, rounded up, every one of them would cut an item off for one call: a call came to a full replica and left it half empty, and items that lacked a few events were cut off again and again. So all rank the holders of items for the replica alike, and the first ones give way.
 */
 export const itemsToCut = (replica: Replica, self: MemberName): number => {
 	const excess = replica.total - replica.record.slots;
