citronctl quarantine: operators see what is held back and let it go

On the users' platform there was no command for it; an operator had to delete an object of the store by hand. target/citronctl.js lists the contents that are held back, with the replica starts that ended under each and the last crash, and releases one: every front sends it again. The frame of the command line is now one module, with two programs on it.

--- a/scripts/build.js
+++ b/scripts/build.js
@@ -11,6 +11,7 @@
 const platformPrograms = {
 	'citronyard-front': 'platform/main-front.ts',
 	'citronyard-keeper': 'platform/main-keeper.ts',
+	citronctl: 'platform/main-ctl.ts',
 };
 
 const productPrograms = {
--- a/src/ctl/process-context.ts
+++ b/src/ctl/process-context.ts
@@ -5,10 +5,10 @@
 import process from 'node:process';
 import {setTimeout as pause} from 'node:timers/promises';
 import {Left, Right} from 'purify-ts/Either';
-import {type Clock} from '../common/services.js';
+import type {Clock, ObjectApi} from '../common/services.js';
 import {exitCodes} from '../io/exit-codes.js';
 import {HttpClient} from '../io/http-client.js';
-import {HttpObjectApi} from '../io/http-object-api.js';
+import type {ObjectApiOptions} from '../io/object-api-calls.js';
 import {SeededRandom} from '../io/seeded-random.js';
 import {SystemClock} from '../io/system-clock.js';
 import type {CtlContext, Output} from './ctl-context.js';
@@ -39,12 +39,23 @@
 
 const highestSeed = 2 ** 31;
 
-/**
-@param settings - Where to find both ends.
-@param format - How to print.
-@param signal - Aborts when the operator ends the program.
-*/
-export const processContext = (settings: CtlSettings, format: Output['format'], signal: AbortSignal): CtlContext => {
+/** Opens an object API. */
+export type ConnectObjectApi = (client: HttpClient, options: ObjectApiOptions) => ObjectApi;
+
+/** What a context is made from. */
+export type ProcessContextParts = {
+	/** Where to find both ends. */
+	readonly settings: CtlSettings;
+	readonly connect: ConnectObjectApi;
+	readonly format: Output['format'];
+	/** Aborts when the operator ends the program. */
+	readonly signal: AbortSignal;
+};
+
+/** @returns The context of one command. */
+export const processContext = ({
+	settings, connect, format, signal,
+}: ProcessContextParts): CtlContext => {
 	const client = new HttpClient();
 	const {objectApi, entry, timeoutMs} = settings;
 	return {
@@ -55,7 +66,7 @@
 		signal,
 		objectApi: () => objectApi === undefined
 			? Left(ctlError(exitCodes.usage, 'give the address of the object API with --object-api ip:port or CITRONYARD_OBJECT_API'))
-			: Right(new HttpObjectApi(client, {address: objectApi, timeoutMs})),
+			: Right(connect(client, {address: objectApi, timeoutMs})),
 		entry(accountKey) {
 			if (entry === undefined) {
 				return Left(ctlError(exitCodes.usage, 'give the address of an entry with --entry ip:port or CITRONYARD_ENTRY'));
--- a/src/gateway/quarantine/quarantine-records.ts
+++ b/src/gateway/quarantine/quarantine-records.ts
@@ -48,7 +48,8 @@
 
 type KnownRecord = {readonly version: Revision; readonly crashes: number};
 
-const isRecord = objectOf({starts: listOf(isText), lastCrashAt: isAmount});
+/** Whether a value is a {@link QuarantineRecord}. */
+export const isRecord = objectOf({starts: listOf(isText), lastCrashAt: isAmount});
 
 /** See the module's head. */
 export class QuarantineRecords implements Disposable {
