Failing test: callers hear that there is no replica when no report came in time, of none

The scenario before it lets an entry that hears nothing wait for 3.25 s in place of 1.25 s, as the new one asks.

--- a/src/entry/replica-poller.feature
+++ b/src/entry/replica-poller.feature
@@ -6,5 +6,19 @@
     Given an entry that has heard its replicas "a, b"
     When the entry stands still for 2000 ms
     Then it sends work to "a, b"
-    When no report comes for 1250 ms
+    When no report comes for 3250 ms
     Then it sends work to no replica
+
+  Scenario: All replicas look silent at once
+    # The machine is busy and no report comes in time, of no replica of any kind. More likely the entry cannot hear than
+    # that all have ended in the same second; callers were told that there is no replica, though each would have answered.
+    Given an entry that has heard its replicas "a, b"
+    When no report comes for 1500 ms
+    Then it sends work to "a, b"
+    When no report comes for 2000 ms
+    Then it sends work to no replica
+
+  Scenario: One replica is silent
+    Given an entry that has heard its replicas "a, b"
+    When only "b" is heard for 1500 ms
+    Then it sends work to "b"
--- a/src/entry/replica-poller.steps.ts
+++ b/src/entry/replica-poller.steps.ts
@@ -73,6 +73,13 @@
 	}
 });
 
+When('only {string} is heard for {int} ms', async function (this: PollerWorld, name: string, ms: number) {
+	for (let left = ms; left > 0; left -= loadPollMs) {
+		await pass(this, loadPollMs);
+		this.table.heard(branded(name), report(name));
+	}
+});
+
 Then('it sends work to {string}', function (this: PollerWorld, names: string) {
 	assert.deepEqual(this.table.routable(target).map(({vm}) => String(vm)).toSorted(), namesIn(names));
 });
