An entry that hears no replica at all believes in all of them for longer

Callers heard 503, no replica, though each would have answered: on a busy machine no poll of any agent was answered in time, and all replicas looked silent at once. More likely an entry cannot hear than that engines and services all end in the same second, as with an empty list of VMs; they are believed in for three times as long, and an entry that is cut off refuses at once after that.

--- a/src/common/replica-table.ts
+++ b/src/common/replica-table.ts
@@ -29,6 +29,9 @@
 
 // The list lags and may miss a VM for a read; one that still answers is dropped only after this many lists without it.
 const missesBeforeDrop = 2;
+/** By how many times longer replicas are believed in when none is heard; then this process is cut off, and refuses at once. */
+const deafPatience = 3;
+
 // About 200 kB for each replica at the most.
 const maxPrefixBlocks = 2000;
 
@@ -131,9 +134,19 @@
 		}
 	}
 
+	/**
+	Milliseconds without a report after which a replica gets no new work at this moment. When all are silent at once, more likely this process cannot hear, for instance on a busy machine, than that all have ended in the same second: they are believed in for longer, or every caller would be told that there is no replica.
+	*/
+	silenceAllowedMs(now = this.#clock.now()): number {
+		const rows = [...this.#rows.values()];
+		const hearsNone = rows.length > 1 && rows.every(({heardAt}) => now - heardAt > this.silentMs);
+		return hearsNone ? deafPatience * this.silentMs : this.silentMs;
+	}
+
 	/** The replicas that may get new work for `target`, for instance `model:tyre-scribe`. */
 	routable(target: string, now = this.#clock.now()): ReplicaView[] {
-		return [...this.#rows.values()].filter(row => isRoutable(row, {target, now, silentMs: this.silentMs}));
+		const silentMs = this.silenceAllowedMs(now);
+		return [...this.#rows.values()].filter(row => isRoutable(row, {target, now, silentMs}));
 	}
 
 	/** True when some replica serves the target, be it reachable now or not. */
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -97,7 +97,7 @@
 
 		const {id, attempt, target} = request;
 		const view: RouteView = {
-			target, now, silentMs: replicas.silentMs, replicas: replicas.all.map(replica => ({...replica})),
+			target, now, silentMs: replicas.silenceAllowedMs(now), replicas: replicas.all.map(replica => ({...replica})),
 		};
 		trace.write({
 			kind: 'route', id, attempt, digest, view, question: recordedQuestion(question), draws, choice: choice && recordedChoice(choice),
