--- a/src/gateway/batch/place-finder.steps.ts
+++ b/src/gateway/batch/place-finder.steps.ts
@@ -69,9 +69,14 @@
 	tell(this, member, undefined);
 });
 
+const lookMs = 250;
+
 Given('it has been silent for {int} seconds', function (this: FinderWorld, seconds: number) {
-	this.now += 1000 * seconds;
-	this.peers.dropSilent();
+	// A front looks for silent peers several times a second; a longer time without a look is its own standstill.
+	for (let passedMs = 0; passedMs < 1000 * seconds; passedMs += lookMs) {
+		this.now += lookMs;
+		this.peers.dropSilent();
+	}
 });
 
 const look = (world: FinderWorld, {items, dueInMs, times}: {items: number; dueInMs: number; times: number}) => {
