Grace for lapsed registrations counts from the first answer to any call

Nothing stood still for longer than 150 ms after the cut. The front's probe was answered 272 to 761 ms after the cut (event 732), its registrations only at 829, 1,172, 1,605 and 2,348 ms (715), since a call that gets no answer in its time costs that feed another 600 ms. The replica was kept for 1,900 ms from the feed's own answer each time (713, 712), and the last call reached it 20 to 35 ms after it was chosen.

Cause: the end of an outage was taken from one call's answer, and not from the first one that the process got. Ruled out: a late timer (712 follows 713 by 1,901 to 1,917 ms), calls on their way for long, a pause of the process.

Change: the relay tells the feeds of each answer, direct or by a peer, unless it may come from a copy that lags. An outage ends with the first of them; one that comes more than 2 s after the answer before it ends a later outage, since a registration lapses no sooner than that. Event 715 tells how much later than that the feed itself was answered.

--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -172,7 +172,9 @@
 			[takeOverMethod]: (handover: JobHandover): JobHandoverAnswer => ({isTaken: this.#runner.takeOver(handover)}),
 		}, log);
 		const options = feedOptions(settings);
-		const feedOf = (kind: keyof typeof options) => new ObjectFeed({api, clock, log}, kind, options[kind]);
+		const feedOf = (kind: keyof typeof options) => new ObjectFeed({
+			api, contact: api, clock, log,
+		}, kind, options[kind]);
 		const isLeaving = () => this.#lifecycle.isLeaving;
 
 		const configFeed = feedOf('GatewayConfig');
--- a/src/gateway/gateway-tables.steps.ts
+++ b/src/gateway/gateway-tables.steps.ts
@@ -25,9 +25,9 @@
 import {PeerAnnouncer} from './peers/peer-announcer.js';
 import {PeerTable} from './peers/peer-table.js';
 import {Quarantine} from './quarantine/quarantine.js';
-import type {RecordReaders} from './record-readers.js';
 import {RegistrationController} from './registration-controller.js';
 import {ReplicaDirectory} from './replica-directory.js';
+import {knownReplicas, registrationOf, replicaRecords} from './testing/registrations.js';
 import type {
 	BatchItemId, BatchJobId, GatewayConfig, MemberName, ReplicaId, ReplicaRecord,
 } from './types.js';
@@ -152,20 +152,6 @@
 	assert.equal(this.board.config?.version, version);
 });
 
-const replicaRecords: RecordReaders = {
-	configName: 'main',
-	retirementDone: {},
-	readConfig: () => Right(configOf(1)),
-	readReplica: (_name, value) => Right(value as ReplicaRecord),
-	readRetirement: () => Right({withinMs: 0}),
-};
-
-const registrationOf = (id: string): ReplicaRecord => ({
-	id, service: 'engines', address: '127.0.0.1:1', failureDomain: 'hall', slots: 8, isDraining: false,
-} as unknown as ReplicaRecord);
-
-const known = ({directory}: TablesWorld): string[] => [...directory.all].map(({record}) => record.id as string).toSorted((a, b) => (a < b ? -1 : 1));
-
 Given('replicas {string} are registered', async function (this: TablesWorld, names: string) {
 	this.api = new FakeObjectApi();
 	this.directory = new ReplicaDirectory();
@@ -221,15 +207,15 @@
 });
 
 Then('the front still knows replicas {string}', function (this: TablesWorld, names: string) {
-	assert.deepEqual(known(this), listOf(names));
+	assert.deepEqual(knownReplicas(this.directory), listOf(names));
 });
 
 Then('the front soon knows replicas {string}', async function (this: TablesWorld, names: string) {
-	await until(() => known(this).join(', ') === names, `only ${names} are known`);
+	await until(() => knownReplicas(this.directory).join(', ') === names, `only ${names} are known`);
 });
 
 Then('{int} seconds later the front knows replicas {string}', async function (this: TablesWorld, _seconds: number, names: string) {
-	await until(() => known(this).join(', ') === names, `only ${names} are known`);
+	await until(() => knownReplicas(this.directory).join(', ') === names, `only ${names} are known`);
 });
 
 When('the time for which results are kept is over', async function (this: TablesWorld) {
--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -36,7 +36,7 @@
 	replicaMissed: {number: 713, level: 'info', text: 'registration missing after an outage, kept for now'},
 	/** Fields: kind, reason. */
 	feedLost: {number: 714, level: 'warn', text: 'object API does not answer, what is known is kept'},
-	/** Fields: kind, revision, awayMs. */
+	/** Fields: kind, revision, awayMs, lateMs (since it has answered any call of this process again). */
 	feedRegained: {number: 715, level: 'info', text: 'object API answers again'},
 	/** Fields: reason, peers (that can help). */
 	objectApiByPeers: {number: 731, level: 'warn', text: 'object API does not answer here, calls go by way of peers'},
--- /dev/null
+++ b/src/gateway/object-api-contact.ts
@@ -0,0 +1,17 @@
+/**
+Tells when the object API answers this process, whichever of its calls it is. One call says little of when an outage ended: it may have been asked late, or have been lost for a reason of its own.
+*/
+
+/** An answer of the object API. */
+export type ObjectApiAnswer = {
+	/** In milliseconds on the monotonic clock. */
+	readonly at: number;
+	/** Milliseconds since the answer before it; `Infinity` for the first one. */
+	readonly silentMs: number;
+};
+
+/** See the module's head. */
+export type ObjectApiContact = {
+	/** Calls the listener with each answer. */
+	onAnswer(listener: (answer: ObjectApiAnswer) => void): void;
+};
--- a/src/gateway/object-feed.ts
+++ b/src/gateway/object-feed.ts
@@ -12,10 +12,13 @@
 	ApiError, ObjectKind, StoredObject, WatchBatch, WatchEvent,
 } from '../common/types.js';
 import {gatewayEvents} from './log-events.js';
+import type {ObjectApiAnswer, ObjectApiContact} from './object-api-contact.js';
 
 /** What a feed needs. */
 export type FeedParts = {
 	readonly api: ObjectApi;
+	/** Answers to all calls of this process; without it, a feed knows of those to its own only. */
+	readonly contact?: ObjectApiContact;
 	readonly clock: Clock;
 	readonly log: EventLog;
 };
@@ -36,6 +39,9 @@
 /** A read of the latest changes takes some milliseconds, and some hundred where the object API is slow; one that takes longer hangs with the watches. */
 const syncPatienceMs = 250;
 
+/** An outage must last for at least this long for an object to lapse, in milliseconds: its writer must have missed two heartbeats of 1.2 s. A shorter gap between answers does not begin another outage. */
+const leastLapseMs = 2000;
+
 /** See the module's head. */
 export class ObjectFeed implements Disposable {
 	readonly #parts: FeedParts;
@@ -45,6 +51,8 @@
 	#revision: Revision | undefined;
 	#isDisposed = false;
 	#lostAt: number | undefined;
+	/** When the object API answered any call again within the outage under way. */
+	#answeredAt: number | undefined;
 	#regainedAt = -Infinity;
 	#failures = 0;
 	#paceMs = 0;
@@ -56,6 +64,9 @@
 		this.#parts = parts;
 		this.#kind = kind;
 		this.#options = options;
+		parts.contact?.onAnswer(answer => {
+			this.#noteContact(answer);
+		});
 	}
 
 	/** Up to where the objects are known; nothing before the first list. */
@@ -63,7 +74,7 @@
 		return this.#revision;
 	}
 
-	/** When the last outage ended, in milliseconds on the monotonic clock; `undefined` within one. */
+	/** When the last outage ended, in milliseconds on the monotonic clock: with the first answer to any call of this process, which may be earlier than this feed's own. `undefined` until this feed is answered. */
 	get regainedAt(): number | undefined {
 		return this.#lostAt === undefined ? this.#regainedAt : undefined;
 	}
@@ -238,9 +249,17 @@
 		this.#heardAt = clock.now();
 		this.#events.emit('heard', this.#heardAt);
 		if (this.#lostAt !== undefined) {
-			log.emit(gatewayEvents.feedRegained, {kind: this.#kind, revision: this.#revision, awayMs: Math.round(clock.now() - this.#lostAt)});
+			this.#regainedAt = this.#answeredAt ?? this.#heardAt;
+			log.emit(gatewayEvents.feedRegained, {
+				kind: this.#kind, revision: this.#revision, awayMs: Math.round(this.#heardAt - this.#lostAt), lateMs: Math.round(this.#heardAt - this.#regainedAt),
+			});
 			this.#lostAt = undefined;
-			this.#regainedAt = clock.now();
+		}
+	}
+
+	#noteContact({at, silentMs}: ObjectApiAnswer) {
+		if (this.#lostAt !== undefined && (this.#answeredAt === undefined || silentMs >= leastLapseMs)) {
+			this.#answeredAt = at;
 		}
 	}
 
@@ -249,6 +268,7 @@
 		if (this.#lostAt === undefined) {
 			this.#failures = 1;
 			this.#lostAt = this.#parts.clock.now();
+			this.#answeredAt = undefined;
 			this.#parts.log.emit(gatewayEvents.feedLost, {kind: this.#kind, reason: 'reason' in err ? err.reason : err.kind});
 		}
 	}
--- a/src/gateway/peers/object-relay.ts
+++ b/src/gateway/peers/object-relay.ts
@@ -1,6 +1,7 @@
 /**
 The object API by way of a peer. The object API may turn some processes away, or be cut off from them, while it serves the others; a process that cannot reach it asks a peer that can, so that it goes on taking jobs in, writing results and hearing of changes.
 */
+import {EventEmitter} from 'node:events';
 import {Left, Right, type Either} from 'purify-ts/Either';
 import {errorOf} from '../../common/error-of.js';
 import type {Revision} from '../../common/ids.js';
@@ -12,6 +13,7 @@
 } from '../../common/types.js';
 import type {RpcClient, RpcFailure} from '../../io/rpc-client.js';
 import {gatewayEvents} from '../log-events.js';
+import type {ObjectApiAnswer, ObjectApiContact} from '../object-api-contact.js';
 
 /** The method's name between processes. */
 export const objectCallMethod = 'gateway.objectCall';
@@ -81,9 +83,14 @@
 	? {kind: 'unknown', reason: `peer: ${failure.reason}`}
 	: {kind: 'unavailable', reason: `peer: ${failure.reason}`};
 
+/** Copies that lag are served also while the object API itself takes no changes. */
+const mayLag = (call: ObjectCall): boolean => 'options' in call && call.options?.mayLag === true;
+
 /** See the module's head. */
-export class ObjectRelay implements ObjectApi, Disposable {
+export class ObjectRelay implements ObjectApi, ObjectApiContact, Disposable {
 	readonly #parts: ObjectRelayParts;
+	readonly #events = new EventEmitter();
+	#answeredAt = -Infinity;
 	#isDirect = true;
 	#probe: NodeJS.Timeout | undefined;
 	#failedAt = -Infinity;
@@ -97,6 +104,11 @@
 		return this.#isDirect;
 	}
 
+	/** Calls the listener with each answer of the object API, direct or by way of a peer. Answers that may be of a copy that lags do not count. */
+	onAnswer(listener: (answer: ObjectApiAnswer) => void): void {
+		this.#events.on('answer', listener);
+	}
+
 	async get<T>(kind: ObjectKind, name: string, options?: ReadOptions): Promise<Either<ApiError, StoredObject<T>>> {
 		return this.#call({
 			operation: 'get', kind, name, options,
@@ -139,6 +151,15 @@
 	}
 
 	async #call<T>(call: ObjectCall): Promise<Either<ApiError, T>> {
+		const outcome = await this.#send<T>(call);
+		if (outcome.isRight() && !mayLag(call)) {
+			this.#noteAnswer();
+		}
+
+		return outcome;
+	}
+
+	async #send<T>(call: ObjectCall): Promise<Either<ApiError, T>> {
 		if (!this.#isDirect) {
 			return this.#ask<T>(call);
 		}
@@ -224,9 +245,17 @@
 			return;
 		}
 
+		this.#noteAnswer();
 		if (!this.#isDirect) {
 			this.#isDirect = true;
 			this.#parts.log.emit(gatewayEvents.objectApiDirect);
 		}
 	}
+
+	#noteAnswer() {
+		const at = this.#parts.clock.now();
+		const silentMs = at - this.#answeredAt;
+		this.#answeredAt = at;
+		this.#events.emit('answer', {at, silentMs} satisfies ObjectApiAnswer);
+	}
 }
--- /dev/null
+++ b/src/gateway/registration-controller.steps.ts
@@ -0,0 +1,119 @@
+/**
+Steps for registrations that are gone after an outage, on an object API in memory that can fail the calls of one kind.
+*/
+import assert from 'node:assert/strict';
+import {Given, Then, When} from '@cucumber/cucumber';
+import type {EventLog} from '../common/services.js';
+import {FakeObjectApi} from '../common/testing/fake-object-api.js';
+import type {TestWorld} from '../common/testing/test-world.js';
+import {until} from '../common/testing/until.js';
+import {HttpClient} from '../io/http-client.js';
+import {RpcClient} from '../io/rpc-client.js';
+import {SeededRandom} from '../io/seeded-random.js';
+import {SystemClock} from '../io/system-clock.js';
+import {ObjectFeed} from './object-feed.js';
+import {ObjectRelay} from './peers/object-relay.js';
+import {RegistrationController} from './registration-controller.js';
+import {ReplicaDirectory} from './replica-directory.js';
+import {knownReplicas, registrationOf, replicaRecords} from './testing/registrations.js';
+
+type RegistrationsWorld = TestWorld & {
+	api: FakeObjectApi;
+	relay: ObjectRelay;
+	directory: ReplicaDirectory;
+	/** When the object API was back, in milliseconds of `performance.now()`. */
+	backAt: number;
+};
+
+const log: EventLog = {emit: () => undefined};
+const clock = new SystemClock();
+
+/** Long enough for several calls to fail one after the other, in milliseconds. */
+const awayMs = 1200;
+
+const sleep = async (ms: number) => new Promise(resolve => {
+	setTimeout(resolve, ms);
+});
+
+const listOf = (names: string): string[] => names.split(', ');
+
+/** The relay tries the object API itself while it is away, and hears so of its return. */
+const untilAnswered = async ({api}: RegistrationsWorld) => {
+	const lists = api.calls.list;
+	await until(() => api.calls.list > lists, 'the object API is tried');
+};
+
+Given('a process that follows the registrations of {string}', async function (this: RegistrationsWorld, names: string) {
+	this.api = new FakeObjectApi();
+	this.directory = new ReplicaDirectory();
+	for (const name of listOf(names)) {
+		await this.api.create('Registration', name, registrationOf(name));
+	}
+
+	const relay = this.register(new ObjectRelay({
+		direct: this.api, rpc: new RpcClient(this.register(new HttpClient())), helpers: () => [], clock, random: new SeededRandom(1), log,
+	}));
+	this.relay = relay;
+	const feed = this.register(new ObjectFeed({
+		api: relay, contact: relay, clock, log,
+	}, 'Registration', {waitMs: 50, mayLag: false}));
+	this.register(new RegistrationController({
+		directory: this.directory, feed, records: replicaRecords, clock, log, drainMs: 2000,
+	}));
+	feed.start();
+	await until(() => this.directory.size === listOf(names).length, 'all replicas are known');
+});
+
+When('the object API is away, and {string} leaves meanwhile', async function (this: RegistrationsWorld, name: string) {
+	this.api.down = true;
+	await sleep(awayMs);
+	this.api.down = false;
+	await this.api.remove('Registration', name);
+	this.api.down = true;
+});
+
+When('it is back, but fails the calls for registrations for {int} ms more', async function (this: RegistrationsWorld, ms: number) {
+	const {api} = this;
+	api.beforeCall = (_call, kind) => {
+		api.down = kind === 'Registration';
+	};
+
+	this.backAt = performance.now();
+	await sleep(ms);
+	api.beforeCall = undefined;
+	api.down = false;
+});
+
+When('the object API is away, answers once, and is away for {int} ms more', async function (this: RegistrationsWorld, ms: number) {
+	this.api.down = true;
+	await sleep(awayMs);
+	this.api.beforeCall = (_call, kind) => {
+		this.api.down = kind === 'Registration';
+	};
+
+	await untilAnswered(this);
+	this.api.beforeCall = undefined;
+	this.api.down = true;
+	await sleep(ms);
+});
+
+When('all registrations have lapsed when it is back', async function (this: RegistrationsWorld) {
+	this.api.down = false;
+	for (const {name} of this.api.all('Registration')) {
+		await this.api.remove('Registration', name);
+	}
+});
+
+Then('the process knows {string} within {int} ms of the object API\'s return', async function (this: RegistrationsWorld, names: string, ms: number) {
+	await until(() => knownReplicas(this.directory).join(', ') === names, `only ${names} are known`);
+	const lateMs = performance.now() - this.backAt;
+	assert.ok(lateMs <= ms, `${Math.round(lateMs)} ms`);
+});
+
+Then('the process knows {string} for {int} ms more', async function (this: RegistrationsWorld, names: string, ms: number) {
+	const endsAt = performance.now() + ms;
+	while (performance.now() < endsAt) {
+		assert.equal(knownReplicas(this.directory).join(', '), names);
+		await sleep(20);
+	}
+});
