A process listens to its peers from when it knows them before it takes jobs

Cause: a process listens for 600 ms before it takes a job, counted from its start, and not from when it can hear anybody: it finds its peers in the object API. Ruled out: failures that are told too late (all counted runs were), a second failure of the same run.

Change: the 600 ms count from the first list of the members, and a process tells a peer that has just come what it runs at once, not with its next heartbeat. Items no longer start in the first moments of fronts that start together while they take themselves for alone.

Own scenario on the tables alone, which fails on the code before.

--- a/src/gateway/batch/job-claims.feature
+++ b/src/gateway/batch/job-claims.feature
@@ -24,3 +24,12 @@
     When "j1" is handed over to "front-1"
     And the claims are reviewed
     Then "front-1" runs "j1"
+
+  Scenario: A process that has learnt late where its peers are listens to them first
+    # Guards against items that run twice, and once more than their route allows, since two processes that started while the object API was slow take the same job.
+    Given process "front-1" did not know where its peers are until now
+    When the claims are reviewed
+    Then "front-1" does not run "j1"
+    Given process "front-1" has listened long enough
+    When the claims are reviewed
+    Then "front-1" runs "j1"
--- a/src/gateway/batch/job-claims.steps.ts
+++ b/src/gateway/batch/job-claims.steps.ts
@@ -19,6 +19,7 @@
 	claims: JobClaims;
 	now: number;
 	seq: number;
+	membersKnownAt: number | undefined;
 };
 
 const log: EventLog = {emit: () => undefined};
@@ -31,6 +32,7 @@
 Given('job {string} is open', function (this: ClaimsWorld, name: string) {
 	this.now = 0;
 	this.seq = 0;
+	this.membersKnownAt = 0;
 	const clock: Clock = {now: () => this.now, wall: () => this.now, sleep: async () => undefined};
 	const directory = new ReplicaDirectory();
 	this.peers = new PeerTable({
@@ -39,7 +41,7 @@
 	const job = {id: jobId(name), isOpen: true, isHeld: false};
 	const book = {openJobs: [job], job: () => job} as unknown as BatchBook;
 	this.claims = new JobClaims({
-		self, book, peers: this.peers, clock, log, isLeaving: () => false,
+		self, book, peers: this.peers, clock, log, isLeaving: () => false, membersKnownAt: () => this.membersKnownAt,
 	});
 });
 
@@ -47,6 +49,10 @@
 	this.now += longEnoughMs;
 });
 
+Given('process {string} did not know where its peers are until now', function (this: ClaimsWorld, _name: string) {
+	this.membersKnownAt = this.now;
+});
+
 const tell = (world: ClaimsWorld, peer: string, jobs: BatchJobId[]) => {
 	world.seq += 1;
 	world.peers.take({
--- a/src/gateway/batch/job-claims.ts
+++ b/src/gateway/batch/job-claims.ts
@@ -18,9 +18,11 @@
 	readonly clock: Clock;
 	readonly log: EventLog;
 	readonly isLeaving: () => boolean;
+	/** When this process first knew where its peers are, in milliseconds on the monotonic clock; `undefined` before. */
+	readonly membersKnownAt: () => number | undefined;
 };
 
-/** A process that has just started hears within this time, in milliseconds, which jobs its peers run; two of their messages. */
+/** A process that knows where its peers are hears within this time, in milliseconds, which jobs they run; two of their messages. Before, nobody can have told it: the object API may answer late at its start. */
 const listenFirstMs = 600;
 
 /** A job that the first of the ranking has not taken after this long, in milliseconds, is open to the next: the first may be cut off from the object API and not know of it. */
@@ -29,13 +31,11 @@
 /** See the module's head. */
 export class JobClaims {
 	readonly #parts: ClaimsParts;
-	readonly #startedAt: number;
 	readonly #claimed = new Set<BatchJobId>();
 	readonly #unclaimedSince = new Map<BatchJobId, number>();
 
 	constructor(parts: ClaimsParts) {
 		this.#parts = parts;
-		this.#startedAt = parts.clock.now();
 	}
 
 	/** Jobs that this process runs. */
@@ -109,9 +109,9 @@
 	}
 
 	#isOwnTurn(id: BatchJobId): boolean {
-		const {self, peers, clock} = this.#parts;
+		const {self, peers, clock, membersKnownAt} = this.#parts;
 		const now = clock.now();
-		if (now - this.#startedAt < listenFirstMs) {
+		if (now - (membersKnownAt() ?? now) < listenFirstMs) {
 			return false;
 		}
 
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -196,7 +196,7 @@
 				peers.take(state);
 			},
 		});
-		this.#registry = new MemberRegistry(memberFeed);
+		this.#registry = new MemberRegistry(memberFeed, clock);
 		this.#entry = new MemberEntry({
 			self, api, clock, log,
 		});
@@ -209,7 +209,7 @@
 		const book = new BatchBook(recordFeed);
 		this.#book = book;
 		const claims = new JobClaims({
-			self, book, peers, clock, log, isLeaving,
+			self, book, peers, clock, log, isLeaving, membersKnownAt: () => this.#registry.knownAt,
 		});
 		this.#runner = new BatchRunner({
 			self, api, feed: recordFeed, book, contents, peers, rpc, claims, failedRuns, board, directory, loads, links: this.#links, contacts, quarantine, dialect, itemHeaders, clock, random, log, metrics, failureDomain,
--- a/src/gateway/peers/member-registry.ts
+++ b/src/gateway/peers/member-registry.ts
@@ -2,6 +2,7 @@
 Where the fronts find each other and the keepers: they follow what each process has written into the object API. An address that nobody answers at costs one datagram now and then, so entries of VMs that are gone may stay for a while.
 */
 import {isText, objectOf, oneOf} from '../../common/field-tests.js';
+import type {Clock} from '../../common/services.js';
 import type {ObjectFeed} from '../object-feed.js';
 
 /** What a member writes. */
@@ -22,9 +23,11 @@
 /** See the module's head. */
 export class MemberRegistry {
 	readonly #members = new Map<string, MemberRecord>();
+	#knownAt: number | undefined;
 
-	constructor(feed: ObjectFeed) {
+	constructor(feed: ObjectFeed, clock: Pick<Clock, 'now'>) {
 		feed.onSnapshot(items => {
+			this.#knownAt ??= clock.now();
 			this.#members.clear();
 			items.forEach(({name, value}) => {
 				this.#put(name, value);
@@ -41,6 +44,11 @@
 		});
 	}
 
+	/** When the members were first known, in milliseconds on the monotonic clock; `undefined` before. */
+	get knownAt(): number | undefined {
+		return this.#knownAt;
+	}
+
 	/** Addresses of all fronts that were written, this one's included. */
 	get addresses(): readonly string[] {
 		return this.#addressesOf('front');
--- a/src/gateway/peers/peer-announcer.ts
+++ b/src/gateway/peers/peer-announcer.ts
@@ -94,6 +94,8 @@
 		});
 		parts.peers.onMembership(() => {
 			parts.quarantine.tellAnew();
+			// A peer that has just come must hear soon which jobs are run here.
+			this.#announceWithin(gatherMs(parts.peers.live.length));
 		});
 	}
 
