Sight: the line of a request without a replica tells what is known of them

Event 211 now has how many replicas there are, how many of them serve the target by their last report, the age of the youngest of these reports and why the last exchange with that replica failed. Until now an entry that hears nobody, replicas that say that they serve nothing, and replicas that are gone could not be told apart by a refused request's lines.

--- a/src/common/replica-table.ts
+++ b/src/common/replica-table.ts
@@ -23,6 +23,20 @@
 	readonly ownTokensSince: number;
 	/** Failures in a row. */
 	readonly failures: number;
+	/** Why the last exchange failed; left out before the first failure. */
+	readonly lastFailure?: string;
+};
+
+/** What is known of a target's replicas, for a line that tells why none of them gets work. */
+export type TargetSight = {
+	/** Replicas of any kind. */
+	readonly replicas: number;
+	/** Replicas whose last report says that they serve the target. */
+	readonly serving: number;
+	/** Age of the youngest of their reports, in milliseconds; left out where there is none. */
+	readonly heardMs?: number;
+	/** Why the last exchange with that replica failed. */
+	readonly lastFailure?: string;
 };
 
 type Row = {-readonly [Key in keyof ReplicaView]: ReplicaView[Key]} & {missed: number};
@@ -110,10 +124,11 @@
 	}
 
 	/** Counts a failed exchange. */
-	failed(vm: VmName): void {
+	failed(vm: VmName, reason: string): void {
 		const row = this.#rows.get(vm);
 		if (row) {
 			row.failures += 1;
+			row.lastFailure = reason;
 		}
 	}
 
@@ -154,6 +169,15 @@
 		return [...this.#rows.values()].some(row => row.load?.serves.includes(target));
 	}
 
+	/** See {@link TargetSight}. */
+	sightOf(target: string, now = this.#clock.now()): TargetSight {
+		const serving = [...this.#rows.values()].filter(({load}) => load?.serves.includes(target)).toSorted((a, b) => b.heardAt - a.heardAt);
+		const [youngest] = serving;
+		return {
+			replicas: this.#rows.size, serving: serving.length, heardMs: youngest && Math.round(now - youngest.heardAt), lastFailure: youngest?.lastFailure,
+		};
+	}
+
 	#noteCache(row: Row, load: LoadReport) {
 		if (row.load && row.load.incarnation !== load.incarnation) {
 			this.prefixes.forget(row.vm);
--- a/src/entry/online-request.ts
+++ b/src/entry/online-request.ts
@@ -239,7 +239,7 @@
 	}
 
 	#notSent({reason}: Extract<AttemptOutcome, {kind: 'notSent'}>, {replica, attempt}: CurrentAttempt): Step {
-		this.#around.replicas.failed(replica.vm);
+		this.#around.replicas.failed(replica.vm, reason);
 		this.#around.log.emit(entryEvents.attemptLost, {
 			id: attempt.id, attempt: attempt.attempt, vm: replica.vm, reason, sent: false,
 		});
@@ -252,7 +252,7 @@
 		this.#around.log.emit(entryEvents.attemptLost, {
 			id: attempt.id, attempt: attempt.attempt, vm: replica.vm, reason, sent: true,
 		});
-		this.#around.replicas.failed(replica.vm);
+		this.#around.replicas.failed(replica.vm, reason);
 		return this.#settle(current);
 	}
 
--- a/src/entry/replica-poller.ts
+++ b/src/entry/replica-poller.ts
@@ -135,8 +135,8 @@
 			.ifRight(load => {
 				replicas.heard(replica.vm, load);
 			})
-			.ifLeft(() => {
-				replicas.failed(replica.vm);
+			.ifLeft(({kind, reason}) => {
+				replicas.failed(replica.vm, `report ${kind}: ${reason}`);
 			});
 	}
 }
--- a/src/entry/router.ts
+++ b/src/entry/router.ts
@@ -75,9 +75,9 @@
 	}
 
 	#record(decision: Decision) {
-		const {request: {id, attempt, target, costTokens}, question, draws, choice} = decision;
+		const {request: {id, attempt, target, costTokens}, now, question, draws, choice} = decision;
 		if (!choice) {
-			this.#parts.log.emit(entryEvents.noReplica, {id, target});
+			this.#parts.log.emit(entryEvents.noReplica, {id, target, ...this.#parts.replicas.sightOf(target, now)});
 			this.#trace(decision, '');
 			return;
 		}
