A report of load that comes late still says that its replica answers

What callers see: on a busy machine, 503 "no replica" though each replica answers. An entry gave a report half the time of silence and dropped one that came later; where every report takes longer than that, it hears none of its replicas for as long as the machine is busy.

Change: an agent that does not answer in time is asked again on a connection of its own, as before, and the first question stays open for as long as a replica that is not heard gets work. A report that another has overtaken shows only that the replica answers.

Evidence: own scenario on a clock that the steps set (reports take 1.6 s): no replica before, both after. `deafPatience` and "believed in" have plain names.

--- a/src/common/replica-table.ts
+++ b/src/common/replica-table.ts
@@ -43,8 +43,8 @@
 
 // The list lags and may miss a VM for a read; one that still answers is dropped only after this many lists without it.
 const missesBeforeDrop = 2;
-/** By how many times longer replicas are believed in when none is heard; then this process is cut off, and refuses at once. */
-const deafPatience = 3;
+/** While no replica is heard, each keeps getting work for this many times longer; after that this process is cut off, and refuses at once. */
+export const unheardFactor = 3;
 
 // About 200 kB for each replica at the most.
 const maxPrefixBlocks = 2000;
@@ -56,6 +56,8 @@
 	&& load.serves.includes(target)
 	&& now - heardAt <= silentMs;
 
+const isOvertaken = (load: LoadReport, known: LoadReport | undefined): boolean => known?.incarnation === load.incarnation && known.at > load.at;
+
 /** The replicas, by VM. */
 export class ReplicaTable {
 	/** Milliseconds without a report after which a replica gets no new work. */
@@ -100,10 +102,13 @@
 		});
 	}
 
-	/** Takes over a report that came by any way. */
+	/** Takes over a report that came by any way. One that a later report has overtaken shows only that the replica answers. */
 	heard(vm: VmName, load: LoadReport): void {
 		const row = this.#rows.get(vm);
-		if (row) {
+		if (row && isOvertaken(load, row.load)) {
+			row.heardAt = this.#clock.now();
+			row.failures = 0;
+		} else if (row) {
 			this.#noteCache(row, load);
 			row.load = load;
 			row.heardAt = this.#clock.now();
@@ -150,12 +155,12 @@
 	}
 
 	/**
-	Milliseconds without a report after which a replica gets no new work at this moment. When all are silent at once, more likely this process cannot hear, for instance on a busy machine, than that all have ended in the same second: they are believed in for longer, or every caller would be told that there is no replica.
+	Milliseconds without a report after which a replica gets no new work at this moment. When all are silent at once, more likely this process cannot hear, for instance on a busy machine, than that all have ended in the same second: they get work for longer, or every caller would be told that there is no replica.
 	*/
 	silenceAllowedMs(now = this.#clock.now()): number {
 		const rows = [...this.#rows.values()];
 		const hearsNone = rows.length > 1 && rows.every(({heardAt}) => now - heardAt > this.silentMs);
-		return hearsNone ? deafPatience * this.silentMs : this.silentMs;
+		return hearsNone ? unheardFactor * this.silentMs : this.silentMs;
 	}
 
 	/** The replicas that may get new work for `target`, for instance `model:tyre-scribe`. */
--- a/src/entry/replica-poller.feature
+++ b/src/entry/replica-poller.feature
@@ -22,3 +22,9 @@
     Given an entry that has heard its replicas "a, b"
     When only "b" is heard for 1500 ms
     Then it sends work to "b"
+
+  Scenario: Every report takes longer than an entry waits before it asks again
+    # Guards against a busy machine on which callers are told that there is no replica, though each replica answers.
+    Given an entry that has heard its replicas "a, b", whose reports now take 1600 ms
+    When 8000 ms pass
+    Then it sends work to "a, b"
--- a/src/entry/replica-poller.steps.ts
+++ b/src/entry/replica-poller.steps.ts
@@ -1,16 +1,16 @@
 /**
-Steps for an entry's poller on a clock that the steps set, with agents that never answer.
+Steps for an entry's poller on a clock that the steps set, with agents that never answer, or answer late.
 */
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
-import {Left} from 'purify-ts/Either';
+import {Left, Right} from 'purify-ts/Either';
 import {branded, type Revision} from '../common/ids.js';
 import type {LoadReport} from '../common/protocol.js';
 import {ReplicaTable} from '../common/replica-table.js';
 import {ManualClock} from '../common/testing/manual-clock.js';
 import type {TestWorld} from '../common/testing/test-world.js';
 import type {VmEntry} from '../common/types.js';
-import type {RpcClient} from '../io/rpc-client.js';
+import type {RpcClient, RpcTarget} from '../io/rpc-client.js';
 import {ReplicaPoller} from './replica-poller.js';
 
 type PollerWorld = TestWorld & {clock: ManualClock; table: ReplicaTable};
@@ -22,7 +22,7 @@
 const namesIn = (text: string) => text.split(', ');
 
 const vmEntry = (name: string): VmEntry => ({
-	name: branded(name), role: 'backend', address: '127.0.0.1:1', failureDomain: branded('durgapur-hall'), state: 'live',
+	name: branded(name), role: 'backend', address: name, failureDomain: branded('durgapur-hall'), state: 'live',
 });
 
 const report = (name: string): LoadReport => ({
@@ -36,41 +36,58 @@
 	});
 };
 
-Given('an entry that has heard its replicas {string}', function (this: PollerWorld, names: string) {
-	this.clock = new ManualClock();
-	this.table = new ReplicaTable(this.clock, silenceMs);
-	this.table.applyVmList(namesIn(names).map(vmEntry));
+const startPoller = (world: PollerWorld, names: string, call: RpcClient['call']) => {
+	world.clock = new ManualClock();
+	world.table = new ReplicaTable(world.clock, silenceMs);
+	world.table.applyVmList(namesIn(names).map(name => vmEntry(name)));
 	namesIn(names).forEach(name => {
-		this.table.heard(branded(name), report(name));
+		world.table.heard(branded(name), report(name));
 	});
-	const poller = this.register(new ReplicaPoller({
-		clock: this.clock,
+	const poller = world.register(new ReplicaPoller({
+		clock: world.clock,
 		log: {emit: () => undefined},
 		vmList: {read: async () => Left({kind: 'unavailable', reason: 'away'})},
-		rpc: {
-			call: async () => new Promise<void>(() => {
-			// It never answers.
-			}),
-		} as unknown as RpcClient,
-		replicas: this.table,
+		rpc: {call} as unknown as RpcClient,
+		replicas: world.table,
 		loadPollMs,
 		vmListPollMs: 60_000,
 		loadTimeoutMs: 1000,
 		silenceMs,
 		loadPollsPerSecond: 100,
-		subset: () => new Set(this.table.all.map(({vm}) => vm)),
+		subset: () => new Set(world.table.all.map(({vm}) => vm)),
 	}));
 	void poller.run();
+};
+
+Given('an entry that has heard its replicas {string}', function (this: PollerWorld, names: string) {
+	startPoller(this, names, async () => new Promise(() => {
+		// It never answers.
+	}));
+});
+
+Given('an entry that has heard its replicas {string}, whose reports now take {int} ms', function (this: PollerWorld, names: string, ms: number) {
+	startPoller(this, names, async <T>({address, timeoutMs}: RpcTarget) => {
+		await this.clock.sleep(Math.min(ms, timeoutMs));
+		return ms > timeoutMs ? Left({kind: 'silent', reason: 'no answer in time'}) : Right(report(address) as T);
+	});
 });
 
 When('the entry stands still for {int} ms', async function (this: PollerWorld, ms: number) {
 	await pass(this, ms);
 });
 
-When('no report comes for {int} ms', async function (this: PollerWorld, ms: number) {
+const passInPolls = async (world: PollerWorld, ms: number) => {
 	for (let left = ms; left > 0; left -= loadPollMs) {
-		await pass(this, loadPollMs);
+		await pass(world, loadPollMs);
 	}
+};
+
+When('no report comes for {int} ms', async function (this: PollerWorld, ms: number) {
+	await passInPolls(this, ms);
+});
+
+When('{int} ms pass', async function (this: PollerWorld, ms: number) {
+	await passInPolls(this, ms);
 });
 
 When('only {string} is heard for {int} ms', async function (this: PollerWorld, name: string, ms: number) {
--- a/src/entry/replica-poller.ts
+++ b/src/entry/replica-poller.ts
@@ -1,9 +1,11 @@
 /**
 Keeps the replica table up to date: reads the VM list, and asks each agent for its load.
+
+An agent that does not answer in time is asked again on a connection of its own, and the first question stays open: on a busy machine every report may take longer than that, and an entry that gave up on each would hear none of its replicas, though all are well.
 */
 import type {VmName} from '../common/ids.js';
 import type {LoadReport} from '../common/protocol.js';
-import type {ReplicaTable, ReplicaView} from '../common/replica-table.js';
+import {unheardFactor, type ReplicaTable, type ReplicaView} from '../common/replica-table.js';
 import type {
 	Clock, Disposable, EventLog, VmList,
 } from '../common/services.js';
@@ -20,7 +22,7 @@
 	readonly replicas: ReplicaTable;
 	readonly loadPollMs: number;
 	readonly vmListPollMs: number;
-	/** Milliseconds that one report may take. */
+	/** Milliseconds without an answer after which an agent is asked again. */
 	readonly loadTimeoutMs: number;
 	/** Milliseconds without a report after which a replica that is asked every `loadPollMs` gets no new work. */
 	readonly silenceMs: number;
@@ -37,6 +39,8 @@
 	readonly #parts: PollerParts;
 	readonly #asking = new Set<string>();
 	readonly #askedAt = new Map<VmName, number>();
+	/** Questions that an agent has not answered yet. */
+	readonly #openQuestions = new Map<VmName, number>();
 	#entries: readonly VmEntry[] = [];
 	#disposed = false;
 
@@ -91,6 +95,7 @@
 	#forgetGone() {
 		[...this.#askedAt.keys()].filter(vm => !this.#parts.replicas.get(vm)).forEach(vm => {
 			this.#askedAt.delete(vm);
+			this.#openQuestions.delete(vm);
 		});
 	}
 
@@ -128,15 +133,28 @@
 
 		this.#asking.add(replica.vm);
 		this.#askedAt.set(replica.vm, this.#parts.clock.now());
-		const {rpc, replicas, loadTimeoutMs} = this.#parts;
-		const report = await rpc.call<LoadReport>({address: replica.address, timeoutMs: loadTimeoutMs}, 'agent.load', {cacheSince: replicas.prefixes.seqOf(replica.vm)});
+		const {clock, replicas, loadTimeoutMs} = this.#parts;
+		const isAnswered = await Promise.race([this.#readLoad(replica).then(() => true), clock.sleep(loadTimeoutMs).then(() => false)]);
 		this.#asking.delete(replica.vm);
+		if (!isAnswered) {
+			replicas.failed(replica.vm, `no report within ${loadTimeoutMs} ms`);
+		}
+	}
+
+	async #readLoad({vm, address}: ReplicaView) {
+		const {rpc, replicas, loadTimeoutMs, silenceMs} = this.#parts;
+		const openQuestions = this.#openQuestions.get(vm) ?? 0;
+		this.#openQuestions.set(vm, openQuestions + 1);
+		const report = await rpc.call<LoadReport>({
+			address, timeoutMs: unheardFactor * silenceMs, renewAfterMs: loadTimeoutMs, fresh: openQuestions > 0,
+		}, 'agent.load', {cacheSince: replicas.prefixes.seqOf(vm)});
+		this.#openQuestions.set(vm, (this.#openQuestions.get(vm) ?? 1) - 1);
 		report
 			.ifRight(load => {
-				replicas.heard(replica.vm, load);
+				replicas.heard(vm, load);
 			})
 			.ifLeft(({kind, reason}) => {
-				replicas.failed(replica.vm, `report ${kind}: ${reason}`);
+				replicas.failed(vm, `report ${kind}: ${reason}`);
 			});
 	}
 }
