What became of a lost attempt is asked on while its request goes on elsewhere

What callers saw: beside load, 502 with `unknown` in place of `run` though engines had crashed under the request; and an engine could be given an attempt that its request had long left.

Cause: an idempotent request asks once and never again. Besides, an answer of the ledger that the attempt has begun counted as `unknown` wherever its text could not be had.

Change: what became of the attempt is asked on for some seconds beside the request. An attempt that has not begun is revoked, one that runs for nobody is cancelled, and the caller is told what is known when the request ends; nothing waits for it. Event 220 tells what was learnt.

--- a/src/entry/attempt-client.ts
+++ b/src/entry/attempt-client.ts
@@ -41,6 +41,14 @@
 	readonly onLoad?: (load: LoadReport) => void;
 };
 
+/** How to ask an agent's ledger. */
+export type RevokeOptions = {
+	/** Milliseconds until the attempt's deadline. */
+	readonly deadlineInMs: number;
+	/** Milliseconds to wait for the answer; the time of silence by default. */
+	readonly timeoutMs?: number;
+};
+
 const cancelTimeoutMs = 1000;
 
 /** Talks with agents about attempts. */
@@ -85,9 +93,9 @@
 	}
 
 	/** Asks the agent's ledger, over a connection of its own; see {@link RequestLedger.revoke}. */
-	async revoke(address: string, {id, attempt, issuedAt}: IssuedAttempt, deadlineInMs: number): Promise<Either<RpcFailure, LedgerAnswer>> {
+	async revoke(address: string, {id, attempt, issuedAt}: IssuedAttempt, {deadlineInMs, timeoutMs = this.#silenceMs}: RevokeOptions): Promise<Either<RpcFailure, LedgerAnswer>> {
 		const params: RevokeRequest = {key: {id, attempt}, issuedAt, deadlineInMs};
-		return this.#rpc.call<LedgerAnswer>({address, timeoutMs: this.#silenceMs, fresh: true}, 'ledger.revoke', params);
+		return this.#rpc.call<LedgerAnswer>({address, timeoutMs, fresh: true}, 'ledger.revoke', params);
 	}
 
 	/** Tells the agent that nobody waits for the attempt any more. */
--- a/src/entry/attempt-recovery.ts
+++ b/src/entry/attempt-recovery.ts
@@ -28,18 +28,21 @@
 	readonly revokeAt?: number;
 };
 
-/** What is known in the end. `notRun`: revoked, certainly. `gone`: nobody can say, or the answer is no longer kept. */
+/** What is known in the end. `notRun`: revoked, certainly. `gone`: its answer can not be had; `run` where its agent says that it has begun. */
 export type Settlement
 	= | Extract<AttemptOutcome, {kind: 'end' | 'refused' | 'failed' | 'aborted'}>
 		| {readonly kind: 'notRun'}
-		| {readonly kind: 'gone'; readonly reason: string};
+		| {readonly kind: 'gone'; readonly reason: string; readonly run: 'run' | 'unknown'};
 
-type Round = Settlement | {readonly kind: 'askAgain'; readonly reason: string};
+type Round = Settlement | {readonly kind: 'askAgain'; readonly reason: string; readonly run: 'run' | 'unknown'};
 
-/** How long an agent that does not answer is asked what became of a non-idempotent attempt. */
+/** How long an agent that does not answer is asked what became of an attempt: of a non-idempotent one before anything else is done, of any other while the request goes on elsewhere. */
 const askMs = 3000;
 const askPauseMs = 200;
 
+/** What an agent's answer says of an attempt: nothing when the process that had it is gone. */
+const stateFor = ({incarnation}: AskedAttempt['attempt'], answer: LedgerAnswer): LedgerAnswer['state'] => answer.incarnation === incarnation ? answer.state : 'unknown';
+
 /** Settles lost attempts. */
 export class AttemptRecovery {
 	readonly #clock: Clock;
@@ -50,9 +53,9 @@
 			this.#log.emit(entryEvents.attemptRevoked, {id: attempt.id, attempt: attempt.attempt, vm: replica.vm});
 			return {kind: 'notRun'};
 		},
-		running: () => ({kind: 'askAgain', reason: 'stream can not be taken up'}),
-		done: () => ({kind: 'gone', reason: 'the answer is no longer kept'}),
-		unknown: () => ({kind: 'gone', reason: 'ledger has no record'}),
+		running: () => ({kind: 'askAgain', reason: 'stream can not be taken up', run: 'run'}),
+		done: () => ({kind: 'gone', reason: 'the answer is no longer kept', run: 'run'}),
+		unknown: () => ({kind: 'gone', reason: 'ledger has no record', run: 'unknown'}),
 	};
 
 	constructor({clock, log, client}: {readonly clock: Clock; readonly log: EventLog; readonly client: AttemptClient}) {
@@ -73,7 +76,7 @@
 			// A connection that brought something before it was lost, too, begins the wait anew.
 			until = lost.received() > received ? this.#clock.now() + patienceMs : until;
 			if (lost.received() === received && this.#clock.now() >= until) {
-				return {kind: 'gone', reason: round.reason};
+				return {kind: 'gone', reason: round.reason, run: round.run};
 			}
 
 			received = lost.received();
@@ -90,21 +93,44 @@
 	@returns The ledger's state; `unknown` when the agent does not answer or was restarted.
 	*/
 	async revoke({replica, attempt}: CurrentAttempt): Promise<LedgerAnswer['state']> {
-		const answer = await this.#client.revoke(replica.address, attempt, 0);
-		return answer
-			.map(({state, incarnation}) => incarnation === attempt.incarnation ? state : 'unknown')
-			.orDefault('unknown');
+		const answer = await this.#client.revoke(replica.address, attempt, {deadlineInMs: 0});
+		return answer.map(found => stateFor(attempt, found)).orDefault('unknown');
+	}
+
+	/**
+	Goes on asking what became of an attempt whose request is served elsewhere meanwhile. One that has not begun is revoked and one that runs is cancelled: a request that makes engines crash would otherwise take down another one for nobody.
+
+	@param deadlineInMs - Milliseconds left until the request's deadline.
+	@returns The ledger's state; `unknown` when the agent does not answer within some seconds or was restarted.
+	*/
+	async followUp({replica: {vm, address}, attempt}: CurrentAttempt, deadlineInMs: number): Promise<LedgerAnswer['state']> {
+		const until = this.#clock.now() + askMs;
+		let answer = await this.#client.revoke(address, attempt, {deadlineInMs, timeoutMs: askMs});
+		while (answer.isLeft() && this.#clock.now() < until) {
+			await this.#clock.sleep(askPauseMs);
+			answer = await this.#client.revoke(address, attempt, {deadlineInMs, timeoutMs: askMs});
+		}
+
+		const state = answer.map(found => stateFor(attempt, found)).orDefault('unknown');
+		this.#log.emit(entryEvents.attemptFollowedUp, {
+			id: attempt.id, attempt: attempt.attempt, vm, state,
+		});
+		if (state === 'running') {
+			this.#client.cancel(address, attempt);
+		}
+
+		return state;
 	}
 
 	async #round(lost: LostAttempt): Promise<Round> {
 		const {current: {replica, attempt}, place} = lost;
 		const outcome = await this.#client.resume(attempt, lost.received(), place);
 		if (outcome.kind === 'noStream') {
-			return this.#clock.now() < (lost.revokeAt ?? 0) ? {kind: 'askAgain', reason: 'not there yet'} : this.#ask(lost);
+			return this.#clock.now() < (lost.revokeAt ?? 0) ? {kind: 'askAgain', reason: 'not there yet', run: 'unknown'} : this.#ask(lost);
 		}
 
 		if (outcome.kind === 'lost' || outcome.kind === 'notSent') {
-			return {kind: 'askAgain', reason: `agent does not answer (${outcome.reason})`};
+			return {kind: 'askAgain', reason: `agent does not answer (${outcome.reason})`, run: 'unknown'};
 		}
 
 		this.#log.emit(entryEvents.attemptResumed, {
@@ -116,13 +142,13 @@
 	// No stream to take up: the ledger says whether the attempt began, and makes sure that it does not begin later.
 	async #ask(lost: LostAttempt): Promise<Round> {
 		const {current: {replica, attempt}} = lost;
-		const answer = await this.#client.revoke(replica.address, attempt, lost.deadlineInMs());
+		const answer = await this.#client.revoke(replica.address, attempt, {deadlineInMs: lost.deadlineInMs()});
 		return answer.caseOf<Round>({
-			Left: ({reason}) => ({kind: 'askAgain', reason}),
+			Left: ({reason}) => ({kind: 'askAgain', reason, run: 'unknown'}),
 			// The process that had the attempt is gone, and with it the knowledge of whether it ran.
 			Right: ({state, incarnation}) => incarnation === attempt.incarnation
 				? this.#byState[state](lost)
-				: {kind: 'gone', reason: 'agent restarted'},
+				: {kind: 'gone', reason: 'agent restarted', run: 'unknown'},
 		});
 	}
 }
--- a/src/entry/log-events.ts
+++ b/src/entry/log-events.ts
@@ -12,6 +12,8 @@
 	noReplica: {number: 211, level: 'warn', text: 'no replica to route to'},
 	attemptRefused: {number: 212, level: 'info', text: 'agent refused an attempt, not run'},
 	attemptLost: {number: 213, level: 'warn', text: 'connection to an attempt was lost or went silent'},
+	/** Fields: id, attempt, vm, state (of the agent's ledger). */
+	attemptFollowedUp: {number: 220, level: 'info', text: 'learnt what became of an attempt that was given up as lost'},
 	attemptResumed: {number: 214, level: 'info', text: 'stream of an attempt taken up on a new connection'},
 	attemptRevoked: {number: 215, level: 'info', text: 'lost attempt had not begun and is revoked'},
 	outcomeUnknown: {number: 216, level: 'warn', text: 'non-idempotent request may have run, its outcome is unknown'},
--- /dev/null
+++ b/src/entry/lost-attempts.feature
@@ -0,0 +1,36 @@
+Feature: What a caller is told of attempts whose agents did not answer in time
+  An idempotent request goes on at another replica as soon as an attempt is lost. What became of that attempt is asked on.
+
+  Background:
+    Given the agents of replicas "a, b" lose their connections, and answer questions only after 60 ms
+
+  Scenario: The lost attempt was run
+    # Guards against a caller who is not told that its request was run, though the agent could say so before the request ended.
+    Given the ledger of "a" says "done"
+    When a request takes 300 ms at "b" and is lost there too
+    Then its caller is told that it failed, "run"
+
+  Scenario: The lost attempts were never begun
+    # Guards against a request that is called lost, and not sent again by its caller, though it is certain that it has not run.
+    Given the ledger of "a" says "revoked"
+    And "b" refuses after 300 ms
+    When a request is made
+    Then its caller is told that it was refused
+
+  Scenario: The lost attempt still runs
+    # Guards against an engine that goes on working for a request which is served elsewhere.
+    Given the ledger of "a" says "running"
+    When a request takes 300 ms at "b" and is lost there too
+    Then the attempt at "a" is cancelled
+    And its caller is told that it failed, "run"
+
+  Scenario: Nobody can say
+    Given the ledger of "a" says "unknown"
+    When a request takes 300 ms at "b" and is lost there too
+    Then its caller is told that it failed, "unknown"
+
+  Scenario: The ledger knows an attempt whose answer is no longer kept
+    # Guards against "unknown" for a run of which the agent itself says that it has begun.
+    Given the ledger of "a" says "done", and "a" answers at once that it has no stream
+    When a request takes 1 ms at "b" and is lost there too
+    Then its caller is told that it failed, "run"
--- a/src/entry/online-request.ts
+++ b/src/entry/online-request.ts
@@ -4,7 +4,7 @@
 What may be done after a failure depends on what is known: an attempt that was refused or revoked was not run, so another replica may get the request. One that may have run is repeated only when the request is idempotent; its answer then goes on at the token where it stopped.
 */
 import type {VmName} from '../common/ids.js';
-import type {AttemptRequest, LoadReport} from '../common/protocol.js';
+import type {AttemptRequest, LedgerAnswer, LoadReport} from '../common/protocol.js';
 import type {ReplicaView} from '../common/replica-table.js';
 import {fullJitterMs} from '../common/retry-budget.js';
 import {entryEvents} from './log-events.js';
@@ -15,6 +15,7 @@
 import {
 	deadlinePassed, type Caller, type OnlineWork, type RequestOutcome, type RequestSurroundings,
 } from './online-work.js';
+import {RunRecord} from './run-record.js';
 
 type Step = RequestOutcome | 'again';
 type Outcome = AttemptOutcome | Settlement;
@@ -35,11 +36,23 @@
 	readonly #recovery: AttemptRecovery;
 	readonly #tried = new Set<VmName>();
 	readonly #completion = new CompletionWindow();
+	readonly #runRecord = new RunRecord();
 	readonly #handlers: {[Kind in Outcome['kind']]: Handler<Kind>};
+	readonly #onFollowedUp: Readonly<Partial<Record<LedgerAnswer['state'], (attempt: number) => void>>> = {
+		revoked: attempt => {
+			this.#runRecord.noteNotRun(attempt);
+		},
+		running: () => {
+			this.#runRecord.noteRun();
+		},
+		done: () => {
+			this.#runRecord.noteRun();
+		},
+	};
+
 	#attempts = 0;
 	#nextChunk = 0;
 	#place: AttemptPlace | undefined;
-	#run: 'notRun' | 'unknown' | 'run' = 'notRun';
 	#lastRefusal: RequestOutcome | undefined;
 
 	constructor(work: OnlineWork, sink: AnswerSink, around: RequestSurroundings, caller: Caller) {
@@ -56,7 +69,7 @@
 			lost: async (outcome, current) => this.#lost(outcome, current),
 			noStream: async (_, current) => this.#settle(current),
 			notRun: () => 'again',
-			gone: ({reason}) => this.#repeatOrUnknown(reason, 'unknown'),
+			gone: (outcome, current) => this.#gone(outcome, current),
 			aborted: async (_, current) => this.#aborted(current),
 		};
 	}
@@ -112,8 +125,9 @@
 
 	// Given up on: the final answer goes out at once, with when to come back. "Not run" is said only when it holds for every attempt.
 	#giveUp(reason: 'noReplica' | 'notReached'): RequestOutcome {
-		if (this.#run !== 'notRun') {
-			return {kind: 'failed', reason, run: this.#run};
+		const {state} = this.#runRecord;
+		if (state !== 'notRun') {
+			return {kind: 'failed', reason, run: state};
 		}
 
 		return this.#lastRefusal ?? {kind: 'refused', reason, retryAfterMs: defaultRetryAfterMs};
@@ -125,9 +139,10 @@
 			return {kind: 'aborted'};
 		}
 
-		return this.#run === 'notRun'
+		const {state} = this.#runRecord;
+		return state === 'notRun'
 			? {kind: 'refused', reason: 'deadline', retryAfterMs: defaultRetryAfterMs}
-			: {kind: 'expired', run: this.#run};
+			: {kind: 'expired', run: state};
 	}
 
 	async #attemptOnce(): Promise<Step> {
@@ -263,6 +278,29 @@
 		return this.#handle(settled, current);
 	}
 
+	#gone({reason, run}: Extract<Settlement, {kind: 'gone'}>, current: CurrentAttempt): Step {
+		const step = this.#repeatOrUnknown(reason, run);
+		if (run === 'unknown' && step === 'again') {
+			void this.#followUp(current);
+		}
+
+		return step;
+	}
+
+	// The caller is told what is known when its request ends; that must not wait for the agent.
+	async #followUp(current: CurrentAttempt) {
+		const state = await this.#recovery.followUp(current, this.#deadlineInMs);
+		this.#onFollowedUp[state]?.(current.attempt.attempt);
+	}
+
+	#noteRun(run: 'run' | 'unknown') {
+		if (run === 'run' || this.#nextChunk > 0) {
+			this.#runRecord.noteRun();
+		} else {
+			this.#runRecord.noteUnknown(this.#attempts);
+		}
+	}
+
 	#repeatOrUnknown(reason: string, run: 'run' | 'unknown'): Step {
 		if (!this.#work.idempotent) {
 			this.#around.log.emit(entryEvents.outcomeUnknown, {id: this.#work.id, reason});
@@ -274,9 +312,9 @@
 			return this.#whole();
 		}
 
-		this.#run = this.#run === 'run' || this.#nextChunk > 0 ? 'run' : run;
+		this.#noteRun(run);
 		this.#completion.stopped(this.#around.clock.now(), this.#nextChunk > 0);
-		return this.#sink.canContinue && !this.#completion.isSpent ? 'again' : {kind: 'failed', reason, run: this.#run};
+		return this.#sink.canContinue && !this.#completion.isSpent ? 'again' : {kind: 'failed', reason, run: this.#runRecord.state === 'run' ? 'run' : 'unknown'};
 	}
 
 	// Nobody waits for the answer any more. At the deadline the caller still learns whether it was run.
