Sight: an agent's log tells when what its backend server serves has changed, and why

A probe that is not answered makes an agent report that it serves nothing, and entries then tell callers that there is no replica. Event 321 tells the change and whether nobody listens there or no answer came in time.

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -37,6 +37,7 @@
 import {ResultWriter} from './result-writer.js';
 import {ServiceBackend} from './service-backend.js';
 import type {AgentSettings} from './settings.js';
+import {ServedTargets} from './served-targets.js';
 import {SoloGate} from './solo-gate.js';
 import {WorkRunner} from './work-runner.js';
 
@@ -48,7 +49,6 @@
 	readonly metrics: Metrics;
 };
 
-const servesPollMs = 500;
 const drainPollMs = 50;
 // Entries ask for the load several times a second; after this long all of them know that the agent is leaving. An entry whose connection went silent notices within a second and comes again for the rest of the answer, so that the agent stays as long after its last answer, too.
 const drainLingerMs = 2000;
@@ -76,7 +76,7 @@
 	readonly #follower: AgentConfigFollower;
 	readonly #reconciler: ModelReconciler | undefined;
 	readonly #lifecycle = new NodeLifecycle();
-	#serves: readonly string[] = [];
+	readonly #served: ServedTargets;
 
 	constructor(cfg: AgentSettings, services: AgentServices) {
 		const {clock, log, metrics} = services;
@@ -84,6 +84,7 @@
 		this.#services = services;
 		this.#config = checkedTable(log, agentConfigEvents.objectRefused);
 		this.#backend = (backendMakers[cfg.backend.type] as (backend: AgentSettings['backend'], http: HttpClient) => Backend)(cfg.backend, this.#http);
+		this.#served = new ServedTargets({backend: this.#backend, clock, log});
 		this.#admission = new Admission(clock, {...cfg.backend, ...cfg.limits});
 		this.#runner = new WorkRunner(this.#admission, log, metrics);
 		this.#cache = cfg.backend.type === 'engine' ? new CacheMirror() : undefined;
@@ -131,9 +132,9 @@
 	async start(): Promise<Either<ListenFailure, number>> {
 		const listening = await this.#server.listen(this.#cfg.listen);
 		if (listening.isRight()) {
-			await this.#readServes();
+			await this.#served.read();
 			this.#lifecycle.send('started');
-			void this.#pollServes();
+			void this.#served.run();
 			void this.#cacheFollower?.run();
 			void this.#follower.run();
 			void this.#reconciler?.run();
@@ -150,7 +151,7 @@
 			incarnation: this.#incarnation,
 			at: this.#services.clock.now(),
 			draining: this.#lifecycle.isLeaving,
-			serves: this.#serves,
+			serves: this.#served.current,
 			running: this.#admission.onlineRunning,
 			queued: this.#admission.onlineQueued,
 			pendingTokens: this.#admission.pendingTokens,
@@ -182,6 +183,7 @@
 
 	dispose(): void {
 		this.#lifecycle.dispose();
+		this.#served.dispose();
 		this.#reconciler?.dispose();
 		this.#follower.dispose();
 		this.#cacheFollower?.dispose();
@@ -242,15 +244,4 @@
 			minItemsAhead: 2 * backend.maxRunning,
 		});
 	}
-
-	async #readServes() {
-		this.#serves = await this.#backend.serves();
-	}
-
-	async #pollServes() {
-		while (this.#lifecycle.state !== 'stopped') {
-			await this.#services.clock.sleep(servesPollMs);
-			await this.#readServes();
-		}
-	}
 }
--- a/src/agent/backend.ts
+++ b/src/agent/backend.ts
@@ -25,12 +25,15 @@
 		| {readonly kind: 'lost'; readonly reason: string}
 		| {readonly kind: 'cancelled'};
 
+/** Why a backend server does not say what it serves. `unreachable`: nobody listens. `silent`: the answer did not come in time, or could not be read. */
+export type ServesFailure = {readonly kind: 'unreachable' | 'silent'; readonly reason: string};
+
 /** A backend server. */
 export type Backend = {
 	/** How its models are changed, where it has any. */
 	readonly models?: ModelControl;
 	/** Resolves when the answer is whole, or with why it is not. Never rejects. */
 	run(req: BackendRequest): Promise<Either<BackendFailure, void>>;
-	/** What it can serve now, as `model:<name>` or `service:<name>`; empty when it does not answer. */
-	serves(): Promise<readonly string[]>;
+	/** What it can serve now, as `model:<name>` or `service:<name>`, or why it does not say. */
+	serves(): Promise<Either<ServesFailure, readonly string[]>>;
 };
--- a/src/agent/engine-backend.ts
+++ b/src/agent/engine-backend.ts
@@ -7,7 +7,9 @@
 import type {GenerateWork} from '../common/protocol.js';
 import type {HttpClient, HttpFailure, HttpResponse} from '../io/http-client.js';
 import {followEvents} from '../io/sse-reader.js';
-import type {Backend, BackendFailure, BackendRequest} from './backend.js';
+import type {
+	Backend, BackendFailure, BackendRequest, ServesFailure,
+} from './backend.js';
 import {EngineModels} from './engine-models.js';
 import type {ModelControl} from './model-control.js';
 import {failureBeforeResponse, failureInResponse} from './backend-failures.js';
@@ -60,19 +62,20 @@
 		});
 	}
 
-	async serves(): Promise<readonly string[]> {
+	async serves(): Promise<Either<ServesFailure, readonly string[]>> {
 		const sent = await this.#http.send({
 			address: this.#address, method: 'GET', path: '/v1/models', timeoutMs: probeTimeoutMs, signal: AbortSignal.timeout(2 * probeTimeoutMs),
 		});
 		if (sent.isLeft()) {
-			return [];
+			const {kind, reason} = sent.extract();
+			return Left({kind: kind === 'notSent' ? 'unreachable' : 'silent', reason});
 		}
 
 		try {
 			const list = await (sent.extract() as HttpResponse).body.json() as {data?: Array<{id: string}>};
-			return list.data?.map(model => `model:${model.id}`) ?? [];
-		} catch {
-			return [];
+			return Right(list.data?.map(model => `model:${model.id}`) ?? []);
+		} catch (err) {
+			return Left({kind: 'silent', reason: String(err)});
 		}
 	}
 
--- a/src/agent/log-events.ts
+++ b/src/agent/log-events.ts
@@ -13,5 +13,7 @@
 	revoked: {number: 313, level: 'info', text: 'attempt revoked before it began'},
 	orphaned: {number: 314, level: 'warn', text: 'nobody came back for the answer, attempt cancelled'},
 	backendLost: {number: 320, level: 'warn', text: 'backend server ended an answer in the middle'},
+	/** Fields: targets, reason (why the backend server does not say). */
+	servesChanged: {number: 321, level: 'info', text: 'what the backend server serves has changed'},
 	handlerBroken: {number: 390, level: 'error', text: 'a request handler broke an invariant'},
 } as const satisfies Record<string, EventDefinition>;
--- a/src/agent/service-backend.ts
+++ b/src/agent/service-backend.ts
@@ -5,7 +5,9 @@
 import {Left, Right, type Either} from 'purify-ts/Either';
 import type {CallHead, CallWork} from '../common/protocol.js';
 import type {HttpClient, HttpFailure, HttpResponse} from '../io/http-client.js';
-import type {Backend, BackendFailure, BackendRequest} from './backend.js';
+import type {
+	Backend, BackendFailure, BackendRequest, ServesFailure,
+} from './backend.js';
 import {failureBeforeResponse, failureInResponse} from './backend-failures.js';
 
 const headTimeoutMs = 600_000;
@@ -49,8 +51,8 @@
 			: this.#follow(sent.extract() as HttpResponse, req);
 	}
 
-	async serves(): Promise<readonly string[]> {
-		return [`service:${this.#service}`];
+	async serves(): Promise<Either<ServesFailure, readonly string[]>> {
+		return Right([`service:${this.#service}`]);
 	}
 
 	// The answer to HEAD tells the length of a body that does not follow, so nobody else can set it.
--- a/src/entry/testing/fake-engine.ts
+++ b/src/entry/testing/fake-engine.ts
@@ -3,7 +3,9 @@
 */
 import {EventEmitter} from 'node:events';
 import {Left, Right, type Either} from 'purify-ts/Either';
-import type {Backend, BackendFailure, BackendRequest} from '../../agent/backend.js';
+import type {
+	Backend, BackendFailure, BackendRequest, ServesFailure,
+} from '../../agent/backend.js';
 import type {GenerateWork} from '../../common/protocol.js';
 
 /** The text of an item that takes the engine down. */
@@ -57,8 +59,8 @@
 		return Right(undefined);
 	}
 
-	async serves(): Promise<readonly string[]> {
-		return ['model:m'];
+	async serves(): Promise<Either<ServesFailure, readonly string[]>> {
+		return Right(['model:m']);
 	}
 
 	async #stay(signal: AbortSignal): Promise<BackendFailure | undefined> {
