An engine that restarts is not taken for one that serves nothing

Each agent's probe of its engine had been reset (ECONNRESET, UND_ERR_SOCKET) 690 to 730 ms before the call, when the engine was replaced by one at the same address that listened some milliseconds later. The agents said so only with their next probe, 560 to 600 ms after the reset and 125 to 153 ms before the call, and the entry had not asked again by then.

Causes: (1) one probe whose connection ends makes an agent report that it serves nothing, though the connection may have been closed for idling, or the engine be back; (2) an entry refuses by a report that is as old as its last poll, also where the report before it named the model.

Change: an agent asks again at once, on a connection of its own, before it reports that nothing is served. An entry that finds no replica asks those that have stopped serving the target within 5 s, three at the most, before it refuses; with none of these it refuses at once, as before.

--- a/src/agent/backend.ts
+++ b/src/agent/backend.ts
@@ -25,8 +25,8 @@
 		| {readonly kind: 'lost'; readonly reason: string}
 		| {readonly kind: 'cancelled'};
 
-/** Why a backend server does not say what it serves. `unreachable`: nobody listens. `silent`: the answer did not come in time, or could not be read. */
-export type ServesFailure = {readonly kind: 'unreachable' | 'silent'; readonly reason: string};
+/** Why a backend server does not say what it serves. `unreachable`: nobody listens. `lost`: the connection ended, or the answer could not be read. `silent`: no answer came in time. */
+export type ServesFailure = {readonly kind: 'unreachable' | 'lost' | 'silent'; readonly reason: string};
 
 /** A backend server. */
 export type Backend = {
--- a/src/agent/engine-backend.ts
+++ b/src/agent/engine-backend.ts
@@ -21,6 +21,9 @@
 const tooManyRequests = 429;
 /** When to come back to a full engine that does not say. */
 const fullRetryAfterMs = 1000;
+const servesFailures: Readonly<Record<HttpFailure['kind'], ServesFailure['kind']>> = {
+	notSent: 'unreachable', lost: 'lost', silent: 'silent', aborted: 'silent',
+};
 const doneMarker = '[DONE]';
 const lineBreak = /[\r\n]/v;
 
@@ -62,21 +65,10 @@
 		});
 	}
 
+	// An engine may close a kept connection just as the question goes out. Without a second question, on a connection of its own, all callers would be refused until the next poll.
 	async serves(): Promise<Either<ServesFailure, readonly string[]>> {
-		const sent = await this.#http.send({
-			address: this.#address, method: 'GET', path: '/v1/models', timeoutMs: probeTimeoutMs, signal: AbortSignal.timeout(2 * probeTimeoutMs),
-		});
-		if (sent.isLeft()) {
-			const {kind, reason} = sent.extract();
-			return Left({kind: kind === 'notSent' ? 'unreachable' : 'silent', reason});
-		}
-
-		try {
-			const list = await (sent.extract() as HttpResponse).body.json() as {data?: Array<{id: string}>};
-			return Right(list.data?.map(model => `model:${model.id}`) ?? []);
-		} catch (err) {
-			return Left({kind: 'silent', reason: String(err)});
-		}
+		const first = await this.#askServes({isFresh: false});
+		return first.isLeft() && first.extract().kind === 'lost' ? this.#askServes({isFresh: true}) : first;
 	}
 
 	async #run(req: BackendRequest, signal: AbortSignal): Promise<Either<BackendFailure, void>> {
@@ -122,6 +114,23 @@
 		}).then(sent => sent.map(async res => res.body.dump().catch(() => undefined)));
 	}
 
+	async #askServes({isFresh}: {isFresh: boolean}): Promise<Either<ServesFailure, readonly string[]>> {
+		const sent = await this.#http.send({
+			address: this.#address, method: 'GET', path: '/v1/models', timeoutMs: probeTimeoutMs, signal: AbortSignal.timeout(2 * probeTimeoutMs), fresh: isFresh,
+		});
+		if (sent.isLeft()) {
+			const {kind, reason} = sent.extract();
+			return Left({kind: servesFailures[kind], reason});
+		}
+
+		try {
+			const list = await (sent.extract() as HttpResponse).body.json() as {data?: Array<{id: string}>};
+			return Right(list.data?.map(model => `model:${model.id}`) ?? []);
+		} catch (err) {
+			return Left({kind: 'lost', reason: String(err)});
+		}
+	}
+
 	async #probe(): Promise<EngineState | undefined> {
 		const sent = await this.#http.send({
 			address: this.#address, method: 'GET', path: '/v1/load', timeoutMs: probeTimeoutMs, signal: AbortSignal.timeout(2 * probeTimeoutMs), fresh: true,
--- a/src/common/replica-table.ts
+++ b/src/common/replica-table.ts
@@ -39,7 +39,11 @@
 	readonly lastFailure?: string;
 };
 
-type Row = {-readonly [Key in keyof ReplicaView]: ReplicaView[Key]} & {missed: number};
+type Row = {-readonly [Key in keyof ReplicaView]: ReplicaView[Key]} & {
+	missed: number;
+	/** When its reports stopped naming a target, by target. */
+	readonly stoppedServingAt: Map<string, number>;
+};
 
 // The list lags and may miss a VM for a read; one that still answers is dropped only after this many lists without it.
 const missesBeforeDrop = 2;
@@ -110,6 +114,7 @@
 			row.failures = 0;
 		} else if (row) {
 			this.#noteCache(row, load);
+			this.#noteServes(row, load);
 			row.load = load;
 			row.heardAt = this.#clock.now();
 			row.ownTokensSince = 0;
@@ -169,6 +174,12 @@
 		return [...this.#rows.values()].filter(row => isRoutable(row, {target, now, silentMs}));
 	}
 
+	/** Replicas that are heard and whose reports have stopped naming the target within some milliseconds: a backend server that restarts may serve it again by now. */
+	stoppedServing(target: string, withinMs: number): ReplicaView[] {
+		const since = this.#clock.now() - withinMs;
+		return [...this.#rows.values()].filter(row => !row.leaving && row.heardAt > since && (row.stoppedServingAt.get(target) ?? -Infinity) > since);
+	}
+
 	/** True when some replica serves the target, be it reachable now or not. */
 	isServed(target: string): boolean {
 		return [...this.#rows.values()].some(row => row.load?.serves.includes(target));
@@ -193,6 +204,16 @@
 		}
 	}
 
+	#noteServes({load: known, stoppedServingAt}: Row, load: LoadReport) {
+		const now = this.#clock.now();
+		known?.serves.filter(target => !load.serves.includes(target)).forEach(target => {
+			stoppedServingAt.set(target, now);
+		});
+		load.serves.forEach(target => {
+			stoppedServingAt.delete(target);
+		});
+	}
+
 	#applyVm(vm: VmEntry) {
 		const known = this.#rows.get(vm.name);
 		const isSame = known?.address === vm.address;
@@ -209,6 +230,7 @@
 				ownTokensSince: 0,
 				failures: 0,
 				missed: 0,
+				stoppedServingAt: new Map(),
 			};
 		row.missed = 0;
 		row.leaving = vm.state === 'leaving';
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -230,6 +230,7 @@
 			accounts: this.#accounts,
 			claims: new ClaimStore(this.#api),
 			deadlineMs: this.#cfg.online.deadlineMs,
+			askAnew: async target => this.#poller.askAnew(target),
 		});
 	}
 
--- a/src/entry/lost-attempts.steps.ts
+++ b/src/entry/lost-attempts.steps.ts
@@ -69,6 +69,7 @@
 		},
 	},
 	budget: {spend: () => true, succeeded: () => undefined},
+	askAnew: async () => false,
 } as unknown as RequestSurroundings);
 
 const work = {
--- a/src/entry/online-request.ts
+++ b/src/entry/online-request.ts
@@ -146,7 +146,7 @@
 	}
 
 	async #attemptOnce(): Promise<Step> {
-		const current = this.#choose();
+		const current = this.#choose() ?? await this.#chooseAnew();
 		if (!current) {
 			return this.#isCompleting ? 'again' : this.#giveUp('noReplica');
 		}
@@ -184,6 +184,11 @@
 		return {replica, attempt: this.#attemptFor(replica)};
 	}
 
+	async #chooseAnew(): Promise<CurrentAttempt | undefined> {
+		const mayHaveChanged = this.#attempts === 0 && await this.#around.askAnew(this.#target);
+		return mayHaveChanged ? this.#choose() : undefined;
+	}
+
 	#attemptFor(replica: ReplicaView): AttemptRequest {
 		const {
 			id, account, share, costTokens, promptTokens,
--- a/src/entry/online-work.ts
+++ b/src/entry/online-work.ts
@@ -11,6 +11,7 @@
 } from '../common/services.js';
 import type {AttemptClient, AttemptPlace} from './attempt-client.js';
 import type {CurrentAttempt} from './attempt-recovery.js';
+import type {ReplicaPoller} from './replica-poller.js';
 import type {Router} from './router.js';
 
 /** Why a caller's signal aborted, when it was for the deadline. */
@@ -75,4 +76,6 @@
 	readonly router: Router;
 	readonly client: AttemptClient;
 	readonly budget: RetryBudget;
+	/** Learns whether replicas that have lately stopped serving a target serve it again; see {@link ReplicaPoller.askAnew}. */
+	readonly askAnew: ReplicaPoller['askAnew'];
 };
--- a/src/entry/replica-poller.feature
+++ b/src/entry/replica-poller.feature
@@ -28,3 +28,11 @@
     Given an entry that has heard its replicas "a, b", whose reports now take 1600 ms
     When 8000 ms pass
     Then it sends work to "a, b"
+
+  Scenario: A backend server is back since its agent's last report
+    # Guards against a caller who is told that there is no replica for as long as a restart is over and not yet reported.
+    Given an entry that has heard its replicas "a, b", whose reports now take 0 ms
+    And "a, b" have said that they serve nothing
+    Then it sends work to no replica
+    When a request finds no replica
+    Then it sends work to "a, b"
--- a/src/entry/replica-poller.steps.ts
+++ b/src/entry/replica-poller.steps.ts
@@ -13,7 +13,7 @@
 import type {RpcClient, RpcTarget} from '../io/rpc-client.js';
 import {ReplicaPoller} from './replica-poller.js';
 
-type PollerWorld = TestWorld & {clock: ManualClock; table: ReplicaTable};
+type PollerWorld = TestWorld & {clock: ManualClock; table: ReplicaTable; poller: ReplicaPoller};
 
 const target = 'model:tyre-scribe';
 const silenceMs = 1000;
@@ -43,7 +43,7 @@
 	namesIn(names).forEach(name => {
 		world.table.heard(branded(name), report(name));
 	});
-	const poller = world.register(new ReplicaPoller({
+	world.poller = world.register(new ReplicaPoller({
 		clock: world.clock,
 		log: {emit: () => undefined},
 		vmList: {read: async () => Left({kind: 'unavailable', reason: 'away'})},
@@ -56,7 +56,7 @@
 		loadPollsPerSecond: 100,
 		subset: () => new Set(world.table.all.map(({vm}) => vm)),
 	}));
-	void poller.run();
+	void world.poller.run();
 };
 
 Given('an entry that has heard its replicas {string}', function (this: PollerWorld, names: string) {
@@ -67,11 +67,24 @@
 
 Given('an entry that has heard its replicas {string}, whose reports now take {int} ms', function (this: PollerWorld, names: string, ms: number) {
 	startPoller(this, names, async <T>({address, timeoutMs}: RpcTarget) => {
-		await this.clock.sleep(Math.min(ms, timeoutMs));
+		if (ms > 0) {
+			await this.clock.sleep(Math.min(ms, timeoutMs));
+		}
+
 		return ms > timeoutMs ? Left({kind: 'silent', reason: 'no answer in time'}) : Right(report(address) as T);
 	});
 });
 
+Given('{string} have said that they serve nothing', function (this: PollerWorld, names: string) {
+	namesIn(names).forEach(name => {
+		this.table.heard(branded(name), {...report(name), serves: []});
+	});
+});
+
+When('a request finds no replica', async function (this: PollerWorld) {
+	await this.poller.askAnew(target);
+});
+
 When('the entry stands still for {int} ms', async function (this: PollerWorld, ms: number) {
 	await pass(this, ms);
 });
--- a/src/entry/replica-poller.ts
+++ b/src/entry/replica-poller.ts
@@ -34,11 +34,19 @@
 
 const msPerSecond = 1000;
 
+/** A backend server is back within about this long after it was restarted, in milliseconds. */
+const restartMs = 5000;
+
+/** Replicas asked for one request that finds none; one that serves is enough, and while a model is down its callers are many. */
+const maxAskedAnew = 3;
+
 /** Polls until disposed. */
 export class ReplicaPoller implements Disposable {
 	readonly #parts: PollerParts;
 	readonly #asking = new Set<string>();
 	readonly #askedAt = new Map<VmName, number>();
+	/** Questions that several requests may wait for. */
+	readonly #askedAnew = new Map<VmName, Promise<void>>();
 	/** Questions that an agent has not answered yet. */
 	readonly #openQuestions = new Map<VmName, number>();
 	#entries: readonly VmEntry[] = [];
@@ -67,7 +75,23 @@
 		const {replicas, subset} = this.#parts;
 		await this.#readList();
 		const members = [...subset()].flatMap(vm => replicas.get(vm) ?? []);
-		await Promise.all(members.map(async replica => this.#ask(replica)));
+		await Promise.all(members.map(async replica => this.#askUnlessAsked(replica)));
+	}
+
+	/**
+	Asks the replicas that have lately stopped serving a target, before a caller is told that none does: what is known of them is as old as the last poll, and a restart may be over.
+
+	@returns Whether there was any to ask. Resolves when they have answered, or were asked for too long.
+	*/
+	async askAnew(target: string): Promise<boolean> {
+		const candidates = this.#parts.replicas.stoppedServing(target, restartMs).slice(0, maxAskedAnew);
+		await Promise.all(candidates.map(async replica => {
+			const asked = this.#askedAnew.get(replica.vm) ?? this.#ask(replica);
+			this.#askedAnew.set(replica.vm, asked);
+			await asked;
+			this.#askedAnew.delete(replica.vm);
+		}));
+		return candidates.length > 0;
 	}
 
 	async #pollList() {
@@ -122,20 +146,22 @@
 		replicas.silentMs = silenceMs * intervalMs / loadPollMs;
 		const dueAt = clock.now() - intervalMs + (loadPollMs / 2);
 		members.filter(({vm, heardAt}) => Math.max(heardAt, this.#askedAt.get(vm) ?? Number.NEGATIVE_INFINITY) <= dueAt).forEach(replica => {
-			void this.#ask(replica);
+			void this.#askUnlessAsked(replica);
 		});
 	}
 
-	async #ask(replica: ReplicaView) {
-		if (this.#asking.has(replica.vm)) {
-			return;
+	async #askUnlessAsked(replica: ReplicaView) {
+		if (!this.#asking.has(replica.vm)) {
+			this.#asking.add(replica.vm);
+			await this.#ask(replica);
+			this.#asking.delete(replica.vm);
 		}
+	}
 
-		this.#asking.add(replica.vm);
+	async #ask(replica: ReplicaView) {
 		this.#askedAt.set(replica.vm, this.#parts.clock.now());
 		const {clock, replicas, loadTimeoutMs} = this.#parts;
 		const isAnswered = await Promise.race([this.#readLoad(replica).then(() => true), clock.sleep(loadTimeoutMs).then(() => false)]);
-		this.#asking.delete(replica.vm);
 		if (!isAnswered) {
 			replicas.failed(replica.vm, `no report within ${loadTimeoutMs} ms`);
 		}
