The entry itself renews the connections of an agent that does not report

The client of calls between processes is the platform's fronts' as well; it is as it was before, so that what runs there does not change with the older entry's polling. Behaviour of the entry is the same.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -173,6 +173,9 @@
 			loadTimeoutMs: online.silenceMs / 2,
 			vmList: new HttpVmList(this.#http, platform.vmList, platform.timeoutMs),
 			rpc: this.#rpc,
+			renewConnections: address => {
+				this.#http.renew(address);
+			},
 			replicas: this.#replicas,
 			subset: () => subset.current,
 		});
--- a/src/entry/replica-poller.steps.ts
+++ b/src/entry/replica-poller.steps.ts
@@ -48,6 +48,7 @@
 		log: {emit: () => undefined},
 		vmList: {read: async () => Left({kind: 'unavailable', reason: 'away'})},
 		rpc: {call} as unknown as RpcClient,
+		renewConnections: () => undefined,
 		replicas: world.table,
 		loadPollMs,
 		vmListPollMs: 60_000,
--- a/src/entry/replica-poller.ts
+++ b/src/entry/replica-poller.ts
@@ -20,6 +20,8 @@
 	readonly vmList: VmList;
 	readonly rpc: RpcClient;
 	readonly replicas: ReplicaTable;
+	/** Makes later calls to an `ip:port` use new connections: those that are kept may be silent for good. */
+	readonly renewConnections: (address: string) => void;
 	readonly loadPollMs: number;
 	readonly vmListPollMs: number;
 	/** Milliseconds without an answer after which an agent is asked again. */
@@ -160,19 +162,20 @@
 
 	async #ask(replica: ReplicaView) {
 		this.#askedAt.set(replica.vm, this.#parts.clock.now());
-		const {clock, replicas, loadTimeoutMs} = this.#parts;
+		const {clock, replicas, loadTimeoutMs, renewConnections} = this.#parts;
 		const isAnswered = await Promise.race([this.#readLoad(replica).then(() => true), clock.sleep(loadTimeoutMs).then(() => false)]);
 		if (!isAnswered) {
 			replicas.failed(replica.vm, `no report within ${loadTimeoutMs} ms`);
+			renewConnections(replica.address);
 		}
 	}
 
 	async #readLoad({vm, address}: ReplicaView) {
-		const {rpc, replicas, loadTimeoutMs, silenceMs} = this.#parts;
+		const {rpc, replicas, silenceMs} = this.#parts;
 		const openQuestions = this.#openQuestions.get(vm) ?? 0;
 		this.#openQuestions.set(vm, openQuestions + 1);
 		const report = await rpc.call<LoadReport>({
-			address, timeoutMs: unheardFactor * silenceMs, renewAfterMs: loadTimeoutMs, fresh: openQuestions > 0,
+			address, timeoutMs: unheardFactor * silenceMs, fresh: openQuestions > 0,
 		}, 'agent.load', {cacheSince: replicas.prefixes.seqOf(vm)});
 		this.#openQuestions.set(vm, (this.#openQuestions.get(vm) ?? 1) - 1);
 		report
--- a/src/io/rpc-client.ts
+++ b/src/io/rpc-client.ts
@@ -14,8 +14,6 @@
 	readonly timeoutMs: number;
 	/** See {@link HttpRequest.fresh}. */
 	readonly fresh?: boolean;
-	/** Milliseconds without an answer after which later calls get new connections, while this one goes on; with its end by default. */
-	readonly renewAfterMs?: number;
 };
 
 /** Why a call has no result. `rejected` is the other end's own answer. */
@@ -59,12 +57,9 @@
 	}
 
 	async #post(payload: JSONRPCRequest, target: RpcTarget): Promise<Either<HttpFailure, JSONRPCResponse>> {
-		const {renewAfterMs, ...place} = target;
-		const timer = renewAfterMs === undefined ? undefined : this.#renewAfter(target.address, renewAfterMs);
 		const sent = await this.#http.send({
-			...place, method: 'POST', path: '/rpc', headers: {'content-type': 'application/json'}, body: JSON.stringify(payload), signal: AbortSignal.timeout(2 * target.timeoutMs),
+			...target, method: 'POST', path: '/rpc', headers: {'content-type': 'application/json'}, body: JSON.stringify(payload), signal: AbortSignal.timeout(2 * target.timeoutMs),
 		});
-		clearTimeout(timer);
 		if (sent.isLeft()) {
 			const failure = sent.extract();
 			if (failure.kind === 'silent') {
@@ -78,12 +73,6 @@
 		return this.#read(sent.extract() as HttpResponse, payload);
 	}
 
-	#renewAfter(address: string, ms: number): NodeJS.Timeout {
-		return setTimeout(() => {
-			this.#http.renew(address);
-		}, ms).unref();
-	}
-
 	// After a VM was replaced, its address may answer with anything, JSON included. An answer without the call's id would leave the call open for ever, and whoever waits for it with it.
 	async #read(res: HttpResponse, {id}: JSONRPCRequest): Promise<Either<HttpFailure, JSONRPCResponse>> {
 		const answer = await this.#parse(res);
