Names: a process is paused; no more "stood still"

Steps' and scenarios' wording only, beside comments and a method of the older entry; checks and bounds are as they were.

--- a/src/common/replica-table.ts
+++ b/src/common/replica-table.ts
@@ -123,11 +123,11 @@
 	}
 
 	/**
-	This process has stood still: what the replicas said meanwhile is still unread. Without this, all of them would look silent at once, and callers be told that there is none.
+	This process was paused: what the replicas said meanwhile is still unread. Without this, all of them would look silent at once, and callers be told that there is none.
 
 	@param ms - For how long.
 	*/
-	noteStandstill(ms: number): void {
+	notePause(ms: number): void {
 		this.#rows.forEach(row => {
 			row.heardAt += ms;
 		});
--- a/src/entry/replica-poller.feature
+++ b/src/entry/replica-poller.feature
@@ -1,10 +1,10 @@
 Feature: Which replicas an entry takes for silent
 
-  Scenario: An entry that stood still does not take its replicas for silent
+  Scenario: An entry whose process was paused does not take its replicas for silent
     # An entry gets no processor time for two seconds. When it goes on, a request is looked at before the replicas'
     # reports; all replicas look silent, and the caller hears that there is none, though all are well.
     Given an entry that has heard its replicas "a, b"
-    When the entry stands still for 2000 ms
+    When the entry's process is paused for 2000 ms
     Then it sends work to "a, b"
     When no report comes for 3250 ms
     Then it sends work to no replica
--- a/src/entry/replica-poller.steps.ts
+++ b/src/entry/replica-poller.steps.ts
@@ -86,7 +86,7 @@
 	await this.poller.askAnew(target);
 });
 
-When('the entry stands still for {int} ms', async function (this: PollerWorld, ms: number) {
+When('the entry\'s process is paused for {int} ms', async function (this: PollerWorld, ms: number) {
 	await pass(this, ms);
 });
 
--- a/src/entry/replica-poller.ts
+++ b/src/entry/replica-poller.ts
@@ -132,7 +132,7 @@
 			await clock.sleep(loadPollMs);
 			const lateMs = clock.now() - sleptAt - loadPollMs;
 			if (lateMs > loadPollMs) {
-				replicas.noteStandstill(lateMs);
+				replicas.notePause(lateMs);
 			}
 
 			this.#askThoseDue();
--- a/src/gateway/batch/job-leaver.ts
+++ b/src/gateway/batch/job-leaver.ts
@@ -44,7 +44,7 @@
 /** A shutdown waits this long, in milliseconds, for results to be listed, and as long for what it leaves to be written where no peer takes it; with both, half of the time to shut down is left for callers. */
 const writeLimitMs = 1000;
 
-/** A peer takes a job over as soon as it has read it, some ten milliseconds; one that needs this long, in milliseconds, is gone or stands still. */
+/** A peer takes a job over as soon as it has read it, some ten milliseconds; one that needs this long, in milliseconds, is gone or paused. */
 const takeOverLimitMs = 400;
 
 /** Peers that are asked, the first of the ranking first: if two in a row do not answer, more would take too long. */
--- a/src/gateway/batch/place-finder.steps.ts
+++ b/src/gateway/batch/place-finder.steps.ts
@@ -72,7 +72,7 @@
 const lookMs = 250;
 
 Given('it has been silent for {int} seconds', function (this: FinderWorld, seconds: number) {
-	// A front looks for silent peers several times a second; a longer time without a look is its own standstill.
+	// A front looks for silent peers several times a second; a longer time without a look is a pause of its own.
 	for (let passedMs = 0; passedMs < 1000 * seconds; passedMs += lookMs) {
 		this.now += lookMs;
 		this.peers.dropSilent();
--- a/src/gateway/gateway-tables.feature
+++ b/src/gateway/gateway-tables.feature
@@ -85,12 +85,12 @@
     When its own load changes all the time for longer than a peer may be silent
     Then it has dropped "front-2" and counts 0 calls of others at "r1"
 
-  Scenario: A front that stood still does not take its peers for gone
+  Scenario: A front whose process was paused does not take its peers for gone
     # A front gets no processor time for two seconds. When it goes on, timers come before messages: it looks for silent
     # peers before it reads what they have sent meanwhile, takes all of them for gone and claims all of their jobs.
     # Items run twice, and what the peers' items had is begun anew.
     Given a front that hears "front-2"
-    When it stands still for 2000 ms
+    When its process is paused for 2000 ms
     Then it still knows "front-2"
     When it hears nothing more for 1500 ms
     Then it has dropped "front-2"
--- a/src/gateway/gateway-tables.steps.ts
+++ b/src/gateway/gateway-tables.steps.ts
@@ -299,7 +299,7 @@
 	});
 });
 
-When('it stands still for {int} ms', function (this: PausedWorld, ms: number) {
+When('its process is paused for {int} ms', function (this: PausedWorld, ms: number) {
 	this.manual.advance(ms);
 	this.peers.dropSilent();
 });
--- a/src/gateway/peers/peer-table.ts
+++ b/src/gateway/peers/peer-table.ts
@@ -13,7 +13,7 @@
 /** A peer sends at least every 250 ms; this many milliseconds of silence are four messages lost in a row, or the peer. */
 const silenceMs = 1200;
 
-/** Silence is looked for at least every 250 ms; after a longer time than this between two looks, in milliseconds, this process itself has stood still. */
+/** Silence is looked for at least every 250 ms; after a longer time than this between two looks, in milliseconds, this process itself was paused. */
 const standstillMs = 600;
 
 /** A peer that is heard. */
@@ -39,7 +39,7 @@
 	readonly #events = new EventEmitter();
 	readonly #peers = new Map<MemberName, Peer>();
 	#lookedAt: number;
-	/** When this process last went on after it had stood still. */
+	/** When this process last went on after a pause. */
 	#wokeAt = -Infinity;
 
 	constructor(parts: PeerTableParts) {
@@ -109,7 +109,7 @@
 		}
 	}
 
-	/** Timers come before messages: right after a standstill, what the peers have sent meanwhile is still unread, and all of them would pass for gone. Their jobs would be claimed and run twice. */
+	/** Timers come before messages: right after a pause, what the peers have sent meanwhile is still unread, and all of them would pass for gone. Their jobs would be claimed and run twice. */
 	#noteStandstill(now: number) {
 		if (now - this.#lookedAt > standstillMs) {
 			this.#wokeAt = now;
--- a/src/io/dial.feature
+++ b/src/io/dial.feature
@@ -14,7 +14,7 @@
   Scenario: This process stands still while the connection is made
     # The time is over when this process goes on, and the connection has long been made: it counts.
     Given a listener
-    Then a connection to it can be made within 1 ms though this process stands still for 50 ms
+    Then a connection to it can be made within 1 ms though this process is paused for 50 ms
 
   Scenario: What is no address is nobody
     Then no connection to "nowhere" can be made
--- a/src/io/dial.steps.ts
+++ b/src/io/dial.steps.ts
@@ -45,7 +45,7 @@
 	assert.equal(await dial(this.address, longMs), false);
 });
 
-Then('a connection to it can be made within {int} ms though this process stands still for {int} ms', async function (this: DialWorld, limitMs: number, stillMs: number) {
+Then('a connection to it can be made within {int} ms though this process is paused for {int} ms', async function (this: DialWorld, limitMs: number, stillMs: number) {
 	const dialled = dial(this.address, limitMs);
 	const until = performance.now() + stillMs;
 	while (performance.now() < until) {
