--- /dev/null
+++ b/src/gateway/accounts/caller-gate.ts
@@ -0,0 +1,113 @@
+/**
+Lets callers in: finds whose a call is by its API key, and holds the account to its rate limit. Where operators have declared no accounts, every call is let in as it is.
+*/
+import {Left, Right, type Either} from 'purify-ts/Either';
+import type {Clock, EventLog, Metrics} from '../../common/services.js';
+import type {ConfigBoard} from '../config-board.js';
+import {gatewayEvents} from '../log-events.js';
+import type {
+	CallDialect, CallerIdentity, ClientAccount, GatewayRoute,
+} from '../types.js';
+import {identify, type KeyRefusal} from './identify.js';
+import type {RateCredit, RateLimits} from './rate-limits.js';
+
+/** What the gate reads of a call. */
+export type CallHead = {
+	readonly id: string;
+	/** Names and values by turns. */
+	readonly headers: readonly string[];
+};
+
+/** A caller that is known, as far as there are accounts. */
+export type Caller = {
+	/** Missing where operators have declared no accounts. */
+	readonly identity?: CallerIdentity;
+	/** Missing for a call without a key. */
+	readonly account?: ClientAccount;
+};
+
+/** A caller that has been let in. */
+export type AdmittedCaller = Caller & {readonly credit?: RateCredit};
+
+/** What a caller is told that is not let in. */
+export type GateRefusal = {
+	readonly status: 401 | 429 | 503;
+	/** In milliseconds. */
+	readonly retryAfterMs?: number;
+};
+
+type RefusalReason = KeyRefusal | 'stale' | 'limit';
+
+/** What the gate needs. */
+export type CallerGateParts = {
+	readonly board: ConfigBoard;
+	readonly dialect: CallDialect;
+	readonly limits: RateLimits;
+	readonly clock: Clock;
+	readonly log: EventLog;
+	readonly metrics: Metrics;
+	/** When the configuration was last heard to be as it is known, on the monotonic clock. */
+	readonly configHeardAt: () => number;
+	/** Without word of the configuration for this long, keys may have been taken away and are refused; in milliseconds. `undefined`: they hold until word comes. */
+	readonly staleAfterMs: number | undefined;
+};
+
+/** The configuration is asked for several times a second; in milliseconds. */
+const staleRetryMs = 500;
+
+/** See the module's head. */
+export class CallerGate {
+	readonly #parts: CallerGateParts;
+
+	constructor(parts: CallerGateParts) {
+		this.#parts = parts;
+	}
+
+	/** Lets in a call to a route. Jobs stand outside the rate limit: what of them may wait has a bound of its own. */
+	admit(head: CallHead, route: GatewayRoute): Either<GateRefusal, AdmittedCaller> {
+		return this.identify(head, route.isAnonymous)
+			.chain(caller => route.kind === 'batch' ? Right(caller) : this.#withinLimit(head, caller));
+	}
+
+	/** Finds whose a call is that goes to no route, or does not count. */
+	identify(head: CallHead, mayBeAnonymous: boolean): Either<GateRefusal, Caller> {
+		const {board, dialect} = this.#parts;
+		if (!board.accounts) {
+			return Right({});
+		}
+
+		if (this.#isStale()) {
+			return this.#refuse(head, 'stale', {status: 503, retryAfterMs: staleRetryMs});
+		}
+
+		return identify(board.accounts, dialect.readKey(head.headers), mayBeAnonymous).caseOf<Either<GateRefusal, Caller>>({
+			Left: reason => this.#refuse(head, reason, {status: 401}),
+			Right: account => Right({identity: {account: account?.name}, account}),
+		});
+	}
+
+	#withinLimit(head: CallHead, caller: Caller): Either<GateRefusal, AdmittedCaller> {
+		if (!caller.account) {
+			return Right(caller);
+		}
+
+		const decision = this.#parts.limits.admit(caller.account);
+		return 'credit' in decision
+			? Right({...caller, credit: decision.credit})
+			: this.#refuse(head, 'limit', {status: 429, retryAfterMs: decision.retryAfterMs}, caller.account);
+	}
+
+	#isStale(): boolean {
+		const {clock, configHeardAt, staleAfterMs} = this.#parts;
+		return staleAfterMs !== undefined && clock.now() - configHeardAt() > staleAfterMs;
+	}
+
+	#refuse({id}: CallHead, reason: RefusalReason, refusal: GateRefusal, account?: ClientAccount): Either<GateRefusal, never> {
+		const {log, metrics, board} = this.#parts;
+		log.emit(gatewayEvents.callerRefused, {
+			id, account: account?.name, reason, status: refusal.status, retryAfterMs: refusal.retryAfterMs && Math.round(refusal.retryAfterMs), configVersion: board.config?.version,
+		});
+		metrics.count('gateway.callersRefused', 1, {reason});
+		return Left(refusal);
+	}
+}
--- /dev/null
+++ b/src/gateway/accounts/identify.ts
@@ -0,0 +1,29 @@
+/**
+Whose a call is, by the key that it carries, and why a key is refused.
+*/
+import {Left, Right, type Either} from 'purify-ts/Either';
+import type {ClientAccount, PresentedKey} from '../types.js';
+import type {AccountTable} from './account-table.js';
+
+/** `missing`: the route needs a key. `unusable`: not one well-formed key. `unknown`: no account holds it. */
+export type KeyRefusal = 'missing' | 'unusable' | 'unknown';
+
+type Decisions = {readonly [K in PresentedKey['kind']]: (table: AccountTable, presented: Extract<PresentedKey, {kind: K}>, mayBeAnonymous: boolean) => Either<KeyRefusal, ClientAccount | undefined>};
+
+const decisions: Decisions = {
+	none: (_table, _presented, mayBeAnonymous) => mayBeAnonymous ? Right(undefined) : Left('missing'),
+	unusable: () => Left('unusable'),
+	key(table, {key}) {
+		const account = table.holderOf(key);
+		return account ? Right(account) : Left('unknown');
+	},
+};
+
+/**
+A wrong key is refused also where none is needed: its caller believes to be somebody, and would otherwise be served as nobody without noticing.
+
+@param mayBeAnonymous - Whether the route takes calls without a key.
+@returns The account, or nothing for an anonymous call.
+*/
+export const identify = (table: AccountTable, presented: PresentedKey, mayBeAnonymous: boolean): Either<KeyRefusal, ClientAccount | undefined> =>
+	(decisions[presented.kind] as (table: AccountTable, presented: PresentedKey, mayBeAnonymous: boolean) => Either<KeyRefusal, ClientAccount | undefined>)(table, presented, mayBeAnonymous);
--- /dev/null
+++ b/src/gateway/accounts/rate-limits.ts
@@ -0,0 +1,156 @@
+/**
+Holds the client accounts' rate limits over all processes of the gateway: decides on each call from what is known here, and tells the peers what was decided.
+*/
+import type {Clock, EventLog} from '../../common/services.js';
+import {gatewayEvents} from '../log-events.js';
+import type {PeerState} from '../peers/peer-state.js';
+import type {
+	ClientAccount, ClientAccountName, MemberName, RateLimit,
+} from '../types.js';
+import type {AccountUsage} from './account-usage.js';
+import {SharedBucket, type Membership} from './shared-bucket.js';
+
+/** A change is told in each message for this long, in milliseconds: single messages are lost. */
+const toldForMs = 800;
+
+/** What a peer admitted so long before this process started may still count, in milliseconds. */
+const countedBeforeMs = 5000;
+
+/** An account without calls for so long is forgotten, in milliseconds; its bucket is full by then. */
+const forgottenMs = 60_000;
+
+/** An account that is over its limit is logged this often, in milliseconds, besides each call that is refused. */
+const reportEveryMs = 1000;
+
+/** Processes that are registered and not heard count for this long after the start, in milliseconds: entries of VMs that are gone may stay for a while. */
+const unknownForMs = 30_000;
+
+/** What the limits need. */
+export type RateLimitsParts = {
+	readonly clock: Clock;
+	readonly log: EventLog;
+	/** Calls of an account beyond its limit that operators tolerate in a window. */
+	readonly tolerance: number;
+	/** How many processes are registered, this one included. */
+	readonly registered: () => number;
+	/** Peers that are heard. */
+	readonly heard: () => ReadonlySet<MemberName>;
+};
+
+/** What an admitted call holds. */
+export type RateCredit = {
+	/** The call was refused after all, and has run nowhere. */
+	giveBack(): void;
+};
+
+/** A call is admitted, or may come back later. */
+export type LimitDecision = {readonly credit: RateCredit} | {readonly retryAfterMs: number};
+
+type Refusals = {count: number; reportedAt: number};
+
+const unlimited: LimitDecision = {credit: {giveBack: () => undefined}};
+
+const isLimited = (limit: RateLimit | undefined): limit is RateLimit => limit !== undefined && limit.perSecond > 0;
+
+/** See the module's head. */
+export class RateLimits {
+	readonly #parts: RateLimitsParts;
+	readonly #startedAt: number;
+	readonly #startedAtWall: number;
+	readonly #buckets = new Map<ClientAccountName, SharedBucket>();
+	readonly #refusals = new Map<ClientAccountName, Refusals>();
+
+	constructor(parts: RateLimitsParts) {
+		this.#parts = parts;
+		this.#startedAt = parts.clock.now();
+		this.#startedAtWall = parts.clock.wall();
+	}
+
+	/** Decides on a call of the account. */
+	admit({name, rateLimit}: ClientAccount): LimitDecision {
+		if (!isLimited(rateLimit)) {
+			return unlimited;
+		}
+
+		const now = this.#parts.clock.now();
+		const bucket = this.#bucketOf(name, rateLimit, now);
+		const admission = bucket.admit(rateLimit, this.#membership(now), now);
+		if (!admission.isAdmitted) {
+			this.#report(name, bucket, rateLimit, now);
+			return admission;
+		}
+
+		return {
+			credit: {
+				giveBack: () => {
+					bucket.giveBack(this.#parts.clock.now());
+				},
+			},
+		};
+	}
+
+	/** What the peers must hear now. */
+	news(): readonly AccountUsage[] {
+		const now = this.#parts.clock.now();
+		this.#forgetIdle(now);
+		return [...this.#buckets]
+			.filter(([, {ownChangedAt}]) => now - ownChangedAt < toldForMs)
+			.map(([account, {usage}]) => ({account, ...usage}));
+	}
+
+	/** Takes over what a peer tells. An account without calls here is counted too: its next call may come here. */
+	take({member, startedAt, accountUsage = []}: Pick<PeerState, 'member' | 'startedAt' | 'accountUsage'>, limitOf: (account: ClientAccountName) => RateLimit | undefined): void {
+		const now = this.#parts.clock.now();
+		const isNewPeer = startedAt > this.#startedAtWall - countedBeforeMs;
+		accountUsage.forEach(({account, admitted, asked}) => {
+			const limit = limitOf(account);
+			if (isLimited(limit)) {
+				this.#bucketOf(account, limit, now).takePeer(member, {admitted, asked}, {isNewPeer, now});
+			}
+		});
+	}
+
+	#bucketOf(account: ClientAccountName, limit: RateLimit, now: number): SharedBucket {
+		const known = this.#buckets.get(account);
+		if (known) {
+			return known;
+		}
+
+		const bucket = new SharedBucket(limit, {tolerance: this.#parts.tolerance, idleMs: now - this.#startedAt, now});
+		this.#buckets.set(account, bucket);
+		return bucket;
+	}
+
+	#membership(now: number): Membership {
+		const heard = this.#parts.heard();
+		const registered = Math.max(this.#parts.registered(), heard.size + 1);
+		const isYoung = now - this.#startedAt < unknownForMs;
+		return {
+			isHeard: peer => heard.has(peer),
+			unknownShare: isYoung ? (registered - 1 - heard.size) / registered : 0,
+			leastShare: 1 / registered,
+		};
+	}
+
+	#forgetIdle(now: number) {
+		[...this.#buckets].filter(([, {changedAt}]) => now - changedAt > forgottenMs).forEach(([account]) => {
+			this.#buckets.delete(account);
+			this.#refusals.delete(account);
+		});
+	}
+
+	#report(account: ClientAccountName, {level, usage}: SharedBucket, limit: RateLimit, now: number) {
+		const refusals = this.#refusals.get(account) ?? {count: 0, reportedAt: -Infinity};
+		this.#refusals.set(account, refusals);
+		refusals.count += 1;
+		if (now - refusals.reportedAt < reportEveryMs) {
+			return;
+		}
+
+		this.#parts.log.emit(gatewayEvents.rateLimitReached, {
+			account, refused: refusals.count, level: Math.round(level), ...usage, ...limit,
+		});
+		refusals.count = 0;
+		refusals.reportedAt = now;
+	}
+}
--- /dev/null
+++ b/src/gateway/accounts/rate-meter.ts
@@ -0,0 +1,26 @@
+/**
+How often something has happened of late: a count that fades exponentially.
+*/
+
+/** The time over which the count fades to about a third, in milliseconds. */
+const fadeMs = 1000;
+
+/** See the module's head. Times are milliseconds on the monotonic clock. */
+export class RateMeter {
+	#count = 0;
+	#countedAt = 0;
+
+	note(count: number, now: number): void {
+		this.#count = (this.#count * this.#faded(now)) + count;
+		this.#countedAt = now;
+	}
+
+	/** Per second. */
+	perSecond(now: number): number {
+		return this.#count * this.#faded(now) * (1000 / fadeMs);
+	}
+
+	#faded(now: number): number {
+		return Math.exp((this.#countedAt - now) / fadeMs);
+	}
+}
--- /dev/null
+++ b/src/gateway/accounts/shared-bucket.ts
@@ -0,0 +1,196 @@
+/**
+One account's token bucket over all processes, as one of them estimates it: filled at the account's rate, emptied by its own calls at once and by the peers' as they tell of them. A call that a peer has admitted meanwhile may take the estimate below zero; nothing is admitted until it is filled again, so the limit holds over time whatever the delay.
+
+Near the limit all processes would see the same token come free and each admit a call for it. There each takes only its part of what comes free, by its part of the calls that ask.
+*/
+import type {MemberName, RateLimit} from '../types.js';
+import type {AccountUsage} from './account-usage.js';
+import {RateMeter} from './rate-meter.js';
+
+/** Calls of about this long may be admitted elsewhere before this process hears of them, in seconds. */
+const newsLagS = 0.2;
+
+/** Near the limit, what is left of the burst is handed out over about this long, in seconds. */
+const burstSpreadS = 0.5;
+
+/** Of its part, a process may save up what comes in this long, in seconds, and one call at the least. */
+const savedS = 0.25;
+
+/** What a process that has gone silent took before, it is taken to go on taking for this long, in milliseconds: it may be cut off and alive. One that has ended is back by then, or its callers are elsewhere. */
+const silentShareMs = 30_000;
+
+/** When to come back, in milliseconds, within these bounds. */
+const leastWaitMs = 50;
+const mostWaitMs = 10_000;
+
+/** What one peer has told of the account. */
+type PeerUse = {
+	admitted: number;
+	asked: number;
+	toldAt: number;
+	readonly rate: RateMeter;
+};
+
+/** What the bucket needs to know of the peers. */
+export type Membership = {
+	/** Processes that are registered and were never heard, as a share of all. */
+	readonly unknownShare: number;
+	/** What a process may take of an account's rate even if it hears nobody, as a share. */
+	readonly leastShare: number;
+	/** Whether a peer is heard. */
+	isHeard(peer: MemberName): boolean;
+};
+
+/** What was decided on a call. */
+export type Admission = {readonly isAdmitted: true} | {readonly isAdmitted: false; readonly retryAfterMs: number};
+
+/** See the module's head. Times are milliseconds on the monotonic clock. */
+export class SharedBucket {
+	#limit: RateLimit;
+	readonly #tolerance: number;
+	readonly #peers = new Map<MemberName, PeerUse>();
+	readonly #ownDemand = new RateMeter();
+	readonly #peerDemand = new RateMeter();
+	#level: number;
+	#credit = 1;
+	#filledAt: number;
+	#nextFreeAt = 0;
+	#admitted = 0;
+	#asked = 0;
+	#changedAt: number;
+	#ownChangedAt: number;
+
+	/**
+	@param tolerance - Calls beyond the limit that operators tolerate in a window; half of it makes up for late news.
+	@param idleMs - For how long the account has certainly been idle.
+	*/
+	constructor(limit: RateLimit, {tolerance, idleMs, now}: {tolerance: number; idleMs: number; now: number}) {
+		this.#limit = limit;
+		this.#tolerance = tolerance;
+		this.#level = Math.min(limit.burst, limit.perSecond * idleMs / 1000);
+		this.#filledAt = now;
+		this.#changedAt = now;
+		this.#ownChangedAt = now;
+	}
+
+	/** When the account last had a call here, or a peer told of one. */
+	get changedAt(): number {
+		return this.#changedAt;
+	}
+
+	/** When {@link usage} last changed. */
+	get ownChangedAt(): number {
+		return this.#ownChangedAt;
+	}
+
+	/** Calls that may still come at once, as far as is known; below zero while too many have. */
+	get level(): number {
+		return this.#level;
+	}
+
+	get usage(): Omit<AccountUsage, 'account'> {
+		return {admitted: this.#admitted, asked: this.#asked};
+	}
+
+	/** Takes a call in, or tells when there may be room for it. */
+	admit(limit: RateLimit, membership: Membership, now: number): Admission {
+		this.#limit = limit;
+		this.#asked += 1;
+		this.#changedAt = now;
+		this.#ownChangedAt = now;
+		this.#ownDemand.note(1, now);
+		const refill = this.#fill(membership, now);
+		const partPerSecond = this.#partPerSecond(refill, now);
+		if (this.#isScarce(now) && !this.#takeCredit()) {
+			return {isAdmitted: false, retryAfterMs: this.#waitMs(partPerSecond, now)};
+		}
+
+		this.#admitted += 1;
+		this.#level -= 1;
+		return {isAdmitted: true};
+	}
+
+	/** An admitted call was refused after all, and has run nowhere. */
+	giveBack(now: number): void {
+		this.#admitted -= 1;
+		this.#ownChangedAt = now;
+		this.#level = Math.min(this.#limit.burst, this.#level + 1);
+	}
+
+	/**
+	Takes over what a peer tells.
+
+	@param isNewPeer - Whether the peer has started within the time that counts, so that all it has admitted does.
+	*/
+	takePeer(peer: MemberName, {admitted, asked}: Omit<AccountUsage, 'account'>, {isNewPeer, now}: {isNewPeer: boolean; now: number}): void {
+		const known = this.#peers.get(peer) ?? {
+			admitted: isNewPeer ? 0 : admitted, asked: isNewPeer ? 0 : asked, toldAt: now, rate: new RateMeter(),
+		};
+		this.#peers.set(peer, known);
+		// Fewer calls than before: the peer has started again, or has forgotten an account that was idle.
+		const hasStartedAnew = asked < known.asked;
+		const newlyAdmitted = hasStartedAnew ? admitted : admitted - known.admitted;
+		const newlyAsked = hasStartedAnew ? asked : asked - known.asked;
+		known.admitted = admitted;
+		known.asked = asked;
+		known.toldAt = now;
+		if (newlyAdmitted === 0 && newlyAsked === 0) {
+			return;
+		}
+
+		known.rate.note(newlyAdmitted, now);
+		this.#peerDemand.note(newlyAsked, now);
+		this.#level -= newlyAdmitted;
+		this.#changedAt = now;
+	}
+
+	/** @returns Calls a second by which the bucket is filled for those that are heard. */
+	#fill(membership: Membership, now: number): number {
+		const {perSecond, burst} = this.#limit;
+		const refill = Math.max(perSecond * membership.leastShare, (perSecond * (1 - membership.unknownShare)) - this.#takenBySilent(membership, now));
+		const seconds = (now - this.#filledAt) / 1000;
+		this.#filledAt = now;
+		this.#level = Math.min(burst, this.#level + (refill * seconds));
+		const part = this.#partPerSecond(refill, now);
+		this.#credit = Math.min(Math.max(1, part * savedS), this.#credit + (part * seconds));
+		return refill;
+	}
+
+	#takenBySilent(membership: Membership, now: number): number {
+		return [...this.#peers]
+			.filter(([peer, {toldAt}]) => !membership.isHeard(peer) && now - toldAt < silentShareMs)
+			.reduce((sum, [, {rate, toldAt}]) => sum + rate.perSecond(toldAt), 0);
+	}
+
+	/** Calls a second that this process may admit near the limit. */
+	#partPerSecond(refill: number, now: number): number {
+		const own = this.#ownDemand.perSecond(now);
+		const all = own + this.#peerDemand.perSecond(now);
+		const free = refill + (Math.max(0, this.#level) / burstSpreadS);
+		return all === 0 ? free : free * own / all;
+	}
+
+	#isScarce(now: number): boolean {
+		const demand = this.#ownDemand.perSecond(now) + this.#peerDemand.perSecond(now);
+		const unseen = Math.min(demand * newsLagS, this.#limit.burst / 2);
+		return this.#level < Math.max(1, unseen) - (this.#tolerance / 2);
+	}
+
+	#takeCredit(): boolean {
+		if (this.#credit < 1 || this.#level < -this.#tolerance) {
+			return false;
+		}
+
+		this.#credit -= 1;
+		return true;
+	}
+
+	/** Those who are refused come back one after the other, as the account's calls are let in. */
+	#waitMs(partPerSecond: number, now: number): number {
+		const gapMs = partPerSecond > 0 ? 1000 / partPerSecond : mostWaitMs;
+		this.#nextFreeAt = Math.max(now, this.#nextFreeAt) + gapMs;
+		const waitMs = Math.min(mostWaitMs, Math.max(leastWaitMs, this.#nextFreeAt - now));
+		this.#nextFreeAt = now + waitMs;
+		return waitMs;
+	}
+}
--- a/src/gateway/attempt.steps.ts
+++ b/src/gateway/attempt.steps.ts
@@ -17,6 +17,7 @@
 
 const dialect: CallDialect = {
 	readCall: () => ({requestId: '', promptParts: []}),
+	readKey: () => ({kind: 'none'}),
 	toReplica: headers => [...headers],
 	readAnswer: (_status, headers) => ({requestId: headers['call-id'] as string | undefined, hasNotRun: headers['not-run'] !== undefined}),
 };
--- a/src/gateway/batch/batch-book.ts
+++ b/src/gateway/batch/batch-book.ts
@@ -1,13 +1,13 @@
 /**
 All batch jobs as the object API's records tell them, in the order of their versions: part of the blackboard.
 
-Whether a job fits under its route's limit is decided here, from the records before it, and so alike in every process: two processes that take jobs in at the same moment need not ask each other, since each finds the other's job before or after its own. Nothing of a job runs, and no caller is told that it was accepted, before its record has come back in this order.
+Whether a job fits under what may wait of its account on its route is decided here, from the records before it, and so alike in every process: two processes that take jobs in at the same moment need not ask each other, since each finds the other's job before or after its own. Nothing of a job runs, and no caller is told that it was accepted, before its record has come back in this order.
 */
 import {EventEmitter} from 'node:events';
 import {branded, type Revision} from '../../common/ids.js';
 import type {StoredObject, WatchEvent} from '../../common/types.js';
 import type {ObjectFeed} from '../object-feed.js';
-import type {BatchJobId} from '../types.js';
+import type {BatchJobId, ClientAccountName} from '../types.js';
 import {BatchJob} from './batch-job.js';
 import {
 	readRecord, tokensOf, type BatchRecord, type EndRecord, type HandoverRecord, type JobRecord, type PageRecord,
@@ -77,9 +77,9 @@
 		return this.#jobs.get(id);
 	}
 
-	/** Tokens of accepted items without a result on a route. */
-	waitingTokens(route: string): number {
-		return [...this.#jobs.values()].reduce((sum, job) => job.record.route === route ? sum + job.waitingTokens : sum, 0);
+	/** Tokens of an account's accepted items without a result on a route. Jobs without an account share one bound. */
+	waitingTokens(route: string, account?: ClientAccountName): number {
+		return [...this.#jobs.values()].reduce((sum, job) => job.record.route === route && job.record.account === account ? sum + job.waitingTokens : sum, 0);
 	}
 
 	/** Calls the listener after records were taken, with the jobs that they concern. */
@@ -198,8 +198,8 @@
 	}
 
 	#addJob(record: JobRecord, revision: Revision) {
-		const {route, maxWaitingTokens, isRoomy, items} = record;
-		const waitsElsewhere = this.waitingTokens(route) - (this.#held.has(record.job) ? tokensOf(items) : 0);
+		const {route, account, maxWaitingTokens, isRoomy, items} = record;
+		const waitsElsewhere = this.waitingTokens(route, account) - (this.#held.has(record.job) ? tokensOf(items) : 0);
 		const isAdmitted = isRoomy || waitsElsewhere + tokensOf(items) <= maxWaitingTokens;
 		if (!isAdmitted && this.#held.has(record.job)) {
 			// Another process judged the job too large and is about to take its record back. What this one has accepted stays accepted, and keepers will write it.
--- a/src/gateway/batch/batch-records.ts
+++ b/src/gateway/batch/batch-records.ts
@@ -7,7 +7,7 @@
 	isAmount, isCount, isFlag, isObject, isString, isText, listOf, objectOf, oneOf, optional, type FieldTest,
 } from '../../common/field-tests.js';
 import {isItemProgress} from '../../common/message-tests.js';
-import type {BatchItemId, BatchJobId} from '../types.js';
+import type {BatchItemId, BatchJobId, ClientAccountName} from '../types.js';
 import type {FailedRun} from './failed-runs.js';
 
 /** One item as its caller handed it in. */
@@ -29,6 +29,8 @@
 export type JobRecord = {
 	readonly type: 'job';
 	readonly job: BatchJobId;
+	/** Whose job it is; missing where there were no accounts, or the route takes jobs without a key. */
+	readonly account?: ClientAccountName;
 	/** The name of its route. */
 	readonly route: string;
 	/** The `Host` that it was sent to, and that its items are sent with. */
@@ -37,7 +39,7 @@
 	readonly target: string;
 	/** Wall clock of the process that took it in, in milliseconds. */
 	readonly submittedAt: number;
-	/** Tokens that could wait on the route then; 0 for no limit. */
+	/** Tokens of its account that could wait on the route then; 0 for no limit. */
 	readonly maxWaitingTokens: number;
 	/** Whether the process that took it in saw so much room that nothing written at the same time could fill it. */
 	readonly isRoomy: boolean;
@@ -119,7 +121,7 @@
 
 const recordTests: Readonly<Record<string, FieldTest>> = {
 	job: objectOf({
-		job: isText, route: isText, host: isText, target: isText, submittedAt: isAmount, maxWaitingTokens: isAmount, isRoomy: isFlag, items: listOf(objectOf({id: isText, tokens: isAmount})), content: isText,
+		job: isText, account: optional(isText), route: isText, host: isText, target: isText, submittedAt: isAmount, maxWaitingTokens: isAmount, isRoomy: isFlag, items: listOf(objectOf({id: isText, tokens: isAmount})), content: isText,
 	}),
 	page: objectOf({
 		job: isText, number: isCount, results: listOf(objectOf({id: isText, state})), content: isText,
--- a/src/gateway/batch/batch-runner.ts
+++ b/src/gateway/batch/batch-runner.ts
@@ -23,7 +23,7 @@
 import type {ReplicaLinks} from '../replica-links.js';
 import type {Replica} from '../replica.js';
 import type {
-	BatchJobId, CallDialect, GatewayRoute, MemberName,
+	BatchJobId, CallDialect, CallerIdentity, GatewayRoute, MemberName,
 } from '../types.js';
 import type {BatchBook} from './batch-book.js';
 import type {BatchJob} from './batch-job.js';
@@ -329,6 +329,7 @@
 			dialect,
 			headers: itemHeaders(job.record.host, item.id, item.headers),
 			events,
+			caller: this.#callerOf(job),
 			onEnd: (end, reason) => {
 				giveBack();
 				log.emit(gatewayEvents.itemRunEnded, {
@@ -345,6 +346,11 @@
 		state.run.start();
 	}
 
+	/** A job keeps its account when operators take its key away, or declare no accounts any more. */
+	#callerOf({record: {account}}: BatchJob): CallerIdentity | undefined {
+		return account !== undefined || this.#parts.board.accounts ? {account} : undefined;
+	}
+
 	/** An item that was late has waited behind those that could be on time, and says nothing of how long these take. */
 	#learn({dueAt, state: {begunAt = 0, ranMs}}: ItemPlace, lastRun: {events: number; elapsedMs: number; total: number}) {
 		const {clock} = this.#parts;
--- a/src/gateway/batch/item-run.ts
+++ b/src/gateway/batch/item-run.ts
@@ -10,7 +10,7 @@
 import type {AttemptContact} from '../contacts/replica-contacts.js';
 import type {ReplicaConnection} from '../replica-connections.js';
 import type {Replica} from '../replica.js';
-import type {CallDialect} from '../types.js';
+import type {CallDialect, CallerIdentity} from '../types.js';
 import type {BatchItem} from './batch-records.js';
 
 /**
@@ -33,6 +33,8 @@
 	readonly headers: readonly string[];
 	/** The data of the events that are known already. The run adds to them. */
 	readonly events: string[];
+	/** Whose item it is, where there are accounts. */
+	readonly caller?: CallerIdentity;
 	readonly onEnd: ItemRunListener;
 };
 
@@ -75,7 +77,7 @@
 
 	constructor(parts: ItemRunParts) {
 		const {
-			item, replica, connection, contact, clock, dialect, headers, events,
+			item, replica, connection, contact, clock, dialect, headers, events, caller,
 		} = parts;
 		this.#parts = parts;
 		this.replica = replica;
@@ -87,7 +89,9 @@
 			message: {
 				method: itemMethod, target: item.path, headers, body: Buffer.from(item.body, 'base64'),
 			},
-			fields: {requestId: item.id, replica: replica.record.id, lastEventId: events.length},
+			fields: {
+				requestId: item.id, replica: replica.record.id, lastEventId: events.length, caller,
+			},
 			patience,
 			listener: {
 				onHead: head => {
--- a/src/gateway/batch/job-intake.steps.ts
+++ b/src/gateway/batch/job-intake.steps.ts
@@ -37,7 +37,7 @@
 });
 
 const routeOf = (limit: number): GatewayRoute => ({
-	name: 'notes', host: 'h', pathPrefix: '/', kind: 'batch', timeoutMs: 1000, latencyTargetMs: 500, maxRuns: 3, isResumable: true, targets: [], batch: {dueMs: 1000, giveUpMs: 1000, maxWaitingTokens: limit},
+	name: 'notes', host: 'h', pathPrefix: '/', kind: 'batch', timeoutMs: 1000, latencyTargetMs: 500, maxRuns: 3, isResumable: true, isAnonymous: false, priority: 0, targets: [], batch: {dueMs: 1000, giveUpMs: 1000, maxWaitingTokens: limit},
 });
 
 /** Slips in another front's records just before this front's record of a job is created, once. */
--- a/src/gateway/batch/job-intake.ts
+++ b/src/gateway/batch/job-intake.ts
@@ -7,7 +7,7 @@
 } from '../../common/services.js';
 import {gatewayEvents} from '../log-events.js';
 import type {ObjectFeed} from '../object-feed.js';
-import type {BatchJobId, GatewayRoute} from '../types.js';
+import type {BatchJobId, ClientAccountName, GatewayRoute} from '../types.js';
 import type {HeldJob} from '../keeping/held-job.js';
 import type {JobHolders} from '../keeping/job-holders.js';
 import type {BatchBook} from './batch-book.js';
@@ -20,6 +20,8 @@
 /** A job as a caller sent it. */
 export type JobSubmission = {
 	readonly job: BatchJobId;
+	/** Whose job it is, where there are accounts. */
+	readonly account?: ClientAccountName;
 	readonly route: GatewayRoute;
 	readonly host: string;
 	/** The path that it was sent to. */
@@ -27,8 +29,8 @@
 	readonly items: readonly BatchItem[];
 };
 
-/** `full`: more tokens wait than may. `away`: nothing was written. `uncertain`: the job may stand. */
-export type SubmissionOutcome = 'accepted' | 'full' | 'away' | 'tooLarge' | 'uncertain';
+/** `full`: more tokens wait than may. `away`: nothing was written. `uncertain`: the job may stand. `foreign`: another account has a job of this id. */
+export type SubmissionOutcome = 'accepted' | 'full' | 'away' | 'tooLarge' | 'uncertain' | 'foreign';
 
 /** What the intake reads and writes. */
 export type IntakeParts = {
@@ -72,9 +74,9 @@
 		const {clock, book, log, metrics} = this.#parts;
 		const startedAt = clock.now();
 		const outcome = await this.#submit(submission);
-		const {job, route, items} = submission;
+		const {job, account, route, items} = submission;
 		log.emit(gatewayEvents.jobSubmitted, {
-			id: job, route: route.name, items: items.length, tokens: tokensOf(items), waitingTokens: book.waitingTokens(route.name), cap: route.batch?.maxWaitingTokens, outcome, isHeld: book.job(job)?.isHeld, elapsedMs: Math.round(clock.now() - startedAt),
+			id: job, account, route: route.name, items: items.length, tokens: tokensOf(items), waitingTokens: book.waitingTokens(route.name, account), cap: route.batch?.maxWaitingTokens, outcome, isHeld: book.job(job)?.isHeld, elapsedMs: Math.round(clock.now() - startedAt),
 		});
 		metrics.count('gateway.jobs', 1, {outcome});
 		return outcome;
@@ -84,7 +86,7 @@
 		const {book, feed} = this.#parts;
 		const {job} = submission;
 		if (book.job(job)?.isAdmitted) {
-			return 'accepted';
+			return this.#acceptedBefore(submission);
 		}
 
 		if (!this.#seemsToFit(submission)) {
@@ -95,7 +97,7 @@
 			}
 
 			if (book.job(job)?.isAdmitted) {
-				return 'accepted';
+				return this.#acceptedBefore(submission);
 			}
 
 			if (!book.job(job) && !this.#seemsToFit(submission)) {
@@ -106,6 +108,11 @@
 		return this.#write(submission);
 	}
 
+	/** The job stands already: its caller sends it again, with the same key or another one of its account, or names a job that is another account's. */
+	#acceptedBefore({job, account}: Pick<JobSubmission, 'job' | 'account'>): SubmissionOutcome {
+		return this.#parts.book.job(job)?.record.account === account ? 'accepted' : 'foreign';
+	}
+
 	#seemsToFit(submission: JobSubmission): boolean {
 		return this.#roomAfter(submission) >= 0;
 	}
@@ -118,9 +125,9 @@
 
 	/** Tokens that could still wait once the job does, as far as is known. */
 	#roomAfter(submission: JobSubmission): number {
-		const {route, items} = submission;
+		const {route, account, items} = submission;
 		const limit = limitOf(submission);
-		return (limit === 0 ? Infinity : limit) - this.#parts.book.waitingTokens(route.name) - tokensOf(items);
+		return (limit === 0 ? Infinity : limit) - this.#parts.book.waitingTokens(route.name, account) - tokensOf(items);
 	}
 
 	async #write(submission: JobSubmission): Promise<SubmissionOutcome> {
@@ -144,12 +151,12 @@
 	}
 
 	/** A record that stood already may be another process's, which judged the job by its own view and may be about to take it back: only the order of the records tells whether it stays. */
-	async #settle({job, isRoomy}: JobRecord, {outcome, mayComeLate}: JobWrite): Promise<SubmissionOutcome> {
+	async #settle({job, account, isRoomy}: JobRecord, {outcome, mayComeLate}: JobWrite): Promise<SubmissionOutcome> {
 		if (outcome === 'created' && isRoomy) {
 			return 'accepted';
 		}
 
-		return outcome === 'created' || outcome === 'found' ? this.#judge(job, mayComeLate) : outcome;
+		return outcome === 'created' || outcome === 'found' ? this.#judge({job, account}, mayComeLate) : outcome;
 	}
 
 	/** Processes do not know of each other's held jobs: together they may hold no more than what a roomy job leaves free. */
@@ -180,11 +187,14 @@
 	}
 
 	#recordOf(submission: JobSubmission): JobRecord {
-		const {job, route, host, target, items} = submission;
+		const {
+			job, account, route, host, target, items,
+		} = submission;
 		const {clock, contents} = this.#parts;
 		return {
 			type: 'job',
 			job,
+			account,
 			route: route.name,
 			host,
 			target,
@@ -201,7 +211,7 @@
 
 	@param mayComeLate - Whether a try to write it went unanswered. Carried out after the record was taken back, it would find room and run a job that its caller was told will never run.
 	*/
-	async #judge(job: BatchJobId, mayComeLate: boolean): Promise<SubmissionOutcome> {
+	async #judge({job, account}: Pick<JobRecord, 'job' | 'account'>, mayComeLate: boolean): Promise<SubmissionOutcome> {
 		const {book, feed} = this.#parts;
 		const isThere = () => book.job(job) !== undefined;
 		await book.until(job, isThere, feedPatienceMs);
@@ -212,7 +222,7 @@
 		}
 
 		if (entry.isAdmitted) {
-			return 'accepted';
+			return this.#acceptedBefore({job, account});
 		}
 
 		const isGone = await this.#takeBack(job);
--- a/src/gateway/batch/job-reader.ts
+++ b/src/gateway/batch/job-reader.ts
@@ -8,7 +8,7 @@
 } from '../../common/services.js';
 import {gatewayEvents} from '../log-events.js';
 import type {ObjectFeed} from '../object-feed.js';
-import type {BatchItemId, BatchJobId} from '../types.js';
+import type {BatchItemId, BatchJobId, CallerIdentity} from '../types.js';
 import type {BatchBook} from './batch-book.js';
 import type {BatchJob} from './batch-job.js';
 import {recordNames, type EndRecord, type ItemResult} from './batch-records.js';
@@ -62,8 +62,9 @@
 		this.#parts = parts;
 	}
 
-	async results({job, after, waitMs}: ResultsQuestion): Promise<ResultsPage | NoAnswer> {
-		const found = await this.#find(job);
+	/** @param caller - Who asks, where there are accounts: another account's job does not exist for it. */
+	async results({job, after, waitMs}: ResultsQuestion, caller?: CallerIdentity): Promise<ResultsPage | NoAnswer> {
+		const found = await this.#find(job, caller);
 		if (typeof found === 'string') {
 			return found;
 		}
@@ -86,8 +87,8 @@
 	}
 
 	/** @returns The bytes that the item is sent with. */
-	async body(job: BatchJobId, item: BatchItemId): Promise<Buffer | NoAnswer> {
-		const found = await this.#find(job);
+	async body({job, item}: {readonly job: BatchJobId; readonly item: BatchItemId}, caller?: CallerIdentity): Promise<Buffer | NoAnswer> {
+		const found = await this.#find(job, caller);
 		if (typeof found === 'string') {
 			return found;
 		}
@@ -104,8 +105,8 @@
 	}
 
 	/** Ends a job. */
-	async end(job: BatchJobId): Promise<'ended' | NoAnswer> {
-		const found = await this.#find(job);
+	async end(job: BatchJobId, caller?: CallerIdentity): Promise<'ended' | NoAnswer> {
+		const found = await this.#find(job, caller);
 		const outcome = typeof found === 'string' ? found : await this.#end(job);
 		this.#parts.log.emit(gatewayEvents.jobEnded, {id: job, outcome});
 		return outcome;
@@ -161,7 +162,12 @@
 		this.#parts.log.emit(gatewayEvents.jobEnded, {id: job, outcome: isWritten ? 'written later' : 'not written'});
 	}
 
-	async #find(id: BatchJobId): Promise<BatchJob | NoAnswer> {
+	async #find(id: BatchJobId, caller: CallerIdentity | undefined): Promise<BatchJob | NoAnswer> {
+		const found = await this.#findAny(id);
+		return typeof found === 'string' || isOwnedBy(found, caller) ? found : 'unknown';
+	}
+
+	async #findAny(id: BatchJobId): Promise<BatchJob | NoAnswer> {
 		const {api, book, feed} = this.#parts;
 		const known = admitted(book.job(id));
 		if (known) {
@@ -184,3 +190,6 @@
 }
 
 const admitted = (job: BatchJob | undefined): BatchJob | undefined => job?.isAdmitted ? job : undefined;
+
+/** Jobs that were accepted before there were accounts are everybody's. */
+const isOwnedBy = ({record: {account}}: BatchJob, caller: CallerIdentity | undefined): boolean => caller === undefined || account === undefined || account === caller.account;
--- a/src/gateway/config-board.ts
+++ b/src/gateway/config-board.ts
@@ -2,7 +2,10 @@
 The configuration that this process acts on: the part of the blackboard that the configuration's follower writes and every request reads. It never goes back: an answer of the object API may overtake another or come from a copy that lags, and a caller must not see an older version act after a newer one has.
 */
 import {EventEmitter} from 'node:events';
-import type {GatewayConfig, GatewayService, GatewayServiceName} from './types.js';
+import {AccountTable} from './accounts/account-table.js';
+import type {
+	ClientAccountName, GatewayConfig, GatewayService, GatewayServiceName, RateLimit,
+} from './types.js';
 import {RouteTable} from './route-table.js';
 
 /** Holds the newest configuration that was seen. */
@@ -11,6 +14,8 @@
 	#config: GatewayConfig | undefined;
 	#routes = new RouteTable({routes: []});
 	#services: ReadonlyMap<GatewayServiceName, GatewayService> = new Map();
+	#accounts: AccountTable | undefined;
+	#rateLimits: ReadonlyMap<ClientAccountName, RateLimit | undefined> = new Map();
 
 	/** `undefined` until the first configuration has come: such a process must not say that a route does not exist. */
 	get config(): GatewayConfig | undefined {
@@ -21,6 +26,20 @@
 		return this.#routes;
 	}
 
+	/** `undefined` while operators have declared no accounts: calls need no key then. */
+	get accounts(): AccountTable | undefined {
+		return this.#accounts;
+	}
+
+	/** Whether jobs may be submitted, and so be read, without a key. */
+	get hasAnonymousJobs(): boolean {
+		return this.#config?.routes.some(({kind, isAnonymous}) => kind === 'batch' && isAnonymous) ?? false;
+	}
+
+	rateLimit(account: ClientAccountName): RateLimit | undefined {
+		return this.#rateLimits.get(account);
+	}
+
 	service(name: GatewayServiceName): GatewayService | undefined {
 		return this.#services.get(name);
 	}
@@ -34,6 +53,8 @@
 		this.#config = config;
 		this.#routes = new RouteTable(config);
 		this.#services = new Map(config.services.map(service => [service.name, service]));
+		this.#accounts = config.accounts && new AccountTable(config.accounts);
+		this.#rateLimits = new Map(config.accounts?.map(({name, rateLimit}) => [name, rateLimit]));
 		this.#events.emit('change', config);
 		return true;
 	}
--- a/src/gateway/config-controller.ts
+++ b/src/gateway/config-controller.ts
@@ -6,6 +6,7 @@
 import {gatewayEvents} from './log-events.js';
 import type {ObjectFeed} from './object-feed.js';
 import type {RecordReaders} from './record-readers.js';
+import type {GatewayConfig} from './types.js';
 
 /** What the controller reads and writes. */
 export type ConfigControllerParts = {
@@ -45,8 +46,21 @@
 			})
 			.ifRight(config => {
 				if (board.offer(config)) {
-					log.emit(gatewayEvents.configInForce, {version: config.version, routes: config.routes.length, services: config.services.length});
+					log.emit(gatewayEvents.configInForce, {
+						version: config.version, routes: config.routes.length, services: config.services.length, accounts: config.accounts?.length,
+					});
+					this.#reportAccounts(config);
 				}
 			});
 	}
+
+	#reportAccounts({version, unreadableAccounts = []}: GatewayConfig) {
+		const {board, log} = this.#parts;
+		unreadableAccounts.forEach(({name, reason}) => {
+			log.emit(gatewayEvents.accountUnreadable, {account: name, version, reason});
+		});
+		board.accounts?.conflicts.forEach(account => {
+			log.emit(gatewayEvents.accountUnreadable, {account, version, reason: 'it shares a key with another account; the key is refused'});
+		});
+	}
 }
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -14,6 +14,9 @@
 import type {StartError} from '../io/program.js';
 import {readBody, type BodyFailure} from '../io/read-body.js';
 import {branded} from '../common/ids.js';
+import type {
+	AdmittedCaller, Caller, CallerGate, CallHead, GateRefusal,
+} from './accounts/caller-gate.js';
 import type {JobIntake, SubmissionOutcome} from './batch/job-intake.js';
 import type {JobReader, NoAnswer} from './batch/job-reader.js';
 import type {JobCall, JobCallDialect} from './job-calls.js';
@@ -27,6 +30,7 @@
 	readonly intake: JobIntake;
 	readonly reader: JobReader;
 	readonly jobCalls: JobCallDialect;
+	readonly gate: CallerGate;
 };
 
 /** Callers reuse a connection that has been idle for a good part of the configured time; it is kept this much longer than that, so that no call crosses the close. */
@@ -55,6 +59,7 @@
 	away: {status: 503, comeBackMs: awayMs},
 	tooLarge: {status: 413},
 	uncertain: {status: 504},
+	foreign: {status: 404},
 };
 
 const noAnswerStatus: Readonly<Record<NoAnswer, number>> = {unknown: 404, unsure: 503};
@@ -73,7 +78,15 @@
 	res.end(body);
 };
 
-type JobHandlers = {readonly [K in JobCall['kind']]: (call: Extract<JobCall, {kind: K}>, res: ServerResponse) => Promise<void>};
+type JobHandlers = {readonly [K in JobCall['kind']]: (call: Extract<JobCall, {kind: K}>, res: ServerResponse, caller: Caller) => Promise<void>};
+
+/** What is known of a call once its body has come. */
+type ReceivedCall = {
+	readonly route: GatewayRoute;
+	readonly caller: AdmittedCaller;
+	readonly fields: CallFields;
+	readonly body: Buffer;
+};
 
 /** See the module's head. */
 export class FrontServer implements Disposable {
@@ -83,8 +96,8 @@
 	#isLeaving = false;
 
 	readonly #jobHandlers: JobHandlers = {
-		results: async (call, res) => {
-			const page = await this.#parts.reader.results(call);
+		results: async (call, res, {identity}) => {
+			const page = await this.#parts.reader.results(call, identity);
 			if (typeof page === 'string') {
 				this.#answerNothing(res, call, page);
 				return;
@@ -92,8 +105,8 @@
 
 			answerBody(res, 'application/json', this.#parts.jobCalls.writeResults(page));
 		},
-		body: async (call, res) => {
-			const body = await this.#parts.reader.body(call.job, call.item);
+		body: async (call, res, {identity}) => {
+			const body = await this.#parts.reader.body(call, identity);
 			if (typeof body === 'string') {
 				this.#answerNothing(res, call, body);
 				return;
@@ -101,8 +114,8 @@
 
 			answerBody(res, 'application/octet-stream', body);
 		},
-		end: async (call, res) => {
-			const outcome = await this.#parts.reader.end(call.job);
+		end: async (call, res, {identity}) => {
+			const outcome = await this.#parts.reader.end(call.job, identity);
 			if (outcome !== 'ended') {
 				this.#answerNothing(res, call, outcome);
 				return;
@@ -182,7 +195,7 @@
 		const jobCall = this.#parts.jobCalls.match(req);
 		if (jobCall) {
 			req.resume();
-			await (this.#jobHandlers[jobCall.kind] as (call: JobCall, res: ServerResponse) => Promise<void>)(jobCall, res);
+			await this.#answerJobCall(jobCall, req, res);
 			return;
 		}
 
@@ -192,9 +205,19 @@
 			return;
 		}
 
+		const admitted = this.#parts.gate.admit(this.#headOf(req), route);
+		const refusal = errorOf(admitted);
+		if (refusal) {
+			req.resume();
+			this.#answerRefused(res, refusal);
+			return;
+		}
+
+		const caller = admitted.unsafeCoerce();
 		const read = await readBody(req, this.#parts.board.config?.limits.maxBodyBytes ?? defaultBodyBytes);
 		const failure = errorOf(read);
 		if (failure) {
+			caller.credit?.giveBack();
 			this.#rejectBody(res, failure);
 			return;
 		}
@@ -202,15 +225,43 @@
 		const body = read.unsafeCoerce();
 		const fields = this.#parts.dialect.readCall(req.headers);
 		if (route.kind === 'batch') {
-			await this.#submit(req, res, {route, fields, body});
+			await this.#submit(req, res, {
+				route, caller, fields, body,
+			});
 			return;
 		}
 
 		this.#callReplica(req, res, {
-			route, fields, body, arrivedAt,
+			route, caller, fields, body, arrivedAt,
 		});
 	}
 
+	#headOf(req: IncomingMessage): CallHead {
+		return {id: this.#parts.dialect.readCall(req.headers).requestId, headers: req.rawHeaders};
+	}
+
+	#answerRefused(res: ServerResponse, {status, retryAfterMs}: GateRefusal) {
+		answer(res, status, retryAfterMs === undefined ? undefined : Math.ceil(retryAfterMs));
+	}
+
+	/** Whose job it is cannot be told before the configuration is known. */
+	async #answerJobCall(call: JobCall, req: IncomingMessage, res: ServerResponse) {
+		const {board, gate} = this.#parts;
+		if (!board.config) {
+			this.#answerNothing(res, call, 'unsure');
+			return;
+		}
+
+		const caller = gate.identify(this.#headOf(req), board.hasAnonymousJobs);
+		const refusal = errorOf(caller);
+		if (refusal) {
+			this.#answerRefused(res, refusal);
+			return;
+		}
+
+		await (this.#jobHandlers[call.kind] as (call: JobCall, res: ServerResponse, caller: Caller) => Promise<void>)(call, res, caller.unsafeCoerce());
+	}
+
 	#routeOf(req: IncomingMessage): GatewayRoute | undefined {
 		return this.#parts.board.routes.match(req.headers.host ?? '', req.url ?? '');
 	}
@@ -234,9 +285,10 @@
 		}
 	}
 
-	#callReplica(req: IncomingMessage, res: ServerResponse, {route, fields, body, arrivedAt}: {route: GatewayRoute; fields: CallFields; body: Buffer; arrivedAt: number}) {
+	#callReplica(req: IncomingMessage, res: ServerResponse, {route, caller, fields, body, arrivedAt}: ReceivedCall & {readonly arrivedAt: number}) {
 		const call = new OnlineCall(this.#parts, {
 			route,
+			caller,
 			fields,
 			message: {
 				method: req.method ?? 'GET', target: req.url ?? '/', headers: req.rawHeaders, body,
@@ -251,7 +303,7 @@
 		call.start();
 	}
 
-	async #submit(req: IncomingMessage, res: ServerResponse, {route, fields, body}: {route: GatewayRoute; fields: CallFields; body: Buffer}) {
+	async #submit(req: IncomingMessage, res: ServerResponse, {route, caller, fields, body}: ReceivedCall) {
 		const {intake, jobCalls, log} = this.#parts;
 		const items = jobCalls.readItems(body.toString('utf8'));
 		if (items.isLeft() || fields.requestId === '') {
@@ -263,7 +315,7 @@
 		}
 
 		const outcome = await intake.submit({
-			job: branded<BatchJobId>(fields.requestId), route, host: req.headers.host ?? '', target: req.url ?? '', items: items.unsafeCoerce(),
+			job: branded<BatchJobId>(fields.requestId), account: caller.account?.name, route, host: req.headers.host ?? '', target: req.url ?? '', items: items.unsafeCoerce(),
 		});
 		const {status, comeBackMs} = submissionAnswers[outcome];
 		answer(res, status, comeBackMs);
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -19,6 +19,8 @@
 import type {RunningProgram, StartError} from '../io/program.js';
 import {PrometheusMetrics} from '../io/prometheus-metrics.js';
 import {RpcClient} from '../io/rpc-client.js';
+import {CallerGate} from './accounts/caller-gate.js';
+import {RateLimits} from './accounts/rate-limits.js';
 import {BatchBook} from './batch/batch-book.js';
 import {BatchRetention} from './batch/batch-retention.js';
 import {BatchRunner, type ItemHeaders} from './batch/batch-runner.js';
@@ -30,6 +32,7 @@
 import {JobReader} from './batch/job-reader.js';
 import {ConfigBoard} from './config-board.js';
 import {ConfigController} from './config-controller.js';
+import {ConfigLag} from './config-lag.js';
 import {ReplicaContacts} from './contacts/replica-contacts.js';
 import {FrontServer} from './front-server.js';
 import {JobHolders} from './keeping/job-holders.js';
@@ -158,8 +161,8 @@
 		});
 		this.#peers = peers;
 		const failedRuns = new FailedRuns({self, clock});
-		peers.onState(state => {
-			failedRuns.take(state.failedRuns ?? []);
+		const rateLimits = new RateLimits({
+			clock, log, tolerance: settings.rateLimitTolerance, registered: () => this.#registry.addresses.length, heard: () => peers.names,
 		});
 		const http = new HttpClient();
 		const rpc = new RpcClient(http);
@@ -188,6 +191,12 @@
 		new ConfigController({
 			board, feed: configFeed, records, log,
 		});
+		const configLag = new ConfigLag(board, configFeed);
+		peers.onState(state => {
+			failedRuns.take(state.failedRuns ?? []);
+			rateLimits.take(state, account => board.rateLimit(account));
+			configLag.note(state.configVersion ?? 0);
+		});
 		const registrations = new RegistrationController({
 			directory, feed: replicaFeed, records, clock, log, drainMs: settings.drainMs,
 		});
@@ -221,13 +230,16 @@
 			self, quarantine, feed: quarantineFeed, api, peers, clock, log,
 		});
 		this.#announcer = new PeerAnnouncer({
-			self, channel: this.#channel, peers, directory, loads, quarantine, failedRuns, clock, isLeaving, memberAddresses: () => this.#registry.addresses, claimedJobs: () => claims.claimed, waitingItems: () => this.#runner.waiting, rpcAddress: () => this.#rpcServer.address, reachesObjectApi: () => api.isDirect,
+			self, channel: this.#channel, peers, directory, loads, quarantine, failedRuns, rateLimits, configVersion: () => board.accounts && board.config?.version, clock, isLeaving, memberAddresses: () => this.#registry.addresses, claimedJobs: () => claims.claimed, waitingItems: () => this.#runner.waiting, rpcAddress: () => this.#rpcServer.address, reachesObjectApi: () => api.isDirect,
 		});
 		this.#readiness = new Readiness({
 			lifecycle: this.#lifecycle, board, directory, log,
 		});
 		this.#server = new FrontServer({
 			board, directory, loads, links: this.#links, contacts, quarantine, serviceTimes: new ServiceTimes(), dialect, clock, random, log, metrics, sharers, failureDomain, jobCalls,
+			gate: new CallerGate({
+				board, dialect, limits: rateLimits, clock, log, metrics, configHeardAt: () => configFeed.heardAt, staleAfterMs: settings.refuseKeysAfterMs,
+			}),
 			intake: new JobIntake({
 				api,
 				feed: recordFeed,
@@ -248,7 +260,7 @@
 			res.writeHead(this.#readiness.isReady ? 200 : 503, {'content-length': '0'});
 			res.end();
 		});
-		this.#owned = [this.#retention, this.#quarantineRecords, this.#runner, this.#announcer, this.#entry, registrations, ...this.#feeds, contacts, this.#links, this.#server, this.#channel, this.#rpcServer, api, http, this.#metrics, this.#lifecycle];
+		this.#owned = [this.#retention, this.#quarantineRecords, this.#runner, this.#announcer, this.#entry, registrations, configLag, ...this.#feeds, contacts, this.#links, this.#server, this.#channel, this.#rpcServer, api, http, this.#metrics, this.#lifecycle];
 	}
 
 	get addresses(): Readonly<Record<string, string>> {
--- a/src/gateway/gateway-tables.steps.ts
+++ b/src/gateway/gateway-tables.steps.ts
@@ -13,6 +13,7 @@
 import type {ObjectKind} from '../common/types.js';
 import {DatagramChannel} from '../io/datagram-channel.js';
 import {SystemClock} from '../io/system-clock.js';
+import {RateLimits} from './accounts/rate-limits.js';
 import {BatchBook} from './batch/batch-book.js';
 import {
 	recordNames, type JobRecord, type PageRecord,
@@ -257,8 +258,11 @@
 	});
 	const channel = this.register(new DatagramChannel({}));
 	await channel.listen('127.0.0.1:0');
+	const rateLimits = new RateLimits({
+		clock, log, tolerance: 0, registered: () => 2, heard: () => this.peers.names,
+	});
 	const announcer = this.register(new PeerAnnouncer({
-		self: branded<MemberName>('front-1'), channel, peers: this.peers, directory: this.directory, loads: this.loads, quarantine, failedRuns: new FailedRuns({self: branded<MemberName>('front-1'), clock}), clock, memberAddresses: () => [], claimedJobs: () => [], waitingItems: () => [], isLeaving: () => false, rpcAddress: () => '127.0.0.1:1', reachesObjectApi: () => true,
+		self: branded<MemberName>('front-1'), channel, peers: this.peers, directory: this.directory, loads: this.loads, quarantine, failedRuns: new FailedRuns({self: branded<MemberName>('front-1'), clock}), rateLimits, configVersion: () => undefined, clock, memberAddresses: () => [], claimedJobs: () => [], waitingItems: () => [], isLeaving: () => false, rpcAddress: () => '127.0.0.1:1', reachesObjectApi: () => true,
 	}));
 	announcer.start();
 	this.peers.take({
--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -12,7 +12,13 @@
 	callEnded: {number: 702, level: 'info', text: 'call ended'},
 	/** Fields: id, host, target, status, reason, configVersion. */
 	callRejected: {number: 703, level: 'info', text: 'call rejected before it was routed'},
-	/** Fields: version, routes, services. */
+	/** Fields: id, route, account, reason (of a key), status, retryAfterMs, configVersion. */
+	callerRefused: {number: 704, level: 'info', text: 'call refused by its API key or its account\'s rate limit'},
+	/** Fields: account, refused (since the last line), level (calls that may come at once), admitted and asked (here, since the start), perSecond, burst. */
+	rateLimitReached: {number: 705, level: 'info', text: 'account is at its rate limit'},
+	/** Fields: account, version, reason. */
+	accountUnreadable: {number: 706, level: 'error', text: 'client account can not be read, or shares a key; its calls are refused'},
+	/** Fields: version, routes, services, accounts. */
 	configInForce: {number: 710, level: 'info', text: 'configuration in force'},
 	/** Fields: name, reason. */
 	configUnreadable: {number: 711, level: 'error', text: 'configuration can not be read, the one before stays in force'},
--- a/src/gateway/online-call.ts
+++ b/src/gateway/online-call.ts
@@ -6,6 +6,7 @@
 import type {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import type {Disposable} from '../common/services.js';
+import type {AdmittedCaller} from './accounts/caller-gate.js';
 import {
 	Attempt, type AttemptEnd, type CallMessage,
 } from './attempt.js';
@@ -24,6 +25,7 @@
 /** A caller's call that has arrived whole. */
 export type ArrivedCall = {
 	readonly route: GatewayRoute;
+	readonly caller: AdmittedCaller;
 	readonly fields: CallFields;
 	readonly message: CallMessage;
 	/** When its head had come, in milliseconds on the monotonic clock. */
@@ -226,6 +228,7 @@
 				replica: replica.record.id,
 				timeLeftMs: fields.timeLeftMs === undefined ? undefined : timeLeftMs,
 				lastEventId: this.#answer.lastEventId ?? fields.lastEventId,
+				caller: this.#call.caller.identity,
 			},
 			patience: {silenceMs: this.#isRepeatable ? repeatableSilenceMs : this.#timeLimitMs, canGoElsewhere: this.#isRepeatable},
 			listener: {
@@ -358,6 +361,7 @@
 			return;
 		}
 
+		this.#call.caller.credit?.giveBack();
 		this.#answer.reply(503, {'retry-after': String(Math.ceil(afterMs) / 1000)});
 		this.#endWith(503, reason);
 	}
--- a/src/gateway/peers/peer-announcer.ts
+++ b/src/gateway/peers/peer-announcer.ts
@@ -3,6 +3,8 @@
 */
 import type {Clock, Disposable} from '../../common/services.js';
 import type {DatagramChannel} from '../../io/datagram-channel.js';
+import type {AccountUsage} from '../accounts/account-usage.js';
+import type {RateLimits} from '../accounts/rate-limits.js';
 import type {FailedRun, FailedRuns} from '../batch/failed-runs.js';
 import type {OutcomeCounts} from '../contacts/recent-outcomes.js';
 import type {LoadBoard} from '../load-board.js';
@@ -38,6 +40,9 @@
 /** Failed runs of items are told soon, and again this often, in milliseconds; an item's next run follows 200 ms after the one that failed. */
 const failedRunsEveryMs = 250;
 
+/** Calls of limited accounts are told this often, in milliseconds: near a limit, what has not been told yet is admitted twice. */
+const accountUsageEveryMs = 100;
+
 /** Outcomes are told this often, in milliseconds, and only where any request failed: they fade over seconds, and in each message they would double its size while half of the replicas fail now and then. */
 const outcomesEveryMs = 250;
 
@@ -53,6 +58,8 @@
 	readonly loads: LoadBoard;
 	readonly quarantine: Quarantine;
 	readonly failedRuns: FailedRuns;
+	readonly rateLimits: RateLimits;
+	readonly configVersion: () => number | undefined;
 	readonly clock: Clock;
 	/** Addresses of members that were registered, heard or not. */
 	readonly memberAddresses: () => readonly string[];
@@ -73,6 +80,7 @@
 	#outcomesToldAt = -Infinity;
 	#crashesToldAt = -Infinity;
 	#failedRunsToldAt = -Infinity;
+	#accountUsageToldAt = -Infinity;
 	#pending: NodeJS.Timeout | undefined;
 	#heartbeat: NodeJS.Timeout | undefined;
 	#isDisposed = false;
@@ -150,11 +158,11 @@
 
 	#state(): PeerState {
 		const {
-			self, channel, claimedJobs, waitingItems, isLeaving, rpcAddress, reachesObjectApi,
+			self, channel, claimedJobs, waitingItems, isLeaving, rpcAddress, reachesObjectApi, configVersion,
 		} = this.#parts;
 		this.#seq += 1;
 		return {
-			member: self, address: channel.address, rpcAddress: rpcAddress(), reachesObjectApi: reachesObjectApi(), startedAt: this.#startedAt, seq: this.#seq, isLeaving: isLeaving(), loads: this.#loads(), outcomes: this.#outcomesDue(), ...this.#crashesDue(), failedRuns: this.#failedRunsDue(), jobs: claimedJobs(), waiting: waitingItems(),
+			member: self, address: channel.address, rpcAddress: rpcAddress(), reachesObjectApi: reachesObjectApi(), startedAt: this.#startedAt, seq: this.#seq, isLeaving: isLeaving(), loads: this.#loads(), outcomes: this.#outcomesDue(), ...this.#crashesDue(), failedRuns: this.#failedRunsDue(), accountUsage: this.#accountUsageDue(), configVersion: configVersion(), jobs: claimedJobs(), waiting: waitingItems(),
 		};
 	}
 
@@ -178,6 +186,17 @@
 		return failedRuns.news();
 	}
 
+	#accountUsageDue(): readonly AccountUsage[] | undefined {
+		const {rateLimits, clock} = this.#parts;
+		if (clock.now() - this.#accountUsageToldAt < accountUsageEveryMs) {
+			return undefined;
+		}
+
+		this.#accountUsageToldAt = clock.now();
+		const news = rateLimits.news();
+		return news.length === 0 ? undefined : news;
+	}
+
 	#outcomesDue(): SharedOutcomes[] | undefined {
 		const now = this.#parts.clock.now();
 		if (now - this.#outcomesToldAt < outcomesEveryMs) {
--- a/src/gateway/peers/peer-state.ts
+++ b/src/gateway/peers/peer-state.ts
@@ -1,6 +1,7 @@
 /**
 What the processes of the gateway tell each other: how much each has in flight at each replica, and which batch jobs it runs. It is sent anew at each change and every now and then, so that nothing depends on one message, and silence means that a peer is gone.
 */
+import type {AccountUsage} from '../accounts/account-usage.js';
 import type {WaitingCounts} from '../batch/batch-policy.js';
 import type {FailedRun} from '../batch/failed-runs.js';
 import type {OutcomeCounts} from '../contacts/recent-outcomes.js';
@@ -54,6 +55,10 @@
 	readonly acquitted?: readonly ContentDigest[];
 	/** Its runs of batch items that have failed of late; told several times, and not in each message. */
 	readonly failedRuns?: readonly FailedRun[];
+	/** Of client accounts with a rate limit whose calls have come to it of late; not in each message. */
+	readonly accountUsage?: readonly AccountUsage[];
+	/** The version of the configuration that it acts on. */
+	readonly configVersion?: number;
 	/** Batch jobs that it runs. */
 	readonly jobs: readonly BatchJobId[];
 	/** Routes whose items all run are not listed; processes of earlier versions list none. */
--- a/src/gateway/peers/peer-table.ts
+++ b/src/gateway/peers/peer-table.ts
@@ -52,6 +52,11 @@
 		return [...this.#peers.values()];
 	}
 
+	/** Names of the peers that are heard. */
+	get names(): ReadonlySet<MemberName> {
+		return new Set(this.#peers.keys());
+	}
+
 	/** How many processes share the replicas, this one included. */
 	get sharers(): number {
 		return this.#peers.size + 1;
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -14,6 +14,9 @@
 /** An item of a batch job, as its caller named it. */
 export type BatchItemId = Branded<string, 'BatchItemId'>;
 
+/** A customer of the operators: whose calls and jobs these are, by the API keys that it holds. */
+export type ClientAccountName = Branded<string, 'ClientAccountName'>;
+
 /** What may be repeated: `safe` calls always, `unsafe` ones never, `stream`s where the route says that they can be resumed. `batch` routes take jobs. */
 export type RouteKind = 'safe' | 'unsafe' | 'stream' | 'batch';
 
@@ -49,10 +52,32 @@
 	readonly maxRuns: number;
 	/** Whether a broken stream may be taken up again at another replica. */
 	readonly isResumable: boolean;
+	/** Whether calls without an API key are taken, where operators have declared accounts. */
+	readonly isAnonymous: boolean;
+	/** Rank of its calls, 0 the highest. */
+	readonly priority: number;
 	readonly targets: readonly RouteTarget[];
 	readonly batch?: BatchTerms;
 };
 
+/** How many calls an account may make, over all processes together: a token bucket. */
+export type RateLimit = {
+	readonly perSecond: number;
+	/** Calls on top, after the account has been idle. */
+	readonly burst: number;
+};
+
+/** A client account as operators declare it. */
+export type ClientAccount = {
+	readonly name: ClientAccountName;
+	/** In clear; they are neither logged nor passed on. */
+	readonly apiKeys: readonly string[];
+	/** Rank of its calls, 0 the highest; goes before the route's. */
+	readonly priority?: number;
+	/** Missing where the account has no limit. */
+	readonly rateLimit?: RateLimit;
+};
+
 /** A service that routes lead to. */
 export type GatewayService = {
 	readonly name: GatewayServiceName;
@@ -75,6 +100,10 @@
 	readonly routes: readonly GatewayRoute[];
 	readonly services: readonly GatewayService[];
 	readonly limits: CallerLimits;
+	/** Missing where operators have declared none: then calls need no key and belong to nobody. */
+	readonly accounts?: readonly ClientAccount[];
+	/** What could not be read of this version, by account; the rest of it holds. */
+	readonly unreadableAccounts?: ReadonlyArray<{readonly name: string; readonly reason: string}>;
 };
 
 /** What a replica says of itself. */
@@ -109,6 +138,15 @@
 	readonly promptParts: readonly PromptPart[];
 };
 
+/** The API key that a call carries. `unusable`: there is something in its place, but not one key. */
+export type PresentedKey = {readonly kind: 'none'} | {readonly kind: 'unusable'} | {readonly kind: 'key'; readonly key: string};
+
+/** Whose a call is, where operators have declared accounts. */
+export type CallerIdentity = {
+	/** Missing for a call without a key on a route that takes such. */
+	readonly account?: ClientAccountName;
+};
+
 /** What the gateway adds to a caller's headers for one attempt at a replica. */
 export type AttemptFields = {
 	readonly requestId: string;
@@ -116,6 +154,8 @@
 	readonly replica: ReplicaId;
 	readonly timeLeftMs?: number;
 	readonly lastEventId?: number;
+	/** Where given, the caller's key is kept from the replica, and the account's name is the gateway's to tell. */
+	readonly caller?: CallerIdentity;
 };
 
 /** What the gateway reads of a replica's answer. */
@@ -130,6 +170,8 @@
 export type CallDialect = {
 	/** @param headers - Lower-case names. */
 	readCall(headers: NodeJS.Dict<string | string[]>): CallFields;
+	/** @param headers - The caller's, as names and values by turns. */
+	readKey(headers: readonly string[]): PresentedKey;
 	/**
 	@param headers - The caller's, as names and values by turns.
 	@returns What the replica receives, likewise; without those that concern one connection only.
