One process reads the object API for all; watches of the configuration and of registrations wait longer

Now watches wait 15 s; the first front in line reads at the same pace as before, tells the others up to which change it knows, and who lacks it reads too. Who hears of no read makes it itself.

--- a/src/common/message-tests.ts
+++ b/src/common/message-tests.ts
@@ -33,7 +33,7 @@
 			replica: isText, startedAt: optional(Number.isSafeInteger), online: isCount, batch: isCount,
 		})), outcomes: optional(listOf(objectOf({
 			replica: isText, startedAt: optional(Number.isSafeInteger), requests: isAmount, failures: isAmount,
-		}))), crashes: optional(listOf(objectOf({content: isText, start: isText}))), acquitted: optional(listOf(isText)), failedRuns: optional(areFailedRuns), accountUsage: optional(listOf(objectOf({account: isText, admitted: Number.isSafeInteger, asked: isCount}))), configVersion: optional(Number.isFinite), jobs: listOf(isText), waiting: optional(listOf(objectOf({route: isText, timely: isCount, late: isCount}))),
+		}))), crashes: optional(listOf(objectOf({content: isText, start: isText}))), acquitted: optional(listOf(isText)), failedRuns: optional(areFailedRuns), accountUsage: optional(listOf(objectOf({account: isText, admitted: Number.isSafeInteger, asked: isCount}))), checks: optional(listOf(objectOf({kind: isText, changedAt: isCount, ageMs: isAmount}))), jobs: listOf(isText), waiting: optional(listOf(objectOf({route: isText, timely: isCount, late: isCount}))),
 	}),
 	'agent.load': objectOf({cacheSince: optional(isCount)}),
 	'ledger.revoke': objectOf({key: attemptKey, issuedAt: isAmount, deadlineInMs: Number.isFinite}),
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -32,7 +32,6 @@
 import {JobReader} from './batch/job-reader.js';
 import {ConfigBoard} from './config-board.js';
 import {ConfigController} from './config-controller.js';
-import {ConfigLag} from './config-lag.js';
 import {ReplicaContacts} from './contacts/replica-contacts.js';
 import {FrontServer} from './front-server.js';
 import {JobHolders} from './keeping/job-holders.js';
@@ -49,6 +48,7 @@
 import {peerStateMethod, type PeerState} from './peers/peer-state.js';
 import {peerServer} from './peers/peer-server.js';
 import {PeerTable} from './peers/peer-table.js';
+import {SharedChecks} from './peers/shared-checks.js';
 import {Quarantine} from './quarantine/quarantine.js';
 import {QuarantineRecords} from './quarantine/quarantine-records.js';
 import {Readiness} from './readiness.js';
@@ -81,6 +81,9 @@
 /** Between two watches, and for the list that follows a lost one, in milliseconds. */
 const catchUpMarginMs = 900;
 
+/** Kinds that are checked besides are watched for this long, in milliseconds. */
+const checkedWaitMs = 15_000;
+
 /** The shortest watch, in milliseconds: each is a call that counts. */
 const leastWatchMs = 800;
 
@@ -94,14 +97,18 @@
 const changeMarginMs = 500;
 
 /**
-A watch that went silent is noticed after its waiting time and the limit of a call; what it has missed must be in force in time all the same. Callers would otherwise be sent to a replica that has left, or by a route that has moved, for as long as a watch waits.
+A watch that went silent is noticed after its waiting time and the limit of a call; what it has missed must be in force in time all the same. Callers would otherwise be sent to a replica that has left, or by a route that has moved, for as long as a watch waits. So the processes read it besides, one for all, this often.
+
+@param changeMs - Within which a change must be in force.
 */
-const feedOptions = ({catchUpMs, drainMs, configMs, objectApi: {timeoutMs}}: FrontSettings) => {
+const checkMs = ({catchUpMs, objectApi: {timeoutMs}}: FrontSettings, changeMs: number) =>
+	Math.max(leastWatchMs, Math.min(catchUpMs - timeoutMs - catchUpMarginMs, changeMs - timeoutMs - changeMarginMs));
+
+const feedOptions = ({catchUpMs, objectApi: {timeoutMs}}: FrontSettings) => {
 	const waitMs = Math.max(leastWatchMs, catchUpMs - timeoutMs - catchUpMarginMs);
-	const within = (changeMs: number) => Math.min(waitMs, Math.max(leastWatchMs, changeMs - timeoutMs - changeMarginMs));
 	return {
-		GatewayConfig: {waitMs: within(configMs), mayLag: false},
-		Registration: {waitMs: within(drainMs), mayLag: false, paceMs: registrationPaceMs},
+		GatewayConfig: {waitMs: checkedWaitMs, mayLag: false},
+		Registration: {waitMs: checkedWaitMs, mayLag: false, paceMs: registrationPaceMs},
 		BatchRecord: {waitMs, mayLag: true, paceMs: recordPaceMs},
 		Member: {waitMs: 4 * waitMs, mayLag: true},
 		// Peers tell each other first; the records are for those that start.
@@ -129,6 +136,7 @@
 	readonly #channel: DatagramChannel;
 	readonly #rpcServer: HttpServer;
 	readonly #announcer: PeerAnnouncer;
+	readonly #checks: SharedChecks;
 	readonly #registry: MemberRegistry;
 	readonly #entry: MemberEntry;
 	readonly #links: ReplicaLinks;
@@ -191,11 +199,9 @@
 		new ConfigController({
 			board, feed: configFeed, records, log,
 		});
-		const configLag = new ConfigLag(board, configFeed);
 		peers.onState(state => {
 			failedRuns.take(state.failedRuns ?? []);
 			rateLimits.take(state, account => board.rateLimit(account));
-			configLag.note(state.configVersion ?? 0);
 		});
 		const registrations = new RegistrationController({
 			directory, feed: replicaFeed, records, clock, log, drainMs: settings.drainMs,
@@ -230,7 +236,19 @@
 			self, quarantine, feed: quarantineFeed, api, peers, clock, log,
 		});
 		this.#announcer = new PeerAnnouncer({
-			self, channel: this.#channel, peers, directory, loads, quarantine, failedRuns, rateLimits, configVersion: () => board.accounts && board.config?.version, clock, isLeaving, memberAddresses: () => this.#registry.addresses, claimedJobs: () => claims.claimed, waitingItems: () => this.#runner.waiting, rpcAddress: () => this.#rpcServer.address, reachesObjectApi: () => api.isDirect,
+			self, channel: this.#channel, peers, directory, loads, quarantine, failedRuns, rateLimits, checks: () => this.#checks.news(), clock, isLeaving, memberAddresses: () => this.#registry.addresses, claimedJobs: () => claims.claimed, waitingItems: () => this.#runner.waiting, rpcAddress: () => this.#rpcServer.address, reachesObjectApi: () => api.isDirect,
+		});
+		this.#checks = new SharedChecks({
+			self,
+			peers,
+			clock,
+			feeds: [
+				{kind: 'GatewayConfig', feed: configFeed, everyMs: checkMs(settings, settings.configMs)},
+				{kind: 'Registration', feed: replicaFeed, everyMs: checkMs(settings, settings.drainMs)},
+			],
+			announce: () => {
+				this.#announcer.announceSoon();
+			},
 		});
 		this.#readiness = new Readiness({
 			lifecycle: this.#lifecycle, board, directory, log,
@@ -238,7 +256,7 @@
 		this.#server = new FrontServer({
 			board, directory, loads, links: this.#links, contacts, quarantine, serviceTimes: new ServiceTimes(), dialect, clock, random, log, metrics, sharers, failureDomain, jobCalls,
 			gate: new CallerGate({
-				board, dialect, limits: rateLimits, clock, log, metrics, configHeardAt: () => configFeed.heardAt, staleAfterMs: settings.refuseKeysAfterMs,
+				board, dialect, limits: rateLimits, clock, log, metrics, configHeardAt: () => this.#checks.freshAt('GatewayConfig'), staleAfterMs: settings.refuseKeysAfterMs,
 			}),
 			intake: new JobIntake({
 				api,
@@ -260,7 +278,7 @@
 			res.writeHead(this.#readiness.isReady ? 200 : 503, {'content-length': '0'});
 			res.end();
 		});
-		this.#owned = [this.#retention, this.#quarantineRecords, this.#runner, this.#announcer, this.#entry, registrations, configLag, ...this.#feeds, contacts, this.#links, this.#server, this.#channel, this.#rpcServer, api, http, this.#metrics, this.#lifecycle];
+		this.#owned = [this.#retention, this.#quarantineRecords, this.#runner, this.#announcer, this.#entry, registrations, this.#checks, ...this.#feeds, contacts, this.#links, this.#server, this.#channel, this.#rpcServer, api, http, this.#metrics, this.#lifecycle];
 	}
 
 	get addresses(): Readonly<Record<string, string>> {
@@ -291,6 +309,7 @@
 			feed.start();
 		});
 		this.#announcer.start();
+		this.#checks.start();
 		this.#runner.start();
 		this.#retention.start();
 		this.#quarantineRecords.start();
--- a/src/gateway/object-feed.ts
+++ b/src/gateway/object-feed.ts
@@ -42,6 +42,10 @@
 /** An outage must last for at least this long for an object to lapse, in milliseconds: its writer must have missed two heartbeats of 1.2 s. A shorter gap between answers does not begin another outage. */
 const leastLapseMs = 2000;
 
+/** The version of the last change of a batch. A removed object may bear the version of its last change before that. */
+const lastChangeOf = (events: readonly WatchEvent[], answeredAt: Revision): Revision =>
+	events.some(({type}) => type === 'delete') ? answeredAt : Math.max(...events.map(({version}) => version)) as Revision;
+
 /** See the module's head. */
 export class ObjectFeed implements Disposable {
 	readonly #parts: FeedParts;
@@ -49,6 +53,8 @@
 	readonly #options: FeedOptions;
 	readonly #events = new EventEmitter();
 	#revision: Revision | undefined;
+	#changedAt: Revision | undefined;
+	#isWaiting = false;
 	#isDisposed = false;
 	#lostAt: number | undefined;
 	/** When the object API answered any call again within the outage under way. */
@@ -74,6 +80,21 @@
 		return this.#revision;
 	}
 
+	/** No change of this kind that is known came after this version, and the last one not long before it. */
+	get changedAt(): Revision | undefined {
+		return this.#changedAt;
+	}
+
+	/** Whether a watch waits for a change; otherwise the next call is about to be made. */
+	get isFollowing(): boolean {
+		return this.#isWaiting;
+	}
+
+	/** Whether the last call failed, and none has succeeded since. */
+	get isAway(): boolean {
+		return this.#lostAt !== undefined;
+	}
+
 	/** When the last outage ended, in milliseconds on the monotonic clock: with the first answer to any call of this process, which may be earlier than this feed's own. `undefined` until this feed is answered. */
 	get regainedAt(): number | undefined {
 		return this.#lostAt === undefined ? this.#regainedAt : undefined;
@@ -175,8 +196,10 @@
 
 	async #watch(since: Revision): Promise<boolean> {
 		const {waitMs, mayLag} = this.#options;
-		const isAway = this.#lostAt !== undefined;
+		const {isAway} = this;
+		this.#isWaiting = !isAway;
 		const batch = await this.#parts.api.watch([this.#kind], since, isAway ? 0 : waitMs, {mayLag});
+		this.#isWaiting = false;
 		return batch.caseOf({
 			Left: err => this.#isKnownAfter(err),
 			Right: changes => {
@@ -218,6 +241,7 @@
 		this.#noteAnswer();
 		if (this.#revision === undefined || version === undefined || version >= this.#revision) {
 			this.#revision = version;
+			this.#noteChange(version);
 			this.#events.emit('snapshot', items);
 		}
 
@@ -238,12 +262,17 @@
 		this.#revision = Math.max(version, since, events.at(-1)?.version ?? 0) as Revision;
 		if (events.length > 0) {
 			this.#paceMs = this.#options.paceMs ?? 0;
+			this.#noteChange(lastChangeOf(events, version));
 			this.#events.emit('changes', events);
 		}
 
 		return true;
 	}
 
+	#noteChange(at: Revision | undefined) {
+		this.#changedAt = Math.max(this.#changedAt ?? 0, at ?? 0) as Revision;
+	}
+
 	#noteAnswer() {
 		const {clock, log} = this.#parts;
 		this.#heardAt = clock.now();
--- a/src/gateway/peers/peer-announcer.ts
+++ b/src/gateway/peers/peer-announcer.ts
@@ -15,6 +15,7 @@
 	peerStateMethod, type PeerState, type SharedLoad, type SharedOutcomes, type SharedWaiting,
 } from './peer-state.js';
 import type {PeerTable} from './peer-table.js';
+import type {FeedCheck} from './shared-checks.js';
 
 /** Changes are gathered for this long at least, in milliseconds: short against the near second that an online call holds its place, and 25 messages a second at most to each peer. */
 const leastGatherMs = 40;
@@ -59,7 +60,7 @@
 	readonly quarantine: Quarantine;
 	readonly failedRuns: FailedRuns;
 	readonly rateLimits: RateLimits;
-	readonly configVersion: () => number | undefined;
+	readonly checks: () => readonly FeedCheck[] | undefined;
 	readonly clock: Clock;
 	/** Addresses of members that were registered, heard or not. */
 	readonly memberAddresses: () => readonly string[];
@@ -158,11 +159,11 @@
 
 	#state(): PeerState {
 		const {
-			self, channel, claimedJobs, waitingItems, isLeaving, rpcAddress, reachesObjectApi, configVersion,
+			self, channel, claimedJobs, waitingItems, isLeaving, rpcAddress, reachesObjectApi, checks,
 		} = this.#parts;
 		this.#seq += 1;
 		return {
-			member: self, address: channel.address, rpcAddress: rpcAddress(), reachesObjectApi: reachesObjectApi(), startedAt: this.#startedAt, seq: this.#seq, isLeaving: isLeaving(), loads: this.#loads(), outcomes: this.#outcomesDue(), ...this.#crashesDue(), failedRuns: this.#failedRunsDue(), accountUsage: this.#accountUsageDue(), configVersion: configVersion(), jobs: claimedJobs(), waiting: waitingItems(),
+			member: self, address: channel.address, rpcAddress: rpcAddress(), reachesObjectApi: reachesObjectApi(), startedAt: this.#startedAt, seq: this.#seq, isLeaving: isLeaving(), loads: this.#loads(), outcomes: this.#outcomesDue(), ...this.#crashesDue(), failedRuns: this.#failedRunsDue(), accountUsage: this.#accountUsageDue(), checks: checks(), jobs: claimedJobs(), waiting: waitingItems(),
 		};
 	}
 
--- a/src/gateway/peers/peer-state.ts
+++ b/src/gateway/peers/peer-state.ts
@@ -10,6 +10,7 @@
 import type {
 	BatchJobId, MemberName, ReplicaId,
 } from '../types.js';
+import type {FeedCheck} from './shared-checks.js';
 
 /** Requests of one process in flight at one replica. */
 export type SharedLoad = {
@@ -57,8 +58,8 @@
 	readonly failedRuns?: readonly FailedRun[];
 	/** Of client accounts with a rate limit whose calls have come to it of late; not in each message. */
 	readonly accountUsage?: readonly AccountUsage[];
-	/** The version of the configuration that it acts on. */
-	readonly configVersion?: number;
+	/** What it has read of late from the object API; not in each message. */
+	readonly checks?: readonly FeedCheck[];
 	/** Batch jobs that it runs. */
 	readonly jobs: readonly BatchJobId[];
 	/** Routes whose items all run are not listed; processes of earlier versions list none. */
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -40,7 +40,7 @@
 	/** Milliseconds after a change of the configuration was acknowledged within which it must be in force. */
 	configMs: durationMs(2000),
 	/** Without word of the configuration for this long, in milliseconds, calls with API keys are refused, since keys may have been taken away; left out, they are served. */
-	refuseKeysAfterMs: durationMs(5000).optional(),
+	refuseKeysAfterMs: durationMs().optional(),
 	/** Calls of a client account beyond its rate limit that are tolerated in a window; they make up for what the processes hear of each other late. */
 	rateLimitTolerance: countOf(0),
 	/** Milliseconds after its submission for which the results of a finished job can be read. */
