--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -19,6 +19,7 @@
 import type {RunningProgram, StartError} from '../io/program.js';
 import {PrometheusMetrics} from '../io/prometheus-metrics.js';
 import {RpcClient} from '../io/rpc-client.js';
+import {CallRanks} from './accounts/call-ranks.js';
 import {CallerGate} from './accounts/caller-gate.js';
 import {RateLimits} from './accounts/rate-limits.js';
 import {BatchBook} from './batch/batch-book.js';
@@ -254,7 +255,7 @@
 			lifecycle: this.#lifecycle, board, directory, log,
 		});
 		this.#server = new FrontServer({
-			board, directory, loads, links: this.#links, contacts, quarantine, serviceTimes: new ServiceTimes(), dialect, clock, random, log, metrics, sharers, failureDomain, jobCalls,
+			board, directory, loads, links: this.#links, contacts, quarantine, serviceTimes: new ServiceTimes(), ranks: new CallRanks(clock), dialect, clock, random, log, metrics, sharers, failureDomain, jobCalls,
 			gate: new CallerGate({
 				board, dialect, limits: rateLimits, clock, log, metrics, configHeardAt: () => this.#checks.freshAt('GatewayConfig'), staleAfterMs: settings.refuseKeysAfterMs,
 			}),
--- a/src/gateway/online-call.ts
+++ b/src/gateway/online-call.ts
@@ -145,8 +145,11 @@
 
 	/** Sends the call to its first replica; one that cannot get a place in its time is refused at once. */
 	start(): void {
-		const waitMs = this.#parts.serviceTimes.waitMs(this.#service, this.#parts.directory.takingWork(this.#service));
-		const leftMs = this.#timeLimitMs - this.#elapsedMs();
+		const {ranks, serviceTimes, directory} = this.#parts;
+		const rank = this.#call.caller.account?.priority ?? this.#call.route.priority;
+		ranks.note(this.#service, rank);
+		const waitMs = serviceTimes.waitMs(this.#service, directory.takingWork(this.#service));
+		const leftMs = (this.#timeLimitMs - this.#elapsedMs()) * ranks.patienceOf(this.#service, rank);
 		if (waitMs > leftMs) {
 			this.#refuse('hopeless', Math.max(comeBackMs.full, waitMs - leftMs));
 			return;
--- a/src/gateway/parts.ts
+++ b/src/gateway/parts.ts
@@ -4,6 +4,7 @@
 import type {
 	Clock, EventLog, Metrics, RandomSource,
 } from '../common/services.js';
+import type {CallRanks} from './accounts/call-ranks.js';
 import type {ConfigBoard} from './config-board.js';
 import type {ReplicaContacts} from './contacts/replica-contacts.js';
 import type {LoadBoard} from './load-board.js';
@@ -21,6 +22,7 @@
 	readonly links: ReplicaLinks;
 	readonly contacts: ReplicaContacts;
 	readonly serviceTimes: ServiceTimes;
+	readonly ranks: CallRanks;
 	readonly quarantine: Quarantine;
 	readonly dialect: CallDialect;
 	readonly clock: Clock;
