--- a/src/gateway/accounts/shared-bucket.ts
+++ b/src/gateway/accounts/shared-bucket.ts
@@ -19,6 +19,9 @@
 /** What a process that has gone silent took before, it is taken to go on taking for this long, in milliseconds: it may be cut off and alive. One that has ended is back by then, or its callers are elsewhere. */
 const silentShareMs = 30_000;
 
+/** Of the tolerance, what is lent to an account whose bucket is empty as far as is known: after a start, nothing is known of what it saved. The rest makes up for late news. */
+const lentShare = 0.8;
+
 /** When to come back, in milliseconds, within these bounds. */
 const leastWaitMs = 50;
 const mostWaitMs = 10_000;
@@ -61,7 +64,7 @@
 	#ownChangedAt: number;
 
 	/**
-	@param tolerance - Calls beyond the limit that operators tolerate in a window; half of it makes up for late news.
+	@param tolerance - Calls beyond the limit that operators tolerate in a window.
 	@param idleMs - For how long the account has certainly been idle.
 	*/
 	constructor(limit: RateLimit, {tolerance, idleMs, now}: {tolerance: number; idleMs: number; now: number}) {
@@ -173,7 +176,7 @@
 	#isScarce(now: number): boolean {
 		const demand = this.#ownDemand.perSecond(now) + this.#peerDemand.perSecond(now);
 		const unseen = Math.min(demand * newsLagS, this.#limit.burst / 2);
-		return this.#level < Math.max(1, unseen) - (this.#tolerance / 2);
+		return this.#level < Math.max(1, unseen) - (this.#tolerance * lentShare);
 	}
 
 	#takeCredit(): boolean {
