Registrations are read in growing pauses while a fleet starts

The pause grows to 600 ms while changes go on, and is 200 ms again for the first change after a calm second.

--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -90,6 +90,7 @@
 
 /** Replicas register one after the other when a fleet starts or is replaced: a watch for each would be a call for each, at every front. A change must be known within some seconds; in milliseconds. */
 const registrationPaceMs = 200;
+const mostRegistrationPaceMs = 600;
 
 /** Records of jobs come many a second; what must be known sooner is asked for. In milliseconds. */
 const recordPaceMs = 250;
@@ -109,7 +110,9 @@
 	const waitMs = Math.max(leastWatchMs, catchUpMs - timeoutMs - catchUpMarginMs);
 	return {
 		GatewayConfig: {waitMs: checkedWaitMs, mayLag: false},
-		Registration: {waitMs: checkedWaitMs, mayLag: false, paceMs: registrationPaceMs},
+		Registration: {
+			waitMs: checkedWaitMs, mayLag: false, paceMs: registrationPaceMs, mostPaceMs: mostRegistrationPaceMs,
+		},
 		BatchRecord: {waitMs, mayLag: true, paceMs: recordPaceMs},
 		Member: {waitMs: 4 * waitMs, mayLag: true},
 		// Peers tell each other first; the records are for those that start.
--- a/src/gateway/object-feed.ts
+++ b/src/gateway/object-feed.ts
@@ -31,6 +31,8 @@
 	readonly mayLag: boolean;
 	/** Milliseconds to wait after changes before the next watch, so that many changes come with one call; 0 by default. */
 	readonly paceMs?: number;
+	/** While changes go on, as when a fleet starts, the pause grows to this, in milliseconds; it does not by default. */
+	readonly mostPaceMs?: number;
 };
 
 /** After a failed call, milliseconds until the next: an outage of the object API must not be prolonged by those who wait for its end, and a change must be in force within about two seconds of it. */
@@ -46,6 +48,9 @@
 const lastChangeOf = (events: readonly WatchEvent[], answeredAt: Revision): Revision =>
 	events.some(({type}) => type === 'delete') ? answeredAt : Math.max(...events.map(({version}) => version)) as Revision;
 
+/** A change that comes so much later than the one before does not go on from it, in milliseconds. */
+const calmMs = 1000;
+
 /** See the module's head. */
 export class ObjectFeed implements Disposable {
 	readonly #parts: FeedParts;
@@ -62,6 +67,8 @@
 	#regainedAt = -Infinity;
 	#failures = 0;
 	#paceMs = 0;
+	#growingPaceMs = 0;
+	#pacedAt = -Infinity;
 	#heardAt = -Infinity;
 	#currentSync: Promise<boolean> | undefined;
 	#nextSync: Promise<boolean> | undefined;
@@ -261,7 +268,7 @@
 
 		this.#revision = Math.max(version, since, events.at(-1)?.version ?? 0) as Revision;
 		if (events.length > 0) {
-			this.#paceMs = this.#options.paceMs ?? 0;
+			this.#pace();
 			this.#noteChange(lastChangeOf(events, version));
 			this.#events.emit('changes', events);
 		}
@@ -269,6 +276,14 @@
 		return true;
 	}
 
+	#pace() {
+		const {paceMs = 0, mostPaceMs = paceMs} = this.#options;
+		const now = this.#parts.clock.now();
+		this.#growingPaceMs = now - this.#pacedAt > calmMs ? paceMs : Math.min(mostPaceMs, this.#growingPaceMs + paceMs);
+		this.#pacedAt = now;
+		this.#paceMs = this.#growingPaceMs;
+	}
+
 	#noteChange(at: Revision | undefined) {
 		this.#changedAt = Math.max(this.#changedAt ?? 0, at ?? 0) as Revision;
 	}
