--- a/src/ctl/explain/log-story.feature
+++ b/src/ctl/explain/log-story.feature
@@ -15,6 +15,8 @@
       | a call that is held back                | 1     | replicas have ended under requests with the same content, c0ffee |
       | a call without a route                  | 1     | no route for h/x in configuration 9            |
       | a call before the first configuration   | 1     | knew no configuration yet                      |
+      | a call with an unknown key              | 1     | no account holds its API key in configuration 9 |
+      | a call over its account's limit         | 1     | account acme was at its rate limit             |
       | a caller that left                      | 2     | closed its connection after 80 ms              |
 
   Scenario Outline: The cause of a job's trouble
--- a/src/ctl/explain/log-story.steps.ts
+++ b/src/ctl/explain/log-story.steps.ts
@@ -18,7 +18,7 @@
 });
 
 const {
-	attemptFailed, callEnded, callRejected, callRouted, itemRunEnded, jobClaimChanged, jobSubmitted, resultsCommitted,
+	attemptFailed, callEnded, callerRefused, callRejected, callRouted, itemRunEnded, jobClaimChanged, jobSubmitted, resultsCommitted,
 } = gatewayEvents;
 const routed = (at: number) => line(at, 'front-1', callRouted, {
 	id: 'c1', route: 'r', replica: 'i-7', attempt: 1,
@@ -58,6 +58,12 @@
 	'a call before the first configuration': [line(0, 'front-1', callRejected, {
 		id: 'c1', host: 'h', target: '/x', status: 503,
 	})],
+	'a call with an unknown key': [line(0, 'front-1', callerRefused, {
+		id: 'c1', reason: 'unknown', status: 401, configVersion: 9,
+	})],
+	'a call over its account\'s limit': [line(0, 'front-1', callerRefused, {
+		id: 'c1', account: 'acme', reason: 'limit', status: 429, retryAfterMs: 300,
+	})],
 	'a caller that left': [routed(0), ended(1, {status: 0, reason: 'the caller left'})],
 	'an item that lost its replica': [line(0, 'front-1', itemRunEnded, {job: 'j1', item: 'j1-0', outcome: 'lost'})],
 	'a job that did not fit': [submitted('full')],
--- a/src/ctl/explain/log-story.ts
+++ b/src/ctl/explain/log-story.ts
@@ -61,6 +61,7 @@
 	away: () => 'refused with 503: the object API did not answer, and nothing of the job was written',
 	uncertain: () => 'answered 504: the object API did not confirm the record, which may stand',
 	tooLarge: () => 'answered 413: the job is larger than an object may be',
+	foreign: () => 'answered 404: another account has a job of this id',
 	accepted: lines => jobProgress(lines),
 };
 
@@ -100,11 +101,21 @@
 	unreachable: lines => `its replica could not be reached; its runs: ${countOutcomes(lines)}`,
 };
 
+/** Why a caller was not let in, by the reason. */
+const callerRefusals: Readonly<Record<string, Explain>> = {
+	missing: () => 'answered 401: it carried no API key, and its route needs one',
+	unusable: () => 'answered 401: its Authorization header is not one well-formed key',
+	unknown: (_lines, {fields}) => `answered 401: no account holds its API key in configuration ${String(fields.configVersion)}`,
+	stale: () => 'refused with 503, not run: the process had no word of the configuration for longer than the settings allow for API keys (refuseKeysAfterMs)',
+	limit: (_lines, {fields}) => `refused with 429, not run: account ${textOf(fields.account)} was at its rate limit over all processes; told to come back after ${String(fields.retryAfterMs)} ms`,
+};
+
 /** The lines that tell an end, the most telling first. */
 const ends: ReadonlyArray<{readonly number: number; readonly by: string; readonly table: Readonly<Record<string, Explain>>}> = [
 	{number: gatewayEvents.callEnded.number, by: 'reason', table: callReasons},
 	{number: gatewayEvents.jobSubmitted.number, by: 'outcome', table: submissionOutcomes},
 	{number: gatewayEvents.itemRunEnded.number, by: 'outcome', table: itemOutcomes},
+	{number: gatewayEvents.callerRefused.number, by: 'reason', table: callerRefusals},
 ];
 
 const rejection = (lines: readonly LogLine[]): string | undefined => {
