Attempts whose connections were lost count as runs that may have ended their engines

An attempt whose connection was lost counted only when its agent told of the crash in time; one whose engine ended later counted never, and the request went on to the next engine, up to five. Now it counts unless the agent says that it has not begun. Own scenario: 5 replicas were given the request before, 3 now.

--- a/src/entry/completion-window.ts
+++ b/src/entry/completion-window.ts
@@ -13,10 +13,12 @@
 export class CompletionWindow {
 	#until = Number.NEGATIVE_INFINITY;
 	#lostRuns = 0;
+	/** Attempts of which nobody can say yet whether their backend server was lost with them. */
+	readonly #doubtful = new Set<number>();
 
 	/** True once the request must not run again. */
 	get isSpent(): boolean {
-		return this.#lostRuns >= maxLostRuns;
+		return this.#lostRuns + this.#doubtful.size >= maxLostRuns;
 	}
 
 	/** Whether a replica that completes the answer is still looked for at the clock's `now`. */
@@ -29,6 +31,16 @@
 		this.#lostRuns += 1;
 	}
 
+	/** The connection of an attempt was lost, and its backend server may have been lost with it: its end is heard of later, or never. */
+	mayBeLost(attempt: number): void {
+		this.#doubtful.add(attempt);
+	}
+
+	/** An attempt in doubt has certainly not run. */
+	notRun(attempt: number): void {
+		this.#doubtful.delete(attempt);
+	}
+
 	/**
 	The answer stopped at the clock's `now`.
 
--- a/src/entry/lost-attempts.feature
+++ b/src/entry/lost-attempts.feature
@@ -34,3 +34,16 @@
     Given the ledger of "a" says "done", and "a" answers at once that it has no stream
     When a request takes 1 ms at "b" and is lost there too
     Then its caller is told that it failed, "run"
+
+  Scenario: Attempts that may each have ended an engine
+    # Guards against a request that ends engine after engine, where the connections are lost before the engines' ends are heard of.
+    Given the agents of replicas "a, b, c, d, e" lose their connections, and answer questions only after 60 ms
+    When a request is made
+    Then it was given to 3 replicas
+
+  Scenario: Attempts that were certainly not begun do not use up the runs
+    Given the agents of replicas "a, b, c, d, e" lose their connections, and answer questions only after 1 ms
+    And the ledgers of all say "revoked"
+    And each connection is lost after 30 ms
+    When a request is made
+    Then it was given to 5 replicas
--- a/src/entry/lost-attempts.steps.ts
+++ b/src/entry/lost-attempts.steps.ts
@@ -28,6 +28,7 @@
 type LostWorld = TestWorld & {
 	agents: Map<string, Agent>;
 	cancelled: string[];
+	begun: Set<string>;
 	outcome: RequestOutcome;
 };
 
@@ -43,7 +44,7 @@
 
 const viewOf = (name: string): ReplicaView => ({vm: branded<VmName>(name), address: name, load} as unknown as ReplicaView);
 
-const surroundings = ({agents, cancelled}: LostWorld): RequestSurroundings => ({
+const surroundings = ({agents, cancelled, begun}: LostWorld): RequestSurroundings => ({
 	clock,
 	random: new SeededRandom(1),
 	log: {emit: () => undefined},
@@ -58,7 +59,10 @@
 		},
 	},
 	client: {
-		begin: async (_attempt: unknown, {address}: AttemptPlace) => agents.get(address)!.begin(),
+		async begin(_attempt: unknown, {address}: AttemptPlace) {
+			begun.add(address);
+			return agents.get(address)!.begin();
+		},
 		resume: async (_key: unknown, _from: number, {address}: AttemptPlace) => agents.get(address)!.resume(),
 		async revoke(address: string) {
 			const {state, answerMs} = agents.get(address)!;
@@ -87,6 +91,7 @@
 
 Given('the agents of replicas {string} lose their connections, and answer questions only after {int} ms', function (this: LostWorld, names: string, answerMs: number) {
 	this.cancelled = [];
+	this.begun = new Set();
 	this.agents = new Map(names.split(', ').map(name => [name, {
 		begin: async () => lost, resume: async () => lost, state: 'unknown', answerMs,
 	}]));
@@ -103,6 +108,18 @@
 	agent.resume = async () => ({kind: 'noStream'});
 });
 
+Given('the ledgers of all say {string}', function (this: LostWorld, state: LedgerAnswer['state']) {
+	this.agents.forEach(agent => {
+		agent.state = state;
+	});
+});
+
+Given('each connection is lost after {int} ms', function (this: LostWorld, ms: number) {
+	this.agents.forEach(agent => {
+		agent.begin = async () => after(ms, lost);
+	});
+});
+
 Given('{string} refuses after {int} ms', function (this: LostWorld, name: string, ms: number) {
 	this.agents.get(name)!.begin = async () => after<AttemptOutcome>(ms, {kind: 'refused', refusal: {reason: 'queueFull', retryAfterMs: 100, load}});
 });
@@ -127,3 +144,7 @@
 Then('the attempt at {string} is cancelled', async function (this: LostWorld, name: string) {
 	await until(() => this.cancelled.includes(name), `the attempt at ${name} is cancelled`);
 });
+
+Then('it was given to {int} replicas', function (this: LostWorld, count: number) {
+	assert.equal(this.begun.size, count);
+});
--- a/src/entry/online-request.ts
+++ b/src/entry/online-request.ts
@@ -41,6 +41,7 @@
 	readonly #onFollowedUp: Readonly<Partial<Record<LedgerAnswer['state'], (attempt: number) => void>>> = {
 		revoked: attempt => {
 			this.#runRecord.noteNotRun(attempt);
+			this.#completion.notRun(attempt);
 		},
 		running: () => {
 			this.#runRecord.noteRun();
@@ -284,6 +285,10 @@
 	}
 
 	#gone({reason, run}: Extract<Settlement, {kind: 'gone'}>, current: CurrentAttempt): Step {
+		if (run === 'unknown') {
+			this.#completion.mayBeLost(current.attempt.attempt);
+		}
+
 		const step = this.#repeatOrUnknown(reason, run);
 		if (run === 'unknown' && step === 'again') {
 			void this.#followUp(current);
