--- a/src/gateway/accounts/call-ranks.ts
+++ b/src/gateway/accounts/call-ranks.ts
@@ -1,13 +1,13 @@
 /**
-Which calls give way to others of their service. Engines know no ranks and admit calls as they come, so a rank decides before a call is sent: where calls of a higher rank are under way, one of a lower rank is refused while there is still time, instead of waiting in front of them.
+Priority of calls within a service. Engines admit calls in order of arrival, so priority is applied before a call is sent: while calls of a higher priority are arriving, those of a lower one are rejected earlier instead of queueing ahead of them.
 */
 import type {Clock} from '../../common/services.js';
 import type {GatewayServiceName} from '../types.js';
 
-/** Calls of a rank are taken to go on coming for so long after the last one, in milliseconds. */
+/** A rank counts as active for this long after its last call, in milliseconds. */
 const seenForMs = 2000;
 
-/** Of the time that its caller waits, a call that others outrank may spend waiting for a place. */
+/** The share of its remaining time that an outranked call may spend in a queue. */
 const outrankedShare = 0.75;
 
 /** See the module's head. */
@@ -19,14 +19,14 @@
 		this.#clock = clock;
 	}
 
-	/** A call of the rank has come. 0 is the highest. */
+	/** Records the arrival of a call. Rank 0 is the highest. */
 	note(service: GatewayServiceName, rank: number): void {
 		const ranks = this.#seenAt.get(service) ?? new Map<number, number>();
 		this.#seenAt.set(service, ranks);
 		ranks.set(rank, this.#clock.now());
 	}
 
-	/** @returns The share of its time that a call of the rank may wait for a place. */
+	/** @returns The share of its remaining time that a call of the rank may spend in a queue. */
 	patienceOf(service: GatewayServiceName, rank: number): number {
 		const now = this.#clock.now();
 		const ranks = [...this.#seenAt.get(service) ?? []];
--- a/src/gateway/accounts/caller-gate.ts
+++ b/src/gateway/accounts/caller-gate.ts
@@ -1,5 +1,5 @@
 /**
-Lets callers in: finds whose a call is by its API key, and holds the account to its rate limit. Where operators have declared no accounts, every call is let in as it is.
+Authenticates calls by API key and enforces the rate limit of their account. Where operators have declared no accounts, every call is admitted unchanged.
 */
 import {Left, Right, type Either} from 'purify-ts/Either';
 import type {Clock, EventLog, Metrics} from '../../common/services.js';
@@ -18,7 +18,7 @@
 	readonly headers: readonly string[];
 };
 
-/** A caller that is known, as far as there are accounts. */
+/** An authenticated caller. */
 export type Caller = {
 	/** Missing where operators have declared no accounts. */
 	readonly identity?: CallerIdentity;
@@ -26,10 +26,10 @@
 	readonly account?: ClientAccount;
 };
 
-/** A caller that has been let in. */
+/** A caller within its rate limit. */
 export type AdmittedCaller = Caller & {readonly credit?: RateCredit};
 
-/** What a caller is told that is not let in. */
+/** The answer to a call that is rejected at the gate. */
 export type GateRefusal = {
 	readonly status: 401 | 429 | 503;
 	/** In milliseconds. */
@@ -46,13 +46,13 @@
 	readonly clock: Clock;
 	readonly log: EventLog;
 	readonly metrics: Metrics;
-	/** When the configuration was last heard to be as it is known, on the monotonic clock. */
+	/** When the configuration was last confirmed to be current, in milliseconds on the monotonic clock. */
 	readonly configHeardAt: () => number;
-	/** Without word of the configuration for this long, keys may have been taken away and are refused; in milliseconds. `undefined`: they hold until word comes. */
+	/** Keys are rejected when the configuration has not been confirmed for this long, in milliseconds, since they may have been revoked. `undefined`: they stay valid. */
 	readonly staleAfterMs: number | undefined;
 };
 
-/** The configuration is asked for several times a second; in milliseconds. */
+/** Retry-After while the configuration is stale: it is read several times a second; in milliseconds. */
 const staleRetryMs = 500;
 
 /** See the module's head. */
@@ -63,13 +63,13 @@
 		this.#parts = parts;
 	}
 
-	/** Lets in a call to a route. Jobs stand outside the rate limit: what of them may wait has a bound of its own. */
+	/** Admits a call to a route. Batch jobs are exempt from the rate limit: their waiting tokens have a bound of their own. */
 	admit(head: CallHead, route: GatewayRoute): Either<GateRefusal, AdmittedCaller> {
 		return this.identify(head, route.isAnonymous)
 			.chain(caller => route.kind === 'batch' ? Right(caller) : this.#withinLimit(head, caller));
 	}
 
-	/** Finds whose a call is that goes to no route, or does not count. */
+	/** Authenticates a call without counting it. */
 	identify(head: CallHead, mayBeAnonymous: boolean): Either<GateRefusal, Caller> {
 		const {board, dialect} = this.#parts;
 		if (!board.accounts) {
--- a/src/gateway/accounts/identify.ts
+++ b/src/gateway/accounts/identify.ts
@@ -1,5 +1,5 @@
 /**
-Whose a call is, by the key that it carries, and why a key is refused.
+Resolves the account of a call by its API key.
 */
 import {Left, Right, type Either} from 'purify-ts/Either';
 import type {ClientAccount, PresentedKey} from '../types.js';
@@ -20,7 +20,7 @@
 };
 
 /**
-A wrong key is refused also where none is needed: its caller believes to be somebody, and would otherwise be served as nobody without noticing.
+An invalid key is rejected on anonymous routes too: its caller expects to be authenticated, and would otherwise be served anonymously without noticing.
 
 @param mayBeAnonymous - Whether the route takes calls without a key.
 @returns The account, or nothing for an anonymous call.
--- a/src/gateway/accounts/rate-limits.ts
+++ b/src/gateway/accounts/rate-limits.ts
@@ -1,5 +1,5 @@
 /**
-Holds the client accounts' rate limits over all processes of the gateway: decides on each call from what is known here, and tells the peers what was decided.
+Enforces the client accounts' rate limits over all processes of the gateway. Each process decides locally, from its own calls and from the usage that its peers announce.
 */
 import type {Clock, EventLog} from '../../common/services.js';
 import {gatewayEvents} from '../log-events.js';
@@ -10,7 +10,7 @@
 import type {AccountUsage} from './account-usage.js';
 import {SharedBucket, type Membership} from './shared-bucket.js';
 
-/** A change is told in each message for this long, in milliseconds: single messages are lost. */
+/** Usage is repeated in each announcement for this long after a change, in milliseconds: single messages are lost. */
 const toldForMs = 800;
 
 /** What a peer admitted so long before this process started may still count, in milliseconds. */
@@ -22,7 +22,7 @@
 /** An account that is over its limit is logged this often, in milliseconds, besides each call that is refused. */
 const reportEveryMs = 1000;
 
-/** Processes that are registered and not heard count for this long after the start, in milliseconds: entries of VMs that are gone may stay for a while. */
+/** Registered processes that were never seen count as taking their share for this long after the start, in milliseconds; entries of VMs that are gone stay longer. */
 const unknownForMs = 30_000;
 
 /** What the limits need. */
@@ -33,7 +33,7 @@
 	readonly tolerance: number;
 	/** How many processes are registered, this one included. */
 	readonly registered: () => number;
-	/** Peers that are heard. */
+	/** Live peers. */
 	readonly heard: () => ReadonlySet<MemberName>;
 };
 
@@ -89,7 +89,7 @@
 		};
 	}
 
-	/** What the peers must hear now. */
+	/** Usage to announce to the peers now. */
 	news(): readonly AccountUsage[] {
 		const now = this.#parts.clock.now();
 		this.#forgetIdle(now);
@@ -98,7 +98,7 @@
 			.map(([account, {usage}]) => ({account, ...usage}));
 	}
 
-	/** Takes over what a peer tells. An account without calls here is counted too: its next call may come here. */
+	/** Applies the usage that a peer announced. Accounts without calls here are tracked too: their next call may come here. */
 	take({member, startedAt, accountUsage = []}: Pick<PeerState, 'member' | 'startedAt' | 'accountUsage'>, limitOf: (account: ClientAccountName) => RateLimit | undefined): void {
 		const now = this.#parts.clock.now();
 		const isNewPeer = startedAt > this.#startedAtWall - countedBeforeMs;
--- a/src/gateway/accounts/shared-bucket.ts
+++ b/src/gateway/accounts/shared-bucket.ts
@@ -1,13 +1,13 @@
 /**
-One account's token bucket over all processes, as one of them estimates it: filled at the account's rate, emptied by its own calls at once and by the peers' as they tell of them. A call that a peer has admitted meanwhile may take the estimate below zero; nothing is admitted until it is filled again, so the limit holds over time whatever the delay.
+One process's estimate of an account's token bucket over all processes: refilled at the account's rate, drained by local calls at once and by the peers' calls when they are announced. Calls that peers admitted in the meantime may make it negative; nothing is admitted until it is refilled, so the limit holds over time whatever the delay.
 
-Near the limit all processes would see the same token come free and each admit a call for it. There each takes only its part of what comes free, by its part of the calls that ask.
+Near the limit all processes would spend the same token. There, each spends only its share of the refill, in proportion to its share of the demand. See docs/design/rate-limits.md.
 */
 import type {MemberName, RateLimit} from '../types.js';
 import type {AccountUsage} from './account-usage.js';
 import {RateMeter} from './rate-meter.js';
 
-/** Calls of about this long may be admitted elsewhere before this process hears of them, in seconds. */
+/** How old the peers' announcements are at most, usually, in seconds. */
 const newsLagS = 0.2;
 
 /** Near the limit, what is left of the burst is handed out over about this long, in seconds. */
@@ -16,17 +16,17 @@
 /** Of its part, a process may save up what comes in this long, in seconds, and one call at the least. */
 const savedS = 0.25;
 
-/** What a process that has gone silent took before, it is taken to go on taking for this long, in milliseconds: it may be cut off and alive. One that has ended is back by then, or its callers are elsewhere. */
+/** A silent peer is assumed to go on admitting calls at its last rate for this long, in milliseconds: it may be partitioned and alive. */
 const silentShareMs = 30_000;
 
-/** Of the tolerance, what is lent to an account whose bucket is empty as far as is known: after a start, nothing is known of what it saved. The rest makes up for late news. */
+/** The part of the tolerance by which the estimate may be overdrawn: a process that has just started assumes an empty bucket. The rest covers late announcements. */
 const lentShare = 0.8;
 
-/** When to come back, in milliseconds, within these bounds. */
+/** Bounds of Retry-After, in milliseconds. */
 const leastWaitMs = 50;
 const mostWaitMs = 10_000;
 
-/** What one peer has told of the account. */
+/** The last announcement of one peer. */
 type PeerUse = {
 	admitted: number;
 	asked: number;
@@ -36,11 +36,11 @@
 
 /** What the bucket needs to know of the peers. */
 export type Membership = {
-	/** Processes that are registered and were never heard, as a share of all. */
+	/** Registered processes that were never seen, as a share of all. */
 	readonly unknownShare: number;
-	/** What a process may take of an account's rate even if it hears nobody, as a share. */
+	/** The share of an account's rate that a partitioned process may use. */
 	readonly leastShare: number;
-	/** Whether a peer is heard. */
+	/** Whether a peer is live. */
 	isHeard(peer: MemberName): boolean;
 };
 
@@ -76,7 +76,7 @@
 		this.#ownChangedAt = now;
 	}
 
-	/** When the account last had a call here, or a peer told of one. */
+	/** When the account last had a call, here or at a peer. */
 	get changedAt(): number {
 		return this.#changedAt;
 	}
@@ -95,7 +95,7 @@
 		return {admitted: this.#admitted, asked: this.#asked};
 	}
 
-	/** Takes a call in, or tells when there may be room for it. */
+	/** Admits a call, or rejects it with the time at which there may be room for it. */
 	admit(limit: RateLimit, membership: Membership, now: number): Admission {
 		this.#limit = limit;
 		this.#asked += 1;
@@ -121,7 +121,7 @@
 	}
 
 	/**
-	Takes over what a peer tells.
+	Applies an announcement of a peer.
 
 	@param isNewPeer - Whether the peer has started within the time that counts, so that all it has admitted does.
 	*/
@@ -147,7 +147,7 @@
 		this.#changedAt = now;
 	}
 
-	/** @returns Calls a second by which the bucket is filled for those that are heard. */
+	/** @returns The refill rate for this process and its live peers, in calls a second. */
 	#fill(membership: Membership, now: number): number {
 		const {perSecond, burst} = this.#limit;
 		const refill = Math.max(perSecond * membership.leastShare, (perSecond * (1 - membership.unknownShare)) - this.#takenBySilent(membership, now));
@@ -165,7 +165,7 @@
 			.reduce((sum, [, {rate, toldAt}]) => sum + rate.perSecond(toldAt), 0);
 	}
 
-	/** Calls a second that this process may admit near the limit. */
+	/** This process's share of the refill near the limit, in calls a second. */
 	#partPerSecond(refill: number, now: number): number {
 		const own = this.#ownDemand.perSecond(now);
 		const all = own + this.#peerDemand.perSecond(now);
@@ -188,7 +188,7 @@
 		return true;
 	}
 
-	/** Those who are refused come back one after the other, as the account's calls are let in. */
+	/** Spreads rejected callers over the times at which calls will be admitted. */
 	#waitMs(partPerSecond: number, now: number): number {
 		const gapMs = partPerSecond > 0 ? 1000 / partPerSecond : mostWaitMs;
 		this.#nextFreeAt = Math.max(now, this.#nextFreeAt) + gapMs;
--- a/src/gateway/peers/shared-checks.ts
+++ b/src/gateway/peers/shared-checks.ts
@@ -1,5 +1,5 @@
 /**
-Keeps what is known of the object API fresh with few calls. Each process watches for itself, but a watch that went silent shows only when it ends; so one process reads every now and then, and tells the others up to which change it knows. A process that lacks that change reads too; one that hears of no read for too long makes it itself, so nothing depends on the first one.
+Detects silent watches with few calls of the object API. Every process watches for itself; one of them also polls and announces the last change that it has seen. A process that lacks that change polls too, and one that sees no announcement in time takes over the polling.
 */
 import type {Revision} from '../../common/ids.js';
 import type {Clock, Disposable} from '../../common/services.js';
@@ -9,20 +9,20 @@
 import type {PeerState} from './peer-state.js';
 import type {PeerTable} from './peer-table.js';
 
-/** What a process has read of one kind of object of late. */
+/** The state of one kind of object at a process, as of its last answer from the object API. */
 export type FeedCheck = {
 	readonly kind: ObjectKind;
-	/** The last change of the kind that it knows of. */
+	/** The last change of the kind that the process has seen. */
 	readonly changedAt: Revision;
-	/** How long ago the object API told it that there was none after that, in milliseconds. */
+	/** Age of the answer that confirmed it, in milliseconds. */
 	readonly ageMs: number;
 };
 
-/** A feed that is kept fresh. */
+/** A feed whose watch is checked. */
 export type CheckedFeed = {
 	readonly kind: ObjectKind;
 	readonly feed: ObjectFeed;
-	/** Milliseconds without a read, by this process or another, until one is due. */
+	/** Milliseconds after the last confirmation, here or at a peer, until a poll is due. */
 	readonly everyMs: number;
 };
 
@@ -32,21 +32,21 @@
 	readonly peers: Pick<PeerTable, 'live' | 'onState'>;
 	readonly feeds: readonly CheckedFeed[];
 	readonly clock: Clock;
-	/** Tells the peers soon. */
+	/** Announces this process's state soon. */
 	readonly announce: () => void;
 };
 
-/** The process that is next in line reads when the first has not, so much later, in milliseconds; those behind the third in line all at once. */
+/** Each process next in line waits this much longer before it polls, in milliseconds, up to the third in line. */
 const standInMs = 60;
 const mostStandIns = 3;
 
-/** A change comes with the own watch at about the time at which a peer tells of it; after this long, in milliseconds, it is asked for. */
+/** The own watch brings a change at about the time at which a peer announces it; after this long, in milliseconds, it is polled for. */
 const patienceMs = 150;
 
-/** A read that failed is made again after this long, in milliseconds. */
+/** Pause after a failed poll, in milliseconds. */
 const retryMs = 250;
 
-/** A read is told in each message for this long, in milliseconds. */
+/** A confirmation is announced for this long, in milliseconds. */
 const toldForMs = 500;
 
 /** See the module's head. */
@@ -65,13 +65,13 @@
 		});
 	}
 
-	/** What the peers must hear now. */
+	/** Confirmations to announce to the peers now. */
 	news(): readonly FeedCheck[] | undefined {
 		const news = this.#checks.flatMap(check => check.news());
 		return news.length === 0 ? undefined : news;
 	}
 
-	/** When the object API last told this process, or a peer, that nothing of the kind has changed that is not known here; in milliseconds on the monotonic clock. */
+	/** When the local state of the kind was last confirmed to be current, here or by a peer; in milliseconds on the monotonic clock. */
 	freshAt(kind: ObjectKind): number {
 		return this.#checks.find(check => check.kind === kind)?.freshAt ?? -Infinity;
 	}
@@ -107,7 +107,7 @@
 	readonly #checked: CheckedFeed;
 	readonly #clock: Clock;
 	readonly #options: {readonly delayMs: () => number; readonly announce: () => void};
-	/** When the object API last told a peer that there is nothing which this process does not know. */
+	/** When a peer last confirmed that nothing is missing here. */
 	#confirmedAt = -Infinity;
 	#behindSince: number | undefined;
 	#timer: NodeJS.Timeout | undefined;
