Names: account keys, announcements and live peers in the terms of the field; decisions unchanged

apiKeys is the platform's word and stays in platform/; told, heard, lent and patience gave way to announced, live, overdraft and timeout in the new modules.

--- a/src/gateway/accounts/account-table.ts
+++ b/src/gateway/accounts/account-table.ts
@@ -14,7 +14,7 @@
 		const shared = new Set<string>();
 		const conflicts = new Set<ClientAccountName>();
 		accounts.forEach(account => {
-			account.apiKeys.forEach(key => {
+			account.accountKeys.forEach(key => {
 				const holder = byKey.get(key);
 				if (holder && holder.name !== account.name) {
 					shared.add(key);
--- a/src/gateway/accounts/call-ranks.steps.ts
+++ b/src/gateway/accounts/call-ranks.steps.ts
@@ -19,5 +19,5 @@
 });
 
 Then('a call of rank {int} to {string} may wait for {float} of its time', function (this: RanksWorld, rank: number, service: string, share: number) {
-	assert.equal(this.ranks.patienceOf(branded<GatewayServiceName>(service), rank), share);
+	assert.equal(this.ranks.waitShareOf(branded<GatewayServiceName>(service), rank), share);
 });
--- a/src/gateway/accounts/call-ranks.ts
+++ b/src/gateway/accounts/call-ranks.ts
@@ -27,7 +27,7 @@
 	}
 
 	/** @returns The share of its remaining time that a call of the rank may spend in a queue. */
-	patienceOf(service: GatewayServiceName, rank: number): number {
+	waitShareOf(service: GatewayServiceName, rank: number): number {
 		const now = this.#clock.now();
 		const ranks = [...this.#seenAt.get(service) ?? []];
 		return ranks.some(([other, seenAt]) => other < rank && now - seenAt < seenForMs) ? outrankedShare : 1;
--- a/src/gateway/accounts/rate-limits.steps.ts
+++ b/src/gateway/accounts/rate-limits.steps.ts
@@ -33,7 +33,7 @@
 const idleMs = 20_000;
 
 const admit = (world: LimitsWorld, count: number): LimitDecision[] => Array.from({length: count}, () =>
-	world.limits.admit({name: branded<ClientAccountName>('a'), apiKeys: [], rateLimit: world.limit}));
+	world.limits.admit({name: branded<ClientAccountName>('a'), accountKeys: [], rateLimit: world.limit}));
 
 const admitted = (decisions: readonly LimitDecision[]): number => decisions.filter(decision => 'credit' in decision).length;
 
@@ -68,7 +68,7 @@
 	this.limit = {perSecond, burst};
 	const clock = {now: () => this.now, wall: () => this.now, sleep: async () => undefined} as unknown as Clock;
 	this.limits = new RateLimits({
-		clock, log: {emit: () => undefined}, tolerance: 0, registered: () => 1, heard: () => new Set(),
+		clock, log: {emit: () => undefined}, tolerance: 0, registered: () => 1, livePeers: () => new Set(),
 	});
 	this.now = idleMs;
 });
--- a/src/gateway/accounts/rate-limits.ts
+++ b/src/gateway/accounts/rate-limits.ts
@@ -11,7 +11,7 @@
 import {SharedBucket, type Membership} from './shared-bucket.js';
 
 /** Usage is repeated in each announcement for this long after a change, in milliseconds: single messages are lost. */
-const toldForMs = 800;
+const repeatedForMs = 800;
 
 /** What a peer admitted so long before this process started may still count, in milliseconds. */
 const countedBeforeMs = 5000;
@@ -34,7 +34,7 @@
 	/** How many processes are registered, this one included. */
 	readonly registered: () => number;
 	/** Live peers. */
-	readonly heard: () => ReadonlySet<MemberName>;
+	readonly livePeers: () => ReadonlySet<MemberName>;
 };
 
 /** What an admitted call holds. */
@@ -94,7 +94,7 @@
 		const now = this.#parts.clock.now();
 		this.#forgetIdle(now);
 		return [...this.#buckets]
-			.filter(([, {ownChangedAt}]) => now - ownChangedAt < toldForMs)
+			.filter(([, {ownChangedAt}]) => now - ownChangedAt < repeatedForMs)
 			.map(([account, {usage}]) => ({account, ...usage}));
 	}
 
@@ -122,12 +122,12 @@
 	}
 
 	#membership(now: number): Membership {
-		const heard = this.#parts.heard();
-		const registered = Math.max(this.#parts.registered(), heard.size + 1);
+		const live = this.#parts.livePeers();
+		const registered = Math.max(this.#parts.registered(), live.size + 1);
 		const isYoung = now - this.#startedAt < unknownForMs;
 		return {
-			isHeard: peer => heard.has(peer),
-			unknownShare: isYoung ? (registered - 1 - heard.size) / registered : 0,
+			isLivePeer: peer => live.has(peer),
+			unknownShare: isYoung ? (registered - 1 - live.size) / registered : 0,
 			leastShare: 1 / registered,
 		};
 	}
--- a/src/gateway/accounts/shared-bucket.ts
+++ b/src/gateway/accounts/shared-bucket.ts
@@ -17,10 +17,10 @@
 const savedS = 0.25;
 
 /** A silent peer is assumed to go on admitting calls at its last rate for this long, in milliseconds: it may be partitioned and alive. */
-const silentShareMs = 30_000;
+const silentPeerMs = 30_000;
 
 /** The part of the tolerance by which the estimate may be overdrawn: a process that has just started assumes an empty bucket. The rest covers late announcements. */
-const lentShare = 0.8;
+const overdraftShare = 0.8;
 
 /** Bounds of Retry-After, in milliseconds. */
 const leastWaitMs = 50;
@@ -30,7 +30,7 @@
 type PeerUse = {
 	admitted: number;
 	asked: number;
-	toldAt: number;
+	announcedAt: number;
 	readonly rate: RateMeter;
 };
 
@@ -41,7 +41,7 @@
 	/** The share of an account's rate that a partitioned process may use. */
 	readonly leastShare: number;
 	/** Whether a peer is live. */
-	isHeard(peer: MemberName): boolean;
+	isLivePeer(peer: MemberName): boolean;
 };
 
 /** What was decided on a call. */
@@ -103,9 +103,9 @@
 		this.#ownChangedAt = now;
 		this.#ownDemand.note(1, now);
 		const refill = this.#fill(membership, now);
-		const partPerSecond = this.#partPerSecond(refill, now);
+		const sharePerSecond = this.#sharePerSecond(refill, now);
 		if (this.#isScarce(now) && !this.#takeCredit()) {
-			return {isAdmitted: false, retryAfterMs: this.#waitMs(partPerSecond, now)};
+			return {isAdmitted: false, retryAfterMs: this.#waitMs(sharePerSecond, now)};
 		}
 
 		this.#admitted += 1;
@@ -127,7 +127,7 @@
 	*/
 	takePeer(peer: MemberName, {admitted, asked}: Omit<AccountUsage, 'account'>, {isNewPeer, now}: {isNewPeer: boolean; now: number}): void {
 		const known = this.#peers.get(peer) ?? {
-			admitted: isNewPeer ? 0 : admitted, asked: isNewPeer ? 0 : asked, toldAt: now, rate: new RateMeter(),
+			admitted: isNewPeer ? 0 : admitted, asked: isNewPeer ? 0 : asked, announcedAt: now, rate: new RateMeter(),
 		};
 		this.#peers.set(peer, known);
 		// Fewer calls than before: the peer has started again, or has forgotten an account that was idle.
@@ -136,7 +136,7 @@
 		const newlyAsked = hasStartedAnew ? asked : asked - known.asked;
 		known.admitted = admitted;
 		known.asked = asked;
-		known.toldAt = now;
+		known.announcedAt = now;
 		if (newlyAdmitted === 0 && newlyAsked === 0) {
 			return;
 		}
@@ -150,23 +150,23 @@
 	/** @returns The refill rate for this process and its live peers, in calls a second. */
 	#fill(membership: Membership, now: number): number {
 		const {perSecond, burst} = this.#limit;
-		const refill = Math.max(perSecond * membership.leastShare, (perSecond * (1 - membership.unknownShare)) - this.#takenBySilent(membership, now));
+		const refill = Math.max(perSecond * membership.leastShare, (perSecond * (1 - membership.unknownShare)) - this.#silentPeersPerSecond(membership, now));
 		const seconds = (now - this.#filledAt) / 1000;
 		this.#filledAt = now;
 		this.#level = Math.min(burst, this.#level + (refill * seconds));
-		const part = this.#partPerSecond(refill, now);
+		const part = this.#sharePerSecond(refill, now);
 		this.#credit = Math.min(Math.max(1, part * savedS), this.#credit + (part * seconds));
 		return refill;
 	}
 
-	#takenBySilent(membership: Membership, now: number): number {
+	#silentPeersPerSecond(membership: Membership, now: number): number {
 		return [...this.#peers]
-			.filter(([peer, {toldAt}]) => !membership.isHeard(peer) && now - toldAt < silentShareMs)
-			.reduce((sum, [, {rate, toldAt}]) => sum + rate.perSecond(toldAt), 0);
+			.filter(([peer, {announcedAt}]) => !membership.isLivePeer(peer) && now - announcedAt < silentPeerMs)
+			.reduce((sum, [, {rate, announcedAt}]) => sum + rate.perSecond(announcedAt), 0);
 	}
 
 	/** This process's share of the refill near the limit, in calls a second. */
-	#partPerSecond(refill: number, now: number): number {
+	#sharePerSecond(refill: number, now: number): number {
 		const own = this.#ownDemand.perSecond(now);
 		const all = own + this.#peerDemand.perSecond(now);
 		const free = refill + (Math.max(0, this.#level) / burstSpreadS);
@@ -176,7 +176,7 @@
 	#isScarce(now: number): boolean {
 		const demand = this.#ownDemand.perSecond(now) + this.#peerDemand.perSecond(now);
 		const unseen = Math.min(demand * newsLagS, this.#limit.burst / 2);
-		return this.#level < Math.max(1, unseen) - (this.#tolerance * lentShare);
+		return this.#level < Math.max(1, unseen) - (this.#tolerance * overdraftShare);
 	}
 
 	#takeCredit(): boolean {
@@ -189,8 +189,8 @@
 	}
 
 	/** Spreads rejected callers over the times at which calls will be admitted. */
-	#waitMs(partPerSecond: number, now: number): number {
-		const gapMs = partPerSecond > 0 ? 1000 / partPerSecond : mostWaitMs;
+	#waitMs(sharePerSecond: number, now: number): number {
+		const gapMs = sharePerSecond > 0 ? 1000 / sharePerSecond : mostWaitMs;
 		this.#nextFreeAt = Math.max(now, this.#nextFreeAt) + gapMs;
 		const waitMs = Math.min(mostWaitMs, Math.max(leastWaitMs, this.#nextFreeAt - now));
 		this.#nextFreeAt = now + waitMs;
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -174,7 +174,7 @@
 		this.#peers = peers;
 		const failedRuns = new FailedRuns({self, clock});
 		const rateLimits = new RateLimits({
-			clock, log, tolerance: settings.rateLimitTolerance, registered: () => this.#registry.addresses.length, heard: () => peers.names,
+			clock, log, tolerance: settings.rateLimitTolerance, registered: () => this.#registry.addresses.length, livePeers: () => peers.names,
 		});
 		const http = new HttpClient();
 		const rpc = new RpcClient(http);
--- a/src/gateway/gateway-tables.steps.ts
+++ b/src/gateway/gateway-tables.steps.ts
@@ -259,7 +259,7 @@
 	const channel = this.register(new DatagramChannel({}));
 	await channel.listen('127.0.0.1:0');
 	const rateLimits = new RateLimits({
-		clock, log, tolerance: 0, registered: () => 2, heard: () => this.peers.names,
+		clock, log, tolerance: 0, registered: () => 2, livePeers: () => this.peers.names,
 	});
 	const announcer = this.register(new PeerAnnouncer({
 		self: branded<MemberName>('front-1'), channel, peers: this.peers, directory: this.directory, loads: this.loads, quarantine, failedRuns: new FailedRuns({self: branded<MemberName>('front-1'), clock}), rateLimits, checks: () => undefined, clock, memberAddresses: () => [], claimedJobs: () => [], waitingItems: () => [], isLeaving: () => false, rpcAddress: () => '127.0.0.1:1', reachesObjectApi: () => true,
--- a/src/gateway/online-call.ts
+++ b/src/gateway/online-call.ts
@@ -149,7 +149,7 @@
 		const rank = this.#call.caller.account?.priority ?? this.#call.route.priority;
 		ranks.note(this.#service, rank);
 		const waitMs = serviceTimes.waitMs(this.#service, directory.takingWork(this.#service));
-		const leftMs = (this.#timeLimitMs - this.#elapsedMs()) * ranks.patienceOf(this.#service, rank);
+		const leftMs = (this.#timeLimitMs - this.#elapsedMs()) * ranks.waitShareOf(this.#service, rank);
 		if (waitMs > leftMs) {
 			this.#refuse('hopeless', Math.max(comeBackMs.full, waitMs - leftMs));
 			return;
--- a/src/gateway/peers/shared-checks.ts
+++ b/src/gateway/peers/shared-checks.ts
@@ -41,13 +41,13 @@
 const mostStandIns = 3;
 
 /** The own watch brings a change at about the time at which a peer announces it; after this long, in milliseconds, it is polled for. */
-const patienceMs = 150;
+const lagTimeoutMs = 150;
 
 /** Pause after a failed poll, in milliseconds. */
 const retryMs = 250;
 
 /** A confirmation is announced for this long, in milliseconds. */
-const toldForMs = 500;
+const announcedForMs = 500;
 
 /** See the module's head. */
 export class SharedChecks implements Disposable {
@@ -131,7 +131,7 @@
 	news(): FeedCheck[] {
 		const {feed} = this.#checked;
 		const ageMs = this.#clock.now() - feed.heardAt;
-		return feed.changedAt === undefined || ageMs > toldForMs ? [] : [{kind: this.kind, changedAt: feed.changedAt, ageMs: Math.round(ageMs)}];
+		return feed.changedAt === undefined || ageMs > announcedForMs ? [] : [{kind: this.kind, changedAt: feed.changedAt, ageMs: Math.round(ageMs)}];
 	}
 
 	take({changedAt, ageMs}: FeedCheck): void {
@@ -144,7 +144,7 @@
 
 		if (this.#behindSince === undefined) {
 			this.#behindSince = now;
-			this.#wait(patienceMs);
+			this.#wait(lagTimeoutMs);
 		}
 	}
 
@@ -181,7 +181,7 @@
 
 	#dueAt(): number {
 		const {feed, everyMs} = this.#checked;
-		const behindDueAt = this.#behindSince === undefined ? Infinity : this.#behindSince + patienceMs;
+		const behindDueAt = this.#behindSince === undefined ? Infinity : this.#behindSince + lagTimeoutMs;
 		if (!feed.isFollowing) {
 			// Its own next call is about to be made.
 			return this.#clock.now() + retryMs;
--- a/src/gateway/testing/rate-limit-model.ts
+++ b/src/gateway/testing/rate-limit-model.ts
@@ -207,10 +207,10 @@
 		const startedAt = this.#timeline.now;
 		const heardBy = (process: number): ReadonlySet<MemberName> => new Set(names.filter((_, i) => i !== process && !this.#isCutOff(i) && !this.#isCutOff(process)));
 		const limits = names.map((_, process) => new RateLimits({
-			clock: this.#clock, log: silentLog, tolerance: modelTolerance, registered: () => processes, heard: () => heardBy(process),
+			clock: this.#clock, log: silentLog, tolerance: modelTolerance, registered: () => processes, livePeers: () => heardBy(process),
 		}));
 		return limits.map((own, process) => ({
-			admit: () => 'credit' in own.admit({name: account, apiKeys: [], rateLimit: limit}),
+			admit: () => 'credit' in own.admit({name: account, accountKeys: [], rateLimit: limit}),
 			tell: () => {
 				const accountUsage = own.news();
 				if (accountUsage.length === 0) {
@@ -235,9 +235,9 @@
 		const limit = {perSecond: perSecond / processes, burst: burst / processes};
 		return Array.from({length: processes}, () => {
 			const own = new RateLimits({
-				clock: this.#clock, log: silentLog, tolerance: modelTolerance / processes, registered: () => 1, heard: () => new Set(),
+				clock: this.#clock, log: silentLog, tolerance: modelTolerance / processes, registered: () => 1, livePeers: () => new Set(),
 			});
-			return {admit: () => 'credit' in own.admit({name: account, apiKeys: [], rateLimit: limit})};
+			return {admit: () => 'credit' in own.admit({name: account, accountKeys: [], rateLimit: limit})};
 		});
 	}
 
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -71,7 +71,7 @@
 export type ClientAccount = {
 	readonly name: ClientAccountName;
 	/** In clear; they are neither logged nor passed on. */
-	readonly apiKeys: readonly string[];
+	readonly accountKeys: readonly string[];
 	/** Rank of its calls, 0 the highest; goes before the route's. */
 	readonly priority?: number;
 	/** Missing where the account has no limit. */
