A job that was accepted before there were accounts is accepted again from its caller

Found reading the diff: a caller that sent its job again, with a key, after operators had declared accounts heard 404, since the record bears no account.

--- a/src/gateway/batch/batch-job.ts
+++ b/src/gateway/batch/batch-job.ts
@@ -2,7 +2,7 @@
 One batch job as its records tell it.
 */
 import type {Revision} from '../../common/ids.js';
-import type {BatchItemId, BatchJobId} from '../types.js';
+import type {BatchItemId, BatchJobId, ClientAccountName} from '../types.js';
 import {
 	tokensOf, type ItemOutline, type JobRecord, type PageRecord, type ResultOutline,
 } from './batch-records.js';
@@ -84,6 +84,11 @@
 		return this.#handovers;
 	}
 
+	/** Whether the account may read, end and resubmit the job. A job that was accepted without an account is open to all. */
+	isOpenTo(account: ClientAccountName | undefined): boolean {
+		return this.record.account === undefined || this.record.account === account;
+	}
+
 	has(id: BatchItemId): boolean {
 		return this.#items.has(id);
 	}
--- a/src/gateway/batch/job-intake.ts
+++ b/src/gateway/batch/job-intake.ts
@@ -108,9 +108,9 @@
 		return this.#write(submission);
 	}
 
-	/** The job stands already: its caller sends it again, with the same key or another one of its account, or names a job that is another account's. */
+	/** The outcome for a job that was accepted before: a retry, or the id of another account's job. */
 	#acceptedBefore({job, account}: Pick<JobSubmission, 'job' | 'account'>): SubmissionOutcome {
-		return this.#parts.book.job(job)?.record.account === account ? 'accepted' : 'foreign';
+		return this.#parts.book.job(job)?.isOpenTo(account) ? 'accepted' : 'foreign';
 	}
 
 	#seemsToFit(submission: JobSubmission): boolean {
--- a/src/gateway/batch/job-reader.ts
+++ b/src/gateway/batch/job-reader.ts
@@ -62,7 +62,7 @@
 		this.#parts = parts;
 	}
 
-	/** @param caller - Who asks, where there are accounts: another account's job does not exist for it. */
+	/** @param caller - Where there are accounts, the caller; jobs of other accounts do not exist for it. */
 	async results({job, after, waitMs}: ResultsQuestion, caller?: CallerIdentity): Promise<ResultsPage | NoAnswer> {
 		const found = await this.#find(job, caller);
 		if (typeof found === 'string') {
@@ -164,7 +164,7 @@
 
 	async #find(id: BatchJobId, caller: CallerIdentity | undefined): Promise<BatchJob | NoAnswer> {
 		const found = await this.#findAny(id);
-		return typeof found === 'string' || isOwnedBy(found, caller) ? found : 'unknown';
+		return typeof found === 'string' || !caller || found.isOpenTo(caller.account) ? found : 'unknown';
 	}
 
 	async #findAny(id: BatchJobId): Promise<BatchJob | NoAnswer> {
@@ -190,6 +190,3 @@
 }
 
 const admitted = (job: BatchJob | undefined): BatchJob | undefined => job?.isAdmitted ? job : undefined;
-
-/** Jobs that were accepted before there were accounts are everybody's. */
-const isOwnedBy = ({record: {account}}: BatchJob, caller: CallerIdentity | undefined): boolean => caller === undefined || account === undefined || account === caller.account;
