--- a/src/entry/online-request.ts
+++ b/src/entry/online-request.ts
@@ -285,7 +285,8 @@
 	}
 
 	#gone({reason, run}: Extract<Settlement, {kind: 'gone'}>, current: CurrentAttempt): Step {
-		if (run === 'unknown') {
+		// An answer that has begun shows that its engine bears the request; connections may well be lost under it.
+		if (run === 'unknown' && !this.#sink.hasBegun) {
 			this.#completion.mayBeLost(current.attempt.attempt);
 		}
 
