Sight: log lines tell how a call's later runs ended, and whose text an item goes on from

707 gives, for each run after a call's first one, its own status, content type, framing, the event that it was asked to go on after, and the last event of the caller. 729 gives the lengths of both texts of an item, whether it runs here, and whose text its next run goes on from. Logic unchanged.

--- a/src/gateway/batch/job-run.steps.ts
+++ b/src/gateway/batch/job-run.steps.ts
@@ -39,7 +39,7 @@
 	const contents = {read: async () => Right({type: 'items', items: world.items})} as unknown as ContentStore;
 	world.failedRuns = new FailedRuns({self: branded<MemberName>('front-1'), clock});
 	world.run = new JobRun({
-		job: () => job, writer, contents, failedRuns: world.failedRuns, clock,
+		job: () => job, writer, contents, failedRuns: world.failedRuns, clock, log: {emit: () => undefined},
 	});
 };
 
--- a/src/gateway/batch/job-run.ts
+++ b/src/gateway/batch/job-run.ts
@@ -1,7 +1,8 @@
 /**
 The items of one job that this process runs: which wait, which run, what is known of their texts, and which have failed too often.
 */
-import type {Clock, Disposable} from '../../common/services.js';
+import type {Clock, Disposable, EventLog} from '../../common/services.js';
+import {gatewayEvents} from '../log-events.js';
 import type {BatchItemId, GatewayRoute, ReplicaId} from '../types.js';
 import type {WatchedContent} from '../quarantine/watched-content.js';
 import type {BatchJob} from './batch-job.js';
@@ -41,6 +42,7 @@
 	readonly contents: ContentStore;
 	readonly failedRuns: FailedRuns;
 	readonly clock: Clock;
+	readonly log: EventLog;
 };
 
 /** See the module's head. */
@@ -170,7 +172,11 @@
 	Goes on from the longer text. Where the item runs here already, from an earlier event, the run is cut off: it would make again what is known, and what was handed over would be dropped while the item is late.
 	*/
 	#takeProgress(state: ItemState, {events, failedRuns}: ItemProgress) {
-		if (state.events.length < events.length) {
+		const isLonger = state.events.length < events.length;
+		this.#parts.log.emit(gatewayEvents.itemTextReceived, {
+			job: this.job?.id, item: state.item.id, ownEvents: state.events.length, handedOverEvents: events.length, isRunning: state.run !== undefined, from: isLonger ? 'handover' : 'own',
+		});
+		if (isLonger) {
 			state.run?.dispose();
 			state.events.push(...events.slice(state.events.length));
 		}
--- a/src/gateway/batch/job-runs.ts
+++ b/src/gateway/batch/job-runs.ts
@@ -106,12 +106,12 @@
 
 	#open(id: BatchJobId) {
 		const {
-			book, contents, failedRuns, clock,
+			book, contents, failedRuns, clock, log,
 		} = this.#parts;
 		const job = () => book.job(id);
 		const writer = new ResultWriter(this.#parts, job, accepted => this.#terms.dueAt(accepted));
 		this.#runs.set(id, new JobRun({
-			job, writer, contents, failedRuns, clock,
+			job, writer, contents, failedRuns, clock, log,
 		}));
 	}
 
--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -8,7 +8,7 @@
 	callRouted: {number: 700, level: 'info', text: 'replica chosen for a call'},
 	/** Fields: id, replica, kind, reason or status, content (the same for the same request under another id). */
 	attemptFailed: {number: 701, level: 'info', text: 'attempt at a replica ended without a whole answer'},
-	/** Fields: id, route, status, reason, elapsedMs, firstByteMs, offers, runs, lastEnd; content, where an attempt has failed. */
+	/** Fields: id, route, status (that the caller got), reason, elapsedMs, firstByteMs, offers, runs, lastEnd; content, where an attempt has failed. */
 	callEnded: {number: 702, level: 'info', text: 'call ended'},
 	/** Fields: id, host, target, status, reason, configVersion. */
 	callRejected: {number: 703, level: 'info', text: 'call rejected before it was routed'},
@@ -18,6 +18,8 @@
 	rateLimitReached: {number: 705, level: 'info', text: 'account is at its rate limit'},
 	/** Fields: account, version, reason. */
 	accountUnreadable: {number: 706, level: 'error', text: 'client account can not be read, or shares a key; its calls are refused'},
+	/** Fields: id, replica, status and contentType (of this run's own answer; 0 without one), isFramed, resumeAfter, lastEventId (the caller's by now), outcome. */
+	laterRunEnded: {number: 707, level: 'info', text: 'a run after the first one of a call ended'},
 	/** Fields: version, routes, services, accounts. */
 	configInForce: {number: 710, level: 'info', text: 'configuration in force'},
 	/** Fields: name, reason. */
@@ -70,6 +72,8 @@
 	jobClaimChanged: {number: 725, level: 'info', text: 'batch job is run by this process, or no longer'},
 	/** Fields: job, to (nobody: written into the object API), items, results. */
 	jobHandedOver: {number: 728, level: 'info', text: 'batch job handed over to the process that runs it next'},
+	/** Fields: job, item, ownEvents and handedOverEvents (known here, and by the process that has left the job), isRunning, from (whose text the next run goes on from). */
+	itemTextReceived: {number: 729, level: 'info', text: 'text of a batch item handed over'},
 	/** Fields: job, reason. */
 	jobRemoved: {number: 726, level: 'info', text: 'records of a batch job removed'},
 	/** Fields: id, status, reason. */
--- a/src/gateway/online-call.ts
+++ b/src/gateway/online-call.ts
@@ -8,7 +8,7 @@
 import type {Disposable} from '../common/services.js';
 import type {AdmittedCaller} from './accounts/caller-gate.js';
 import {
-	Attempt, type AttemptEnd, type CallMessage,
+	Attempt, type AnswerHead, type AttemptEnd, type CallMessage,
 } from './attempt.js';
 import {CallerAnswer} from './caller-answer.js';
 import {gatewayEvents} from './log-events.js';
@@ -76,6 +76,10 @@
 	readonly #timer: NodeJS.Timeout;
 	readonly #timeLimitMs: number;
 	#attempt: Attempt | undefined;
+	/** The head of the run under way, once it has come. */
+	#runHead: AnswerHead | undefined;
+	/** The event after which the run under way was asked to go on. */
+	#resumeAfter: number | undefined;
 	#giveBackPlace: (() => void) | undefined;
 	#offers = 0;
 	/** Runs that count towards the route's limit. */
@@ -217,6 +221,8 @@
 		log.emit(gatewayEvents.callRouted, {
 			id: fields.requestId, route: route.name, replica: replica.record.id, online: replica.allOnline, batch: replica.allBatch, attempt: this.#offers, resumeAfter: this.#answer.lastEventId, ...registrationAge(this.#parts, replica),
 		});
+		this.#runHead = undefined;
+		this.#resumeAfter = this.#answer.lastEventId ?? fields.lastEventId;
 		this.#sentAt = clock.now();
 		this.#hasFoundPlace = replica.total < replica.record.slots;
 		this.#giveBackPlace = loads.take(replica, 'online');
@@ -230,12 +236,13 @@
 				requestId: fields.requestId,
 				replica: replica.record.id,
 				timeLeftMs: fields.timeLeftMs === undefined ? undefined : timeLeftMs,
-				lastEventId: this.#answer.lastEventId ?? fields.lastEventId,
+				lastEventId: this.#resumeAfter,
 				caller: this.#call.caller.identity,
 			},
 			patience: {silenceMs: this.#isRepeatable ? repeatableSilenceMs : this.#timeLimitMs, canGoElsewhere: this.#isRepeatable},
 			listener: {
 				onHead: head => {
+					this.#runHead = head;
 					this.#answer.begin(head);
 				},
 				onBytes: bytes => {
@@ -268,11 +275,22 @@
 			});
 		}
 
+		if (this.#offers > 1) {
+			this.#logLaterRun(end, replica);
+		}
+
 		if (!this.#isOver) {
 			(this.#onAttemptEnd[end.kind] as (end: AttemptEnd, replica: Replica) => void)(end, replica);
 		}
 	}
 
+	#logLaterRun(end: AttemptEnd, replica: Replica) {
+		const head = this.#runHead;
+		this.#parts.log.emit(gatewayEvents.laterRunEnded, {
+			id: this.#call.fields.requestId, replica: replica.record.id, status: head?.status ?? 0, contentType: head?.headers['content-type'], isFramed: head?.isFramed, resumeAfter: this.#resumeAfter, lastEventId: this.#answer.lastEventId, outcome: end.kind,
+		});
+	}
+
 	#noteOutcome(replica: Replica, hasFailed: boolean) {
 		replica.outcomes.note(hasFailed, this.#parts.clock.now());
 	}
