Each run of a call is judged by its own head

Cause: once the caller had anything, the head of a later run was thrown away and its status taken to be that of the first. Whatever ended in order ended the stream; 422, 204, a 500 with events and a 200 of another kind did the same. The failing replica was also noted as sound, and a request that is held back as finished. The other way round, a failure of no announced length that broke off was gone on behind with the bytes of another run, since any call to a resumable route passed for a stream under way.

Now CallerAnswer decides by the head of each run how its bytes are passed on: behind events only events, otherwise nothing. A run that ends in order without making the answer whole counts as one that broke off: the stream goes on at another replica within the limit of its route, and is cut where there is none.

Ruled out: bytes that a run left behind joined with the next run's (dropped when a run breaks; explained-failure, half-event and both unframed answers pass on the code before).

--- a/src/gateway/caller-answer.ts
+++ b/src/gateway/caller-answer.ts
@@ -2,8 +2,10 @@
 What a caller gets: the answer of a replica, passed on as it comes or held back until it is whole, or an answer of the gateway's own.
 
 An answer of a call that may be repeated is held back where it is short, so that a break within it is mended by another run unnoticed; of a stream that can be resumed whole events are passed on, and a later run goes on behind the last one. Everything else is passed on byte for byte, and after its first byte only a broken connection tells the caller that the rest will not come.
+
+Each run's answer is judged by its own head: the caller keeps the head of the first run of which it has got anything, and a later run can only add events to that.
 */
-import type {Buffer} from 'node:buffer';
+import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import type {AnswerHead, Attempt} from './attempt.js';
 import {EventFramer} from './event-framer.js';
@@ -18,10 +20,17 @@
 	readonly lastEventId?: number;
 };
 
+/**
+How the bytes of one run's answer are passed on. `held`: once the answer is whole. `events`: whole events, which a later run may go on behind. `bytes`: as they come. `none`: not at all, since the caller has part of an answer that they do not belong to.
+*/
+type Passing = 'held' | 'events' | 'bytes' | 'none';
+
 /** An answer is held back if it is no longer than this, in bytes. */
 const maxHeldBytes = 65_536;
 
-const firstErrorStatus = 300;
+const okStatus = 200;
+
+const eventsType = 'text/event-stream';
 
 const hopByHop = new Set(['connection', 'keep-alive', 'proxy-connection', 'transfer-encoding', 'te', 'trailer', 'upgrade']);
 
@@ -30,18 +39,37 @@
 	return !hopByHop.has(name.toLowerCase());
 });
 
+const empty: Buffer = Buffer.alloc(0);
+
+/** An answer without a type on a route of streams is taken for events. */
+const isEvents = ({status, headers}: AnswerHead): boolean => status === okStatus && String(headers['content-type'] ?? eventsType).toLowerCase().startsWith(eventsType);
+
 /** See the module's head. */
 export class CallerAnswer {
 	readonly #res: ServerResponse;
 	readonly #isRepeatable: boolean;
-	readonly #framer: EventFramer | undefined;
+	readonly #isStream: boolean;
+	readonly #framer: EventFramer;
+	/** What the caller has got, or is to get unless another run begins before. */
 	#head: AnswerHead | undefined;
-	#held: Buffer[] | undefined;
+	#passing: Passing = 'none';
+	#held: Buffer[] = [];
+
+	readonly #takers: Readonly<Record<Passing, (bytes: Buffer) => Buffer>> = {
+		held: bytes => {
+			this.#held.push(bytes);
+			return empty;
+		},
+		events: bytes => this.#framer.feed(bytes),
+		bytes: bytes => bytes,
+		none: () => empty,
+	};
 
 	constructor(res: ServerResponse, {isRepeatable, isStream, lastEventId = 0}: PassingRules) {
 		this.#res = res;
 		this.#isRepeatable = isRepeatable;
-		this.#framer = isStream && isRepeatable ? new EventFramer(lastEventId) : undefined;
+		this.#isStream = isStream;
+		this.#framer = new EventFramer(lastEventId);
 	}
 
 	/** Whether the caller has got anything. */
@@ -49,50 +77,42 @@
 		return this.#res.headersSent;
 	}
 
-	/** The status of the replica's answer; 0 before it has come. */
-	get status(): number {
-		return this.#head?.status ?? 0;
-	}
-
-	/** Whether another run can go on behind this one, also where the caller has part of it. */
-	get canBeResumed(): boolean {
-		return this.#framer !== undefined;
+	/** Whether another run can bring what the caller lacks. */
+	get canGoOn(): boolean {
+		return !this.hasBegun || this.#isResumable;
 	}
 
 	/** The last event that the caller has, where a stream can be resumed. */
 	get lastEventId(): number | undefined {
-		return this.#framer?.lastId;
+		return this.#isStream && this.#isRepeatable ? this.#framer.lastId : undefined;
 	}
 
-	/** False once an event was missing or came twice. */
+	/** False once an event of a stream that can be resumed was missing or came twice. */
 	get isInOrder(): boolean {
-		return this.#framer?.isInOrder ?? true;
+		return this.#passing !== 'events' || this.#framer.isInOrder;
 	}
 
-	/** Whether the stream ended within an event: the replica broke off, though it said that the answer was complete. */
-	get endsWithinEvent(): boolean {
-		return this.#framer !== undefined && this.#framer.hasRest && this.status < firstErrorStatus;
+	/** Whether the run that has ended in order makes the caller's answer whole. It does not if it ended within an event, or if the caller has part of a stream and the run answered something else. */
+	get isWhole(): boolean {
+		const isWithinEvent = this.#passing === 'events' && this.#framer.hasRest;
+		return this.#passing !== 'none' && !isWithinEvent;
 	}
 
 	/** Takes the head of a run's answer. Of a later run of a stream the caller keeps the head of the first. */
 	begin(head: AnswerHead): void {
+		this.#held = [];
 		if (this.hasBegun) {
+			this.#passing = this.#isResumable && isEvents(head) ? 'events' : 'none';
 			return;
 		}
 
 		this.#head = head;
-		const length = Number(head.headers['content-length'] ?? Number.NaN);
-		this.#held = this.#isRepeatable && !this.#isEvents && length <= maxHeldBytes ? [] : undefined;
+		this.#passing = this.#passingOf(head);
 	}
 
 	/** @param source - Paused while the caller does not read. */
 	take(bytes: Buffer, source: Attempt | undefined): void {
-		if (this.#held) {
-			this.#held.push(bytes);
-			return;
-		}
-
-		const passed = this.#isEvents ? this.#framer!.feed(bytes) : bytes;
+		const passed = this.#takers[this.#passing](bytes);
 		if (passed.length > 0) {
 			this.#write(passed, source);
 		}
@@ -100,14 +120,14 @@
 
 	/** Forgets what the caller has not got of a run that broke off. */
 	dropRest(): void {
-		this.#framer?.dropRest();
-		this.#held = undefined;
+		this.#framer.dropRest();
+		this.#held = [];
 	}
 
 	/** The run's answer is whole. */
 	finish(): void {
 		this.#writeHead();
-		this.#held?.forEach(bytes => {
+		this.#held.forEach(bytes => {
 			this.#res.write(bytes);
 		});
 		this.#res.end();
@@ -124,8 +144,18 @@
 		this.#res.destroy();
 	}
 
-	get #isEvents(): boolean {
-		return this.#framer !== undefined && this.#head !== undefined && this.#head.status < firstErrorStatus;
+	/** Whether what the caller gets are events behind which a later run may go on. */
+	get #isResumable(): boolean {
+		return this.#isStream && this.#isRepeatable && this.#head !== undefined && isEvents(this.#head);
+	}
+
+	#passingOf({headers}: AnswerHead): Passing {
+		if (this.#isResumable) {
+			return 'events';
+		}
+
+		const length = Number(headers['content-length'] ?? Number.NaN);
+		return this.#isRepeatable && length <= maxHeldBytes ? 'held' : 'bytes';
 	}
 
 	#write(bytes: Buffer, source: Attempt | undefined) {
--- a/src/gateway/online-call.ts
+++ b/src/gateway/online-call.ts
@@ -124,7 +124,7 @@
 		},
 		complete: (_end, replica) => {
 			replica.noteAnswer();
-			this.#noteOutcome(replica, this.#answer.status >= 500);
+			this.#noteOutcome(replica, this.#runStatus >= 500);
 			this.#finish(replica);
 		},
 		dropped: () => undefined,
@@ -177,6 +177,11 @@
 		return (chosen ?? targets[0])?.service ?? ('' as GatewayServiceName);
 	}
 
+	/** 0 before the run under way has answered. */
+	get #runStatus(): number {
+		return this.#runHead?.status ?? 0;
+	}
+
 	#elapsedMs(): number {
 		return this.#parts.clock.now() - this.#call.arrivedAt;
 	}
@@ -287,7 +292,7 @@
 	#logLaterRun(end: AttemptEnd, replica: Replica) {
 		const head = this.#runHead;
 		this.#parts.log.emit(gatewayEvents.laterRunEnded, {
-			id: this.#call.fields.requestId, replica: replica.record.id, status: head?.status ?? 0, contentType: head?.headers['content-type'], isFramed: head?.isFramed, resumeAfter: this.#resumeAfter, lastEventId: this.#answer.lastEventId, outcome: end.kind,
+			id: this.#call.fields.requestId, replica: replica.record.id, status: this.#runStatus, contentType: head?.headers['content-type'], isFramed: head?.isFramed, resumeAfter: this.#resumeAfter, lastEventId: this.#answer.lastEventId, outcome: end.kind,
 		});
 	}
 
@@ -308,7 +313,7 @@
 	}
 
 	/** The replica may have run the call, and its answer is not whole. */
-	#afterBreak(replica: Replica) {
+	#afterBreak(replica: Replica, reason = 'the replica broke off') {
 		this.#mayHaveRun = true;
 		this.#countRun(replica);
 		this.#answer.dropRest();
@@ -317,7 +322,7 @@
 			return;
 		}
 
-		this.#fail('the replica broke off');
+		this.#fail(reason);
 	}
 
 	/** Runs at replicas that ended meanwhile do not use up the route's limit: without this, a crash would cost a stream that could go on. */
@@ -327,16 +332,14 @@
 		}
 	}
 
-	/** Events go on where they broke off; of any other answer the caller must not get the head of one run and the rest of another. */
 	#mayRunAgain(): boolean {
-		const canGoOn = this.#answer.canBeResumed || !this.#answer.hasBegun;
-		return this.#isRepeatable && canGoOn && this.#runs < this.#call.route.maxRuns;
+		return this.#isRepeatable && this.#answer.canGoOn && this.#runs < this.#call.route.maxRuns;
 	}
 
 	#finish(replica: Replica) {
-		const {status} = this.#answer;
-		if (this.#answer.endsWithinEvent) {
-			this.#afterBreak(replica);
+		const status = this.#runStatus;
+		if (!this.#answer.isWhole) {
+			this.#afterBreak(replica, 'the run did not finish the stream');
 			return;
 		}
 
