The length of a run's stream is not passed on where other runs may end it

A stream with a length broke off and went on at a replica whose run had other text: the caller had been told the first run's length, and got bytes beyond the end (Parse Error in the scenario on the code before), or waited for bytes that never came. Such streams now go out in chunks. Scenario: A stream of a known length goes on at a replica whose run is longer.

--- a/src/gateway/caller-answer.ts
+++ b/src/gateway/caller-answer.ts
@@ -32,11 +32,16 @@
 
 const eventsType = 'text/event-stream';
 
-const hopByHop = new Set(['connection', 'keep-alive', 'proxy-connection', 'transfer-encoding', 'te', 'trailer', 'upgrade']);
+const hopByHop = ['connection', 'keep-alive', 'proxy-connection', 'transfer-encoding', 'te', 'trailer', 'upgrade'];
 
-const passedOn = (rawHeaders: readonly string[]): string[] => rawHeaders.filter((_, i) => {
+const notPassedOn = new Set(hopByHop);
+
+/** The length is that of one run, and other runs may end the stream. */
+const notPassedOnOfEvents = new Set([...hopByHop, 'content-length']);
+
+const withoutHeaders = (rawHeaders: readonly string[], names: ReadonlySet<string>): string[] => rawHeaders.filter((_, i) => {
 	const name = rawHeaders[i - (i % 2)] ?? '';
-	return !hopByHop.has(name.toLowerCase());
+	return !names.has(name.toLowerCase());
 });
 
 const empty: Buffer = Buffer.alloc(0);
@@ -171,7 +176,7 @@
 	#writeHead() {
 		if (!this.hasBegun && this.#head) {
 			const {status, statusMessage, rawHeaders} = this.#head;
-			this.#res.writeHead(status, statusMessage, passedOn(rawHeaders));
+			this.#res.writeHead(status, statusMessage, withoutHeaders(rawHeaders, this.#isResumable ? notPassedOnOfEvents : notPassedOn));
 		}
 	}
 }
