A stream that may not be resumed and ends within an event is cut

Its replica stopped within an event and closed its answer in order; the caller got a whole 200 whose last event is missing. Streams that can be resumed were checked for that, all others were not. Both are now, and the framer knows blank lines by each line end that servers use, so that no sound stream passes for one that ends within an event.

On the code before the scenario gets 200 and a whole answer.

--- a/src/gateway/caller-answer.ts
+++ b/src/gateway/caller-answer.ts
@@ -21,9 +21,9 @@
 };
 
 /**
-How the bytes of one run's answer are passed on. `held`: once the answer is whole. `events`: whole events, which a later run may go on behind. `bytes`: as they come. `none`: not at all, since the caller has part of an answer that they do not belong to.
+How the bytes of one run's answer are passed on. `held`: once the answer is whole. `events`: whole events, which a later run may go on behind. `stream`: events that no other run may follow, as they come. `bytes`: as they come. `none`: not at all, since the caller has part of an answer that they do not belong to.
 */
-type Passing = 'held' | 'events' | 'bytes' | 'none';
+type Passing = 'held' | 'events' | 'stream' | 'bytes' | 'none';
 
 /** An answer is held back if it is no longer than this, in bytes. */
 const maxHeldBytes = 65_536;
@@ -66,6 +66,10 @@
 			return empty;
 		},
 		events: bytes => this.#framer.feed(bytes),
+		stream: bytes => {
+			this.#framer.feed(bytes);
+			return bytes;
+		},
 		bytes: bytes => bytes,
 		none: () => empty,
 	};
@@ -99,7 +103,7 @@
 
 	/** Whether the run that has ended in order makes the caller's answer whole. It does not if it ended within an event, or if the caller has part of a stream and the run answered something else. */
 	get isWhole(): boolean {
-		const isWithinEvent = this.#passing === 'events' && this.#framer.hasRest;
+		const isWithinEvent = (this.#passing === 'events' || this.#passing === 'stream') && this.#framer.hasRest;
 		return this.#passing !== 'none' && !isWithinEvent;
 	}
 
@@ -151,12 +155,16 @@
 
 	/** Whether what the caller gets are events behind which a later run may go on. */
 	get #isResumable(): boolean {
-		return this.#isStream && this.#isRepeatable && this.#head !== undefined && isEvents(this.#head);
+		return this.#isRepeatable && this.#hasEvents;
+	}
+
+	get #hasEvents(): boolean {
+		return this.#isStream && this.#head !== undefined && isEvents(this.#head);
 	}
 
 	#passingOf({headers}: AnswerHead): Passing {
-		if (this.#isResumable) {
-			return 'events';
+		if (this.#hasEvents) {
+			return this.#isRepeatable ? 'events' : 'stream';
 		}
 
 		const length = Number(headers['content-length'] ?? Number.NaN);
--- a/src/gateway/event-framer.ts
+++ b/src/gateway/event-framer.ts
@@ -3,11 +3,18 @@
 */
 import {Buffer} from 'node:buffer';
 
-const boundary = '\n\n';
+/** Blank lines, by the line ends that servers use. */
+const boundaries = ['\n\n', '\r\n\r\n', '\r\r'];
 const idPattern = /^id: ?(?<id>\d+)$/gmv;
 
 const empty: Buffer = Buffer.alloc(0);
 
+/** Where the last whole event ends; 0 if none does. */
+const endOfEvents = (bytes: Buffer): number => Math.max(...boundaries.map(boundary => {
+	const at = bytes.lastIndexOf(boundary);
+	return at === -1 ? 0 : at + boundary.length;
+}));
+
 /** Follows one stream over all its runs. */
 export class EventFramer {
 	#rest: Buffer = empty;
@@ -37,13 +44,7 @@
 	/** @returns The bytes up to the end of the last whole event; may be empty. */
 	feed(bytes: Buffer): Buffer {
 		const all = this.#rest.length > 0 ? Buffer.concat([this.#rest, bytes]) : bytes;
-		const end = all.lastIndexOf(boundary);
-		if (end === -1) {
-			this.#rest = all;
-			return empty;
-		}
-
-		const whole = all.subarray(0, end + boundary.length);
+		const whole = all.subarray(0, endOfEvents(all));
 		this.#rest = all.subarray(whole.length);
 		this.#isInOrder &&= this.#follow(whole);
 		return this.#isInOrder ? whole : empty;
