--- a/src/gateway/batch/job-run.feature
+++ b/src/gateway/batch/job-run.feature
@@ -12,6 +12,12 @@
     Then its run has been cut off
     And item "a" waits with 40 events
 
+  Scenario: A longer text that is handed over takes the place of the own one whole
+    # Guards against a text put together from the beginnings of two runs, the second of which was never asked to go on there.
+    Given item "a" runs here with 2 events
+    When 40 events of item "a" are handed over by another run
+    Then item "a" waits with 40 events of another run
+
   Scenario: An item that has come further here runs on
     Given item "a" runs here with 50 events
     When 40 events of item "a" are handed over
--- a/src/gateway/batch/job-run.steps.ts
+++ b/src/gateway/batch/job-run.steps.ts
@@ -29,7 +29,7 @@
 const clock: Clock = {now: () => 0, wall: () => 0, sleep: async () => undefined};
 const route = {maxRuns: 3};
 
-const eventsOf = (count: number): string[] => Array.from({length: count}, (_, i) => `event ${i + 1}`);
+const eventsOf = (count: number, run = 'this run'): string[] => Array.from({length: count}, (_, i) => `event ${i + 1} of ${run}`);
 
 const begin = (world: JobRunWorld) => {
 	const job = {
@@ -81,6 +81,10 @@
 	handOver(this, {id: itemId(name), events: eventsOf(events), failedRuns: []});
 });
 
+When('{int} events of item {string} are handed over by another run', function (this: JobRunWorld, events: number, name: string) {
+	handOver(this, {id: itemId(name), events: eventsOf(events, 'another run'), failedRuns: []});
+});
+
 When('item {string} is handed over with 1 failure at replica {string}', function (this: JobRunWorld, name: string, replica: string) {
 	handOver(this, {
 		id: itemId(name), events: [], failedRuns: [{run: branded<FailedRunId>('front-2/1/1'), item: itemId(name), replica: branded<ReplicaId>(replica)}],
@@ -95,6 +99,10 @@
 	assert.deepEqual(waitingState(this, name)?.events, eventsOf(events));
 });
 
+Then('item {string} waits with {int} events of another run', function (this: JobRunWorld, name: string, events: number) {
+	assert.deepEqual(waitingState(this, name)?.events, eventsOf(events, 'another run'));
+});
+
 Then('item {string} runs with {int} events', function (this: JobRunWorld, name: string, events: number) {
 	const running = this.run.running.find(({item}) => item.id === itemId(name));
 	assert.deepEqual(running?.events, eventsOf(events));
