An item goes on from one text, not from the beginnings of two

Cause: where a process that stops hands over a longer text than the next one has by then, the next one put the rest of it behind the beginning of its own. Both are beginnings of the item's text, but of different runs, which generate different texts. Class: outputs of two runs are taken for one because their events have the same numbers.

Now the longer text is taken whole. The run here, which goes on writing to the shorter one, is cut first as before, and keeps a list of its own.

Stored progress was taken whole already.

--- a/src/gateway/batch/job-run.ts
+++ b/src/gateway/batch/job-run.ts
@@ -16,8 +16,8 @@
 /** What is known of an item between its runs. */
 export type ItemState = {
 	readonly item: BatchItem;
-	/** The data of its events so far. */
-	readonly events: string[];
+	/** The data of its events so far: one text, each run of which was asked to go on behind those before it. */
+	events: string[];
 	/** Not to be sent before, in milliseconds on the monotonic clock. */
 	notBefore: number;
 	run: ItemRun | undefined;
@@ -169,7 +169,7 @@
 	}
 
 	/**
-	Goes on from the longer text. Where the item runs here already, from an earlier event, the run is cut off: it would make again what is known, and what was handed over would be dropped while the item is late.
+	Goes on from the longer text, and from all of it: the two are of different runs, which need not agree in any event. Where the item runs here already, from an earlier event, the run is cut off: it would make again what is known, and what was handed over would be dropped while the item is late.
 	*/
 	#takeProgress(state: ItemState, {events, failedRuns}: ItemProgress) {
 		const isLonger = state.events.length < events.length;
@@ -178,7 +178,7 @@
 		});
 		if (isLonger) {
 			state.run?.dispose();
-			state.events.push(...events.slice(state.events.length));
+			state.events = [...events];
 		}
 
 		this.#parts.failedRuns.take(failedRuns);
@@ -220,7 +220,7 @@
 	}
 }
 
-/** The longest progress counts: all are beginnings of one text. */
+/** The longest text counts, as a whole. */
 const stateOf = (item: BatchItem, left: readonly ItemProgress[]): ItemState => {
 	const longest = left.toSorted((a, b) => b.events.length - a.events.length)[0];
 	return {
