A batch item's text is whole only if its last run ended between events of a stream

A run that was to finish an item's text and answered 200 with a body of another kind, or stopped within an event and closed its answer in order, completed the item with part of its text. Same class as with calls: an end in order taken for the end of the text. Runs of items now use the framer of calls, and its check of what is a stream.

batch-jobs.feature, An item whose later run answers with ...: other-success and half-event fail on the code before, the seven others pass there too.

--- a/src/gateway/batch/item-run.ts
+++ b/src/gateway/batch/item-run.ts
@@ -8,6 +8,7 @@
 	Attempt, type AnswerHead, type AttemptEnd, type AttemptPatience,
 } from '../attempt.js';
 import type {AttemptContact} from '../contacts/replica-contacts.js';
+import {EventFramer, isEventStream} from '../event-framer.js';
 import type {ReplicaConnection} from '../replica-connections.js';
 import type {Replica} from '../replica.js';
 import type {CallDialect, CallerIdentity} from '../types.js';
@@ -64,7 +65,7 @@
 	readonly replica: Replica;
 	readonly #parts: ItemRunParts;
 	readonly #attempt: Attempt;
-	readonly #decoder = new TextDecoder();
+	readonly #framer: EventFramer;
 	readonly #parser = createParser({
 		onEvent: event => {
 			this.#onEvent(event);
@@ -72,7 +73,8 @@
 	});
 
 	#head: AnswerHead | undefined;
-	#isBroken = false;
+	/** Whether an event has come that does not follow the last one: it belongs to another run. */
+	#hasStrayEvent = false;
 	#isOver = false;
 
 	constructor(parts: ItemRunParts) {
@@ -81,6 +83,7 @@
 		} = parts;
 		this.#parts = parts;
 		this.replica = replica;
+		this.#framer = new EventFramer(events.length);
 		this.#attempt = new Attempt({
 			connection,
 			contact,
@@ -123,24 +126,22 @@
 	}
 
 	#onBytes(bytes: Buffer) {
-		if (this.#head?.status === 200 && !this.#isBroken) {
-			this.#parser.feed(this.#decoder.decode(bytes, {stream: true}));
+		if (this.#isStream && !this.#hasStrayEvent) {
+			this.#parser.feed(this.#framer.feed(bytes).toString());
 		}
 	}
 
-	/** Events count from 1 without gaps. One that does not follow the last belongs to another run. */
+	/** Events count from 1 without gaps. */
 	#onEvent({id, data}: EventSourceMessage) {
 		const {events} = this.#parts;
-		if (this.#isBroken) {
-			return;
-		}
-
-		if (Number(id) !== events.length + 1) {
-			this.#isBroken = true;
-			return;
+		this.#hasStrayEvent ||= Number(id) !== events.length + 1;
+		if (!this.#hasStrayEvent) {
+			events.push(data);
 		}
+	}
 
-		events.push(data);
+	get #isStream(): boolean {
+		return this.#head !== undefined && isEventStream(this.#head);
 	}
 
 	#onAttemptEnd(end: AttemptEnd) {
@@ -158,12 +159,16 @@
 	}
 
 	#endOfAnswer(): ItemRunEnd {
-		const status = this.#head?.status ?? 0;
-		if (status !== 200) {
-			return statusEnds[status] ?? 'broken';
+		if (this.#isStream) {
+			return this.#isWholeText ? 'finished' : 'broken';
 		}
 
-		// Only a length, or the mark of the last chunk, tells that a text is whole; a text without either may have been cut anywhere.
-		return this.#isBroken || !this.#head?.isFramed ? 'broken' : 'finished';
+		return statusEnds[this.#head?.status ?? 0] ?? 'broken';
+	}
+
+	/** Only a length, or the mark of the last chunk, tells that a text is whole; a text without either may have been cut anywhere. */
+	get #isWholeText(): boolean {
+		const isInOrder = this.#framer.isInOrder && !this.#hasStrayEvent;
+		return isInOrder && !this.#framer.hasRest && this.#head?.isFramed === true;
 	}
 }
--- a/src/gateway/caller-answer.ts
+++ b/src/gateway/caller-answer.ts
@@ -8,7 +8,7 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import type {AnswerHead, Attempt} from './attempt.js';
-import {EventFramer} from './event-framer.js';
+import {EventFramer, isEventStream} from './event-framer.js';
 
 /** How a call's answer is passed on. */
 export type PassingRules = {
@@ -28,10 +28,6 @@
 /** An answer is held back if it is no longer than this, in bytes. */
 const maxHeldBytes = 65_536;
 
-const okStatus = 200;
-
-const eventsType = 'text/event-stream';
-
 const hopByHop = ['connection', 'keep-alive', 'proxy-connection', 'transfer-encoding', 'te', 'trailer', 'upgrade'];
 
 const notPassedOn = new Set(hopByHop);
@@ -46,9 +42,6 @@
 
 const empty: Buffer = Buffer.alloc(0);
 
-/** An answer without a type on a route of streams is taken for events. */
-const isEvents = ({status, headers}: AnswerHead): boolean => status === okStatus && String(headers['content-type'] ?? eventsType).toLowerCase().startsWith(eventsType);
-
 /** See the module's head. */
 export class CallerAnswer {
 	readonly #res: ServerResponse;
@@ -111,7 +104,7 @@
 	begin(head: AnswerHead): void {
 		this.#held = [];
 		if (this.hasBegun) {
-			this.#passing = this.#isResumable && isEvents(head) ? 'events' : 'none';
+			this.#passing = this.#isResumable && isEventStream(head) ? 'events' : 'none';
 			return;
 		}
 
@@ -159,7 +152,7 @@
 	}
 
 	get #hasEvents(): boolean {
-		return this.#isStream && this.#head !== undefined && isEvents(this.#head);
+		return this.#isStream && this.#head !== undefined && isEventStream(this.#head);
 	}
 
 	#passingOf({headers}: AnswerHead): Passing {
--- a/src/gateway/event-framer.ts
+++ b/src/gateway/event-framer.ts
@@ -2,9 +2,17 @@
 Cuts a stream of server-sent events at event boundaries, without changing a byte. A caller must never see the head of an event from one run and its tail from another, so a stream that may be taken up again passes on whole events only, and remembers the last one.
 */
 import {Buffer} from 'node:buffer';
+import type {AnswerHead} from './attempt.js';
+
+const okStatus = 200;
+
+const eventsType = 'text/event-stream';
+
+/** Whether an answer, where a stream is due, is one; without a type it passes for one. */
+export const isEventStream = ({status, headers}: Pick<AnswerHead, 'status' | 'headers'>): boolean => status === okStatus && String(headers['content-type'] ?? eventsType).toLowerCase().startsWith(eventsType);
 
 /** Blank lines, by the line ends that servers use. */
-const boundaries = ['\n\n', '\r\n\r\n', '\r\r'];
+const boundaries = ['\n\n', '\r\n\r\n'];
 const idPattern = /^id: ?(?<id>\d+)$/gmv;
 
 const empty: Buffer = Buffer.alloc(0);
