A stream whose events bear no numbers is not gone on with

A resumable stream whose events have no numbers broke off: the next run was asked to begin anew, and its caller got the first events twice in one whole answer. By the protocol such events are numbered; a replica that leaves the numbers out must not make callers see events twice. What the caller has is known only by numbers, so without them the stream is cut when it breaks.

front-calls.feature: A stream whose events have no numbers is not gone on with; fails on the code before.

--- a/src/gateway/caller-answer.ts
+++ b/src/gateway/caller-answer.ts
@@ -81,7 +81,7 @@
 
 	/** Whether another run can bring what the caller lacks. */
 	get canGoOn(): boolean {
-		return !this.hasBegun || this.#isResumable;
+		return !this.hasBegun || (this.#isResumable && this.#framer.isNumbered);
 	}
 
 	/** The last event that the caller has, where a stream can be resumed. */
--- a/src/gateway/event-framer.ts
+++ b/src/gateway/event-framer.ts
@@ -13,8 +13,13 @@
 
 /** Blank lines, by the line ends that servers use. */
 const boundaries = ['\n\n', '\r\n\r\n'];
+
+const betweenEvents = /\n\n|\r\n\r\n/v;
+
 const idPattern = /^id: ?(?<id>\d+)$/gmv;
 
+const dataPattern = /^data/mv;
+
 const empty: Buffer = Buffer.alloc(0);
 
 /** Where the last whole event ends; 0 if none does. */
@@ -28,6 +33,7 @@
 	#rest: Buffer = empty;
 	#lastId: number;
 	#isInOrder = true;
+	#isNumbered = true;
 
 	/** @param lastId - The last event that the caller has already. */
 	constructor(lastId: number) {
@@ -44,6 +50,11 @@
 		return this.#isInOrder;
 	}
 
+	/** Whether all events so far bore a number, so that it is known where another run has to go on. */
+	get isNumbered(): boolean {
+		return this.#isNumbered;
+	}
+
 	/** Whether part of an event is held back. */
 	get hasRest(): boolean {
 		return this.#rest.length > 0;
@@ -64,12 +75,14 @@
 	}
 
 	#follow(whole: Buffer): boolean {
-		const ids = [...whole.toString('latin1').matchAll(idPattern)].map(({groups}) => Number(groups?.id));
+		const text = whole.toString('latin1');
+		const ids = [...text.matchAll(idPattern)].map(({groups}) => Number(groups?.id));
 		const isInOrder = ids.every((id, i) => id === this.#lastId + i + 1);
 		if (isInOrder) {
 			this.#lastId += ids.length;
 		}
 
+		this.#isNumbered &&= text.split(betweenEvents).filter(event => dataPattern.test(event)).length <= ids.length;
 		return isInOrder;
 	}
 }
