HTTP client: time limits are judged once what has come is read

Cause: a timer that is due after a pause of the process runs before the sockets are read. The client gave up requests whose answers the operating system already had: by its own timer ("silent"), and by a caller's AbortSignal.timeout ("aborted", reason 20, also within the answer's body). Reason 20 without "silent" comes only when the caller's limit ran first; after a pause, Node runs lists of timers by durations, so the order of two limits that are both over is not that of their times. Change: the verdict waits for the next turn, by setImmediate, as in attempt.ts and dial.ts. Other signals still end a request at once. Shown without luck: the server's answer is with the operating system, then this process is paused beyond the limit. Not covered: an answer that needs more than one turn, as when server and client share the paused process.

--- a/src/io/http-client.feature
+++ b/src/io/http-client.feature
@@ -17,3 +17,26 @@
       | an unreachable network while writing  | ENETUNREACH             | write   | possibly sent |
       | a reset connection                    | ECONNRESET              | read    | possibly sent |
       | a closed connection                   | UND_ERR_SOCKET          |         | possibly sent |
+
+  Scenario: This process is paused until the time for an answer is over, and the answer has come
+    # Guards against requests that are given up although their answers have come: timers run before sockets.
+    Given a server after whose answer this process is paused for 1200 ms
+    When a request is sent to it that may take 1000 ms
+    Then the request is answered with "ok"
+
+  Scenario: This process is paused until the caller's own limit is over, and the answer has come
+    # Guards against the same where a limit is given as a signal.
+    Given a server after whose answer this process is paused for 1200 ms
+    When a request is sent to it that may take 10000 ms, under a limit of 1000 ms
+    Then the request is answered with "ok"
+
+  Scenario: This process is paused until the caller's own limit is over, and the rest of the answer has come
+    # Guards against the same for an answer of which a part was read before.
+    Given a server after the second half of whose answer this process is paused for 1200 ms
+    When a request is sent to it that may take 10000 ms, under a limit of 1000 ms
+    Then the request is answered with "ok"
+
+  Scenario: A server that does not answer, under a limit
+    Given a server that never answers
+    When a request is sent to it that may take 10000 ms, under a limit of 30 ms
+    Then the request is aborted
--- a/src/io/http-client.ts
+++ b/src/io/http-client.ts
@@ -1,5 +1,7 @@
 /**
 HTTP towards other processes, on undici. What distinguishes it is how it names failures: `notSent` is said only when no byte of the request can have reached the other end, so that the caller may claim "not run"; everything else is `lost` or `silent`, after which only the other end knows.
+
+After a pause of this process timers come before sockets, though the answer may long have come. Time limits are therefore judged in the next turn of the event loop, when the sockets have been read.
 */
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Readable} from 'node:stream';
@@ -28,6 +30,7 @@
 	readonly body?: string | Uint8Array | Readable;
 	/** Milliseconds until the response's head must have come. */
 	readonly timeoutMs: number;
+	/** Ends the request and its answer: at once, or, where it is a time limit, when what has come until then is read. */
 	readonly signal?: AbortSignal;
 	/** True opens a connection of its own, used once: for asking again after a connection went silent. */
 	readonly fresh?: boolean;
@@ -66,6 +69,9 @@
 	pipelining: 1,
 };
 
+/** Whether the signal is `AbortSignal.timeout`, and its time is over. */
+const isTimeLimit = (signal: AbortSignal | undefined): boolean => (signal?.reason as Error | undefined)?.name === 'TimeoutError';
+
 const codeOf = (err: unknown) => (err as {code?: string}).code ?? '';
 
 /** Sends requests over kept connections. */
@@ -88,13 +94,24 @@
 		}
 
 		const controller = new AbortController();
+		const abort = () => {
+			controller.abort();
+		};
+
 		let silent = false;
+		let verdict: NodeJS.Immediate | undefined;
 		const timer = setTimeout(() => {
-			silent = true;
-			controller.abort();
+			verdict = setImmediate(() => {
+				silent = true;
+				abort();
+			});
 		}, req.timeoutMs);
 		const forward = () => {
-			controller.abort();
+			if (isTimeLimit(req.signal)) {
+				setImmediate(abort);
+			} else {
+				abort();
+			}
 		};
 
 		req.signal?.addEventListener('abort', forward, {once: true});
@@ -110,7 +127,7 @@
 			});
 			this.#followBody(req, res.body, forward, dispatcher);
 			return Right({
-				status: res.statusCode, headers: res.headers, body: res.body, abort: forward,
+				status: res.statusCode, headers: res.headers, body: res.body, abort,
 			});
 		} catch (err) {
 			req.signal?.removeEventListener('abort', forward);
@@ -118,6 +135,7 @@
 			return Left(this.#failure(err, silent, req));
 		} finally {
 			clearTimeout(timer);
+			clearImmediate(verdict);
 		}
 	}
 
