Grace for lapsed registrations ends in time where the process was paused

Cause: the grace of 2.1 s counts from the first answer after the outage, on the assumption that it comes within 0.9 s of the object API's return. A process that is paused in between reads it later, and keeps a replica that has left for as much longer. Ruled out as the cause: calls given up though their answers had come (src/io/http-client.ts). That fault was there, but with it mended the scenario is as late. Change: the relay tells with each answer when the last call before it began that the object API itself failed to answer; the outage may have ended from then on. The grace ends 2.9 s after that at the latest. With the usual 600 ms for a call and 500 ms between tries this is later than 2.1 s after the first answer, so that only pauses and long limits of calls are affected. Own scenario (registration-controller.feature): 3,503 ms before, passes within 3,000 ms now. Cost: a process that is paused across the end of an outage in which registrations lapsed may drop live replicas before they are registered again.

--- a/src/gateway/object-api-contact.ts
+++ b/src/gateway/object-api-contact.ts
@@ -8,6 +8,8 @@
 	readonly at: number;
 	/** Milliseconds since the answer before it; `Infinity` for the first one. */
 	readonly silentMs: number;
+	/** When the last call began that the object API itself failed to answer since the answer before; it may have been back from then on. Watches do not count, as they begin long before they fail. `undefined`: none failed. */
+	readonly failedCallAt: number | undefined;
 };
 
 /** See the module's head. */
--- a/src/gateway/object-feed.ts
+++ b/src/gateway/object-feed.ts
@@ -62,9 +62,10 @@
 	#isWaiting = false;
 	#isDisposed = false;
 	#lostAt: number | undefined;
-	/** When the object API answered any call again within the outage under way. */
-	#answeredAt: number | undefined;
+	/** The object API's first answer to any call again within the outage under way. */
+	#answer: ObjectApiAnswer | undefined;
 	#regainedAt = -Infinity;
+	#failedCallAt: number | undefined;
 	#failures = 0;
 	#paceMs = 0;
 	#growingPaceMs = 0;
@@ -107,6 +108,11 @@
 		return this.#lostAt === undefined ? this.#regainedAt : undefined;
 	}
 
+	/** When the last call began that failed before the end of the last outage, in milliseconds on the monotonic clock: the outage may have ended then already. `undefined` where that is not known, and until this feed is answered. */
+	get failedCallAt(): number | undefined {
+		return this.#lostAt === undefined ? this.#failedCallAt : undefined;
+	}
+
 	/** When the object API last answered, be it with a copy that lags; milliseconds on the monotonic clock. */
 	get heardAt(): number {
 		return this.#heardAt;
@@ -293,7 +299,8 @@
 		this.#heardAt = clock.now();
 		this.#events.emit('heard', this.#heardAt);
 		if (this.#lostAt !== undefined) {
-			this.#regainedAt = this.#answeredAt ?? this.#heardAt;
+			this.#regainedAt = this.#answer?.at ?? this.#heardAt;
+			this.#failedCallAt = this.#answer?.failedCallAt;
 			log.emit(gatewayEvents.feedRegained, {
 				kind: this.#kind, revision: this.#revision, awayMs: Math.round(this.#heardAt - this.#lostAt), lateMs: Math.round(this.#heardAt - this.#regainedAt),
 			});
@@ -301,9 +308,9 @@
 		}
 	}
 
-	#noteContact({at, silentMs}: ObjectApiAnswer) {
-		if (this.#lostAt !== undefined && (this.#answeredAt === undefined || silentMs >= leastLapseMs)) {
-			this.#answeredAt = at;
+	#noteContact(answer: ObjectApiAnswer) {
+		if (this.#lostAt !== undefined && (this.#answer === undefined || answer.silentMs >= leastLapseMs)) {
+			this.#answer = answer;
 		}
 	}
 
@@ -312,7 +319,7 @@
 		if (this.#lostAt === undefined) {
 			this.#failures = 1;
 			this.#lostAt = this.#parts.clock.now();
-			this.#answeredAt = undefined;
+			this.#answer = undefined;
 			this.#parts.log.emit(gatewayEvents.feedLost, {kind: this.#kind, reason: 'reason' in err ? err.reason : err.kind});
 		}
 	}
--- a/src/gateway/peers/object-relay.ts
+++ b/src/gateway/peers/object-relay.ts
@@ -91,6 +91,8 @@
 	readonly #parts: ObjectRelayParts;
 	readonly #events = new EventEmitter();
 	#answeredAt = -Infinity;
+	/** See {@link ObjectApiAnswer.failedCallAt}. */
+	#failedCallAt: number | undefined;
 	#isDirect = true;
 	#probe: NodeJS.Timeout | undefined;
 	#failedAt = -Infinity;
@@ -164,7 +166,7 @@
 			return this.#ask<T>(call);
 		}
 
-		const outcome = await perform(this.#parts.direct, call);
+		const outcome = await this.#perform(call);
 		const err = errorOf(outcome);
 		if (!err || !isAway(err)) {
 			return outcome as Either<ApiError, T>;
@@ -177,16 +179,29 @@
 
 	/** Without a peer to ask, the object API itself is the only hope; it is asked no more often than the probes ask it. In an outage each feed of each process would otherwise ask several times a second, for nothing. */
 	async #askDirectly<T>(call: ObjectCall): Promise<Either<ApiError, T>> {
-		const {direct, clock} = this.#parts;
+		const {clock} = this.#parts;
 		if (clock.now() - this.#failedAt < probeMs) {
 			return Left({kind: 'unavailable', reason: 'neither the object API nor a peer that reaches it answers'});
 		}
 
 		this.#failedAt = clock.now();
-		const outcome = await perform(direct, call);
+		const outcome = await this.#perform(call);
 		return outcome as Either<ApiError, T>;
 	}
 
+	/** Asks the object API itself. */
+	async #perform(call: ObjectCall): Promise<Either<ApiError, unknown>> {
+		const {direct, clock} = this.#parts;
+		const askedAt = clock.now();
+		const outcome = await perform(direct, call);
+		const err = errorOf(outcome);
+		if (err && isAway(err) && call.operation !== 'watch') {
+			this.#failedCallAt = Math.max(askedAt, this.#failedCallAt ?? askedAt);
+		}
+
+		return outcome;
+	}
+
 	async #ask<T>(call: ObjectCall): Promise<Either<ApiError, T>> {
 		const {helpers, random, rpc} = this.#parts;
 		const addresses = helpers();
@@ -238,7 +253,7 @@
 
 	async #tryDirect(cause: ApiError) {
 		const askedAt = this.#parts.clock.now();
-		const outcome = await this.#parts.direct.list('Member');
+		const outcome = await this.#perform({operation: 'list', kind: 'Member'});
 		this.#probe = undefined;
 		if (outcome.isLeft()) {
 			this.#leave(cause, askedAt);
@@ -255,7 +270,9 @@
 	#noteAnswer() {
 		const at = this.#parts.clock.now();
 		const silentMs = at - this.#answeredAt;
+		const failedCallAt = this.#failedCallAt;
 		this.#answeredAt = at;
-		this.#events.emit('answer', {at, silentMs} satisfies ObjectApiAnswer);
+		this.#failedCallAt = undefined;
+		this.#events.emit('answer', {at, silentMs, failedCallAt} satisfies ObjectApiAnswer);
 	}
 }
--- a/src/gateway/registration-controller.steps.ts
+++ b/src/gateway/registration-controller.steps.ts
@@ -38,7 +38,7 @@
 const listOf = (names: string): string[] => names.split(', ');
 
 /** The relay tries the object API itself while it is away, and hears so of its return. */
-const untilAnswered = async ({api}: RegistrationsWorld) => {
+const untilTried = async ({api}: RegistrationsWorld) => {
 	const lists = api.calls.list;
 	await until(() => api.calls.list > lists, 'the object API is tried');
 };
@@ -84,6 +84,16 @@
 	api.down = false;
 });
 
+When('it is back {int} ms after it was tried, and the process is paused for {int} ms', async function (this: RegistrationsWorld, ms: number, pauseMs: number) {
+	await untilTried(this);
+	await sleep(ms);
+	this.api.down = false;
+	this.backAt = performance.now();
+	while (performance.now() < this.backAt + pauseMs) {
+		// Stands still.
+	}
+});
+
 When('the object API is away, answers once, and is away for {int} ms more', async function (this: RegistrationsWorld, ms: number) {
 	this.api.down = true;
 	await sleep(awayMs);
@@ -91,7 +101,7 @@
 		this.api.down = kind === 'Registration';
 	};
 
-	await untilAnswered(this);
+	await untilTried(this);
 	this.api.beforeCall = undefined;
 	this.api.down = true;
 	await sleep(ms);
--- a/src/gateway/registration-controller.ts
+++ b/src/gateway/registration-controller.ts
@@ -18,6 +18,9 @@
 /** Live replicas are registered again about two seconds after an outage; in milliseconds from the first answer after it. A process that was itself cut off has 3 s, and hears the first answer within 0.9 s of them: a call that had just begun must fail, and the next try begins. */
 const graceAfterOutageMs = 2100;
 
+/** A process that was cut off must have stopped sending to replicas that have left after this time, in milliseconds from when it could reach the object API again. One that was paused then hears the first answer late. */
+const contactMs = 3000;
+
 /** A call is on its way to its replica for this long at most after the replica was chosen, in milliseconds: a round trip between failure domains for the connection, and one way. */
 const travelMs = 100;
 
@@ -185,7 +188,9 @@
 	/** A registration that is heard to be gone later than the outage's end may have lapsed late, or its replica leaves now: it has only the time of one that leaves. */
 	#graceLeftMs(): number {
 		const {feed, clock, drainMs} = this.#parts;
-		const regainedAt = feed.regainedAt ?? clock.now();
-		return Math.min(regainedAt + graceAfterOutageMs - clock.now(), drainMs - travelMs);
+		const now = clock.now();
+		const regainedAt = feed.regainedAt ?? now;
+		const backAt = feed.failedCallAt ?? regainedAt;
+		return Math.min(regainedAt + graceAfterOutageMs - now, backAt + contactMs - travelMs - now, drainMs - travelMs);
 	}
 }
