Attempts that were stopped while they ran do not count as possible ends of engines

Change: an attempt that runs is cancelled, as before, and the agent now answers whether that stopped its run. If so, it counts no more. One that ended between the question and the cancellation still counts, as it may have ended with its engine; so does any at an agent of an earlier version, which answers otherwise. Tests (lost-attempts.feature): Attempts that still run do not use up the runs: 3 replicas before, 5 now.

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -11,7 +11,7 @@
 import {branded} from '../common/ids.js';
 import {NodeLifecycle} from '../common/node-lifecycle.js';
 import type {
-	AttemptKey, GrantRequest, Incarnation, LoadReport, RenewRequest, RevokeRequest,
+	AttemptKey, CancelAnswer, GrantRequest, Incarnation, LoadReport, RenewRequest, RevokeRequest,
 } from '../common/protocol.js';
 import {RequestLedger} from '../common/request-ledger.js';
 import type {
@@ -198,10 +198,7 @@
 		return {
 			'agent.load': ({cacheSince}: {cacheSince?: number}) => cacheSince === undefined ? this.load() : {...this.load(), cache: this.#cache?.changesSince(cacheSince)},
 			'ledger.revoke': (params: RevokeRequest) => this.#attempts.revoke(params),
-			'attempt.cancel': (params: {key: AttemptKey}) => {
-				this.#attempts.cancel(params.key);
-				return true;
-			},
+			'attempt.cancel': (params: {key: AttemptKey}): CancelAnswer => ({isStopped: this.#attempts.cancel(params.key)}),
 			'batch.grant': (params: GrantRequest) => this.#batch.grant(params),
 			'batch.renew': (params: RenewRequest) => this.#batch.renew(params),
 		};
--- a/src/agent/online-attempts.ts
+++ b/src/agent/online-attempts.ts
@@ -97,17 +97,21 @@
 	Cancels an attempt whose caller has gone.
 
 	A non-idempotent one that has begun goes on: cutting it off would leave its effect unknown, and a caller who sends it again is to find its answer.
+
+	@returns Whether its run was under way and was stopped by this.
 	*/
-	cancel(key: AttemptKey): void {
+	cancel(key: AttemptKey): boolean {
 		if (this.#around.runner.withdraw(tableKey(key))) {
 			this.#refuse(key, 'cancelled', 0);
-			return;
+			return false;
 		}
 
 		if (this.#open.get(tableKey(key))?.idempotent) {
 			this.#around.ledger.delivered(key);
-			this.#around.runner.cancel(tableKey(key));
+			return this.#around.runner.cancel(tableKey(key));
 		}
+
+		return false;
 	}
 
 	/** True while somebody may still come for an answer: it is not whole, or nobody has had it to its end. */
--- a/src/agent/work-runner.feature
+++ b/src/agent/work-runner.feature
@@ -12,3 +12,12 @@
     And the engine has let go and the online request has ended
     Then the batch item has run 1 time
     And nothing is left to run
+
+  Scenario: Whoever cancels work is told whether that stopped its run
+    # Guards against a run that ended by itself, with its engine perhaps, passing for one that was stopped.
+    Given an agent whose engine runs 1 request at once
+    And a batch item runs there
+    Then cancelling the batch item stops its run
+    And cancelling the batch item stops nothing
+    When the engine has let go of the batch item
+    Then cancelling the batch item stops nothing
--- a/src/agent/work-runner.steps.ts
+++ b/src/agent/work-runner.steps.ts
@@ -78,3 +78,16 @@
 Then('nothing is left to run', function (this: RunnerWorld) {
 	assert.equal(this.runner.size, 0);
 });
+
+When('the engine has let go of the batch item', async function (this: RunnerWorld) {
+	this.endItem('cut');
+	await settle();
+});
+
+Then('cancelling the batch item stops its run', function (this: RunnerWorld) {
+	assert.equal(this.runner.cancel(itemKey), true);
+});
+
+Then('cancelling the batch item stops nothing', function (this: RunnerWorld) {
+	assert.equal(this.runner.cancel(itemKey), false);
+});
--- a/src/agent/work-runner.ts
+++ b/src/agent/work-runner.ts
@@ -68,9 +68,14 @@
 		this.#admission.progressed(key, tokens);
 	}
 
-	/** Cancels work wherever it is. Waiting work is dropped without a word; running work sees its signal abort. */
-	cancel(key: string): void {
+	/**
+	Cancels work wherever it is. Waiting work is dropped without a word; running work sees its signal abort.
+
+	@returns Whether it ran, and was stopped by this.
+	*/
+	cancel(key: string): boolean {
 		const running = this.#running.get(key);
+		const isStopped = running !== undefined && !running.controller.signal.aborted;
 		if (running) {
 			// It may be on its way back to the queue; cancelled work must not run again.
 			running.preempted = false;
@@ -80,6 +85,8 @@
 		if (this.#admission.withdraw(key)) {
 			this.#waiting.delete(key);
 		}
+
+		return isStopped;
 	}
 
 	/** Takes waiting work back. False when it is not waiting. */
--- a/src/common/protocol.ts
+++ b/src/common/protocol.ts
@@ -156,6 +156,12 @@
 	readonly configRevision: Revision;
 };
 
+/** What an agent answers when an attempt is cancelled. */
+export type CancelAnswer = {
+	/** Whether its run was under way, and was stopped by this. */
+	readonly isStopped: boolean;
+};
+
 /** Asks an agent to revoke an attempt that has not begun. */
 export type RevokeRequest = {
 	readonly key: AttemptKey;
--- a/src/entry/attempt-client.ts
+++ b/src/entry/attempt-client.ts
@@ -4,7 +4,7 @@
 import type {Either} from 'purify-ts/Either';
 import type {EventSourceMessage} from 'eventsource-parser';
 import {
-	readerHeader, type AttemptEnd, type AttemptEventName, type AttemptFailure, type AttemptKey, type AttemptRefusal, type AttemptRequest, type LedgerAnswer, type LoadReport, type RevokeRequest,
+	readerHeader, type AttemptEnd, type AttemptEventName, type AttemptFailure, type AttemptKey, type AttemptRefusal, type AttemptRequest, type CancelAnswer, type LedgerAnswer, type LoadReport, type RevokeRequest,
 } from '../common/protocol.js';
 import {parseObject} from '../common/parse-object.js';
 import type {IssuedAttempt} from '../common/request-ledger.js';
@@ -98,9 +98,14 @@
 		return this.#rpc.call<LedgerAnswer>({address, timeoutMs, fresh: true}, 'ledger.revoke', params);
 	}
 
-	/** Tells the agent that nobody waits for the attempt any more. */
-	cancel(address: string, {id, attempt}: AttemptKey): void {
-		void this.#rpc.call({address, timeoutMs: cancelTimeoutMs}, 'attempt.cancel', {key: {id, attempt}});
+	/**
+	Tells the agent that nobody waits for the attempt any more.
+
+	@returns Whether the agent says that its run was under way and was stopped by this.
+	*/
+	async cancel(address: string, {id, attempt}: AttemptKey): Promise<boolean> {
+		const answer = await this.#rpc.call<Partial<CancelAnswer>>({address, timeoutMs: cancelTimeoutMs}, 'attempt.cancel', {key: {id, attempt}});
+		return answer.map(({isStopped}) => isStopped === true).orDefault(false);
 	}
 
 	async #follow(sent: Either<HttpFailure, HttpResponse>, place: AttemptPlace): Promise<AttemptOutcome> {
--- a/src/entry/attempt-recovery.ts
+++ b/src/entry/attempt-recovery.ts
@@ -98,7 +98,7 @@
 	}
 
 	/**
-	Goes on asking what became of an attempt whose request is served elsewhere meanwhile. One that has not begun is revoked and one that runs is cancelled: a request that makes engines crash would otherwise take down another one for nobody.
+	Goes on asking what became of an attempt whose request is served elsewhere meanwhile. One that has not begun is revoked, and one that runs must be stopped: a request that makes engines crash would otherwise take down another one for nobody.
 
 	@param deadlineInMs - Milliseconds left until the request's deadline.
 	@returns The ledger's state; `unknown` when the agent does not answer within some seconds or was restarted.
@@ -115,13 +115,18 @@
 		this.#log.emit(entryEvents.attemptFollowedUp, {
 			id: attempt.id, attempt: attempt.attempt, vm, state,
 		});
-		if (state === 'running') {
-			this.#client.cancel(address, attempt);
-		}
-
 		return state;
 	}
 
+	/**
+	Stops an attempt that runs for nobody.
+
+	@returns Whether its run was stopped; otherwise it may have ended by itself before.
+	*/
+	async stop({replica: {address}, attempt}: CurrentAttempt): Promise<boolean> {
+		return this.#client.cancel(address, attempt);
+	}
+
 	async #round(lost: LostAttempt): Promise<Round> {
 		const {current: {replica, attempt}, place} = lost;
 		const outcome = await this.#client.resume(attempt, lost.received(), place);
--- a/src/entry/completion-window.ts
+++ b/src/entry/completion-window.ts
@@ -36,8 +36,8 @@
 		this.#doubtful.add(attempt);
 	}
 
-	/** An attempt in doubt has certainly not run. */
-	notRun(attempt: number): void {
+	/** No backend server was lost with an attempt in doubt. */
+	notLost(attempt: number): void {
 		this.#doubtful.delete(attempt);
 	}
 
--- a/src/entry/lost-attempts.feature
+++ b/src/entry/lost-attempts.feature
@@ -47,3 +47,28 @@
     And each connection is lost after 30 ms
     When a request is made
     Then it was given to 5 replicas
+
+  Scenario: Attempts that still run do not use up the runs
+    # Guards against a request that is given up although all engines are well, and only the connections to their agents are slow.
+    Given the agents of replicas "a, b, c, d, e" lose their connections, and answer questions only after 1 ms
+    And the ledgers of all say "running"
+    And all find their attempt running when they are told to cancel it
+    And each connection is lost after 30 ms
+    When a request is made
+    Then it was given to 5 replicas
+
+  Scenario: Attempts that ran when they were asked for, and ended before they were cancelled, use up the runs
+    # Guards against engines that crash between the two going uncounted.
+    Given the agents of replicas "a, b, c, d, e" lose their connections, and answer questions only after 1 ms
+    And the ledgers of all say "running"
+    And each connection is lost after 30 ms
+    When a request is made
+    Then it was given to 3 replicas
+
+  Scenario: Attempts that have ended, nobody knows how, use up the runs
+    # Guards against taking an attempt that ended with its engine for one that its engine has borne.
+    Given the agents of replicas "a, b, c, d, e" lose their connections, and answer questions only after 1 ms
+    And the ledgers of all say "done"
+    And each connection is lost after 30 ms
+    When a request is made
+    Then it was given to 3 replicas
--- a/src/entry/lost-attempts.steps.ts
+++ b/src/entry/lost-attempts.steps.ts
@@ -23,6 +23,8 @@
 	resume: () => Promise<AttemptOutcome>;
 	state: LedgerAnswer['state'];
 	answerMs: number;
+	/** What it answers when its attempt is cancelled. */
+	isStopped: boolean;
 };
 
 type LostWorld = TestWorld & {
@@ -68,8 +70,9 @@
 			const {state, answerMs} = agents.get(address)!;
 			return after(answerMs, Right({state, incarnation} satisfies LedgerAnswer));
 		},
-		cancel(address: string) {
+		async cancel(address: string) {
 			cancelled.push(address);
+			return agents.get(address)!.isStopped;
 		},
 	},
 	budget: {spend: () => true, succeeded: () => undefined},
@@ -93,7 +96,7 @@
 	this.cancelled = [];
 	this.begun = new Set();
 	this.agents = new Map(names.split(', ').map(name => [name, {
-		begin: async () => lost, resume: async () => lost, state: 'unknown', answerMs,
+		begin: async () => lost, resume: async () => lost, state: 'unknown', answerMs, isStopped: false,
 	}]));
 });
 
@@ -114,6 +117,12 @@
 	});
 });
 
+Given('all find their attempt running when they are told to cancel it', function (this: LostWorld) {
+	this.agents.forEach(agent => {
+		agent.isStopped = true;
+	});
+});
+
 Given('each connection is lost after {int} ms', function (this: LostWorld, ms: number) {
 	this.agents.forEach(agent => {
 		agent.begin = async () => after(ms, lost);
--- a/src/entry/online-request.ts
+++ b/src/entry/online-request.ts
@@ -38,13 +38,14 @@
 	readonly #completion = new CompletionWindow();
 	readonly #runRecord = new RunRecord();
 	readonly #handlers: {[Kind in Outcome['kind']]: Handler<Kind>};
-	readonly #onFollowedUp: Readonly<Partial<Record<LedgerAnswer['state'], (attempt: number) => void>>> = {
-		revoked: attempt => {
+	readonly #onFollowedUp: Readonly<Partial<Record<LedgerAnswer['state'], (current: CurrentAttempt) => void>>> = {
+		revoked: ({attempt: {attempt}}) => {
 			this.#runRecord.noteNotRun(attempt);
-			this.#completion.notRun(attempt);
+			this.#completion.notLost(attempt);
 		},
-		running: () => {
+		running: current => {
 			this.#runRecord.noteRun();
+			void this.#stop(current);
 		},
 		done: () => {
 			this.#runRecord.noteRun();
@@ -301,7 +302,13 @@
 	// The caller is told what is known when its request ends; that must not wait for the agent.
 	async #followUp(current: CurrentAttempt) {
 		const state = await this.#recovery.followUp(current, this.#deadlineInMs);
-		this.#onFollowedUp[state]?.(current.attempt.attempt);
+		this.#onFollowedUp[state]?.(current);
+	}
+
+	async #stop(current: CurrentAttempt) {
+		if (await this.#recovery.stop(current)) {
+			this.#completion.notLost(current.attempt.attempt);
+		}
 	}
 
 	#noteRun(run: 'run' | 'unknown') {
@@ -331,7 +338,7 @@
 	// Nobody waits for the answer any more. At the deadline the caller still learns whether it was run.
 	async #aborted(current: CurrentAttempt): Promise<Step> {
 		if (this.#caller.signal.reason !== deadlinePassed) {
-			this.#around.client.cancel(current.replica.address, current.attempt);
+			void this.#around.client.cancel(current.replica.address, current.attempt);
 			return {kind: 'aborted'};
 		}
 
@@ -340,7 +347,7 @@
 			return this.#tooLate();
 		}
 
-		this.#around.client.cancel(current.replica.address, current.attempt);
+		void this.#around.client.cancel(current.replica.address, current.attempt);
 		return {kind: 'expired', run: this.#work.idempotent && state !== 'unknown' ? 'run' : 'unknown'};
 	}
 }
