An engine's 2xx or 3xx without an answer is a lost run

Callers were answered 204 or 304 by an engine that sent one of these instead of an answer: to a generation that was not asked for as a stream this is a success without a body, and a client that goes by the status takes it for whole. A batch item got a result with status_code 204, which stood in the output file and was counted as failed.

Cause: the agent's EngineBackend took every status that is neither 200, 429 nor 5xx for the engine's own final error ("rejected"), which passes to the caller as it came, and ends a begun answer at once, though another replica could have gone on.

Why it works: only 4xx says that the request is the cause, so only that is the engine's last word. Anything else without an answer is a lost run, for streams, whole answers and items alike, and goes the way of a lost run: another replica, at most three runs.

--- a/src/agent/engine-backend.feature
+++ b/src/agent/engine-backend.feature
@@ -11,3 +11,22 @@
     Given an engine that has ended
     When its agent asks what it serves, 4 times
     Then all answers say "unreachable"
+
+  Scenario: What an answer is taken for
+    # Guards against an answer without a text that is given to a caller, or kept for an item, as the engine's own last word.
+    Given an engine whose answers a scenario writes
+    Then its agent takes its answers for this:
+      | answer               | taken for |
+      | 200, a whole stream  | whole     |
+      | 200, a cut stream    | lost      |
+      | 200, another kind    | lost      |
+      | 200 without a body   | lost      |
+      | 201                  | lost      |
+      | 204                  | lost      |
+      | 302                  | lost      |
+      | 304                  | lost      |
+      | 400                  | rejected  |
+      | 422                  | rejected  |
+      | 429                  | full      |
+      | 500                  | lost      |
+      | 503                  | lost      |
--- a/src/agent/engine-backend.ts
+++ b/src/agent/engine-backend.ts
@@ -19,6 +19,7 @@
 const probeTimeoutMs = 1000;
 const defaultSilenceMs = 5000;
 const tooManyRequests = 429;
+const isRequestsFault = (status: number) => status >= 400 && status < 500;
 /** When to come back to a full engine that does not say. */
 const fullRetryAfterMs = 1000;
 const servesFailures: Readonly<Record<HttpFailure['kind'], ServesFailure['kind']>> = {
@@ -90,14 +91,14 @@
 			: this.#follow(sent.extract() as HttpResponse, req);
 	}
 
-	// An engine that is full has not judged the request, and has not run it.
+	// An engine that is full has not judged the request, and has not run it. Only an error that names the request as its cause is the engine's last word on it: any other status without an answer, a success included, says nothing that a caller could be given.
 	#failureOf({status, headers}: HttpResponse, body: string): BackendFailure {
 		if (status === tooManyRequests) {
 			const retryAfterMs = Number(headers['retry-after']) * 1000;
 			return {kind: 'full', retryAfterMs: retryAfterMs > 0 ? retryAfterMs : fullRetryAfterMs};
 		}
 
-		return status >= 500 ? {kind: 'lost', reason: `status ${status}`} : {kind: 'rejected', status, body};
+		return isRequestsFault(status) ? {kind: 'rejected', status, body} : {kind: 'lost', reason: `status ${status}`};
 	}
 
 	// The pool's other connections are likely to be silent, too, and the engine may still generate what nobody can read.
