A run is whole only when the engine has finished each choice

Callers whose engine was lost in the middle got the beginning of an answer and an end marker, as a whole answer: the engine that was asked to go on had answered 200 with nothing but "[DONE]", or a role and "[DONE]". The same for a first run, for whole answers (200 with the beginning as its text) and for a batch item's result.

Cause: the agent took the end marker for the end of the answer. A later run brings none of what the run before has sent, so the marker alone says nothing; the API gives a reason to finish for each choice.

Why it works: each run is judged by what it brought itself, in the one place that all generations pass, online and batch. A run that is closed in order without its own reason to finish for each choice that was asked for is a lost run. Choices that are no list of objects make their chunk one that can not be read, as they would now be looked into here.

--- a/src/agent/engine-backend.feature
+++ b/src/agent/engine-backend.feature
@@ -19,6 +19,12 @@
       | answer               | taken for |
       | 200, a whole stream  | whole     |
       | 200, a cut stream    | lost      |
+      | 200, an end alone    | lost      |
+      | 200, no finish       | lost      |
+      | 200, one of 2 asked  | lost      |
+      | 200, 2 of 2 asked    | whole     |
+      | 200, choices a text  | lost      |
+      | 200, choices of null | lost      |
       | 200, another kind    | lost      |
       | 200 without a body   | lost      |
       | 201                  | lost      |
--- a/src/agent/engine-backend.steps.ts
+++ b/src/agent/engine-backend.steps.ts
@@ -9,7 +9,9 @@
 } from '@cucumber/cucumber';
 import type {Either} from 'purify-ts/Either';
 import type {TestWorld} from '../common/testing/test-world.js';
-import {deltaEvent, endOfAnswer, openStream} from '../entry/testing/scripted-engine.js';
+import {
+	deltaEvent, doneEvent, endOfAnswer, openStream,
+} from '../entry/testing/scripted-engine.js';
 import {HttpClient} from '../io/http-client.js';
 import type {BackendRequest, ServesFailure} from './backend.js';
 import {EngineBackend} from './engine-backend.js';
@@ -84,14 +86,20 @@
 	'200, a cut stream': res => openStream(res).write(text, () => {
 		res.destroy();
 	}),
+	'200, an end alone': res => openStream(res).end(doneEvent),
+	'200, no finish': res => openStream(res).end(`${text}${doneEvent}`),
+	'200, one of 2 asked': res => openStream(res).end(`${text}${endOfAnswer}`),
+	'200, 2 of 2 asked': res => openStream(res).end(`${text}${deltaEvent({}, 'stop', 1)}${endOfAnswer}`),
+	'200, choices a text': res => openStream(res).end(`data: {"choices":"BRAKE"}\n\n${endOfAnswer}`),
+	'200, choices of null': res => openStream(res).end(`data: {"choices":[null]}\n\n${endOfAnswer}`),
 	'200, another kind': res => res.writeHead(200, {'content-type': 'application/json'}).end('{"choices":[]}'),
 	'200 without a body': res => openStream(res).end(),
 	...Object.fromEntries([201, 204, 302, 304, 400, 422, 429, 500, 503].map(status => [String(status), (res: ServerResponse) => res.writeHead(status).end()])),
 };
 
-const work: BackendRequest['work'] = {
-	kind: 'generate', target: 'tyre-scribe', path: '/v1/chat/completions', body: {model: 'tyre-scribe'},
-};
+const workFor = (answer: string): BackendRequest['work'] => ({
+	kind: 'generate', target: 'tyre-scribe', path: '/v1/chat/completions', body: {model: 'tyre-scribe', ...(answer.endsWith('of 2 asked') && {n: 2})},
+});
 
 Given('an engine whose answers a scenario writes', async function (this: EngineWorld) {
 	this.backend = backendOf(this, await listen(this, createServer((req, res) => {
@@ -105,7 +113,7 @@
 	for (const [answer = ''] of table.rows()) {
 		this.answer = answers[answer]!;
 		const ended = await this.backend.run({
-			key: answer, work, signal: new AbortController().signal, onChunk: () => undefined,
+			key: answer, work: workFor(answer), signal: new AbortController().signal, onChunk: () => undefined,
 		});
 		taken.push([answer, ended.caseOf<string>({Left: ({kind}) => kind, Right: () => 'whole'})]);
 	}
--- a/src/agent/engine-backend.ts
+++ b/src/agent/engine-backend.ts
@@ -3,6 +3,8 @@
 */
 import {Left, Right, type Either} from 'purify-ts/Either';
 import type {EventSourceMessage} from 'eventsource-parser';
+import type {AnswerChunk} from '../common/answer-assembler.js';
+import {choicesWanted, FinishedChoices} from '../common/finished-choices.js';
 import {parseObject} from '../common/parse-object.js';
 import type {GenerateWork} from '../common/protocol.js';
 import type {HttpClient, HttpFailure, HttpResponse} from '../io/http-client.js';
@@ -28,9 +30,16 @@
 const doneMarker = '[DONE]';
 const lineBreak = /[\r\n]/v;
 
+/** A chunk, and its text on one line. */
+type EngineChunk = {readonly chunk: AnswerChunk; readonly data: string};
+
+const isObject = (value: unknown) => typeof value === 'object' && value !== null;
+const areChoices = (choices: unknown) => Array.isArray(choices ?? []) && ((choices ?? []) as unknown[]).every(choice => isObject(choice));
+
 // An answer with a chunk that can not be read has a gap; passed on, it would be taken for whole. An engine tells of an error after the head of the stream in an event of its own.
-const chunkOf = (data: string): Either<string, string> => parseObject<{readonly error?: unknown}>(data)
-	.chain(chunk => chunk.error ? Left('error event') : Right(lineBreak.test(data) ? JSON.stringify(chunk) : data));
+const chunkOf = (data: string): Either<string, EngineChunk> => parseObject<AnswerChunk & {readonly error?: unknown}>(data)
+	.chain(chunk => areChoices(chunk.choices) ? Right(chunk) : Left('choices of another kind'))
+	.chain(chunk => chunk.error ? Left('error event') : Right({chunk, data: lineBreak.test(data) ? JSON.stringify(chunk) : data}));
 
 /** Generates answers on the engine at one address. */
 export class EngineBackend implements Backend {
@@ -152,10 +161,17 @@
 		}
 
 		let done = false;
+		const finished = new FinishedChoices(choicesWanted((req.work as GenerateWork).body));
+		const take = ({chunk, data}: EngineChunk) => {
+			finished.add(chunk);
+			req.onChunk(data);
+		};
+
 		const end = await followEvents(res.body, 0, (event: EventSourceMessage) => {
 			done ||= event.data === doneMarker;
-			return done || chunkOf(event.data).ifRight(req.onChunk).isRight();
+			return done || chunkOf(event.data).ifRight(take).isRight();
 		});
-		return done ? Right(undefined) : Left(failureInResponse(`stream ${end} before its end marker`, req));
+		const missing = done ? 'a choice has no reason to finish' : `stream ${end} before its end marker`;
+		return done && finished.isWhole ? Right(undefined) : Left(failureInResponse(missing, req));
 	}
 }
--- a/src/entry/later-runs.feature
+++ b/src/entry/later-runs.feature
@@ -16,6 +16,8 @@
       | 304                               | backend_failed       | do BRAKE      | 502              |
       | 200 with an object                | backend_failed       | do BRAKE      | 502              |
       | 200 without a body                | backend_failed       | do BRAKE      | 502              |
+      | 200 and an end marker alone       | backend_failed       | do BRAKE      | 502              |
+      | 200, a role and an end marker     | backend_failed       | do BRAKE      | 502              |
       | 200, ended within its first event | backend_failed       | do BRAKE      | 502              |
       | 200, its length told, ended there | backend_failed       | do BRAKE      | 502              |
       | a head and nothing more           | deadline_exceeded    | do BRAKE      | 504              |
--- a/src/entry/later-runs.steps.ts
+++ b/src/entry/later-runs.steps.ts
@@ -7,7 +7,7 @@
 	generate, saidBy, startScripted, type EngineWorld,
 } from './poison-request.steps.js';
 import {
-	deltaEvent, endOfAnswer, openStream, type EngineScript,
+	deltaEvent, doneEvent, endOfAnswer, openStream, type EngineScript,
 } from './testing/scripted-engine.js';
 
 type LaterWorld = EngineWorld & {later: EngineScript; hasBegun: boolean};
@@ -33,6 +33,12 @@
 	'200 without a body'(res) {
 		openStream(res).end();
 	},
+	'200 and an end marker alone'(res) {
+		openStream(res).end(doneEvent);
+	},
+	'200, a role and an end marker'(res) {
+		openStream(res).end(`${role}${doneEvent}`);
+	},
 	'200, ended within its first event'(res) {
 		openStream(res).end(half);
 	},
--- a/src/entry/testing/scripted-engine.ts
+++ b/src/entry/testing/scripted-engine.ts
@@ -9,12 +9,15 @@
 export type EngineScript = (res: ServerResponse, run: number) => void;
 
 /** One event with a choice's delta. */
-export const deltaEvent = (delta: object, finishReason: string | null = null) => `data: ${JSON.stringify({
-	id: 'x', object: 'chat.completion.chunk', created: 1, model: modelName, choices: [{index: 0, delta, finish_reason: finishReason}],
+export const deltaEvent = (delta: object, finishReason: string | null = null, index = 0) => `data: ${JSON.stringify({
+	id: 'x', object: 'chat.completion.chunk', created: 1, model: modelName, choices: [{index, delta, finish_reason: finishReason}],
 })}\n\n`;
 
+/** The marker that ends a stream. */
+export const doneEvent = 'data: [DONE]\n\n';
+
 /** The end of a whole answer. */
-export const endOfAnswer = `${deltaEvent({}, 'stop')}data: [DONE]\n\n`;
+export const endOfAnswer = `${deltaEvent({}, 'stop')}${doneEvent}`;
 
 /** Sends the head of an answer. */
 export const openStream = (res: ServerResponse) => res.writeHead(200, {'content-type': 'text/event-stream'});
