A refusal is not gone on with at another engine

A caller read "I can I can not say", and a batch item's result held the same: an engine was lost, or an item taken back, in the middle of a refusal, and the next run's refusal was put behind the beginning of the first one's.

Cause: the resume point is text alone, and an answer that holds more than text must have none. A refusal comes in a field of its own that was not counted as "more": the resume point was an empty text, so the next run was asked for the whole answer, while a stream's caller, and an item's assembler, kept what they had.

Evidence: answer-sink.feature "The first run ends before its answer is whole", row "a refusal" for a stream, and item-run.feature "The first run of an item ends before its answer is whole", rows "a refusal", preempted and lost, gave "I can I can not say"; they pass now. The other rows (a role, a text, a reasoning, a tool call) passed before as well; those of a tool call had no test.

Why it works: what a choice may hold and still be gone on with is said in one place, beside its fields. A stream whose caller has a part of a refusal ends with an error; one that has nothing, and an item, start again from nothing.

--- a/src/common/answer-assembler.ts
+++ b/src/common/answer-assembler.ts
@@ -42,6 +42,11 @@
 	hasLogprobs = false;
 	readonly others = new Map<string, unknown>();
 
+	/** True when it holds a text at the most. The resume point is text alone: an engine that gets it would send anything else, a reasoning or a refusal for instance, a second time. */
+	get isPlain(): boolean {
+		return this.toolCalls.length === 0 && this.others.size === 0 && !this.hasLogprobs && this.refusal === undefined;
+	}
+
 	add(choice: ChunkChoice) {
 		this.role = choice.delta?.role ?? this.role;
 		this.text += choice.delta?.content ?? choice.text ?? '';
@@ -108,9 +113,7 @@
 	/** Where another engine can go on; undefined when the answer holds more than the text of one choice. */
 	get resumePoint(): ResumePoint | undefined {
 		const first = this.#choices.get(0);
-		// The resume point is text alone: an engine that gets it would send anything else, a reasoning for instance, a second time.
-		const isPlain = (first?.toolCalls.length ?? 0) === 0 && (first?.others.size ?? 0) === 0 && !first?.hasLogprobs;
-		return isPlain && this.#choices.size <= 1 ? {text: first?.text ?? '', tokens: this.#tokens} : undefined;
+		return (first?.isPlain ?? true) && this.#choices.size <= 1 ? {text: first?.text ?? '', tokens: this.#tokens} : undefined;
 	}
 
 	/** Adds one chunk. */
--- /dev/null
+++ b/src/entry/answer-sink.steps.ts
@@ -0,0 +1,52 @@
+/**
+Steps for an answer over two runs, as the sink gives it to its caller.
+*/
+import assert from 'node:assert/strict';
+import {Then, type DataTable} from '@cucumber/cucumber';
+import type {AnswerChunk} from '../common/answer-assembler.js';
+import type {BackendWork, GenerateWork} from '../common/protocol.js';
+import {
+	interruptedAnswers, laterRun, saidIn, type InterruptedAnswer,
+} from '../common/testing/interrupted-answers.js';
+import {GenerationSink} from './answer-sink.js';
+
+const feed = (sink: GenerationSink, chunks: readonly AnswerChunk[]) => {
+	chunks.forEach(chunk => {
+		assert.ok(sink.chunk(JSON.stringify(chunk)));
+	});
+};
+
+/** Both runs, the second only where the sink lets one go on; false where it does not. */
+const runTwice = (sink: GenerationSink, answer: InterruptedAnswer): boolean => {
+	const work: BackendWork = {
+		kind: 'generate', target: 'm', path: '/v1/chat/completions', body: {model: 'm', ...answer.request},
+	};
+	feed(sink, answer.first);
+	if (!sink.canContinue) {
+		return false;
+	}
+
+	feed(sink, laterRun(answer, (sink.continued(work) as GenerateWork).resume));
+	assert.ok(sink.isComplete);
+	return true;
+};
+
+const streamed = (answer: InterruptedAnswer): string => {
+	const sent: AnswerChunk[] = [];
+	const isWhole = runTwice(new GenerationSink(chunk => {
+		sent.push(chunk);
+	}), answer);
+	const said = sent.flatMap(({choices}) => choices ?? []).map(({delta}) => saidIn(delta as Parameters<typeof saidIn>[0])).join('');
+	return isWhole ? said : `${said.trim()}, an error`;
+};
+
+const whole = (answer: InterruptedAnswer): string => {
+	const sink = new GenerationSink();
+	assert.ok(runTwice(sink, answer));
+	const {choices} = sink.result('x') as {choices: Array<{message: Parameters<typeof saidIn>[0]}>};
+	return choices.map(({message}) => saidIn(message)).join(' | ');
+};
+
+Then('these are the answers whose first run brings something and ends:', (table: DataTable) => {
+	assert.deepEqual(table.rows().map(([first = '']) => [first, streamed(interruptedAnswers[first]!), whole(interruptedAnswers[first]!)]), table.rows());
+});
