An answer is whole, or gone on with, by the choices asked for

A caller that asked for two choices (n: 2) of a stream got the first one and the end marker, as a whole answer, when the engine was lost between them: the second choice was missing. Lost within the first choice, the other engine was asked to go on with its text for both choices, and the stream joined what came ("leftright" in the trial); a batch item's next run was asked the same.

Cause: the assembler knew only the choices that it had seen: one that is finished passed for all, and one that has begun for the only one.

Evidence: answer-sink.feature, rows "one of two choices" (a stream: "left", whole) and "a part of one of two choices" ("leftright", whole), and item-run.feature, the same rows (the next run was asked to go on from "left" and "le"); they pass now.

Why it works: the assembler is given the request, and judges by the number of choices in it, as the agent does at a run's end. PROMISES.md says already that an answer of several choices is not gone on with; now that holds also before the second one has begun.

--- a/src/agent/item-run.steps.ts
+++ b/src/agent/item-run.steps.ts
@@ -55,7 +55,7 @@
 /** Runs work at once, and again when it was cut. */
 const runner = {submit: runAgain, progressed: () => undefined} as unknown as WorkRunner;
 
-const textOf = ({response}: ItemResult) => (response?.body as {choices: Array<{message: Parameters<typeof saidIn>[0]}>}).choices.map(({message}) => saidIn(message)).join(' | ');
+const textOf = ({response}: ItemResult) => (response?.body as {choices: Array<{message: Parameters<typeof saidIn>[0]}>}).choices.map(({message}) => saidIn(message)).join(' / ');
 
 const runItem = async (answer: InterruptedAnswer, failure: BackendFailure): Promise<Outcome> => {
 	const backend = new InterruptedEngine(answer, failure);
@@ -68,7 +68,7 @@
 	}
 
 	assert.equal(outcome.kind, 'result');
-	return {wentOnFrom: backend.wentOnFrom.slice(1).join(' | ').trim(), result: textOf((outcome).result)};
+	return {wentOnFrom: backend.wentOnFrom.slice(1).join(' / ').trim(), result: textOf((outcome).result)};
 };
 
 Then('these are the results of items whose first run brings something and ends:', async (table: DataTable) => {
--- a/src/agent/item-run.ts
+++ b/src/agent/item-run.ts
@@ -32,13 +32,14 @@
 	readonly key: string;
 	readonly #around: ItemSurroundings;
 	readonly #ticket: Ticket;
-	readonly #assembler = new AnswerAssembler();
+	readonly #assembler: AnswerAssembler;
 
 	constructor(item: BatchItem, ticket: Ticket, around: ItemSurroundings) {
 		this.item = item;
 		this.key = ticket.key;
 		this.#ticket = ticket;
 		this.#around = around;
+		this.#assembler = new AnswerAssembler(item.body);
 	}
 
 	/** Submits the item; resolves when it has left the agent's queue and the backend server. */
--- a/src/common/answer-assembler.ts
+++ b/src/common/answer-assembler.ts
@@ -1,6 +1,7 @@
 /**
 Puts the chunks of a streamed answer together: the whole object for a caller who did not ask for a stream, and the resume point for an engine that goes on where another stopped.
 */
+import {choicesWanted, FinishedChoices} from './finished-choices.js';
 import type {JsonObject, ResumePoint} from './protocol.js';
 
 type Delta = {role?: string; content?: string | null; refusal?: string | null; tool_calls?: ToolCallDelta[]};
@@ -85,14 +86,22 @@
 
 /** Collects one answer, over all attempts that contributed to it. */
 export class AnswerAssembler {
+	readonly #wanted: number;
 	readonly #choices = new Map<number, ChoiceParts>();
+	#finished: FinishedChoices;
 	#frame: AnswerChunk = {};
 	#usage: JsonObject | undefined;
 	#tokens = 0;
 
-	/** True once the engine gave a reason to finish for every choice seen. */
+	/** @param request - What the engine was sent. */
+	constructor(request: JsonObject) {
+		this.#wanted = choicesWanted(request);
+		this.#finished = new FinishedChoices(this.#wanted);
+	}
+
+	/** True once the engine gave a reason to finish for every choice that was asked for. */
 	get isFinished(): boolean {
-		return this.#choices.size > 0 && [...this.#choices.values()].every(choice => choice.finishReason !== null);
+		return this.#finished.isWhole;
 	}
 
 	/** The usage that the engine reported last, if it did. */
@@ -110,10 +119,10 @@
 		return this.#tokens === 0;
 	}
 
-	/** Where another engine can go on; undefined when the answer holds more than the text of one choice. */
+	/** Where another engine can go on; undefined when the answer holds, or will hold, more than the text of one choice. */
 	get resumePoint(): ResumePoint | undefined {
 		const first = this.#choices.get(0);
-		return (first?.isPlain ?? true) && this.#choices.size <= 1 ? {text: first?.text ?? '', tokens: this.#tokens} : undefined;
+		return (first?.isPlain ?? true) && this.#wanted === 1 && this.#choices.size <= 1 ? {text: first?.text ?? '', tokens: this.#tokens} : undefined;
 	}
 
 	/** Adds one chunk. */
@@ -122,6 +131,7 @@
 			this.#frame = chunk;
 		}
 
+		this.#finished.add(chunk);
 		this.#usage = chunk.usage ?? this.#usage;
 		chunk.choices?.forEach(choice => {
 			this.#addChoice(choice);
@@ -131,6 +141,7 @@
 	/** Forgets what was collected, for an answer that starts again. */
 	clear(): void {
 		this.#choices.clear();
+		this.#finished = new FinishedChoices(this.#wanted);
 		this.#frame = {};
 		this.#usage = undefined;
 		this.#tokens = 0;
--- a/src/common/testing/interrupted-answers.ts
+++ b/src/common/testing/interrupted-answers.ts
@@ -35,6 +35,12 @@
 		})],
 		rest: [chunkOf({tool_calls: [{index: 0, function: {arguments: 'rear)'}}]}), stop],
 	},
+	'one of two choices': {
+		first: [role, ...says('left'), stop], rest: [chunkOf({role: 'assistant', content: 'right'}, undefined, 1), chunkOf({}, 'stop', 1)], request: {n: 2},
+	},
+	'a part of one of two choices': {
+		first: [role, ...says('le')], rest: [...says('ft'), stop, chunkOf({role: 'assistant', content: 'right'}, undefined, 1), chunkOf({}, 'stop', 1)], request: {n: 2},
+	},
 	'a refusal': {first: [role, chunkOf({refusal: 'I can '})], rest: [chunkOf({refusal: 'not say'}), stop]},
 };
 
--- a/src/entry/answer-sink.feature
+++ b/src/entry/answer-sink.feature
@@ -5,9 +5,11 @@
   Scenario: The first run ends before its answer is whole
     # Guards against an answer in which a piece stands twice or is missing, since the pieces of two runs were put together.
     Then these are the answers whose first run brings something and ends:
-      | the first run brings | a stream's caller receives | any other receives |
-      | nothing              | do BRAKE now               | do BRAKE now       |
-      | a text               | do BRAKE now               | do BRAKE now       |
-      | a reasoning          | R1, an error               | R1 R2 do BRAKE now |
-      | a tool call          | book(left, an error        | book(left rear)    |
-      | a refusal            | I can, an error            | I can not say      |
+      | the first run brings         | a stream's caller receives | any other receives |
+      | nothing                      | do BRAKE now               | do BRAKE now       |
+      | a text                       | do BRAKE now               | do BRAKE now       |
+      | a reasoning                  | R1, an error               | R1 R2 do BRAKE now |
+      | a tool call                  | book(left, an error        | book(left rear)    |
+      | a refusal                    | I can, an error            | I can not say      |
+      | one of two choices           | left, an error             | left / right       |
+      | a part of one of two choices | le, an error               | left / right       |
--- a/src/entry/answer-sink.steps.ts
+++ b/src/entry/answer-sink.steps.ts
@@ -16,14 +16,16 @@
 	});
 };
 
+const bodyOf = ({request}: InterruptedAnswer) => ({model: 'm', ...request});
+
 /** Both runs, the second only where the sink lets one go on; false where it does not. */
 const runTwice = (sink: GenerationSink, answer: InterruptedAnswer): boolean => {
 	const work: BackendWork = {
-		kind: 'generate', target: 'm', path: '/v1/chat/completions', body: {model: 'm', ...answer.request},
+		kind: 'generate', target: 'm', path: '/v1/chat/completions', body: bodyOf(answer),
 	};
 	feed(sink, answer.first);
-	if (!sink.canContinue) {
-		return false;
+	if (sink.isComplete || !sink.canContinue) {
+		return sink.isComplete;
 	}
 
 	feed(sink, laterRun(answer, (sink.continued(work) as GenerateWork).resume));
@@ -33,7 +35,7 @@
 
 const streamed = (answer: InterruptedAnswer): string => {
 	const sent: AnswerChunk[] = [];
-	const isWhole = runTwice(new GenerationSink(chunk => {
+	const isWhole = runTwice(new GenerationSink(bodyOf(answer), chunk => {
 		sent.push(chunk);
 	}), answer);
 	const said = sent.flatMap(({choices}) => choices ?? []).map(({delta}) => saidIn(delta as Parameters<typeof saidIn>[0])).join('');
@@ -41,10 +43,10 @@
 };
 
 const whole = (answer: InterruptedAnswer): string => {
-	const sink = new GenerationSink();
+	const sink = new GenerationSink(bodyOf(answer));
 	assert.ok(runTwice(sink, answer));
 	const {choices} = sink.result('x') as {choices: Array<{message: Parameters<typeof saidIn>[0]}>};
-	return choices.map(({message}) => saidIn(message)).join(' | ');
+	return choices.map(({message}) => saidIn(message)).join(' / ');
 };
 
 Then('these are the answers whose first run brings something and ends:', (table: DataTable) => {
--- a/src/entry/answer-sink.ts
+++ b/src/entry/answer-sink.ts
@@ -26,13 +26,17 @@
 
 /** Collects a generation and hands each chunk on. */
 export class GenerationSink implements AnswerSink {
-	readonly #assembler = new AnswerAssembler();
+	readonly #assembler: AnswerAssembler;
 	readonly #onChunk: ((chunk: AnswerChunk) => void) | undefined;
 	#hasBegun = false;
 	#isContinued = false;
 
-	/** @param onChunk - Sends a chunk to the caller; left out when the caller wants the whole answer at once. */
-	constructor(onChunk?: (chunk: AnswerChunk) => void) {
+	/**
+	@param request - What the engine is sent.
+	@param onChunk - Sends a chunk to the caller; left out when the caller wants the whole answer at once.
+	*/
+	constructor(request: JsonObject, onChunk?: (chunk: AnswerChunk) => void) {
+		this.#assembler = new AnswerAssembler(request);
 		this.#onChunk = onChunk;
 	}
 
--- a/src/entry/generation-routes.ts
+++ b/src/entry/generation-routes.ts
@@ -129,10 +129,10 @@
 		const id = `${idPrefixes[path] ?? ''}${randomUUID()}`;
 		const stream = new CallerStream(res, id, request.includeUsage);
 		const sink = request.stream
-			? new GenerationSink(chunk => {
+			? new GenerationSink(request.body, chunk => {
 				stream.send(chunk);
 			})
-			: new GenerationSink();
+			: new GenerationSink(request.body);
 		const outcome = await this.#frontend.run({
 			id: branded(id),
 			account,
