An item whose answer has come to its end does not run again

A batch item's text could go on after its end: the item was taken back for online work, or its engine was lost, between the chunk with the reason to finish and the end marker. It ran again, and the engine was asked to go on from the whole text; one that had stopped by itself adds to it, since its stop is not in the text. The result held both, with the reason to finish of the second.

Cause: the item's run looked at how the run ended, not at what it had brought. The online path has the same guard for the same reason (AnswerSink.isComplete).

Evidence: item-run.feature, rows "all but the end", preempted and lost: the next run was asked to go on from "do BRAKE now", and the result was "do BRAKE now, or not"; they pass now, with one run each. For callers the same row of answer-sink.feature passed before; it had no test without a network.

Why it works: an answer in which each choice has its reason to finish is the result, however its run ended. Its usage, which engines send last, may be missing then, as for callers.

--- a/src/agent/item-run.feature
+++ b/src/agent/item-run.feature
@@ -9,6 +9,8 @@
       | a role                       | preempted |                       | do BRAKE now       |
       | a text                       | preempted | do BRAKE              | do BRAKE now       |
       | a text                       | lost      | do BRAKE              | do BRAKE now       |
+      | all but the end              | preempted |                       | do BRAKE now       |
+      | all but the end              | lost      |                       | do BRAKE now       |
       | a reasoning                  | preempted |                       | R1 R2 do BRAKE now |
       | a tool call                  | preempted |                       | book(left rear)    |
       | a refusal                    | preempted |                       | I can not say      |
--- a/src/agent/item-run.ts
+++ b/src/agent/item-run.ts
@@ -78,7 +78,8 @@
 				this.#around.runner.progressed(this.key, 1);
 			},
 		});
-		if (ended.isRight()) {
+		// Where the end alone is missing there is nothing to go on from: an engine that is given a text at its end may add to it.
+		if (ended.isRight() || this.#assembler.isFinished) {
 			resolve(this.#completed());
 			return 'done';
 		}
--- a/src/common/testing/interrupted-answers.ts
+++ b/src/common/testing/interrupted-answers.ts
@@ -26,6 +26,8 @@
 	nothing: {first: [], rest: [role, ...says('do ', 'BRAKE ', 'now'), stop]},
 	'a role': {first: [role], rest: [...says('do ', 'BRAKE ', 'now'), stop]},
 	'a text': {first: [role, ...says('do ', 'BRAKE ')], rest: [...says('now'), stop]},
+	// An engine that is given a text which has come to its end has something to add.
+	'all but the end': {first: [role, ...says('do ', 'BRAKE ', 'now'), stop], rest: [...says(', or not'), stop]},
 	'a reasoning': {first: [role, chunkOf({reasoning_content: 'R1 '})], rest: [chunkOf({reasoning_content: 'R2 '}), ...says('do ', 'BRAKE ', 'now'), stop]},
 	'a tool call': {
 		first: [chunkOf({
--- a/src/entry/answer-sink.feature
+++ b/src/entry/answer-sink.feature
@@ -8,6 +8,7 @@
       | the first run brings         | a stream's caller receives | any other receives |
       | nothing                      | do BRAKE now               | do BRAKE now       |
       | a text                       | do BRAKE now               | do BRAKE now       |
+      | all but the end              | do BRAKE now               | do BRAKE now       |
       | a reasoning                  | R1, an error               | R1 R2 do BRAKE now |
       | a tool call                  | book(left, an error        | book(left rear)    |
       | a refusal                    | I can, an error            | I can not say      |
