The role stands once in a stream whose first run brought nothing else

A caller's stream held the role twice: the first run was lost after its first chunk, which holds the role and no text, and the next run sent its own. Clients that put the pieces of a field together read "assistantassistant".

Cause: a later run's role was dropped only where that run went on from a text. Without a text there is nothing to go on from, and the request goes out as it was; but the caller has its role all the same.

Evidence: answer-sink.feature, row "a role", failed with "a role stands twice"; it passes now, and the step looks for a second role in all rows.

Why it works: what decides is whether the caller has got something, not whether the engine was told to go on.

--- a/src/entry/answer-sink.feature
+++ b/src/entry/answer-sink.feature
@@ -7,6 +7,7 @@
     Then these are the answers whose first run brings something and ends:
       | the first run brings         | a stream's caller receives | any other receives |
       | nothing                      | do BRAKE now               | do BRAKE now       |
+      | a role                       | do BRAKE now               | do BRAKE now       |
       | a text                       | do BRAKE now               | do BRAKE now       |
       | all but the end              | do BRAKE now               | do BRAKE now       |
       | a reasoning                  | R1, an error               | R1 R2 do BRAKE now |
--- a/src/entry/answer-sink.steps.ts
+++ b/src/entry/answer-sink.steps.ts
@@ -38,7 +38,10 @@
 	const isWhole = runTwice(new GenerationSink(bodyOf(answer), chunk => {
 		sent.push(chunk);
 	}), answer);
-	const said = sent.flatMap(({choices}) => choices ?? []).map(({delta}) => saidIn(delta as Parameters<typeof saidIn>[0])).join('');
+	const choices = sent.flatMap(chunk => chunk.choices ?? []);
+	const roles = choices.filter(({delta}) => delta?.role !== undefined).map(({index}) => index);
+	assert.equal(roles.length, new Set(roles).size, 'a role stands twice');
+	const said = choices.map(({delta}) => saidIn(delta as Parameters<typeof saidIn>[0])).join('');
 	return isWhole ? said : `${said.trim()}, an error`;
 };
 
--- a/src/entry/answer-sink.ts
+++ b/src/entry/answer-sink.ts
@@ -61,6 +61,7 @@
 		const resume = this.#assembler.resumePoint;
 		if (work.kind !== 'generate' || !resume || resume.tokens === 0) {
 			this.#assembler.clear();
+			this.#isContinued = this.#hasBegun;
 			return work;
 		}
 
