A keyed request that follows a run reads on where it stopped, and only in that run

A caller that sent a request again under its key got pieces of its answer twice: "do BRAKE do BRAKE now" in a stream and in a whole text, and for a plain service "201 left <bytes that are no text>left rear", each as a whole answer. It was answered so when its entry followed the first entry's run, lost the agent in the middle, and then found the run's end in the claim.

Cause: each turn of following began to read at chunk 0, while the sink still held what the turn before had brought; the one place that tried to forget it used `continued`, which keeps a text on purpose, and a replay of the claim's chunks forgot nothing. For a plain service the answer's head was then decoded as a piece of the body. Nor was it asked whether the claim still spoke of the run that was being read: another run's answer was put behind the first one's beginning.

Evidence: followed-claims.feature "The agent is lost while its answer is read" failed in the nine rows in which the claim then holds the answer, an end, or another run's answer (values above); all eleven pass now. Followed by keyed-requests.feature, later-runs.feature, answer-sink.feature and the reasoning scenarios of whole-answer.feature, which pass.

Why it works: the request knows which attempt it follows and how many of its chunks the sink has, and reads on from there, at the agent or in the claim. The answer of another attempt starts from nothing, or, where the caller has a part already, ends as unknown: nothing is put behind it. That another run's answer is found after a part was read has not been seen to happen in a fleet, since a run that brought something is never moved; it is a guard.

--- a/src/entry/answer-sink.ts
+++ b/src/entry/answer-sink.ts
@@ -16,6 +16,8 @@
 	readonly canContinue: boolean;
 	/** The work as another replica must get it to complete the answer; forgets what can not be continued. */
 	continued(work: BackendWork): BackendWork;
+	/** Forgets what has come, for the answer of another run. A caller that has been sent a part keeps it. */
+	clear(): void;
 	/** Takes one chunk, in order, each once. False when it can not be used: it is not what a backend server may send. */
 	chunk(data: string): boolean;
 };
@@ -60,7 +62,7 @@
 	continued(work: BackendWork): BackendWork {
 		const resume = this.#assembler.resumePoint;
 		if (work.kind !== 'generate' || !resume || resume.tokens === 0) {
-			this.#assembler.clear();
+			this.clear();
 			this.#isContinued = this.#hasBegun;
 			return work;
 		}
@@ -69,6 +71,10 @@
 		return {...work, resume};
 	}
 
+	clear(): void {
+		this.#assembler.clear();
+	}
+
 	chunk(data: string): boolean {
 		return parseObject<AnswerChunk>(data)
 			.ifRight(chunk => {
@@ -124,9 +130,13 @@
 	}
 
 	continued(work: BackendWork): BackendWork {
+		this.clear();
+		return work;
+	}
+
+	clear(): void {
 		this.#head = undefined;
 		this.#pieces = [];
-		return work;
 	}
 
 	chunk(data: string): boolean {
--- a/src/entry/keyed-request.ts
+++ b/src/entry/keyed-request.ts
@@ -4,7 +4,7 @@
 import {createHash} from 'node:crypto';
 import {Left, Right, type Either} from 'purify-ts/Either';
 import type {ClaimValue} from '../common/claim.js';
-import type {BackendWork} from '../common/protocol.js';
+import type {AttemptKey, BackendWork} from '../common/protocol.js';
 import {AttemptRecovery, type CurrentAttempt, type Settlement} from './attempt-recovery.js';
 import type {AnswerSink} from './answer-sink.js';
 import type {ClaimStore, StoredClaim} from './claim-store.js';
@@ -48,6 +48,9 @@
 	readonly #recovery: AttemptRecovery;
 	#claim: StoredClaim | undefined;
 	#found: StoredClaim | undefined;
+	/** The attempt whose answer is followed, and the chunks of it that the sink has. */
+	#followed: AttemptKey | undefined;
+	#received = 0;
 	#attempts = 0;
 	#settling: Promise<unknown> | undefined;
 
@@ -153,8 +156,12 @@
 			return {kind: 'rejected', ...end.rejected};
 		}
 
+		if (!this.#mayFollow(attempt)) {
+			return {kind: 'unknown', reason: 'the answer has begun, and the key belongs to another run now'};
+		}
+
 		if (end?.chunks) {
-			end.chunks.forEach(chunk => {
+			end.chunks.slice(this.#received).forEach(chunk => {
 				this.#sink.chunk(chunk);
 			});
 			return {kind: 'whole'};
@@ -163,12 +170,25 @@
 		return this.#ask(claim);
 	}
 
+	// An answer that was read in part is read on only where it is of the same run. What another run has brought is forgotten, unless the caller has it: nothing can be put behind it then.
+	#mayFollow({id, attempt}: AttemptKey): boolean {
+		const isSame = this.#followed?.id === id && this.#followed.attempt === attempt;
+		if (!isSame && this.#sink.hasBegun) {
+			return false;
+		}
+
+		if (!isSame) {
+			this.#sink.clear();
+			this.#received = 0;
+		}
+
+		this.#followed = {id, attempt};
+		return true;
+	}
+
 	async #ask(claim: StoredClaim): Promise<RequestOutcome> {
 		const {clock} = this.#around;
 		const {vm, address, ...attempt} = claim.value.attempt;
-		let received = 0;
-		// What an earlier follow left behind is forgotten.
-		this.#sink.continued(this.#work.work);
 		const settled = await this.#recovery.settle({
 			current: {replica: {vm, address}, attempt: {...attempt, idempotent: false}},
 			place: {
@@ -177,12 +197,12 @@
 				signal: this.#caller.signal,
 				pause: this.#caller.pause,
 				onChunk: (index, data) => {
-					const isTaken = index === received && this.#sink.chunk(data);
-					received += isTaken ? 1 : 0;
-					return isTaken || index < received;
+					const isTaken = index === this.#received && this.#sink.chunk(data);
+					this.#received += isTaken ? 1 : 0;
+					return isTaken || index < this.#received;
 				},
 			},
-			received: () => received,
+			received: () => this.#received,
 			deadlineInMs: () => Math.max(0, this.#work.deadlineAt - clock.now()),
 			revokeAt: clock.now() + graceMs,
 		});
--- a/src/entry/recording-sink.ts
+++ b/src/entry/recording-sink.ts
@@ -33,11 +33,15 @@
 	}
 
 	continued(work: BackendWork): BackendWork {
-		this.#chunks = [];
-		this.#characters = 0;
+		this.#forget();
 		return this.#sink.continued(work);
 	}
 
+	clear(): void {
+		this.#forget();
+		this.#sink.clear();
+	}
+
 	chunk(data: string): boolean {
 		this.#characters += data.length;
 		if (this.#characters <= maxClaimedCharacters) {
@@ -46,4 +50,9 @@
 
 		return this.#sink.chunk(data);
 	}
+
+	#forget() {
+		this.#chunks = [];
+		this.#characters = 0;
+	}
 }
