citronctl shows a job's own progress, not that of an earlier one

An operator who looked at a job that was sent again under its key, after the earlier one had been deleted, saw the earlier one's progress as the job's own ("8 completed" for a job that had not begun), in get, describe and watch, until a coordinator wrote the new one's.

Cause: the progress was put beside the job by its name alone; both jobs have the same. Entries ask which job a progress speaks of (speaksOf); citronctl did not.

Evidence: resource-watcher.feature "A job that was sent again under the key of one that had ended" showed "8 completed, 7 completed, 3 completed" instead of "no progress, 3 completed"; it passes now, with the two other scenarios of the feature.

Why it works: reader and watcher ask the same question as the entries, in one function.

--- a/src/ctl/resource-reader.ts
+++ b/src/ctl/resource-reader.ts
@@ -2,7 +2,8 @@
 Reads resources together with what the system reports of them. Status is kept in objects of its own, so that a report never races with an operator's change; here both are put together again.
 */
 import {Left, Right, type Either} from 'purify-ts/Either';
-import type {AnyResource, ResourceStatus} from '../../typings/resources.js';
+import type {AnyResource, BatchJob, ResourceStatus} from '../../typings/resources.js';
+import {speaksOf, type JobStatus} from '../common/batch-types.js';
 import {type ObjectApi} from '../common/services.js';
 import type {ApiError, ObjectKind, StoredObject} from '../common/types.js';
 import {type Revision} from '../common/ids.js';
@@ -24,7 +25,14 @@
 /** The status of a resource of which no generation has been reported on. */
 export const unreported: ResourceStatus = {observedGeneration: 0, conditions: []};
 
-const withStatus = (resource: AnyResource, status: ResourceStatus | undefined, progress: unknown): ReadResource => {
+/** The progress that is kept under a resource's name, unless it speaks of an earlier job that had the same one. Both are shown as they are stored, well-formed or not. */
+export const ownProgress = (resource: AnyResource, progress: unknown): unknown => {
+	const {createdTime = ''} = (resource as Partial<BatchJob>).spec ?? {};
+	return speaksOf((progress ?? {}) as JobStatus, {createdTime}) ? progress : undefined;
+};
+
+const withStatus = (resource: AnyResource, status: ResourceStatus | undefined, kept: unknown): ReadResource => {
+	const progress = ownProgress(resource, kept);
 	const reported = status ?? (progress === undefined ? undefined : unreported);
 	return reported === undefined ? resource : {...resource, status: {...reported, ...(progress !== undefined && {progress})}};
 };
--- a/src/ctl/resource-watcher.steps.ts
+++ b/src/ctl/resource-watcher.steps.ts
@@ -4,10 +4,14 @@
 import assert from 'node:assert/strict';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {Given, Then, When} from '@cucumber/cucumber';
-import type {ResourceStatus, ServedModel} from '../../typings/resources.js';
+import type {BatchJob, ResourceStatus, ServedModel} from '../../typings/resources.js';
+import type {JobStatus} from '../common/batch-types.js';
+import {branded, type Fence, type JobId} from '../common/ids.js';
 import {type ApiError} from '../common/types.js';
 import {FakeObjectApi} from '../common/testing/fake-object-api.js';
 import {type TestWorld} from '../common/testing/test-world.js';
+import {ResourceReader, type ReadResource} from './resource-reader.js';
+import type {ResourceKind} from './resource-schemas.js';
 import {ResourceWatcher, type Sighting} from './resource-watcher.js';
 
 type WatchWorld = TestWorld & {
@@ -25,7 +29,7 @@
 	}
 };
 
-const startWatch = (world: WatchWorld): void => {
+const startWatch = (world: WatchWorld, kind: ResourceKind = 'ServedModel'): void => {
 	const controller = new AbortController();
 	world.register(() => {
 		controller.abort();
@@ -41,7 +45,7 @@
 				await nextTurn();
 			},
 		},
-		kind: 'ServedModel',
+		kind,
 		onSighting(sighting) {
 			world.sightings.push(sighting);
 		},
@@ -93,3 +97,59 @@
 	assert.deepEqual(this.troubles.map(({kind}) => kind), ['unavailable']);
 	assert.equal(this.sightings[1] && titleOf(this.sightings[1]), title);
 });
+
+const jobName = 'batch_a1';
+const [earlier, again] = ['2026-01-01T00:00:00.000Z', '2026-01-02T00:00:00.000Z'];
+
+const progressOf = (jobCreatedTime: string, completed: number): JobStatus => ({
+	jobId: branded<JobId>(jobName), jobCreatedTime, state: 'in_progress', total: 8, completed, failed: 0, fence: branded<Fence>(1),
+});
+
+const shownOf = (resource: ReadResource | undefined): string => {
+	const progress = resource?.status?.progress as JobStatus | undefined;
+	return progress ? `${progress.completed} completed` : 'no progress';
+};
+
+const writeProgress = async (world: WatchWorld, status: JobStatus) => {
+	const before = await world.watchedApi.get<JobStatus>('JobStatus', jobName);
+	await world.watchedApi.update('JobStatus', jobName, status, before.unsafeCoerce().version);
+};
+
+Given('a job that was deleted when it had completed {int} items, and sent again under its key', async function (this: WatchWorld, completed: number) {
+	this.watchedApi = new FakeObjectApi();
+	const job: BatchJob = {
+		apiVersion: 'citronyard/v1',
+		kind: 'BatchJob',
+		metadata: {name: jobName, generation: 1},
+		spec: {
+			jobKey: 'k', account: 'pit', inputFileId: 'file-1', endpoint: '/v1/completions', createdTime: again, dueTime: '2099-01-01T00:00:00.000Z',
+		},
+	};
+	await this.watchedApi.create('JobStatus', jobName, progressOf(earlier, completed));
+	await this.watchedApi.create('BatchJob', jobName, job);
+});
+
+When('a watch of jobs has shown it', async function (this: WatchWorld) {
+	startWatch(this, 'BatchJob');
+	await until(() => this.sightings.length > 0);
+});
+
+When('the earlier job\'s progress is written once more', async function (this: WatchWorld) {
+	await writeProgress(this, progressOf(earlier, 7));
+});
+
+When('the new job\'s progress is written, {int} items completed', async function (this: WatchWorld, completed: number) {
+	await writeProgress(this, progressOf(again, completed));
+	await until(() => this.sightings.some(({resource}) => shownOf(resource) === `${completed} completed`));
+});
+
+Then('the watch has shown the job with {string}', function (this: WatchWorld, shown: string) {
+	assert.equal(this.sightings.map(({resource}) => shownOf(resource)).join(', '), shown);
+});
+
+Then('it is read with {string}', async function (this: WatchWorld, shown: string) {
+	const reader = new ResourceReader(this.watchedApi);
+	const one = await reader.read('BatchJob', jobName);
+	const all = await reader.readAll('BatchJob');
+	assert.deepEqual([one.unsafeCoerce(), ...all.unsafeCoerce().resources].map(resource => shownOf(resource)), [shown, shown]);
+});
--- a/src/ctl/resource-watcher.ts
+++ b/src/ctl/resource-watcher.ts
@@ -8,7 +8,9 @@
 import type {
 	ApiError, ObjectKind, WatchBatch, WatchEvent,
 } from '../common/types.js';
-import {ResourceReader, unreported, type ReadResource} from './resource-reader.js';
+import {
+	ownProgress, ResourceReader, unreported, type ReadResource,
+} from './resource-reader.js';
 import {type ResourceKind} from './resource-schemas.js';
 
 /** What has changed: a resource as it is now, or that it is gone. */
@@ -37,7 +39,10 @@
 
 const reported: Readonly<Partial<Record<ObjectKind, (resource: ReadResource, value: unknown) => ReadResource>>> = {
 	ResourceStatus: (resource, value) => ({...resource, status: {...resource.status, ...value as ResourceStatus}}),
-	JobStatus: (resource, value) => ({...resource, status: {...unreported, ...resource.status, progress: value}}),
+	JobStatus(resource, value) {
+		const progress = ownProgress(resource, value);
+		return progress === undefined ? resource : {...resource, status: {...unreported, ...resource.status, progress}};
+	},
 };
 
 /** Watches until its signal aborts. */
