An answer without a length that is reset is not whole

A caller of a plain service got the beginning of an answer as a whole one, with a length of its own, when the service answered without a length (its connection's end ends the answer) and the connection was reset in the middle: "left " instead of "left rear", 200. A call that may be repeated was not sent to another replica, one that may not was not told as unknown.

Cause: undici takes a reset for the end of such an answer, and agent and entry, which hold an answer until it is whole, then frame it anew. The front's own connections ask the socket (ReplicaConnection.wasReset); the HTTP client that agents, entries, citronctl and the load program share did not.

Evidence: service-backend.feature "The connection of an answer ends", row "nothing, its beginning, reset", was taken for whole; it is lost now, also when the reset comes at once. The other rows (a length, pieces, either with a close, an interim head) passed before and had no test. "A service sends an answer again behind the first" passed before as well and had no test.

Why it works: each connection of the HTTP client knows its socket and, at the end of an answer that tells neither length nor pieces, asks whether the socket has failed, by a write where nothing was reported. An ordinary end of such an answer still counts as its end; HTTP has no way to tell there whether something is missing.

--- a/src/io/http-client.ts
+++ b/src/io/http-client.ts
@@ -7,10 +7,11 @@
 import type {Readable} from 'node:stream';
 import type {Dispatcher} from 'undici';
 import Agent from 'undici/lib/dispatcher/agent.js';
-import Client from 'undici/lib/dispatcher/client.js';
+import Pool from 'undici/lib/dispatcher/pool.js';
 import request from 'undici/lib/api/api-request.js';
 import {Left, Right, type Either} from 'purify-ts/Either';
 import type {Disposable} from '../common/services.js';
+import {WatchedClient} from './watched-client.js';
 
 /** Why no response came. */
 export type HttpFailure = {
@@ -61,7 +62,7 @@
 };
 
 const dispatcherOptions = {
-	connect: {timeout: connectTimeoutMs},
+	connect: {timeout: connectTimeoutMs, allowHalfOpen: true},
 	keepAliveTimeout: keepAliveMs,
 	// Both are watched by our own timers: undici's tick once a second, and a stream may pause for longer than any body timeout.
 	headersTimeout: 0,
@@ -72,6 +73,11 @@
 /** Whether the signal is `AbortSignal.timeout`, and its time is over. */
 const isTimeLimit = (signal: AbortSignal | undefined): boolean => (signal?.reason as Error | undefined)?.name === 'TimeoutError';
 
+const poolOptions = {
+	...dispatcherOptions,
+	factory: (origin: string | URL, options: object) => new Pool(origin, {...options, factory: (url, clientOptions) => new WatchedClient(url, clientOptions)}),
+};
+
 const codeOf = (err: unknown) => (err as {code?: string}).code ?? '';
 
 /** Sends requests over kept connections. */
@@ -115,7 +121,7 @@
 		};
 
 		req.signal?.addEventListener('abort', forward, {once: true});
-		const dispatcher = req.fresh ? new Client(`http://${req.address}`, dispatcherOptions) : this.#poolFor(req.address);
+		const dispatcher = req.fresh ? new WatchedClient(`http://${req.address}`, dispatcherOptions) : this.#poolFor(req.address);
 		try {
 			const res = await request.call(dispatcher, {
 				origin: `http://${req.address}`,
@@ -166,7 +172,7 @@
 			return known;
 		}
 
-		const pool = new Agent(dispatcherOptions);
+		const pool = new Agent(poolOptions);
 		this.#pools.set(address, pool);
 		return pool;
 	}
--- a/src/io/undici-parts.d.ts
+++ b/src/io/undici-parts.d.ts
@@ -9,6 +9,21 @@
 	export {Client as default} from 'undici';
 }
 
+declare module 'undici/lib/dispatcher/pool.js' {
+	export {Pool as default} from 'undici';
+}
+
+declare module 'undici/lib/handler/wrap-handler.js' {
+	import type {Dispatcher} from 'undici';
+
+	const WrapHandler: {
+		/** Makes a handler with the library's earlier set of functions one with the present set. */
+		wrap(handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler;
+	};
+
+	export default WrapHandler;
+}
+
 declare module 'undici/lib/api/api-request.js' {
 	import type {Dispatcher} from 'undici';
 
--- /dev/null
+++ b/src/io/watched-client.ts
@@ -0,0 +1,125 @@
+/**
+Undici's connection to one address, but for the end of an answer that tells neither its length nor its pieces: only the way in which the connection ended says whether such an answer is whole, and undici takes a reset for an end.
+*/
+import type {Socket} from 'node:net';
+import type {Dispatcher} from 'undici';
+import buildConnector from 'undici/lib/core/connect.js';
+import Client from 'undici/lib/dispatcher/client.js';
+import WrapHandler from 'undici/lib/handler/wrap-handler.js';
+
+type Options = ConstructorParameters<typeof Client>[1];
+
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
+/** Means nothing after an answer, and the connection carries no further request. */
+const harmlessBytes = '\r\n';
+
+/** The connection's socket, and whether it has failed. */
+class SocketWatch {
+	#socket: Socket | undefined;
+	#hasFailed = false;
+
+	follow(socket: Socket | null) {
+		this.#socket = socket ?? undefined;
+		this.#hasFailed = false;
+		socket?.once('error', () => {
+			this.#hasFailed = true;
+		});
+	}
+
+	/** To be asked before anything else happens to the socket. A reset that arrives together with the last bytes is not reported as one; a write tells: on a connection that was reset it fails at once. */
+	async wasReset(): Promise<boolean> {
+		const socket = this.#socket;
+		if (!socket || this.#hasFailed) {
+			return true;
+		}
+
+		return new Promise(resolve => {
+			socket.write(harmlessBytes, err => {
+				resolve(Boolean(err) || this.#hasFailed);
+			});
+		});
+	}
+}
+
+type Handler = Required<Dispatcher.DispatchHandler>;
+
+/** Passes an answer on, and its end where it was one. */
+class EndJudge implements Dispatcher.DispatchHandler {
+	readonly #next: Dispatcher.DispatchHandler;
+	readonly #method: string;
+	readonly #watch: SocketWatch;
+	#isFramed = true;
+
+	constructor(next: Dispatcher.DispatchHandler, method: string, watch: SocketWatch) {
+		this.#next = WrapHandler.wrap(next);
+		this.#method = method;
+		this.#watch = watch;
+	}
+
+	onRequestStart(...args: Parameters<Handler['onRequestStart']>): void {
+		this.#next.onRequestStart?.(...args);
+	}
+
+	onRequestUpgrade(...args: Parameters<Handler['onRequestUpgrade']>): void {
+		this.#next.onRequestUpgrade?.(...args);
+	}
+
+	// Comes once more for each interim head before the answer's own.
+	onResponseStart(...args: Parameters<Handler['onResponseStart']>): void {
+		const [, status, headers] = args;
+		this.#isFramed = this.#method === 'HEAD' || bodilessStatuses.has(status)
+			|| headers['content-length'] !== undefined || String(headers['transfer-encoding'] ?? '').includes('chunked');
+		this.#next.onResponseStart?.(...args);
+	}
+
+	onResponseData(...args: Parameters<Handler['onResponseData']>): void {
+		this.#next.onResponseData?.(...args);
+	}
+
+	onResponseEnd(...args: Parameters<Handler['onResponseEnd']>): void {
+		if (this.#isFramed) {
+			this.#next.onResponseEnd?.(...args);
+			return;
+		}
+
+		void this.#endUnframed(args);
+	}
+
+	onResponseError(...args: Parameters<Handler['onResponseError']>): void {
+		this.#next.onResponseError?.(...args);
+	}
+
+	async #endUnframed(args: Parameters<Handler['onResponseEnd']>) {
+		if (await this.#watch.wasReset()) {
+			this.#next.onResponseError?.(args[0], new Error('reset within an answer without a length'));
+		} else {
+			this.#next.onResponseEnd?.(...args);
+		}
+	}
+}
+
+/** Carries one request at a time. */
+export class WatchedClient extends Client {
+	readonly #watch: SocketWatch;
+
+	/** @param options - Undici's; a socket has to stay writable after the other end has closed (`allowHalfOpen`), so that it can be asked whether it was reset. */
+	constructor(url: string | URL, {connect, ...options}: NonNullable<Options> = {}) {
+		const watch = new SocketWatch();
+		const connector = typeof connect === 'function' ? connect : buildConnector(connect);
+		super(url, {
+			...options,
+			connect(target, callback) {
+				connector(target, (...outcome) => {
+					watch.follow(outcome[1]);
+					callback(...outcome);
+				});
+			},
+		});
+		this.#watch = watch;
+	}
+
+	override dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
+		return super.dispatch(options, new EndJudge(handler, options.method, this.#watch));
+	}
+}
