Only the objects of the job that has ended are removed

A client whose job was accepted lost it, with the results it had by then: an earlier job with the same id was being removed, an operator deleted that one's resource meanwhile, and the client sent the job again under its key. The removal went on by id and took the new job's results and the new job with it.

Cause: whether the job is still the one that has ended was asked once, and then everything under its id was removed, whatever it had become.

Why it works: the results are listed before the job is looked at, so none of them is of a job that comes later; these, the job and the status are then removed as they were seen, each on condition of its version.

--- a/src/entry/job-retention.feature
+++ b/src/entry/job-retention.feature
@@ -22,3 +22,10 @@
     And another job is sent under the key of the first, whose old status still stands
     When the shard is swept with a retention of 30 days
     Then the job that was sent is still there
+
+  Scenario: A job sent anew while the earlier one's objects are being removed
+    # Guards against a job that is accepted, and its results, removed as those of the earlier job with the same id.
+    Given a job that ended 40 days ago, one that ended 2 days ago, and one that runs, with 3 results each
+    When the shard is swept with a retention of 30 days, and the first job is deleted and sent again, with 2 results, after 2 removals
+    Then the job that was sent is still there, with its 2 results
+    And it is still there, with its 2 results, after another sweep
--- a/src/entry/job-retention.steps.ts
+++ b/src/entry/job-retention.steps.ts
@@ -4,6 +4,7 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
 import type {JobState} from '../common/batch-types.js';
+import type {Clock} from '../common/services.js';
 import {FakeObjectApi} from '../common/testing/fake-object-api.js';
 import type {TestWorld} from '../common/testing/test-world.js';
 import {SystemClock} from '../io/system-clock.js';
@@ -23,8 +24,25 @@
 	await api.create('ResultPart', `${name}/1/w/0`, {});
 };
 
-const sweep = async (world: RetentionWorld, days: number) => new JobRetention({
-	api: world.api, clock: new SystemClock(), log: {emit: () => undefined}, retentionMs: days * secondsPerDay * msPerSecond, removalPauseMs: 0,
+const jobOf = (createdTime: string) => ({
+	metadata: {name: names.old},
+	spec: {
+		account: 'pit', jobKey: 'k', inputFileId: 'file-1', endpoint: '/v1/completions', dueTime: '2026-03-02T00:00:00.000Z', createdTime,
+	},
+});
+
+const earlier = '2026-01-01T00:00:00.000Z';
+const later = '2026-03-01T00:00:00.000Z';
+
+/** Makes the first job one that tells when it was created, in its status as well. */
+const dateFirst = async ({api}: RetentionWorld) => {
+	const status = api.all<object>('JobStatus').find(({name}) => name === names.old);
+	await api.update('JobStatus', names.old, {...status!.value, jobCreatedTime: earlier}, status!.version);
+	await api.remove('BatchJob', names.old);
+};
+
+const sweep = async (world: RetentionWorld, days: number, clock: Clock = new SystemClock()) => new JobRetention({
+	api: world.api, clock, log: {emit: () => undefined}, retentionMs: days * secondsPerDay * msPerSecond, removalPauseMs: 0,
 }).sweep('a', () => true);
 
 Given('a job that ended {int} days ago, one that ended {int} days ago, and one that runs, with 3 results each', async function (this: RetentionWorld, first: number, second: number) {
@@ -39,15 +57,8 @@
 });
 
 Given('another job is sent under the key of the first, whose old status still stands', async function (this: RetentionWorld) {
-	const status = this.api.all<object>('JobStatus').find(({name}) => name === names.old);
-	await this.api.update('JobStatus', names.old, {...status!.value, jobCreatedTime: '2026-01-01T00:00:00.000Z'}, status!.version);
-	await this.api.remove('BatchJob', names.old);
-	await this.api.create('BatchJob', names.old, {
-		metadata: {name: names.old},
-		spec: {
-			account: 'pit', jobKey: 'k', inputFileId: 'file-1', endpoint: '/v1/completions', dueTime: '2026-03-02T00:00:00.000Z', createdTime: '2026-03-01T00:00:00.000Z',
-		},
-	});
+	await dateFirst(this);
+	await this.api.create('BatchJob', names.old, jobOf(later));
 });
 
 Then('the job that was sent is still there', function (this: RetentionWorld) {
@@ -71,3 +82,37 @@
 	assert.equal(left.filter(name => name.startsWith(names.recent)).length, 6);
 	assert.equal(left.filter(name => name.startsWith(names.running)).length, 6);
 });
+
+When('the shard is swept with a retention of {int} days, and the first job is deleted and sent again, with {int} results, after {int} removals', async function (this: RetentionWorld, days: number, results: number, removals: number) {
+	await dateFirst(this);
+	await this.api.create('BatchJob', names.old, jobOf(earlier));
+	const clock = new SystemClock();
+	let removed = 0;
+	await sweep(this, days, {
+		now: () => clock.now(),
+		wall: () => clock.wall(),
+		sleep: async () => {
+			removed += 1;
+			if (removed === removals) {
+				await this.api.remove('BatchJob', names.old);
+				await this.api.create('BatchJob', names.old, jobOf(later));
+				await Promise.all(Array.from({length: results}, async (_, chunk) => this.api.create('Result', `${names.old}/again/${chunk}`, {})));
+			}
+		},
+	});
+	assert.ok(removed >= removals);
+});
+
+const assertThere = ({api}: RetentionWorld, results: number) => {
+	assert.ok(api.all('BatchJob').some(({name}) => name === names.old), 'the job is gone');
+	assert.equal(api.all('Result').filter(({name}) => name.startsWith(`${names.old}/again/`)).length, results);
+};
+
+Then('the job that was sent is still there, with its {int} results', function (this: RetentionWorld, results: number) {
+	assertThere(this, results);
+});
+
+Then('it is still there, with its {int} results, after another sweep', async function (this: RetentionWorld, results: number) {
+	await sweep(this, 30);
+	assertThere(this, results);
+});
--- a/src/entry/job-retention.ts
+++ b/src/entry/job-retention.ts
@@ -1,7 +1,7 @@
 /**
 Removes the objects of jobs that ended long ago: results, parts of results, then the job and last its status. The holder of the jobs' shard does it, slowly, so that removals stay a small part of the object API's rate.
 
-The order matters. A sweep that is broken off goes on from the status, which is removed last. A job that a client submits again after its old resource is gone is a new one: the old status names the time its job was created, and is passed over.
+The order matters. A sweep that is broken off goes on from the status, which is removed last. A job that a client submits again after its old resource is gone is a new one: the old status names the time its job was created, and is passed over. One that is submitted while the removal goes on has the same id: only what was there before the job was looked at is removed, and only as it was then.
 */
 import type {BatchJob} from '../../typings/resources.js';
 import {endedStates, speaksOf, type JobStatus} from '../common/batch-types.js';
@@ -67,17 +67,16 @@
 		return endedStates.has(state) && endedAt !== undefined && this.#parts.clock.wall() - (endedAt * 1000) >= this.#parts.retentionMs;
 	}
 
-	async #removeJob({name, value}: StoredObject<JobStatus>, mayGoOn: () => boolean): Promise<boolean> {
-		const jobId = branded<JobId>(name);
-		// The job may have been cleaned away and submitted anew under its key, with this status still that of the old one. What was accepted must not be removed.
-		if (!await this.#isStillThis(jobId, value)) {
+	async #removeJob(status: StoredObject<JobStatus>, mayGoOn: () => boolean): Promise<boolean> {
+		const jobId = branded<JobId>(status.name);
+		// Listed before the job is looked at: what is there by then is not of a job that is sent later, while the removal goes on.
+		const results = await this.#listAll(['ResultPart', 'Result'], `${jobId}/`);
+		const job = results && await this.#jobOf(jobId, status.value);
+		if (!job) {
 			return false;
 		}
 
-		const isGone = await this.#removeAll('ResultPart', `${jobId}/`, mayGoOn)
-			&& await this.#removeAll('Result', `${jobId}/`, mayGoOn)
-			&& await this.#remove('BatchJob', jobId, mayGoOn)
-			&& await this.#remove('JobStatus', jobId, mayGoOn);
+		const isGone = await this.#removeAll([...results, ...job, status], mayGoOn);
 		if (isGone) {
 			this.#parts.log.emit(batchEvents.jobRemoved, {jobId});
 		}
@@ -85,40 +84,55 @@
 		return isGone;
 	}
 
-	async #isStillThis(jobId: JobId, status: JobStatus): Promise<boolean> {
+	/** The job that the status speaks of, none where it is gone; undefined when it must not be removed. It may have been cleaned away and submitted anew under its key, with this status still that of the old one. */
+	async #jobOf(jobId: JobId, status: JobStatus): Promise<readonly StoredObject[] | undefined> {
 		const read = await this.#parts.api.get<BatchJob>('BatchJob', jobId);
 		return read.caseOf({
-			Left: err => err.kind === 'notFound',
-			Right: ({value}) => resourceFault('BatchJob', jobId, value) !== undefined || speaksOf(status, value.spec),
+			Left: err => err.kind === 'notFound' ? [] : undefined,
+			Right: job => resourceFault('BatchJob', jobId, job.value) !== undefined || speaksOf(status, job.value.spec) ? [job] : undefined,
 		});
 	}
 
-	async #removeAll(kind: ObjectKind, prefix: string, mayGoOn: () => boolean): Promise<boolean> {
-		for (;;) {
-			const read = await this.#parts.api.list(kind, {prefix, values: false, limit: pageSize});
-			if (read.isLeft()) {
-				return false;
-			}
-
-			const {items, more} = read.extract() as ObjectPage;
-			for (const {name} of items) {
-				if (!await this.#remove(kind, name, mayGoOn)) {
-					return false;
+	async #listAll(kinds: readonly ObjectKind[], prefix: string): Promise<StoredObject[] | undefined> {
+		const found: StoredObject[] = [];
+		for (const kind of kinds) {
+			let after: string | undefined;
+			let more = true;
+			while (more) {
+				const read = await this.#parts.api.list(kind, {
+					prefix, values: false, limit: pageSize, after,
+				});
+				if (read.isLeft()) {
+					return undefined;
 				}
+
+				const page = read.extract() as ObjectPage;
+				found.push(...page.items);
+				after = page.items.at(-1)?.name;
+				more = page.more;
 			}
+		}
+
+		return found;
+	}
 
-			if (!more) {
-				return true;
+	async #removeAll(objects: readonly StoredObject[], mayGoOn: () => boolean): Promise<boolean> {
+		for (const object of objects) {
+			if (!await this.#remove(object, mayGoOn)) {
+				return false;
 			}
 		}
+
+		return true;
 	}
 
-	async #remove(kind: ObjectKind, name: string, mayGoOn: () => boolean): Promise<boolean> {
+	// An object that was changed since, or made anew, is not the one that was looked at.
+	async #remove({kind, name, version}: StoredObject, mayGoOn: () => boolean): Promise<boolean> {
 		if (!mayGoOn()) {
 			return false;
 		}
 
-		const removed = await this.#parts.api.remove(kind, name);
+		const removed = await this.#parts.api.remove(kind, name, version);
 		await this.#parts.clock.sleep(this.#parts.removalPauseMs);
 		return removed.isRight() || (removed.extract() as ApiError).kind === 'notFound';
 	}
