--- a/src/gateway/replica-connections.ts
+++ b/src/gateway/replica-connections.ts
@@ -1,11 +1,11 @@
 /**
 Kept connections to one replica, one request at a time on each. They are kept here and not in a pool of the HTTP library, because what becomes of a request depends on its connection: whether it is new, whether its neighbours went silent, and whether its socket failed while an answer without a length was under way.
 */
-import type {Socket} from 'node:net';
 import buildConnector from 'undici/lib/core/connect.js';
 import Client from 'undici/lib/dispatcher/client.js';
 import type {Dispatcher} from 'undici';
 import type {Disposable} from '../common/services.js';
+import {SocketWatch} from '../io/socket-watch.js';
 
 /** An idle connection is closed after this long where the replica announces no time of its own, in milliseconds; below the 5 s that Node's and most other servers keep one. */
 const idleMs = 4000;
@@ -19,17 +19,13 @@
 /** A socket stays writable after the replica's end of the connection, so that it can be asked whether it was reset. */
 const connect = buildConnector({timeout: connectLimitMs, allowH2: false, allowHalfOpen: true});
 
-/** Means nothing after an answer, and the connection carries no further request. */
-const harmlessBytes = '\r\n';
-
 /** One connection, or the attempt to make it. It carries one request at a time. */
 export class ReplicaConnection implements Disposable {
 	readonly #client: Client;
 	readonly #siblings: ReplicaConnections;
+	readonly #socketWatch = new SocketWatch();
 	#isOver = false;
 	#isNew = true;
-	#hasSocketFailed = false;
-	#socket: Socket | undefined;
 
 	/**
 	@param address - `ip:port`.
@@ -40,7 +36,7 @@
 		this.#client = new Client(`http://${address}`, {
 			connect: (options, callback) => {
 				connect(options, (...outcome) => {
-					this.#watch(outcome[1]);
+					this.#socketWatch.follow(outcome[1]);
 					callback(...outcome);
 				});
 			},
@@ -65,22 +61,9 @@
 		return this.#isNew;
 	}
 
-	/**
-	Whether the replica reset the connection rather than ended it; to be asked at the end of an answer without a length, before anything else happens to the socket.
-
-	Undici takes an answer without a length for complete when its connection is reset, and a reset that arrives together with the last bytes is not even reported as one: Node reads the bytes, sees that the other side is gone, and tells an ordinary end without looking at the socket's error. The caller would get half of an answer as a whole one. A write settles it: on a connection that was reset it fails at once, on one that was closed it succeeds.
-	*/
+	/** Whether the replica reset the connection rather than ended it; to be asked at the end of an answer without a length, before anything else happens to the socket. */
 	async wasReset(): Promise<boolean> {
-		const socket = this.#socket;
-		if (!socket || this.#hasSocketFailed) {
-			return true;
-		}
-
-		return new Promise(resolve => {
-			socket.write(harmlessBytes, err => {
-				resolve(Boolean(err) || this.#hasSocketFailed);
-			});
-		});
+		return this.#socketWatch.wasReset();
 	}
 
 	dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
@@ -108,13 +91,6 @@
 		this.#isOver = true;
 		void this.#client.destroy().catch(() => undefined);
 	}
-
-	#watch(socket: Socket | null) {
-		this.#socket = socket ?? undefined;
-		socket?.once('error', () => {
-			this.#hasSocketFailed = true;
-		});
-	}
 }
 
 /** The connections to one replica. */
--- a/src/io/watched-client.ts
+++ b/src/io/watched-client.ts
@@ -1,47 +1,16 @@
 /**
 Undici's connection to one address, but for the end of an answer that tells neither its length nor its pieces: only the way in which the connection ended says whether such an answer is whole, and undici takes a reset for an end.
 */
-import type {Socket} from 'node:net';
 import type {Dispatcher} from 'undici';
 import buildConnector from 'undici/lib/core/connect.js';
 import Client from 'undici/lib/dispatcher/client.js';
 import WrapHandler from 'undici/lib/handler/wrap-handler.js';
+import {SocketWatch} from './socket-watch.js';
 
 type Options = ConstructorParameters<typeof Client>[1];
 
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
-/** Means nothing after an answer, and the connection carries no further request. */
-const harmlessBytes = '\r\n';
-
-/** The connection's socket, and whether it has failed. */
-class SocketWatch {
-	#socket: Socket | undefined;
-	#hasFailed = false;
-
-	follow(socket: Socket | null) {
-		this.#socket = socket ?? undefined;
-		this.#hasFailed = false;
-		socket?.once('error', () => {
-			this.#hasFailed = true;
-		});
-	}
-
-	/** To be asked before anything else happens to the socket. A reset that arrives together with the last bytes is not reported as one; a write tells: on a connection that was reset it fails at once. */
-	async wasReset(): Promise<boolean> {
-		const socket = this.#socket;
-		if (!socket || this.#hasFailed) {
-			return true;
-		}
-
-		return new Promise(resolve => {
-			socket.write(harmlessBytes, err => {
-				resolve(Boolean(err) || this.#hasFailed);
-			});
-		});
-	}
-}
-
 type Handler = Required<Dispatcher.DispatchHandler>;
 
 /** Passes an answer on, and its end where it was one. */
