A later run of a stream must show by a number where it goes on

What callers saw: a stream with numbers broke off after two events, its later run answered with events that have no numbers, and the caller got the first events twice, in one whole answer.

Cause: without numbers nothing is out of order, so a later run that began anew passed the framer. Only a stream that breaks after events without numbers was cut so far, not one that is gone on with by such events.

Evidence: front-calls.feature, A later run whose events have no numbers does not finish a stream, fails on the code before (events 1 and 2 twice, 200, whole).

Why it works: what a later run brings before its first number is held back with the part of an event, and passed on with the first numbered event once that is the one that is due. A run that never shows a number leaves it held back, and so does not make the answer whole. Keep-alives before the first event of a later run wait for that event; a first run is passed on as before.

--- a/src/gateway/caller-answer.ts
+++ b/src/gateway/caller-answer.ts
@@ -104,6 +104,7 @@
 	begin(head: AnswerHead): void {
 		this.#held = [];
 		if (this.hasBegun) {
+			this.#framer.beginLaterRun();
 			this.#passing = this.#isResumable && isEventStream(head) ? 'events' : 'none';
 			return;
 		}
--- a/src/gateway/event-framer.ts
+++ b/src/gateway/event-framer.ts
@@ -18,6 +18,8 @@
 
 const idPattern = /^id: ?(?<id>\d+)$/gmv;
 
+const numberPattern = /^id: ?\d+$/mv;
+
 const dataPattern = /^data/mv;
 
 const empty: Buffer = Buffer.alloc(0);
@@ -30,13 +32,17 @@
 
 /** Follows one stream over all its runs. */
 export class EventFramer {
+	readonly #firstId: number;
 	#rest: Buffer = empty;
 	#lastId: number;
 	#isInOrder = true;
 	#isNumbered = true;
+	/** Whether it is known that the run under way goes on where the caller stopped. */
+	#isPlaced = true;
 
 	/** @param lastId - The last event that the caller has already. */
 	constructor(lastId: number) {
+		this.#firstId = lastId;
 		this.#lastId = lastId;
 	}
 
@@ -60,10 +66,16 @@
 		return this.#rest.length > 0;
 	}
 
+	/** Another run goes on. Only its first number shows where, so what comes before that is held back. */
+	beginLaterRun(): void {
+		this.#rest = empty;
+		this.#isPlaced = this.#lastId === this.#firstId;
+	}
+
 	/** @returns The bytes up to the end of the last whole event; may be empty. */
 	feed(bytes: Buffer): Buffer {
 		const all = this.#rest.length > 0 ? Buffer.concat([this.#rest, bytes]) : bytes;
-		const whole = all.subarray(0, endOfEvents(all));
+		const whole = this.#placed(all.subarray(0, endOfEvents(all)));
 		this.#rest = all.subarray(whole.length);
 		this.#isInOrder &&= this.#follow(whole);
 		return this.#isInOrder ? whole : empty;
@@ -74,6 +86,11 @@
 		this.#rest = empty;
 	}
 
+	#placed(whole: Buffer): Buffer {
+		this.#isPlaced ||= numberPattern.test(whole.toString('latin1'));
+		return this.#isPlaced ? whole : empty;
+	}
+
 	#follow(whole: Buffer): boolean {
 		const text = whole.toString('latin1');
 		const ids = [...text.matchAll(idPattern)].map(({groups}) => Number(groups?.id));
