A caller's position that is no number reaches the replica on resumable routes too

What callers saw: on a route whose streams may be resumed, a caller that came back after an event with a name got the stream from its first event on.

Cause: the position of a call was taken from what its caller has got in this answer wherever a stream can be resumed, which is event 0 before the first one; 0 took the place of the caller's header and was then left out.

Evidence: front-calls.feature, A position that is no number reaches the replica as the caller sent it (/alert/1) and ... is kept when the call is sent on; both fail on the code before, where the replica gets no position.

Why it works: what this answer has brought counts only once it has brought a numbered event; until then each run is asked as the caller asked.

--- a/src/gateway/online-call.ts
+++ b/src/gateway/online-call.ts
@@ -227,7 +227,8 @@
 			id: fields.requestId, route: route.name, replica: replica.record.id, online: replica.allOnline, batch: replica.allBatch, attempt: this.#offers, resumeAfter: this.#answer.lastEventId, ...registrationAge(this.#parts, replica),
 		});
 		this.#runHead = undefined;
-		this.#resumeAfter = this.#answer.lastEventId ?? fields.lastEventId;
+		const {lastEventId = 0} = this.#answer;
+		this.#resumeAfter = lastEventId > 0 ? lastEventId : fields.lastEventId;
 		this.#sentAt = clock.now();
 		this.#hasFoundPlace = replica.total < replica.record.slots;
 		this.#giveBackPlace = loads.take(replica, 'online');
