Blank lines and comments at a stream's end are no part of an event

Why it works: an event consists of fields; only a line that is neither blank nor a comment, or the beginning of one, is part of an event that is not whole. What came behind the last event is passed on with the end, so that streams are still passed on byte for byte.

--- a/src/gateway/batch/item-run.ts
+++ b/src/gateway/batch/item-run.ts
@@ -169,6 +169,6 @@
 	/** Only a length, or the mark of the last chunk, tells that a text is whole; a text without either may have been cut anywhere. */
 	get #isWholeText(): boolean {
 		const isInOrder = this.#framer.isInOrder && !this.#hasStrayEvent;
-		return isInOrder && !this.#framer.hasRest && this.#head?.isFramed === true;
+		return isInOrder && !this.#framer.hasPartOfEvent && this.#head?.isFramed === true;
 	}
 }
--- a/src/gateway/caller-answer.ts
+++ b/src/gateway/caller-answer.ts
@@ -96,7 +96,7 @@
 
 	/** Whether the run that has ended in order makes the caller's answer whole. It does not if it ended within an event, or if the caller has part of a stream and the run answered something else. */
 	get isWhole(): boolean {
-		const isWithinEvent = (this.#passing === 'events' || this.#passing === 'stream') && this.#framer.hasRest;
+		const isWithinEvent = (this.#passing === 'events' || this.#passing === 'stream') && this.#framer.hasPartOfEvent;
 		return this.#passing !== 'none' && !isWithinEvent;
 	}
 
@@ -133,7 +133,7 @@
 		this.#held.forEach(bytes => {
 			this.#res.write(bytes);
 		});
-		this.#res.end();
+		this.#res.end(this.#passing === 'events' ? this.#framer.rest : empty);
 	}
 
 	/** Answers without a body, by the gateway itself. */
--- a/src/gateway/event-framer.ts
+++ b/src/gateway/event-framer.ts
@@ -20,6 +20,9 @@
 
 const numberPattern = /^id: ?\d+$/mv;
 
+/** A line, or the beginning of one, that is neither blank nor a comment. */
+const fieldPattern = /^[^:\r\n]/mv;
+
 const dataPattern = /^data/mv;
 
 const empty: Buffer = Buffer.alloc(0);
@@ -61,9 +64,14 @@
 		return this.#isNumbered;
 	}
 
-	/** Whether part of an event is held back. */
-	get hasRest(): boolean {
-		return this.#rest.length > 0;
+	/** What has come after the last whole event. */
+	get rest(): Buffer {
+		return this.#rest;
+	}
+
+	/** Whether part of an event is held back. Blank lines and comments at the end of a stream are none. */
+	get hasPartOfEvent(): boolean {
+		return fieldPattern.test(this.#rest.toString('latin1'));
 	}
 
 	/** Another run goes on. Only its first number shows where, so what comes before that is held back. */
