An encoded stream is not searched for events

Cause: any 200 of the type of streams was taken for readable events. In encoded bytes there are none, so all of them passed for part of an event.

Why it works: an encoded answer is passed on as other answers are: held back where it is short and may be repeated, byte for byte otherwise, and no other run goes on behind it. An item whose answer is encoded still counts as broken, not as done with an empty text.

--- a/src/gateway/event-framer.ts
+++ b/src/gateway/event-framer.ts
@@ -8,8 +8,14 @@
 
 const eventsType = 'text/event-stream';
 
-/** Whether an answer, where a stream is due, is one; without a type it passes for one. */
-export const isEventStream = ({status, headers}: Pick<AnswerHead, 'status' | 'headers'>): boolean => status === okStatus && String(headers['content-type'] ?? eventsType).toLowerCase().startsWith(eventsType);
+const plainEncoding = 'identity';
+
+/** Whether an answer, where a stream is due, is one; without a type it passes for one. The events of an encoded answer can not be told apart. */
+export const isEventStream = ({status, headers}: Pick<AnswerHead, 'status' | 'headers'>): boolean => {
+	const type = String(headers['content-type'] ?? eventsType).toLowerCase();
+	const encoding = String(headers['content-encoding'] ?? plainEncoding).toLowerCase();
+	return status === okStatus && type.startsWith(eventsType) && encoding === plainEncoding;
+};
 
 /** Blank lines, by the line ends that servers use. */
 const boundaries = ['\n\n', '\r\n\r\n'];
