Streams whose lines end with CR are found to be whole

Cause: the framer did not know the blank line of these streams, so all of it passed for part of one event.

Why it works: the three blank lines are those of the standard, with an end of the line before of any kind. The parser of items gets LF in place of each line end, since behind a CR it waits for the next byte and keeps the last event to itself.

--- a/src/gateway/batch/item-run.ts
+++ b/src/gateway/batch/item-run.ts
@@ -42,6 +42,8 @@
 /** An engine may be full of online calls for a second or two; a run without a byte for longer than this, in milliseconds, has lost its replica or its connection. */
 const patience: AttemptPatience = {silenceMs: 2500, canGoElsewhere: true};
 
+const lineEnd = /\r\n?/gv;
+
 /** How every item is sent. */
 export const itemMethod = 'POST';
 
@@ -127,7 +129,8 @@
 
 	#onBytes(bytes: Buffer) {
 		if (this.#isStream && !this.#hasStrayEvent) {
-			this.#parser.feed(this.#framer.feed(bytes).toString());
+			// After a CR alone the parser waits for what comes next, and would never tell of the last event.
+			this.#parser.feed(this.#framer.feed(bytes).toString().replaceAll(lineEnd, '\n'));
 		}
 	}
 
--- /dev/null
+++ b/src/gateway/event-framer.steps.ts
@@ -0,0 +1,59 @@
+/**
+Steps for streams that are cut into pieces, without a network.
+*/
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {Then, When} from '@cucumber/cucumber';
+import type {TestWorld} from '../common/testing/test-world.js';
+import {EventFramer} from './event-framer.js';
+
+/** What came of one stream. */
+type FramedStream = {
+	readonly sent: string;
+	readonly passedOn: string;
+	readonly isWithinEvent: boolean;
+};
+
+type FramerWorld = TestWorld & {
+	streams: FramedStream[];
+};
+
+const fedTo = (framer: EventFramer, pieces: readonly string[]): FramedStream => {
+	const passedOn = pieces.map(piece => framer.feed(Buffer.from(piece)).toString());
+	return {sent: pieces.join(''), passedOn: passedOn.join('') + framer.rest.toString(), isWithinEvent: framer.hasPartOfEvent};
+};
+
+const lineEndOf = (lines: string): string => lines.replaceAll(String.raw`\r`, '\r').replaceAll(String.raw`\n`, '\n');
+
+const events = ['id: 1|data: one||', ': comment||id: 2|data: two|data: more||', 'id: 3|data: three||'];
+
+const streamWith = (lines: string): string => events.join('').replaceAll('|', lineEndOf(lines));
+
+const placesIn = (text: string): number[] => Array.from({length: text.length}, (_, i) => i + 1);
+
+When('a stream with line ends {string} is cut into two pieces at any place', function (this: FramerWorld, lines: string) {
+	const stream = streamWith(lines);
+	this.streams = placesIn(stream).map(at => fedTo(new EventFramer(0), [stream.slice(0, at), stream.slice(at)]));
+});
+
+When('a stream with line ends {string} stops within its last event, at any place', function (this: FramerWorld, lines: string) {
+	const [lastLength, blankLine] = [events.at(-1)!.replaceAll('|', lineEndOf(lines)).length, lineEndOf(lines).length];
+	const stream = streamWith(lines);
+	this.streams = placesIn(stream)
+		.filter(length => length > stream.length - lastLength && length <= stream.length - blankLine)
+		.map(length => fedTo(new EventFramer(0), [stream.slice(0, length)]));
+});
+
+Then('all its bytes are passed on in order each time', function (this: FramerWorld) {
+	assert.deepEqual(this.streams.map(({passedOn}) => passedOn), this.streams.map(({sent}) => sent));
+});
+
+Then('it ends between events each time', function (this: FramerWorld) {
+	assert.ok(this.streams.length > 0);
+	assert.deepEqual(this.streams.filter(({isWithinEvent}) => isWithinEvent), []);
+});
+
+Then('it ends within an event each time', function (this: FramerWorld) {
+	assert.ok(this.streams.length > 0);
+	assert.deepEqual(this.streams.filter(({isWithinEvent}) => !isWithinEvent), []);
+});
--- a/src/gateway/event-framer.ts
+++ b/src/gateway/event-framer.ts
@@ -17,10 +17,10 @@
 	return status === okStatus && type.startsWith(eventsType) && encoding === plainEncoding;
 };
 
-/** Blank lines, by the line ends that servers use. */
-const boundaries = ['\n\n', '\r\n\r\n'];
+/** Blank lines, by the line ends that servers use: the end of the line before, and their own. */
+const boundaries = ['\n\n', '\n\r\n', '\r\r'];
 
-const betweenEvents = /\n\n|\r\n\r\n/v;
+const betweenEvents = /\n\n|\n\r\n|\r\r/v;
 
 const idPattern = /^id: ?(?<id>\d+)$/gmv;
 
