A long event costs no more for each of its pieces

Cause: with each piece all that had come of the event was put together anew and searched from its beginning.

Why it works: pieces are put together once, when a blank line has come, and only the new bytes and two before them are searched for it; a blank line that is cut in two begins in these. A stream that is passed on as it comes keeps three bytes, which tell the same: event-framer.feature compares both at each place where a stream may be cut. The table of what makes an answer whole takes the place of a condition on two of the ways of passing.

--- a/src/gateway/caller-answer.ts
+++ b/src/gateway/caller-answer.ts
@@ -8,7 +8,7 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import type {AnswerHead, Attempt} from './attempt.js';
-import {EventFramer, isEventStream} from './event-framer.js';
+import {EventFramer, isEventStream, StreamEnd} from './event-framer.js';
 
 /** How a call's answer is passed on. */
 export type PassingRules = {
@@ -48,6 +48,7 @@
 	readonly #isRepeatable: boolean;
 	readonly #isStream: boolean;
 	readonly #framer: EventFramer;
+	readonly #streamEnd = new StreamEnd();
 	/** What the caller has got, or is to get unless another run begins before. */
 	#head: AnswerHead | undefined;
 	#passing: Passing = 'none';
@@ -60,13 +61,22 @@
 		},
 		events: bytes => this.#framer.feed(bytes),
 		stream: bytes => {
-			this.#framer.feed(bytes);
+			this.#streamEnd.feed(bytes);
 			return bytes;
 		},
 		bytes: bytes => bytes,
 		none: () => empty,
 	};
 
+	/** Whether an answer that has ended in order is whole. */
+	readonly #wholeness: Readonly<Record<Passing, () => boolean>> = {
+		held: () => true,
+		events: () => !this.#framer.hasPartOfEvent,
+		stream: () => !this.#streamEnd.isWithinEvent,
+		bytes: () => true,
+		none: () => false,
+	};
+
 	constructor(res: ServerResponse, {isRepeatable, isStream, lastEventId = 0}: PassingRules) {
 		this.#res = res;
 		this.#isRepeatable = isRepeatable;
@@ -96,8 +106,7 @@
 
 	/** Whether the run that has ended in order makes the caller's answer whole. It does not if it ended within an event, or if the caller has part of a stream and the run answered something else. */
 	get isWhole(): boolean {
-		const isWithinEvent = (this.#passing === 'events' || this.#passing === 'stream') && this.#framer.hasPartOfEvent;
-		return this.#passing !== 'none' && !isWithinEvent;
+		return this.#wholeness[this.#passing]();
 	}
 
 	/** Takes the head of a run's answer. Of a later run of a stream the caller keeps the head of the first. */
--- a/src/gateway/event-framer.feature
+++ b/src/gateway/event-framer.feature
@@ -24,3 +24,13 @@
       | "\n"   |
       | "\r\n" |
       | "\r"   |
+
+  Scenario Outline: A long event that is <passing> costs no more for each of its pieces
+    # Guards against one event of many pieces holding up all other calls of the process: the work grew with its square.
+    When an event of 32 MB comes in pieces of 64 kB and is <passing>
+    Then that has taken less than 2000 ms of processor time
+
+    Examples:
+      | passing  |
+      | held     |
+      | followed |
--- a/src/gateway/event-framer.steps.ts
+++ b/src/gateway/event-framer.steps.ts
@@ -3,9 +3,10 @@
 */
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
+import process from 'node:process';
 import {Then, When} from '@cucumber/cucumber';
 import type {TestWorld} from '../common/testing/test-world.js';
-import {EventFramer} from './event-framer.js';
+import {EventFramer, StreamEnd} from './event-framer.js';
 
 /** What came of one stream. */
 type FramedStream = {
@@ -16,10 +17,16 @@
 
 type FramerWorld = TestWorld & {
 	streams: FramedStream[];
+	spentMs: number;
 };
 
 const fedTo = (framer: EventFramer, pieces: readonly string[]): FramedStream => {
 	const passedOn = pieces.map(piece => framer.feed(Buffer.from(piece)).toString());
+	const end = new StreamEnd();
+	pieces.forEach(piece => {
+		end.feed(Buffer.from(piece));
+	});
+	assert.equal(end.isWithinEvent, framer.hasPartOfEvent, JSON.stringify(pieces));
 	return {sent: pieces.join(''), passedOn: passedOn.join('') + framer.rest.toString(), isWithinEvent: framer.hasPartOfEvent};
 };
 
@@ -57,3 +64,18 @@
 	assert.ok(this.streams.length > 0);
 	assert.deepEqual(this.streams.filter(({isWithinEvent}) => !isWithinEvent), []);
 });
+
+When('an event of {int} MB comes in pieces of {int} kB and is {word}', function (this: FramerWorld, megabytes: number, kilobytes: number, passing: 'held' | 'followed') {
+	const piece = Buffer.alloc(kilobytes * 1024, 'a');
+	const taker = passing === 'held' ? new EventFramer(0) : new StreamEnd();
+	const before = process.cpuUsage();
+	Array.from({length: megabytes * 1024 / kilobytes}).forEach(() => {
+		taker.feed(piece);
+	});
+	const {user, system} = process.cpuUsage(before);
+	this.spentMs = (user + system) / 1000;
+});
+
+Then('that has taken less than {int} ms of processor time', function (this: FramerWorld, mostMs: number) {
+	assert.ok(this.spentMs < mostMs, `${this.spentMs} ms`);
+});
--- a/src/gateway/event-framer.ts
+++ b/src/gateway/event-framer.ts
@@ -34,15 +34,45 @@
 const empty: Buffer = Buffer.alloc(0);
 
 /** Where the last whole event ends; 0 if none does. */
-const endOfEvents = (bytes: Buffer): number => Math.max(...boundaries.map(boundary => {
+const endOfEvents = (bytes: Buffer | string): number => Math.max(...boundaries.map(boundary => {
 	const at = bytes.lastIndexOf(boundary);
 	return at === -1 ? 0 : at + boundary.length;
 }));
 
+/** A blank line and the end of the line before have this many bytes at most, so one that is cut in two begins among as many but one. */
+const seamLength = 2;
+
+/** The last bytes of two pieces, as far as a blank line may have begun there. */
+const seamOf = (before: Buffer, bytes: Buffer): Buffer => bytes.length < seamLength ? Buffer.concat([before, bytes]).subarray(-seamLength) : bytes.subarray(-seamLength);
+
+/** Follows a stream that is passed on as it comes, and keeps a few bytes of it. */
+export class StreamEnd {
+	/** What has come after the last whole event, shortened to what tells how it goes on. */
+	#rest = '';
+
+	/** Whether the stream so far ends within an event. */
+	get isWithinEvent(): boolean {
+		return fieldPattern.test(this.#rest);
+	}
+
+	/** Takes the next bytes. */
+	feed(bytes: Buffer): void {
+		const all = this.#rest + bytes.toString('latin1');
+		const rest = all.slice(endOfEvents(all));
+		this.#rest = rest.length > seamLength ? shortened(rest) : rest;
+	}
+}
+
+/** The first character of a field or a comment, and the line ends after it. */
+const shortened = (rest: string): string => (fieldPattern.test(rest) ? 'd' : ':') + rest.slice(-seamLength).replace(/^[\s\S]*[^\r\n]/v, '');
+
 /** Follows one stream over all its runs. */
 export class EventFramer {
 	readonly #firstId: number;
-	#rest: Buffer = empty;
+	/** What has come after the last whole event, in its pieces: put together with each of them, an event of many would cost the square of its length. */
+	#rest: Buffer[] = [];
+	/** The last bytes of that, as far as a blank line may have begun there. */
+	#seam: Buffer = empty;
 	#lastId: number;
 	#isInOrder = true;
 	#isNumbered = true;
@@ -72,32 +102,44 @@
 
 	/** What has come after the last whole event. */
 	get rest(): Buffer {
-		return this.#rest;
+		return Buffer.concat(this.#rest);
 	}
 
 	/** Whether part of an event is held back. Blank lines and comments at the end of a stream are none. */
 	get hasPartOfEvent(): boolean {
-		return fieldPattern.test(this.#rest.toString('latin1'));
+		return fieldPattern.test(this.rest.toString('latin1'));
 	}
 
 	/** Another run goes on. Only its first number shows where, so what comes before that is held back. */
 	beginLaterRun(): void {
-		this.#rest = empty;
+		this.dropRest();
 		this.#isPlaced = this.#lastId === this.#firstId;
 	}
 
 	/** @returns The bytes up to the end of the last whole event; may be empty. */
 	feed(bytes: Buffer): Buffer {
-		const all = this.#rest.length > 0 ? Buffer.concat([this.#rest, bytes]) : bytes;
+		this.#rest.push(bytes);
+		const isBoundary = endOfEvents(this.#seam.length > 0 ? Buffer.concat([this.#seam, bytes]) : bytes) > 0;
+		this.#seam = seamOf(this.#seam, bytes);
+		if (!isBoundary) {
+			return empty;
+		}
+
+		const all = this.#rest.length > 1 ? this.rest : bytes;
 		const whole = this.#placed(all.subarray(0, endOfEvents(all)));
-		this.#rest = all.subarray(whole.length);
+		this.#keepRest(all.subarray(whole.length));
 		this.#isInOrder &&= this.#follow(whole);
 		return this.#isInOrder ? whole : empty;
 	}
 
 	/** Forgets part of an event: its run has ended, and the next begins with the event anew. */
 	dropRest(): void {
-		this.#rest = empty;
+		this.#keepRest(empty);
+	}
+
+	#keepRest(rest: Buffer) {
+		this.#rest = rest.length > 0 ? [rest] : [];
+		this.#seam = rest.subarray(-seamLength);
 	}
 
 	#placed(whole: Buffer): Buffer {
