--- a/src/gateway/batch/job-run.feature
+++ b/src/gateway/batch/job-run.feature
@@ -18,6 +18,12 @@
     When 40 events of item "a" are handed over by another run
     Then item "a" waits with 40 events of another run
 
+  Scenario: The longest of the texts that stand in the object API is gone on from
+    # Guards against a text put together from what two processes have written, and against losing the longer one.
+    Given the items are not read yet, and 10 events of item "a" and 30 of another run are stored
+    When the items are read
+    Then item "a" waits with 30 events of another run
+
   Scenario: An item that has come further here runs on
     Given item "a" runs here with 50 events
     When 40 events of item "a" are handed over
--- a/src/gateway/batch/job-run.steps.ts
+++ b/src/gateway/batch/job-run.steps.ts
@@ -31,12 +31,12 @@
 
 const eventsOf = (count: number, run = 'this run'): string[] => Array.from({length: count}, (_, i) => `event ${i + 1} of ${run}`);
 
-const begin = (world: JobRunWorld) => {
+const begin = (world: JobRunWorld, stored: ReadonlyMap<string, readonly ItemProgress[]> = new Map()) => {
 	const job = {
-		isOpen: true, isListed: () => false, handovers: [], record: {items: world.items, content: 'items'},
+		isOpen: true, isListed: () => false, handovers: [...stored.keys()], record: {items: world.items, content: 'items'},
 	} as unknown as BatchJob;
 	const writer = {has: () => false, add: () => undefined, dispose: () => undefined} as unknown as ResultWriter;
-	const contents = {read: async () => Right({type: 'items', items: world.items})} as unknown as ContentStore;
+	const contents = {read: async (type: string, name: string) => Right({type, items: type === 'items' ? world.items : stored.get(name)})} as unknown as ContentStore;
 	world.failedRuns = new FailedRuns({self: branded<MemberName>('front-1'), clock});
 	world.run = new JobRun({
 		job: () => job, writer, contents, failedRuns: world.failedRuns, clock, log: {emit: () => undefined},
@@ -62,6 +62,14 @@
 	begin(this);
 });
 
+Given('the items are not read yet, and {int} events of item {string} and {int} of another run are stored', function (this: JobRunWorld, events: number, name: string, others: number) {
+	const id = itemId(name);
+	begin(this, new Map([
+		['left by one', [{id, events: eventsOf(events), failedRuns: []}]],
+		['left by another', [{id, events: eventsOf(others, 'another run'), failedRuns: []}]],
+	]));
+});
+
 When('the items are read', async function (this: JobRunWorld) {
 	await this.run.load();
 });
