A stream that breaks off does not look whole to a caller of HTTP/1.0

What callers saw: a caller of HTTP/1.0 gets streams without chunks, so the end of its connection ends the answer. A stream that was cut ended as a whole one does.

Cause: an answer is cut by closing its connection, which is told as an ordinary end. Only chunks or a length tell the difference.

Evidence: front-calls.feature, A stream that breaks off does not look whole to a caller of HTTP/1.0: on the code before its connection is closed in order. A front that is killed still closes such connections in order: its operating system does.

Why it works: for these callers the connection is reset.

--- a/src/gateway/caller-answer.ts
+++ b/src/gateway/caller-answer.ts
@@ -151,8 +151,12 @@
 		this.#res.end();
 	}
 
-	/** Breaks the connection, so that what the caller has can not be taken for whole. */
+	/** Breaks the connection, so that what the caller has can not be taken for whole. To a caller of HTTP/1.0, which knows no chunks, an ordinary end of the connection ends an answer. */
 	cut(): void {
+		if (this.#res.req.httpVersion === '1.0') {
+			this.#res.socket?.resetAndDestroy();
+		}
+
 		this.#res.destroy();
 	}
 
