A result that is handed over stands, however the own run of its item ends

What callers could see: an item whose whole text a process that stops had handed over was listed as not done, or with another run's text, if the process that took it over had begun the item already and its run ended before the page was written.

Cause: a result that is handed over did not end the run of its item here, and the end of that run replaced the result, since the writer keeps the last one given.

Evidence: job-run.feature, A result that is handed over stands ...: on the code before the run is not cut off, and without that step the result is "errored" in place of the whole text. A result that is listed was never replaced: its page is created once.

Why it works: a result that is handed over cuts the run of its item, and the end of a run changes nothing once the writer has a result.

--- a/src/gateway/batch/job-run.feature
+++ b/src/gateway/batch/job-run.feature
@@ -29,6 +29,14 @@
     When 40 events of item "a" are handed over
     Then item "a" runs with 50 events
 
+  Scenario: A result that is handed over stands, however the own run of its item ends
+    # Guards against a whole text that is not listed yet being replaced by another run's text, or by "not done".
+    Given item "a" runs here with 2 events
+    When the result of item "a" is handed over
+    Then its run has been cut off
+    When a run of item "a" here ends as hopeless
+    Then the result of item "a" is the one that was handed over
+
   Scenario: Where an item has failed is handed over
     # A replica fails every item that it gets. Whoever does not know of it spends the item's last runs there, and the
     # item is given up for good.
--- a/src/gateway/batch/job-run.steps.ts
+++ b/src/gateway/batch/job-run.steps.ts
@@ -11,7 +11,7 @@
 	BatchItemId, BatchJobId, MemberName, ReplicaId,
 } from '../types.js';
 import type {BatchJob} from './batch-job.js';
-import type {BatchItem, ItemProgress} from './batch-records.js';
+import type {BatchItem, ItemProgress, ItemResult} from './batch-records.js';
 import type {ContentStore} from './content-store.js';
 import {FailedRuns, type FailedRunId} from './failed-runs.js';
 import type {ItemRun} from './item-run.js';
@@ -23,6 +23,9 @@
 	run: JobRun;
 	failedRuns: FailedRuns;
 	cuts: number;
+	results: Map<BatchItemId, ItemResult>;
+	/** Of items that were made to run here. */
+	states: Map<string, ItemState>;
 };
 
 const itemId = (name: string): BatchItemId => branded<BatchItemId>(name);
@@ -35,7 +38,14 @@
 	const job = {
 		isOpen: true, isListed: () => false, handovers: [...stored.keys()], record: {items: world.items, content: 'items'},
 	} as unknown as BatchJob;
-	const writer = {has: () => false, add: () => undefined, dispose: () => undefined} as unknown as ResultWriter;
+	world.results = new Map();
+	const writer = {
+		has: (id: BatchItemId) => world.results.has(id),
+		add(result: ItemResult) {
+			world.results.set(result.id, result);
+		},
+		dispose: () => undefined,
+	} as unknown as ResultWriter;
 	const contents = {read: async (type: string, name: string) => Right({type, items: type === 'items' ? world.items : stored.get(name)})} as unknown as ContentStore;
 	world.failedRuns = new FailedRuns({self: branded<MemberName>('front-1'), clock});
 	world.run = new JobRun({
@@ -76,6 +86,7 @@
 
 Given('item {string} runs here with {int} events', function (this: JobRunWorld, name: string, events: number) {
 	const state = waitingState(this, name)!;
+	this.states = new Map([[name, state]]);
 	state.events.push(...eventsOf(events));
 	state.run = {
 		dispose: () => {
@@ -99,6 +110,18 @@
 	});
 });
 
+When('the result of item {string} is handed over', function (this: JobRunWorld, name: string) {
+	this.run.receive({job: branded<BatchJobId>('j1'), items: [], results: [{id: itemId(name), state: 'completed', output: 'whole'}]});
+});
+
+When('a run of item {string} here ends as hopeless', function (this: JobRunWorld, name: string) {
+	this.run.noteEnd(this.states.get(name)!, 'hopeless', {replica: branded<ReplicaId>('r1'), route});
+});
+
+Then('the result of item {string} is the one that was handed over', function (this: JobRunWorld, name: string) {
+	assert.deepEqual(this.results.get(itemId(name)), {id: itemId(name), state: 'completed', output: 'whole'});
+});
+
 Then('its run has been cut off', function (this: JobRunWorld) {
 	assert.equal(this.cuts, 1);
 });
--- a/src/gateway/batch/job-run.ts
+++ b/src/gateway/batch/job-run.ts
@@ -111,6 +111,11 @@
 	noteEnd(state: ItemState, end: ItemRunEnd, {replica, route}: {replica: ReplicaId; route: Pick<GatewayRoute, 'maxRuns'>}): void {
 		state.run = undefined;
 		state.notBefore = this.#parts.clock.now() + (pauseMs[end] ?? 0);
+		if (this.writer.has(state.item.id)) {
+			// The former holder of the job has handed its result over.
+			return;
+		}
+
 		if (end === 'finished') {
 			this.writer.add({id: state.item.id, state: 'completed', output: state.events.join('\n')});
 			return;
@@ -165,6 +170,7 @@
 		});
 		received.flatMap(({results}) => results).filter(({id}) => this.job && this.#isUnfinished(this.job, id)).forEach(result => {
 			this.writer.add(result);
+			this.#states.get(result.id)?.run?.dispose();
 		});
 	}
 
