Replicas whose streams do not finish count as failing

What callers saw: calls began as often at a replica that stops within an event and closes its answer in order as at a sound one; each lost a run by it, and with no other replica left ended cut.

Cause: the outcome of a run was judged by its status alone. What the answer has brought was judged for the caller, not for the replica.

Why it works: a success that does not make the answer whole is noted as a failure. Other answers below 500 are not: they may be the call's own fault.

--- a/src/gateway/online-call.ts
+++ b/src/gateway/online-call.ts
@@ -124,7 +124,8 @@
 		},
 		complete: (_end, replica) => {
 			replica.noteAnswer();
-			this.#noteOutcome(replica, this.#runStatus >= 500);
+			const isSuccess = this.#runStatus < 300;
+			this.#noteOutcome(replica, this.#runStatus >= 500 || (isSuccess && !this.#answer.isWhole));
 			this.#finish(replica);
 		},
 		dropped: () => undefined,
