Log probabilities of a text completion are kept, and not gone on with

A caller of /v1/completions that asked for log probabilities got none when it had not asked for a stream, and a batch item's result had none either. A stream whose engine was lost went on at another one: the later run's lists, whose offsets count from its own beginning, were put behind the first one's.

Cause: the assembler knew log probabilities by the one name that the chat API has for them.

Evidence: answer-sink.feature, row "those of a text": "do (1)BRAKE (1)now(1)", whole, for a stream, and "do BRAKE now" without any for the others; item-run.feature, the same row: gone on with from "do BRAKE", and without any.

Why it works: whatever lists a choice's log probabilities hold are put together by their names, and an answer that holds any has no resume point.

--- a/src/agent/item-run.feature
+++ b/src/agent/item-run.feature
@@ -13,6 +13,8 @@
       | all but the end              | lost      |                       | do BRAKE now       |
       | a reasoning                  | preempted |                       | R1 R2 do BRAKE now |
       | a tool call                  | preempted |                       | book(left rear)    |
+      | log probabilities            | preempted |                       | do BRAKE now(3)    |
+      | those of a text              | preempted |                       | do BRAKE now(3)    |
       | a refusal                    | preempted |                       | I can not say      |
       | a refusal                    | lost      |                       | I can not say      |
       | one of two choices           | preempted |                       | left / right       |
--- a/src/agent/item-run.steps.ts
+++ b/src/agent/item-run.steps.ts
@@ -55,7 +55,7 @@
 /** Runs work at once, and again when it was cut. */
 const runner = {submit: runAgain, progressed: () => undefined} as unknown as WorkRunner;
 
-const textOf = ({response}: ItemResult) => (response?.body as {choices: Array<{message: Parameters<typeof saidIn>[0]}>}).choices.map(({message}) => saidIn(message)).join(' / ');
+const textOf = ({response}: ItemResult) => saidIn((response?.body as {choices: Parameters<typeof saidIn>[0]}).choices).join(' / ');
 
 const runItem = async (answer: InterruptedAnswer, failure: BackendFailure): Promise<Outcome> => {
 	const backend = new InterruptedEngine(answer, failure);
--- a/src/common/answer-assembler.ts
+++ b/src/common/answer-assembler.ts
@@ -11,7 +11,8 @@
 	delta?: Delta;
 	text?: string;
 	finish_reason?: string | null;
-	logprobs?: {content?: unknown[]} | null;
+	/** Lists, named otherwise in each of the two completion APIs. */
+	logprobs?: JsonObject | null;
 };
 
 /** A chunk as engines send it, the parts that are read here. */
@@ -39,13 +40,17 @@
 	refusal: string | undefined;
 	finishReason: string | null = null;
 	readonly toolCalls: ToolCall[] = [];
-	readonly logprobs: unknown[] = [];
-	hasLogprobs = false;
+	readonly logprobs = new Map<string, unknown>();
 	readonly others = new Map<string, unknown>();
 
 	/** True when it holds a text at the most. The resume point is text alone: an engine that gets it would send anything else, a reasoning or a refusal for instance, a second time. */
 	get isPlain(): boolean {
-		return this.toolCalls.length === 0 && this.others.size === 0 && !this.hasLogprobs && this.refusal === undefined;
+		return this.toolCalls.length === 0 && this.others.size === 0 && this.logprobs.size === 0 && this.refusal === undefined;
+	}
+
+	/** As a whole answer has them. */
+	get wholeLogprobs(): JsonObject | null {
+		return this.logprobs.size > 0 ? Object.fromEntries(this.logprobs) : null;
 	}
 
 	add(choice: ChunkChoice) {
@@ -63,10 +68,14 @@
 	}
 
 	#addLogprobs(choice: ChunkChoice) {
-		if (choice.logprobs?.content) {
-			this.hasLogprobs = true;
-			this.logprobs.push(...choice.logprobs.content);
-		}
+		Object.entries(choice.logprobs ?? {}).filter(([, value]) => value !== null).forEach(([name, value]) => {
+			const earlier = this.logprobs.get(name);
+			if (Array.isArray(earlier) && Array.isArray(value)) {
+				earlier.push(...value as unknown[]);
+			} else {
+				this.logprobs.set(name, Array.isArray(value) ? [...value as unknown[]] : earlier ?? value);
+			}
+		});
 	}
 
 	// Text comes in pieces; of anything else the last value counts.
@@ -185,14 +194,14 @@
 				...Object.fromEntries(parts.others),
 				...(parts.toolCalls.length > 0 && {tool_calls: parts.toolCalls}),
 			},
-			logprobs: parts.hasLogprobs ? {content: parts.logprobs} : null,
+			logprobs: parts.wholeLogprobs,
 			finish_reason: parts.finishReason,
 		};
 	}
 
 	#textChoice(index: number, parts: ChoiceParts): JsonObject {
 		return {
-			index, text: parts.text, logprobs: null, finish_reason: parts.finishReason,
+			index, text: parts.text, logprobs: parts.wholeLogprobs, finish_reason: parts.finishReason,
 		};
 	}
 }
--- a/src/common/testing/interrupted-answers.ts
+++ b/src/common/testing/interrupted-answers.ts
@@ -15,12 +15,17 @@
 };
 
 type Message = {content?: string | null; refusal?: string | null; reasoning_content?: string; tool_calls?: Array<{function: {name: string; arguments: string}}>};
+type Logprobs = {content?: unknown[]; tokens?: unknown[]} | null;
+type Choice = {message?: Message; delta?: object; text?: string; logprobs?: Logprobs};
 
 const chunkOf = (delta: object, finishReason?: string, index = 0): AnswerChunk => ({choices: [{index, delta, finish_reason: finishReason ?? null}]});
 const role = chunkOf({role: 'assistant', content: ''});
 const stop = chunkOf({}, 'stop');
 const says = (...words: string[]) => words.map(content => chunkOf({content}));
 
+const weighed = (...words: string[]): AnswerChunk[] => words.map(content => ({choices: [{index: 0, delta: {content}, logprobs: {content: [{token: content}]}}]}));
+const weighedTexts = (...words: string[]): AnswerChunk[] => words.map(text => ({object: 'text_completion', choices: [{index: 0, text, logprobs: {tokens: [text]}}]}));
+
 /** By what the first run brings. */
 export const interruptedAnswers: Readonly<Record<string, InterruptedAnswer>> = {
 	nothing: {first: [], rest: [role, ...says('do ', 'BRAKE ', 'now'), stop]},
@@ -43,13 +48,20 @@
 	'a part of one of two choices': {
 		first: [role, ...says('le')], rest: [...says('ft'), stop, chunkOf({role: 'assistant', content: 'right'}, undefined, 1), chunkOf({}, 'stop', 1)], request: {n: 2},
 	},
+	'log probabilities': {first: [role, ...weighed('do ', 'BRAKE ')], rest: [...weighed('now'), stop]},
+	'those of a text': {first: weighedTexts('do ', 'BRAKE '), rest: [...weighedTexts('now'), {object: 'text_completion', choices: [{index: 0, text: '', finish_reason: 'stop'}]}]},
 	'a refusal': {first: [role, chunkOf({refusal: 'I can '})], rest: [chunkOf({refusal: 'not say'}), stop]},
 };
 
 /** What an engine sends that is given the request, with or without a place to go on from. */
 export const laterRun = ({first, rest}: InterruptedAnswer, resume: ResumePoint | undefined): readonly AnswerChunk[] => resume ? [role, ...rest] : [...first, ...rest];
 
-/** All that a message says, in one text. */
-export const saidIn = ({content, refusal, reasoning_content: reasoning, tool_calls: tools}: Message): string => [
+const saidInMessage = ({content, refusal, reasoning_content: reasoning, tool_calls: tools}: Message): string => [
 	reasoning, content, refusal, ...(tools ?? []).map(tool => `${tool.function.name}${tool.function.arguments}`),
 ].filter(Boolean).join('');
+
+/** All that choices say, of a whole answer or of the chunks of a stream, in one text each; with the number of their log probabilities, where they have some. */
+export const saidIn = (choices: readonly Choice[]): string[] => choices.map(({message, delta, text, logprobs}) => {
+	const {length} = logprobs?.content ?? logprobs?.tokens ?? [];
+	return `${saidInMessage(message ?? delta ?? {content: text})}${length > 0 ? `(${length})` : ''}`;
+});
--- a/src/entry/answer-sink.feature
+++ b/src/entry/answer-sink.feature
@@ -12,6 +12,8 @@
       | all but the end              | do BRAKE now               | do BRAKE now       |
       | a reasoning                  | R1, an error               | R1 R2 do BRAKE now |
       | a tool call                  | book(left, an error        | book(left rear)    |
+      | log probabilities            | do (1)BRAKE (1), an error  | do BRAKE now(3)    |
+      | those of a text              | do (1)BRAKE (1), an error  | do BRAKE now(3)    |
       | a refusal                    | I can, an error            | I can not say      |
       | one of two choices           | left, an error             | left / right       |
       | a part of one of two choices | le, an error               | left / right       |
--- a/src/entry/answer-sink.steps.ts
+++ b/src/entry/answer-sink.steps.ts
@@ -41,15 +41,15 @@
 	const choices = sent.flatMap(chunk => chunk.choices ?? []);
 	const roles = choices.filter(({delta}) => delta?.role !== undefined).map(({index}) => index);
 	assert.equal(roles.length, new Set(roles).size, 'a role stands twice');
-	const said = choices.map(({delta}) => saidIn(delta as Parameters<typeof saidIn>[0])).join('');
+	const said = saidIn(choices).join('');
 	return isWhole ? said : `${said.trim()}, an error`;
 };
 
 const whole = (answer: InterruptedAnswer): string => {
 	const sink = new GenerationSink(bodyOf(answer));
 	assert.ok(runTwice(sink, answer));
-	const {choices} = sink.result('x') as {choices: Array<{message: Parameters<typeof saidIn>[0]}>};
-	return choices.map(({message}) => saidIn(message)).join(' / ');
+	const {choices} = sink.result('x') as {choices: Parameters<typeof saidIn>[0]};
+	return saidIn(choices).join(' / ');
 };
 
 Then('these are the answers whose first run brings something and ends:', (table: DataTable) => {
