A list of jobs does not begin anew in the middle

A client that reads its jobs page by page got them from the beginning again, and a second time each, when the last job of a page was removed before the next page was read; one that reads to the end reads on for as long as that goes on.

Cause: the place after a job that is not found was taken to be the first.

Evidence: job-store.feature "The last job of a page is removed before the next page is read" was answered with the first page; it is an error now, not run, that says to read anew. The other scenarios of the feature and batch-openai.feature "Listing and deleting" pass.

Why it works: the id alone does not tell where the removed job stood, so no page is given that may repeat or leave out others.

--- a/src/entry/job-store.feature
+++ b/src/entry/job-store.feature
@@ -23,3 +23,9 @@
       | object     |
       | Result     |
       | ResultPart |
+
+  Scenario: The last job of a page is removed before the next page is read
+    # Guards against a list that begins anew in the middle, and shows each job a second time, for as long as its client reads on.
+    Given 5 stored jobs
+    When a client reads 2 of them, the last of these is removed, and it reads the next 2
+    Then the client hears "unknown_job" and "not-run"
--- a/src/entry/job-store.steps.ts
+++ b/src/entry/job-store.steps.ts
@@ -60,3 +60,17 @@
 	const err = this.answer.swap().unsafeCoerce();
 	assert.deepEqual([err.code, err.run], [code, run]);
 });
+
+Given('{int} stored jobs', async function (this: StoreWorld, count: number) {
+	this.api = new FakeObjectApi();
+	this.store = storeOf(this.api);
+	const wish = {inputFileId: 'file-1', endpoint: '/v1/completions', dueTime: '2099-01-01T00:00:00.000Z'} as const;
+	await Promise.all(Array.from({length: count}, async (_, i) => this.store.createJob(account, {...wish, jobKey: `k${i}`, createdTime: `2026-01-0${i + 1}T00:00:00.000Z`})));
+});
+
+When('a client reads {int} of them, the last of these is removed, and it reads the next {int}', async function (this: StoreWorld, first: number, next: number) {
+	const page = await this.store.listJobs(account, {limit: first});
+	const after = page.unsafeCoerce().views.at(-1)!.id;
+	await this.api.remove('BatchJob', after);
+	this.answer = await this.store.listJobs(account, {limit: next, after});
+});
--- a/src/entry/job-store.ts
+++ b/src/entry/job-store.ts
@@ -175,7 +175,13 @@
 		}
 
 		const jobs = all.unsafeCoerce().toSorted((a, b) => b.value.spec.createdTime.localeCompare(a.value.spec.createdTime) || a.name.localeCompare(b.name));
-		const start = after === undefined ? 0 : jobs.findIndex(({name}) => name === after) + 1;
+		const last = after === undefined ? undefined : jobs.findIndex(({name}) => name === after);
+		if (last === -1) {
+			// Where the next page begins is not known: begun anew, the list would show each job a second time.
+			return Left(invalidRequest('there is no such job to go on after, read the list anew', {param: 'after', code: 'unknown_job'}));
+		}
+
+		const start = last === undefined ? 0 : last + 1;
 		const page = jobs.slice(start, start + limit);
 		const reads = new ConcurrencyLimit(maxStatusReads);
 		const views = await Promise.all(page.map(async ({name, value}) => reads.run(async () => {
