A scenario for an end that counts more chunks than have come

PROMISES.md says that chunks are counted at the end of an attempt; no scenario had an end with one missing.

--- a/src/entry/lost-attempts.feature
+++ b/src/entry/lost-attempts.feature
@@ -72,3 +72,10 @@
     And each connection is lost after 30 ms
     When a request is made
     Then it was given to 3 replicas
+
+  Scenario: An agent's end counts more chunks than have come
+    # Guards against an answer without its last pieces that passes for whole, since its end has come.
+    Given "a" ends an answer of 2 chunks, of which 1 has come
+    And "b" ends an answer of 2 chunks, of which 2 have come
+    When a request is made
+    Then its caller has the whole answer, of 2 replicas that were given it
--- a/src/entry/lost-attempts.steps.ts
+++ b/src/entry/lost-attempts.steps.ts
@@ -19,7 +19,7 @@
 import type {RouteRequest} from './router.js';
 
 type Agent = {
-	begin: () => Promise<AttemptOutcome>;
+	begin: (place: AttemptPlace) => Promise<AttemptOutcome>;
 	resume: () => Promise<AttemptOutcome>;
 	state: LedgerAnswer['state'];
 	answerMs: number;
@@ -52,7 +52,7 @@
 	log: {emit: () => undefined},
 	metrics: new NoMetrics(),
 	replicas: {
-		began: () => undefined, ended: () => undefined, failed: () => undefined, heard: () => undefined,
+		began: () => undefined, ended: () => undefined, failed: () => undefined, heard: () => undefined, prefixes: {confirmed: () => undefined},
 	},
 	router: {
 		route({tried}: RouteRequest) {
@@ -61,9 +61,9 @@
 		},
 	},
 	client: {
-		async begin(_attempt: unknown, {address}: AttemptPlace) {
-			begun.add(address);
-			return agents.get(address)!.begin();
+		async begin(_attempt: unknown, place: AttemptPlace) {
+			begun.add(place.address);
+			return agents.get(place.address)!.begin(place);
 		},
 		resume: async (_key: unknown, _from: number, {address}: AttemptPlace) => agents.get(address)!.resume(),
 		async revoke(address: string) {
@@ -133,6 +133,15 @@
 	this.agents.get(name)!.begin = async () => after<AttemptOutcome>(ms, {kind: 'refused', refusal: {reason: 'queueFull', retryAfterMs: 100, load}});
 });
 
+Given('{string} ends an answer of {int} chunks, of which {int} has/have come', function (this: LostWorld, name: string, chunks: number, come: number) {
+	this.agents.get(name)!.begin = async ({onChunk}) => {
+		Array.from({length: come}, (_, index) => index).forEach(index => {
+			assert.ok(onChunk(index, '{}'));
+		});
+		return {kind: 'end', end: {chunks, load, cachedBlocks: []}};
+	};
+});
+
 When('a request takes {int} ms at {string} and is lost there too', async function (this: LostWorld, ms: number, name: string) {
 	this.agents.get(name)!.begin = async () => after(ms, lost);
 	await request(this);
@@ -157,3 +166,7 @@
 Then('it was given to {int} replicas', function (this: LostWorld, count: number) {
 	assert.equal(this.begun.size, count);
 });
+
+Then('its caller has the whole answer, of {int} replicas that were given it', function (this: LostWorld, count: number) {
+	assert.deepEqual([this.outcome.kind, this.begun.size], ['whole', count]);
+});
