The load's caller counts a stream that can not be read as cut

The load program ended with an unhandled error when an entry's stream held an event without JSON, and said nothing of the answers it had counted by then.

Cause: the event was parsed without a handler for what can not be parsed, inside the stream's listener.

Evidence: caller.feature "An answer ends", row "text, and what can not be read", ended the scenario with "Unexpected token 'o'"; it is cut now. The other rows, how the caller tells a whole answer from a part of one, passed before and had no test; "a text without a length, reset" holds since the HTTP client tells a reset from an end.

Why it works: what can not be read gives the stream up, as it does in agent and entry.

--- a/src/load/caller.ts
+++ b/src/load/caller.ts
@@ -2,6 +2,7 @@
 A client of the callers' API that tells a whole answer from a part of one, and keeps apart the ways in which an answer can be missing. It never repeats a request: the load and the checkers must see what a caller sees.
 */
 import type {EventSourceMessage} from 'eventsource-parser';
+import {parseObject} from '../common/parse-object.js';
 import type {Disposable} from '../common/services.js';
 import {HttpClient, type HttpFailure, type HttpResponse} from '../io/http-client.js';
 import {followEvents} from '../io/sse-reader.js';
@@ -144,13 +145,7 @@
 		let isDone = false;
 		let hasFinish = false;
 		let reason = '';
-		const end = await followEvents(res.body, 0, ({data}: EventSourceMessage) => {
-			if (data === doneMarker) {
-				isDone = true;
-				return;
-			}
-
-			const chunk = JSON.parse(data) as Chunk;
+		const take = (chunk: Chunk) => {
 			const token = chunk.choices?.[0]?.delta?.content ?? '';
 			hasFinish ||= Boolean(chunk.choices?.[0]?.finish_reason);
 			reason = chunk.error?.message ?? reason;
@@ -158,6 +153,15 @@
 			if (token !== '') {
 				onToken?.(token);
 			}
+		};
+
+		const end = await followEvents(res.body, 0, ({data}: EventSourceMessage) => {
+			if (data === doneMarker) {
+				isDone = true;
+				return true;
+			}
+
+			return parseObject<Chunk>(data).ifRight(take).isRight();
 		});
 		return isDone && hasFinish
 			? {kind: 'whole', text, id: idOf(res)}
