An answer is a stream of events only if its head says so

Found by the review. Scenario: An untyped-success is passed on whole (2 examples, both fail on the code before); 200s of another type had no test, and pass.

--- a/src/gateway/event-framer.ts
+++ b/src/gateway/event-framer.ts
@@ -10,9 +10,9 @@
 
 const plainEncoding = 'identity';
 
-/** Whether an answer, where a stream is due, is one; without a type it passes for one. The events of an encoded answer can not be told apart. */
+/** Whether an answer is a stream of events that can be read; those of an encoded one can not. */
 export const isEventStream = ({status, headers}: Pick<AnswerHead, 'status' | 'headers'>): boolean => {
-	const type = String(headers['content-type'] ?? eventsType).toLowerCase();
+	const type = String(headers['content-type'] ?? '').toLowerCase();
 	const encoding = String(headers['content-encoding'] ?? plainEncoding).toLowerCase();
 	return status === okStatus && type.startsWith(eventsType) && encoding === plainEncoding;
 };
@@ -22,9 +22,9 @@
 
 const betweenEvents = /\n\n|\n\r\n|\r\r/v;
 
-const idPattern = /^id: ?(?<id>\d+)$/gmv;
+const idPattern = /^id: ?(?<id>\d+)$/mv;
 
-const numberPattern = /^id: ?\d+$/mv;
+const allIds = new RegExp(idPattern, 'gmv');
 
 /** A line, or the beginning of one, that is neither blank nor a comment. */
 const fieldPattern = /^[^:\r\n]/mv;
@@ -39,12 +39,18 @@
 	return at === -1 ? 0 : at + boundary.length;
 }));
 
+/** Whether these are the bytes of one event, as they usually come; it spares the search for others. */
+const isOneEvent = (text: string): boolean => text.indexOf('\n\n') === text.length - 2;
+
+/** The numbers of the events in the text, in their order. */
+const numbersIn = (text: string): number[] => {
+	const matches = isOneEvent(text) ? [idPattern.exec(text)] : [...text.matchAll(allIds)];
+	return matches.filter(match => match !== null).map(({groups}) => Number(groups?.id));
+};
+
 /** A blank line and the end of the line before have this many bytes at most, so one that is cut in two begins among as many but one. */
 const seamLength = 2;
 
-/** The last bytes of two pieces, as far as a blank line may have begun there. */
-const seamOf = (before: Buffer, bytes: Buffer): Buffer => bytes.length < seamLength ? Buffer.concat([before, bytes]).subarray(-seamLength) : bytes.subarray(-seamLength);
-
 /** Follows a stream that is passed on as it comes, and keeps a few bytes of it. */
 export class StreamEnd {
 	/** What has come after the last whole event, shortened to what tells how it goes on. */
@@ -118,15 +124,16 @@
 
 	/** @returns The bytes up to the end of the last whole event; may be empty. */
 	feed(bytes: Buffer): Buffer {
+		const searched = this.#seam.length > 0 ? Buffer.concat([this.#seam, bytes]) : bytes;
+		const end = endOfEvents(searched);
 		this.#rest.push(bytes);
-		const isBoundary = endOfEvents(this.#seam.length > 0 ? Buffer.concat([this.#seam, bytes]) : bytes) > 0;
-		this.#seam = seamOf(this.#seam, bytes);
-		if (!isBoundary) {
+		if (end === 0) {
+			this.#seam = searched.subarray(-seamLength);
 			return empty;
 		}
 
 		const all = this.#rest.length > 1 ? this.rest : bytes;
-		const whole = this.#placed(all.subarray(0, endOfEvents(all)));
+		const whole = this.#placed(all.subarray(0, all.length - searched.length + end));
 		this.#keepRest(all.subarray(whole.length));
 		this.#isInOrder &&= this.#follow(whole);
 		return this.#isInOrder ? whole : empty;
@@ -143,19 +150,19 @@
 	}
 
 	#placed(whole: Buffer): Buffer {
-		this.#isPlaced ||= numberPattern.test(whole.toString('latin1'));
+		this.#isPlaced ||= idPattern.test(whole.toString('latin1'));
 		return this.#isPlaced ? whole : empty;
 	}
 
 	#follow(whole: Buffer): boolean {
 		const text = whole.toString('latin1');
-		const ids = [...text.matchAll(idPattern)].map(({groups}) => Number(groups?.id));
+		const ids = numbersIn(text);
 		const isInOrder = ids.every((id, i) => id === this.#lastId + i + 1);
 		if (isInOrder) {
 			this.#lastId += ids.length;
 		}
 
-		this.#isNumbered &&= text.split(betweenEvents).filter(event => dataPattern.test(event)).length <= ids.length;
+		this.#isNumbered &&= (isOneEvent(text) && ids.length > 0) || text.split(betweenEvents).filter(event => dataPattern.test(event)).length <= ids.length;
 		return isInOrder;
 	}
 }
