HTTP client: time limits count only the time in which this process ran

Its calls of the store were given up until 2,358 ms after the store was back: a limit of 400 ms was over after one turn, and an answer needs some (a connection, the request, the answer). These calls had begun after the store's return, so that the grace for lapsed registrations counted from them. Change: limits are counted in four steps, each of which ends when the sockets have been read, as in sse-reader.ts and gateway/attempt.ts; a pause counts as one step. The limit for a whole response is an option of the request in place of AbortSignal.timeout, which knows no steps. Test: This process is paused, and the answer comes soon after, fails before ("silent"). The scenarios of the whole response use the new option, so that they can not run before. Cost: on a busy machine a call to a silent end is given up later, by the lateness of four timers, not of one.

--- a/src/agent/engine-backend.ts
+++ b/src/agent/engine-backend.ts
@@ -126,7 +126,7 @@
 
 	async #askServes({isFresh}: {isFresh: boolean}): Promise<Either<ServesFailure, readonly string[]>> {
 		const sent = await this.#http.send({
-			address: this.#address, method: 'GET', path: '/v1/models', timeoutMs: probeTimeoutMs, signal: AbortSignal.timeout(2 * probeTimeoutMs), fresh: isFresh,
+			address: this.#address, method: 'GET', path: '/v1/models', timeoutMs: probeTimeoutMs, wholeMs: 2 * probeTimeoutMs, fresh: isFresh,
 		});
 		if (sent.isLeft()) {
 			const {kind, reason} = sent.extract();
@@ -143,7 +143,7 @@
 
 	async #probe(): Promise<EngineState | undefined> {
 		const sent = await this.#http.send({
-			address: this.#address, method: 'GET', path: '/v1/load', timeoutMs: probeTimeoutMs, signal: AbortSignal.timeout(2 * probeTimeoutMs), fresh: true,
+			address: this.#address, method: 'GET', path: '/v1/load', timeoutMs: probeTimeoutMs, wholeMs: 2 * probeTimeoutMs, fresh: true,
 		});
 		if (sent.isLeft()) {
 			return undefined;
--- a/src/io/http-client.feature
+++ b/src/io/http-client.feature
@@ -36,6 +36,23 @@
     When a request is sent to it that may take 10000 ms, under a limit of 1000 ms
     Then the request is answered with "ok"
 
+  Scenario: This process is paused, and the answer comes soon after
+    # Guards against requests that are given up for a pause of this process, with an answer that takes some turns more.
+    Given a server that answers 50 ms after this process was paused for 600 ms
+    When a request is sent to it that may take 400 ms
+    Then the request is answered with "ok"
+
+  Scenario: This process is paused, and the rest of the answer comes soon after
+    # Guards against the same within the answer.
+    Given a server that answers the second half 50 ms after this process was paused for 600 ms
+    When a request is sent to it that may take 10000 ms, and 400 ms for the whole answer
+    Then the request is answered with "ok"
+
+  Scenario: A server that answers only in part
+    Given a server that answers only the first half
+    When a request is sent to it that may take 10000 ms, and 400 ms for the whole answer
+    Then the request has no whole answer
+
   Scenario: A server that does not answer, under a limit
     Given a server that never answers
     When a request is sent to it that may take 10000 ms, under a limit of 30 ms
--- a/src/io/http-client.ts
+++ b/src/io/http-client.ts
@@ -1,7 +1,7 @@
 /**
 HTTP towards other processes, on undici. What distinguishes it is how it names failures: `notSent` is said only when no byte of the request can have reached the other end, so that the caller may claim "not run"; everything else is `lost` or `silent`, after which only the other end knows.
 
-After a pause of this process timers come before sockets, though the answer may long have come. Time limits are therefore judged in the next turn of the event loop, when the sockets have been read.
+A pause of this process is not the other end's silence: see {@link TimeLimit}.
 */
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Readable} from 'node:stream';
@@ -11,6 +11,7 @@
 import request from 'undici/lib/api/api-request.js';
 import {Left, Right, type Either} from 'purify-ts/Either';
 import type {Disposable} from '../common/services.js';
+import {TimeLimit} from './time-limit.js';
 import {WatchedClient} from './watched-client.js';
 
 /** Why no response came. */
@@ -31,6 +32,8 @@
 	readonly body?: string | Uint8Array | Readable;
 	/** Milliseconds until the response's head must have come. */
 	readonly timeoutMs: number;
+	/** Milliseconds until the whole response must have come; without it, its body may take any time. */
+	readonly wholeMs?: number;
 	/** Ends the request and its answer: at once, or, where it is a time limit, when what has come until then is read. */
 	readonly signal?: AbortSignal;
 	/** True opens a connection of its own, used once: for asking again after a connection went silent. */
@@ -105,13 +108,13 @@
 		};
 
 		let silent = false;
-		let verdict: NodeJS.Immediate | undefined;
-		const timer = setTimeout(() => {
-			verdict = setImmediate(() => {
-				silent = true;
-				abort();
-			});
-		}, req.timeoutMs);
+		const giveUp = () => {
+			silent = true;
+			abort();
+		};
+
+		const headLimit = new TimeLimit(req.timeoutMs, giveUp);
+		const wholeLimit = req.wholeMs === undefined ? undefined : new TimeLimit(req.wholeMs, giveUp);
 		const forward = () => {
 			if (isTimeLimit(req.signal)) {
 				setImmediate(abort);
@@ -131,17 +134,21 @@
 				body: req.body,
 				signal: controller.signal,
 			});
-			this.#followBody(req, res.body, forward, dispatcher);
+			this.#followBody(res.body, () => {
+				wholeLimit?.dispose();
+				req.signal?.removeEventListener('abort', forward);
+				this.#closeFresh(req, dispatcher);
+			});
 			return Right({
 				status: res.statusCode, headers: res.headers, body: res.body, abort,
 			});
 		} catch (err) {
+			wholeLimit?.dispose();
 			req.signal?.removeEventListener('abort', forward);
 			this.#closeFresh(req, dispatcher);
 			return Left(this.#failure(err, silent, req));
 		} finally {
-			clearTimeout(timer);
-			clearImmediate(verdict);
+			headLimit.dispose();
 		}
 	}
 
@@ -177,13 +184,10 @@
 		return pool;
 	}
 
-	#followBody(req: HttpRequest, body: Readable, forward: () => void, dispatcher: Dispatcher) {
+	#followBody(body: Readable, onClose: () => void) {
 		// Without a listener, an aborted body would be an unhandled error and stop the process.
 		body.on('error', () => undefined);
-		body.once('close', () => {
-			req.signal?.removeEventListener('abort', forward);
-			this.#closeFresh(req, dispatcher);
-		});
+		body.once('close', onClose);
 	}
 
 	#closeFresh(req: HttpRequest, dispatcher: Dispatcher) {
--- a/src/io/object-api-calls.ts
+++ b/src/io/object-api-calls.ts
@@ -62,7 +62,7 @@
 			headers: {'content-type': 'application/json', ...call.headers},
 			body: call.body,
 			timeoutMs: headLimitMs,
-			signal: AbortSignal.timeout(headLimitMs + timeoutMs),
+			wholeMs: headLimitMs + timeoutMs,
 		});
 		if (sent.isLeft()) {
 			// A silent connection is not used again: the next call must be able to succeed.
--- a/src/io/rpc-client.ts
+++ b/src/io/rpc-client.ts
@@ -58,7 +58,7 @@
 
 	async #post(payload: JSONRPCRequest, target: RpcTarget): Promise<Either<HttpFailure, JSONRPCResponse>> {
 		const sent = await this.#http.send({
-			...target, method: 'POST', path: '/rpc', headers: {'content-type': 'application/json'}, body: JSON.stringify(payload), signal: AbortSignal.timeout(2 * target.timeoutMs),
+			...target, method: 'POST', path: '/rpc', headers: {'content-type': 'application/json'}, body: JSON.stringify(payload), wholeMs: 2 * target.timeoutMs,
 		});
 		if (sent.isLeft()) {
 			const failure = sent.extract();
