--- a/src/gateway/registration-controller.steps.ts
+++ b/src/gateway/registration-controller.steps.ts
@@ -11,6 +11,7 @@
 import {RpcClient} from '../io/rpc-client.js';
 import {SeededRandom} from '../io/seeded-random.js';
 import {SystemClock} from '../io/system-clock.js';
+import {pauseProcess} from '../io/testing/pause-process.js';
 import {ObjectFeed} from './object-feed.js';
 import {ObjectRelay} from './peers/object-relay.js';
 import {RegistrationController} from './registration-controller.js';
@@ -89,9 +90,7 @@
 	await sleep(ms);
 	this.api.down = false;
 	this.backAt = performance.now();
-	while (performance.now() < this.backAt + pauseMs) {
-		// Stands still.
-	}
+	pauseProcess(pauseMs);
 });
 
 When('the object API is away, answers once, and is away for {int} ms more', async function (this: RegistrationsWorld, ms: number) {
--- a/src/io/dial.steps.ts
+++ b/src/io/dial.steps.ts
@@ -6,6 +6,7 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import type {TestWorld} from '../common/testing/test-world.js';
 import {dial} from './dial.js';
+import {pauseProcess} from './testing/pause-process.js';
 
 type DialWorld = TestWorld & {
 	server: Server;
@@ -47,11 +48,7 @@
 
 Then('a connection to it can be made within {int} ms though this process is paused for {int} ms', async function (this: DialWorld, limitMs: number, stillMs: number) {
 	const dialled = dial(this.address, limitMs);
-	const until = performance.now() + stillMs;
-	while (performance.now() < until) {
-		// Stands still.
-	}
-
+	pauseProcess(stillMs);
 	assert.equal(await dialled, true);
 });
 
