A process that was paused listens to its peers before it takes a job

Cause: a job that nobody has claimed is open to the next process in rank for each 600 ms; a pause counted, and what the peers had said of their jobs meanwhile was still unread, as timers come before sockets. Callers: an item may run at two processes. Change: after more than 1,200 ms without a review, claims wait as at the start. Test: A process that was paused listens to its peers before it takes a job; fails on the code before (the job is taken), passes now.

--- a/src/gateway/batch/job-claims.feature
+++ b/src/gateway/batch/job-claims.feature
@@ -25,6 +25,16 @@
     And the claims are reviewed
     Then "front-1" runs "j1"
 
+  Scenario: A process that was paused listens to its peers before it takes a job
+    # Guards against items that run twice: right after a pause, what a peer has said of its jobs is still unread.
+    Given the claims were reviewed 5 ms before "j1" was open
+    And process "front-1" was paused for 3000 ms
+    When the claims are reviewed
+    Then "front-1" does not run "j1"
+    Given process "front-1" goes on for 700 ms
+    When the claims are reviewed
+    Then "front-1" runs "j1"
+
   Scenario: A process that has learnt late where its peers are listens to them first
     # Guards against items that run twice, and once more than their route allows, since two processes that started while the object API was slow take the same job.
     Given process "front-1" did not know where its peers are until now
--- a/src/gateway/batch/job-claims.steps.ts
+++ b/src/gateway/batch/job-claims.steps.ts
@@ -17,6 +17,7 @@
 type ClaimsWorld = TestWorld & {
 	peers: PeerTable;
 	claims: JobClaims;
+	job: {isOpen: boolean};
 	now: number;
 	seq: number;
 	membersKnownAt: number | undefined;
@@ -26,6 +27,9 @@
 const self = branded<MemberName>('front-1');
 const jobId = (name: string): BatchJobId => branded<BatchJobId>(name);
 
+/** Between two reviews, in milliseconds. */
+const reviewMs = 150;
+
 /** Longer than a process that has just started listens to its peers, in milliseconds. */
 const longEnoughMs = 1000;
 
@@ -39,7 +43,13 @@
 		self, directory, loads: new LoadBoard(), quarantine: new Quarantine({clock, log}), clock, log,
 	});
 	const job = {id: jobId(name), isOpen: true, isHeld: false};
-	const book = {openJobs: [job], job: () => job} as unknown as BatchBook;
+	this.job = job;
+	const book = {
+		get openJobs() {
+			return job.isOpen ? [job] : [];
+		},
+		job: () => job,
+	} as unknown as BatchBook;
 	this.claims = new JobClaims({
 		self, book, peers: this.peers, clock, log, isLeaving: () => false, membersKnownAt: () => this.membersKnownAt,
 	});
@@ -49,6 +59,25 @@
 	this.now += longEnoughMs;
 });
 
+Given('the claims were reviewed {int} ms before {string} was open', function (this: ClaimsWorld, ms: number, _job: string) {
+	this.job.isOpen = false;
+	this.claims.review();
+	this.now += ms;
+	this.job.isOpen = true;
+});
+
+Given('process {string} was paused for {int} ms', function (this: ClaimsWorld, _name: string, ms: number) {
+	this.now += ms;
+});
+
+Given('process {string} goes on for {int} ms', function (this: ClaimsWorld, _name: string, ms: number) {
+	const reviews = Math.ceil(ms / reviewMs);
+	Array.from({length: reviews}).forEach(() => {
+		this.now += ms / reviews;
+		this.claims.review();
+	});
+});
+
 Given('process {string} did not know where its peers are until now', function (this: ClaimsWorld, _name: string) {
 	this.membersKnownAt = this.now;
 });
--- a/src/gateway/batch/job-claims.ts
+++ b/src/gateway/batch/job-claims.ts
@@ -28,11 +28,17 @@
 /** A job that the first of the ranking has not taken after this long, in milliseconds, is open to the next: the first may be cut off from the object API and not know of it. */
 const turnMs = 600;
 
+/** Claims are reviewed several times a second; after a longer time than this between two reviews, in milliseconds, this process was paused, and its peers seem to have gone silent. */
+const standstillMs = 1200;
+
 /** See the module's head. */
 export class JobClaims {
 	readonly #parts: ClaimsParts;
 	readonly #claimed = new Set<BatchJobId>();
 	readonly #unclaimedSince = new Map<BatchJobId, number>();
+	#reviewedAt: number | undefined;
+	/** When this process last went on after a pause. What its peers have claimed meanwhile may still be unread. */
+	#wokeAt = -Infinity;
 
 	constructor(parts: ClaimsParts) {
 		this.#parts = parts;
@@ -50,6 +56,7 @@
 	/** Decides anew. Call it when jobs or peers have changed, and every now and then. */
 	review(): void {
 		const {book, isLeaving} = this.#parts;
+		this.#noteStandstill();
 		const open = book.openJobs;
 		const openIds = new Set(open.map(({id}) => id));
 		[...this.#claimed].filter(id => !openIds.has(id)).forEach(id => {
@@ -104,6 +111,15 @@
 		}
 	}
 
+	#noteStandstill() {
+		const now = this.#parts.clock.now();
+		if (now - (this.#reviewedAt ?? now) > standstillMs) {
+			this.#wokeAt = now;
+		}
+
+		this.#reviewedAt = now;
+	}
+
 	#holdersElsewhere(id: BatchJobId): PeerState[] {
 		return this.#parts.peers.live.filter(({jobs}) => jobs.has(id)).map(({state}) => state);
 	}
@@ -111,11 +127,11 @@
 	#isOwnTurn(id: BatchJobId): boolean {
 		const {self, peers, clock, membersKnownAt} = this.#parts;
 		const now = clock.now();
-		if (now - (membersKnownAt() ?? now) < listenFirstMs) {
+		if (now - Math.max(membersKnownAt() ?? now, this.#wokeAt) < listenFirstMs) {
 			return false;
 		}
 
-		const since = this.#unclaimedSince.get(id) ?? now;
+		const since = Math.max(this.#unclaimedSince.get(id) ?? now, this.#wokeAt);
 		this.#unclaimedSince.set(id, since);
 		const members = peers.live.filter(({state}) => !state.isLeaving).map(({state}) => state.member);
 		const turns = 1 + Math.floor((now - since) / turnMs);
