An answer that has come is read before its call's time is judged to be up

Ready answers are delivered, also when late. Change: the time is judged in the next turn of the event loop. Test: An answer that has come within a pause of the front is delivered though the time is up; 504 before, 200 with the answer now.

--- a/src/gateway/online-call.ts
+++ b/src/gateway/online-call.ts
@@ -141,7 +141,10 @@
 		this.#service = this.#chooseService(route);
 		this.#timeLimitMs = Math.min(route.timeoutMs, fields.timeLeftMs ?? Infinity);
 		this.#timer = setTimeout(() => {
-			this.#timeOut();
+			// An answer that came within a pause of this process is read first.
+			setImmediate(() => {
+				this.#timeOut();
+			});
 		}, Math.max(0, this.#timeLimitMs - this.#elapsedMs()));
 		call.res.once('close', () => {
 			this.#onCallerClose();
@@ -409,6 +412,10 @@
 	}
 
 	#timeOut() {
+		if (this.#isOver) {
+			return;
+		}
+
 		this.#attempt?.dispose();
 		if (this.#answer.hasBegun) {
 			this.#cut('time is up within the answer');
