Work is not sent by knowledge that has aged beyond the time of a change

Ruled out: a silent connection alone (1.04 s without a pause); late timers of one call (event loop delays lie within the pauses). Change: work waits while the registrations, or for routes the configuration, are older than a change may take less 100 ms, for a read on a connection of its own, up to 250 ms of running time; after that, or while the object API itself is known to be away, it goes on by what is known. Age counts from when an answer was asked for, or can have arrived at the earliest: one that has waited through a pause in this process's sockets is not new. A call that waited for its connection through a pause is not sent on it (outdated), but offered anew. Event 744 tells the age, the wait and the outcome. An attempt whose replica may have left while its connection was made is not sent: new.

--- a/src/common/types.ts
+++ b/src/common/types.ts
@@ -51,6 +51,8 @@
 export type ReadOptions = {
 	/** True lets a copy answer that may lag behind by seconds, which costs the object API less. */
 	readonly mayLag?: boolean;
+	/** True asks on a connection of its own, since kept ones may have gone silent. */
+	readonly isFresh?: boolean;
 };
 
 /** One change that a watch reports. A deletion has no value. */
--- a/src/gateway/attempt.feature
+++ b/src/gateway/attempt.feature
@@ -9,6 +9,12 @@
     When its time to connect is over
     Then it ended once, as "notSent"
 
+  Scenario: An attempt whose replica may have left while its connection was made is not sent
+    # Guards against calls that waited for their connection through a pause of this process, and go to a replica that has left since.
+    Given an attempt at a replica that may have left when its connection is made
+    Then it ended once, as "outdated"
+    And its request was aborted before it was sent
+
   Scenario: An answer that belongs to another call is none
     Given an attempt for call "c1"
     When an answer to "c0" comes
--- a/src/gateway/attempt.steps.ts
+++ b/src/gateway/attempt.steps.ts
@@ -28,7 +28,14 @@
 	isNew = true;
 	readonly done: string[] = [];
 	handler!: Dispatcher.DispatchHandler;
-	readonly controller = {rawHeaders: [], pause: () => undefined, resume: () => undefined} as unknown as Dispatcher.DispatchController;
+	readonly controller = {
+		rawHeaders: [],
+		pause: () => undefined,
+		resume: () => undefined,
+		abort: () => {
+			this.done.push('aborted');
+		},
+	} as unknown as Dispatcher.DispatchController;
 
 	dispatch(_options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
 		this.handler = handler;
@@ -65,8 +72,10 @@
 	}
 }
 
-const begin = (world: AttemptWorld, id: string, patience: {connectMs?: number; silenceMs?: number; suspectMs?: number; isReachable?: boolean}) => {
-	const {connectMs = 60_000, silenceMs = 60_000, suspectMs = 60_000, isReachable = true} = patience;
+const begin = (world: AttemptWorld, id: string, patience: {connectMs?: number; silenceMs?: number; suspectMs?: number; isReachable?: boolean; isCurrent?: boolean}) => {
+	const {
+		connectMs = 60_000, silenceMs = 60_000, suspectMs = 60_000, isReachable = true, isCurrent = true,
+	} = patience;
 	world.carrier = new PlayedCarrier();
 	world.ends = [];
 	const attempt = new Attempt({
@@ -79,6 +88,7 @@
 		message: {method: 'POST', target: '/', headers: []},
 		fields: {requestId: id, replica: 'r1' as ReplicaId},
 		patience: {silenceMs, canGoElsewhere: true},
+		isCurrent: () => isCurrent,
 		listener: {
 			onHead: () => undefined,
 			onBytes: () => undefined,
@@ -115,6 +125,15 @@
 	this.carrier.send();
 });
 
+Given('an attempt at a replica that may have left when its connection is made', function (this: AttemptWorld) {
+	begin(this, 'c1', {isCurrent: false});
+	this.carrier.send();
+});
+
+Then('its request was aborted before it was sent', function (this: AttemptWorld) {
+	assert.ok(this.carrier.done.includes('aborted'));
+});
+
 When('its time to connect is over', async function (this: AttemptWorld) {
 	await until(() => this.ends.length > 0, 'the attempt has ended');
 });
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -34,7 +34,7 @@
 /**
 How an attempt ended.
 
-`notSent`: no byte of the call can have reached the replica. `refused`: the replica states that it has not run it. `misdirected`: another replica has the address. `silent`, `cutOff` and `lost`: only the replica knows; `cutOff` where it can no longer be reached. `complete`: the whole answer came. `dropped`: this side gave the attempt up.
+`notSent`: no byte of the call can have reached the replica. `refused`: the replica states that it has not run it. `misdirected`: another replica has the address. `silent`, `cutOff` and `lost`: only the replica knows; `cutOff` where it can no longer be reached. `outdated`: no byte was sent, since the replica may have left while its connection was made. `complete`: the whole answer came. `dropped`: this side gave the attempt up.
 */
 export type AttemptEnd
 	= | {readonly kind: 'notSent'; readonly reason: string}
@@ -43,6 +43,7 @@
 		| {readonly kind: 'silent'; readonly reason: string}
 		| {readonly kind: 'cutOff'; readonly reason: string}
 		| {readonly kind: 'lost'; readonly reason: string}
+		| {readonly kind: 'outdated'}
 		| {readonly kind: 'complete'}
 		| {readonly kind: 'dropped'};
 
@@ -73,6 +74,8 @@
 	readonly message: CallMessage;
 	readonly fields: AttemptFields;
 	readonly patience: AttemptPatience;
+	/** Whether the replica may still be sent work; asked once more when its connection has been made. */
+	readonly isCurrent: () => boolean;
 	readonly listener: AttemptListener;
 };
 
@@ -147,6 +150,12 @@
 			body: message.body && message.body.length > 0 ? message.body : undefined,
 		}, {
 			onRequestStart: controller => {
+				if (isNew && !this.#parts.isCurrent()) {
+					this.#giveUp({kind: 'outdated'});
+					controller.abort(new Error('the replica may have left'));
+					return;
+				}
+
 				this.#controller = controller;
 				this.#isSent = true;
 				clearTimeout(this.#timer);
--- a/src/gateway/batch/batch-runner.ts
+++ b/src/gateway/batch/batch-runner.ts
@@ -9,6 +9,7 @@
 import type {ConfigBoard} from '../config-board.js';
 import type {ReplicaContacts} from '../contacts/replica-contacts.js';
 import type {LoadBoard} from '../load-board.js';
+import type {FeedFreshness} from '../feed-freshness.js';
 import {gatewayEvents} from '../log-events.js';
 import type {ObjectFeed} from '../object-feed.js';
 import {itemsToCut} from '../replica-choice.js';
@@ -57,6 +58,8 @@
 	readonly failedRuns: FailedRuns;
 	readonly board: ConfigBoard;
 	readonly directory: ReplicaDirectory;
+	/** Of the directory. */
+	readonly replicaFreshness: FeedFreshness;
 	readonly loads: LoadBoard;
 	readonly links: ReplicaLinks;
 	readonly contacts: ReplicaContacts;
@@ -238,7 +241,14 @@
 			return;
 		}
 
-		const {clock} = this.#parts;
+		const {clock, replicaFreshness} = this.#parts;
+		if (!replicaFreshness.isFresh) {
+			void replicaFreshness.refresh().then(() => {
+				this.#fillSoon();
+			});
+			return;
+		}
+
 		const wallNow = clock.wall();
 		const byRoute = groupByRoute(this.#runs.all.flatMap(run => this.#waitingOf(run)));
 		[...byRoute.values()].forEach(items => {
@@ -310,7 +320,7 @@
 	#send(place: ItemPlace, connection: ReplicaConnection) {
 		const {job, state, replica} = place;
 		const {
-			loads, contacts, dialect, itemHeaders, log, clock,
+			loads, contacts, dialect, itemHeaders, log, clock, directory, replicaFreshness,
 		} = this.#parts;
 		const {item, events} = state;
 		log.emit(gatewayEvents.itemStarted, {
@@ -327,6 +337,7 @@
 			contact: contacts.of(replica),
 			clock,
 			dialect,
+			isCurrent: () => replicaFreshness.isFresh && directory.takesWork(replica),
 			headers: itemHeaders(job.record.host, item.id, item.headers),
 			events,
 			caller: this.#callerOf(job),
--- a/src/gateway/batch/item-run.ts
+++ b/src/gateway/batch/item-run.ts
@@ -30,6 +30,8 @@
 	readonly contact: AttemptContact;
 	readonly clock: Clock;
 	readonly dialect: CallDialect;
+	/** See `Attempt`. */
+	readonly isCurrent: () => boolean;
 	/** Names and values by turns. */
 	readonly headers: readonly string[];
 	/** The data of the events that are known already. The run adds to them. */
@@ -59,6 +61,7 @@
 	silent: 'broken',
 	cutOff: 'broken',
 	lost: 'lost',
+	outdated: 'cut',
 	dropped: 'cut',
 };
 
@@ -81,7 +84,7 @@
 
 	constructor(parts: ItemRunParts) {
 		const {
-			item, replica, connection, contact, clock, dialect, headers, events, caller,
+			item, replica, connection, contact, clock, dialect, isCurrent, headers, events, caller,
 		} = parts;
 		this.#parts = parts;
 		this.replica = replica;
@@ -98,6 +101,7 @@
 				requestId: item.id, replica: replica.record.id, lastEventId: events.length, caller,
 			},
 			patience,
+			isCurrent,
 			listener: {
 				onHead: head => {
 					this.#head = head;
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -20,6 +20,7 @@
 import type {JobIntake, SubmissionOutcome} from './batch/job-intake.js';
 import type {JobReader, NoAnswer} from './batch/job-reader.js';
 import type {JobCall, JobCallDialect} from './job-calls.js';
+import type {FeedFreshness} from './feed-freshness.js';
 import {gatewayEvents} from './log-events.js';
 import {OnlineCall} from './online-call.js';
 import type {GatewayParts} from './parts.js';
@@ -31,6 +32,8 @@
 	readonly reader: JobReader;
 	readonly jobCalls: JobCallDialect;
 	readonly gate: CallerGate;
+	/** Of the configuration. */
+	readonly configFreshness: FeedFreshness;
 };
 
 /** Callers reuse a connection that has been idle for a good part of the configured time; it is kept this much longer than that, so that no call crosses the close. */
@@ -199,6 +202,10 @@
 			return;
 		}
 
+		if (!this.#parts.configFreshness.isFresh) {
+			await this.#parts.configFreshness.refresh();
+		}
+
 		const route = this.#routeOf(req);
 		if (!route) {
 			this.#rejectUnrouted(req, res);
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -34,6 +34,7 @@
 import {ConfigBoard} from './config-board.js';
 import {ConfigController} from './config-controller.js';
 import {ReplicaContacts} from './contacts/replica-contacts.js';
+import {FeedFreshness} from './feed-freshness.js';
 import {FrontServer} from './front-server.js';
 import {JobHolders} from './keeping/job-holders.js';
 import type {JobCallDialect} from './job-calls.js';
@@ -52,6 +53,7 @@
 import {SharedChecks} from './peers/shared-checks.js';
 import {Quarantine} from './quarantine/quarantine.js';
 import {QuarantineRecords} from './quarantine/quarantine-records.js';
+import {ReadProgress} from './read-progress.js';
 import {Readiness} from './readiness.js';
 import type {RecordReaders} from './record-readers.js';
 import {RegistrationController} from './registration-controller.js';
@@ -106,6 +108,19 @@
 const checkMs = ({catchUpMs, objectApi: {timeoutMs}}: FrontSettings, changeMs: number) =>
 	Math.max(leastWatchMs, Math.min(catchUpMs - timeoutMs - catchUpMarginMs, changeMs - timeoutMs - changeMarginMs));
 
+/** A call may be on its way to its replica for this long after it was sent, in milliseconds. */
+const travelMs = 100;
+
+/** The stand-ins in line and the answer come on top of the time between two reads, in milliseconds. */
+const checkMarginMs = 250;
+
+/**
+How old the objects may be by which work is sent, in milliseconds. Never so young that a read that is under way in its ordinary time would be waited for.
+
+@param changeMs - Within which a change must be in force.
+*/
+const mostAgeMs = (settings: FrontSettings, changeMs: number): number => Math.max(changeMs - travelMs, checkMs(settings, changeMs) + checkMarginMs);
+
 const feedOptions = ({catchUpMs, objectApi: {timeoutMs}}: FrontSettings) => {
 	const waitMs = Math.max(leastWatchMs, catchUpMs - timeoutMs - catchUpMarginMs);
 	return {
@@ -187,8 +202,9 @@
 			[takeOverMethod]: (handover: JobHandover): JobHandoverAnswer => ({isTaken: this.#runner.takeOver(handover)}),
 		}, log);
 		const options = feedOptions(settings);
+		const progress = new ReadProgress(clock);
 		const feedOf = (kind: keyof typeof options) => new ObjectFeed({
-			api, contact: api, clock, log,
+			api, contact: api, clock, log, progress,
 		}, kind, options[kind]);
 		const isLeaving = () => this.#lifecycle.isLeaving;
 
@@ -219,6 +235,10 @@
 		this.#entry = new MemberEntry({
 			self, api, clock, log,
 		});
+		const freshnessOf = (kind: 'GatewayConfig' | 'Registration', feed: ObjectFeed, changeMs: number) => new FeedFreshness({
+			kind, feed, contact: api, clock, log, freshAt: () => this.#checks.freshAt(kind), mostAgeMs: mostAgeMs(settings, changeMs),
+		});
+		const replicaFreshness = freshnessOf('Registration', replicaFeed, settings.drainMs);
 		const sharers = () => peers.sharers;
 		this.#links = new ReplicaLinks(board, directory, sharers);
 		const contacts = new ReplicaContacts({
@@ -231,7 +251,7 @@
 			self, book, peers, clock, log, isLeaving, membersKnownAt: () => this.#registry.knownAt,
 		});
 		this.#runner = new BatchRunner({
-			self, api, feed: recordFeed, book, contents, peers, rpc, claims, failedRuns, board, directory, loads, links: this.#links, contacts, quarantine, dialect, itemHeaders, clock, random, log, metrics, failureDomain,
+			self, api, feed: recordFeed, book, contents, peers, rpc, claims, failedRuns, board, directory, replicaFreshness, loads, links: this.#links, contacts, quarantine, dialect, itemHeaders, clock, random, log, metrics, failureDomain,
 		});
 		this.#retention = new BatchRetention({
 			self, api, book, peers, clock, log, keptMs: settings.resultsKeptMs,
@@ -246,6 +266,7 @@
 			self,
 			peers,
 			clock,
+			progress,
 			feeds: [
 				{kind: 'GatewayConfig', feed: configFeed, everyMs: checkMs(settings, settings.configMs)},
 				{kind: 'Registration', feed: replicaFeed, everyMs: checkMs(settings, settings.drainMs)},
@@ -258,7 +279,7 @@
 			lifecycle: this.#lifecycle, board, directory, log,
 		});
 		this.#server = new FrontServer({
-			board, directory, loads, links: this.#links, contacts, quarantine, serviceTimes: new ServiceTimes(), ranks: new CallRanks(clock), dialect, clock, random, log, metrics, sharers, failureDomain, jobCalls,
+			board, directory, replicaFreshness, configFreshness: freshnessOf('GatewayConfig', configFeed, settings.configMs), loads, links: this.#links, contacts, quarantine, serviceTimes: new ServiceTimes(), ranks: new CallRanks(clock), dialect, clock, random, log, metrics, sharers, failureDomain, jobCalls,
 			gate: new CallerGate({
 				board, dialect, limits: rateLimits, clock, log, metrics, configHeardAt: () => this.#checks.freshAt('GatewayConfig'), staleAfterMs: settings.refuseKeysAfterMs,
 			}),
@@ -282,7 +303,7 @@
 			res.writeHead(this.#readiness.isReady ? 200 : 503, {'content-length': '0'});
 			res.end();
 		});
-		this.#owned = [this.#retention, this.#quarantineRecords, this.#runner, this.#announcer, this.#entry, registrations, this.#checks, ...this.#feeds, contacts, this.#links, this.#server, this.#channel, this.#rpcServer, api, http, this.#metrics, this.#lifecycle];
+		this.#owned = [this.#retention, this.#quarantineRecords, this.#runner, this.#announcer, this.#entry, registrations, this.#checks, progress, ...this.#feeds, contacts, this.#links, this.#server, this.#channel, this.#rpcServer, api, http, this.#metrics, this.#lifecycle];
 	}
 
 	get addresses(): Readonly<Record<string, string>> {
--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -46,6 +46,8 @@
 	feedLost: {number: 714, level: 'warn', text: 'object API does not answer, what is known is kept'},
 	/** Fields: kind, revision, awayMs, lateMs (since it has answered any call of this process again). */
 	feedRegained: {number: 715, level: 'info', text: 'object API answers again'},
+	/** Fields: kind, ageMs (since what is known was confirmed), isKnown (whether it was read in time), waitedMs. */
+	feedRefreshed: {number: 744, level: 'info', text: 'objects were too old to send work by, and were read again'},
 	/** Fields: reason, peers (that can help). */
 	objectApiByPeers: {number: 731, level: 'warn', text: 'object API does not answer here, calls go by way of peers'},
 	/** No fields. */
--- a/src/gateway/object-api-contact.ts
+++ b/src/gateway/object-api-contact.ts
@@ -14,6 +14,8 @@
 
 /** See the module's head. */
 export type ObjectApiContact = {
+	/** While the object API does not answer: when the last call to it began that has failed, in milliseconds on the monotonic clock. `undefined` while it answers. */
+	readonly awayAt: number | undefined;
 	/** Calls the listener with each answer. */
 	onAnswer(listener: (answer: ObjectApiAnswer) => void): void;
 };
--- a/src/gateway/object-feed.ts
+++ b/src/gateway/object-feed.ts
@@ -9,10 +9,11 @@
 	Clock, Disposable, EventLog, ObjectApi,
 } from '../common/services.js';
 import type {
-	ApiError, ObjectKind, StoredObject, WatchBatch, WatchEvent,
+	ApiError, ObjectKind, ReadOptions, StoredObject, WatchBatch, WatchEvent,
 } from '../common/types.js';
 import {gatewayEvents} from './log-events.js';
 import type {ObjectApiAnswer, ObjectApiContact} from './object-api-contact.js';
+import type {ReadProgress} from './read-progress.js';
 
 /** What a feed needs. */
 export type FeedParts = {
@@ -21,6 +22,8 @@
 	readonly contact?: ObjectApiContact;
 	readonly clock: Clock;
 	readonly log: EventLog;
+	/** Tells when a watch was answered at the earliest; without it, that is when it was asked. */
+	readonly progress?: Pick<ReadProgress, 'readUntil'>;
 };
 
 /** How a feed asks. */
@@ -71,6 +74,7 @@
 	#growingPaceMs = 0;
 	#pacedAt = -Infinity;
 	#heardAt = -Infinity;
+	#knownAt = -Infinity;
 	#currentSync: Promise<boolean> | undefined;
 	#nextSync: Promise<boolean> | undefined;
 
@@ -118,6 +122,11 @@
 		return this.#heardAt;
 	}
 
+	/** What had changed by then is known, in milliseconds on the monotonic clock. An answer that was read late, after a pause of this process, does not count as of then. */
+	get knownAt(): number {
+		return this.#knownAt;
+	}
+
 	/** Calls that failed in a row in the last outage, or so far in this one. */
 	get lastOutageFailures(): number {
 		return this.#failures;
@@ -153,6 +162,15 @@
 		return this.#nextSync;
 	}
 
+	/**
+	Reads what has changed until now on a connection of its own, without waiting for another read.
+
+	@returns Whether all is known that had changed when this was called.
+	*/
+	async readAnew(): Promise<boolean> {
+		return this.#readOnce({isFresh: true});
+	}
+
 	/**
 	Brings objects that are known to stand in the object API. Watches may hear nothing of them for a while, around the time at which the object API discards its history; a list always shows them.
 
@@ -194,29 +212,31 @@
 		return own;
 	}
 
-	async #readOnce(): Promise<boolean> {
+	async #readOnce(options?: ReadOptions): Promise<boolean> {
 		const since = this.#revision;
+		const askedAt = this.#parts.clock.now();
 		if (since === undefined) {
 			return this.#list();
 		}
 
-		const batch = await this.#parts.api.watch([this.#kind], since, 0);
+		const batch = await this.#parts.api.watch([this.#kind], since, 0, options);
 		return batch.caseOf({
 			Left: err => this.#isKnownAfter(err),
-			Right: changes => this.#apply(changes, since),
+			Right: changes => this.#apply(changes, since, askedAt),
 		});
 	}
 
 	async #watch(since: Revision): Promise<boolean> {
 		const {waitMs, mayLag} = this.#options;
 		const {isAway} = this;
+		const askedAt = this.#parts.clock.now();
 		this.#isWaiting = !isAway;
 		const batch = await this.#parts.api.watch([this.#kind], since, isAway ? 0 : waitMs, {mayLag});
 		this.#isWaiting = false;
 		return batch.caseOf({
 			Left: err => this.#isKnownAfter(err),
 			Right: changes => {
-				this.#apply(changes, since);
+				this.#apply(changes, since, this.#answeredAt(askedAt));
 				return true;
 			},
 		});
@@ -235,6 +255,7 @@
 
 	async #list(): Promise<boolean> {
 		const items: StoredObject[] = [];
+		const askedAt = this.#parts.clock.now();
 		let after: string | undefined;
 		let version: Revision | undefined;
 		do {
@@ -252,6 +273,7 @@
 		} while (after !== undefined);
 
 		this.#noteAnswer();
+		this.#knownAt = Math.max(this.#knownAt, askedAt);
 		if (this.#revision === undefined || version === undefined || version >= this.#revision) {
 			this.#revision = version;
 			this.#noteChange(version);
@@ -264,14 +286,16 @@
 	/**
 	An answer that another has overtaken is left out: what it holds beyond the other comes again with the next watch, and a removal in it could undo a later creation under the same name.
 
+	@param knownAt - When it was answered at the earliest, in milliseconds on the monotonic clock.
 	@returns Whether it was in time.
 	*/
-	#apply({events, version}: WatchBatch, since: Revision): boolean {
+	#apply({events, version}: WatchBatch, since: Revision, knownAt: number): boolean {
 		this.#noteAnswer();
 		if (this.#revision !== since) {
 			return this.#revision !== undefined && version <= this.#revision;
 		}
 
+		this.#knownAt = Math.max(this.#knownAt, knownAt);
 		this.#revision = Math.max(version, since, events.at(-1)?.version ?? 0) as Revision;
 		if (events.length > 0) {
 			this.#pace();
@@ -290,6 +314,10 @@
 		this.#paceMs = this.#growingPaceMs;
 	}
 
+	#answeredAt(askedAt: number): number {
+		return Math.max(askedAt, this.#parts.progress?.readUntil ?? askedAt);
+	}
+
 	#noteChange(at: Revision | undefined) {
 		this.#changedAt = Math.max(this.#changedAt ?? 0, at ?? 0) as Revision;
 	}
--- a/src/gateway/online-call.ts
+++ b/src/gateway/online-call.ts
@@ -128,6 +128,10 @@
 			this.#noteOutcome(replica, this.#runStatus >= 500 || (isSuccess && !this.#answer.isWhole));
 			this.#finish(replica);
 		},
+		outdated: (_end, replica) => {
+			this.#tried.delete(replica.record.id);
+			this.#offer();
+		},
 		dropped: () => undefined,
 	};
 
@@ -195,6 +199,11 @@
 			return;
 		}
 
+		if (!this.#parts.replicaFreshness.isFresh) {
+			void this.#offerWhenFresh();
+			return;
+		}
+
 		const {heldMs} = this.#content;
 		if (heldMs > 0) {
 			this.#giveUp('quarantined', heldMs);
@@ -215,6 +224,11 @@
 		this.#send(replica, connection, timeLeftMs);
 	}
 
+	async #offerWhenFresh() {
+		await this.#parts.replicaFreshness.refresh();
+		this.#offer();
+	}
+
 	#choose(): Replica | undefined {
 		const {clock, random, failureDomain, directory, sharers} = this.#parts;
 		return chooseForOnline(directory.takingWork(this.#service), {
@@ -224,7 +238,7 @@
 
 	#send(replica: Replica, connection: ReplicaConnection, timeLeftMs: number) {
 		const {
-			log, loads, dialect, contacts, clock,
+			log, loads, dialect, contacts, clock, directory, replicaFreshness,
 		} = this.#parts;
 		const {fields, message, route} = this.#call;
 		log.emit(gatewayEvents.callRouted, {
@@ -250,6 +264,7 @@
 				caller: this.#call.caller.identity,
 			},
 			patience: {silenceMs: this.#isRepeatable ? repeatableSilenceMs : this.#timeLimitMs, canGoElsewhere: this.#isRepeatable},
+			isCurrent: () => replicaFreshness.isFresh && directory.takesWork(replica),
 			listener: {
 				onHead: head => {
 					this.#runHead = head;
--- a/src/gateway/parts.ts
+++ b/src/gateway/parts.ts
@@ -6,6 +6,7 @@
 } from '../common/services.js';
 import type {CallRanks} from './accounts/call-ranks.js';
 import type {ConfigBoard} from './config-board.js';
+import type {FeedFreshness} from './feed-freshness.js';
 import type {ReplicaContacts} from './contacts/replica-contacts.js';
 import type {LoadBoard} from './load-board.js';
 import type {Quarantine} from './quarantine/quarantine.js';
@@ -18,6 +19,8 @@
 export type GatewayParts = {
 	readonly board: ConfigBoard;
 	readonly directory: ReplicaDirectory;
+	/** Of the directory. */
+	readonly replicaFreshness: FeedFreshness;
 	readonly loads: LoadBoard;
 	readonly links: ReplicaLinks;
 	readonly contacts: ReplicaContacts;
--- a/src/gateway/peers/object-relay.ts
+++ b/src/gateway/peers/object-relay.ts
@@ -93,6 +93,8 @@
 	#answeredAt = -Infinity;
 	/** See {@link ObjectApiAnswer.failedCallAt}. */
 	#failedCallAt: number | undefined;
+	/** The same, whether an answer has come since or not. */
+	#lastFailedCallAt: number | undefined;
 	#isDirect = true;
 	#probe: NodeJS.Timeout | undefined;
 	#failedAt = -Infinity;
@@ -106,6 +108,10 @@
 		return this.#isDirect;
 	}
 
+	get awayAt(): number | undefined {
+		return this.#isDirect ? undefined : this.#lastFailedCallAt;
+	}
+
 	/** Calls the listener with each answer of the object API, direct or by way of a peer. Answers that may be of a copy that lags do not count. */
 	onAnswer(listener: (answer: ObjectApiAnswer) => void): void {
 		this.#events.on('answer', listener);
@@ -197,6 +203,7 @@
 		const err = errorOf(outcome);
 		if (err && isAway(err) && call.operation !== 'watch') {
 			this.#failedCallAt = Math.max(askedAt, this.#failedCallAt ?? askedAt);
+			this.#lastFailedCallAt = Math.max(askedAt, this.#lastFailedCallAt ?? askedAt);
 		}
 
 		return outcome;
@@ -260,11 +267,12 @@
 			return;
 		}
 
-		this.#noteAnswer();
 		if (!this.#isDirect) {
 			this.#isDirect = true;
 			this.#parts.log.emit(gatewayEvents.objectApiDirect);
 		}
+
+		this.#noteAnswer();
 	}
 
 	#noteAnswer() {
--- a/src/gateway/peers/shared-checks.steps.ts
+++ b/src/gateway/peers/shared-checks.steps.ts
@@ -10,6 +10,7 @@
 import type {TestWorld} from '../../common/testing/test-world.js';
 import {SystemClock} from '../../io/system-clock.js';
 import {ObjectFeed} from '../object-feed.js';
+import {ReadProgress} from '../read-progress.js';
 import type {MemberName} from '../types.js';
 import type {PeerState} from './peer-state.js';
 import type {Peer} from './peer-table.js';
@@ -81,6 +82,7 @@
 	const checks = new SharedChecks({
 		self: name,
 		clock,
+		progress: world.register(new ReadProgress(clock)),
 		feeds: [{kind: 'GatewayConfig', feed, everyMs}],
 		peers: {
 			get live() {
--- a/src/gateway/peers/shared-checks.ts
+++ b/src/gateway/peers/shared-checks.ts
@@ -5,6 +5,7 @@
 import type {Clock, Disposable} from '../../common/services.js';
 import type {ObjectKind} from '../../common/types.js';
 import type {ObjectFeed} from '../object-feed.js';
+import type {ReadProgress} from '../read-progress.js';
 import type {MemberName} from '../types.js';
 import type {PeerState} from './peer-state.js';
 import type {PeerTable} from './peer-table.js';
@@ -32,6 +33,7 @@
 	readonly peers: Pick<PeerTable, 'live' | 'onState'>;
 	readonly feeds: readonly CheckedFeed[];
 	readonly clock: Clock;
+	readonly progress: Pick<ReadProgress, 'readUntil'>;
 	/** Announces this process's state soon. */
 	readonly announce: () => void;
 };
@@ -56,7 +58,7 @@
 
 	constructor(parts: SharedChecksParts) {
 		this.#parts = parts;
-		this.#checks = parts.feeds.map(feed => new FeedCheckLoop(feed, parts.clock, {
+		this.#checks = parts.feeds.map(feed => new FeedCheckLoop(feed, parts, {
 			delayMs: () => standInMs * Math.min(mostStandIns, this.#rank()),
 			announce: parts.announce,
 		}));
@@ -106,6 +108,7 @@
 	readonly kind: ObjectKind;
 	readonly #checked: CheckedFeed;
 	readonly #clock: Clock;
+	readonly #progress: Pick<ReadProgress, 'readUntil'>;
 	readonly #options: {readonly delayMs: () => number; readonly announce: () => void};
 	/** When a peer last confirmed that nothing is missing here. */
 	#confirmedAt = -Infinity;
@@ -113,15 +116,16 @@
 	#timer: NodeJS.Timeout | undefined;
 	#isDisposed = false;
 
-	constructor(checked: CheckedFeed, clock: Clock, options: {readonly delayMs: () => number; readonly announce: () => void}) {
+	constructor(checked: CheckedFeed, {clock, progress}: Pick<SharedChecksParts, 'clock' | 'progress'>, options: {readonly delayMs: () => number; readonly announce: () => void}) {
 		this.kind = checked.kind;
 		this.#checked = checked;
 		this.#clock = clock;
+		this.#progress = progress;
 		this.#options = options;
 	}
 
 	get freshAt(): number {
-		return Math.max(this.#confirmedAt, this.#checked.feed.heardAt);
+		return Math.max(this.#confirmedAt, this.#checked.feed.knownAt);
 	}
 
 	start(): void {
@@ -130,7 +134,7 @@
 
 	news(): FeedCheck[] {
 		const {feed} = this.#checked;
-		const ageMs = this.#clock.now() - feed.heardAt;
+		const ageMs = this.#clock.now() - feed.knownAt;
 		return feed.changedAt === undefined || ageMs > announcedForMs ? [] : [{kind: this.kind, changedAt: feed.changedAt, ageMs: Math.round(ageMs)}];
 	}
 
@@ -138,7 +142,7 @@
 		const now = this.#clock.now();
 		const {revision} = this.#checked.feed;
 		if (revision !== undefined && changedAt <= revision) {
-			this.#confirmedAt = Math.max(this.#confirmedAt, now - ageMs);
+			this.#confirmedAt = Math.max(this.#confirmedAt, this.#progress.readUntil - ageMs);
 			return;
 		}
 
--- a/src/gateway/replica-directory.ts
+++ b/src/gateway/replica-directory.ts
@@ -41,6 +41,11 @@
 		return this.#byService.get(service) ?? [];
 	}
 
+	/** Whether this start of a replica is still registered and takes new work. */
+	takesWork(replica: Replica): boolean {
+		return this.takingWork(replica.record.service).includes(replica);
+	}
+
 	/** Takes over a registration, new or changed. */
 	put(record: ReplicaRecord): void {
 		const known = this.#byId.get(record.id);
--- a/src/io/object-api-calls.ts
+++ b/src/io/object-api-calls.ts
@@ -24,6 +24,8 @@
 	readonly waitMs?: number;
 	/** Whether it may change anything. */
 	readonly isChange: boolean;
+	/** True takes a connection of its own. */
+	readonly isFresh?: boolean;
 };
 
 /** A whole answer, or none that could be read. */
@@ -61,6 +63,7 @@
 			path: call.path,
 			headers: {'content-type': 'application/json', ...call.headers},
 			body: call.body,
+			fresh: call.isFresh,
 			timeoutMs: headLimitMs,
 			wholeMs: headLimitMs + timeoutMs,
 		});
