Idle connections to replicas age by the clock, not by timers

After a pause of the process, an idle connection may have been closed by its replica, and the close not been read; the timers that close it on this side come late too. A call that waited went out on it and was lost: 502 for one that may not be repeated. A reader of jobs trusts what it knows by when it can have been answered, not read. Test: src/gateway/replica-connections.feature; without the change the first of its two scenarios makes one connection, and two are due.

--- a/src/gateway/batch/job-reader.ts
+++ b/src/gateway/batch/job-reader.ts
@@ -185,7 +185,7 @@
 
 	async #isTrusted(): Promise<boolean> {
 		const {feed, clock} = this.#parts;
-		return clock.now() - feed.heardAt < trustedMs || feed.sync();
+		return clock.now() - feed.knownAt < trustedMs || feed.sync();
 	}
 }
 
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -240,7 +240,9 @@
 		});
 		const replicaFreshness = freshnessOf('Registration', replicaFeed, settings.drainMs);
 		const sharers = () => peers.sharers;
-		this.#links = new ReplicaLinks(board, directory, sharers);
+		this.#links = new ReplicaLinks({
+			board, directory, clock, sharers,
+		});
 		const contacts = new ReplicaContacts({
 			directory, clock, log, dial,
 		});
--- a/src/gateway/replica-connections.ts
+++ b/src/gateway/replica-connections.ts
@@ -4,7 +4,7 @@
 import buildConnector from 'undici/lib/core/connect.js';
 import Client from 'undici/lib/dispatcher/client.js';
 import type {Dispatcher} from 'undici';
-import type {Disposable} from '../common/services.js';
+import type {Clock, Disposable} from '../common/services.js';
 import {SocketWatch} from '../io/socket-watch.js';
 
 /** An idle connection is closed after this long where the replica announces no time of its own, in milliseconds; below the 5 s that Node's and most other servers keep one. */
@@ -21,6 +21,8 @@
 
 /** One connection, or the attempt to make it. It carries one request at a time. */
 export class ReplicaConnection implements Disposable {
+	/** Since when it has carried no request, in milliseconds on the monotonic clock. */
+	idleSince = Infinity;
 	readonly #client: Client;
 	readonly #siblings: ReplicaConnections;
 	readonly #socketWatch = new SocketWatch();
@@ -96,14 +98,16 @@
 /** The connections to one replica. */
 export class ReplicaConnections implements Disposable {
 	readonly #address: string;
+	readonly #clock: Clock;
 	readonly #all = new Set<ReplicaConnection>();
 	#idle: ReplicaConnection[] = [];
 	#made = 0;
 	#isRetired = false;
 
 	/** @param address - `ip:port`. */
-	constructor(address: string) {
+	constructor(address: string, clock: Clock) {
 		this.#address = address;
+		this.#clock = clock;
 	}
 
 	/** Connections that are open or being made. */
@@ -117,12 +121,13 @@
 	}
 
 	/**
-	A connection to send one request on: the one that was used last, since it is the least likely to be closed by the replica meanwhile.
+	A connection to send one request on: the one that was used last, since it is the least likely to be closed by the replica meanwhile. After a pause of this process, idle ones may have been closed without their timers having run.
 
 	@param limit - Connections that may be open at once.
 	@returns Nothing when all are busy.
 	*/
 	take(limit: number): ReplicaConnection | undefined {
+		this.#closeOutdated();
 		const idle = this.#idle.pop();
 		if (idle) {
 			return idle;
@@ -151,6 +156,7 @@
 
 		setImmediate(() => {
 			if (!connection.isOver && this.#all.has(connection)) {
+				connection.idleSince = this.#clock.now();
 				this.#idle.push(connection);
 			}
 		});
@@ -184,4 +190,14 @@
 		this.#all.clear();
 		this.#idle = [];
 	}
+
+	#closeOutdated() {
+		const since = this.#clock.now() - idleMs;
+		const [oldest] = this.#idle;
+		if (oldest && oldest.idleSince < since) {
+			this.#idle.filter(({idleSince}) => idleSince < since).forEach(connection => {
+				connection.discard();
+			});
+		}
+	}
 }
--- a/src/gateway/replica-links.ts
+++ b/src/gateway/replica-links.ts
@@ -1,7 +1,7 @@
 /**
 The connections of this process to all replicas, kept by start: a replica that starts again, at the same address or under the same id, begins without the connections of the start before.
 */
-import type {Disposable} from '../common/services.js';
+import type {Clock, Disposable} from '../common/services.js';
 import type {ConfigBoard} from './config-board.js';
 import type {Replica} from './replica.js';
 import {ReplicaConnections, type ReplicaConnection} from './replica-connections.js';
@@ -14,18 +14,24 @@
 /** However many processes share a replica, each may hold this many connections to it. */
 const leastConnections = 8;
 
+/** What the links are made of. */
+export type ReplicaLinksParts = {
+	readonly board: ConfigBoard;
+	readonly directory: ReplicaDirectory;
+	readonly clock: Clock;
+	/** How many processes of the gateway send to the replicas, this one included. */
+	readonly sharers: () => number;
+};
+
 /** See the module's head. */
 export class ReplicaLinks implements Disposable {
-	readonly #board: ConfigBoard;
-	readonly #countSharers: () => number;
+	readonly #parts: ReplicaLinksParts;
 	readonly #links = new Map<ReplicaId, ReplicaConnections>();
 	#madeByGone = 0;
 
-	/** @param countSharers - How many processes of the gateway send to the replicas, this one included. */
-	constructor(board: ConfigBoard, directory: ReplicaDirectory, countSharers: () => number) {
-		this.#board = board;
-		this.#countSharers = countSharers;
-		directory.onChange(({replica, change}) => {
+	constructor(parts: ReplicaLinksParts) {
+		this.#parts = parts;
+		parts.directory.onChange(({replica, change}) => {
 			if (change === 'left') {
 				this.#remove(replica.record.id)?.retire();
 			} else if (change === 'restarted') {
@@ -58,15 +64,16 @@
 			return known;
 		}
 
-		const connections = new ReplicaConnections(record.address);
+		const connections = new ReplicaConnections(record.address, this.#parts.clock);
 		this.#links.set(record.id, connections);
 		return connections;
 	}
 
 	/** A replica resets connections beyond its limit, and with them requests that others have under way. */
 	#shareOf({record}: Replica): number {
-		const all = this.#board.service(record.service)?.maxConnections ?? defaultMaxConnections;
-		return Math.max(leastConnections, Math.floor(all / Math.max(1, this.#countSharers())));
+		const {board, sharers} = this.#parts;
+		const all = board.service(record.service)?.maxConnections ?? defaultMaxConnections;
+		return Math.max(leastConnections, Math.floor(all / Math.max(1, sharers())));
 	}
 
 	#remove(id: ReplicaId): ReplicaConnections | undefined {
