An entry reads what has come before it judges a deadline to have passed

The entry told its caller that the deadline had passed, and cancelled the run, though the whole answer waited to be read. Change: the deadline is judged in the next turn of the event loop. Test: An answer that has come within a pause of the entry is delivered though the deadline has passed; 'expired' before, 'whole' now. Ruled out by reading: src/agent/silence-watch.ts asks the engine first, on a new connection, and drops its doubt when the run was heard meanwhile.

--- a/src/entry/online-frontend.ts
+++ b/src/entry/online-frontend.ts
@@ -148,7 +148,10 @@
 		};
 
 		const timer = setTimeout(() => {
-			controller.abort(deadlinePassed);
+			// An answer that came within a pause of this process is read first.
+			setImmediate(() => {
+				controller.abort(deadlinePassed);
+			});
 		}, deadlineMs);
 		// Closed before it was finished: the caller has gone.
 		res.once('close', abort);
