A feature for how old the objects may be by which work is sent

Nine scenarios without a network: what waits for a read and what does not, that callers share it, that it is given up and repeated, and that an answer read late is as old as its question.

--- /dev/null
+++ b/src/gateway/feed-freshness.steps.ts
@@ -0,0 +1,183 @@
+/**
+Steps for the freshness of objects, with a feed that the steps answer for and a clock that they set.
+*/
+import assert from 'node:assert/strict';
+import {EventEmitter, once} from 'node:events';
+import {Given, Then, When} from '@cucumber/cucumber';
+import {Right} from 'purify-ts/Either';
+import type {Revision} from '../common/ids.js';
+import type {Clock, EventLog, ObjectApi} from '../common/services.js';
+import type {TestWorld} from '../common/testing/test-world.js';
+import {until} from '../common/testing/until.js';
+import {FeedFreshness} from './feed-freshness.js';
+import {ObjectFeed} from './object-feed.js';
+
+type FreshnessWorld = TestWorld & {
+	now: number;
+	freshAt: number;
+	awayAt: number | undefined;
+	revision: Revision | undefined;
+	reads: number;
+	/** What the next reads come to. */
+	read: () => Promise<boolean>;
+	answers: EventEmitter;
+	freshness: FeedFreshness;
+	waitedMs: number;
+	feed: ObjectFeed;
+};
+
+const log: EventLog = {emit: () => undefined};
+const mostAgeMs = 1900;
+const revision = 1 as Revision;
+
+const clockOf = (world: FreshnessWorld): Clock => ({now: () => world.now, wall: () => world.now, sleep: async () => undefined});
+
+const never = once(new EventEmitter(), 'never') as Promise<never>;
+
+const freshnessOf = (world: FreshnessWorld) => new FeedFreshness({
+	kind: 'Registration',
+	feed: {
+		get revision() {
+			return world.revision;
+		},
+		async readAnew() {
+			world.reads += 1;
+			return world.read();
+		},
+	} as unknown as ObjectFeed,
+	contact: {
+		get awayAt() {
+			return world.awayAt;
+		},
+		onAnswer(listener) {
+			world.answers.on('answer', listener);
+		},
+	},
+	freshAt: () => world.freshAt,
+	clock: clockOf(world),
+	log,
+	mostAgeMs,
+});
+
+Given('objects that were confirmed just now', function (this: FreshnessWorld) {
+	this.now = 10_000;
+	this.freshAt = this.now;
+	this.awayAt = undefined;
+	this.revision = revision;
+	this.reads = 0;
+	this.answers = new EventEmitter();
+	this.read = async () => {
+		this.freshAt = this.now;
+		return true;
+	};
+
+	this.freshness = freshnessOf(this);
+});
+
+Given('no objects are known', function (this: FreshnessWorld) {
+	this.revision = undefined;
+	this.freshAt = -Infinity;
+});
+
+const feedWith = (world: FreshnessWorld, api: Partial<ObjectApi>) => {
+	world.feed = world.register(new ObjectFeed({
+		api: api as ObjectApi,
+		clock: clockOf(world),
+		log,
+		progress: {
+			get readUntil() {
+				return world.freshAt;
+			},
+		},
+	}, 'Registration', {waitMs: 1000, mayLag: false}));
+	world.feed.start();
+};
+
+const list = async () => Right({items: [], version: revision, more: false});
+
+Given('a feed whose list was read {int} ms after it was asked for', async function (this: FreshnessWorld, ms: number) {
+	feedWith(this, {
+		list: async () => {
+			this.now += ms;
+			return list();
+		},
+		watch: async () => never,
+	});
+	await until(() => this.feed.revision !== undefined, 'the list is known');
+});
+
+Given('a feed whose watch was answered, with the sockets last read {int} ms ago', async function (this: FreshnessWorld, ms: number) {
+	let watches = 0;
+	feedWith(this, {
+		list,
+		watch: async () => {
+			watches += 1;
+			if (watches > 1) {
+				return never;
+			}
+
+			this.now += 5000;
+			this.freshAt = this.now - ms;
+			return Right({version: revision, events: []});
+		},
+	});
+	await until(() => watches > 1, 'the watch was answered');
+});
+
+When('they have aged by {int} ms', function (this: FreshnessWorld, ms: number) {
+	this.now += ms;
+});
+
+When('{int} calls wait for a read, and it is answered', async function (this: FreshnessWorld, calls: number) {
+	await Promise.all(Array.from({length: calls}, async () => this.freshness.refresh()));
+});
+
+When('the object API has failed a call that began {int} ms ago', function (this: FreshnessWorld, ms: number) {
+	this.awayAt = this.now - ms;
+});
+
+When('a call waits for a read that is not answered', async function (this: FreshnessWorld) {
+	this.read = async () => never;
+	const startedAt = performance.now();
+	await this.freshness.refresh();
+	this.waitedMs = performance.now() - startedAt;
+});
+
+When('a call waits for a read that fails, and the object API answers another call', async function (this: FreshnessWorld) {
+	const succeed = this.read;
+	this.read = async () => {
+		this.read = succeed;
+		return false;
+	};
+
+	const refreshed = this.freshness.refresh();
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+	this.answers.emit('answer');
+	await refreshed;
+});
+
+Then('work may be sent at once', function (this: FreshnessWorld) {
+	assert.equal(this.freshness.isFresh, true);
+});
+
+Then('work may not be sent at once', function (this: FreshnessWorld) {
+	assert.equal(this.freshness.isFresh, false);
+});
+
+Then('the objects were read once', function (this: FreshnessWorld) {
+	assert.equal(this.reads, 1);
+});
+
+Then('the objects were read twice', function (this: FreshnessWorld) {
+	assert.equal(this.reads, 2);
+});
+
+Then('it has waited between {int} and {int} ms', function (this: FreshnessWorld, least: number, most: number) {
+	assert.ok(this.waitedMs >= least && this.waitedMs <= most, String(this.waitedMs));
+});
+
+Then('what it knows is {int} ms old', function (this: FreshnessWorld, ms: number) {
+	assert.equal(this.now - this.feed.knownAt, ms);
+});
