A call that met silence is sent again on a new connection

What callers saw: where kept connections have gone silent for good, a call spent its second attempt on another kept connection, to another replica, as silent as the first one. One call alone, without pauses or load, fails each time: 502 after 2,416 and 2,457 ms, two attempts silent, e1 and e2. The older scenario sends six calls to two replicas, so that each replica's silence is met by some call, which renews that one's connections only; with more replicas than calls it never is. Ruled out: the replicas (new connections are answered at once); a pause of the process (there is none). Change: after silence, and where a replica could no longer be reached, the next attempt takes a new connection. Where no more may be open, the one that has been idle for longest makes room.

--- a/src/gateway/batch/batch-runner.ts
+++ b/src/gateway/batch/batch-runner.ts
@@ -295,7 +295,7 @@
 		run.giveUpFailed(route);
 		const dueAt = this.#terms.dueAt(job);
 		return run.waiting().filter(state => this.#watch(job, state).heldMs === 0).map(state => ({
-			run, job, route, state, dueAt, events: state.events.length, failedAt: new Set(this.#parts.failedRuns.of(state.item.id).map(({replica}) => replica)),
+			run, job, route, state, dueAt, events: state.events.length, failedAt: new Set(this.#parts.failedRuns.of(state.item.id).map(({replica}) => replica)), needsNewConnection: state.lastEnd === 'broken',
 		}));
 	}
 
--- a/src/gateway/batch/job-run.ts
+++ b/src/gateway/batch/job-run.ts
@@ -21,6 +21,8 @@
 	/** Not to be sent before, in milliseconds on the monotonic clock. */
 	notBefore: number;
 	run: ItemRun | undefined;
+	/** How its last run here ended. */
+	lastEnd: ItemRunEnd | undefined;
 	/** Made when the item is first looked at for a place. */
 	watched: WatchedContent | undefined;
 	/** When its first run here began, in milliseconds on the monotonic clock. */
@@ -110,6 +112,7 @@
 	/** Takes over the end of an item's run. */
 	noteEnd(state: ItemState, end: ItemRunEnd, {replica, route}: {replica: ReplicaId; route: Pick<GatewayRoute, 'maxRuns'>}): void {
 		state.run = undefined;
+		state.lastEnd = end;
 		state.notBefore = this.#parts.clock.now() + (pauseMs[end] ?? 0);
 		if (this.writer.has(state.item.id)) {
 			// The former holder of the job has handed its result over.
@@ -234,6 +237,7 @@
 		events: [...longest?.events ?? []],
 		notBefore: 0,
 		run: undefined,
+		lastEnd: undefined,
 		watched: undefined,
 		begunAt: undefined,
 		ranMs: 0,
--- a/src/gateway/batch/place-finder.steps.ts
+++ b/src/gateway/batch/place-finder.steps.ts
@@ -81,7 +81,7 @@
 
 const look = (world: FinderWorld, {items, dueInMs, times}: {items: number; dueInMs: number; times: number}) => {
 	const seeker: PlaceSeeker = {
-		route, dueAt: world.now + dueInMs, events: 0, failedAt: new Set(),
+		route, dueAt: world.now + dueInMs, events: 0, failedAt: new Set(), needsNewConnection: false,
 	};
 	const own = countWaiting(Array.from({length: items}, () => seeker), assumedRunLength, world.now);
 	world.taken = Array.from({length: times}, () => world.finder.allowance(seeker, own, assumedRunLength)).reduce((sum, places) => sum + places, 0) / times;
--- a/src/gateway/batch/place-finder.ts
+++ b/src/gateway/batch/place-finder.ts
@@ -24,6 +24,8 @@
 	readonly route: GatewayRoute;
 	/** Replicas that have failed the item: it is tried elsewhere, or one bad replica would use up all the runs that its route allows, and the item be given up for good. */
 	readonly failedAt: ReadonlySet<ReplicaId>;
+	/** Whether its last run got no usable answer: other kept connections may be as silent. */
+	readonly needsNewConnection: boolean;
 };
 
 /** What the finder reads. */
@@ -73,7 +75,7 @@
 		const replica = chooseForBatch(replicas, this.#reserveFor(item, length), {
 			now: clock.now(), random, failureDomain, tried, sharers: this.sharers, canGoElsewhere: true,
 		});
-		const connection = replica && links.take(replica);
+		const connection = replica && links.take(replica, item.needsNewConnection);
 		return replica && connection && {replica, connection};
 	}
 
--- a/src/gateway/online-call.ts
+++ b/src/gateway/online-call.ts
@@ -92,6 +92,8 @@
 	/** Whether the replica that has the call had a free place when it was sent. */
 	#hasFoundPlace = false;
 	#lastEnd: AttemptEnd['kind'] | undefined;
+	/** Whether a connection of the call got no byte: other kept ones may be as silent, also those to other replicas. */
+	#hasMetSilence = false;
 
 	readonly #onAttemptEnd: EndHandlers = {
 		notSent: (_end, replica) => {
@@ -113,9 +115,11 @@
 		silent: (_end, replica) => {
 			replica.noteFailure(this.#parts.clock.now());
 			this.#noteOutcome(replica, true);
+			this.#hasMetSilence = true;
 			this.#afterBreak(replica);
 		},
 		cutOff: (_end, replica) => {
+			this.#hasMetSilence = true;
 			this.#afterBreak(replica);
 		},
 		lost: (_end, replica) => {
@@ -212,7 +216,7 @@
 
 		const timeLeftMs = this.#timeLimitMs - this.#elapsedMs();
 		const replica = this.#offers < maxOffers && timeLeftMs > leastTimeMs ? this.#choose() : undefined;
-		const connection = replica && this.#parts.links.take(replica);
+		const connection = replica && this.#parts.links.take(replica, this.#hasMetSilence);
 		if (!replica || !connection) {
 			const reason = this.#offers === 0 ? 'noReplica' : 'full';
 			this.#giveUp(reason, comeBackMs[reason]);
--- a/src/gateway/replica-connections.steps.ts
+++ b/src/gateway/replica-connections.steps.ts
@@ -42,6 +42,14 @@
 	await answered(this.connections.take(8)!);
 });
 
+When('a request that needs a new connection is sent, with {int} allowed', async function (this: ConnectionsWorld, limit: number) {
+	await answered(this.connections.take(limit, true)!);
+});
+
+Then('{int} of them is/are open', function (this: ConnectionsWorld, count: number) {
+	assert.equal(this.connections.size, count);
+});
+
 Then('{int} connections were made', function (this: ConnectionsWorld, count: number) {
 	assert.equal(this.connections.made, count);
 });
--- a/src/gateway/replica-connections.ts
+++ b/src/gateway/replica-connections.ts
@@ -124,23 +124,12 @@
 	A connection to send one request on: the one that was used last, since it is the least likely to be closed by the replica meanwhile. After a pause of this process, idle ones may have been closed without their timers having run.
 
 	@param limit - Connections that may be open at once.
+	@param mustBeNew - Whether a kept connection will not do.
 	@returns Nothing when all are busy.
 	*/
-	take(limit: number): ReplicaConnection | undefined {
+	take(limit: number, mustBeNew = false): ReplicaConnection | undefined {
 		this.#closeOutdated();
-		const idle = this.#idle.pop();
-		if (idle) {
-			return idle;
-		}
-
-		if (this.#all.size >= limit) {
-			return undefined;
-		}
-
-		const connection = new ReplicaConnection(this.#address, this);
-		this.#all.add(connection);
-		this.#made += 1;
-		return connection;
+		return mustBeNew ? this.#makeInsteadOfIdle(limit) : this.#idle.pop() ?? this.#make(limit);
 	}
 
 	/**
@@ -191,6 +180,26 @@
 		this.#idle = [];
 	}
 
+	/** Where the limit is reached, the connection that has been idle for longest makes room. */
+	#makeInsteadOfIdle(limit: number): ReplicaConnection | undefined {
+		if (this.#all.size >= limit) {
+			this.#idle[0]?.discard();
+		}
+
+		return this.#make(limit);
+	}
+
+	#make(limit: number): ReplicaConnection | undefined {
+		if (this.#all.size >= limit) {
+			return undefined;
+		}
+
+		const connection = new ReplicaConnection(this.#address, this);
+		this.#all.add(connection);
+		this.#made += 1;
+		return connection;
+	}
+
 	#closeOutdated() {
 		const since = this.#clock.now() - idleMs;
 		const [oldest] = this.#idle;
--- a/src/gateway/replica-links.ts
+++ b/src/gateway/replica-links.ts
@@ -46,9 +46,12 @@
 		return [...this.#links.values()].reduce((sum, {made}) => sum + made, this.#madeByGone);
 	}
 
-	/** @returns Nothing when this process's share of the replica's connections is in use. */
-	take(replica: Replica): ReplicaConnection | undefined {
-		return this.#connectionsTo(replica).take(this.#shareOf(replica));
+	/**
+	@param mustBeNew - Whether a kept connection will not do.
+	@returns Nothing when this process's share of the replica's connections is in use.
+	*/
+	take(replica: Replica, mustBeNew = false): ReplicaConnection | undefined {
+		return this.#connectionsTo(replica).take(this.#shareOf(replica), mustBeNew);
 	}
 
 	dispose(): void {
