Silence at a replica is counted by the clock, half of it in running time

Each step of the limit counted as its own length, however long it took. Ruled out: late reading (what has come is read before each step is judged); the second attempt (47 to 65 ms where no pause fell into it). Change: the limit is over when it has passed by the clock and half of it was time in which this process ran: the replica could answer within a pause, and what it answered is read before a step is judged. All of it in running time still ends it.

--- a/src/gateway/attempt.feature
+++ b/src/gateway/attempt.feature
@@ -37,6 +37,20 @@
     Then it ended once, as "silent"
     And the other idle connections to the replica are closed
 
+  Scenario: A pause of this process counts as silence, up to half of the limit
+    # Guards against a caller that waits for the pauses of this process and for the whole limit besides.
+    Given an attempt for call "c1" that bears 1000 ms of silence, looked at every 100 ms
+    When the process is paused for 800 ms within the attempt
+    Then it ended once, as "silent"
+    And that was 1000 to 1500 ms after it was sent
+
+  Scenario: A pause of this process alone does not end an attempt
+    # Guards against an answer that is given up because this process had no time to read it.
+    Given an attempt for call "c1" that bears 1000 ms of silence, looked at every 100 ms
+    When the process is paused for 1200 ms within the attempt
+    Then it ended once, as "silent"
+    And that was 1500 to 2000 ms after it was sent
+
   Scenario: A request at a replica that can no longer be reached does not wait until its patience is over
     # The replica's VM has lost its power: no byte comes, and no connection can be made.
     Given an attempt for call "c1" at a replica that can no longer be reached
--- a/src/gateway/attempt.steps.ts
+++ b/src/gateway/attempt.steps.ts
@@ -7,12 +7,16 @@
 import type {TestWorld} from '../common/testing/test-world.js';
 import {until} from '../common/testing/until.js';
 import {SystemClock} from '../io/system-clock.js';
+import {pauseProcess} from '../io/testing/pause-process.js';
 import {Attempt, type AttemptEnd, type Carrier} from './attempt.js';
 import type {CallDialect, ReplicaId} from './types.js';
 
 type AttemptWorld = TestWorld & {
 	carrier: PlayedCarrier;
 	ends: AttemptEnd[];
+	/** In milliseconds of `performance.now()`. */
+	sentAt: number;
+	endedAt: number;
 };
 
 const dialect: CallDialect = {
@@ -94,6 +98,7 @@
 			onBytes: () => undefined,
 			onEnd(end) {
 				world.ends.push(end);
+				world.endedAt = performance.now();
 			},
 		},
 	});
@@ -115,6 +120,19 @@
 	this.carrier.send();
 });
 
+Given('an attempt for call {string} that bears {int} ms of silence, looked at every {int} ms', function (this: AttemptWorld, id: string, silenceMs: number, suspectMs: number) {
+	begin(this, id, {silenceMs, suspectMs});
+	this.sentAt = performance.now();
+	this.carrier.send();
+});
+
+When('the process is paused for {int} ms within the attempt', pauseProcess);
+
+Then('that was {int} to {int} ms after it was sent', function (this: AttemptWorld, least: number, most: number) {
+	const ms = this.endedAt - this.sentAt;
+	assert.ok(ms >= least && ms <= most, String(ms));
+});
+
 Given('an attempt for call {string} at a replica that can no longer be reached', function (this: AttemptWorld, id: string) {
 	begin(this, id, {suspectMs: 20, isReachable: false});
 	this.carrier.send();
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -81,6 +81,9 @@
 
 const misdirectedStatus = 421;
 
+/** Of a limit of silence, this part must be time in which this process ran; the rest may have passed in pauses, in which the replica could answer. */
+const leastRunningShare = 1 / 2;
+
 const textOf = (headers: unknown): string[] => (headers as readonly Buffer[]).map(String);
 
 /** See the module's head. */
@@ -88,8 +91,10 @@
 	readonly #parts: AttemptParts;
 	#timer: NodeJS.Timeout | undefined;
 	#silenceTimer: NodeJS.Timeout | undefined;
-	/** Without a byte, in milliseconds; counted in steps, when the timer fires. */
+	/** Without a byte, in milliseconds of running time; counted in steps, when the timer fires. */
 	#silentMs = 0;
+	/** Since when there was no byte, in milliseconds on the monotonic clock. */
+	#silentSince = 0;
 	#controller: Dispatcher.DispatchController | undefined;
 	#isSent = false;
 	#isOver = false;
@@ -186,6 +191,7 @@
 		}
 
 		this.#silentMs = 0;
+		this.#silentSince = this.#parts.clock.now();
 		if (this.#silenceTimer) {
 			this.#silenceTimer.refresh();
 			return;
@@ -208,7 +214,7 @@
 			return;
 		}
 
-		if (this.#silentMs >= silenceMs) {
+		if (this.#isSilentFor(silenceMs)) {
 			this.#giveUp({kind: 'silent', reason: `no byte within ${silenceMs} ms`});
 			return;
 		}
@@ -217,6 +223,11 @@
 		void this.#suspect();
 	}
 
+	#isSilentFor(ms: number): boolean {
+		const elapsedMs = this.#parts.clock.now() - this.#silentSince;
+		return this.#silentMs >= ms || (this.#silentMs >= leastRunningShare * ms && elapsedMs >= ms);
+	}
+
 	async #suspect() {
 		const isReachable = await this.#parts.contact.isReachable();
 		if (!isReachable && this.#silentMs > 0) {
