A read that was given up does not end the retries of a later wait

Only the wait that a read belongs to is ended by it now. Test: a scenario with the late answer; before, the objects were read twice and the call waited in vain.

--- a/src/gateway/feed-freshness.feature
+++ b/src/gateway/feed-freshness.feature
@@ -42,6 +42,15 @@
     Then the objects were read twice
     And work may be sent at once
 
+  Scenario: A read that was given up and is answered late does not end the retries of a later wait
+    # Guards against a call that waits in vain, although the object API has answered.
+    When they have aged by 1901 ms
+    And a call waits for a read that is not answered
+    And they have aged by 1901 ms
+    And a call waits for a read that fails, and meanwhile the read before is answered, and the object API answers another call
+    Then the objects were read 3 times
+    And work may be sent at once
+
   Scenario: A process that knows no objects yet has nothing to wait for
     Given no objects are known
     When they have aged by 5000 ms
--- a/src/gateway/feed-freshness.steps.ts
+++ b/src/gateway/feed-freshness.steps.ts
@@ -21,6 +21,8 @@
 	/** What the next reads come to. */
 	read: () => Promise<boolean>;
 	answers: EventEmitter;
+	/** Answers the read that was not answered in time. */
+	answerLate: () => void;
 	freshness: FeedFreshness;
 	waitedMs: number;
 	feed: ObjectFeed;
@@ -93,6 +95,10 @@
 	world.feed.start();
 };
 
+const turn = async () => new Promise(resolve => {
+	setImmediate(resolve);
+});
+
 const list = async () => Right({items: [], version: revision, more: false});
 
 Given('a feed whose list was read {int} ms after it was asked for', async function (this: FreshnessWorld, ms: number) {
@@ -137,25 +143,40 @@
 });
 
 When('a call waits for a read that is not answered', async function (this: FreshnessWorld) {
-	this.read = async () => never;
+	const succeed = this.read;
+	this.read = async () => new Promise(resolve => {
+		this.answerLate = () => {
+			resolve(true);
+		};
+	});
 	const startedAt = performance.now();
 	await this.freshness.refresh();
 	this.waitedMs = performance.now() - startedAt;
+	this.read = succeed;
 });
 
-When('a call waits for a read that fails, and the object API answers another call', async function (this: FreshnessWorld) {
-	const succeed = this.read;
-	this.read = async () => {
-		this.read = succeed;
+/** @param meanwhile - Happens after the read has failed, and before the object API answers another call. */
+const failOnce = async (world: FreshnessWorld, meanwhile: () => void = () => undefined) => {
+	const succeed = world.read;
+	world.read = async () => {
+		world.read = succeed;
 		return false;
 	};
 
-	const refreshed = this.freshness.refresh();
-	await new Promise(resolve => {
-		setImmediate(resolve);
-	});
-	this.answers.emit('answer');
+	const refreshed = world.freshness.refresh();
+	await turn();
+	meanwhile();
+	await turn();
+	world.answers.emit('answer');
 	await refreshed;
+};
+
+When('a call waits for a read that fails, and the object API answers another call', async function (this: FreshnessWorld) {
+	await failOnce(this);
+});
+
+When('a call waits for a read that fails, and meanwhile the read before is answered, and the object API answers another call', async function (this: FreshnessWorld) {
+	await failOnce(this, this.answerLate);
 });
 
 Then('work may be sent at once', function (this: FreshnessWorld) {
@@ -174,6 +195,10 @@
 	assert.equal(this.reads, 2);
 });
 
+Then('the objects were read {int} times', function (this: FreshnessWorld, times: number) {
+	assert.equal(this.reads, times);
+});
+
 Then('it has waited between {int} and {int} ms', function (this: FreshnessWorld, least: number, most: number) {
 	assert.ok(this.waitedMs >= least && this.waitedMs <= most, String(this.waitedMs));
 });
--- a/src/gateway/feed-freshness.ts
+++ b/src/gateway/feed-freshness.ts
@@ -72,7 +72,13 @@
 	/** A read that failed is repeated as soon as the object API answers any call. */
 	async #isReadInTime(): Promise<boolean> {
 		return new Promise(resolve => {
+			let isOver = false;
 			const finish = (isKnown: boolean) => {
+				if (isOver) {
+					return;
+				}
+
+				isOver = true;
 				this.#retry = undefined;
 				limit.dispose();
 				resolve(isKnown);
