--- a/src/gateway/batch/batch-runner.ts
+++ b/src/gateway/batch/batch-runner.ts
@@ -11,6 +11,7 @@
 import type {LoadBoard} from '../load-board.js';
 import type {FeedFreshness} from '../feed-freshness.js';
 import {gatewayEvents} from '../log-events.js';
+import {maySendTo} from '../may-send-to.js';
 import type {ObjectFeed} from '../object-feed.js';
 import {itemsToCut} from '../replica-choice.js';
 import type {ReplicaDirectory} from '../replica-directory.js';
@@ -320,7 +321,7 @@
 	#send(place: ItemPlace, connection: ReplicaConnection) {
 		const {job, state, replica} = place;
 		const {
-			loads, contacts, dialect, itemHeaders, log, clock, directory, replicaFreshness,
+			loads, contacts, dialect, itemHeaders, log, clock,
 		} = this.#parts;
 		const {item, events} = state;
 		log.emit(gatewayEvents.itemStarted, {
@@ -337,7 +338,7 @@
 			contact: contacts.of(replica),
 			clock,
 			dialect,
-			isCurrent: () => replicaFreshness.isFresh && directory.takesWork(replica),
+			isCurrent: () => maySendTo(this.#parts, replica),
 			headers: itemHeaders(job.record.host, item.id, item.headers),
 			events,
 			caller: this.#callerOf(job),
--- a/src/gateway/online-call.ts
+++ b/src/gateway/online-call.ts
@@ -12,6 +12,7 @@
 } from './attempt.js';
 import {CallerAnswer} from './caller-answer.js';
 import {gatewayEvents} from './log-events.js';
+import {maySendTo} from './may-send-to.js';
 import type {GatewayParts} from './parts.js';
 import {registrationAge} from './registration-age.js';
 import type {Replica} from './replica.js';
@@ -242,7 +243,7 @@
 
 	#send(replica: Replica, connection: ReplicaConnection, timeLeftMs: number) {
 		const {
-			log, loads, dialect, contacts, clock, directory, replicaFreshness,
+			log, loads, dialect, contacts, clock,
 		} = this.#parts;
 		const {fields, message, route} = this.#call;
 		log.emit(gatewayEvents.callRouted, {
@@ -268,7 +269,7 @@
 				caller: this.#call.caller.identity,
 			},
 			patience: {silenceMs: this.#isRepeatable ? repeatableSilenceMs : this.#timeLimitMs, canGoElsewhere: this.#isRepeatable},
-			isCurrent: () => replicaFreshness.isFresh && directory.takesWork(replica),
+			isCurrent: () => maySendTo(this.#parts, replica),
 			listener: {
 				onHead: head => {
 					this.#runHead = head;
