A front that has ended tries the object API no more

Cause: a front that was disposed of while it tried a silent object API set the timer for the next try when that try failed, and so for ever. Ruled out: a call of the paused front (700 is logged before each is sent). Users' programs end with their process and are not touched by it; whoever embeds a front is. Change: no try is set once the relay is disposed of. Test: a relay that is disposed of within its try; 2 further tries before, none now.

--- a/src/gateway/peers/object-relay.steps.ts
+++ b/src/gateway/peers/object-relay.steps.ts
@@ -6,6 +6,7 @@
 import {Left} from 'purify-ts/Either';
 import type {EventLog, ObjectApi} from '../../common/services.js';
 import type {TestWorld} from '../../common/testing/test-world.js';
+import {until} from '../../common/testing/until.js';
 import {HttpClient} from '../../io/http-client.js';
 import {RpcClient} from '../../io/rpc-client.js';
 import {SeededRandom} from '../../io/seeded-random.js';
@@ -49,6 +50,12 @@
 	this.tries = 0;
 });
 
+When('the relay is disposed of within its next try', async function (this: RelayWorld) {
+	await until(() => this.tries > 0, 'the object API is tried');
+	this.relay.dispose();
+	this.tries = 0;
+});
+
 Then('the object API is tried at least {int} times in the next {int} ms', async function (this: RelayWorld, least: number, ms: number) {
 	await sleep(ms);
 	assert.ok(this.tries >= least, `${this.tries} times`);
--- a/src/gateway/peers/object-relay.ts
+++ b/src/gateway/peers/object-relay.ts
@@ -98,6 +98,7 @@
 	#isDirect = true;
 	#probe: NodeJS.Timeout | undefined;
 	#failedAt = -Infinity;
+	#isDisposed = false;
 
 	constructor(parts: ObjectRelayParts) {
 		this.#parts = parts;
@@ -155,6 +156,7 @@
 	}
 
 	dispose(): void {
+		this.#isDisposed = true;
 		clearTimeout(this.#probe);
 	}
 
@@ -253,6 +255,10 @@
 
 	#probeAfter(ms: number, cause: ApiError) {
 		clearTimeout(this.#probe);
+		if (this.#isDisposed) {
+			return;
+		}
+
 		this.#probe = setTimeout(() => {
 			void this.#tryDirect(cause);
 		}, ms);
