Logs: software version of the chosen replica, and the stream a call resumes

What was missing to tell the hypotheses of the incident apart: a choice (700), the end of a second run (707), a registration (712) and an item's run (722) name the version; 700 names the attempt that began the stream as well.

--- a/src/gateway/batch/batch-runner.ts
+++ b/src/gateway/batch/batch-runner.ts
@@ -325,7 +325,7 @@
 		} = this.#parts;
 		const {item, events} = state;
 		log.emit(gatewayEvents.itemStarted, {
-			job: job.id, item: item.id, replica: replica.record.id, resumeAfter: events.length, dueInMs: Math.round(this.#routePolicy.dueAt(job) - clock.wall()), ...registrationAge(this.#parts, replica),
+			job: job.id, item: item.id, replica: replica.record.id, softwareVersion: replica.record.softwareVersion, resumeAfter: events.length, dueInMs: Math.round(this.#routePolicy.dueAt(job) - clock.wall()), ...registrationAge(this.#parts, replica),
 		});
 		const releaseSlot = loads.acquireSlot(replica, 'batch');
 		const startedAt = clock.now();
--- a/src/gateway/batch/slot-finder.steps.ts
+++ b/src/gateway/batch/slot-finder.steps.ts
@@ -14,7 +14,7 @@
 import {ReplicaDirectory} from '../replica-directory.js';
 import type {ReplicaConnectionPools} from '../replica-connection-pools.js';
 import type {
-	GatewayRoute, GatewayServiceName, MemberName, ReplicaId,
+	GatewayRoute, GatewayServiceName, MemberName, ReplicaId, SoftwareVersion,
 } from '../types.js';
 import {initialRunEstimate, countWaiting} from './batch-policy.js';
 import {SlotFinder, type SlotRequest} from './slot-finder.js';
@@ -32,7 +32,7 @@
 
 const addReplica = (directory: ReplicaDirectory, id: string, slots: number) => {
 	directory.put({
-		id: branded<ReplicaId>(id), service, address: '127.0.0.1:1', failureDomain: 'hall', slots, isDraining: false,
+		id: branded<ReplicaId>(id), service, address: '127.0.0.1:1', failureDomain: 'hall', softwareVersion: branded<SoftwareVersion>('v1'), slots, isDraining: false,
 	});
 	return directory.get(branded<ReplicaId>(id))!;
 };
--- a/src/gateway/contacts/replica-reachability.steps.ts
+++ b/src/gateway/contacts/replica-reachability.steps.ts
@@ -8,7 +8,7 @@
 import type {TestWorld} from '../../common/testing/test-world.js';
 import {until} from '../../common/testing/until.js';
 import {ReplicaDirectory} from '../replica-directory.js';
-import type {GatewayServiceName, ReplicaId} from '../types.js';
+import type {GatewayServiceName, ReplicaId, SoftwareVersion} from '../types.js';
 import {ReplicaReachability} from './replica-reachability.js';
 
 type ReachabilityWorld = TestWorld & {
@@ -35,7 +35,7 @@
 	this.dials = 0;
 	this.directory = new ReplicaDirectory();
 	this.directory.put({
-		id: branded<ReplicaId>(id), service: branded<GatewayServiceName>('engines'), address: '127.0.0.1:1', failureDomain: 'hall', slots: 8, isDraining: false,
+		id: branded<ReplicaId>(id), service: branded<GatewayServiceName>('engines'), address: '127.0.0.1:1', failureDomain: 'hall', softwareVersion: branded<SoftwareVersion>('v1'), slots: 8, isDraining: false,
 	});
 	const clock: Clock = {now: () => this.now, wall: () => this.now, sleep: async () => undefined};
 	this.reachability = this.register(new ReplicaReachability({
--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -4,7 +4,7 @@
 import type {EventDefinition} from '../common/types.js';
 
 export const gatewayEvents = {
-	/** Fields: id, route, replica, online, batch (in flight there), attempt, resumeAfter, heardMs (age of the cached registrations), missedMs (how long the replica's own has been missing). */
+	/** Fields: id, route, replica, softwareVersion, resumedId (the caller's attempt that brought the first event), online, batch (in flight there), attempt, resumeAfter, heardMs (age of the cached registrations), missedMs (how long the replica's own has been missing). */
 	callRouted: {number: 700, level: 'info', text: 'replica chosen for a call'},
 	/** Fields: id, replica, kind, reason or status, content (the same for the same request under another id). */
 	attemptFailed: {number: 701, level: 'info', text: 'attempt at a replica ended without a complete answer'},
@@ -18,7 +18,7 @@
 	rateLimitReached: {number: 705, level: 'info', text: 'account has reached its rate limit'},
 	/** Fields: account, version, reason. */
 	accountUnreadable: {number: 706, level: 'error', text: 'client account cannot be read or shares a key; its calls are refused'},
-	/** Fields: id, replica, status and contentType (of this run's own answer; status 0 without one), isFramed, resumeAfter, lastEventId (last event sent to the caller), outcome. */
+	/** Fields: id, replica, status and contentType (of this run's own answer; status 0 without one), isFramed, softwareVersion, resumeAfter, lastEventId (last event sent to the caller), outcome. */
 	rerunEnded: {number: 707, level: 'info', text: 'second or later run of a call ended'},
 	/** Fields: version, routes, services, accounts. */
 	configInForce: {number: 710, level: 'info', text: 'configuration in force'},
@@ -26,7 +26,7 @@
 	configUnreadable: {number: 711, level: 'error', text: 'configuration cannot be read; the previous one stays in force'},
 	/** Fields: name, reason. */
 	registrationUnreadable: {number: 737, level: 'warn', text: 'registration cannot be read and is not used'},
-	/** Fields: replica, service, address, change, missedMs (how long it was retained without a registration). */
+	/** Fields: replica, service, address, softwareVersion, change, missedMs (how long it was retained without a registration). */
 	replicaChanged: {number: 712, level: 'info', text: 'replica registered, changed or removed'},
 	/** Fields: replica, isReachable, silentMs, limitMs. */
 	replicaSuspected: {number: 738, level: 'info', text: 'replica is unresponsive; a connection was attempted'},
@@ -64,7 +64,7 @@
 	jobSubmitted: {number: 720, level: 'info', text: 'batch job submitted'},
 	/** Fields: id, outcome. */
 	jobEnded: {number: 721, level: 'info', text: 'end of a batch job requested'},
-	/** Fields: job, item, replica, resumeAfter, dueInMs, heardMs and missedMs (as of a call). */
+	/** Fields: job, item, replica, softwareVersion, resumeAfter, dueInMs, heardMs and missedMs (as of a call). */
 	itemStarted: {number: 722, level: 'info', text: 'batch item sent to a replica'},
 	/** Fields: job, item, replica, outcome, events, reason, elapsedMs. */
 	itemRunEnded: {number: 723, level: 'info', text: 'run of a batch item ended'},
--- a/src/gateway/online-call.ts
+++ b/src/gateway/online-call.ts
@@ -247,7 +247,7 @@
 		} = this.#parts;
 		const {fields, message, route} = this.#call;
 		log.emit(gatewayEvents.callRouted, {
-			id: fields.requestId, route: route.name, replica: replica.record.id, online: replica.allOnline, batch: replica.allBatch, attempt: this.#offers, resumeAfter: this.#answer.lastEventId, ...registrationAge(this.#parts, replica),
+			id: fields.requestId, route: route.name, replica: replica.record.id, softwareVersion: replica.record.softwareVersion, resumedId: fields.resumedId, online: replica.allOnline, batch: replica.allBatch, attempt: this.#offers, resumeAfter: this.#answer.lastEventId, ...registrationAge(this.#parts, replica),
 		});
 		this.#runHead = undefined;
 		const {lastEventId = 0} = this.#answer;
@@ -317,7 +317,7 @@
 	#logRerun(end: AttemptEnd, replica: Replica) {
 		const head = this.#runHead;
 		this.#parts.log.emit(gatewayEvents.rerunEnded, {
-			id: this.#call.fields.requestId, replica: replica.record.id, status: this.#runStatus, contentType: head?.headers['content-type'], isFramed: head?.isFramed, resumeAfter: this.#resumeAfter, lastEventId: this.#answer.lastEventId, outcome: end.kind,
+			id: this.#call.fields.requestId, replica: replica.record.id, status: this.#runStatus, contentType: head?.headers['content-type'], isFramed: head?.isFramed, softwareVersion: replica.record.softwareVersion, resumeAfter: this.#resumeAfter, lastEventId: this.#answer.lastEventId, outcome: end.kind,
 		});
 	}
 
--- a/src/gateway/quarantine/quarantine-records.steps.ts
+++ b/src/gateway/quarantine/quarantine-records.steps.ts
@@ -15,7 +15,7 @@
 import {PeerTable} from '../peers/peer-table.js';
 import {ReplicaDirectory} from '../replica-directory.js';
 import type {
-	GatewayServiceName, MemberName, ReplicaId, ReplicaRecord,
+	GatewayServiceName, MemberName, ReplicaId, ReplicaRecord, SoftwareVersion,
 } from '../types.js';
 import type {ContentDigest} from './content-digest.js';
 import {Quarantine} from './quarantine.js';
@@ -39,7 +39,7 @@
 const feedDelayMs = 200;
 
 const replicaOf = (number: number): ReplicaRecord => ({
-	id: branded<ReplicaId>(`r${number}`), service: branded<GatewayServiceName>('engines'), address: '', failureDomain: 'hall', slots: 8, isDraining: false,
+	id: branded<ReplicaId>(`r${number}`), service: branded<GatewayServiceName>('engines'), address: '', failureDomain: 'hall', softwareVersion: branded<SoftwareVersion>('v1'), slots: 8, isDraining: false,
 });
 
 const processOf = ({processes}: RecordsWorld, name: string): Process => processes.get(name)!;
--- a/src/gateway/quarantine/quarantine.steps.ts
+++ b/src/gateway/quarantine/quarantine.steps.ts
@@ -9,7 +9,9 @@
 import {
 	CrashModel, type Blame, type PoisonLoad, type PoisonOutcome,
 } from '../testing/crash-model.js';
-import type {GatewayServiceName, ReplicaId, ReplicaRecord} from '../types.js';
+import type {
+	GatewayServiceName, ReplicaId, ReplicaRecord, SoftwareVersion,
+} from '../types.js';
 import type {ContentDigest} from './content-digest.js';
 import {startOf} from './crash-history.js';
 import {crashThreshold, Quarantine} from './quarantine.js';
@@ -33,7 +35,7 @@
 const seeds = [1, 2, 3, 4, 5];
 
 const replicaOf = (number: number, startedAt?: number): ReplicaRecord => ({
-	id: branded<ReplicaId>(`r${number}`), service: branded<GatewayServiceName>('engines'), address: '', failureDomain: 'hall', slots: 8, isDraining: false, startedAt,
+	id: branded<ReplicaId>(`r${number}`), service: branded<GatewayServiceName>('engines'), address: '', failureDomain: 'hall', softwareVersion: branded<SoftwareVersion>('v1'), slots: 8, isDraining: false, startedAt,
 });
 
 const crashOf = (number: number) => ({content, start: startOf(replicaOf(number))});
--- a/src/gateway/registration-controller.ts
+++ b/src/gateway/registration-controller.ts
@@ -63,7 +63,7 @@
 		});
 		parts.directory.onChange(({replica: {record, missingSince}, change}) => {
 			parts.log.emit(gatewayEvents.replicaChanged, {
-				replica: record.id, service: record.service, address: record.address, change, missedMs: missingSince === undefined ? undefined : Math.round(parts.clock.now() - missingSince),
+				replica: record.id, service: record.service, address: record.address, softwareVersion: record.softwareVersion, change, missedMs: missingSince === undefined ? undefined : Math.round(parts.clock.now() - missingSince),
 			});
 		});
 	}
--- a/src/gateway/replica-choice.steps.ts
+++ b/src/gateway/replica-choice.steps.ts
@@ -10,7 +10,9 @@
 import {Replica} from './replica.js';
 import {simulateGreyFailure, type GreyFailure, type GreyFailureOutcome} from './testing/grey-failure-model.js';
 import {WaveModel, type AddedReplicasOutcome, type Wave} from './testing/wave-model.js';
-import type {GatewayServiceName, MemberName, ReplicaId} from './types.js';
+import type {
+	GatewayServiceName, MemberName, ReplicaId, SoftwareVersion,
+} from './types.js';
 
 type ChoiceWorld = TestWorld & {
 	fleet: Pick<Wave, 'processes' | 'replicas' | 'slots'>;
@@ -99,7 +101,7 @@
 	const members = items.map((_, i) => branded<MemberName>(`front-${i}`));
 	const preempted = members.map((self, selfIndex) => {
 		const replica = new Replica({
-			id: branded<ReplicaId>('r1'), service: branded<GatewayServiceName>('engines'), address: '', failureDomain: 'hall', slots, isDraining: false,
+			id: branded<ReplicaId>('r1'), service: branded<GatewayServiceName>('engines'), address: '', failureDomain: 'hall', softwareVersion: branded<SoftwareVersion>('v1'), slots, isDraining: false,
 		});
 		replica.online = online;
 		replica.batch = items[selfIndex]!;
--- a/src/gateway/replica-directory.steps.ts
+++ b/src/gateway/replica-directory.steps.ts
@@ -13,7 +13,7 @@
 import {Quarantine} from './quarantine/quarantine.js';
 import {ReplicaDirectory} from './replica-directory.js';
 import type {
-	GatewayServiceName, MemberName, ReplicaId, ReplicaRecord,
+	GatewayServiceName, MemberName, ReplicaId, ReplicaRecord, SoftwareVersion,
 } from './types.js';
 
 type DirectoryWorld = TestWorld & {
@@ -27,7 +27,7 @@
 const log: EventLog = {emit: () => undefined};
 
 const recordOf = (id: string, startedAt: number): ReplicaRecord => ({
-	id: branded<ReplicaId>(id), service: branded<GatewayServiceName>('engines'), address: '127.0.0.1:1', failureDomain: 'hall', slots: 8, isDraining: false, startedAt,
+	id: branded<ReplicaId>(id), service: branded<GatewayServiceName>('engines'), address: '127.0.0.1:1', failureDomain: 'hall', softwareVersion: branded<SoftwareVersion>('v1'), slots: 8, isDraining: false, startedAt,
 });
 
 const replicaOf = ({directory}: DirectoryWorld, id: string) => directory.get(branded<ReplicaId>(id))!;
--- a/src/gateway/service-times.steps.ts
+++ b/src/gateway/service-times.steps.ts
@@ -7,7 +7,7 @@
 import type {TestWorld} from '../common/testing/test-world.js';
 import {Replica} from './replica.js';
 import {ServiceTimes} from './service-times.js';
-import type {GatewayServiceName, ReplicaId} from './types.js';
+import type {GatewayServiceName, ReplicaId, SoftwareVersion} from './types.js';
 
 type TimesWorld = TestWorld & {
 	times: ServiceTimes;
@@ -31,7 +31,7 @@
 	const batch = items.split(', ').map(Number);
 	this.replicas = calls.split(', ').map((online, i) => {
 		const replica = new Replica({
-			id: branded<ReplicaId>(`r${i}`), service, address: '', failureDomain: 'hall', slots, isDraining: false,
+			id: branded<ReplicaId>(`r${i}`), service, address: '', failureDomain: 'hall', softwareVersion: branded<SoftwareVersion>('v1'), slots, isDraining: false,
 		});
 		replica.online = Number(online);
 		replica.batch = batch[i]!;
--- a/src/gateway/testing/grey-failure-model.ts
+++ b/src/gateway/testing/grey-failure-model.ts
@@ -7,7 +7,7 @@
 import type {RandomSource} from '../../common/services.js';
 import {chooseForOnline} from '../replica-choice.js';
 import {Replica} from '../replica.js';
-import type {GatewayServiceName, ReplicaId} from '../types.js';
+import type {GatewayServiceName, ReplicaId, SoftwareVersion} from '../types.js';
 
 /** The simulated load and fault. */
 export type GreyFailure = {
@@ -39,7 +39,7 @@
 /** Runs the simulation. */
 export const simulateGreyFailure = ({replicas, slots, perSecond, failing, random, areOutcomesRecorded, endsAt = Infinity}: GreyFailure): GreyFailureOutcome => {
 	const all = Array.from({length: replicas}, (_, i) => new Replica({
-		id: branded<ReplicaId>(`r${i}`), service: branded<GatewayServiceName>('engines'), address: '', failureDomain: 'hall', slots, isDraining: false,
+		id: branded<ReplicaId>(`r${i}`), service: branded<GatewayServiceName>('engines'), address: '', failureDomain: 'hall', softwareVersion: branded<SoftwareVersion>('v1'), slots, isDraining: false,
 	}));
 	const [failingReplica] = all;
 	let running: Array<{readonly replica: Replica; readonly endsAt: number; readonly hasFailed: boolean}> = [];
--- a/src/gateway/testing/registrations.ts
+++ b/src/gateway/testing/registrations.ts
@@ -17,7 +17,7 @@
 
 /** The registration of a replica. */
 export const registrationOf = (id: string): ReplicaRecord => ({
-	id, service: 'engines', address: '127.0.0.1:1', failureDomain: 'hall', slots: 8, isDraining: false,
+	id, service: 'engines', address: '127.0.0.1:1', failureDomain: 'hall', softwareVersion: 'v1', slots: 8, isDraining: false,
 } as unknown as ReplicaRecord);
 
 /** The sorted ids of the replicas in a directory. */
--- a/src/gateway/testing/wave-model.ts
+++ b/src/gateway/testing/wave-model.ts
@@ -7,7 +7,9 @@
 import {branded} from '../../common/ids.js';
 import {chooseForOnline} from '../replica-choice.js';
 import {Replica} from '../replica.js';
-import type {GatewayServiceName, MemberName, ReplicaId} from '../types.js';
+import type {
+	GatewayServiceName, MemberName, ReplicaId, SoftwareVersion,
+} from '../types.js';
 
 /** The simulated processes, replicas and load. */
 export type Wave = {
@@ -82,7 +84,7 @@
 		this.#wave = wave;
 		const {processes, replicas, slots} = wave;
 		this.#views = Array.from({length: processes}, () => Array.from({length: replicas}, (_, i) => new Replica({
-			id: branded<ReplicaId>(`r${i}`), service: branded<GatewayServiceName>('engines'), address: '', failureDomain: 'hall', slots, isDraining: false,
+			id: branded<ReplicaId>(`r${i}`), service: branded<GatewayServiceName>('engines'), address: '', failureDomain: 'hall', softwareVersion: branded<SoftwareVersion>('v1'), slots, isDraining: false,
 		})));
 		this.#outcomesAnnouncedAt = Array.from({length: processes}, () => 0);
 		this.#running = Array.from({length: replicas}, () => 0);
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -5,6 +5,8 @@
 
 /** A replica. It may restart under the same id; {@link ReplicaRecord.startedAt} identifies the start. */
 export type ReplicaId = Branded<string, 'ReplicaId'>;
+/** The version of a replica's software, which is not that of its weights. Versions are compared for equality only. */
+export type SoftwareVersion = Branded<string, 'SoftwareVersion'>;
 /** A service of the gateway's configuration. */
 export type GatewayServiceName = Branded<string, 'GatewayServiceName'>;
 /** One process of the gateway, across its restarts. */
@@ -113,6 +115,7 @@
 	/** `ip:port`. */
 	readonly address: string;
 	readonly failureDomain: string;
+	readonly softwareVersion: SoftwareVersion;
 	/** Number of requests that it runs at once. */
 	readonly slots: number;
 	readonly isDraining: boolean;
@@ -134,6 +137,8 @@
 	readonly timeLeftMs?: number;
 	/** The last event that the caller has received of a stream that it resumes. */
 	readonly lastEventId?: number;
+	/** Id of the caller's attempt that brought the first event of the stream that it resumes. Empty if the header does not name exactly one attempt. */
+	readonly resumedId?: string;
 	/** The prompt in order, the widest shared part first. */
 	readonly promptParts: readonly PromptPart[];
 };
