Streams go on within one answer only at the version that began them

Callers saw streams whose first events came from one software version of a replica and whose rest came from another (ORDER). A call is now bound to the version of the run whose event its caller received first. Ruled out: a run that brought no event binds nothing, so calls that fail before it still go anywhere.

Scenarios before: goes on at a replica of its version, no replica of its version is left: both fail; now they pass. A run that brought no event passes before and after.

--- a/src/gateway/caller-answer.ts
+++ b/src/gateway/caller-answer.ts
@@ -47,6 +47,8 @@
 	readonly #res: ServerResponse;
 	readonly #isRepeatable: boolean;
 	readonly #isStream: boolean;
+	/** Id of the event after which the caller asked to resume; 0 if it did not. */
+	readonly #firstEventId: number;
 	readonly #framer: EventFramer;
 	readonly #boundaryTracker = new EventBoundaryTracker();
 	/** The head that was sent to the caller, or that will be unless another run starts first. */
@@ -81,6 +83,7 @@
 		this.#res = res;
 		this.#isRepeatable = isRepeatable;
 		this.#isStream = isStream;
+		this.#firstEventId = lastEventId;
 		this.#framer = new EventFramer(lastEventId);
 	}
 
@@ -99,6 +102,11 @@
 		return this.#isStream && this.#isRepeatable ? this.#framer.lastId : undefined;
 	}
 
+	/** Whether the caller was sent an event that a later run continues. */
+	get hasEvents(): boolean {
+		return (this.lastEventId ?? 0) > this.#firstEventId;
+	}
+
 	/** False once an event of a resumable stream was missing or duplicated. */
 	get isInOrder(): boolean {
 		return this.#mode !== 'events' || this.#framer.isInOrder;
--- a/src/gateway/online-call.ts
+++ b/src/gateway/online-call.ts
@@ -19,6 +19,7 @@
 import {chooseForOnline} from './replica-choice.js';
 import {TrackedContent} from './quarantine/tracked-content.js';
 import type {ReplicaConnection} from './replica-connection-pool.js';
+import {ofVersion, StreamBinding} from './streams/stream-binding.js';
 import type {
 	CallFields, GatewayRoute, GatewayServiceName, ReplicaId, RouteKind,
 } from './types.js';
@@ -74,6 +75,7 @@
 	readonly #answer: CallerAnswer;
 	readonly #isRepeatable: boolean;
 	readonly #content: TrackedContent;
+	readonly #binding = new StreamBinding();
 	readonly #timer: NodeJS.Timeout;
 	readonly #timeLimitMs: number;
 	#attempt: Attempt | undefined;
@@ -234,9 +236,14 @@
 		this.#offer();
 	}
 
+	/** Replicas that may run the call. */
+	#candidates(): readonly Replica[] {
+		return ofVersion(this.#parts.directory.takingWork(this.#service), this.#binding.softwareVersion);
+	}
+
 	#choose(): Replica | undefined {
-		const {clock, random, failureDomain, directory, processCount} = this.#parts;
-		return chooseForOnline(directory.takingWork(this.#service), {
+		const {clock, random, failureDomain, processCount} = this.#parts;
+		return chooseForOnline(this.#candidates(), {
 			now: clock.now(), random, failureDomain, tried: this.#tried, processCount: processCount(), canFailOver: this.#isRepeatable,
 		});
 	}
@@ -250,6 +257,7 @@
 			id: fields.requestId, route: route.name, replica: replica.record.id, softwareVersion: replica.record.softwareVersion, resumedId: fields.resumedId, online: replica.allOnline, batch: replica.allBatch, attempt: this.#offers, resumeAfter: this.#answer.lastEventId, ...registrationAge(this.#parts, replica),
 		});
 		this.#runHead = undefined;
+		this.#binding.noteRun(replica);
 		const {lastEventId = 0} = this.#answer;
 		this.#resumeAfter = lastEventId > 0 ? lastEventId : fields.lastEventId;
 		this.#sentAt = clock.now();
@@ -289,6 +297,10 @@
 	#onBytes(bytes: Buffer) {
 		this.#firstByteMs ||= this.#elapsedMs();
 		this.#answer.forward(bytes, this.#attempt);
+		if (this.#answer.hasEvents) {
+			this.#binding.noteEvent();
+		}
+
 		if (!this.#answer.isInOrder) {
 			this.#attempt?.dispose();
 			this.#cut('an event of the stream is missing or came twice');
@@ -391,7 +403,7 @@
 	}
 
 	#hasOtherReplica(): boolean {
-		return this.#parts.directory.takingWork(this.#service).some(({record}) => !this.#tried.has(record.id));
+		return this.#candidates().some(({record}) => !this.#tried.has(record.id));
 	}
 
 	/** The call is offered to no further replica. A refusal states that the call has not run, so it is not used once any replica may have run it, even if that replica has terminated since. */
