Streams go on over a caller's tries only at the version that began them

The front at which a stream is taken up has never seen it, and the one that had may be gone.

The version is now known elsewhere before the first event leaves: the front announces it to two peers, ranked by the stream's key, when it sends the run; the event waits at most 150 ms for what has not been confirmed by then. The front at which the stream is taken up asks four, so views that differ by two peers still meet. It goes on only at replicas of that version, waits up to 1.5 s for a slot there where others are free, and is refused (503, not run) if none is left. If nobody knows the stream, it goes on only if a process that has followed all registrations for as long as a stream may be taken up, and is current, knows of one version only; otherwise it is refused.

Ruled out: a version that follows from the stream's id (it changes with the set of versions, which is when it is needed); a call of the store per stream; a broadcast; a conclusion from the replicas that are registered now (wrong after a rollout, on a process that has just started or is cut off).

--- a/src/common/message-validators.ts
+++ b/src/common/message-validators.ts
@@ -12,7 +12,9 @@
 const areFailedRuns = listOf(objectOf({run: isNonEmptyString, item: isNonEmptyString, replica: isNonEmptyString}));
 
 /** The state of a batch item between its runs, also as it is stored in the object API. */
-export const isItemProgress = objectOf({id: isNonEmptyString, events: listOf(isString), failedRuns: areFailedRuns});
+export const isItemProgress = objectOf({
+	id: isNonEmptyString, events: listOf(isString), softwareVersion: optional(isString), failedRuns: areFailedRuns,
+});
 const isItemResult = objectOf({id: isNonEmptyString, state: oneOf('completed', 'errored'), output: isString});
 
 const chunkGrant = objectOf({
@@ -25,11 +27,18 @@
 		node: isNonEmptyString, since: isNonNegativeInteger, waitMs: isNonNegativeNumber, scope: optional(objectOf({kinds: optional(listOf(isNonEmptyString)), name: optional(isNonEmptyString)})), counts: optional(areInForceCounts), wantsDigest: optional(isBoolean),
 	}),
 	'config.counts': optional(isObject),
+	'gateway.findOrigin': objectOf({key: optional(isNonEmptyString), services: listOf(isNonEmptyString), periodMs: isNonNegativeNumber}),
+	'gateway.origins': objectOf({
+		from: isNonEmptyString, seq: isNonNegativeInteger, origins: listOf(objectOf({
+			key: isNonEmptyString, service: isNonEmptyString, softwareVersion: isString, run: isNonNegativeInteger, keepMs: isNonNegativeNumber,
+		})),
+	}),
+	'gateway.originsKept': objectOf({seq: isNonNegativeInteger}),
 	'gateway.holdJob': objectOf({record: isObject, content: isObject}),
 	'gateway.objectCall': objectOf({operation: oneOf('get', 'create', 'update', 'remove', 'list', 'watch'), kind: isNonEmptyString}),
 	'gateway.takeOver': objectOf({job: isNonEmptyString, items: listOf(isItemProgress), results: listOf(isItemResult)}),
 	'gateway.state': objectOf({
-		member: isNonEmptyString, address: isNonEmptyString, rpcAddress: isNonEmptyString, reachesObjectApi: isBoolean, startedAt: isNonNegativeNumber, seq: isNonNegativeInteger, isLeaving: isBoolean, loads: listOf(objectOf({
+		member: isNonEmptyString, address: isNonEmptyString, rpcAddress: isNonEmptyString, reachesObjectApi: isBoolean, keepsOrigins: optional(isBoolean), startedAt: isNonNegativeNumber, seq: isNonNegativeInteger, isLeaving: isBoolean, loads: listOf(objectOf({
 			replica: isNonEmptyString, startedAt: optional(Number.isSafeInteger), online: isNonNegativeInteger, batch: isNonNegativeInteger,
 		})), outcomes: optional(listOf(objectOf({
 			replica: isNonEmptyString, startedAt: optional(Number.isSafeInteger), requests: isNonNegativeNumber, failures: isNonNegativeNumber,
--- a/src/gateway/attempt.steps.ts
+++ b/src/gateway/attempt.steps.ts
@@ -19,7 +19,7 @@
 };
 
 const dialect: CallDialect = {
-	readCall: () => ({requestId: '', promptParts: []}),
+	readCall: () => ({requestId: '', isResumed: false, promptParts: []}),
 	readKey: () => ({kind: 'none'}),
 	toReplica: headers => [...headers],
 	readAnswer: (_status, headers) => ({requestId: headers['call-id'] as string | undefined, hasNotRun: headers['not-run'] !== undefined}),
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -60,6 +60,12 @@
 import {ReplicaDirectory} from './replica-directory.js';
 import {ReplicaConnectionPools} from './replica-connection-pools.js';
 import {ServiceTimes} from './service-times.js';
+import {
+	originsKeptMethod, originsMethod, type OriginsKept, type OriginsMessage,
+} from './streams/origin-announcer.js';
+import {OriginHolders} from './streams/origin-holders.js';
+import {findOriginMethod, StreamOrigins, type OriginQuery} from './streams/stream-origins.js';
+import {VersionHistory} from './streams/version-history.js';
 import type {FrontSettings} from './settings.js';
 import type {CallDialect, MemberName} from './types.js';
 
@@ -165,6 +171,8 @@
 	readonly #retention: BatchRetention;
 	readonly #quarantine: Quarantine;
 	readonly #quarantineRecords: QuarantineRecords;
+	readonly #streamOrigins: StreamOrigins;
+	readonly #versionHistory: VersionHistory;
 	readonly #readiness: Readiness;
 	readonly #server: FrontServer;
 	readonly #readyServer: Server;
@@ -199,6 +207,7 @@
 		});
 		this.#rpcServer = peerServer({
 			[objectCallMethod]: async (call: ObjectCall) => answerObjectCall(direct, call),
+			[findOriginMethod]: (query: OriginQuery) => this.#streamOrigins.answer(query),
 			[takeOverMethod]: (handover: JobHandover): JobHandoverAnswer => ({isTaken: this.#runner.takeOver(handover)}),
 		}, log);
 		const options = feedOptions(settings);
@@ -230,6 +239,12 @@
 			[peerStateMethod](state: PeerState) {
 				peers.receive(state);
 			},
+			[originsMethod]: (message: OriginsMessage) => {
+				this.#streamOrigins.receive(message);
+			},
+			[originsKeptMethod]: (kept: OriginsKept) => {
+				this.#streamOrigins.receiveKept(kept);
+			},
 		});
 		this.#registry = new MemberRegistry(memberFeed, clock);
 		this.#registrar = new MemberRegistrar({
@@ -239,6 +254,12 @@
 			kind, feed, reachability: api, clock, log, lastConfirmedAt: () => this.#checks.lastConfirmedAt(kind), maxAgeMs: maxAgeMs(settings, changeMs),
 		});
 		const replicaFreshness = freshnessOf('Registration', replicaFeed, settings.drainMs);
+		this.#versionHistory = new VersionHistory({
+			directory, feed: replicaFeed, clock, confirmedAt: () => this.#checks.lastConfirmedAt('Registration'),
+		});
+		this.#streamOrigins = new StreamOrigins({
+			channel: this.#channel, rpc, holders: new OriginHolders(peers), history: this.#versionHistory, clock, log, metrics,
+		});
 		const processCount = () => peers.processCount;
 		this.#connectionPools = new ReplicaConnectionPools({
 			board, directory, clock, processCount,
@@ -281,7 +302,7 @@
 			lifecycle: this.#lifecycle, board, directory, log,
 		});
 		this.#server = new FrontServer({
-			board, directory, replicaFreshness, configFreshness: freshnessOf('GatewayConfig', configFeed, settings.configMs), loads, connectionPools: this.#connectionPools, reachability, quarantine, serviceTimes: new ServiceTimes(), ranks: new CallRanks(clock), dialect, clock, random, log, metrics, processCount, failureDomain, jobCalls,
+			board, directory, replicaFreshness, configFreshness: freshnessOf('GatewayConfig', configFeed, settings.configMs), loads, connectionPools: this.#connectionPools, reachability, quarantine, streamOrigins: this.#streamOrigins, serviceTimes: new ServiceTimes(), ranks: new CallRanks(clock), dialect, clock, random, log, metrics, processCount, failureDomain, jobCalls,
 			gate: new CallerGate({
 				board, dialect, limits: rateLimits, clock, log, metrics, configConfirmedAt: () => this.#checks.lastConfirmedAt('GatewayConfig'), staleAfterMs: settings.refuseKeysAfterMs,
 			}),
@@ -305,7 +326,7 @@
 			res.writeHead(this.#readiness.isReady ? 200 : 503, {'content-length': '0'});
 			res.end();
 		});
-		this.#owned = [this.#retention, this.#quarantineRecords, this.#runner, this.#announcer, this.#registrar, registrations, this.#checks, progress, ...this.#feeds, reachability, this.#connectionPools, this.#server, this.#channel, this.#rpcServer, api, http, this.#metrics, this.#lifecycle];
+		this.#owned = [this.#retention, this.#quarantineRecords, this.#runner, this.#announcer, this.#registrar, registrations, this.#checks, progress, ...this.#feeds, reachability, this.#connectionPools, this.#server, this.#streamOrigins, this.#channel, this.#rpcServer, api, http, this.#metrics, this.#lifecycle];
 	}
 
 	get addresses(): Readonly<Record<string, string>> {
@@ -351,6 +372,7 @@
 		this.#lifecycle.send('drain');
 		this.#server.disableKeepAlive();
 		this.#announcer.announceSoon();
+		this.#streamOrigins.handOver();
 		const handedOver = this.#runner.handOver().then(() => {
 			this.#announcer.announceSoon();
 		});
@@ -376,6 +398,8 @@
 		metrics.gauge('gateway.places', this.#loads.batch, {kind: 'batch'});
 		metrics.gauge('gateway.peers', this.#peers.live.length);
 		metrics.gauge('gateway.replicas', this.#directory.size);
+		metrics.gauge('gateway.softwareVersions', this.#versionHistory.versionCount);
+		metrics.gauge('gateway.streamOrigins', this.#streamOrigins.size);
 		metrics.gauge('gateway.connectionsMade', this.#connectionPools.createdCount);
 		metrics.gauge('gateway.configVersion', this.#board.config?.version ?? 0);
 		metrics.gauge('gateway.quarantined', this.#quarantine.held.length);
--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -90,6 +90,12 @@
 	heldJobWritten: {number: 735, level: 'info', text: 'held batch job written to the object API'},
 	/** Fields: name, outcome. */
 	retirementAnswered: {number: 730, level: 'info', text: 'retirement request of a storage VM answered'},
+	/** Fields: id, resumedId, outcome (own, peer, inferred or unknown), softwareVersion, waitedMs. */
+	originSearched: {number: 745, level: 'info', text: 'version at which a resumed stream began was looked up'},
+	/** Fields: holder (its address), streams, sends. */
+	originsUnconfirmed: {number: 746, level: 'info', text: 'peer did not confirm the origins of streams'},
+	/** Fields: job, item, events (dropped), softwareVersion (that generated them), blockedMs. */
+	itemRestarted: {number: 747, level: 'info', text: 'batch item is run from the start, since no replica of its version has a slot'},
 	/** Fields: reason. */
 	handlerFailed: {number: 790, level: 'error', text: 'handler of a peer\'s call broke an invariant'},
 } as const satisfies Record<string, EventDefinition>;
--- a/src/gateway/online-call.ts
+++ b/src/gateway/online-call.ts
@@ -19,6 +19,7 @@
 import {chooseForOnline} from './replica-choice.js';
 import {TrackedContent} from './quarantine/tracked-content.js';
 import type {ReplicaConnection} from './replica-connection-pool.js';
+import type {Announcement} from './streams/origin-announcer.js';
 import {ofVersion, StreamBinding} from './streams/stream-binding.js';
 import type {
 	CallFields, GatewayRoute, GatewayServiceName, ReplicaId, RouteKind,
@@ -45,10 +46,16 @@
 const minTimeLeftMs = 10;
 
 /** Delays after which a caller is to retry, in milliseconds: by then, a replica may have been registered, or slots may have become free. */
-const retryDelaysMs = {noReplica: 500, full: 300} as const;
+const retryDelaysMs = {
+	noReplica: 500, full: 300, versionGone: 500, versionUnknown: 500,
+} as const;
+
+/** A stream that may go on only at replicas of its version waits this long, in milliseconds, until they are tried again, and this long in total: callers abandon a stream after a gap of about 2 s. */
+const versionRetryMs = 100;
+const maxVersionWaitMs = 1500;
 
 /** Why a call is offered to no further replica. */
-type GiveUpReason = 'noReplica' | 'full' | 'quarantined';
+type GiveUpReason = 'noReplica' | 'full' | 'versionGone' | 'quarantined';
 
 type KindTraits = {
 	/** Whether a broken run may be followed by another one. */
@@ -70,12 +77,19 @@
 export class OnlineCall implements Disposable {
 	readonly #parts: GatewayParts;
 	readonly #call: ArrivedCall;
-	readonly #service: GatewayServiceName;
+	#service: GatewayServiceName;
 	readonly #tried = new Set<ReplicaId>();
 	readonly #answer: CallerAnswer;
 	readonly #isRepeatable: boolean;
 	readonly #content: TrackedContent;
-	readonly #binding = new StreamBinding();
+	readonly #binding: StreamBinding;
+	/** Bytes of the first events, while the stream's origin is not known elsewhere. */
+	#unannounced: Buffer[] = [];
+	/** Offers since replicas were last tried anew. */
+	#offersInRound = 0;
+	/** Milliseconds for which the call has waited for replicas of its version. */
+	#versionWaitMs = 0;
+	#versionTimer: NodeJS.Timeout | undefined;
 	readonly #timer: NodeJS.Timeout;
 	readonly #timeLimitMs: number;
 	#attempt: Attempt | undefined;
@@ -131,6 +145,11 @@
 		},
 		complete: (_end, replica) => {
 			replica.noteAnswer();
+			this.#forwardHeldBack();
+			if (this.#hasEnded) {
+				return;
+			}
+
 			const isSuccess = this.#runStatus < 300;
 			this.#recordOutcome(replica, this.#runStatus >= 500 || (isSuccess && !this.#answer.isComplete));
 			this.#finish(replica);
@@ -149,6 +168,9 @@
 		this.#isRepeatable = traitsByKind[route.kind].isRepeatable(route);
 		this.#answer = new CallerAnswer(call.res, {isRepeatable: this.#isRepeatable, isStream: traitsByKind[route.kind].isStream, lastEventId: fields.lastEventId});
 		this.#content = new TrackedContent(parts, 'online', {...call.message, host: route.host});
+		this.#binding = new StreamBinding({
+			origins: parts.streamOrigins, route, fields, caller: call.caller.identity,
+		});
 		this.#service = this.#chooseService(route);
 		this.#timeLimitMs = Math.min(route.timeoutMs, fields.timeLeftMs ?? Infinity);
 		this.#timer = setTimeout(() => {
@@ -164,10 +186,49 @@
 
 	/** Sends the call to its first replica. A call that cannot get a slot in time is refused at once. */
 	start(): void {
-		const {ranks, serviceTimes, directory} = this.#parts;
+		if (this.#binding.isResumed) {
+			void this.#startResumed();
+			return;
+		}
+
+		this.#begin();
+	}
+
+	/** Ends the call at once, without an answer or a log line. */
+	dispose(): void {
+		this.#close();
+	}
+
+	async #startResumed() {
+		const {clock, log, replicaFreshness} = this.#parts;
+		const startedAt = clock.now();
+		if (!replicaFreshness.isFresh) {
+			await replicaFreshness.refresh();
+		}
+
+		const found = await this.#binding.resolve();
+		const {requestId, resumedId} = this.#call.fields;
+		log.emit(gatewayEvents.originSearched, {
+			id: requestId, resumedId, outcome: found.kind, softwareVersion: this.#binding.softwareVersion, waitedMs: Math.round(clock.now() - startedAt),
+		});
+		if (this.#hasEnded) {
+			return;
+		}
+
+		if (found.kind === 'unknown') {
+			this.#refuse('versionUnknown', retryDelaysMs.versionUnknown);
+			return;
+		}
+
+		this.#service = this.#call.route.targets.find(({service, weight}) => weight > 0 && service === this.#binding.service)?.service ?? this.#service;
+		this.#begin();
+	}
+
+	#begin() {
+		const {ranks, serviceTimes} = this.#parts;
 		const rank = this.#call.caller.account?.priority ?? this.#call.route.priority;
 		ranks.note(this.#service, rank);
-		const waitMs = serviceTimes.waitMs(this.#service, directory.takingWork(this.#service));
+		const waitMs = serviceTimes.waitMs(this.#service, this.#candidates());
 		const leftMs = (this.#timeLimitMs - this.#elapsedMs()) * ranks.waitShareOf(this.#service, rank);
 		if (waitMs > leftMs) {
 			this.#refuse('hopeless', Math.max(retryDelaysMs.full, waitMs - leftMs));
@@ -177,11 +238,6 @@
 		this.#offer();
 	}
 
-	/** Ends the call at once, without an answer or a log line. */
-	dispose(): void {
-		this.#close();
-	}
-
 	#chooseService({targets}: GatewayRoute): GatewayServiceName {
 		const totalWeight = targets.reduce((sum, {weight}) => sum + weight, 0);
 		let remainingWeight = this.#parts.random.next() * totalWeight;
@@ -218,19 +274,52 @@
 		}
 
 		const timeLeftMs = this.#timeLimitMs - this.#elapsedMs();
-		const replica = this.#offers < maxOffers && timeLeftMs > minTimeLeftMs ? this.#choose() : undefined;
+		const replica = this.#offersInRound < maxOffers && timeLeftMs > minTimeLeftMs ? this.#choose() : undefined;
 		const connection = replica && this.#parts.connectionPools.acquire(replica, this.#needsNewConnection);
 		if (!replica || !connection) {
-			const reason = this.#offers === 0 ? 'noReplica' : 'full';
+			if (this.#mayAwaitVersion(timeLeftMs)) {
+				this.#offerLater();
+				return;
+			}
+
+			const reason = this.#noReplicaReason;
 			this.#giveUp(reason, retryDelaysMs[reason]);
 			return;
 		}
 
 		this.#offers += 1;
+		this.#offersInRound += 1;
 		this.#tried.add(replica.record.id);
 		this.#send(replica, connection, timeLeftMs);
 	}
 
+	get #noReplicaReason(): 'versionGone' | 'noReplica' | 'full' {
+		if (this.#candidates().length === 0 && this.#binding.softwareVersion !== undefined) {
+			return 'versionGone';
+		}
+
+		return this.#offers === 0 ? 'noReplica' : 'full';
+	}
+
+	/** Whether replicas that are left out because of their version make it worthwhile to wait for a slot at the others. */
+	#mayAwaitVersion(timeLeftMs: number): boolean {
+		const candidates = this.#candidates().length;
+		return candidates > 0
+			&& candidates < this.#parts.directory.takingWork(this.#service).length
+			&& this.#versionWaitMs < maxVersionWaitMs
+			&& timeLeftMs > versionRetryMs + minTimeLeftMs;
+	}
+
+	/** Tries the replicas of the version again after a pause. */
+	#offerLater() {
+		this.#versionWaitMs += versionRetryMs;
+		this.#tried.clear();
+		this.#offersInRound = 0;
+		this.#versionTimer = setTimeout(() => {
+			this.#offer();
+		}, versionRetryMs);
+	}
+
 	async #offerWhenFresh() {
 		await this.#parts.replicaFreshness.refresh();
 		this.#offer();
@@ -296,6 +385,43 @@
 
 	#onBytes(bytes: Buffer) {
 		this.#firstByteMs ||= this.#elapsedMs();
+		const announcement = this.#binding.pendingAnnouncement;
+		if (announcement) {
+			this.#holdBack(bytes, announcement);
+			return;
+		}
+
+		this.#forward(bytes);
+	}
+
+	/** An event whose version is known to this process alone could not be continued if the process failed. */
+	#holdBack(bytes: Buffer, {settled}: Announcement) {
+		this.#unannounced.push(bytes);
+		if (this.#unannounced.length > 1) {
+			return;
+		}
+
+		const attempt = this.#attempt;
+		attempt?.pause();
+		const startedAt = this.#parts.clock.now();
+		void settled.then(() => {
+			this.#parts.metrics.timing('gateway.originWait', this.#parts.clock.now() - startedAt);
+			if (this.#attempt === attempt && !this.#hasEnded) {
+				attempt?.resume();
+				this.#forwardHeldBack();
+			}
+		});
+	}
+
+	#forwardHeldBack() {
+		const heldBack = this.#unannounced;
+		this.#unannounced = [];
+		heldBack.forEach(bytes => {
+			this.#forward(bytes);
+		});
+	}
+
+	#forward(bytes: Buffer) {
 		this.#answer.forward(bytes, this.#attempt);
 		if (this.#answer.hasEvents) {
 			this.#binding.noteEvent();
@@ -311,6 +437,10 @@
 		this.#releaseSlot?.();
 		this.#releaseSlot = undefined;
 		this.#lastEnd = end.kind;
+		if (end.kind !== 'complete') {
+			this.#unannounced = [];
+		}
+
 		if (end.kind !== 'complete' && end.kind !== 'dropped') {
 			this.#parts.log.emit(gatewayEvents.attemptFailed, {
 				id: this.#call.fields.requestId, replica: replica.record.id, ...end, content: this.#content.digest,
@@ -480,6 +610,7 @@
 	#close() {
 		this.#hasEnded = true;
 		clearTimeout(this.#timer);
+		clearTimeout(this.#versionTimer);
 		this.#attempt?.dispose();
 	}
 }
--- a/src/gateway/parts.ts
+++ b/src/gateway/parts.ts
@@ -13,6 +13,7 @@
 import type {ReplicaDirectory} from './replica-directory.js';
 import type {ReplicaConnectionPools} from './replica-connection-pools.js';
 import type {ServiceTimes} from './service-times.js';
+import type {StreamOrigins} from './streams/stream-origins.js';
 import type {CallDialect} from './types.js';
 
 /** The shared dependencies. */
@@ -27,6 +28,7 @@
 	readonly serviceTimes: ServiceTimes;
 	readonly ranks: CallRanks;
 	readonly quarantine: Quarantine;
+	readonly streamOrigins: Pick<StreamOrigins, 'announce' | 'find'>;
 	readonly dialect: CallDialect;
 	readonly clock: Clock;
 	readonly random: RandomSource;
--- a/src/gateway/peers/peer-announcer.ts
+++ b/src/gateway/peers/peer-announcer.ts
@@ -163,7 +163,7 @@
 		} = this.#parts;
 		this.#seq += 1;
 		return {
-			member: self, address: channel.address, rpcAddress: rpcAddress(), reachesObjectApi: reachesObjectApi(), startedAt: this.#startedAt, seq: this.#seq, isLeaving: isLeaving(), loads: this.#loads(), outcomes: this.#outcomesDue(), ...this.#crashesDue(), failedRuns: this.#failedRunsDue(), accountUsage: this.#accountUsageDue(), checks: checks(), jobs: claimedJobs(), waiting: waitingItems(),
+			member: self, address: channel.address, rpcAddress: rpcAddress(), reachesObjectApi: reachesObjectApi(), keepsOrigins: true, startedAt: this.#startedAt, seq: this.#seq, isLeaving: isLeaving(), loads: this.#loads(), outcomes: this.#outcomesDue(), ...this.#crashesDue(), failedRuns: this.#failedRunsDue(), accountUsage: this.#accountUsageDue(), checks: checks(), jobs: claimedJobs(), waiting: waitingItems(),
 		};
 	}
 
--- a/src/gateway/peers/peer-state.ts
+++ b/src/gateway/peers/peer-state.ts
@@ -40,6 +40,8 @@
 	readonly rpcAddress: string;
 	/** Whether it can relay a peer's calls to the object API. */
 	readonly reachesObjectApi: boolean;
+	/** Whether it keeps the origins of streams for its peers; processes of earlier versions keep none. */
+	readonly keepsOrigins?: boolean;
 	/** When the process started, in milliseconds of its wall clock: a restart begins with a new sequence. */
 	readonly startedAt: number;
 	/** Grows with each message of one start. */
--- /dev/null
+++ b/src/gateway/streams/origin-holders.ts
@@ -0,0 +1,64 @@
+/**
+The peers that keep the origin of a stream. Every process ranks its live peers by the stream's key, so the process at which a stream is taken up finds those that the first process has chosen, without a directory. Views that differ by a peer or two shift the ranks by as many places, so more peers are asked than keep an origin.
+*/
+import {EventEmitter} from 'node:events';
+import {rankMembers} from '../../common/rendezvous.js';
+import {h32} from '../../common/xxhash.js';
+import type {PeerTable, Peer} from '../peers/peer-table.js';
+import type {StreamKey} from './stream-origin.js';
+
+/** Number of peers that keep an origin: one may be lost together with the front that sent the stream. */
+const copies = 2;
+
+/** Number of peers that are asked for an origin. */
+const askedPeers = 4;
+
+/** Keys are ranked in this many groups, so that hundreds of peers are not ranked again for each stream. */
+const groups = 512;
+
+/** See the module's head. */
+export class OriginHolders {
+	readonly #events = new EventEmitter();
+	readonly #peers: Pick<PeerTable, 'live' | 'onMembership'>;
+	/** Ranked names by group; emptied when the peers change. */
+	readonly #ranked = new Map<number, readonly string[]>();
+	#byName: ReadonlyMap<string, Peer> | undefined;
+
+	constructor(peers: Pick<PeerTable, 'live' | 'onMembership'>) {
+		this.#peers = peers;
+		peers.onMembership(() => {
+			this.#ranked.clear();
+			this.#byName = undefined;
+			this.#events.emit('change');
+		});
+	}
+
+	/** Calls the listener when peers have joined or left. */
+	onChange(listener: () => void): void {
+		this.#events.on('change', listener);
+	}
+
+	/** Whether there are too few peers to keep an origin as often as intended. */
+	areTooFew(key: StreamKey): boolean {
+		return this.of(key).length < copies;
+	}
+
+	/** The peers at which an origin is to be kept. Those that are shutting down keep none. */
+	of(key: StreamKey): Peer[] {
+		return this.#rank(key).filter(({state}) => !state.isLeaving).slice(0, copies);
+	}
+
+	/** The peers that may know an origin. */
+	toAsk(key: StreamKey): Peer[] {
+		return this.#rank(key).slice(0, askedPeers);
+	}
+
+	#rank(key: StreamKey): Peer[] {
+		const byName = this.#byName ?? new Map(this.#peers.live.filter(({state}) => state.keepsOrigins === true).map(peer => [peer.state.member as string, peer]));
+		this.#byName = byName;
+		const group = h32(key) % groups;
+		const names = this.#ranked.get(group) ?? rankMembers(`streams-${group}`, [...byName.keys()]);
+		this.#ranked.set(group, names);
+		return names.map(name => byName.get(name)!);
+	}
+}
