Batch items go on at the version that began their text

A text now names the version of the replicas that generated it, in this process, in what a process hands over and in what it stores. An item without a slot at its version for 1 s is run from the start where there is one; an item may run more than once. A text that an earlier build hands over without its version is not continued: it cannot be told where it belongs.

--- a/src/gateway/batch/batch-records.ts
+++ b/src/gateway/batch/batch-records.ts
@@ -7,7 +7,9 @@
 	isNonNegativeNumber, isNonNegativeInteger, isBoolean, isObject, isString, isNonEmptyString, listOf, objectOf, oneOf, optional, type FieldValidator,
 } from '../../common/field-validators.js';
 import {isItemProgress} from '../../common/message-validators.js';
-import type {BatchItemId, BatchJobId, ClientAccountName} from '../types.js';
+import type {
+	BatchItemId, BatchJobId, ClientAccountName, SoftwareVersion,
+} from '../types.js';
 import type {FailedRun} from './failed-runs.js';
 
 /** One item as its caller submitted it. */
@@ -93,6 +95,8 @@
 	readonly id: BatchItemId;
 	/** The data of the events from the first on. */
 	readonly events: readonly string[];
+	/** The version of the replicas that generated them; processes of earlier versions do not state it. */
+	readonly softwareVersion?: SoftwareVersion;
 	/** Runs that a replica ended with a failure, as far as the process had recorded them. */
 	readonly failedRuns: readonly FailedRun[];
 };
--- a/src/gateway/batch/batch-runner.ts
+++ b/src/gateway/batch/batch-runner.ts
@@ -41,7 +41,7 @@
 import type {JobRun, ItemState} from './job-run.js';
 import {JobRuns} from './job-runs.js';
 import {JobRoutePolicy} from './job-route-policy.js';
-import {SlotFinder, type SlotRequest} from './slot-finder.js';
+import {SlotFinder, type FoundSlot, type SlotRequest} from './slot-finder.js';
 
 /** Builds the headers with which an item is sent. */
 export type ItemHeaderBuilder = (host: string, itemId: string, headers: BatchItem['headers']) => string[];
@@ -92,6 +92,9 @@
 /** After slots were taken, the peers must have received this before more are taken; a message takes at most this long within a region, in milliseconds. */
 const maxTransitMs = 20;
 
+/** Time without a slot at a replica of its version after which an item is run from the start at another version, in milliseconds: a replica that crashes is back within it, and a slot that online calls have taken is free again. */
+const blockedTimeoutMs = 1000;
+
 /** Without any change, milliseconds until free slots and claims are reviewed again. */
 const reviewIntervalMs = 150;
 
@@ -296,7 +299,7 @@
 		run.giveUpFailed(route);
 		const dueAt = this.#routePolicy.dueAt(job);
 		return run.waiting().filter(state => this.#track(job, state).heldMs === 0).map(state => ({
-			run, job, route, state, dueAt, events: state.events.length, failedReplicas: new Set(this.#parts.failedRuns.of(state.item.id).map(({replica}) => replica)), needsNewConnection: state.lastEnd === 'broken',
+			run, job, route, state, dueAt, events: state.events.length, failedReplicas: new Set(this.#parts.failedRuns.of(state.item.id).map(({replica}) => replica)), softwareVersion: state.events.length > 0 ? state.softwareVersion : undefined, needsNewConnection: state.lastEnd === 'broken',
 		}));
 	}
 
@@ -310,19 +313,45 @@
 
 	/** @returns Whether a slot was found. */
 	#tryStart(item: PendingItem): boolean {
-		const slot = this.#slotFinder.findSlot(item, this.#runEstimate);
+		const {state} = item;
+		const slot = this.#slotFinder.findSlot(item, this.#runEstimate) ?? this.#findOtherVersion(item);
 		if (slot) {
+			state.blockedSince = undefined;
 			this.#send({...item, replica: slot.replica}, slot.connection);
 		}
 
 		return slot !== undefined;
 	}
 
+	/** An item whose text no replica can continue, for lack of a slot or of a replica of its version, is run from the start elsewhere after a while. */
+	#findOtherVersion(item: PendingItem): FoundSlot | undefined {
+		const {state, job, softwareVersion} = item;
+		const now = this.#parts.clock.now();
+		state.blockedSince ??= now;
+		if (softwareVersion === undefined || now - state.blockedSince < blockedTimeoutMs) {
+			return undefined;
+		}
+
+		const slot = this.#slotFinder.findSlot({...item, softwareVersion: undefined}, this.#runEstimate);
+		if (slot && slot.replica.record.softwareVersion !== softwareVersion) {
+			this.#parts.log.emit(gatewayEvents.itemRestarted, {
+				job: job.id, item: state.item.id, events: state.events.length, softwareVersion, blockedMs: Math.round(now - state.blockedSince),
+			});
+			state.events = [];
+		}
+
+		return slot;
+	}
+
 	#send(assigned: AssignedItem, connection: ReplicaConnection) {
 		const {job, state, replica} = assigned;
 		const {
 			loads, reachability, dialect, itemHeaders, log, clock,
 		} = this.#parts;
+		if (state.events.length === 0) {
+			state.softwareVersion = replica.record.softwareVersion;
+		}
+
 		const {item, events} = state;
 		log.emit(gatewayEvents.itemStarted, {
 			job: job.id, item: item.id, replica: replica.record.id, softwareVersion: replica.record.softwareVersion, resumeAfter: events.length, dueInMs: Math.round(this.#routePolicy.dueAt(job) - clock.wall()), ...registrationAge(this.#parts, replica),
--- a/src/gateway/batch/job-run.feature
+++ b/src/gateway/batch/job-run.feature
@@ -24,6 +24,13 @@
     When the items are read
     Then item "a" waits with 30 events of another run
 
+  Scenario: A text whose version is not known is not continued
+    # Guards against a text of two software versions: a process of an earlier version hands over a longer text without
+    # the version of the replicas that generated it.
+    Given item "a" runs here with 2 events
+    When 40 events of item "a" are handed over by a process that does not state their version
+    Then item "a" runs with 2 events
+
   Scenario: An item with the longer text here continues to run
     Given item "a" runs here with 50 events
     When 40 events of item "a" are handed over
--- a/src/gateway/batch/job-run.steps.ts
+++ b/src/gateway/batch/job-run.steps.ts
@@ -8,7 +8,7 @@
 import type {Clock} from '../../common/services.js';
 import type {TestWorld} from '../../common/testing/test-world.js';
 import type {
-	BatchItemId, BatchJobId, MemberName, ReplicaId,
+	BatchItemId, BatchJobId, MemberName, ReplicaId, SoftwareVersion,
 } from '../types.js';
 import type {BatchJob} from './batch-job.js';
 import type {BatchItem, ItemProgress, ItemResult} from './batch-records.js';
@@ -57,6 +57,9 @@
 	run.receive({job: branded<BatchJobId>('j1'), items: [progress], results: []});
 };
 
+/** The version of the replicas that generated the texts. */
+const softwareVersion = branded<SoftwareVersion>('v1');
+
 const waitingState = ({run}: JobRunWorld, name: string): ItemState | undefined => run.waiting().find(({item}) => item.id === itemId(name));
 
 Given('a process that runs a job with items {string}', async function (this: JobRunWorld, names: string) {
@@ -75,8 +78,12 @@
 Given('the items are not read yet, and {int} events of item {string} and {int} of another run are stored', function (this: JobRunWorld, events: number, name: string, others: number) {
 	const id = itemId(name);
 	createRun(this, new Map([
-		['left by one', [{id, events: eventsOf(events), failedRuns: []}]],
-		['left by another', [{id, events: eventsOf(others, 'another run'), failedRuns: []}]],
+		['left by one', [{
+			id, events: eventsOf(events), softwareVersion, failedRuns: [],
+		}]],
+		['left by another', [{
+			id, events: eventsOf(others, 'another run'), softwareVersion, failedRuns: [],
+		}]],
 	]));
 });
 
@@ -88,6 +95,7 @@
 	const state = waitingState(this, name)!;
 	this.states = new Map([[name, state]]);
 	state.events.push(...eventsOf(events));
+	state.softwareVersion = softwareVersion;
 	state.run = {
 		dispose: () => {
 			this.cancelCount += 1;
@@ -97,11 +105,19 @@
 });
 
 When('{int} events of item {string} are handed over', function (this: JobRunWorld, events: number, name: string) {
-	handOver(this, {id: itemId(name), events: eventsOf(events), failedRuns: []});
+	handOver(this, {
+		id: itemId(name), events: eventsOf(events), softwareVersion, failedRuns: [],
+	});
 });
 
 When('{int} events of item {string} are handed over by another run', function (this: JobRunWorld, events: number, name: string) {
-	handOver(this, {id: itemId(name), events: eventsOf(events, 'another run'), failedRuns: []});
+	handOver(this, {
+		id: itemId(name), events: eventsOf(events, 'another run'), softwareVersion, failedRuns: [],
+	});
+});
+
+When('{int} events of item {string} are handed over by a process that does not state their version', function (this: JobRunWorld, events: number, name: string) {
+	handOver(this, {id: itemId(name), events: eventsOf(events), failedRuns: []});
 });
 
 When('item {string} is handed over with 1 failure at replica {string}', function (this: JobRunWorld, name: string, replica: string) {
--- a/src/gateway/batch/job-run.ts
+++ b/src/gateway/batch/job-run.ts
@@ -3,7 +3,9 @@
 */
 import type {Clock, Disposable, EventLog} from '../../common/services.js';
 import {gatewayEvents} from '../log-events.js';
-import type {BatchItemId, GatewayRoute, ReplicaId} from '../types.js';
+import type {
+	BatchItemId, GatewayRoute, ReplicaId, SoftwareVersion,
+} from '../types.js';
 import type {TrackedContent} from '../quarantine/tracked-content.js';
 import type {BatchJob} from './batch-job.js';
 import type {BatchItem, ItemProgress} from './batch-records.js';
@@ -18,6 +20,10 @@
 	readonly item: BatchItem;
 	/** The data of its events so far: one text, each run of which was asked to continue after those before it. */
 	events: string[];
+	/** The version of the replicas that generated them: only these may continue the text. */
+	softwareVersion: SoftwareVersion | undefined;
+	/** Since when no slot was found at a replica of this version, in milliseconds on the monotonic clock. */
+	blockedSince: number | undefined;
 	/** The earliest time of its next run, in milliseconds on the monotonic clock. */
 	notBefore: number;
 	run: ItemRun | undefined;
@@ -104,7 +110,9 @@
 		const {job} = this;
 		return job
 			? [...this.#states.values()]
-				.map(({item, events}) => ({id: item.id, events: [...events], failedRuns: this.#parts.failedRuns.of(item.id)}))
+				.map(({item, events, softwareVersion}) => ({
+					id: item.id, events: [...events], softwareVersion, failedRuns: this.#parts.failedRuns.of(item.id),
+				}))
 				.filter(({id, events, failedRuns}) => this.#isUnfinished(job, id) && (events.length > 0 || failedRuns.length > 0))
 			: [];
 	}
@@ -180,14 +188,16 @@
 	/**
 	Continues from the longer text, and from all of it: the two come from different runs, which need not agree in any event. If the item already runs here, from an earlier event, the run is cancelled: it would generate again what has been received, and what was handed over would be dropped while the item is late.
 	*/
-	#mergeProgress(state: ItemState, {events, failedRuns}: ItemProgress) {
-		const isLonger = state.events.length < events.length;
+	#mergeProgress(state: ItemState, progress: ItemProgress) {
+		const {events, softwareVersion, failedRuns} = progress;
+		const isLonger = canContinue(progress) && state.events.length < events.length;
 		this.#parts.log.emit(gatewayEvents.itemTextReceived, {
 			job: this.job?.id, item: state.item.id, ownEvents: state.events.length, handedOverEvents: events.length, isRunning: state.run !== undefined, from: isLonger ? 'handover' : 'own',
 		});
 		if (isLonger) {
 			state.run?.dispose();
 			state.events = [...events];
+			state.softwareVersion = softwareVersion;
 		}
 
 		this.#parts.failedRuns.addReceived(failedRuns);
@@ -229,12 +239,17 @@
 	}
 }
 
+/** Whether a text can be continued: not if the version that generated it is not known. */
+const canContinue = ({events, softwareVersion}: ItemProgress): boolean => events.length > 0 && softwareVersion !== undefined;
+
 /** Starts from the longest text alone; texts of different runs are never combined. */
 const stateOf = (item: BatchItem, handedOver: readonly ItemProgress[]): ItemState => {
-	const longest = handedOver.toSorted((a, b) => b.events.length - a.events.length)[0];
+	const longest = handedOver.filter(progress => canContinue(progress)).toSorted((a, b) => b.events.length - a.events.length)[0];
 	return {
 		item,
 		events: [...longest?.events ?? []],
+		softwareVersion: longest?.softwareVersion,
+		blockedSince: undefined,
 		notBefore: 0,
 		run: undefined,
 		lastEnd: undefined,
--- a/src/gateway/batch/slot-finder.steps.ts
+++ b/src/gateway/batch/slot-finder.steps.ts
@@ -81,7 +81,7 @@
 
 const requestSlots = (world: FinderWorld, {items, dueInMs, times}: {items: number; dueInMs: number; times: number}) => {
 	const request: SlotRequest = {
-		route, dueAt: world.now + dueInMs, events: 0, failedReplicas: new Set(), needsNewConnection: false,
+		route, dueAt: world.now + dueInMs, events: 0, failedReplicas: new Set(), softwareVersion: undefined, needsNewConnection: false,
 	};
 	const own = countWaiting(Array.from({length: items}, () => request), initialRunEstimate, world.now);
 	world.taken = Array.from({length: times}, () => world.finder.slotAllowance(request, own, initialRunEstimate)).reduce((sum, slots) => sum + slots, 0) / times;
--- a/src/gateway/batch/slot-finder.ts
+++ b/src/gateway/batch/slot-finder.ts
@@ -8,7 +8,8 @@
 import type {ReplicaDirectory} from '../replica-directory.js';
 import type {ReplicaConnectionPools} from '../replica-connection-pools.js';
 import type {Replica} from '../replica.js';
-import type {GatewayRoute, ReplicaId} from '../types.js';
+import {ofVersion} from '../streams/stream-binding.js';
+import type {GatewayRoute, ReplicaId, SoftwareVersion} from '../types.js';
 import {
 	slotAllowance, reservedSlots, slackMs, type RunEstimate, type WaitingCounts, type WaitingItem,
 } from './batch-policy.js';
@@ -24,6 +25,8 @@
 	readonly route: GatewayRoute;
 	/** Replicas that have failed the item. It is tried elsewhere; otherwise one faulty replica would use up all the runs that its route allows, and the item would be given up for good. */
 	readonly failedReplicas: ReadonlySet<ReplicaId>;
+	/** The version of the replicas that may continue its text; `undefined` if it has none. */
+	readonly softwareVersion: SoftwareVersion | undefined;
 	/** Whether its last run got no usable answer: other connections that are kept alive may be as unresponsive. */
 	readonly needsNewConnection: boolean;
 };
@@ -70,8 +73,14 @@
 	/** @returns Nothing if no replica has a slot to spare, or no connection is left to the one that has. */
 	findSlot(item: SlotRequest, estimate: RunEstimate): FoundSlot | undefined {
 		const {clock, random, failureDomain, connectionPools} = this.#parts;
-		const replicas = this.#replicasOf(item.route);
-		const tried = replicas.every(({record}) => item.failedReplicas.has(record.id)) ? noneTried : item.failedReplicas;
+		const all = this.#replicasOf(item.route);
+		const replicas = ofVersion(all, item.softwareVersion);
+		const areTried = (some: readonly Replica[]) => some.every(({record}) => item.failedReplicas.has(record.id));
+		if (areTried(replicas) && !areTried(all)) {
+			return undefined;
+		}
+
+		const tried = areTried(replicas) ? noneTried : item.failedReplicas;
 		const replica = chooseForBatch(replicas, this.#reserveFor(item, estimate), {
 			now: clock.now(), random, failureDomain, tried, processCount: this.processCount, canFailOver: true,
 		});
