Held-back events are forwarded before their run goes on

Callers' streams were cut before their first byte: resuming a paused run may deliver further bytes at once, which overtook the events that had waited for their version's announcement, and a stream out of order is broken off. Events that arrive while their version is being announced: 3 of 3 fail before, 3 of 3 pass.

--- a/src/gateway/online-call.ts
+++ b/src/gateway/online-call.ts
@@ -407,8 +407,9 @@
 		void settled.then(() => {
 			this.#parts.metrics.timing('gateway.originWait', this.#parts.clock.now() - startedAt);
 			if (this.#attempt === attempt && !this.#hasEnded) {
-				attempt?.resume();
+				// Resuming may deliver further bytes at once.
 				this.#forwardHeldBack();
+				attempt?.resume();
 			}
 		});
 	}
