Version history: registrations are current for as long as work may be sent by them

On deployments that allow more time for a change, the registrations are confirmed less often than every 2.5 s, and no version was ever concluded.

--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -255,7 +255,7 @@
 		});
 		const replicaFreshness = freshnessOf('Registration', replicaFeed, settings.drainMs);
 		this.#versionHistory = new VersionHistory({
-			directory, feed: replicaFeed, clock, confirmedAt: () => this.#checks.lastConfirmedAt('Registration'),
+			directory, feed: replicaFeed, clock, confirmedAt: () => this.#checks.lastConfirmedAt('Registration'), maxAgeMs: maxAgeMs(settings, settings.drainMs),
 		});
 		this.#streamOrigins = new StreamOrigins({
 			channel: this.#channel, rpc, holders: new OriginHolders(peers), history: this.#versionHistory, clock, log, metrics,
--- a/src/gateway/streams/version-history.ts
+++ b/src/gateway/streams/version-history.ts
@@ -21,12 +21,11 @@
 	readonly feed: Pick<ObjectFeed, 'onAnswer' | 'onSnapshot'>;
 	/** When the registrations were last confirmed to be current, here or by a peer, in milliseconds on the monotonic clock. */
 	readonly confirmedAt: () => number;
+	/** Registrations that were confirmed within this time are current, in milliseconds. */
+	readonly maxAgeMs: number;
 	readonly clock: Pick<Clock, 'now'>;
 };
 
-/** Registrations that were confirmed within this time are current, in milliseconds; a watch that has failed is replaced within it. */
-const maxAgeMs = 2500;
-
 /** See the module's head. */
 export class VersionHistory {
 	readonly #parts: VersionHistoryParts;
@@ -66,7 +65,7 @@
 		const since = now - periodMs;
 		const past = services.flatMap(service => [...this.#leftAt.get(service) ?? []].filter(([, at]) => at >= since).map(([version]) => version));
 		const versions = new Set([...past, ...services.flatMap(service => [...this.#presentVersions(service)])]);
-		const isCurrent = now - this.#parts.confirmedAt() <= maxAgeMs;
+		const isCurrent = now - this.#parts.confirmedAt() <= this.#parts.maxAgeMs;
 		return {versions: [...versions], isComplete: isCurrent && this.#followedSince !== undefined && this.#followedSince <= since};
 	}
 
@@ -82,7 +81,7 @@
 	/** A list shows no registration that has come and gone since the last confirmation; a watch that continues does. */
 	#noteSnapshot() {
 		const now = this.#parts.clock.now();
-		if (this.#followedSince === undefined || now - this.#confirmedBefore > maxAgeMs) {
+		if (this.#followedSince === undefined || now - this.#confirmedBefore > this.#parts.maxAgeMs) {
 			this.#followedSince = now;
 		}
 	}
