--- a/src/gateway/streams/origin-holders.ts
+++ b/src/gateway/streams/origin-holders.ts
@@ -14,13 +14,16 @@
 const askedPeers = 4;
 
 /** Keys are ranked in this many groups, so that hundreds of peers are not ranked again for each stream. */
-const groups = 512;
+const groups = 4096;
+
+/** Ranked peers of a group: those that are asked, and some more in case peers are shutting down. */
+const rankedPeers = 2 * askedPeers;
 
 /** See the module's head. */
 export class OriginHolders {
 	readonly #events = new EventEmitter();
 	readonly #peers: Pick<PeerTable, 'live' | 'onMembership'>;
-	/** Ranked names by group; emptied when the peers change. */
+	/** The first names by group; emptied when the peers change. */
 	readonly #ranked = new Map<number, readonly string[]>();
 	#byName: ReadonlyMap<string, Peer> | undefined;
 
@@ -57,7 +60,7 @@
 		const byName = this.#byName ?? new Map(this.#peers.live.filter(({state}) => state.keepsOrigins === true).map(peer => [peer.state.member as string, peer]));
 		this.#byName = byName;
 		const group = h32(key) % groups;
-		const names = this.#ranked.get(group) ?? rankMembers(`streams-${group}`, [...byName.keys()]);
+		const names = this.#ranked.get(group) ?? rankMembers(`streams-${group}`, [...byName.keys()]).slice(0, rankedPeers);
 		this.#ranked.set(group, names);
 		return names.map(name => byName.get(name)!);
 	}
