--- a/src/gateway/batch/batch-runner.ts
+++ b/src/gateway/batch/batch-runner.ts
@@ -323,7 +323,7 @@
 		return slot !== undefined;
 	}
 
-	/** An item whose text no replica can continue, for lack of a slot or of a replica of its version, is run from the start elsewhere after a while. */
+	/** If no replica of its version has had a slot for a while, an item is run from the start at another version. */
 	#findOtherVersion(item: PendingItem): FoundSlot | undefined {
 		const {state, job, softwareVersion} = item;
 		const now = this.#parts.clock.now();
--- a/src/gateway/online-call.ts
+++ b/src/gateway/online-call.ts
@@ -50,7 +50,7 @@
 	noReplica: 500, full: 300, versionGone: 500, versionUnknown: 500,
 } as const;
 
-/** A stream that may go on only at replicas of its version waits this long, in milliseconds, until they are tried again, and this long in total: callers abandon a stream after a gap of about 2 s. */
+/** Delay after which the replicas of a stream's version are tried again, and the maximum total delay, in milliseconds: callers abandon a stream after a gap of about 2 s. */
 const versionRetryMs = 100;
 const maxVersionWaitMs = 1500;
 
@@ -83,9 +83,9 @@
 	readonly #isRepeatable: boolean;
 	readonly #content: TrackedContent;
 	readonly #binding: StreamBinding;
-	/** Bytes of the first events, while the stream's origin is not known elsewhere. */
+	/** Bytes of the first events, held back until the stream's origin is stored by peers. */
 	#unannounced: Buffer[] = [];
-	/** Offers since replicas were last tried anew. */
+	/** Offers since the last retry of the replicas of the version. */
 	#offersInRound = 0;
 	/** Milliseconds for which the call has waited for replicas of its version. */
 	#versionWaitMs = 0;
@@ -394,7 +394,7 @@
 		this.#forward(bytes);
 	}
 
-	/** An event whose version is known to this process alone could not be continued if the process failed. */
+	/** If only this process knew the version of the caller's events, the stream could not be resumed after its failure. */
 	#holdBack(bytes: Buffer, {settled}: Announcement) {
 		this.#unannounced.push(bytes);
 		if (this.#unannounced.length > 1) {
--- a/src/gateway/streams/origin-announcer.ts
+++ b/src/gateway/streams/origin-announcer.ts
@@ -1,7 +1,7 @@
 /**
-Announces the origins of streams to the peers that keep them. Each is announced when its run is sent, so that it is kept elsewhere when the first event arrives; the event waits for the confirmation only if that has not come by then.
+Announces the origins of streams to the peers that keep them. Each is announced when its run is sent, so that peers have stored it by the time the first event arrives; the event is delayed only if the confirmation has not been received by then.
 
-Origins are sent as datagrams, which cost a fraction of a call, and are repeated until they are confirmed.
+Origins are sent as datagrams, which cost a fraction of an RPC, and are retransmitted until they are confirmed.
 */
 import type {
 	Clock, Disposable, EventLog, Metrics,
@@ -28,7 +28,7 @@
 
 /** An announcement to all holders of one origin. */
 export type Announcement = {
-	/** False while a confirmation is awaited. */
+	/** False while confirmations are pending. */
 	readonly isSettled: boolean;
 	/** Resolves once all holders have confirmed, or the wait has timed out. */
 	readonly settled: Promise<void>;
@@ -43,16 +43,16 @@
 	readonly metrics: Metrics;
 };
 
-/** Origins for the same peer are gathered for this long, in milliseconds; a first event takes longer. */
+/** Origins for the same peer are batched for this long, in milliseconds; the first token of a stream takes longer. */
 const gatherMs = 5;
 
 /** The longest time that an event waits for the confirmation, in milliseconds from the announcement: a few round trips between regions. */
 const maxWaitMs = 150;
 
-/** A message is repeated after this many milliseconds, then after twice as long each time. */
+/** Delay before the first retransmission of a message, in milliseconds; doubled after each further one. */
 const firstRepeatMs = 40;
 
-/** A peer that has not confirmed this many messages is considered terminated by then. */
+/** Maximum number of transmissions of a message: by then, a terminated peer has been removed. */
 const maxSends = 5;
 
 /** The maximum number of origins in one datagram. */
--- a/src/gateway/streams/origin-holders.ts
+++ b/src/gateway/streams/origin-holders.ts
@@ -1,5 +1,5 @@
 /**
-The peers that keep the origin of a stream. Every process ranks its live peers by the stream's key, so the process at which a stream is taken up finds those that the first process has chosen, without a directory. Views that differ by a peer or two shift the ranks by as many places, so more peers are asked than keep an origin.
+The peers that keep the origin of a stream. Every process ranks its live peers by the stream's key, so the process that resumes a stream finds the peers that the first process has chosen, without a directory. If the views of two processes differ by a peer or two, the ranks are shifted by as many places, so more peers are queried than store an origin.
 */
 import {EventEmitter} from 'node:events';
 import {rankMembers} from '../../common/rendezvous.js';
--- a/src/gateway/streams/origin-store.ts
+++ b/src/gateway/streams/origin-store.ts
@@ -1,5 +1,5 @@
 /**
-The origins of streams that this process keeps, for itself and for its peers. An origin is removed once its stream can no longer be taken up.
+The origins of streams that this process keeps, for itself and for its peers. An origin is removed once its stream can no longer be resumed.
 */
 import type {Clock} from '../../common/services.js';
 import type {AnnouncedOrigin, StreamKey, StreamOrigin} from './stream-origin.js';
--- a/src/gateway/streams/stream-binding.ts
+++ b/src/gateway/streams/stream-binding.ts
@@ -1,5 +1,5 @@
 /**
-The software version that a call's stream is bound to. What two versions generate does not fit together, so from the first event that its caller has received, a stream goes on only at replicas of the version that began it: within one answer, and over the attempts of its caller, which may arrive at different processes. A run that brought no event binds nothing.
+The software version that a call's stream is bound to. The outputs of two versions must not be combined, so once its caller has received an event, a stream is continued only by replicas of the version that generated it: within one answer, and across the attempts of its caller, which may arrive at different processes. A run without an event binds nothing.
 */
 import type {Replica} from '../replica.js';
 import type {
@@ -25,7 +25,7 @@
 /** See the module's head. */
 export class StreamBinding {
 	readonly #parts: StreamBindingParts;
-	/** Identifies the stream; `undefined` if it cannot be taken up, or its caller has not named it. */
+	/** Identifies the stream; `undefined` if it cannot be resumed, or its caller has not named it. */
 	readonly #key: StreamKey | undefined;
 	readonly #isResumable: boolean;
 	#boundVersion: SoftwareVersion | undefined;
@@ -55,7 +55,7 @@
 		this.#key = this.#isResumable ? streamKey(this.isResumed ? resumedId : requestId, caller?.account) : undefined;
 	}
 
-	/** Whether the caller takes up a stream of which it has events. */
+	/** Whether the call resumes a stream of which the caller has events. */
 	get isResumed(): boolean {
 		return this.#isResumable && this.#parts.fields.isResumed;
 	}
@@ -75,7 +75,7 @@
 		return this.#boundVersion === undefined && this.#announcement?.isSettled === false ? this.#announcement : undefined;
 	}
 
-	/** Finds the version of a stream that the caller takes up, and binds the call to it. */
+	/** Finds the version of a stream that the call resumes, and binds the call to it. */
 	async resolve(): Promise<FoundOrigin> {
 		const {origins, route, fields: {requestId}} = this.#parts;
 		const found = await origins.find({key: this.#key, services: route.targets.map(({service}) => service), periodMs: resumableForMs(route)}, requestId);
--- a/src/gateway/streams/stream-origin.ts
+++ b/src/gateway/streams/stream-origin.ts
@@ -1,5 +1,5 @@
 /**
-Where a resumable stream began: the service and the software version of the replica whose event its caller received first. It is kept outside the front that sent the stream, since a caller takes a stream up at another front when that one has failed.
+Where a resumable stream began: the service and the software version of the replica whose event its caller received first. It is stored outside the front that sent the stream, since the caller resumes the stream at another front if that one fails.
 */
 import type {Branded} from '../../common/ids.js';
 import type {
@@ -14,7 +14,7 @@
 	readonly key: StreamKey;
 	readonly service: GatewayServiceName;
 	readonly softwareVersion: SoftwareVersion;
-	/** Counts the versions at which the attempt was run before it brought an event: the highest one is valid. */
+	/** Number of the run, counted by changes of the version before the first event; the highest one is valid. */
 	readonly run: number;
 };
 
@@ -33,8 +33,8 @@
 	return requestId && key && key.length <= maxKeyLength ? key as StreamKey : undefined;
 };
 
-/** The shortest time for which a stream may be taken up, in milliseconds: a caller that restarts comes late. */
+/** The shortest time for which a stream may be resumed, in milliseconds: a caller that restarts is late. */
 const minResumableMs = 10_000;
 
-/** @returns Milliseconds after its start for which a stream may be taken up: each attempt lasts at most the route's time-out. */
+/** @returns Milliseconds after its start for which a stream may be resumed: each attempt lasts at most the route's time-out. */
 export const resumableForMs = ({timeoutMs}: Pick<GatewayRoute, 'timeoutMs'>): number => Math.max(minResumableMs, 2 * timeoutMs);
--- a/src/gateway/streams/stream-origins.feature
+++ b/src/gateway/streams/stream-origins.feature
@@ -1,6 +1,6 @@
 Feature: Where the origins of streams are kept
-  The version at which a stream began is kept by a few peers, which the process at which the stream is taken up finds
-  by ranking its own view of the fleet.
+  The version at which a stream began is kept by a few peers, which the process that resumes the stream finds by
+  ranking its own view of the fleet.
 
   Scenario Outline: The origins of streams are found in a fleet of 300 processes
     # Guards against origins that are kept in one place, or where a slightly different view does not find them.
@@ -24,7 +24,7 @@
     Then no process keeps more than 3 times the mean
     And a stream takes at most 4 messages and 1000 bytes
 
-  Scenario: A version that follows from the stream's id changes during a rollout
+  Scenario: A version that is derived from the stream's id changes during a rollout
     # Why origins are announced: while replicas are replaced, the version that an id leads to is not the one it led to.
     When one of 26 replicas is replaced by one of another version, the version of at least 1 % of the ids changes
 
@@ -34,7 +34,7 @@
     When the origin of run 1 at version "v1" arrives
     Then the stream's version is "v2"
 
-  Scenario: Origins are removed once their streams cannot be taken up any more
+  Scenario: Origins are removed once their streams can no longer be resumed
     # Guards against memory that grows with each stream.
     Given the origin of run 1 of a stream at version "v1" is kept
     When 11 s pass and another stream begins
--- a/src/gateway/streams/stream-origins.ts
+++ b/src/gateway/streams/stream-origins.ts
@@ -1,5 +1,5 @@
 /**
-The origins of the fleet's resumable streams: announced by the front that sends a stream, kept by a few of its peers, and looked up by the front at which the stream is taken up.
+The origins of the fleet's resumable streams: announced by the front that sends a stream, kept by a few of its peers, and looked up by the front that resumes it.
 */
 import type {
 	Clock, Disposable, EventLog, Metrics,
@@ -18,7 +18,7 @@
 /** The name of the method in calls between processes. */
 export const findOriginMethod = 'gateway.findOrigin';
 
-/** What is asked about a stream that is taken up. */
+/** A query about a stream that is to be resumed. */
 export type OriginQuery = {
 	/** Missing if the caller did not name the stream. */
 	readonly key?: StreamKey;
@@ -52,7 +52,7 @@
 	readonly metrics: Metrics;
 };
 
-/** A peer that does not answer within this time, in milliseconds, is not waited for: its caller waits for the next event of its stream. */
+/** A peer that does not answer within this time, in milliseconds, is ignored: the caller is waiting for the next event of its stream. */
 const askTimeoutMs = 250;
 
 /** The maximum number of origins that are announced again when peers join. */
@@ -139,7 +139,7 @@
 		}
 	}
 
-	/** A process that has just started serves callers before it has met its peers. */
+	/** A process that has just started serves callers before it has discovered its peers. */
 	#announceScarce() {
 		const scarce = [...this.#scarce];
 		this.#scarce.clear();
--- a/src/gateway/streams/version-history.ts
+++ b/src/gateway/streams/version-history.ts
@@ -1,7 +1,7 @@
 /**
-The software versions that have served each service within a period, as far as this process can know: from them follows the version of a stream whose origin is not known, if only one version can have begun it.
+The software versions that have served each service within a period, as far as this process can know: the version of a stream whose origin is unknown is inferred from them if there is only one.
 
-The history is complete only if the registrations were followed without a gap for the whole period, and current only if they were confirmed a moment ago: a process that has just started, or that is cut off, concludes nothing.
+The history is complete only if the registrations were followed without a gap for the whole period, and current only if they were confirmed a moment ago: a process that has just started, or that is partitioned, infers nothing.
 */
 import type {Clock} from '../../common/services.js';
 import type {ObjectFeed} from '../object-feed.js';
@@ -31,7 +31,7 @@
 	readonly #parts: VersionHistoryParts;
 	/** When each version last left a service, in milliseconds on the monotonic clock. */
 	readonly #leftAt = new Map<GatewayServiceName, Map<SoftwareVersion, number>>();
-	/** Since when no registration can have been missed. */
+	/** Time since which no registration can have been missed, in milliseconds on the monotonic clock. */
 	#followedSince: number | undefined;
 	#confirmedBefore = -Infinity;
 
@@ -78,7 +78,7 @@
 		this.#leftAt.set(service, left.set(version, this.#parts.clock.now()));
 	}
 
-	/** A list shows no registration that has come and gone since the last confirmation; a watch that continues does. */
+	/** Unlike a continuous watch, a list does not show registrations that were added and removed since the last confirmation. */
 	#noteSnapshot() {
 		const now = this.#parts.clock.now();
 		if (this.#followedSince === undefined || now - this.#confirmedBefore > this.#parts.maxAgeMs) {
--- a/src/gateway/testing/origin-model.ts
+++ b/src/gateway/testing/origin-model.ts
@@ -1,5 +1,5 @@
 /**
-Simulates where the origins of streams are kept, for fleets of hundreds of processes: streams begin at random processes, some processes fail, and each stream is taken up at another process. Compares it with a version that follows from the stream's id.
+Simulates where the origins of streams are kept, for fleets of hundreds of processes: streams begin at random processes, some processes fail, and each stream is resumed at another process. Compares it with a version that is derived from the stream's id.
 */
 import {Buffer} from 'node:buffer';
 import {createJSONRPCNotification} from 'json-rpc-2.0';
@@ -17,9 +17,9 @@
 export type OriginScenario = {
 	readonly processes: number;
 	readonly streams: number;
-	/** How many of the processes that keep a stream's origin have failed when it is taken up, besides the one that sent it. */
+	/** How many of the processes that keep a stream's origin have failed when it is resumed, besides the one that sent it. */
 	readonly lostHolders: number;
-	/** Share of all processes that have failed when the streams are taken up. */
+	/** Share of all processes that have failed when the streams are resumed. */
 	readonly failedShare: number;
 	/** Share of the processes that a view lacks, drawn for each process. */
 	readonly missingShare: number;
@@ -91,8 +91,8 @@
 		messages += 2 * keepers.length;
 		bytes += keepers.length * (sizeOf(originsMethod, message) + sizeOf(originsKeptMethod, {seq: message.seq}));
 		const lost = new Set([...failed, sender.name, ...keepers.slice(0, lostHolders).map(({name}) => name)]);
-		const taker = draw(all.filter(({name}) => !lost.has(name)));
-		const asked = [taker, ...taker.holders.toAsk(key).map(({state}) => byName.get(state.member)!)].filter(({name}) => !lost.has(name));
+		const resumer = draw(all.filter(({name}) => !lost.has(name)));
+		const asked = [resumer, ...resumer.holders.toAsk(key).map(({state}) => byName.get(state.member)!)].filter(({name}) => !lost.has(name));
 		found += asked.some(({store}) => store.get(key) !== undefined) ? 1 : 0;
 	}
 
@@ -102,11 +102,11 @@
 	};
 };
 
-/** The version that follows from a stream's id: that of the replica which ranks first for it. */
+/** The version that is derived from a stream's id: that of the replica which ranks first for it. */
 const versionFromId = (key: StreamKey, versions: ReadonlyMap<string, string>): string => versions.get(rankMembers(key, [...versions.keys()])[0]!)!;
 
 /**
-Share of the streams that begin and are taken up at different versions, if the version follows from the id, while a rollout replaces replicas.
+Share of the streams that start and are resumed at different versions, if the version is derived from the id, while a rollout replaces replicas.
 
 @param replaced - Number of replicas that are replaced by ones of another version between the two.
 */
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -137,7 +137,7 @@
 	readonly timeLeftMs?: number;
 	/** The last event that the caller has received of a stream that it resumes. */
 	readonly lastEventId?: number;
-	/** Whether the caller takes up a stream of which it has events. */
+	/** Whether the call resumes a stream of which the caller has events. */
 	readonly isResumed: boolean;
 	/** Id of the caller's attempt that brought the first event of the stream that it resumes. Empty if the header does not name exactly one attempt. */
 	readonly resumedId?: string;
