Origins of streams are announced again when a peer that keeps them is lost

Callers whose stream's front failed soon after the peers that kept its version were refused (503, versionUnknown): nothing replaced a lost holder. The front now announces the origin again if a holder has left or restarted; only the streams of that holder are concerned. A stream is resumed after those that kept its version and then its front have been killed: 2 of 2 fail before, 3 of 3 pass.

--- a/src/gateway/streams/origin-holders.ts
+++ b/src/gateway/streams/origin-holders.ts
@@ -5,10 +5,11 @@
 import {rankMembers} from '../../common/rendezvous.js';
 import {h32} from '../../common/xxhash.js';
 import type {PeerTable, Peer} from '../peers/peer-table.js';
+import type {MemberName} from '../types.js';
 import type {StreamKey} from './stream-origin.js';
 
 /** Number of peers that keep an origin: one may be lost together with the front that sent the stream. */
-const copies = 2;
+export const copies = 2;
 
 /** Number of peers that are asked for an origin. */
 const askedPeers = 4;
@@ -26,26 +27,23 @@
 	/** The first names by group; emptied when the peers change. */
 	readonly #ranked = new Map<number, readonly string[]>();
 	#byName: ReadonlyMap<string, Peer> | undefined;
+	/** When each live peer has started. */
+	#starts: ReadonlyMap<MemberName, number> = new Map();
 
 	constructor(peers: Pick<PeerTable, 'live' | 'onMembership'>) {
 		this.#peers = peers;
 		peers.onMembership(() => {
 			this.#ranked.clear();
 			this.#byName = undefined;
-			this.#events.emit('change');
+			this.#events.emit('change', this.#updateStarts());
 		});
 	}
 
-	/** Calls the listener when peers have joined or left. */
-	onChange(listener: () => void): void {
+	/** Calls the listener when peers have joined or left, with the names of those that no longer keep what they were sent: they have left or restarted. */
+	onChange(listener: (lost: ReadonlySet<MemberName>) => void): void {
 		this.#events.on('change', listener);
 	}
 
-	/** Whether there are too few peers to keep an origin as often as intended. */
-	areTooFew(key: StreamKey): boolean {
-		return this.of(key).length < copies;
-	}
-
 	/** The peers at which an origin is to be kept. Those that are shutting down keep none. */
 	of(key: StreamKey): Peer[] {
 		return this.#rank(key).filter(({state}) => !state.isLeaving).slice(0, copies);
@@ -56,6 +54,13 @@
 		return this.#rank(key).slice(0, askedPeers);
 	}
 
+	/** @returns The names of peers that have left or restarted since the last call. */
+	#updateStarts(): ReadonlySet<MemberName> {
+		const before = this.#starts;
+		this.#starts = new Map(this.#peers.live.map(({state}) => [state.member, state.startedAt]));
+		return new Set([...before].filter(([name, startedAt]) => this.#starts.get(name) !== startedAt).map(([name]) => name));
+	}
+
 	#rank(key: StreamKey): Peer[] {
 		const byName = this.#byName ?? new Map(this.#peers.live.filter(({state}) => state.keepsOrigins === true).map(peer => [peer.state.member as string, peer]));
 		this.#byName = byName;
--- a/src/gateway/streams/stream-origins.ts
+++ b/src/gateway/streams/stream-origins.ts
@@ -6,11 +6,11 @@
 } from '../../common/services.js';
 import type {DatagramChannel} from '../../io/datagram-channel.js';
 import type {RpcClient} from '../../io/rpc-client.js';
-import type {GatewayServiceName, SoftwareVersion} from '../types.js';
+import type {GatewayServiceName, MemberName, SoftwareVersion} from '../types.js';
 import {
 	OriginAnnouncer, originsKeptMethod, type Announcement, type OriginsKept, type OriginsMessage,
 } from './origin-announcer.js';
-import type {OriginHolders} from './origin-holders.js';
+import {copies, type OriginHolders} from './origin-holders.js';
 import {OriginStore} from './origin-store.js';
 import type {AnnouncedOrigin, StreamKey, StreamOrigin} from './stream-origin.js';
 import type {ServedVersions, VersionHistory} from './version-history.js';
@@ -55,23 +55,23 @@
 /** A peer that does not answer within this time, in milliseconds, is ignored: the caller is waiting for the next event of its stream. */
 const askTimeoutMs = 250;
 
-/** The maximum number of origins that are announced again when peers join. */
-const maxScarce = 2000;
+/** The maximum number of origins whose holders are recorded; those of the oldest are dropped first. */
+const maxPlaced = 5000;
 
 /** See the module's head. */
 export class StreamOrigins implements Disposable {
 	readonly #parts: StreamOriginsParts;
 	readonly #store: OriginStore;
 	readonly #announcer: OriginAnnouncer;
-	/** Origins of this process that too few peers keep. */
-	readonly #scarce = new Set<StreamKey>();
+	/** The peers to which this process has announced each origin. */
+	readonly #placed = new Map<StreamKey, readonly MemberName[]>();
 
 	constructor(parts: StreamOriginsParts) {
 		this.#parts = parts;
 		this.#store = new OriginStore(parts.clock);
 		this.#announcer = new OriginAnnouncer(parts);
-		parts.holders.onChange(() => {
-			this.#announceScarce();
+		parts.holders.onChange(lost => {
+			this.#replaceHolders(lost);
 		});
 	}
 
@@ -83,10 +83,7 @@
 	/** Keeps an origin, here and at peers. */
 	announce(origin: AnnouncedOrigin): Announcement {
 		this.#store.put(origin);
-		if (this.#parts.holders.areTooFew(origin.key)) {
-			this.#noteScarce(origin.key);
-		}
-
+		this.#notePlaced(origin.key);
 		return this.#announcer.announce(origin);
 	}
 
@@ -132,18 +129,21 @@
 		this.#announcer.dispose();
 	}
 
-	#noteScarce(key: StreamKey) {
-		this.#scarce.add(key);
-		if (this.#scarce.size > maxScarce) {
-			this.#scarce.delete(this.#scarce.values().next().value!);
+	#notePlaced(key: StreamKey) {
+		this.#placed.delete(key);
+		this.#placed.set(key, this.#parts.holders.of(key).map(({state}) => state.member));
+		if (this.#placed.size > maxPlaced) {
+			this.#placed.delete(this.#placed.keys().next().value!);
 		}
 	}
 
-	/** A process that has just started serves callers before it has discovered its peers. */
-	#announceScarce() {
-		const scarce = [...this.#scarce];
-		this.#scarce.clear();
-		scarce.flatMap(key => this.#store.announced(key) ?? []).forEach(origin => {
+	/** Announces again the origins that too few peers keep: a holder has left or restarted, or this process had not discovered its peers yet. */
+	#replaceHolders(lost: ReadonlySet<MemberName>) {
+		const affected = [...this.#placed].filter(([, names]) => names.length < copies || names.some(name => lost.has(name))).map(([key]) => key);
+		affected.forEach(key => {
+			this.#placed.delete(key);
+		});
+		affected.flatMap(key => this.#store.announced(key) ?? []).forEach(origin => {
 			this.announce(origin);
 		});
 	}
