Logs: prompt parts and progress of runs whose replica ended

A call's lines named the digest of its content only, so calls that share a part of their prompts could not be told from others, and a run in the middle of its answer not from one that had just begun. 701 and 740 now name the parts (all but the last), the chunks received and the time over which they came.

--- a/src/gateway/batch/batch-runner.ts
+++ b/src/gateway/batch/batch-runner.ts
@@ -304,9 +304,12 @@
 	}
 
 	#track(job: BatchJob, state: ItemState): TrackedContent {
-		const {path, body} = state.item;
+		const {path, body, headers} = state.item;
 		state.trackedContent ??= new TrackedContent(this.#parts, 'batch', {
-			host: job.record.host, method: itemMethod, target: path, body: Buffer.from(body, 'base64'),
+			content: {
+				host: job.record.host, method: itemMethod, target: path, body: Buffer.from(body, 'base64'),
+			},
+			promptParts: () => this.#parts.dialect.readCall(Object.fromEntries(headers.map(([name, value]) => [name.toLowerCase(), value]))).promptParts,
 		});
 		return state.trackedContent;
 	}
@@ -360,6 +363,7 @@
 		const startedAt = clock.now();
 		state.firstStartedAt ??= startedAt;
 		const eventsBefore = events.length;
+		state.trackedContent?.noteSent();
 		state.run = new ItemRun({
 			item,
 			replica,
@@ -371,6 +375,9 @@
 			headers: itemHeaders(job.record.host, item.id, item.headers),
 			events,
 			caller: this.#callerOf(job),
+			onChunk() {
+				state.trackedContent?.noteChunk();
+			},
 			onEnd: (end, reason) => {
 				releaseSlot();
 				log.emit(gatewayEvents.itemRunEnded, {
--- a/src/gateway/batch/item-run.ts
+++ b/src/gateway/batch/item-run.ts
@@ -38,6 +38,8 @@
 	readonly events: string[];
 	/** The owner of the item, if there are accounts. */
 	readonly caller?: CallerIdentity;
+	/** Called for each chunk of a stream. */
+	readonly onChunk: () => void;
 	readonly onEnd: ItemRunListener;
 };
 
@@ -132,6 +134,10 @@
 	}
 
 	#onBytes(bytes: Buffer) {
+		if (this.#isStream) {
+			this.#parts.onChunk();
+		}
+
 		if (this.#isStream && !this.#hasStrayEvent) {
 			// After a lone CR the parser waits for the next character, and would never emit the last event.
 			this.#parser.feed(this.#framer.feed(bytes).toString().replaceAll(lineEnd, '\n'));
--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -6,7 +6,7 @@
 export const gatewayEvents = {
 	/** Fields: id, route, replica, softwareVersion, resumedId (the caller's attempt that brought the first event), online, batch (in flight there), attempt, resumeAfter, heardMs (age of the cached registrations), missedMs (how long the replica's own has been missing). */
 	callRouted: {number: 700, level: 'info', text: 'replica chosen for a call'},
-	/** Fields: id, replica, kind, reason or status, content (the same for the same request under another id). */
+	/** Fields: id, replica, kind, reason or status, content (the same for the same request under another id), promptParts (all but the last), chunks and answeringMs (received of the answer: how many, and from the first to the last). */
 	attemptFailed: {number: 701, level: 'info', text: 'attempt at a replica ended without a complete answer'},
 	/** Fields: id, route, status (sent to the caller), reason, elapsedMs, firstByteMs, offers, runs, lastEnd; content, where an attempt has failed. */
 	callEnded: {number: 702, level: 'info', text: 'call ended'},
@@ -32,7 +32,7 @@
 	replicaSuspected: {number: 738, level: 'info', text: 'replica is unresponsive; a connection was attempted'},
 	/** Fields: replica. */
 	replicaReachable: {number: 739, level: 'info', text: 'replica is reachable again'},
-	/** Fields: replica, content (of a request that it was running; one line each). */
+	/** Fields: replica, content, promptParts, chunks and answeringMs (as of a failed attempt) of a request that it was running; one line each. */
 	replicaTerminated: {number: 740, level: 'warn', text: 'replica terminated: a connection broke within a request and no new one is accepted'},
 	/** Fields: content, crashes, heldMs. */
 	contentQuarantined: {number: 741, level: 'warn', text: 'request quarantined: replicas that ran it have terminated'},
--- a/src/gateway/online-call.ts
+++ b/src/gateway/online-call.ts
@@ -167,7 +167,7 @@
 		const {route, fields} = call;
 		this.#isRepeatable = traitsByKind[route.kind].isRepeatable(route);
 		this.#answer = new CallerAnswer(call.res, {isRepeatable: this.#isRepeatable, isStream: traitsByKind[route.kind].isStream, lastEventId: fields.lastEventId});
-		this.#content = new TrackedContent(parts, 'online', {...call.message, host: route.host});
+		this.#content = new TrackedContent(parts, 'online', {content: {...call.message, host: route.host}, promptParts: () => fields.promptParts});
 		this.#binding = new StreamBinding({
 			origins: parts.streamOrigins, route, fields, caller: call.caller.identity,
 		});
@@ -347,6 +347,7 @@
 		});
 		this.#runHead = undefined;
 		this.#binding.noteRun(replica);
+		this.#content.noteSent();
 		const {lastEventId = 0} = this.#answer;
 		this.#resumeAfter = lastEventId > 0 ? lastEventId : fields.lastEventId;
 		this.#sentAt = clock.now();
@@ -385,6 +386,10 @@
 
 	#onBytes(bytes: Buffer) {
 		this.#firstByteMs ||= this.#elapsedMs();
+		if (this.#runStatus < 300) {
+			this.#content.noteChunk();
+		}
+
 		const announcement = this.#binding.pendingAnnouncement;
 		if (announcement) {
 			this.#holdBack(bytes, announcement);
@@ -444,7 +449,7 @@
 
 		if (end.kind !== 'complete' && end.kind !== 'dropped') {
 			this.#parts.log.emit(gatewayEvents.attemptFailed, {
-				id: this.#call.fields.requestId, replica: replica.record.id, ...end, content: this.#content.digest,
+				id: this.#call.fields.requestId, replica: replica.record.id, ...end, ...this.#content.logFields,
 			});
 		}
 
--- a/src/gateway/quarantine/tracked-content.ts
+++ b/src/gateway/quarantine/tracked-content.ts
@@ -1,37 +1,51 @@
 /**
 Applies the quarantine to one request over all its runs: tells whether it may be sent, and records the crashes and completions of its runs.
 */
-import type {EventLog} from '../../common/services.js';
+import type {Clock, EventLog} from '../../common/services.js';
 import type {ReplicaReachability} from '../contacts/replica-reachability.js';
 import type {LoadKind} from '../load-board.js';
 import {gatewayEvents} from '../log-events.js';
 import type {Replica} from '../replica.js';
+import type {PromptPart} from '../types.js';
 import {contentDigest, type ContentDigest, type RequestContent} from './content-digest.js';
+import {partKeysOf, type PartKey} from './prompt-part-keys.js';
 import type {Quarantine} from './quarantine.js';
+import {RunProgress} from './run-progress.js';
 
 /** Dependencies of the tracking. */
 export type TrackedContentParts = {
 	readonly quarantine: Quarantine;
 	readonly reachability: Pick<ReplicaReachability, 'hasEnded'>;
+	readonly clock: Clock;
 	readonly log: EventLog;
 };
 
+/** What a request is recognised by. */
+export type TrackedRequest = {
+	readonly content: RequestContent;
+	/** Called at most once, and only when the parts are needed. */
+	readonly promptParts: () => readonly PromptPart[];
+};
+
 /** See the module's head. */
 export class TrackedContent {
 	readonly #parts: TrackedContentParts;
 	readonly #kind: LoadKind;
-	readonly #content: RequestContent;
+	readonly #request: TrackedRequest;
+	readonly #progress: RunProgress;
 	#digest: ContentDigest | undefined;
+	#partKeys: readonly PartKey[] | undefined;
 
-	constructor(parts: TrackedContentParts, kind: LoadKind, content: RequestContent) {
+	constructor(parts: TrackedContentParts, kind: LoadKind, request: TrackedRequest) {
 		this.#parts = parts;
 		this.#kind = kind;
-		this.#content = content;
+		this.#request = request;
+		this.#progress = new RunProgress(parts.clock);
 	}
 
 	/** Computed when it is first needed: most requests never need it. */
 	get digest(): ContentDigest {
-		this.#digest ??= contentDigest(this.#content);
+		this.#digest ??= contentDigest(this.#request.content);
 		return this.#digest;
 	}
 
@@ -40,6 +54,19 @@
 		return this.#digest;
 	}
 
+	/** The parts of its prompt that other requests may share. */
+	get partKeys(): readonly PartKey[] {
+		this.#partKeys ??= partKeysOf(this.#request.promptParts());
+		return this.#partKeys;
+	}
+
+	/** Log fields that tell its current run from those of other requests. */
+	get logFields(): {content: ContentDigest; promptParts: readonly PartKey[]; chunks: number; answeringMs: number} {
+		return {
+			content: this.digest, promptParts: this.partKeys, chunks: this.#progress.chunks, answeringMs: this.#progress.answeringMs,
+		};
+	}
+
 	/** For how many more milliseconds the request is not to be sent; 0 where it may be. */
 	get heldMs(): number {
 		const {quarantine} = this.#parts;
@@ -52,12 +79,23 @@
 		return quarantine.hasSuspects && quarantine.isSuspected(this.digest);
 	}
 
+	/** Records that it is being sent to a replica. */
+	noteSent(): void {
+		this.#progress.restart();
+	}
+
+	/** Records that part of the current run's answer was received. */
+	noteChunk(): void {
+		this.#progress.noteChunk();
+	}
+
 	/** Records that its connection broke during a run. Resolves once it is known whether the replica has ended. */
 	async noteConnectionLost(replica: Replica): Promise<void> {
 		const {quarantine, reachability, log} = this.#parts;
 		const {record} = replica;
+		const fields = this.logFields;
 		if (await reachability.hasEnded(replica)) {
-			log.emit(gatewayEvents.replicaTerminated, {replica: record.id, content: this.digest});
+			log.emit(gatewayEvents.replicaTerminated, {replica: record.id, ...fields});
 			quarantine.noteCrash(this.digest, record);
 		}
 	}
