--- a/src/ctl/commands/quarantine.ts
+++ b/src/ctl/commands/quarantine.ts
@@ -1,5 +1,5 @@
 /**
-`quarantine list` and `quarantine release`: which requests the fronts hold back because they end the replicas that run them, and letting one go, for instance once the replicas are mended. A front lets a request go when its record is removed.
+`quarantine list` and `quarantine release`: which requests and which prompt parts the fronts hold back because replicas end under them, and releasing one, for instance once the replicas are repaired. A front releases a request or a part when its record is removed.
 */
 import {Right, type Either} from 'purify-ts/Either';
 import type {ObjectApi} from '../../common/services.js';
@@ -9,9 +9,9 @@
 import {fromApiError} from '../ctl-error.js';
 import {alignedLines} from '../resource-table.js';
 
-/** One request that is held back, or was and is tried again. */
+/** One request or prompt part that is held back, or was and is tried again. */
 type HeldRequest = {
-	/** The same for the same host, method, path and body. */
+	/** A digest, the same for the same host, method, path and body; or the key of a part. */
 	readonly content: string;
 	/** Nothing where the record cannot be read. */
 	readonly record: QuarantineRecord | undefined;
@@ -39,13 +39,13 @@
 const unreadable = 'can not be read';
 
 const rowOf = ({content, record}: HeldRequest): string[] => record
-	? [content, String(record.starts.length), new Date(record.lastCrashAt).toISOString(), record.starts.join(' ')]
-	: [content, unreadable, '-', '-'];
+	? [content, String(record.starts.length), new Date(record.lastCrashAt).toISOString(), record.starts.join(' '), [...new Set(record.seenBy)].join(' ') || '-']
+	: [content, unreadable, '-', '-', '-'];
 
-/** Lists the requests that are held back. */
+/** Lists the requests and prompt parts that are held back. */
 export const quarantineListCommand: Command = {
 	usage: 'quarantine list',
-	describe: 'Show the requests that are held back because they end the replicas that run them',
+	describe: 'Show the requests and prompt parts that are held back because they end the replicas that run them',
 	async run({objectApi, output}) {
 		const api = objectApi();
 		if (api.isLeft()) {
@@ -59,17 +59,17 @@
 				return;
 			}
 
-			alignedLines([['CONTENT', 'CRASHES', 'LAST-CRASH', 'REPLICA-STARTS'], ...held.map(request => rowOf(request))]).forEach(line => {
+			alignedLines([['CONTENT', 'CRASHES', 'LAST-CRASH', 'REPLICA-STARTS', 'SEEN-BY'], ...held.map(request => rowOf(request))]).forEach(line => {
 				output.print(line);
 			});
 		});
 	},
 };
 
-/** Lets one request go. */
+/** Releases one request or prompt part. */
 export const quarantineReleaseCommand: Command = {
 	usage: 'quarantine release <content>',
-	describe: 'Let a request go that is held back; all fronts send it again',
+	describe: 'Release a request or prompt part that is held back; all fronts send it again',
 	async run({objectApi, output}, [content = '']) {
 		const api = objectApi();
 		if (api.isLeft()) {
--- a/src/ctl/explain/log-story.ts
+++ b/src/ctl/explain/log-story.ts
@@ -37,6 +37,8 @@
 		: `it was at replica ${textOf(routed.fields.replica)}, attempt ${String(routed.fields.attempt)}, which had ${String(routed.fields.online)} online calls and ${String(routed.fields.batch)} items in flight when it was sent`;
 };
 
+const partNames = ({heldParts}: LogLine['fields']): string => (heldParts as readonly string[]).join(', ');
+
 /** What a call's final answer came of, by its reason. */
 const callReasons: Readonly<Record<string, Explain>> = {
 	answered: (_lines, {fields}) => Number(fields.status) < 400
@@ -45,8 +47,10 @@
 	noReplica: () => 'refused with 503, not run: no replica of the service was registered and taking work',
 	full: lines => `refused with 503, not run: every replica that was asked declined or could not be reached; ${attemptText(last(lines, gatewayEvents.attemptFailed))}`,
 	hopeless: () => 'refused with 503, not run: so many calls were in flight at every replica of the service that it would not have got a place in its time',
-	quarantined: (_lines, {fields}) => `refused with 503, not run: replicas have ended under requests with the same content, ${String(fields.content)}; the lines with this content (events 740 and 741) tell which`,
-	'it has ended the replicas that ran it': (lines, {fields}) => `broken off and not repeated, since replicas end under this request (content ${String(fields.content)}); ${attemptText(last(lines, gatewayEvents.attemptFailed))}`,
+	quarantined: (_lines, {fields}) => fields.heldParts === undefined
+		? `refused with 503, not run: replicas have ended under requests with the same content, ${String(fields.content)}; the lines with this content (events 740 and 741) tell which`
+		: `refused with 503, not run: replicas have ended under requests with the same prompt parts, ${partNames(fields)}; the lines with them (events 740 and 748) tell which`,
+	'it has ended the replicas that ran it': (lines, {fields}) => `broken off and not repeated, since replicas end under this request (${fields.heldParts === undefined ? `content ${String(fields.content)}` : `prompt parts ${partNames(fields)}`}); ${attemptText(last(lines, gatewayEvents.attemptFailed))}`,
 	'time is up': (lines, {fields}) => `answered 504: the time of its route or of its caller was over after ${String(fields.elapsedMs)} ms; ${whereabouts(lines)}`,
 	'time is up within the answer': lines => `cut: the time of its route or of its caller was over while the answer was under way; ${whereabouts(lines)}`,
 	'the caller left': (lines, {fields}) => `the caller closed its connection after ${String(fields.elapsedMs)} ms; ${whereabouts(lines)}`,
--- a/src/gateway/batch/batch-runner.ts
+++ b/src/gateway/batch/batch-runner.ts
@@ -18,6 +18,7 @@
 import {announcementDelayMs} from '../peers/peer-announcer.js';
 import type {SharedWaiting} from '../peers/peer-state.js';
 import type {PeerTable} from '../peers/peer-table.js';
+import type {PartQuarantine} from '../quarantine/part-quarantine.js';
 import type {Quarantine} from '../quarantine/quarantine.js';
 import {TrackedContent} from '../quarantine/tracked-content.js';
 import {registrationAge} from '../registration-age.js';
@@ -65,6 +66,7 @@
 	readonly connectionPools: ReplicaConnectionPools;
 	readonly reachability: ReplicaReachability;
 	readonly quarantine: Quarantine;
+	readonly partQuarantine: PartQuarantine;
 	readonly dialect: CallDialect;
 	readonly itemHeaders: ItemHeaderBuilder;
 	readonly clock: Clock;
@@ -130,7 +132,7 @@
 
 	readonly #onTrackedEnd: Readonly<Partial<Record<ItemRunEnd, (state: ItemState, replica: Replica) => void>>> = {
 		finished({trackedContent}) {
-			trackedContent?.noteCompleted();
+			trackedContent?.noteCompleted({isFramed: true});
 		},
 		lost({trackedContent}, replica) {
 			void trackedContent?.noteConnectionLost(replica);
@@ -298,7 +300,7 @@
 
 		run.giveUpFailed(route);
 		const dueAt = this.#routePolicy.dueAt(job);
-		return run.waiting().filter(state => this.#track(job, state).heldMs === 0).map(state => ({
+		return run.waiting().filter(state => this.#track(job, state).canBeSent).map(state => ({
 			run, job, route, state, dueAt, events: state.events.length, failedReplicas: new Set(this.#parts.failedRuns.of(state.item.id).map(({replica}) => replica)), softwareVersion: state.events.length > 0 ? state.softwareVersion : undefined, needsNewConnection: state.lastEnd === 'broken',
 		}));
 	}
@@ -317,6 +319,10 @@
 	/** @returns Whether a slot was found. */
 	#tryStart(item: PendingItem): boolean {
 		const {state} = item;
+		if ((state.trackedContent?.claimRun() ?? 0) > 0) {
+			return false;
+		}
+
 		const slot = this.#slotFinder.findSlot(item, this.#runEstimate) ?? this.#findOtherVersion(item);
 		if (slot) {
 			state.blockedSince = undefined;
--- a/src/gateway/batch/job-claims.steps.ts
+++ b/src/gateway/batch/job-claims.steps.ts
@@ -9,6 +9,7 @@
 import {LoadBoard} from '../load-board.js';
 import {PeerTable} from '../peers/peer-table.js';
 import {Quarantine} from '../quarantine/quarantine.js';
+import {testPartQuarantine} from '../testing/part-quarantines.js';
 import {ReplicaDirectory} from '../replica-directory.js';
 import type {BatchJobId, MemberName} from '../types.js';
 import type {JobIndex} from './job-index.js';
@@ -40,7 +41,7 @@
 	const clock: Clock = {now: () => this.now, wall: () => this.now, sleep: async () => undefined};
 	const directory = new ReplicaDirectory();
 	this.peers = new PeerTable({
-		self, directory, loads: new LoadBoard(), quarantine: new Quarantine({clock, log}), clock, log,
+		self, directory, loads: new LoadBoard(), quarantine: new Quarantine({clock, log}), partQuarantine: testPartQuarantine(clock), clock, log,
 	});
 	const job = {id: jobId(name), isOpen: true, isHeld: false};
 	this.job = job;
--- a/src/gateway/batch/slot-finder.steps.ts
+++ b/src/gateway/batch/slot-finder.steps.ts
@@ -11,6 +11,7 @@
 import type {SharedWaiting} from '../peers/peer-state.js';
 import {PeerTable} from '../peers/peer-table.js';
 import {Quarantine} from '../quarantine/quarantine.js';
+import {testPartQuarantine} from '../testing/part-quarantines.js';
 import {ReplicaDirectory} from '../replica-directory.js';
 import type {ReplicaConnectionPools} from '../replica-connection-pools.js';
 import type {
@@ -50,7 +51,7 @@
 	addReplica(directory, 'r1', slots).online = online;
 	addReplica(directory, 'r2', otherSlots);
 	this.peers = new PeerTable({
-		self: branded<MemberName>('front-1'), directory, loads: new LoadBoard(), quarantine: new Quarantine({clock, log}), clock, log,
+		self: branded<MemberName>('front-1'), directory, loads: new LoadBoard(), quarantine: new Quarantine({clock, log}), partQuarantine: testPartQuarantine(clock), clock, log,
 	});
 	this.finder = new SlotFinder({
 		directory, connectionPools: {} as unknown as ReplicaConnectionPools, peers: this.peers, clock, random: new SeededRandom(1), failureDomain: 'hall',
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -6,6 +6,7 @@
 import process from 'node:process';
 import {Right, type Either} from 'purify-ts/Either';
 import {branded} from '../common/ids.js';
+import {rankMembers} from '../common/rendezvous.js';
 import {NodeLifecycle} from '../common/node-lifecycle.js';
 import type {
 	Clock, Disposable, EventLog, ObjectApi, RandomSource,
@@ -51,6 +52,8 @@
 import {peerServer} from './peers/peer-server.js';
 import {PeerTable} from './peers/peer-table.js';
 import {SharedChecks} from './peers/shared-checks.js';
+import {PartQuarantine} from './quarantine/part-quarantine.js';
+import type {PartKey} from './quarantine/prompt-part-keys.js';
 import {Quarantine} from './quarantine/quarantine.js';
 import {QuarantineRecords} from './quarantine/quarantine-records.js';
 import {ReadProgress} from './read-progress.js';
@@ -170,6 +173,7 @@
 	readonly #runner: BatchRunner;
 	readonly #retention: BatchRetention;
 	readonly #quarantine: Quarantine;
+	readonly #partQuarantine: PartQuarantine;
 	readonly #quarantineRecords: QuarantineRecords;
 	readonly #streamOrigins: StreamOrigins;
 	readonly #versionHistory: VersionHistory;
@@ -191,8 +195,12 @@
 		const loads = this.#loads;
 		const quarantine = new Quarantine({clock, log});
 		this.#quarantine = quarantine;
+		const partQuarantine = new PartQuarantine({
+			self, clock, log, trialRank: part => this.#trialRank(part),
+		});
+		this.#partQuarantine = partQuarantine;
 		const peers = new PeerTable({
-			self, directory, loads, quarantine, clock, log,
+			self, directory, loads, quarantine, partQuarantine, clock, log,
 		});
 		this.#peers = peers;
 		const failedRuns = new FailedRuns({self, clock});
@@ -274,16 +282,16 @@
 			self, jobIndex, peers, clock, log, isLeaving, membersFirstLoadedAt: () => this.#registry.firstLoadedAt,
 		});
 		this.#runner = new BatchRunner({
-			self, api, feed: recordFeed, jobIndex, contents, peers, rpc, claims, failedRuns, board, directory, replicaFreshness, loads, connectionPools: this.#connectionPools, reachability, quarantine, dialect, itemHeaders, clock, random, log, metrics, failureDomain,
+			self, api, feed: recordFeed, jobIndex, contents, peers, rpc, claims, failedRuns, board, directory, replicaFreshness, loads, connectionPools: this.#connectionPools, reachability, quarantine, partQuarantine, dialect, itemHeaders, clock, random, log, metrics, failureDomain,
 		});
 		this.#retention = new BatchRetention({
 			self, api, jobIndex, peers, clock, log, resultRetentionMs: settings.resultsKeptMs,
 		});
 		this.#quarantineRecords = new QuarantineRecords({
-			self, quarantine, feed: quarantineFeed, api, peers, clock, log,
+			self, quarantine, partQuarantine, feed: quarantineFeed, api, peers, clock, log,
 		});
 		this.#announcer = new PeerAnnouncer({
-			self, channel: this.#channel, peers, directory, loads, quarantine, failedRuns, rateLimits, checks: () => this.#checks.announcement(), clock, isLeaving, memberAddresses: () => this.#registry.addresses, claimedJobs: () => claims.claimed, waitingItems: () => this.#runner.waiting, rpcAddress: () => this.#rpcServer.address, reachesObjectApi: () => api.isDirect,
+			self, channel: this.#channel, peers, directory, loads, quarantine, partQuarantine, failedRuns, rateLimits, checks: () => this.#checks.announcement(), clock, isLeaving, memberAddresses: () => this.#registry.addresses, claimedJobs: () => claims.claimed, waitingItems: () => this.#runner.waiting, rpcAddress: () => this.#rpcServer.address, reachesObjectApi: () => api.isDirect,
 		});
 		this.#checks = new SharedChecks({
 			self,
@@ -302,7 +310,7 @@
 			lifecycle: this.#lifecycle, board, directory, log,
 		});
 		this.#server = new FrontServer({
-			board, directory, replicaFreshness, configFreshness: freshnessOf('GatewayConfig', configFeed, settings.configMs), loads, connectionPools: this.#connectionPools, reachability, quarantine, streamOrigins: this.#streamOrigins, serviceTimes: new ServiceTimes(), ranks: new CallRanks(clock), dialect, clock, random, log, metrics, processCount, failureDomain, jobCalls,
+			board, directory, replicaFreshness, configFreshness: freshnessOf('GatewayConfig', configFeed, settings.configMs), loads, connectionPools: this.#connectionPools, reachability, quarantine, partQuarantine, streamOrigins: this.#streamOrigins, serviceTimes: new ServiceTimes(), ranks: new CallRanks(clock), dialect, clock, random, log, metrics, processCount, failureDomain, jobCalls,
 			gate: new CallerGate({
 				board, dialect, limits: rateLimits, clock, log, metrics, configConfirmedAt: () => this.#checks.lastConfirmedAt('GatewayConfig'), staleAfterMs: settings.refuseKeysAfterMs,
 			}),
@@ -390,6 +398,12 @@
 		});
 	}
 
+	/** A process that is partitioned from most of its peers would not receive the announcement of another's test. */
+	#trialRank(part: PartKey): number | undefined {
+		const names = [branded<MemberName>(this.#settings.name), ...this.#peers.names];
+		return 2 * names.length > this.#registry.addresses.length ? rankMembers(part, names).indexOf(names[0]!) : undefined;
+	}
+
 	#recordGauges() {
 		const metrics = this.#metrics;
 		const now = this.#clock.now();
@@ -403,6 +417,7 @@
 		metrics.gauge('gateway.connectionsMade', this.#connectionPools.createdCount);
 		metrics.gauge('gateway.configVersion', this.#board.config?.version ?? 0);
 		metrics.gauge('gateway.quarantined', this.#quarantine.held.length);
+		metrics.gauge('gateway.quarantinedParts', this.#partQuarantine.held.length);
 		metrics.gauge('gateway.openJobs', this.#jobIndex.openJobs.length);
 		const ages = this.#feeds.map(feed => now - feed.heardAt);
 		metrics.gauge('gateway.objectApiSilenceMs', Math.max(...ages));
--- a/src/gateway/gateway-tables.steps.ts
+++ b/src/gateway/gateway-tables.steps.ts
@@ -26,6 +26,7 @@
 import {PeerAnnouncer} from './peers/peer-announcer.js';
 import {PeerTable} from './peers/peer-table.js';
 import {Quarantine} from './quarantine/quarantine.js';
+import {testPartQuarantine} from './testing/part-quarantines.js';
 import {RegistrationController} from './registration-controller.js';
 import {ReplicaDirectory} from './replica-directory.js';
 import {registeredReplicas, registrationOf, replicaRecords} from './testing/registrations.js';
@@ -233,7 +234,7 @@
 	const directory = new ReplicaDirectory();
 	const retention = this.register(new BatchRetention({
 		self, api: this.api, jobIndex: this.jobIndex, clock, log, resultRetentionMs: 0, peers: new PeerTable({
-			self, directory, loads, quarantine: new Quarantine({clock, log}), clock, log,
+			self, directory, loads, quarantine: new Quarantine({clock, log}), partQuarantine: testPartQuarantine(clock), clock, log,
 		}),
 	}));
 	await until(() => this.jobIndex.job(jobId('a'))?.isOpen === false, 'all results of a were read');
@@ -253,8 +254,9 @@
 	this.directory.put(registrationOf(replica));
 	this.loads = new LoadBoard();
 	const quarantine = new Quarantine({clock, log});
+	const partQuarantine = testPartQuarantine(clock);
 	this.peers = new PeerTable({
-		self: branded<MemberName>('front-1'), directory: this.directory, loads: this.loads, quarantine, clock, log,
+		self: branded<MemberName>('front-1'), directory: this.directory, loads: this.loads, quarantine, partQuarantine, clock, log,
 	});
 	const channel = this.register(new DatagramChannel({}));
 	await channel.listen('127.0.0.1:0');
@@ -262,7 +264,7 @@
 		clock, log, tolerance: 0, registeredCount: () => 2, livePeers: () => this.peers.names,
 	});
 	const announcer = this.register(new PeerAnnouncer({
-		self: branded<MemberName>('front-1'), channel, peers: this.peers, directory: this.directory, loads: this.loads, quarantine, failedRuns: new FailedRuns({self: branded<MemberName>('front-1'), clock}), rateLimits, checks: () => undefined, clock, memberAddresses: () => [], claimedJobs: () => [], waitingItems: () => [], isLeaving: () => false, rpcAddress: () => '127.0.0.1:1', reachesObjectApi: () => true,
+		self: branded<MemberName>('front-1'), channel, peers: this.peers, directory: this.directory, loads: this.loads, quarantine, partQuarantine, failedRuns: new FailedRuns({self: branded<MemberName>('front-1'), clock}), rateLimits, checks: () => undefined, clock, memberAddresses: () => [], claimedJobs: () => [], waitingItems: () => [], isLeaving: () => false, rpcAddress: () => '127.0.0.1:1', reachesObjectApi: () => true,
 	}));
 	announcer.start();
 	this.peers.receive({
@@ -295,7 +297,7 @@
 Given('a front that receives messages of {string}', function (this: PausedWorld, peer: string) {
 	this.manual = new ManualClock();
 	this.peers = new PeerTable({
-		self: branded<MemberName>('front-1'), directory: new ReplicaDirectory(), loads: new LoadBoard(), quarantine: new Quarantine({clock: this.manual, log}), clock: this.manual, log,
+		self: branded<MemberName>('front-1'), directory: new ReplicaDirectory(), loads: new LoadBoard(), quarantine: new Quarantine({clock: this.manual, log}), partQuarantine: testPartQuarantine(this.manual), clock: this.manual, log,
 	});
 	this.peers.removeUnresponsive();
 	this.peers.receive({
--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -8,7 +8,7 @@
 	callRouted: {number: 700, level: 'info', text: 'replica chosen for a call'},
 	/** Fields: id, replica, kind, reason or status, content (the same for the same request under another id), promptParts (all but the last), chunks and answeringMs (received of the answer: how many, and from the first to the last). */
 	attemptFailed: {number: 701, level: 'info', text: 'attempt at a replica ended without a complete answer'},
-	/** Fields: id, route, status (sent to the caller), reason, elapsedMs, firstByteMs, offers, runs, lastEnd; content, where an attempt has failed. */
+	/** Fields: id, route, status (sent to the caller), reason, elapsedMs, firstByteMs, offers, runs, lastEnd; content, where an attempt has failed; heldParts, by which it was held back. */
 	callEnded: {number: 702, level: 'info', text: 'call ended'},
 	/** Fields: id, host, target, status, reason, configVersion. */
 	callRejected: {number: 703, level: 'info', text: 'call rejected before it was routed'},
@@ -96,6 +96,12 @@
 	originsUnconfirmed: {number: 746, level: 'info', text: 'peer did not confirm the origins of streams'},
 	/** Fields: job, item, events (dropped), softwareVersion (that generated them), blockedMs. */
 	itemRestarted: {number: 747, level: 'info', text: 'batch item is run from the start, since no replica of its version has a slot'},
+	/** Fields: parts (one of them is the cause), crashes (at different moments), isCertain, trials, heldMs, replicas (starts of those that crashed, and the trials). */
+	partQuarantined: {number: 748, level: 'warn', text: 'prompt parts quarantined: replicas have crashed at the beginning of answers to requests with them'},
+	/** Fields: part, reason. */
+	partReleased: {number: 749, level: 'info', text: 'prompt part released from quarantine'},
+	/** Fields: parts. */
+	partTested: {number: 750, level: 'info', text: 'request sent as the test of quarantined prompt parts'},
 	/** Fields: reason. */
 	handlerFailed: {number: 790, level: 'error', text: 'handler of a peer\'s call broke an invariant'},
 } as const satisfies Record<string, EventDefinition>;
--- a/src/gateway/online-call.ts
+++ b/src/gateway/online-call.ts
@@ -54,6 +54,9 @@
 const versionRetryMs = 100;
 const maxVersionWaitMs = 1500;
 
+/** The longest delay of a rerun by the check whether the previous replica has terminated, in milliseconds: several round trips within a region. */
+const maxCrashCheckMs = 25;
+
 /** Why a call is offered to no further replica. */
 type GiveUpReason = 'noReplica' | 'full' | 'versionGone' | 'quarantined';
 
@@ -184,8 +187,13 @@
 		});
 	}
 
-	/** Sends the call to its first replica. A call that cannot get a slot in time is refused at once. */
+	/** Sends the call to its first replica. A call that is held back, or cannot get a slot in time, is refused at once. */
 	start(): void {
+		if (!this.#content.canBeSent) {
+			this.#giveUp('quarantined', this.#content.heldMs);
+			return;
+		}
+
 		if (this.#binding.isResumed) {
 			void this.#startResumed();
 			return;
@@ -262,14 +270,14 @@
 			return;
 		}
 
-		if (!this.#parts.replicaFreshness.isFresh) {
-			void this.#offerWhenFresh();
+		const heldMs = this.#content.claimRun();
+		if (heldMs > 0) {
+			this.#giveUp('quarantined', heldMs);
 			return;
 		}
 
-		const {heldMs} = this.#content;
-		if (heldMs > 0) {
-			this.#giveUp('quarantined', heldMs);
+		if (!this.#parts.replicaFreshness.isFresh) {
+			void this.#offerWhenFresh();
 			return;
 		}
 
@@ -473,15 +481,12 @@
 		replica.outcomes.note(hasFailed, this.#parts.clock.now());
 	}
 
-	/** A call during which a replica has terminated before is rerun only after a check whether this replica has terminated too, since the call may be the cause. Other calls are rerun without delay. */
-	async #handleLostConnection(replica: Replica) {
+	/** A call during which a replica has terminated before is rerun only after a check whether this replica has terminated too, since the call may be the cause. Other calls wait for the check only briefly. */
+	async #handleLostConnection(replica: Replica, reason?: string) {
 		const isNoted = this.#content.noteConnectionLost(replica);
-		if (this.#content.isSuspected) {
-			await isNoted;
-		}
-
+		await (this.#content.isSuspected ? isNoted : Promise.race([isNoted, this.#parts.clock.sleep(maxCrashCheckMs)]));
 		if (!this.#hasEnded) {
-			this.#handleBrokenRun(replica);
+			this.#handleBrokenRun(replica, reason);
 		}
 	}
 
@@ -512,7 +517,7 @@
 	#finish(replica: Replica) {
 		const status = this.#runStatus;
 		if (!this.#answer.isComplete) {
-			this.#handleBrokenRun(replica, 'the run did not finish the stream');
+			void this.#handleLostConnection(replica, 'the run did not finish the stream');
 			return;
 		}
 
@@ -528,7 +533,7 @@
 
 		this.#answer.finish();
 		if (status < 300) {
-			this.#content.noteCompleted();
+			this.#content.noteCompleted({isFramed: this.#runHead?.isFramed === true});
 		}
 
 		if (this.#hadFreeSlot && status < 300 && this.#runs === 0) {
@@ -605,7 +610,7 @@
 		const {fields, route} = this.#call;
 		const elapsedMs = Math.round(this.#elapsedMs());
 		log.emit(gatewayEvents.callEnded, {
-			id: fields.requestId, route: route.name, status, reason, elapsedMs, firstByteMs: Math.round(this.#firstByteMs), offers: this.#offers, runs: this.#runs, lastEnd: this.#lastEnd, content: this.#content.computedDigest,
+			id: fields.requestId, route: route.name, status, reason, elapsedMs, firstByteMs: Math.round(this.#firstByteMs), offers: this.#offers, runs: this.#runs, lastEnd: this.#lastEnd, content: this.#content.computedDigest, heldParts: this.#content.heldParts,
 		});
 		metrics.count('gateway.calls', 1, {kind: route.kind, status: String(status)});
 		metrics.timing('gateway.call', elapsedMs, {kind: route.kind});
--- a/src/gateway/parts.ts
+++ b/src/gateway/parts.ts
@@ -9,6 +9,7 @@
 import type {FeedFreshness} from './feed-freshness.js';
 import type {ReplicaReachability} from './contacts/replica-reachability.js';
 import type {LoadBoard} from './load-board.js';
+import type {PartQuarantine} from './quarantine/part-quarantine.js';
 import type {Quarantine} from './quarantine/quarantine.js';
 import type {ReplicaDirectory} from './replica-directory.js';
 import type {ReplicaConnectionPools} from './replica-connection-pools.js';
@@ -28,6 +29,7 @@
 	readonly serviceTimes: ServiceTimes;
 	readonly ranks: CallRanks;
 	readonly quarantine: Quarantine;
+	readonly partQuarantine: PartQuarantine;
 	readonly streamOrigins: Pick<StreamOrigins, 'announce' | 'find'>;
 	readonly dialect: CallDialect;
 	readonly clock: Clock;
--- a/src/gateway/peers/peer-announcer.ts
+++ b/src/gateway/peers/peer-announcer.ts
@@ -8,6 +8,7 @@
 import type {FailedRun, FailedRuns} from '../batch/failed-runs.js';
 import type {OutcomeCounts} from '../contacts/recent-outcomes.js';
 import type {LoadBoard} from '../load-board.js';
+import type {PartAnnouncement, PartQuarantine} from '../quarantine/part-quarantine.js';
 import type {CrashAnnouncement, Quarantine} from '../quarantine/quarantine.js';
 import type {ReplicaDirectory} from '../replica-directory.js';
 import type {BatchJobId, MemberName} from '../types.js';
@@ -58,6 +59,7 @@
 	readonly directory: ReplicaDirectory;
 	readonly loads: LoadBoard;
 	readonly quarantine: Quarantine;
+	readonly partQuarantine: PartQuarantine;
 	readonly failedRuns: FailedRuns;
 	readonly rateLimits: RateLimits;
 	readonly checks: () => readonly FeedCheck[] | undefined;
@@ -93,9 +95,11 @@
 			const peersMustPreempt = total > record.slots && allBatch > batch;
 			this.#announceWithin(peersMustPreempt ? urgentDelayMs : announcementDelayMs(parts.peers.live.length));
 		});
-		parts.quarantine.onAnnouncementDue(() => {
-			this.#crashesAnnouncedAt = -Infinity;
-			this.#announceWithin(urgentDelayMs);
+		[parts.quarantine, parts.partQuarantine].forEach(quarantine => {
+			quarantine.onAnnouncementDue(() => {
+				this.#crashesAnnouncedAt = -Infinity;
+				this.#announceWithin(urgentDelayMs);
+			});
 		});
 		parts.failedRuns.onAnnouncementDue(() => {
 			this.#failedRunsAnnouncedAt = -Infinity;
@@ -103,6 +107,7 @@
 		});
 		parts.peers.onMembership(() => {
 			parts.quarantine.reannounce();
+			parts.partQuarantine.reannounce();
 			// A peer that has just joined must soon receive the list of jobs that this process runs.
 			this.#announceWithin(announcementDelayMs(parts.peers.live.length));
 		});
@@ -167,14 +172,14 @@
 		};
 	}
 
-	#crashesDue(): Partial<CrashAnnouncement> {
-		const {quarantine, clock} = this.#parts;
-		if (!quarantine.hasSuspects || clock.now() - this.#crashesAnnouncedAt < crashesIntervalMs) {
+	#crashesDue(): Partial<CrashAnnouncement> & PartAnnouncement {
+		const {quarantine, partQuarantine, clock} = this.#parts;
+		if (clock.now() - this.#crashesAnnouncedAt < crashesIntervalMs) {
 			return {};
 		}
 
 		this.#crashesAnnouncedAt = clock.now();
-		return quarantine.announcement();
+		return {...(quarantine.hasSuspects ? quarantine.announcement() : {}), ...partQuarantine.announcement()};
 	}
 
 	#failedRunsDue(): readonly FailedRun[] | undefined {
--- a/src/gateway/peers/peer-state.ts
+++ b/src/gateway/peers/peer-state.ts
@@ -7,6 +7,8 @@
 import type {OutcomeCounts} from '../contacts/recent-outcomes.js';
 import type {ContentDigest} from '../quarantine/content-digest.js';
 import type {Crash} from '../quarantine/crash-history.js';
+import type {AnnouncedPartCrash} from '../quarantine/part-quarantine.js';
+import type {PartKey} from '../quarantine/prompt-part-keys.js';
 import type {
 	BatchJobId, MemberName, ReplicaId,
 } from '../types.js';
@@ -56,6 +58,10 @@
 	readonly crashes?: readonly Crash[];
 	/** Requests that were running when replicas ended, and have completed since. */
 	readonly acquitted?: readonly ContentDigest[];
+	/** Replicas that recently ended at the beginning of answers to its requests, with the parts of these requests' prompts; repeated several times, and not in each message. */
+	readonly partCrashes?: readonly AnnouncedPartCrash[];
+	/** Prompt parts that were in requests when replicas ended, and have been in sound runs since. */
+	readonly clearedParts?: readonly PartKey[];
 	/** Its runs of batch items that failed recently; repeated several times, and not in each message. */
 	readonly failedRuns?: readonly FailedRun[];
 	/** Usage of rate-limited client accounts whose calls it received recently; not in each message. */
--- a/src/gateway/peers/peer-table.ts
+++ b/src/gateway/peers/peer-table.ts
@@ -5,6 +5,7 @@
 import type {Clock, EventLog} from '../../common/services.js';
 import {gatewayEvents} from '../log-events.js';
 import type {LoadBoard} from '../load-board.js';
+import type {PartQuarantine} from '../quarantine/part-quarantine.js';
 import type {Quarantine} from '../quarantine/quarantine.js';
 import type {ReplicaDirectory} from '../replica-directory.js';
 import type {BatchJobId, MemberName, ReplicaId} from '../types.js';
@@ -29,6 +30,7 @@
 	readonly directory: ReplicaDirectory;
 	readonly loads: LoadBoard;
 	readonly quarantine: Quarantine;
+	readonly partQuarantine: PartQuarantine;
 	readonly clock: Clock;
 	readonly log: EventLog;
 };
@@ -133,8 +135,10 @@
 		});
 	}
 
-	#applyCrashes({crashes = [], acquitted = []}: PeerState) {
-		const {quarantine} = this.#parts;
+	#applyCrashes({crashes = [], acquitted = [], partCrashes = [], clearedParts = []}: PeerState) {
+		const {quarantine, partQuarantine} = this.#parts;
+		partQuarantine.receiveCrashes(partCrashes);
+		partQuarantine.receiveCleared(clearedParts);
 		quarantine.receiveCrashes(crashes);
 		quarantine.receiveCleared(acquitted);
 	}
--- /dev/null
+++ b/src/gateway/quarantine/part-evidence.ts
@@ -0,0 +1,214 @@
+/**
+Finds the prompt parts that crash replicas, from the parts of the requests that were at the beginning of their answers when replicas crashed. Pure: it reads no clock and sends nothing.
+
+The method is group testing: the part that explains the most crashes is a culprit, its crashes are taken from all other parts, and so on with what is left. A part that was in a sound run is cleared of all crashes so far.
+*/
+import type {MemberName} from '../types.js';
+import type {ReplicaStart} from './crash-history.js';
+import type {PartKey} from './prompt-part-keys.js';
+
+/** A replica crashed at the beginning of the answers to requests with these parts. */
+export type PartCrash = {
+	readonly start: ReplicaStart;
+	readonly parts: readonly PartKey[];
+	/** The process that had sent these requests. */
+	readonly seenBy: MemberName;
+};
+
+/** Parts that explain the same crashes: one of them is the cause. */
+export type Culprit = {
+	readonly parts: readonly PartKey[];
+	/** Number of distinct moments at which replicas crashed. */
+	readonly crashes: number;
+	/** Whether enough crashes have no other explanation left. */
+	readonly isCertain: boolean;
+	/** Number of requests that were sent since to test the parts. */
+	readonly trials: number;
+	/** Time of the last crash or trial. */
+	readonly lastAt: number;
+};
+
+/** One crash as recorded for a part. */
+export type CrashEntry = {
+	readonly at: number;
+	readonly seenBy: MemberName;
+};
+
+type Entries = ReadonlyMap<ReplicaStart, CrashEntry>;
+
+/** Crashes within this time of the first one, in milliseconds, count as one: replicas that end together have a common cause, which is no request. */
+const simultaneousMs = 50;
+
+/** Number of crashes after which a part is a culprit. */
+const minCrashes = 2;
+
+/** Number of crashes without another explanation after which a culprit is certain. */
+const minCertainCrashes = 3;
+
+/** Maximum number of parts that are recorded; those whose last crash is the oldest are removed first. */
+const maxParts = 2000;
+
+/** Maximum number of crashes that are recorded for one part, and of those that it is cleared of. */
+const maxCrashesOfPart = 200;
+
+/** Marks the entry of a trial, which takes the place of a crash that may follow. */
+const trialPrefix = 'trial/';
+
+/** @returns The entry of a trial; `number` is unique at the process. */
+export const trialStart = (process: MemberName, number: string): ReplicaStart => `${trialPrefix}${process}/${number}` as ReplicaStart;
+
+const isTrial = (start: ReplicaStart): boolean => start.startsWith(trialPrefix);
+
+/** Number of distinct moments among the times of crashes. */
+const countMoments = (times: readonly number[]): number => {
+	let windowStart = -Infinity;
+	return times.toSorted((a, b) => a - b).filter(at => {
+		const isNew = at - windowStart > simultaneousMs;
+		windowStart = isNew ? at : windowStart;
+		return isNew;
+	}).length;
+};
+
+const countCrashes = (entries: Entries): number => entries.size < minCrashes ? entries.size : countMoments([...entries.values()].map(({at}) => at));
+
+const withoutTrials = (entries: Entries): Entries => new Map([...entries].filter(([start]) => !isTrial(start)));
+
+const hasSameStarts = (a: Entries, b: Entries): boolean => a.size === b.size && [...a.keys()].every(start => b.has(start));
+
+/** See the module's head. Times are milliseconds on the monotonic clock. */
+export class PartEvidence {
+	/** The part of the last crash comes last. */
+	readonly #byPart = new Map<PartKey, Map<ReplicaStart, CrashEntry>>();
+	/** Crashes that a part has been cleared of: their announcements may still arrive. */
+	readonly #clearedOf = new Map<PartKey, ReadonlySet<ReplicaStart>>();
+	/** Found when they are first needed after a change. */
+	#culprits: readonly Culprit[] | undefined = [];
+	#version = 0;
+
+	/** Changes whenever a crash is recorded. */
+	get version(): number {
+		return this.#version;
+	}
+
+	/** Number of parts with crashes. */
+	get size(): number {
+		return this.#byPart.size;
+	}
+
+	/** Parts that explain the crashes, those of the most crashes first. */
+	get culprits(): readonly Culprit[] {
+		this.#culprits ??= this.#findCulprits();
+		return this.#culprits;
+	}
+
+	has(part: PartKey): boolean {
+		return this.#byPart.has(part);
+	}
+
+	/** The crashes and trials of a part. */
+	entriesOf(part: PartKey): Entries {
+		return this.#byPart.get(part) ?? new Map<ReplicaStart, CrashEntry>();
+	}
+
+	/** @returns The parts for which the crash was not recorded yet. */
+	record({start, parts, seenBy}: PartCrash, at: number): readonly PartKey[] {
+		const added = parts.filter(part => !this.entriesOf(part).has(start) && !this.#clearedOf.get(part)?.has(start));
+		added.forEach(part => {
+			this.#add(part, start, {at, seenBy});
+		});
+		return added;
+	}
+
+	/** Deletes the crashes of a part, which do not count again. */
+	clear(part: PartKey): void {
+		const starts = new Set([...this.#clearedOf.get(part) ?? [], ...this.entriesOf(part).keys()]);
+		this.delete(part);
+		this.#clearedOf.delete(part);
+		this.#clearedOf.set(part, new Set([...starts].slice(-maxCrashesOfPart)));
+		deleteOldest(this.#clearedOf);
+	}
+
+	/** Deletes the crashes of a part. */
+	delete(part: PartKey): void {
+		if (this.#byPart.delete(part)) {
+			this.#culprits = undefined;
+		}
+	}
+
+	/** Parts whose last crash or trial was before the given time. */
+	lastBefore(time: number): readonly PartKey[] {
+		return [...this.#byPart].filter(([, entries]) => [...entries.values()].every(({at}) => at < time)).map(([part]) => part);
+	}
+
+	#add(part: PartKey, start: ReplicaStart, entry: CrashEntry) {
+		const entries = new Map(this.entriesOf(part));
+		entries.set(start, entry);
+		this.#byPart.delete(part);
+		this.#byPart.set(part, new Map([...entries].slice(-maxCrashesOfPart)));
+		deleteOldest(this.#byPart);
+		this.#culprits = undefined;
+		this.#version += 1;
+	}
+
+	#findCulprits(): readonly Culprit[] {
+		const unexplained = new Map([...this.#byPart].map(([part, entries]) => [part, withoutTrials(entries)]));
+		const culprits: Culprit[] = [];
+		let next = likeliest(unexplained);
+		while (next) {
+			const {starts} = next;
+			culprits.push(this.#culpritOf(next));
+			unexplained.forEach((entries, part) => {
+				unexplained.set(part, new Map([...entries].filter(([start]) => !starts.has(start))));
+			});
+			next = likeliest(unexplained);
+		}
+
+		return culprits;
+	}
+
+	#culpritOf({parts, starts, crashes}: Explanation): Culprit {
+		const unshared = [...starts].filter(([start]) => this.#countSuspects(start) === parts.length);
+		const all = parts.flatMap(part => [...this.entriesOf(part)]);
+		const trials = parts.map(part => [...this.entriesOf(part).keys()].filter(start => isTrial(start)).length);
+		return {
+			parts,
+			crashes,
+			isCertain: countMoments(unshared.map(([, {at}]) => at)) >= minCertainCrashes,
+			trials: Math.max(...trials),
+			lastAt: Math.max(...all.map(([, {at}]) => at)),
+		};
+	}
+
+	#countSuspects(start: ReplicaStart): number {
+		return [...this.#byPart.values()].filter(entries => entries.has(start)).length;
+	}
+}
+
+type Explanation = {
+	readonly parts: readonly PartKey[];
+	readonly starts: Entries;
+	readonly crashes: number;
+};
+
+/** The parts that explain the most crashes, if these are enough. */
+const likeliest = (unexplained: ReadonlyMap<PartKey, Entries>): Explanation | undefined => {
+	const candidates = [...unexplained]
+		.filter(([, starts]) => starts.size >= minCrashes)
+		.map(([part, starts]) => ({part, starts, crashes: countCrashes(starts)}))
+		.toSorted((a, b) => b.crashes - a.crashes || b.starts.size - a.starts.size);
+	const [first] = candidates;
+	if (!first || first.crashes < minCrashes) {
+		return undefined;
+	}
+
+	const parts = candidates.filter(({starts}) => hasSameStarts(starts, first.starts)).map(({part}) => part);
+	return {parts, starts: first.starts, crashes: first.crashes};
+};
+
+/** Keeps a table within its bound; its entries are in the order of their last change. */
+const deleteOldest = (table: Map<PartKey, unknown>) => {
+	const [oldest] = table.keys();
+	if (table.size > maxParts && oldest !== undefined) {
+		table.delete(oldest);
+	}
+};
--- a/src/gateway/quarantine/quarantine-records.steps.ts
+++ b/src/gateway/quarantine/quarantine-records.steps.ts
@@ -14,14 +14,16 @@
 import {ObjectFeed} from '../object-feed.js';
 import {PeerTable} from '../peers/peer-table.js';
 import {ReplicaDirectory} from '../replica-directory.js';
+import {testPartQuarantine} from '../testing/part-quarantines.js';
 import type {
 	GatewayServiceName, MemberName, ReplicaId, ReplicaRecord, SoftwareVersion,
 } from '../types.js';
 import type {ContentDigest} from './content-digest.js';
+import type {PartQuarantine} from './part-quarantine.js';
 import {Quarantine} from './quarantine.js';
 import {QuarantineRecords} from './quarantine-records.js';
 
-type Process = {readonly quarantine: Quarantine; readonly peers: PeerTable};
+type Process = {readonly quarantine: Quarantine; readonly partQuarantine: PartQuarantine; readonly peers: PeerTable};
 
 type RecordsWorld = TestWorld & {
 	api: FakeObjectApi;
@@ -65,8 +67,9 @@
 	world.processes ??= new Map();
 	const quarantine = new Quarantine({clock, log});
 	const self = branded<MemberName>(name);
+	const partQuarantine = testPartQuarantine(clock, self);
 	const peers = new PeerTable({
-		self, directory: new ReplicaDirectory(), loads: new LoadBoard(), quarantine, clock, log,
+		self, directory: new ReplicaDirectory(), loads: new LoadBoard(), quarantine, partQuarantine, clock, log,
 	});
 	world.processes.forEach((other, otherName) => {
 		receiveState(other.peers, name);
@@ -74,11 +77,11 @@
 	});
 	const feed = world.register(new ObjectFeed({api: world.api, clock, log}, 'Quarantine', {waitMs: 50, mayLag: true}));
 	const records = world.register(new QuarantineRecords({
-		self, quarantine, feed, api: world.api, peers, clock, log,
+		self, quarantine, partQuarantine, feed, api: world.api, peers, clock, log,
 	}));
 	feed.start();
 	records.start();
-	world.processes.set(name, {quarantine, peers});
+	world.processes.set(name, {quarantine, partQuarantine, peers});
 };
 
 Given('a process {string} that follows the records', function (this: RecordsWorld, name: string) {
--- a/src/gateway/quarantine/quarantine-records.ts
+++ b/src/gateway/quarantine/quarantine-records.ts
@@ -1,7 +1,7 @@
 /**
-Stores in the object API which requests crash the replicas that run them. All processes of the gateway may be killed at the same moment; without a record, each of these requests would crash three more replicas after each such restart.
+Stores in the object API which requests, and which prompt parts, crash the replicas that run them. All processes of the gateway may be killed at the same moment; without a record, each of them would crash more replicas after each such restart.
 
-A record is written as soon as its request is held back. Deleting the record releases the request at every process.
+A record is written as soon as its request or part is held back. Deleting the record releases it at every process.
 */
 import {rankMembers} from '../../common/rendezvous.js';
 import type {
@@ -11,7 +11,7 @@
 import type {Revision} from '../../common/ids.js';
 import {errorOf} from '../../common/error-of.js';
 import {
-	isNonNegativeNumber, isNonEmptyString, listOf, objectOf,
+	isNonNegativeNumber, isNonEmptyString, listOf, objectOf, optional,
 } from '../../common/field-validators.js';
 import {gatewayEvents} from '../log-events.js';
 import type {ObjectFeed} from '../object-feed.js';
@@ -19,12 +19,19 @@
 import type {MemberName} from '../types.js';
 import type {ContentDigest} from './content-digest.js';
 import type {ReplicaStart} from './crash-history.js';
+import type {PartQuarantine} from './part-quarantine.js';
+import {isPartKey, type PartKey} from './prompt-part-keys.js';
 import type {Quarantine} from './quarantine.js';
 
-/** The stored value of a `Quarantine` object; the content's digest is the object's name. */
+/** What a record is about; the name of the object. */
+export type QuarantinedKey = ContentDigest | PartKey;
+
+/** The stored value of a `Quarantine` object. */
 export type QuarantineRecord = {
-	/** Replicas that ended while running the request. */
+	/** Replicas that ended while running the request or requests with the part, and tests of the part. */
 	readonly starts: readonly ReplicaStart[];
+	/** The processes that saw them; not recorded for requests. */
+	readonly seenBy?: readonly MemberName[];
 	/** When the last one ended, in milliseconds of the wall clock. */
 	readonly lastCrashAt: number;
 };
@@ -33,6 +40,7 @@
 export type QuarantineRecordsParts = {
 	readonly self: MemberName;
 	readonly quarantine: Quarantine;
+	readonly partQuarantine: PartQuarantine;
 	readonly feed: ObjectFeed;
 	readonly api: ObjectApi;
 	readonly peers: PeerTable;
@@ -46,28 +54,39 @@
 /** The first process of the ranking writes a record at once; after this long, in milliseconds, any process does, since the first may be partitioned from the object API. */
 const takeoverMs = 2000;
 
+/** The part of a quarantine that is stored. */
+type StoredTable<K extends QuarantinedKey> = {
+	readonly held: readonly K[];
+	crashesOf(key: K): Pick<QuarantineRecord, 'starts' | 'seenBy'> & {readonly agoMs: number};
+	restore(key: K, record: QuarantineRecord, agoMs: number): void;
+	clear(key: K, reason: string): void;
+	deleteExpired(): void;
+	onHeld(listener: () => void): void;
+	onCleared(listener: (key: K) => void): void;
+};
+
 type StoredRecord = {readonly version: Revision; readonly crashes: number};
 
 /** Whether a value is a {@link QuarantineRecord}. */
-export const isQuarantineRecord = objectOf({starts: listOf(isNonEmptyString), lastCrashAt: isNonNegativeNumber});
+export const isQuarantineRecord = objectOf({starts: listOf(isNonEmptyString), seenBy: optional(listOf(isNonEmptyString)), lastCrashAt: isNonNegativeNumber});
 
 /** See the module's head. */
 export class QuarantineRecords implements Disposable {
 	readonly #parts: QuarantineRecordsParts;
-	readonly #records = new Map<ContentDigest, StoredRecord>();
-	/** Requests that were released and whose records are still to be removed. */
-	readonly #releases = new Set<ContentDigest>();
-	readonly #heldSince = new Map<ContentDigest, number>();
+	readonly #records = new Map<QuarantinedKey, StoredRecord>();
+	/** Requests and parts that were released and whose records are still to be removed. */
+	readonly #releases = new Set<QuarantinedKey>();
+	readonly #heldSince = new Map<QuarantinedKey, number>();
 	#timer: NodeJS.Timeout | undefined;
 	#isBusy = false;
 
 	constructor(parts: QuarantineRecordsParts) {
 		this.#parts = parts;
-		const {feed, quarantine} = parts;
+		const {feed} = parts;
 		feed.onSnapshot(items => {
 			const present = new Set(items.map(({name}) => name));
-			[...this.#records.keys()].filter(content => !present.has(content)).forEach(content => {
-				this.#noteRemoved(content);
+			[...this.#records.keys()].filter(key => !present.has(key)).forEach(key => {
+				this.#noteRemoved(key);
 			});
 			items.forEach(item => {
 				this.#apply(item);
@@ -78,23 +97,27 @@
 				if (type === 'put') {
 					this.#apply({name, value, version});
 				} else {
-					this.#noteRemoved(name as ContentDigest);
+					this.#noteRemoved(name as QuarantinedKey);
 				}
 			});
 		});
-		quarantine.onHeld(() => {
-			void this.#reconcile();
-		});
-		quarantine.onCleared(content => {
-			if (this.#records.delete(content)) {
-				this.#releases.add(content);
-			}
+		this.#tables.forEach(table => {
+			table.onHeld(() => {
+				void this.#reconcile();
+			});
+			table.onCleared(key => {
+				if (this.#records.delete(key)) {
+					this.#releases.add(key);
+				}
+			});
 		});
 	}
 
 	start(): void {
 		this.#timer = setInterval(() => {
-			this.#parts.quarantine.deleteExpired();
+			this.#tables.forEach(table => {
+				table.deleteExpired();
+			});
 			void this.#reconcile();
 		}, retryIntervalMs);
 	}
@@ -103,96 +126,105 @@
 		clearInterval(this.#timer);
 	}
 
+	get #tables(): ReadonlyArray<StoredTable<QuarantinedKey>> {
+		const {quarantine, partQuarantine} = this.#parts;
+		return [quarantine, partQuarantine];
+	}
+
+	#tableOf(key: QuarantinedKey): StoredTable<QuarantinedKey> {
+		const {quarantine, partQuarantine} = this.#parts;
+		return isPartKey(key) ? partQuarantine : quarantine;
+	}
+
 	#apply({name, value, version}: Pick<StoredObject, 'name' | 'value' | 'version'>) {
 		if (!isQuarantineRecord(value)) {
 			this.#parts.log.emit(gatewayEvents.quarantineSyncFailed, {content: name, reason: 'the record is invalid'});
 			return;
 		}
 
-		const content = name as ContentDigest;
-		if (this.#releases.has(content)) {
+		const key = name as QuarantinedKey;
+		if (this.#releases.has(key)) {
 			return;
 		}
 
-		const {starts, lastCrashAt} = value as QuarantineRecord;
-		this.#records.set(content, {version, crashes: starts.length});
-		this.#parts.quarantine.receiveCrashes(starts.map(start => ({content, start})), this.#parts.clock.wall() - lastCrashAt);
+		const record = value as QuarantineRecord;
+		this.#records.set(key, {version, crashes: record.starts.length});
+		this.#tableOf(key).restore(key, record, this.#parts.clock.wall() - record.lastCrashAt);
 	}
 
-	#noteRemoved(content: ContentDigest) {
-		this.#releases.delete(content);
-		if (this.#records.delete(content)) {
-			this.#parts.quarantine.clear(content, 'its record was removed');
+	#noteRemoved(key: QuarantinedKey) {
+		this.#releases.delete(key);
+		if (this.#records.delete(key)) {
+			this.#tableOf(key).clear(key, 'its record was removed');
 		}
 	}
 
-	/** Writes the missing records of requests that are held back, and removes those of released requests. */
+	/** Writes the missing records of what is held back, and removes those of what was released. */
 	async #reconcile(): Promise<void> {
 		if (this.#isBusy) {
 			return;
 		}
 
 		this.#isBusy = true;
-		for (const content of this.#due()) {
-			await this.#write(content);
+		for (const key of this.#due()) {
+			await this.#write(key);
 		}
 
-		for (const content of this.#releases) {
-			await this.#remove(content);
+		for (const key of this.#releases) {
+			await this.#remove(key);
 		}
 
 		this.#isBusy = false;
 	}
 
-	#due(): ContentDigest[] {
-		const {quarantine, clock} = this.#parts;
-		const now = clock.now();
-		const missing = quarantine.held.filter(content => quarantine.crashesOf(content).starts.length > (this.#records.get(content)?.crashes ?? 0));
-		[...this.#heldSince.keys()].filter(content => !missing.includes(content)).forEach(content => {
-			this.#heldSince.delete(content);
+	#due(): QuarantinedKey[] {
+		const now = this.#parts.clock.now();
+		const missing = this.#tables.flatMap(table => table.held.filter(key => table.crashesOf(key).starts.length > (this.#records.get(key)?.crashes ?? 0)));
+		[...this.#heldSince.keys()].filter(key => !missing.includes(key)).forEach(key => {
+			this.#heldSince.delete(key);
 		});
-		return missing.filter(content => {
-			const since = this.#heldSince.get(content) ?? now;
-			this.#heldSince.set(content, since);
-			return this.#isOwn(content) || now - since >= takeoverMs;
+		return missing.filter(key => {
+			const since = this.#heldSince.get(key) ?? now;
+			this.#heldSince.set(key, since);
+			return this.#isOwn(key) || now - since >= takeoverMs;
 		});
 	}
 
-	#isOwn(content: ContentDigest): boolean {
+	#isOwn(key: QuarantinedKey): boolean {
 		const {self, peers} = this.#parts;
-		return rankMembers(content, [self, ...peers.live.map(({state}) => state.member)])[0] === self;
+		return rankMembers(key, [self, ...peers.live.map(({state}) => state.member)])[0] === self;
 	}
 
-	async #write(content: ContentDigest): Promise<void> {
-		const {quarantine, api, clock} = this.#parts;
-		const {starts, agoMs} = quarantine.crashesOf(content);
-		const record = {starts, lastCrashAt: Math.round(clock.wall() - agoMs)};
-		const stored = this.#records.get(content);
-		const written = stored ? await api.update('Quarantine', content, record, stored.version) : await api.create('Quarantine', content, record);
+	async #write(key: QuarantinedKey): Promise<void> {
+		const {api, clock} = this.#parts;
+		const {starts, seenBy, agoMs} = this.#tableOf(key).crashesOf(key);
+		const record = {starts, seenBy, lastCrashAt: Math.round(clock.wall() - agoMs)};
+		const stored = this.#records.get(key);
+		const written = stored ? await api.update('Quarantine', key, record, stored.version) : await api.create('Quarantine', key, record);
 		written.ifRight(({version}) => {
-			this.#records.set(content, {version, crashes: starts.length});
+			this.#records.set(key, {version, crashes: starts.length});
 		}).ifLeft(err => {
-			this.#onWriteFailed(content, err);
+			this.#onWriteFailed(key, err);
 		});
 	}
 
-	#onWriteFailed(content: ContentDigest, err: ApiError) {
+	#onWriteFailed(key: QuarantinedKey, err: ApiError) {
 		if (err.kind === 'conflict' && err.current) {
 			// Another process has written the record first.
 			this.#apply(err.current);
 			return;
 		}
 
-		this.#parts.log.emit(gatewayEvents.quarantineSyncFailed, {content, reason: err.kind});
+		this.#parts.log.emit(gatewayEvents.quarantineSyncFailed, {content: key, reason: err.kind});
 	}
 
-	async #remove(content: ContentDigest): Promise<void> {
-		const err = errorOf(await this.#parts.api.remove('Quarantine', content));
+	async #remove(key: QuarantinedKey): Promise<void> {
+		const err = errorOf(await this.#parts.api.remove('Quarantine', key));
 		if (err && err.kind !== 'notFound') {
-			this.#parts.log.emit(gatewayEvents.quarantineSyncFailed, {content, reason: err.kind});
+			this.#parts.log.emit(gatewayEvents.quarantineSyncFailed, {content: key, reason: err.kind});
 			return;
 		}
 
-		this.#releases.delete(content);
+		this.#releases.delete(key);
 	}
 }
--- a/src/gateway/quarantine/quarantine.ts
+++ b/src/gateway/quarantine/quarantine.ts
@@ -9,7 +9,9 @@
 import {gatewayEvents} from '../log-events.js';
 import type {ReplicaRecord} from '../types.js';
 import type {ContentDigest} from './content-digest.js';
-import {CrashHistory, startOf, type Crash} from './crash-history.js';
+import {
+	CrashHistory, startOf, type Crash, type ReplicaStart,
+} from './crash-history.js';
 
 /** Dependencies of the quarantine. */
 export type QuarantineParts = {
@@ -108,7 +110,7 @@
 	}
 
 	/** The recorded crashes of a request, and how long ago the last one was, in milliseconds. */
-	crashesOf(content: ContentDigest): {readonly starts: readonly string[]; readonly agoMs: number} {
+	crashesOf(content: ContentDigest): {readonly starts: readonly ReplicaStart[]; readonly agoMs: number} {
 		return {starts: this.#history.startsOf(content), agoMs: this.#parts.clock.now() - this.#history.lastCrashAt(content)};
 	}
 
@@ -147,7 +149,7 @@
 		this.#events.emit('cleared', content);
 	}
 
-	/** Records crashes from a peer's announcement or from a stored record, which occurred `agoMs` milliseconds ago. */
+	/** Records crashes that occurred `agoMs` milliseconds ago, from a peer's announcement by default. */
 	receiveCrashes(crashes: readonly Crash[], agoMs = 0): void {
 		const at = this.#parts.clock.now() - Math.max(0, agoMs);
 		crashes.forEach(crash => {
@@ -155,6 +157,11 @@
 		});
 	}
 
+	/** Records the crashes of a request from its stored record; the last one occurred `agoMs` milliseconds ago. */
+	restore(content: ContentDigest, {starts}: {readonly starts: readonly ReplicaStart[]}, agoMs: number): void {
+		this.receiveCrashes(starts.map(start => ({content, start})), agoMs);
+	}
+
 	/** Clears requests that have completed at other processes. */
 	receiveCleared(contents: readonly ContentDigest[]): void {
 		contents.filter(content => this.isSuspected(content)).forEach(content => {
--- a/src/gateway/quarantine/tracked-content.ts
+++ b/src/gateway/quarantine/tracked-content.ts
@@ -8,6 +8,7 @@
 import type {Replica} from '../replica.js';
 import type {PromptPart} from '../types.js';
 import {contentDigest, type ContentDigest, type RequestContent} from './content-digest.js';
+import type {PartQuarantine} from './part-quarantine.js';
 import {partKeysOf, type PartKey} from './prompt-part-keys.js';
 import type {Quarantine} from './quarantine.js';
 import {RunProgress} from './run-progress.js';
@@ -15,6 +16,7 @@
 /** Dependencies of the tracking. */
 export type TrackedContentParts = {
 	readonly quarantine: Quarantine;
+	readonly partQuarantine: PartQuarantine;
 	readonly reachability: Pick<ReplicaReachability, 'hasEnded'>;
 	readonly clock: Clock;
 	readonly log: EventLog;
@@ -35,6 +37,10 @@
 	readonly #progress: RunProgress;
 	#digest: ContentDigest | undefined;
 	#partKeys: readonly PartKey[] | undefined;
+	/** Whether it is being sent to test the parts by which it was held back. */
+	#isTrial = false;
+	/** The crashes that were recorded when its parts were last reported as sound. */
+	#reportedVersion = 0;
 
 	constructor(parts: TrackedContentParts, kind: LoadKind, request: TrackedRequest) {
 		this.#parts = parts;
@@ -69,8 +75,31 @@
 
 	/** For how many more milliseconds the request is not to be sent; 0 where it may be. */
 	get heldMs(): number {
-		const {quarantine} = this.#parts;
-		return quarantine.hasSuspects ? quarantine.heldMs(this.digest, this.#kind) : 0;
+		const {partQuarantine} = this.#parts;
+		const partsHeldMs = partQuarantine.hasSuspects && !this.#isTrial ? partQuarantine.heldMs(this.partKeys) : 0;
+		return Math.max(this.#contentHeldMs, partsHeldMs);
+	}
+
+	/** The parts by which it is held back. */
+	get heldParts(): readonly PartKey[] | undefined {
+		const {partQuarantine} = this.#parts;
+		const parts = partQuarantine.hasSuspects ? partQuarantine.heldPartsOf(this.partKeys) : [];
+		return parts.length > 0 ? parts : undefined;
+	}
+
+	/** Whether it may be sent, if only to test the parts by which it is held back. */
+	get canBeSent(): boolean {
+		return this.heldMs === 0 || this.#isTrialDue;
+	}
+
+	/** To be called before it is sent. @returns For how many more milliseconds it is not to be sent; 0 where it may be. */
+	claimRun(): number {
+		if (this.#isTrialDue) {
+			this.#isTrial = true;
+			this.#parts.partQuarantine.startTrial(this.partKeys);
+		}
+
+		return this.heldMs;
 	}
 
 	/** Whether a replica has ended before while running it. */
@@ -87,24 +116,51 @@
 	/** Records that part of the current run's answer was received. */
 	noteChunk(): void {
 		this.#progress.noteChunk();
+		const {partQuarantine} = this.#parts;
+		if (partQuarantine.hasSuspects && this.#reportedVersion !== partQuarantine.version && this.#progress.isWellUnderWay) {
+			this.#reportSound();
+		}
 	}
 
 	/** Records that its connection broke during a run. Resolves once it is known whether the replica has ended. */
 	async noteConnectionLost(replica: Replica): Promise<void> {
-		const {quarantine, reachability, log} = this.#parts;
+		const {quarantine, partQuarantine, reachability, log} = this.#parts;
 		const {record} = replica;
 		const fields = this.logFields;
+		const suspects = this.#progress.isWellUnderWay ? [] : this.partKeys;
 		if (await reachability.hasEnded(replica)) {
 			log.emit(gatewayEvents.replicaTerminated, {replica: record.id, ...fields});
+			this.#isTrial = false;
 			quarantine.noteCrash(this.digest, record);
+			partQuarantine.noteCrash(suspects, record);
 		}
 	}
 
-	/** Records that a replica has completed it. */
-	noteCompleted(): void {
-		const {quarantine} = this.#parts;
+	/** Records that a replica has completed it. An answer without a length may have ended because its replica did. */
+	noteCompleted({isFramed}: {readonly isFramed: boolean}): void {
+		const {quarantine, partQuarantine} = this.#parts;
 		if (quarantine.hasSuspects) {
 			quarantine.noteSuccess(this.digest);
 		}
+
+		if (partQuarantine.hasSuspects && isFramed) {
+			this.#reportSound();
+		}
+	}
+
+	get #contentHeldMs(): number {
+		const {quarantine} = this.#parts;
+		return quarantine.hasSuspects ? quarantine.heldMs(this.digest, this.#kind) : 0;
+	}
+
+	get #isTrialDue(): boolean {
+		const {partQuarantine} = this.#parts;
+		return !this.#isTrial && partQuarantine.hasSuspects && this.#contentHeldMs === 0 && partQuarantine.isTrialDue(this.partKeys);
+	}
+
+	#reportSound() {
+		const {partQuarantine} = this.#parts;
+		partQuarantine.noteSound(this.partKeys);
+		this.#reportedVersion = partQuarantine.version;
 	}
 }
--- a/src/gateway/replica-directory.steps.ts
+++ b/src/gateway/replica-directory.steps.ts
@@ -11,6 +11,7 @@
 import type {PeerState} from './peers/peer-state.js';
 import {PeerTable} from './peers/peer-table.js';
 import {Quarantine} from './quarantine/quarantine.js';
+import {testPartQuarantine} from './testing/part-quarantines.js';
 import {ReplicaDirectory} from './replica-directory.js';
 import type {
 	GatewayServiceName, MemberName, ReplicaId, ReplicaRecord, SoftwareVersion,
@@ -54,7 +55,7 @@
 	});
 	const loads = new LoadBoard();
 	this.peers = new PeerTable({
-		self: branded<MemberName>('front-1'), directory: this.directory, loads, quarantine: new Quarantine({clock: new SystemClock(), log}), clock: new SystemClock(), log,
+		self: branded<MemberName>('front-1'), directory: this.directory, loads, quarantine: new Quarantine({clock: new SystemClock(), log}), partQuarantine: testPartQuarantine(new SystemClock()), clock: new SystemClock(), log,
 	});
 	this.seq = 0;
 	this.ends = Array.from({length: own}, () => loads.acquireSlot(replicaOf(this, id), 'online'));
