Answers without a length: ends with a crash, and items that never ended

Callers got part of a stream as a whole one: the system closes the connections of a process that has crashed in the regular way, so an answer with neither a length nor chunks that ended between two events passed for complete. And an item whose runs all answer so never ended: its text was complete, each later run was asked for the rest, brought nothing and counted as broken.

The end of such an answer now counts only if its replica still accepts connections; otherwise the run is lost, goes on elsewhere or is cut, and counts as a crash. An item's text without a length is complete once a run that was asked for the rest ends without an event.

--- a/src/gateway/batch/batch-runner.ts
+++ b/src/gateway/batch/batch-runner.ts
@@ -384,6 +384,7 @@
 			onChunk() {
 				state.trackedContent?.noteChunk();
 			},
+			hasReplicaEnded: async () => reachability.hasEnded(replica),
 			onEnd: (end, reason) => {
 				releaseSlot();
 				log.emit(gatewayEvents.itemRunEnded, {
--- a/src/gateway/batch/item-run.ts
+++ b/src/gateway/batch/item-run.ts
@@ -40,6 +40,8 @@
 	readonly caller?: CallerIdentity;
 	/** Called for each chunk of a stream. */
 	readonly onChunk: () => void;
+	/** Whether the replica has ended since the item was sent. */
+	readonly hasReplicaEnded: () => Promise<boolean>;
 	readonly onEnd: ItemRunListener;
 };
 
@@ -79,6 +81,8 @@
 		},
 	});
 
+	/** The number of events that earlier runs have received. */
+	readonly #resumedAfter: number;
 	#head: AnswerHead | undefined;
 	/** Whether an event was received that does not follow the last one: it belongs to another run. */
 	#hasStrayEvent = false;
@@ -90,6 +94,7 @@
 		} = parts;
 		this.#parts = parts;
 		this.replica = replica;
+		this.#resumedAfter = events.length;
 		this.#framer = new EventFramer(events.length);
 		this.#attempt = new Attempt({
 			connection,
@@ -164,13 +169,23 @@
 
 		this.#hasEnded = true;
 		if (end.kind === 'complete') {
-			this.#parts.onEnd(this.#endOfAnswer(), `status ${this.#head?.status ?? 0}`);
+			void this.#handleEndOfAnswer();
 			return;
 		}
 
 		this.#parts.onEnd(endsByAttempt[end.kind], 'reason' in end ? end.reason : end.kind);
 	}
 
+	/** The system closes the connections of a process that has crashed in the regular way, so an answer without a length may have ended with its replica. */
+	async #handleEndOfAnswer() {
+		if (this.#head?.isFramed === false && await this.#parts.hasReplicaEnded()) {
+			this.#parts.onEnd('lost', 'the replica ended with its answer');
+			return;
+		}
+
+		this.#parts.onEnd(this.#endOfAnswer(), `status ${this.#head?.status ?? 0}`);
+	}
+
 	#endOfAnswer(): ItemRunEnd {
 		if (this.#isStream) {
 			return this.#isTextComplete ? 'finished' : 'broken';
@@ -179,9 +194,13 @@
 		return statusEnds[this.#head?.status ?? 0] ?? 'broken';
 	}
 
-	/** Only a content length or a terminating chunk proves that a text is complete; without either it may have been truncated anywhere. */
+	/** A content length or a terminating chunk proves that a text is complete. Without either it may have been truncated anywhere, until a run that was asked for the rest ends without an event. */
 	get #isTextComplete(): boolean {
-		const isInOrder = this.#framer.isInOrder && !this.#hasStrayEvent;
-		return isInOrder && !this.#framer.hasPartialEvent && this.#head?.isFramed === true;
+		const isInOrder = this.#framer.isInOrder && !this.#hasStrayEvent && !this.#framer.hasPartialEvent;
+		return isInOrder && (this.#head?.isFramed === true || this.#isEndConfirmed);
+	}
+
+	get #isEndConfirmed(): boolean {
+		return this.#resumedAfter > 0 && this.progress === this.#resumedAfter;
 	}
 }
--- a/src/gateway/online-call.ts
+++ b/src/gateway/online-call.ts
@@ -149,13 +149,9 @@
 		complete: (_end, replica) => {
 			replica.noteAnswer();
 			this.#forwardHeldBack();
-			if (this.#hasEnded) {
-				return;
+			if (!this.#hasEnded) {
+				void this.#handleEndOfAnswer(replica);
 			}
-
-			const isSuccess = this.#runStatus < 300;
-			this.#recordOutcome(replica, this.#runStatus >= 500 || (isSuccess && !this.#answer.isComplete));
-			this.#finish(replica);
 		},
 		outdated: (_end, replica) => {
 			this.#tried.delete(replica.record.id);
@@ -514,6 +510,23 @@
 		return this.#isRepeatable && this.#answer.canResume && this.#runs < this.#call.route.maxRuns;
 	}
 
+	/** The system closes the connections of a process that has crashed in the regular way, so an answer without a length may have ended with its replica. */
+	async #handleEndOfAnswer(replica: Replica) {
+		const isCutShort = this.#runHead?.isFramed === false && await this.#parts.reachability.hasEnded(replica);
+		if (this.#hasEnded) {
+			return;
+		}
+
+		const isSuccess = this.#runStatus < 300;
+		this.#recordOutcome(replica, this.#runStatus >= 500 || (isSuccess && (isCutShort || !this.#answer.isComplete)));
+		if (isCutShort) {
+			await this.#handleLostConnection(replica, 'the replica ended with its answer');
+			return;
+		}
+
+		this.#finish(replica);
+	}
+
 	#finish(replica: Replica) {
 		const status = this.#runStatus;
 		if (!this.#answer.isComplete) {
