Runs that are held back are aborted before they crash their replicas

A request that was under way when its part was quarantined went on, and its replica ended. Fronts now abort such runs unless they have been answered for a while.

--- a/src/ctl/explain/log-story.ts
+++ b/src/ctl/explain/log-story.ts
@@ -37,7 +37,7 @@
 		: `it was at replica ${textOf(routed.fields.replica)}, attempt ${String(routed.fields.attempt)}, which had ${String(routed.fields.online)} online calls and ${String(routed.fields.batch)} items in flight when it was sent`;
 };
 
-const partNames = ({heldParts}: LogLine['fields']): string => (heldParts as readonly string[]).join(', ');
+const partNames = ({heldParts}: LogLine['fields']): string => ((heldParts ?? []) as readonly string[]).join(', ');
 
 /** What a call's final answer came of, by its reason. */
 const callReasons: Readonly<Record<string, Explain>> = {
@@ -51,6 +51,7 @@
 		? `refused with 503, not run: replicas have ended under requests with the same content, ${String(fields.content)}; the lines with this content (events 740 and 741) tell which`
 		: `refused with 503, not run: replicas have ended under requests with the same prompt parts, ${partNames(fields)}; the lines with them (events 740 and 748) tell which`,
 	'it has ended the replicas that ran it': (lines, {fields}) => `broken off and not repeated, since replicas end under this request (${fields.heldParts === undefined ? `content ${String(fields.content)}` : `prompt parts ${partNames(fields)}`}); ${attemptText(last(lines, gatewayEvents.attemptFailed))}`,
+	'a part of its prompt was quarantined during its run': (_lines, {fields}) => `broken off, since other replicas had ended under requests with the same prompt parts, ${partNames(fields)}, before its own replica could; the lines with them (events 740 and 748) tell which`,
 	'time is up': (lines, {fields}) => `answered 504: the time of its route or of its caller was over after ${String(fields.elapsedMs)} ms; ${whereabouts(lines)}`,
 	'time is up within the answer': lines => `cut: the time of its route or of its caller was over while the answer was under way; ${whereabouts(lines)}`,
 	'the caller left': (lines, {fields}) => `the caller closed its connection after ${String(fields.elapsedMs)} ms; ${whereabouts(lines)}`,
--- a/src/gateway/batch/batch-runner.ts
+++ b/src/gateway/batch/batch-runner.ts
@@ -158,6 +158,9 @@
 		loads.onPeerChange(replica => {
 			this.#onLoadChange(replica);
 		});
+		parts.partQuarantine.onHeld(() => {
+			this.#abortHeld();
+		});
 		jobIndex.onChange(() => {
 			this.#reviewClaims();
 			this.#scheduleFill();
@@ -220,6 +223,16 @@
 		this.#scheduleFill();
 	}
 
+	/** Aborts runs that are likely to crash their replicas. */
+	#abortHeld() {
+		this.#runs.all
+			.flatMap(run => run.running)
+			.filter(({trackedContent}) => trackedContent?.mayCrashReplica)
+			.forEach(({run}) => {
+				run?.dispose();
+			});
+	}
+
 	/** Preempts the runs with the fewest events, since they lose the least work. */
 	#preempt(replica: Replica, count: number) {
 		this.#runs.all
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -139,6 +139,11 @@
 			this.#server.keepAliveTimeout = Math.max(defaultIdleMs, keepAliveFactor * limits.idleTimeoutMs);
 			this.#server.headersTimeout = limits.headerTimeoutMs;
 		});
+		parts.partQuarantine.onHeld(() => {
+			this.#calls.forEach(call => {
+				call.abortIfHeld();
+			});
+		});
 	}
 
 	/** `ip:port` that the server listens on. */
--- a/src/gateway/online-call.ts
+++ b/src/gateway/online-call.ts
@@ -198,6 +198,16 @@
 		this.#begin();
 	}
 
+	/** Aborts a run that is likely to crash its replica. To be called when prompt parts have been quarantined. */
+	abortIfHeld(): void {
+		if (this.#hasEnded || !this.#attempt || this.#attempt.isOver || !this.#content.mayCrashReplica) {
+			return;
+		}
+
+		this.#attempt.dispose();
+		this.#fail('a part of its prompt was quarantined during its run');
+	}
+
 	/** Ends the call at once, without an answer or a log line. */
 	dispose(): void {
 		this.#close();
--- a/src/gateway/quarantine/part-evidence.ts
+++ b/src/gateway/quarantine/part-evidence.ts
@@ -151,7 +151,7 @@
 	}
 
 	#findCulprits(): readonly Culprit[] {
-		const unexplained = new Map([...this.#byPart].map(([part, entries]) => [part, withoutTrials(entries)]));
+		const unexplained = new Map([...this.#byPart].filter(([, entries]) => entries.size >= minCrashes).map(([part, entries]) => [part, withoutTrials(entries)]));
 		const culprits: Culprit[] = [];
 		let next = likeliest(unexplained);
 		while (next) {
--- a/src/gateway/quarantine/tracked-content.ts
+++ b/src/gateway/quarantine/tracked-content.ts
@@ -92,6 +92,11 @@
 		return this.heldMs === 0 || this.#isTrialDue;
 	}
 
+	/** Whether its current run is to be aborted: it is held back by now, and its replica has not yet survived the beginning of the answer. */
+	get mayCrashReplica(): boolean {
+		return !this.#progress.isWellUnderWay && this.heldMs > 0;
+	}
+
 	/** To be called before it is sent. @returns For how many more milliseconds it is not to be sent; 0 where it may be. */
 	claimRun(): number {
 		if (this.#isTrialDue) {
--- a/src/gateway/testing/part-crash-model.ts
+++ b/src/gateway/testing/part-crash-model.ts
@@ -49,6 +49,7 @@
 type Run = {
 	readonly request: Request;
 	readonly front: PartTable;
+	readonly isTrial: boolean;
 	readonly startedAt: number;
 	readonly endsAt: number;
 	reportedVersion: number;
@@ -124,6 +125,7 @@
 		for (; this.#now < lengthMs; this.#now += stepMs) {
 			this.#arrive();
 			this.#deliver();
+			this.#abortHeld();
 			this.#endRuns();
 			this.#reportSound();
 			this.#applyOutage();
@@ -200,17 +202,18 @@
 	#run(request: Request) {
 		const front = this.#tables[Math.floor(this.#random() * this.#tables.length)]!;
 		this.#shared?.noteRequest(request.parts);
-		if (front.isTrialDue(request.parts)) {
+		const isTrial = front.isTrialDue(request.parts);
+		if (isTrial) {
 			front.startTrial(request.parts);
 		} else if (front.heldMs(request.parts) > 0) {
 			this.#soundHeld += request.crashing ? 0 : 1;
 			return;
 		}
 
-		this.#send(request, front);
+		this.#send(request, front, isTrial);
 	}
 
-	#send(request: Request, front: PartTable) {
+	#send(request: Request, front: PartTable, isTrial = false) {
 		const engine = this.#choose();
 		if (!engine) {
 			return;
@@ -220,7 +223,7 @@
 		this.#countSent(request);
 		const runMs = request.crashing ? 40 + (80 * this.#random()) : soundMs;
 		engine.runs.push({
-			request, front, startedAt: this.#now, endsAt: this.#now + queueMs + runMs, reportedVersion: 0,
+			request, front, isTrial, startedAt: this.#now, endsAt: this.#now + queueMs + runMs, reportedVersion: 0,
 		});
 	}
 
@@ -265,6 +268,15 @@
 		}
 	}
 
+	/** Fronts abort what is held back and has not been answered for a while. */
+	#abortHeld() {
+		this.#engines.forEach(engine => {
+			const held = engine.runs.filter(({startedAt, isTrial, front, request}) => !isTrial && this.#now - startedAt < wellUnderWayMs && front.heldMs(request.parts) > 0);
+			this.#soundHeld += held.filter(({request}) => !request.crashing).length;
+			engine.runs = engine.runs.filter(run => !held.includes(run));
+		});
+	}
+
 	#reportSound() {
 		this.#engines.forEach(({runs}) => {
 			runs.filter(({startedAt, front, reportedVersion}) => this.#now - startedAt >= wellUnderWayMs && front.version !== reportedVersion).forEach(run => {
