Cleared prompt parts: later crashes count, though the announcement is repeated

The announcement that a part is cleared is repeated for two seconds; crashes that happened meanwhile were deleted with it, so that a part that has just changed its effect was held back late. The announcement now gives its age.

--- a/src/common/message-validators.ts
+++ b/src/common/message-validators.ts
@@ -44,7 +44,7 @@
 			replica: isNonEmptyString, startedAt: optional(Number.isSafeInteger), requests: isNonNegativeNumber, failures: isNonNegativeNumber,
 		}))), crashes: optional(listOf(objectOf({content: isNonEmptyString, start: isNonEmptyString}))), acquitted: optional(listOf(isNonEmptyString)), partCrashes: optional(listOf(objectOf({
 			start: isNonEmptyString, parts: listOf(isNonEmptyString), seenBy: isNonEmptyString, agoMs: isNonNegativeNumber,
-		}))), clearedParts: optional(listOf(isNonEmptyString)), failedRuns: optional(areFailedRuns), accountUsage: optional(listOf(objectOf({account: isNonEmptyString, admitted: Number.isSafeInteger, asked: isNonNegativeInteger}))), checks: optional(listOf(objectOf({kind: isNonEmptyString, changedAt: isNonNegativeInteger, ageMs: isNonNegativeNumber}))), jobs: listOf(isNonEmptyString), waiting: optional(listOf(objectOf({route: isNonEmptyString, timely: isNonNegativeInteger, late: isNonNegativeInteger}))),
+		}))), clearedParts: optional(listOf(objectOf({part: isNonEmptyString, agoMs: isNonNegativeNumber}))), failedRuns: optional(areFailedRuns), accountUsage: optional(listOf(objectOf({account: isNonEmptyString, admitted: Number.isSafeInteger, asked: isNonNegativeInteger}))), checks: optional(listOf(objectOf({kind: isNonEmptyString, changedAt: isNonNegativeInteger, ageMs: isNonNegativeNumber}))), jobs: listOf(isNonEmptyString), waiting: optional(listOf(objectOf({route: isNonEmptyString, timely: isNonNegativeInteger, late: isNonNegativeInteger}))),
 	}),
 	'agent.load': objectOf({cacheSince: optional(isNonNegativeInteger)}),
 	'ledger.revoke': objectOf({key: attemptKey, issuedAt: isNonNegativeNumber, deadlineInMs: Number.isFinite}),
--- a/src/gateway/peers/peer-state.ts
+++ b/src/gateway/peers/peer-state.ts
@@ -7,8 +7,7 @@
 import type {OutcomeCounts} from '../contacts/recent-outcomes.js';
 import type {ContentDigest} from '../quarantine/content-digest.js';
 import type {Crash} from '../quarantine/crash-history.js';
-import type {AnnouncedPartCrash} from '../quarantine/part-quarantine.js';
-import type {PartKey} from '../quarantine/prompt-part-keys.js';
+import type {AnnouncedPartCrash, ClearedPart} from '../quarantine/part-quarantine.js';
 import type {
 	BatchJobId, MemberName, ReplicaId,
 } from '../types.js';
@@ -61,7 +60,7 @@
 	/** Replicas that recently ended at the beginning of answers to its requests, with the parts of these requests' prompts; repeated several times, and not in each message. */
 	readonly partCrashes?: readonly AnnouncedPartCrash[];
 	/** Prompt parts that were in requests when replicas ended, and have been in sound runs since. */
-	readonly clearedParts?: readonly PartKey[];
+	readonly clearedParts?: readonly ClearedPart[];
 	/** Its runs of batch items that failed recently; repeated several times, and not in each message. */
 	readonly failedRuns?: readonly FailedRun[];
 	/** Usage of rate-limited client accounts whose calls it received recently; not in each message. */
--- a/src/gateway/quarantine/part-evidence.ts
+++ b/src/gateway/quarantine/part-evidence.ts
@@ -119,20 +119,21 @@
 		return added;
 	}
 
-	/** Deletes the crashes of a part, which do not count again. */
-	clear(part: PartKey): void {
-		const starts = new Set([...this.#clearedOf.get(part) ?? [], ...this.entriesOf(part).keys()]);
-		this.delete(part);
+	/** Deletes the crashes of a part until the given time, which do not count again. */
+	clear(part: PartKey, until: number): void {
+		const entries = [...this.entriesOf(part)];
+		const cleared = entries.filter(([, {at}]) => at <= until).map(([start]) => start);
+		const later = entries.filter(([, {at}]) => at > until);
+		const starts = [...this.#clearedOf.get(part) ?? [], ...cleared].slice(-maxCrashesOfPart);
 		this.#clearedOf.delete(part);
-		this.#clearedOf.set(part, new Set([...starts].slice(-maxCrashesOfPart)));
+		this.#clearedOf.set(part, new Set(starts));
 		deleteOldest(this.#clearedOf);
-	}
-
-	/** Deletes the crashes of a part. */
-	delete(part: PartKey): void {
-		if (this.#byPart.delete(part)) {
-			this.#culprits = undefined;
+		this.#byPart.delete(part);
+		if (later.length > 0) {
+			this.#byPart.set(part, new Map(later));
 		}
+
+		this.#culprits = undefined;
 	}
 
 	/** Parts whose last crash or trial was before the given time. */
--- a/src/gateway/quarantine/part-quarantine.ts
+++ b/src/gateway/quarantine/part-quarantine.ts
@@ -28,10 +28,17 @@
 	readonly agoMs: number;
 };
 
+/** A cleared part as one process announces it to its peers. */
+export type ClearedPart = {
+	readonly part: PartKey;
+	/** Milliseconds between the sound run and the message: later crashes still count. */
+	readonly agoMs: number;
+};
+
 /** What one process announces to its peers about prompt parts. */
 export type PartAnnouncement = {
 	readonly partCrashes?: readonly AnnouncedPartCrash[];
-	readonly clearedParts?: readonly PartKey[];
+	readonly clearedParts?: readonly ClearedPart[];
 };
 
 /** How long parts are held back that may not be the cause, in milliseconds; the replicas that crashed are back after that. */
@@ -163,13 +170,18 @@
 		}
 	}
 
-	/** Deletes the crashes of a part and releases it. */
-	clear(part: PartKey, reason: string): void {
+	/** Deletes the crashes of a part until the given time, and releases it unless there were later ones. */
+	clear(part: PartKey, reason: string, until = this.#parts.clock.now()): void {
 		const wasHeld = this.held.includes(part);
+		this.#evidence.clear(part, until);
+		if (this.#evidence.has(part)) {
+			this.#logChanges();
+			return;
+		}
+
 		this.#announcedCrashes = this.#announcedCrashes
 			.map(crash => ({...crash, parts: crash.parts.filter(other => other !== part)}))
 			.filter(({parts}) => parts.length > 0);
-		this.#evidence.clear(part);
 		if (wasHeld) {
 			this.#parts.log.emit(gatewayEvents.partReleased, {part, reason});
 		}
@@ -189,9 +201,10 @@
 	}
 
 	/** Clears parts of which another process has seen a sound run. */
-	receiveCleared(parts: readonly PartKey[]): void {
-		parts.filter(part => this.#evidence.has(part)).forEach(part => {
-			this.clear(part, 'a request with it was answered at another process');
+	receiveCleared(cleared: readonly ClearedPart[]): void {
+		const now = this.#parts.clock.now();
+		cleared.filter(({part}) => this.#evidence.has(part)).forEach(({part, agoMs}) => {
+			this.clear(part, 'a request with it was answered at another process', now - agoMs);
 		});
 	}
 
@@ -229,7 +242,7 @@
 		const crashes = this.#announcedCrashes.slice(-maxAnnounced).map(({start, parts, seenBy, at}) => ({
 			start, parts, seenBy, agoMs: Math.max(0, Math.round(now - at)),
 		}));
-		const cleared = [...new Set(this.#announcedCleared.map(({part}) => part))].slice(-maxAnnounced);
+		const cleared = [...new Map(this.#announcedCleared.map(({part, at}) => [part, at]))].slice(-maxAnnounced).map(([part, at]) => ({part, agoMs: Math.max(0, Math.round(now - at))}));
 		return {
 			partCrashes: crashes.length > 0 ? crashes : undefined,
 			clearedParts: cleared.length > 0 ? cleared : undefined,
