--- a/src/ctl/explain/log-story.feature
+++ b/src/ctl/explain/log-story.feature
@@ -13,6 +13,8 @@
       | a call that took longer than its route  | 2     | the time of its route                          |
       | a call that could not get a place in its time | 1 | would not have got a place in its time |
       | a call that is held back                | 1     | replicas have ended under requests with the same content, c0ffee |
+      | a call with a quarantined prompt part   | 1     | requests with the same prompt parts, part-a1, part-b2 |
+      | a call whose run was aborted for one    | 2     | requests with the same prompt parts, part-b2, before its own replica could |
       | a call without a route                  | 1     | no route for h/x in configuration 9            |
       | a call before the first configuration   | 1     | knew no configuration yet                      |
       | a call with an unknown key              | 1     | no account holds its API key in configuration 9 |
--- a/src/ctl/explain/log-story.steps.ts
+++ b/src/ctl/explain/log-story.steps.ts
@@ -51,6 +51,10 @@
 	],
 	'a call that could not get a place in its time': [ended(0, {status: 503, reason: 'hopeless'})],
 	'a call that is held back': [ended(0, {status: 503, reason: 'quarantined', content: 'c0ffee'})],
+	'a call with a quarantined prompt part': [ended(0, {
+		status: 503, reason: 'quarantined', content: 'c0ffee', heldParts: ['part-a1', 'part-b2'],
+	})],
+	'a call whose run was aborted for one': [routed(0), ended(1, {status: 502, reason: 'a part of its prompt was quarantined during its run', heldParts: ['part-b2']})],
 	'a call that took longer than its route': [routed(0), ended(4, {status: 504, reason: 'time is up'})],
 	'a call without a route': [line(0, 'front-1', callRejected, {
 		id: 'c1', host: 'h', target: '/x', status: 404, configVersion: 9,
--- a/src/gateway/quarantine/quarantine-records.feature
+++ b/src/gateway/quarantine/quarantine-records.feature
@@ -42,3 +42,12 @@
   Scenario: An invalid record holds nothing back
     When a record is written that lists no replicas
     Then "front-1" releases the request
+
+  Scenario: A prompt part that is held back survives the processes, and a sound run removes its record
+    When 2 replicas crash one after the other at the beginning of answers of "front-1" to requests with the part "bad"
+    Then a record of the part "bad" is written
+    When a process "front-2" starts that follows the records
+    Then "front-2" holds requests with the part "bad" back
+    When a request with the part "bad" is answered for a while at "front-2"
+    Then the record of the part "bad" is removed
+    And "front-1" sends requests with the part "bad" again
--- a/src/gateway/quarantine/quarantine-records.steps.ts
+++ b/src/gateway/quarantine/quarantine-records.steps.ts
@@ -20,6 +20,7 @@
 } from '../types.js';
 import type {ContentDigest} from './content-digest.js';
 import type {PartQuarantine} from './part-quarantine.js';
+import {partKeysOf, type PartKey} from './prompt-part-keys.js';
 import {Quarantine} from './quarantine.js';
 import {QuarantineRecords} from './quarantine-records.js';
 
@@ -44,6 +45,12 @@
 	id: branded<ReplicaId>(`r${number}`), service: branded<GatewayServiceName>('engines'), address: '', failureDomain: 'hall', softwareVersion: branded<SoftwareVersion>('v1'), slots: 8, isDraining: false,
 });
 
+/** Longer than the time within which crashes count as one, in milliseconds. */
+const betweenCrashesMs = 100;
+
+/** @returns The key of a part that is followed by a request's own part. */
+const partOf = (id: string): PartKey => partKeysOf([{id, tokens: 1}, {id: 'own', tokens: 1}])[0]!;
+
 const processOf = ({processes}: RecordsWorld, name: string): Process => processes.get(name)!;
 
 const crashReplicas = ({quarantine}: Process, count: number) => {
@@ -145,3 +152,32 @@
 Then('no record remains', async function (this: RecordsWorld) {
 	await until(() => recordsIn(this).length === 0, 'the record is removed');
 });
+
+When('{int} replicas crash one after the other at the beginning of answers of {string} to requests with the part {string}', async function (this: RecordsWorld, count: number, name: string, part: string) {
+	for (let i = 0; i < count; i += 1) {
+		processOf(this, name).partQuarantine.noteCrash([partOf(part)], replicaOf(i));
+		await pause(betweenCrashesMs);
+	}
+});
+
+When('a request with the part {string} is answered for a while at {string}', function (this: RecordsWorld, part: string, name: string) {
+	processOf(this, name).partQuarantine.noteSound([partOf(part)]);
+});
+
+const recordsOfPart = ({api}: RecordsWorld, part: string) => api.all('Quarantine').filter(({name}) => name === partOf(part));
+
+Then('a record of the part {string} is written', async function (this: RecordsWorld, part: string) {
+	await until(() => recordsOfPart(this, part).length === 1, 'the record is stored in the object API');
+});
+
+Then('the record of the part {string} is removed', async function (this: RecordsWorld, part: string) {
+	await until(() => recordsOfPart(this, part).length === 0, 'the record is removed from the object API');
+});
+
+Then('{string} holds requests with the part {string} back', async function (this: RecordsWorld, name: string, part: string) {
+	await until(() => processOf(this, name).partQuarantine.heldMs([partOf(part)]) > 0, `${name} holds requests with the part back`);
+});
+
+Then('{string} sends requests with the part {string} again', async function (this: RecordsWorld, name: string, part: string) {
+	await until(() => processOf(this, name).partQuarantine.heldMs([partOf(part)]) === 0, `${name} sends requests with the part`);
+});
