--- a/src/gateway/quarantine/part-evidence.ts
+++ b/src/gateway/quarantine/part-evidence.ts
@@ -127,7 +127,7 @@
 		const starts = [...this.#clearedOf.get(part) ?? [], ...cleared].slice(-maxCrashesOfPart);
 		this.#clearedOf.delete(part);
 		this.#clearedOf.set(part, new Set(starts));
-		deleteOldest(this.#clearedOf);
+		deleteOldest(this.#clearedOf, maxParts);
 		this.#byPart.delete(part);
 		if (later.length > 0) {
 			this.#byPart.set(part, new Map(later));
@@ -142,22 +142,24 @@
 	}
 
 	#add(part: PartKey, start: ReplicaStart, entry: CrashEntry) {
-		const entries = new Map(this.entriesOf(part));
+		const entries = this.#byPart.get(part) ?? new Map<ReplicaStart, CrashEntry>();
 		entries.set(start, entry);
+		deleteOldest(entries, maxCrashesOfPart);
 		this.#byPart.delete(part);
-		this.#byPart.set(part, new Map([...entries].slice(-maxCrashesOfPart)));
-		deleteOldest(this.#byPart);
+		this.#byPart.set(part, entries);
+		deleteOldest(this.#byPart, maxParts);
 		this.#culprits = undefined;
 		this.#version += 1;
 	}
 
 	#findCulprits(): readonly Culprit[] {
 		const unexplained = new Map([...this.#byPart].filter(([, entries]) => entries.size >= minCrashes).map(([part, entries]) => [part, withoutTrials(entries)]));
+		const suspects = this.#countSuspects();
 		const culprits: Culprit[] = [];
 		let next = likeliest(unexplained);
 		while (next) {
 			const {starts} = next;
-			culprits.push(this.#culpritOf(next));
+			culprits.push(this.#culpritOf(next, suspects));
 			unexplained.forEach((entries, part) => {
 				unexplained.set(part, new Map([...entries].filter(([start]) => !starts.has(start))));
 			});
@@ -167,8 +169,8 @@
 		return culprits;
 	}
 
-	#culpritOf({parts, starts, crashes}: Explanation): Culprit {
-		const unshared = [...starts].filter(([start]) => this.#countSuspects(start) === parts.length);
+	#culpritOf({parts, starts, crashes}: Explanation, suspects: ReadonlyMap<ReplicaStart, number>): Culprit {
+		const unshared = [...starts].filter(([start]) => suspects.get(start) === parts.length);
 		const all = parts.flatMap(part => [...this.entriesOf(part)]);
 		const trials = parts.map(part => [...this.entriesOf(part).keys()].filter(start => isTrial(start)).length);
 		return {
@@ -180,8 +182,15 @@
 		};
 	}
 
-	#countSuspects(start: ReplicaStart): number {
-		return [...this.#byPart.values()].filter(entries => entries.has(start)).length;
+	/** Number of parts with each crash. */
+	#countSuspects(): ReadonlyMap<ReplicaStart, number> {
+		const counts = new Map<ReplicaStart, number>();
+		this.#byPart.forEach(entries => {
+			entries.forEach((_, start) => {
+				counts.set(start, (counts.get(start) ?? 0) + 1);
+			});
+		});
+		return counts;
 	}
 }
 
@@ -207,9 +216,9 @@
 };
 
 /** Keeps a table within its bound; its entries are in the order of their last change. */
-const deleteOldest = (table: Map<PartKey, unknown>) => {
+const deleteOldest = <K>(table: Map<K, unknown>, most: number) => {
 	const [oldest] = table.keys();
-	if (table.size > maxParts && oldest !== undefined) {
+	if (table.size > most && oldest !== undefined) {
 		table.delete(oldest);
 	}
 };
--- a/src/gateway/quarantine/part-quarantine.ts
+++ b/src/gateway/quarantine/part-quarantine.ts
@@ -143,13 +143,13 @@
 		this.#trials += 1;
 		const trial = trialStart(self, `${Math.round(clock.wall())}-${this.#trials}`);
 		log.emit(gatewayEvents.partTested, {parts: tested});
-		this.#record({start: trial, parts: tested, seenBy: self}, clock.now());
+		this.#review(this.#record({start: trial, parts: tested, seenBy: self}, clock.now()));
 	}
 
 	/** Records that a replica has crashed at the beginning of its answer to a request with these parts. */
 	noteCrash(parts: readonly PartKey[], replica: ReplicaRecord): void {
 		const {self, clock} = this.#parts;
-		this.#record({start: startOf(replica), parts: parts.slice(0, maxPartsOfCrash), seenBy: self}, clock.now());
+		this.#review(this.#record({start: startOf(replica), parts: parts.slice(0, maxPartsOfCrash), seenBy: self}, clock.now()));
 	}
 
 	/** Records that a replica has gone on with a request with these parts. */
@@ -194,10 +194,10 @@
 	/** Records crashes from a peer's announcement. */
 	receiveCrashes(crashes: readonly AnnouncedPartCrash[]): void {
 		const now = this.#parts.clock.now();
-		crashes.forEach(({agoMs, ...crash}) => {
+		this.#review(crashes.flatMap(({agoMs, ...crash}) => {
 			const parts = crash.parts.filter(part => isPartKey(part)).slice(0, maxPartsOfCrash);
-			this.#record({...crash, parts}, now - agoMs);
-		});
+			return this.#evidence.record({...crash, parts}, now - agoMs);
+		}));
 	}
 
 	/** Clears parts of which another process has seen a sound run. */
@@ -220,9 +220,7 @@
 	/** Records the crashes of a part from its stored record; the last one occurred `agoMs` milliseconds ago. The others were earlier, at different moments: the part was held back. */
 	restore(part: PartKey, {starts, seenBy = []}: {readonly starts: readonly ReplicaStart[]; readonly seenBy?: readonly MemberName[]}, agoMs: number): void {
 		const lastAt = this.#parts.clock.now() - Math.max(0, agoMs);
-		starts.forEach((start, i) => {
-			this.#record({start, parts: [part], seenBy: seenBy[i] ?? this.#parts.self}, lastAt - (restoredGapMs * (starts.length - 1 - i)), {isAnnounced: false});
-		});
+		this.#review(starts.flatMap((start, i) => this.#evidence.record({start, parts: [part], seenBy: seenBy[i] ?? this.#parts.self}, lastAt - (restoredGapMs * (starts.length - 1 - i)))));
 	}
 
 	/** Announces parts that are held back again: a peer may have been partitioned, or may have just started. */
@@ -270,19 +268,25 @@
 		return rank !== undefined && this.#remainingMs(culprit) <= -rank * trialStaggerMs;
 	}
 
-	#record(crash: PartCrash, at: number, {isAnnounced = true} = {}): void {
+	/** Records and announces what this process has seen. */
+	#record(crash: PartCrash, at: number): readonly PartKey[] {
 		const added = this.#evidence.record(crash, at);
-		if (added.length === 0) {
-			return;
-		}
-
-		if (isAnnounced && crash.seenBy === this.#parts.self) {
+		if (added.length > 0) {
 			this.#announce([{...crash, parts: added, at}]);
 			this.#events.emit('announcementDue');
 		}
 
+		return added;
+	}
+
+	/** Acts on what the crashes that were recorded for these parts have changed. */
+	#review(parts: readonly PartKey[]) {
+		if (parts.length === 0) {
+			return;
+		}
+
 		this.#logChanges();
-		const held = added.filter(part => this.held.includes(part));
+		const held = [...new Set(parts)].filter(part => this.#loggedParts.has(part));
 		if (held.length > 0) {
 			this.#announceOwn(held);
 			this.#events.emit('held');
