Answers without a length: the check whether their replica has ended is made once

Found when the change was read again: a replica that had ended with its answer was dialled for the end of the answer, and a second time for the crash. Also a shorter comment on event 701.

--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -6,7 +6,7 @@
 export const gatewayEvents = {
 	/** Fields: id, route, replica, softwareVersion, resumedId (the caller's attempt that brought the first event), online, batch (in flight there), attempt, resumeAfter, heardMs (age of the cached registrations), missedMs (how long the replica's own has been missing). */
 	callRouted: {number: 700, level: 'info', text: 'replica chosen for a call'},
-	/** Fields: id, replica, kind, reason or status, content (the same for the same request under another id), promptParts (all but the last), chunks and answeringMs (received of the answer: how many, and from the first to the last). */
+	/** Fields: id, replica, kind, reason or status, content, promptParts (all but the last), chunks and answeringMs (of the answer received). */
 	attemptFailed: {number: 701, level: 'info', text: 'attempt at a replica ended without a complete answer'},
 	/** Fields: id, route, status (sent to the caller), reason, elapsedMs, firstByteMs, offers, runs, lastEnd; content, where an attempt has failed; heldParts, by which it was held back. */
 	callEnded: {number: 702, level: 'info', text: 'call ended'},
--- a/src/gateway/online-call.ts
+++ b/src/gateway/online-call.ts
@@ -530,7 +530,8 @@
 		const isSuccess = this.#runStatus < 300;
 		this.#recordOutcome(replica, this.#runStatus >= 500 || (isSuccess && (isCutShort || !this.#answer.isComplete)));
 		if (isCutShort) {
-			await this.#handleLostConnection(replica, 'the replica ended with its answer');
+			this.#content.noteReplicaEnded(replica);
+			this.#handleBrokenRun(replica, 'the replica ended with its answer');
 			return;
 		}
 
--- a/src/gateway/quarantine/tracked-content.ts
+++ b/src/gateway/quarantine/tracked-content.ts
@@ -29,6 +29,20 @@
 	readonly promptParts: () => readonly PromptPart[];
 };
 
+/** Log fields of one run. */
+export type RunFields = {
+	readonly content: ContentDigest;
+	readonly promptParts: readonly PartKey[];
+	readonly chunks: number;
+	readonly answeringMs: number;
+};
+
+type RunOfRequest = {
+	readonly fields: RunFields;
+	/** Parts that may be the cause if the replica has crashed. */
+	readonly suspects: readonly PartKey[];
+};
+
 /** See the module's head. */
 export class TrackedContent {
 	readonly #parts: TrackedContentParts;
@@ -67,7 +81,7 @@
 	}
 
 	/** Log fields that tell its current run from those of other requests. */
-	get logFields(): {content: ContentDigest; promptParts: readonly PartKey[]; chunks: number; answeringMs: number} {
+	get logFields(): RunFields {
 		return {
 			content: this.digest, promptParts: this.partKeys, chunks: this.#progress.chunks, answeringMs: this.#progress.answeringMs,
 		};
@@ -129,18 +143,17 @@
 
 	/** Records that its connection broke during a run. Resolves once it is known whether the replica has ended. */
 	async noteConnectionLost(replica: Replica): Promise<void> {
-		const {quarantine, partQuarantine, reachability, log} = this.#parts;
-		const {record} = replica;
-		const fields = this.logFields;
-		const suspects = this.#progress.isWellUnderWay ? [] : this.partKeys;
-		if (await reachability.hasEnded(replica)) {
-			log.emit(gatewayEvents.replicaTerminated, {replica: record.id, ...fields});
-			this.#isTrial = false;
-			quarantine.noteCrash(this.digest, record);
-			partQuarantine.noteCrash(suspects, record);
+		const run = this.#currentRun;
+		if (await this.#parts.reachability.hasEnded(replica)) {
+			this.#noteCrash(replica, run);
 		}
 	}
 
+	/** Records that the replica has ended during a run, if that is known already. */
+	noteReplicaEnded(replica: Replica): void {
+		this.#noteCrash(replica, this.#currentRun);
+	}
+
 	/** Records that a replica has completed it. An answer without a length may have ended because its replica did. */
 	noteCompleted({isFramed}: {readonly isFramed: boolean}): void {
 		const {quarantine, partQuarantine} = this.#parts;
@@ -163,6 +176,19 @@
 		return !this.#isTrial && partQuarantine.hasSuspects && this.#contentHeldMs === 0 && partQuarantine.isTrialDue(this.partKeys);
 	}
 
+	/** The next run may have begun when it is known how this one ended. */
+	get #currentRun(): RunOfRequest {
+		return {fields: this.logFields, suspects: this.#progress.isWellUnderWay ? [] : this.partKeys};
+	}
+
+	#noteCrash({record}: Replica, {fields, suspects}: RunOfRequest) {
+		const {quarantine, partQuarantine, log} = this.#parts;
+		log.emit(gatewayEvents.replicaTerminated, {replica: record.id, ...fields});
+		this.#isTrial = false;
+		quarantine.noteCrash(this.digest, record);
+		partQuarantine.noteCrash(suspects, record);
+	}
+
 	#reportSound() {
 		const {partQuarantine} = this.#parts;
 		partQuarantine.noteSound(this.partKeys);
