A completed request is announced though no other is suspected

The fault behind it: the announcer asked whether there are suspects, and not whether there is anything to announce, so that the clearing of the last suspected request was never sent. Peers went on to suspect it, and a third crash beside another cause held it back there. The scenario of gateway-tables.feature failed before and passes now.

gateway-tables.steps.ts: the announcer of that Given now has a peer's address to send to; no check is removed.

--- a/src/gateway/gateway-tables.feature
+++ b/src/gateway/gateway-tables.feature
@@ -94,3 +94,9 @@
     Then it still lists peer "front-2"
     When it receives nothing more for 1500 ms
     Then it has removed "front-2"
+
+  Scenario: A completed request is announced though no other is suspected
+    # Guards against peers that go on to suspect a request whose crashes have another cause.
+    Given a front that received one message of "front-2", with 3 calls at "a"
+    When a replica crashes during a request, which another replica then completes
+    Then peers are sent that the request has completed
--- a/src/gateway/gateway-tables.steps.ts
+++ b/src/gateway/gateway-tables.steps.ts
@@ -24,7 +24,9 @@
 import {LoadBoard} from './load-board.js';
 import {ObjectFeed} from './object-feed.js';
 import {PeerAnnouncer} from './peers/peer-announcer.js';
+import {peerStateMethod, type PeerState} from './peers/peer-state.js';
 import {PeerTable} from './peers/peer-table.js';
+import type {ContentDigest} from './quarantine/content-digest.js';
 import {Quarantine} from './quarantine/quarantine.js';
 import {testPartQuarantine} from './testing/part-quarantines.js';
 import {RegistrationController} from './registration-controller.js';
@@ -43,8 +45,12 @@
 	removed: string[];
 	loads: LoadBoard;
 	peers: PeerTable;
+	quarantine: Quarantine;
+	/** Messages that the front has announced. */
+	received: PeerState[];
 };
 
+const content = 'c0ffee' as ContentDigest;
 const log: EventLog = {emit: () => undefined};
 const clock = new SystemClock();
 const jobId = (name: string): BatchJobId => branded<BatchJobId>(name);
@@ -253,8 +259,16 @@
 	this.directory = new ReplicaDirectory();
 	this.directory.put(registrationOf(replica));
 	this.loads = new LoadBoard();
-	const quarantine = new Quarantine({clock, log});
+	this.quarantine = new Quarantine({clock, log});
+	const {quarantine} = this;
 	const partQuarantine = testPartQuarantine(clock);
+	this.received = [];
+	const peerChannel = this.register(new DatagramChannel({
+		[peerStateMethod]: (state: PeerState) => {
+			this.received.push(state);
+		},
+	}));
+	await peerChannel.listen('127.0.0.1:0');
 	this.peers = new PeerTable({
 		self: branded<MemberName>('front-1'), directory: this.directory, loads: this.loads, quarantine, partQuarantine, clock, log,
 	});
@@ -264,7 +278,7 @@
 		clock, log, tolerance: 0, registeredCount: () => 2, livePeers: () => this.peers.names,
 	});
 	const announcer = this.register(new PeerAnnouncer({
-		self: branded<MemberName>('front-1'), channel, peers: this.peers, directory: this.directory, loads: this.loads, quarantine, partQuarantine, failedRuns: new FailedRuns({self: branded<MemberName>('front-1'), clock}), rateLimits, checks: () => undefined, clock, memberAddresses: () => [], claimedJobs: () => [], waitingItems: () => [], isLeaving: () => false, rpcAddress: () => '127.0.0.1:1', reachesObjectApi: () => true,
+		self: branded<MemberName>('front-1'), channel, peers: this.peers, directory: this.directory, loads: this.loads, quarantine, partQuarantine, failedRuns: new FailedRuns({self: branded<MemberName>('front-1'), clock}), rateLimits, checks: () => undefined, clock, memberAddresses: () => [peerChannel.address], claimedJobs: () => [], waitingItems: () => [], isLeaving: () => false, rpcAddress: () => '127.0.0.1:1', reachesObjectApi: () => true,
 	}));
 	announcer.start();
 	this.peers.receive({
@@ -289,6 +303,16 @@
 	assert.equal(this.directory.get(branded<ReplicaId>(replica))?.allOnline, count);
 });
 
+When('a replica crashes during a request, which another replica then completes', function (this: TablesWorld) {
+	const [replica] = this.directory.all;
+	this.quarantine.noteCrash(content, replica!.record);
+	this.quarantine.noteSuccess(content);
+});
+
+Then('peers are sent that the request has completed', async function (this: TablesWorld) {
+	await until(() => this.received.some(({acquitted}) => acquitted?.includes(content)), 'the completion is announced');
+});
+
 type PausedWorld = TestWorld & {manual: ManualClock; peers: PeerTable};
 
 /** Interval at which a front checks for unresponsive peers, in milliseconds. */
--- a/src/gateway/peers/peer-announcer.ts
+++ b/src/gateway/peers/peer-announcer.ts
@@ -179,7 +179,7 @@
 		}
 
 		this.#crashesAnnouncedAt = clock.now();
-		return {...(quarantine.hasSuspects ? quarantine.announcement() : {}), ...partQuarantine.announcement()};
+		return {...(quarantine.hasAnnouncement ? quarantine.announcement() : {}), ...partQuarantine.announcement()};
 	}
 
 	#failedRunsDue(): readonly FailedRun[] | undefined {
--- a/src/gateway/quarantine/quarantine.ts
+++ b/src/gateway/quarantine/quarantine.ts
@@ -73,6 +73,11 @@
 		return this.#history.size > 0;
 	}
 
+	/** Whether there may be something to announce to the peers. */
+	get hasAnnouncement(): boolean {
+		return this.#announcedCrashes.length > 0 || this.#announcedCleared.length > 0;
+	}
+
 	/** Requests that are held back, and those that were and may be tried again. */
 	get held(): readonly ContentDigest[] {
 		return [...this.#held];
