--- a/src/gateway/quarantine/part-quarantine.steps.ts
+++ b/src/gateway/quarantine/part-quarantine.steps.ts
@@ -6,10 +6,11 @@
 import {branded} from '../../common/ids.js';
 import type {Clock} from '../../common/services.js';
 import {SeededRandom} from '../../io/seeded-random.js';
-import {PartCrashModel, type PartLoad, type PartOutcome} from '../testing/part-crash-model.js';
-import type {
-	GatewayServiceName, MemberName, ReplicaId, ReplicaRecord, SoftwareVersion,
-} from '../types.js';
+import {
+	outagesAt, PartCrashModel, type PartLoad, type PartOutcome,
+} from '../testing/part-crash-model.js';
+import {registrationOf} from '../testing/registrations.js';
+import type {MemberName} from '../types.js';
 import {PartQuarantine, type PartAnnouncement} from './part-quarantine.js';
 import {partKeysOf, type PartKey} from './prompt-part-keys.js';
 
@@ -27,12 +28,6 @@
 /** Longer than the time within which crashes count as one, in milliseconds. */
 const betweenCrashesMs = 100;
 
-const outagesAt = [3000, 6500, 10_000, 13_500, 17_000];
-
-const replicaOf = (number: number): ReplicaRecord => ({
-	id: branded<ReplicaId>(`r${number}`), service: branded<GatewayServiceName>('engines'), address: '', failureDomain: 'hall', softwareVersion: branded<SoftwareVersion>('v1'), slots: 8, isDraining: false,
-});
-
 /** @param parts - Ids of parts, separated by spaces; the request's own part is added. */
 const keysOf = (parts: string): readonly PartKey[] => partKeysOf([...parts.split(' '), 'own'].map(id => ({id, tokens: 1})));
 
@@ -69,7 +64,7 @@
 
 	world.crashed += 1;
 	requests.forEach(parts => {
-		world.fronts.get(front)!.noteCrash(keysOf(parts), replicaOf(world.crashed));
+		world.fronts.get(front)!.noteCrash(keysOf(parts), registrationOf(`r${world.crashed}`));
 	});
 	announce(world);
 };
--- a/src/gateway/quarantine/quarantine-records.steps.ts
+++ b/src/gateway/quarantine/quarantine-records.steps.ts
@@ -15,9 +15,8 @@
 import {PeerTable} from '../peers/peer-table.js';
 import {ReplicaDirectory} from '../replica-directory.js';
 import {testPartQuarantine} from '../testing/part-quarantines.js';
-import type {
-	GatewayServiceName, MemberName, ReplicaId, ReplicaRecord, SoftwareVersion,
-} from '../types.js';
+import {registrationOf} from '../testing/registrations.js';
+import type {MemberName} from '../types.js';
 import type {ContentDigest} from './content-digest.js';
 import type {PartQuarantine} from './part-quarantine.js';
 import {partKeysOf, type PartKey} from './prompt-part-keys.js';
@@ -41,10 +40,6 @@
 /** Within this time, in milliseconds, a feed receives a change. */
 const feedDelayMs = 200;
 
-const replicaOf = (number: number): ReplicaRecord => ({
-	id: branded<ReplicaId>(`r${number}`), service: branded<GatewayServiceName>('engines'), address: '', failureDomain: 'hall', softwareVersion: branded<SoftwareVersion>('v1'), slots: 8, isDraining: false,
-});
-
 /** Longer than the time within which crashes count as one, in milliseconds. */
 const betweenCrashesMs = 100;
 
@@ -55,7 +50,7 @@
 
 const crashReplicas = ({quarantine}: Process, count: number) => {
 	Array.from({length: count}).forEach((_, i) => {
-		quarantine.noteCrash(content, replicaOf(i));
+		quarantine.noteCrash(content, registrationOf(`r${i}`));
 	});
 };
 
@@ -155,7 +150,7 @@
 
 When('{int} replicas crash one after the other at the beginning of answers of {string} to requests with the part {string}', async function (this: RecordsWorld, count: number, name: string, part: string) {
 	for (let i = 0; i < count; i += 1) {
-		processOf(this, name).partQuarantine.noteCrash([partOf(part)], replicaOf(i));
+		processOf(this, name).partQuarantine.noteCrash([partOf(part)], registrationOf(`r${i}`));
 		await pause(betweenCrashesMs);
 	}
 });
--- a/src/gateway/quarantine/quarantine.steps.ts
+++ b/src/gateway/quarantine/quarantine.steps.ts
@@ -9,9 +9,8 @@
 import {
 	CrashModel, type Blame, type PoisonLoad, type PoisonOutcome,
 } from '../testing/crash-model.js';
-import type {
-	GatewayServiceName, ReplicaId, ReplicaRecord, SoftwareVersion,
-} from '../types.js';
+import {registrationOf} from '../testing/registrations.js';
+import type {ReplicaRecord} from '../types.js';
 import type {ContentDigest} from './content-digest.js';
 import {startOf} from './crash-history.js';
 import {crashThreshold, Quarantine} from './quarantine.js';
@@ -34,9 +33,7 @@
 const content = 'c0ffee' as ContentDigest;
 const seeds = [1, 2, 3, 4, 5];
 
-const replicaOf = (number: number, startedAt?: number): ReplicaRecord => ({
-	id: branded<ReplicaId>(`r${number}`), service: branded<GatewayServiceName>('engines'), address: '', failureDomain: 'hall', softwareVersion: branded<SoftwareVersion>('v1'), slots: 8, isDraining: false, startedAt,
-});
+const replicaOf = (number: number, startedAt?: number): ReplicaRecord => ({...registrationOf(`r${number}`), startedAt});
 
 const crashOf = (number: number) => ({content, start: startOf(replicaOf(number))});
 
--- a/src/gateway/testing/part-crash-model.ts
+++ b/src/gateway/testing/part-crash-model.ts
@@ -7,9 +7,8 @@
 import type {Clock, RandomSource} from '../../common/services.js';
 import {PartQuarantine} from '../quarantine/part-quarantine.js';
 import {partKeysOf, type PartKey} from '../quarantine/prompt-part-keys.js';
-import type {
-	GatewayServiceName, MemberName, ReplicaId, ReplicaRecord, SoftwareVersion,
-} from '../types.js';
+import type {MemberName, ReplicaRecord} from '../types.js';
+import {registrationOf} from './registrations.js';
 
 /** The part of a quarantine that the model drives. */
 export type PartTable = Pick<PartQuarantine, 'heldMs' | 'isTrialDue' | 'startTrial' | 'noteCrash' | 'noteSound' | 'version'>;
@@ -82,6 +81,9 @@
 
 const keysOf = (...ids: readonly string[]): readonly PartKey[] => partKeysOf([...ids, 'f'].map(id => ({id, tokens: 1})));
 
+/** Times at which half of the replicas end at once, in milliseconds; a crashed one is back before the next. */
+export const outagesAt = [3000, 6500, 10_000, 13_500, 17_000];
+
 /** The simulation. */
 export class PartCrashModel {
 	readonly #load: PartLoad;
@@ -103,7 +105,7 @@
 		this.#load = load;
 		const clock: Clock = {now: () => this.#now, wall: () => this.#now, sleep: async () => undefined};
 		const cells = load.fronts / frontsOfCell;
-		this.#engines = Array.from({length: Math.round(cells * enginesOfCell)}, (_, i) => ({record: recordOf(i, 0), downUntil: 0, runs: []}));
+		this.#engines = Array.from({length: Math.round(cells * enginesOfCell)}, (_, i) => ({record: registrationOf(`r${i}`), downUntil: 0, runs: []}));
 		this.#shared = load.sharedTable?.(clock);
 		if (this.#shared) {
 			this.#tables = Array.from({length: load.fronts}, () => this.#shared!);
@@ -309,7 +311,3 @@
 		});
 	}
 }
-
-const recordOf = (number: number, startedAt: number): ReplicaRecord => ({
-	id: branded<ReplicaId>(`r${number}`), service: branded<GatewayServiceName>('engines'), address: '', failureDomain: 'hall', softwareVersion: branded<SoftwareVersion>('v1'), slots, isDraining: false, startedAt,
-});
--- a/src/gateway/testing/run-part-crashes.ts
+++ b/src/gateway/testing/run-part-crashes.ts
@@ -4,7 +4,7 @@
 import process from 'node:process';
 import type {Clock} from '../../common/services.js';
 import {SeededRandom} from '../../io/seeded-random.js';
-import {PartCrashModel, type PartOutcome} from './part-crash-model.js';
+import {outagesAt, PartCrashModel, type PartOutcome} from './part-crash-model.js';
 import {LikelihoodRatio, PlainCounts, type SharedPartTable} from './part-tables.js';
 
 const methods: Readonly<Record<string, ((clock: Clock) => SharedPartTable) | undefined>> = {
@@ -13,8 +13,6 @@
 	likelihood: clock => new LikelihoodRatio(clock),
 };
 
-const outagesAt = [3000, 6500, 10_000, 13_500, 17_000];
-
 const [method = 'quarantine', ...numbers] = process.argv.slice(2);
 const [fronts = 20, seeds = 20, crashingParts = 1, crashingPerSecond = 15] = numbers.map(Number);
 const outcomes = Array.from({length: seeds}, (_, i) => new PartCrashModel({
