One class repeats announcements for a while, in place of five lists

The quarantine of requests, that of prompt parts and the table of failed runs each kept lists of what they announce, with the same time, age filter and bound.

--- a/src/gateway/batch/failed-runs.ts
+++ b/src/gateway/batch/failed-runs.ts
@@ -6,6 +6,7 @@
 import {EventEmitter} from 'node:events';
 import {branded, type Branded} from '../../common/ids.js';
 import type {Clock} from '../../common/services.js';
+import {RepeatedAnnouncements} from '../peers/repeated-announcements.js';
 import type {BatchItemId, MemberName, ReplicaId} from '../types.js';
 
 /** Identifies one run; the same at every process. */
@@ -24,9 +25,6 @@
 	readonly clock: Clock;
 };
 
-/** A run is announced again in each message for this long, in milliseconds, so that the loss of a few messages does not lose it. */
-const announceForMs = 2000;
-
 /** The maximum number of runs in one message, the newest ones; about 6 kB. */
 const maxAnnounced = 60;
 
@@ -41,11 +39,12 @@
 	readonly #byItem = new Map<BatchItemId, ReadonlyMap<FailedRunId, FailedRun>>();
 	readonly #startedAt: number;
 	#count = 0;
-	#announced: ReadonlyArray<FailedRun & {readonly at: number}> = [];
+	readonly #announced: RepeatedAnnouncements<FailedRunId, FailedRun>;
 
 	constructor(parts: FailedRunsParts) {
 		this.#parts = parts;
 		this.#startedAt = parts.clock.wall();
+		this.#announced = new RepeatedAnnouncements(parts.clock, maxAnnounced);
 	}
 
 	/** Calls the listener when there is something to announce to peers soon. */
@@ -58,9 +57,7 @@
 		this.#count += 1;
 		const run = branded<FailedRunId>(`${this.#parts.self}/${this.#startedAt}/${this.#count}`);
 		this.#add({run, item, replica});
-		this.#announced = [...this.#announced, {
-			run, item, replica, at: this.#parts.clock.now(),
-		}].slice(-maxAnnounced);
+		this.#announced.set(run, {run, item, replica});
 		this.#events.emit('announcementDue');
 	}
 
@@ -83,9 +80,8 @@
 
 	/** The runs to announce to peers; nothing if none has failed recently. */
 	announcement(): readonly FailedRun[] | undefined {
-		const since = this.#parts.clock.now() - announceForMs;
-		this.#announced = this.#announced.filter(({at}) => at > since);
-		return this.#announced.length > 0 ? this.#announced.map(({run, item, replica}) => ({run, item, replica})) : undefined;
+		const announced = this.#announced.current();
+		return announced.length > 0 ? announced : undefined;
 	}
 
 	#add(failed: FailedRun) {
--- a/src/gateway/quarantine/part-quarantine.ts
+++ b/src/gateway/quarantine/part-quarantine.ts
@@ -6,6 +6,7 @@
 import {EventEmitter} from 'node:events';
 import type {Clock, EventLog} from '../../common/services.js';
 import {gatewayEvents} from '../log-events.js';
+import {RepeatedAnnouncements} from '../peers/repeated-announcements.js';
 import type {MemberName, ReplicaRecord} from '../types.js';
 import {startOf, type ReplicaStart} from './crash-history.js';
 import {
@@ -60,9 +61,6 @@
 /** Delay after which callers are to retry while a part awaits its test, in milliseconds. */
 const awaitTrialMs = 1000;
 
-/** A crash or a cleared part is announced repeatedly for this long, in milliseconds. */
-const announcedForMs = 2000;
-
 /** Maximum number of crashes, of parts of one crash, and of cleared parts in one message, the newest of each. */
 const maxAnnounced = 40;
 const maxPartsOfCrash = 24;
@@ -70,7 +68,7 @@
 /** Maximum number of parts whose crashes are announced again when a peer joins. */
 const maxReannounced = 20;
 
-type AnnouncedCrash = PartCrash & {readonly at: number; readonly announcedAt: number};
+type TimedCrash = PartCrash & {readonly at: number};
 
 /** See the module's head. */
 export class PartQuarantine {
@@ -79,12 +77,14 @@
 	readonly #events = new EventEmitter();
 	/** Parts that were held back at the last change, for the log. */
 	#loggedParts = new Set<PartKey>();
-	#announcedCrashes: readonly AnnouncedCrash[] = [];
-	#announcedCleared: ReadonlyArray<{readonly part: PartKey; readonly at: number}> = [];
+	readonly #announcedCrashes: RepeatedAnnouncements<ReplicaStart, TimedCrash>;
+	readonly #announcedCleared: RepeatedAnnouncements<PartKey, {readonly part: PartKey; readonly at: number}>;
 	#trials = 0;
 
 	constructor(parts: PartQuarantineParts) {
 		this.#parts = parts;
+		this.#announcedCrashes = new RepeatedAnnouncements(parts.clock, maxAnnounced);
+		this.#announcedCleared = new RepeatedAnnouncements(parts.clock, maxAnnounced);
 	}
 
 	/** Whether crashes are recorded for any part. While there are none, no part of a request is needed. */
@@ -161,8 +161,8 @@
 
 		const at = this.#parts.clock.now();
 		const isUrgent = suspected.some(part => this.held.includes(part));
-		this.#announcedCleared = [...this.#announcedCleared, ...suspected.map(part => ({part, at}))];
 		suspected.forEach(part => {
+			this.#announcedCleared.set(part, {part, at});
 			this.clear(part, 'a request with it was answered');
 		});
 		if (isUrgent) {
@@ -179,9 +179,10 @@
 			return;
 		}
 
-		this.#announcedCrashes = this.#announcedCrashes
-			.map(crash => ({...crash, parts: crash.parts.filter(other => other !== part)}))
-			.filter(({parts}) => parts.length > 0);
+		this.#announcedCrashes.update(crash => {
+			const parts = crash.parts.filter(other => other !== part);
+			return parts.length > 0 ? {...crash, parts} : undefined;
+		});
 		if (wasHeld) {
 			this.#parts.log.emit(gatewayEvents.partReleased, {part, reason});
 		}
@@ -235,12 +236,9 @@
 	/** What is to be announced to the peers now; usually empty. */
 	announcement(): PartAnnouncement {
 		const now = this.#parts.clock.now();
-		this.#announcedCrashes = this.#announcedCrashes.filter(({announcedAt}) => announcedAt >= now - announcedForMs);
-		this.#announcedCleared = this.#announcedCleared.filter(({at}) => at >= now - announcedForMs);
-		const crashes = this.#announcedCrashes.slice(-maxAnnounced).map(({start, parts, seenBy, at}) => ({
-			start, parts, seenBy, agoMs: Math.max(0, Math.round(now - at)),
-		}));
-		const cleared = [...new Map(this.#announcedCleared.map(({part, at}) => [part, at]))].slice(-maxAnnounced).map(([part, at]) => ({part, agoMs: Math.max(0, Math.round(now - at))}));
+		const withAge = <T extends {readonly at: number}>({at, ...announced}: T) => ({...announced, agoMs: Math.max(0, Math.round(now - at))});
+		const crashes = this.#announcedCrashes.current().map(crash => withAge(crash));
+		const cleared = this.#announcedCleared.current().map(part => withAge(part));
 		return {
 			partCrashes: crashes.length > 0 ? crashes : undefined,
 			clearedParts: cleared.length > 0 ? cleared : undefined,
@@ -310,15 +308,11 @@
 	}
 
 	/** Parts of the same crash go into one entry. */
-	#announce(crashes: ReadonlyArray<PartCrash & {readonly at: number}>) {
-		const announcedAt = this.#parts.clock.now();
-		const byStart = new Map(this.#announcedCrashes.map(crash => [crash.start, crash]));
+	#announce(crashes: readonly TimedCrash[]) {
 		crashes.forEach(crash => {
-			const parts = [...new Set([...byStart.get(crash.start)?.parts ?? [], ...crash.parts])];
-			byStart.delete(crash.start);
-			byStart.set(crash.start, {...crash, parts, announcedAt});
+			const parts = [...new Set([...this.#announcedCrashes.get(crash.start)?.parts ?? [], ...crash.parts])];
+			this.#announcedCrashes.set(crash.start, {...crash, parts});
 		});
-		this.#announcedCrashes = [...byStart.values()].slice(-maxAnnounced);
 	}
 
 	#logChanges() {
--- a/src/gateway/quarantine/quarantine.ts
+++ b/src/gateway/quarantine/quarantine.ts
@@ -7,6 +7,7 @@
 import type {Clock, EventLog} from '../../common/services.js';
 import type {LoadKind} from '../load-board.js';
 import {gatewayEvents} from '../log-events.js';
+import {RepeatedAnnouncements} from '../peers/repeated-announcements.js';
 import type {ReplicaRecord} from '../types.js';
 import type {ContentDigest} from './content-digest.js';
 import {
@@ -45,9 +46,6 @@
 /** Crashes are retained for longer than any request is held back, in milliseconds. */
 const retainCrashesMs = 2 * maxHoldMs;
 
-/** A crash or a cleared request is announced repeatedly for this long, in milliseconds: in eight messages, so that the loss of a few does no harm. */
-const announcedForMs = 2000;
-
 /** Maximum number of requests, the most recent ones, that are announced again when a peer joins; it reads the others from the records. */
 const maxReannounced = 20;
 
@@ -61,11 +59,13 @@
 	readonly #events = new EventEmitter();
 	/** Requests that have reached the crash threshold, whether they may be tried again by now or not. */
 	readonly #held = new Set<ContentDigest>();
-	#announcedCrashes: ReadonlyArray<Crash & {readonly at: number}> = [];
-	#announcedCleared: ReadonlyArray<{readonly content: ContentDigest; readonly at: number}> = [];
+	readonly #announcedCrashes: RepeatedAnnouncements<string, Crash>;
+	readonly #announcedCleared: RepeatedAnnouncements<ContentDigest, ContentDigest>;
 
 	constructor(parts: QuarantineParts) {
 		this.#parts = parts;
+		this.#announcedCrashes = new RepeatedAnnouncements(parts.clock, maxAnnounced);
+		this.#announcedCleared = new RepeatedAnnouncements(parts.clock, maxAnnounced);
 	}
 
 	/** Whether crashes are recorded for any request. While there are none, no digest of a request is needed. */
@@ -75,7 +75,7 @@
 
 	/** Whether there may be something to announce to the peers. */
 	get hasAnnouncement(): boolean {
-		return this.#announcedCrashes.length > 0 || this.#announcedCleared.length > 0;
+		return !this.#announcedCrashes.isEmpty || !this.#announcedCleared.isEmpty;
 	}
 
 	/** Requests that are held back, and those that were and may be tried again. */
@@ -136,7 +136,7 @@
 		}
 
 		const isUrgent = this.#held.has(content);
-		this.#announcedCleared = [...this.#announcedCleared, {content, at: this.#parts.clock.now()}];
+		this.#announcedCleared.set(content, content);
 		this.clear(content, 'it has completed');
 		if (isUrgent) {
 			this.#events.emit('announcementDue');
@@ -145,7 +145,7 @@
 
 	/** Deletes the crashes of a request and releases it. */
 	clear(content: ContentDigest, reason: string): void {
-		this.#announcedCrashes = this.#announcedCrashes.filter(crash => crash.content !== content);
+		this.#announcedCrashes.update(crash => crash.content === content ? undefined : crash);
 		this.#history.delete(content);
 		if (this.#held.delete(content)) {
 			this.#parts.log.emit(gatewayEvents.contentReleased, {content, reason});
@@ -185,13 +185,7 @@
 
 	/** What is to be announced to the peers now; usually empty. */
 	announcement(): CrashAnnouncement {
-		const since = this.#parts.clock.now() - announcedForMs;
-		this.#announcedCrashes = this.#announcedCrashes.filter(({at}) => at >= since);
-		this.#announcedCleared = this.#announcedCleared.filter(({at}) => at >= since);
-		return {
-			crashes: this.#announcedCrashes.slice(-maxAnnounced).map(({content, start}) => ({content, start})),
-			acquitted: this.#announcedCleared.slice(-maxAnnounced).map(({content}) => content),
-		};
+		return {crashes: this.#announcedCrashes.current(), acquitted: this.#announcedCleared.current()};
 	}
 
 	/** Deletes crashes beyond their retention time. To be called regularly. */
@@ -203,10 +197,11 @@
 	}
 
 	#announceAllOf(contents: readonly ContentDigest[]) {
-		const at = this.#parts.clock.now();
-		const toAnnounce = new Set(contents);
-		const crashes = contents.flatMap(content => this.#history.startsOf(content).map(start => ({content, start, at})));
-		this.#announcedCrashes = [...this.#announcedCrashes.filter(({content}) => !toAnnounce.has(content)), ...crashes];
+		contents.forEach(content => {
+			this.#history.startsOf(content).forEach(start => {
+				this.#announcedCrashes.set(`${content} ${start}`, {content, start});
+			});
+		});
 	}
 
 	#record(crash: Crash, at: number): boolean {
