Interfaces for hard load: admission control, sizes of requests, traits of engines, sections of announcements

Operators' engine blocks, callers' sizes and length estimates, and the platform's contract on callers who press are decoded; an invalid block, number or name is ignored. Nothing reads them yet, so no decision has changed.

Failed try: the first form made every configuration without an engine block invalid (a required field of type unknown); the features with fronts failed on it.

--- a/src/common/message-validators.ts
+++ b/src/common/message-validators.ts
@@ -45,6 +45,13 @@
 		}))), crashes: optional(listOf(objectOf({content: isNonEmptyString, start: isNonEmptyString}))), acquitted: optional(listOf(isNonEmptyString)), partCrashes: optional(listOf(objectOf({
 			start: isNonEmptyString, parts: listOf(isNonEmptyString), seenBy: isNonEmptyString, agoMs: isNonNegativeNumber,
 		}))), clearedParts: optional(listOf(objectOf({part: isNonEmptyString, agoMs: isNonNegativeNumber}))), failedRuns: optional(areFailedRuns), accountUsage: optional(listOf(objectOf({account: isNonEmptyString, admitted: Number.isSafeInteger, asked: isNonNegativeInteger}))), checks: optional(listOf(objectOf({kind: isNonEmptyString, changedAt: isNonNegativeInteger, ageMs: isNonNegativeNumber}))), jobs: listOf(isNonEmptyString), waiting: optional(listOf(objectOf({route: isNonEmptyString, timely: isNonNegativeInteger, late: isNonNegativeInteger}))),
+		paces: optional(listOf(objectOf({
+			replica: isNonEmptyString, startedAt: optional(Number.isSafeInteger), msPerEvent: isNonNegativeNumber, events: isNonNegativeNumber,
+		}))),
+		demand: optional(listOf(objectOf({
+			service: isNonEmptyString, owner: isNonEmptyString, running: isNonNegativeInteger, perSecond: isNonNegativeNumber,
+		}))),
+		forecasts: optional(listOf(objectOf({service: isNonEmptyString, perSecond: listOf(isNonNegativeNumber)}))),
 	}),
 	'agent.load': objectOf({cacheSince: optional(isNonNegativeInteger)}),
 	'ledger.revoke': objectOf({key: attemptKey, issuedAt: isNonNegativeNumber, deadlineInMs: Number.isFinite}),
--- a/src/gateway/batch/batch-runner.ts
+++ b/src/gateway/batch/batch-runner.ts
@@ -13,7 +13,7 @@
 import {gatewayEvents} from '../log-events.js';
 import {isEligible} from '../replica-eligibility.js';
 import type {ObjectFeed} from '../object-feed.js';
-import {itemsToPreempt} from '../replica-choice.js';
+import {itemsToPreempt} from '../placement/replica-choice.js';
 import type {ReplicaDirectory} from '../replica-directory.js';
 import {announcementDelayMs} from '../peers/peer-announcer.js';
 import type {SharedWaiting} from '../peers/peer-state.js';
--- a/src/gateway/batch/item-run.ts
+++ b/src/gateway/batch/item-run.ts
@@ -6,9 +6,9 @@
 import type {Clock, Disposable} from '../../common/services.js';
 import {
 	Attempt, type AnswerHead, type AttemptEnd, type AttemptTimeouts,
-} from '../attempt.js';
+} from '../calls/attempt.js';
 import type {AttemptReachability} from '../contacts/replica-reachability.js';
-import {EventFramer, isEventStream} from '../event-framer.js';
+import {EventFramer, isEventStream} from '../calls/event-framer.js';
 import type {ReplicaConnection} from '../replica-connection-pool.js';
 import type {Replica} from '../replica.js';
 import type {CallDialect, CallerIdentity} from '../types.js';
--- a/src/gateway/batch/slot-finder.ts
+++ b/src/gateway/batch/slot-finder.ts
@@ -3,7 +3,7 @@
 */
 import type {Clock, RandomSource} from '../../common/services.js';
 import type {PeerTable} from '../peers/peer-table.js';
-import {chooseForBatch} from '../replica-choice.js';
+import {chooseForBatch} from '../placement/replica-choice.js';
 import type {ReplicaConnection} from '../replica-connection-pool.js';
 import type {ReplicaDirectory} from '../replica-directory.js';
 import type {ReplicaConnectionPools} from '../replica-connection-pools.js';
--- a/src/gateway/attempt.steps.ts
+++ b/src/gateway/calls/attempt.steps.ts
@@ -4,12 +4,12 @@
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
 import type {Dispatcher} from 'undici';
-import type {TestWorld} from '../common/testing/test-world.js';
-import {until} from '../common/testing/until.js';
-import {SystemClock} from '../io/system-clock.js';
-import {pauseProcess} from '../io/testing/pause-process.js';
+import type {TestWorld} from '../../common/testing/test-world.js';
+import {until} from '../../common/testing/until.js';
+import {SystemClock} from '../../io/system-clock.js';
+import {pauseProcess} from '../../io/testing/pause-process.js';
+import type {CallDialect, ReplicaId} from '../types.js';
 import {Attempt, type AttemptEnd, type AttemptConnection} from './attempt.js';
-import type {CallDialect, ReplicaId} from './types.js';
 
 type AttemptWorld = TestWorld & {
 	attemptConnection: FakeConnection;
--- a/src/gateway/attempt.ts
+++ b/src/gateway/calls/attempt.ts
@@ -3,11 +3,11 @@
 */
 import type {Buffer} from 'node:buffer';
 import type {Dispatcher} from 'undici';
-import type {Clock, Disposable} from '../common/services.js';
-import {isBeforeSending} from '../io/http-client.js';
-import type {AttemptReachability} from './contacts/replica-reachability.js';
-import type {ReplicaConnection} from './replica-connection-pool.js';
-import type {AnswerFields, AttemptFields, CallDialect} from './types.js';
+import type {Clock, Disposable} from '../../common/services.js';
+import {isBeforeSending} from '../../io/http-client.js';
+import type {AttemptReachability} from '../contacts/replica-reachability.js';
+import type {ReplicaConnection} from '../replica-connection-pool.js';
+import type {AnswerFields, AttemptFields, CallDialect} from '../types.js';
 
 /** The request as it is sent, identical for each attempt of a call. */
 export type CallMessage = {
--- a/src/gateway/event-framer.steps.ts
+++ b/src/gateway/calls/event-framer.steps.ts
@@ -5,7 +5,7 @@
 import {Buffer} from 'node:buffer';
 import process from 'node:process';
 import {Then, When} from '@cucumber/cucumber';
-import type {TestWorld} from '../common/testing/test-world.js';
+import type {TestWorld} from '../../common/testing/test-world.js';
 import {EventFramer, EventBoundaryTracker} from './event-framer.js';
 
 /** One stream and what was forwarded of it. */
--- a/src/gateway/online-call.ts
+++ b/src/gateway/calls/online-call.ts
@@ -5,25 +5,24 @@
 */
 import type {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
-import type {Disposable} from '../common/services.js';
-import type {AdmittedCaller} from './accounts/caller-gate.js';
+import type {Disposable} from '../../common/services.js';
+import type {AdmittedCaller} from '../accounts/caller-gate.js';
+import {isEligible} from '../replica-eligibility.js';
+import type {GatewayParts} from '../parts.js';
+import type {Replica} from '../replica.js';
+import {TrackedContent} from '../quarantine/tracked-content.js';
+import type {Announcement} from '../streams/origin-announcer.js';
+import {StreamBinding} from '../streams/stream-binding.js';
+import type {CallFields, GatewayRoute} from '../types.js';
+import {CallerAnswer} from './caller-answer.js';
 import {
 	Attempt, type AnswerHead, type AttemptEnd, type CallMessage,
 } from './attempt.js';
-import {CallerAnswer} from './caller-answer.js';
-import {gatewayEvents} from './log-events.js';
-import {isEligible} from './replica-eligibility.js';
-import type {GatewayParts} from './parts.js';
-import {registrationAge} from './registration-age.js';
-import type {Replica} from './replica.js';
-import {chooseForOnline} from './replica-choice.js';
-import {TrackedContent} from './quarantine/tracked-content.js';
-import type {ReplicaConnection} from './replica-connection-pool.js';
-import type {Announcement} from './streams/origin-announcer.js';
-import {ofVersion, StreamBinding} from './streams/stream-binding.js';
-import type {
-	CallFields, GatewayRoute, GatewayServiceName, ReplicaId, RouteKind,
-} from './types.js';
+import {CallLog} from './call-log.js';
+import {chooseService, traitsByKind} from './call-traits.js';
+import {
+	ReplicaOffers, versionRetryMs, type NoReplicaReason, type OfferedReplica,
+} from './replica-offers.js';
 
 /** A caller's call that has been received completely. */
 export type ArrivedCall = {
@@ -39,40 +38,16 @@
 /** A repeatable call is sent to another replica if no byte arrives for this long, in milliseconds. A queue at an engine clears within about one run, 0.8 s; callers abandon a stream after 2 s. */
 const repeatableSilenceTimeoutMs = 1200;
 
-/** Maximum number of replicas that one call is offered to while each declines it or cannot be reached. */
-const maxOffers = 4;
-
-/** With less time left than this, in milliseconds, the call is offered to no replica: the answer could not reach the caller in time. */
-const minTimeLeftMs = 10;
-
 /** Delays after which a caller is to retry, in milliseconds: by then, a replica may have been registered, or slots may have become free. */
 const retryDelaysMs = {
 	noReplica: 500, full: 300, versionGone: 500, versionUnknown: 500,
 } as const;
 
-/** Delay after which the replicas of a stream's version are tried again, and the maximum total delay, in milliseconds: callers abandon a stream after a gap of about 2 s. */
-const versionRetryMs = 100;
-const maxVersionWaitMs = 1500;
-
 /** The longest delay of a rerun by the check whether the previous replica has terminated, in milliseconds: several round trips within a region. */
 const maxCrashCheckMs = 25;
 
 /** Why a call is offered to no further replica. */
-type GiveUpReason = 'noReplica' | 'full' | 'versionGone' | 'quarantined';
-
-type KindTraits = {
-	/** Whether a broken run may be followed by another one. */
-	readonly isRepeatable: (route: GatewayRoute) => boolean;
-	/** Whether the answer is a series of events. */
-	readonly isStream: boolean;
-};
-
-const traitsByKind: Readonly<Record<RouteKind, KindTraits>> = {
-	safe: {isRepeatable: () => true, isStream: false},
-	unsafe: {isRepeatable: () => false, isStream: false},
-	stream: {isRepeatable: route => route.isResumable, isStream: true},
-	batch: {isRepeatable: () => false, isStream: false},
-};
+type GiveUpReason = NoReplicaReason | 'quarantined';
 
 type EndHandlers = {readonly [K in AttemptEnd['kind']]: (end: Extract<AttemptEnd, {kind: K}>, replica: Replica) => void};
 
@@ -80,28 +55,24 @@
 export class OnlineCall implements Disposable {
 	readonly #parts: GatewayParts;
 	readonly #call: ArrivedCall;
-	#service: GatewayServiceName;
-	readonly #tried = new Set<ReplicaId>();
+	readonly #offers: ReplicaOffers;
+	readonly #log: CallLog;
 	readonly #answer: CallerAnswer;
 	readonly #isRepeatable: boolean;
 	readonly #content: TrackedContent;
 	readonly #binding: StreamBinding;
 	/** Bytes of the first events, held back until the stream's origin is stored by peers. */
 	#unannounced: Buffer[] = [];
-	/** Offers since the last retry of the replicas of the version. */
-	#offersInRound = 0;
-	/** Milliseconds for which the call has waited for replicas of its version. */
-	#versionWaitMs = 0;
 	#versionTimer: NodeJS.Timeout | undefined;
 	readonly #timer: NodeJS.Timeout;
 	readonly #timeLimitMs: number;
 	#attempt: Attempt | undefined;
+	#admission: Disposable | undefined;
 	/** Head of the current run's answer, once received. */
 	#runHead: AnswerHead | undefined;
 	/** The event after which the current run was asked to resume. */
 	#resumeAfter: number | undefined;
 	#releaseSlot: (() => void) | undefined;
-	#offers = 0;
 	/** Number of runs that count towards the route's limit. */
 	#runs = 0;
 	/** Whether any replica may have started to run the call. */
@@ -154,7 +125,7 @@
 			}
 		},
 		outdated: (_end, replica) => {
-			this.#tried.delete(replica.record.id);
+			this.#offers.forget(replica);
 			this.#offer();
 		},
 		dropped: () => undefined,
@@ -164,13 +135,14 @@
 		this.#parts = parts;
 		this.#call = call;
 		const {route, fields} = call;
+		this.#log = new CallLog(parts, route, fields);
 		this.#isRepeatable = traitsByKind[route.kind].isRepeatable(route);
 		this.#answer = new CallerAnswer(call.res, {isRepeatable: this.#isRepeatable, isStream: traitsByKind[route.kind].isStream, lastEventId: fields.lastEventId});
 		this.#content = new TrackedContent(parts, 'online', {content: {...call.message, host: route.host}, promptParts: () => fields.promptParts});
 		this.#binding = new StreamBinding({
 			origins: parts.streamOrigins, route, fields, caller: call.caller.identity,
 		});
-		this.#service = this.#chooseService(route);
+		this.#offers = new ReplicaOffers(parts, {service: chooseService(route, parts.random), binding: this.#binding, isRepeatable: this.#isRepeatable});
 		this.#timeLimitMs = Math.min(route.timeoutMs, fields.timeLeftMs ?? Infinity);
 		this.#timer = setTimeout(() => {
 			// An answer that arrived during a pause of this process is read first.
@@ -214,17 +186,14 @@
 	}
 
 	async #startResumed() {
-		const {clock, log, replicaFreshness} = this.#parts;
+		const {clock, replicaFreshness} = this.#parts;
 		const startedAt = clock.now();
 		if (!replicaFreshness.isFresh) {
 			await replicaFreshness.refresh();
 		}
 
 		const found = await this.#binding.resolve();
-		const {requestId, resumedId} = this.#call.fields;
-		log.emit(gatewayEvents.originSearched, {
-			id: requestId, resumedId, outcome: found.kind, softwareVersion: this.#binding.softwareVersion, waitedMs: Math.round(clock.now() - startedAt),
-		});
+		this.#log.originSearched(found.kind, this.#binding.softwareVersion, startedAt);
 		if (this.#hasEnded) {
 			return;
 		}
@@ -234,32 +203,26 @@
 			return;
 		}
 
-		this.#service = this.#call.route.targets.find(({service, weight}) => weight > 0 && service === this.#binding.service)?.service ?? this.#service;
+		this.#offers.service = this.#call.route.targets.find(({service, weight}) => weight > 0 && service === this.#binding.service)?.service ?? this.#offers.service;
 		this.#begin();
 	}
 
 	#begin() {
-		const {ranks, serviceTimes} = this.#parts;
-		const rank = this.#call.caller.account?.priority ?? this.#call.route.priority;
-		ranks.note(this.#service, rank);
-		const waitMs = serviceTimes.waitMs(this.#service, this.#candidates());
-		const leftMs = (this.#timeLimitMs - this.#elapsedMs()) * ranks.waitShareOf(this.#service, rank);
-		if (waitMs > leftMs) {
-			this.#refuse('hopeless', Math.max(retryDelaysMs.full, waitMs - leftMs));
-			return;
-		}
-
-		this.#offer();
-	}
+		const {route, caller, fields, arrivedAt} = this.#call;
+		const {service} = this.#offers;
+		this.#admission = this.#parts.admission.request({
+			id: fields.requestId, route, service, account: caller.account, size: fields.size, arrivedAt, timeLimitMs: this.#timeLimitMs, candidates: () => this.#offers.candidates,
+		}, outcome => {
+			if (outcome.kind === 'refused') {
+				this.#refuse(outcome.reason, outcome.retryAfterMs);
+				return;
+			}
 
-	#chooseService({targets}: GatewayRoute): GatewayServiceName {
-		const totalWeight = targets.reduce((sum, {weight}) => sum + weight, 0);
-		let remainingWeight = this.#parts.random.next() * totalWeight;
-		const chosen = targets.find(({weight}) => {
-			remainingWeight -= weight;
-			return remainingWeight < 0;
+			this.#offer();
 		});
-		return (chosen ?? targets[0])?.service ?? ('' as GatewayServiceName);
+		if (this.#hasEnded) {
+			this.#admission.dispose();
+		}
 	}
 
 	/** 0 until the current run has answered. */
@@ -288,47 +251,24 @@
 		}
 
 		const timeLeftMs = this.#timeLimitMs - this.#elapsedMs();
-		const replica = this.#offersInRound < maxOffers && timeLeftMs > minTimeLeftMs ? this.#choose() : undefined;
-		const connection = replica && this.#parts.connectionPools.acquire(replica, this.#needsNewConnection);
-		if (!replica || !connection) {
-			if (this.#mayAwaitVersion(timeLeftMs)) {
-				this.#offerLater();
-				return;
-			}
-
-			const reason = this.#noReplicaReason;
-			this.#giveUp(reason, retryDelaysMs[reason]);
+		const offered = this.#offers.next(timeLeftMs, this.#needsNewConnection);
+		if (offered) {
+			this.#send(offered, timeLeftMs);
 			return;
 		}
 
-		this.#offers += 1;
-		this.#offersInRound += 1;
-		this.#tried.add(replica.record.id);
-		this.#send(replica, connection, timeLeftMs);
-	}
-
-	get #noReplicaReason(): 'versionGone' | 'noReplica' | 'full' {
-		if (this.#candidates().length === 0 && this.#binding.softwareVersion !== undefined) {
-			return 'versionGone';
+		if (this.#offers.mayAwaitVersion(timeLeftMs)) {
+			this.#offerLater();
+			return;
 		}
 
-		return this.#offers === 0 ? 'noReplica' : 'full';
-	}
-
-	/** Whether replicas that are left out because of their version make it worthwhile to wait for a slot at the others. */
-	#mayAwaitVersion(timeLeftMs: number): boolean {
-		const candidates = this.#candidates().length;
-		return candidates > 0
-			&& candidates < this.#parts.directory.takingWork(this.#service).length
-			&& this.#versionWaitMs < maxVersionWaitMs
-			&& timeLeftMs > versionRetryMs + minTimeLeftMs;
+		const reason = this.#offers.noReplicaReason;
+		this.#giveUp(reason, retryDelaysMs[reason]);
 	}
 
 	/** Tries the replicas of the version again after a pause. */
 	#offerLater() {
-		this.#versionWaitMs += versionRetryMs;
-		this.#tried.clear();
-		this.#offersInRound = 0;
+		this.#offers.startNextRound();
 		this.#versionTimer = setTimeout(() => {
 			this.#offer();
 		}, versionRetryMs);
@@ -339,26 +279,10 @@
 		this.#offer();
 	}
 
-	/** Replicas that may run the call. */
-	#candidates(): readonly Replica[] {
-		return ofVersion(this.#parts.directory.takingWork(this.#service), this.#binding.softwareVersion);
-	}
-
-	#choose(): Replica | undefined {
-		const {clock, random, failureDomain, processCount} = this.#parts;
-		return chooseForOnline(this.#candidates(), {
-			now: clock.now(), random, failureDomain, tried: this.#tried, processCount: processCount(), canFailOver: this.#isRepeatable,
-		});
-	}
-
-	#send(replica: Replica, connection: ReplicaConnection, timeLeftMs: number) {
-		const {
-			log, loads, dialect, reachability, clock,
-		} = this.#parts;
-		const {fields, message, route} = this.#call;
-		log.emit(gatewayEvents.callRouted, {
-			id: fields.requestId, route: route.name, replica: replica.record.id, softwareVersion: replica.record.softwareVersion, resumedId: fields.resumedId, online: replica.allOnline, batch: replica.allBatch, attempt: this.#offers, resumeAfter: this.#answer.lastEventId, ...registrationAge(this.#parts, replica),
-		});
+	#send({replica, connection}: OfferedReplica, timeLeftMs: number) {
+		const {loads, dialect, reachability, clock} = this.#parts;
+		const {fields, message} = this.#call;
+		this.#log.routed({replica, attempt: this.#offers.count, resumeAfter: this.#answer.lastEventId});
 		this.#runHead = undefined;
 		this.#binding.noteRun(replica);
 		this.#content.noteSent();
@@ -462,13 +386,13 @@
 		}
 
 		if (end.kind !== 'complete' && end.kind !== 'dropped') {
-			this.#parts.log.emit(gatewayEvents.attemptFailed, {
-				id: this.#call.fields.requestId, replica: replica.record.id, ...end, ...this.#content.logFields,
-			});
+			this.#log.attemptFailed(replica, end, this.#content.logFields);
 		}
 
-		if (this.#offers > 1) {
-			this.#logRerun(end, replica);
+		if (this.#offers.count > 1) {
+			this.#log.rerunEnded({
+				replica, head: this.#runHead, resumeAfter: this.#resumeAfter, lastEventId: this.#answer.lastEventId, end,
+			});
 		}
 
 		if (!this.#hasEnded) {
@@ -476,13 +400,6 @@
 		}
 	}
 
-	#logRerun(end: AttemptEnd, replica: Replica) {
-		const head = this.#runHead;
-		this.#parts.log.emit(gatewayEvents.rerunEnded, {
-			id: this.#call.fields.requestId, replica: replica.record.id, status: this.#runStatus, contentType: head?.headers['content-type'], isFramed: head?.isFramed, softwareVersion: replica.record.softwareVersion, resumeAfter: this.#resumeAfter, lastEventId: this.#answer.lastEventId, outcome: end.kind,
-		});
-	}
-
 	#recordOutcome(replica: Replica, hasFailed: boolean) {
 		replica.outcomes.note(hasFailed, this.#parts.clock.now());
 	}
@@ -548,7 +465,7 @@
 		if (status >= 500 && !this.#answer.hasBegun && this.#isRepeatable) {
 			this.#mayHaveRun = true;
 			this.#countRun(replica);
-			if (this.#canRerun() && this.#hasOtherReplica()) {
+			if (this.#canRerun() && this.#offers.hasOther) {
 				this.#answer.discardUnsent();
 				this.#offer();
 				return;
@@ -561,16 +478,12 @@
 		}
 
 		if (this.#hadFreeSlot && status < 300 && this.#runs === 0) {
-			this.#parts.serviceTimes.recordDuration(this.#service, this.#parts.clock.now() - this.#sentAt);
+			this.#parts.serviceTimes.recordDuration(this.#offers.service, this.#parts.clock.now() - this.#sentAt);
 		}
 
 		this.#end(status, 'answered');
 	}
 
-	#hasOtherReplica(): boolean {
-		return this.#candidates().some(({record}) => !this.#tried.has(record.id));
-	}
-
 	/** The call is offered to no further replica. A refusal states that the call has not run, so it is not used once any replica may have run it, even if that replica has terminated since. */
 	#giveUp(reason: GiveUpReason, retryDelayMs: number) {
 		if (this.#mayHaveRun) {
@@ -630,15 +543,9 @@
 	}
 
 	#end(status: number, reason: string) {
-		const {log, metrics} = this.#parts;
-		const {fields, route} = this.#call;
-		const elapsedMs = Math.round(this.#elapsedMs());
-		log.emit(gatewayEvents.callEnded, {
-			id: fields.requestId, route: route.name, status, reason, elapsedMs, firstByteMs: Math.round(this.#firstByteMs), offers: this.#offers, runs: this.#runs, lastEnd: this.#lastEnd, content: this.#content.computedDigest, heldParts: this.#content.heldParts,
+		this.#log.ended({
+			status, reason, elapsedMs: this.#elapsedMs(), firstByteMs: this.#firstByteMs, offers: this.#offers.count, runs: this.#runs, lastEnd: this.#lastEnd, content: this.#content.computedDigest, heldParts: this.#content.heldParts,
 		});
-		metrics.count('gateway.calls', 1, {kind: route.kind, status: String(status)});
-		metrics.timing('gateway.call', elapsedMs, {kind: route.kind});
-		metrics.timing('gateway.firstByte', this.#firstByteMs, {kind: route.kind});
 		this.#close();
 	}
 
@@ -646,6 +553,7 @@
 		this.#hasEnded = true;
 		clearTimeout(this.#timer);
 		clearTimeout(this.#versionTimer);
+		this.#admission?.dispose();
 		this.#attempt?.dispose();
 	}
 }
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -22,7 +22,7 @@
 import type {JobCall, JobCallDialect} from './job-calls.js';
 import type {FeedFreshness} from './feed-freshness.js';
 import {gatewayEvents} from './log-events.js';
-import {OnlineCall} from './online-call.js';
+import {OnlineCall} from './calls/online-call.js';
 import type {GatewayParts} from './parts.js';
 import type {BatchJobId, CallFields, GatewayRoute} from './types.js';
 
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -22,6 +22,7 @@
 import {RpcClient} from '../io/rpc-client.js';
 import {CallRanks} from './accounts/call-ranks.js';
 import {CallerGate} from './accounts/caller-gate.js';
+import {DeadlineAdmission} from './admission/deadline-admission.js';
 import {RateLimits} from './accounts/rate-limits.js';
 import {JobIndex} from './batch/job-index.js';
 import {BatchRetention} from './batch/batch-retention.js';
@@ -62,7 +63,7 @@
 import {RegistrationController} from './registration-controller.js';
 import {ReplicaDirectory} from './replica-directory.js';
 import {ReplicaConnectionPools} from './replica-connection-pools.js';
-import {ServiceTimes} from './service-times.js';
+import {ServiceTimes} from './placement/service-times.js';
 import {
 	originsKeptMethod, originsMethod, type OriginsKept, type OriginsMessage,
 } from './streams/origin-announcer.js';
@@ -70,7 +71,7 @@
 import {findOriginMethod, StreamOrigins, type OriginQuery} from './streams/stream-origins.js';
 import {VersionHistory} from './streams/version-history.js';
 import type {FrontSettings} from './settings.js';
-import type {CallDialect, MemberName} from './types.js';
+import type {CallDialect, GatewayFeatures, MemberName} from './types.js';
 
 /** What the adapter of a platform provides. */
 export type FrontAdapter = {
@@ -79,6 +80,7 @@
 	readonly dialect: CallDialect;
 	readonly jobCalls: JobCallDialect;
 	readonly itemHeaders: ItemHeaderBuilder;
+	readonly features: GatewayFeatures;
 };
 
 /** Services that the program's entry point injects. */
@@ -291,7 +293,7 @@
 			self, quarantine, partQuarantine, feed: quarantineFeed, api, peers, clock, log,
 		});
 		this.#announcer = new PeerAnnouncer({
-			self, channel: this.#channel, peers, directory, loads, quarantine, partQuarantine, failedRuns, rateLimits, checks: () => this.#checks.announcement(), clock, isLeaving, memberAddresses: () => this.#registry.addresses, claimedJobs: () => claims.claimed, waitingItems: () => this.#runner.waiting, rpcAddress: () => this.#rpcServer.address, reachesObjectApi: () => api.isDirect,
+			self, channel: this.#channel, peers, directory, loads, quarantine, partQuarantine, failedRuns, rateLimits, sections: [], checks: () => this.#checks.announcement(), clock, isLeaving, memberAddresses: () => this.#registry.addresses, claimedJobs: () => claims.claimed, waitingItems: () => this.#runner.waiting, rpcAddress: () => this.#rpcServer.address, reachesObjectApi: () => api.isDirect,
 		});
 		this.#checks = new SharedChecks({
 			self,
@@ -309,8 +311,9 @@
 		this.#readiness = new Readiness({
 			lifecycle: this.#lifecycle, board, directory, log,
 		});
+		const serviceTimes = new ServiceTimes();
 		this.#server = new FrontServer({
-			board, directory, replicaFreshness, configFreshness: freshnessOf('GatewayConfig', configFeed, settings.configMs), loads, connectionPools: this.#connectionPools, reachability, quarantine, partQuarantine, streamOrigins: this.#streamOrigins, serviceTimes: new ServiceTimes(), ranks: new CallRanks(clock), dialect, clock, random, log, metrics, processCount, failureDomain, jobCalls,
+			board, directory, replicaFreshness, configFreshness: freshnessOf('GatewayConfig', configFeed, settings.configMs), loads, connectionPools: this.#connectionPools, reachability, quarantine, partQuarantine, streamOrigins: this.#streamOrigins, serviceTimes, admission: new DeadlineAdmission({serviceTimes, ranks: new CallRanks(clock), clock}), dialect, clock, random, log, metrics, processCount, failureDomain, jobCalls,
 			gate: new CallerGate({
 				board, dialect, limits: rateLimits, clock, log, metrics, configConfirmedAt: () => this.#checks.lastConfirmedAt('GatewayConfig'), staleAfterMs: settings.refuseKeysAfterMs,
 			}),
--- a/src/gateway/gateway-tables.steps.ts
+++ b/src/gateway/gateway-tables.steps.ts
@@ -278,7 +278,7 @@
 		clock, log, tolerance: 0, registeredCount: () => 2, livePeers: () => this.peers.names,
 	});
 	const announcer = this.register(new PeerAnnouncer({
-		self: branded<MemberName>('front-1'), channel, peers: this.peers, directory: this.directory, loads: this.loads, quarantine, partQuarantine, failedRuns: new FailedRuns({self: branded<MemberName>('front-1'), clock}), rateLimits, checks: () => undefined, clock, memberAddresses: () => [peerChannel.address], claimedJobs: () => [], waitingItems: () => [], isLeaving: () => false, rpcAddress: () => '127.0.0.1:1', reachesObjectApi: () => true,
+		self: branded<MemberName>('front-1'), channel, peers: this.peers, directory: this.directory, loads: this.loads, quarantine, partQuarantine, failedRuns: new FailedRuns({self: branded<MemberName>('front-1'), clock}), rateLimits, sections: [], checks: () => undefined, clock, memberAddresses: () => [peerChannel.address], claimedJobs: () => [], waitingItems: () => [], isLeaving: () => false, rpcAddress: () => '127.0.0.1:1', reachesObjectApi: () => true,
 	}));
 	announcer.start();
 	this.peers.receive({
--- a/src/gateway/parts.ts
+++ b/src/gateway/parts.ts
@@ -4,7 +4,7 @@
 import type {
 	Clock, EventLog, Metrics, RandomSource,
 } from '../common/services.js';
-import type {CallRanks} from './accounts/call-ranks.js';
+import type {AdmissionControl} from './admission/admission-control.js';
 import type {ConfigBoard} from './config-board.js';
 import type {FeedFreshness} from './feed-freshness.js';
 import type {ReplicaReachability} from './contacts/replica-reachability.js';
@@ -13,7 +13,7 @@
 import type {Quarantine} from './quarantine/quarantine.js';
 import type {ReplicaDirectory} from './replica-directory.js';
 import type {ReplicaConnectionPools} from './replica-connection-pools.js';
-import type {ServiceTimes} from './service-times.js';
+import type {ServiceTimes} from './placement/service-times.js';
 import type {StreamOrigins} from './streams/stream-origins.js';
 import type {CallDialect} from './types.js';
 
@@ -27,7 +27,7 @@
 	readonly connectionPools: ReplicaConnectionPools;
 	readonly reachability: ReplicaReachability;
 	readonly serviceTimes: ServiceTimes;
-	readonly ranks: CallRanks;
+	readonly admission: AdmissionControl;
 	readonly quarantine: Quarantine;
 	readonly partQuarantine: PartQuarantine;
 	readonly streamOrigins: Pick<StreamOrigins, 'announce' | 'find'>;
--- a/src/gateway/peers/peer-announcer.ts
+++ b/src/gateway/peers/peer-announcer.ts
@@ -13,7 +13,7 @@
 import type {ReplicaDirectory} from '../replica-directory.js';
 import type {BatchJobId, MemberName} from '../types.js';
 import {
-	peerStateMethod, type PeerState, type SharedLoad, type SharedOutcomes, type SharedWaiting,
+	peerStateMethod, type PeerSections, type PeerState, type SharedLoad, type SharedOutcomes, type SharedWaiting,
 } from './peer-state.js';
 import type {PeerTable} from './peer-table.js';
 import type {FeedCheck} from './shared-checks.js';
@@ -63,6 +63,8 @@
 	readonly failedRuns: FailedRuns;
 	readonly rateLimits: RateLimits;
 	readonly checks: () => readonly FeedCheck[] | undefined;
+	/** Each returns the sections that are due, in a new object. */
+	readonly sections: ReadonlyArray<() => PeerSections>;
 	readonly clock: Clock;
 	/** Addresses of registered members, live or not. */
 	readonly memberAddresses: () => readonly string[];
@@ -164,11 +166,11 @@
 
 	#state(): PeerState {
 		const {
-			self, channel, claimedJobs, waitingItems, isLeaving, rpcAddress, reachesObjectApi, checks,
+			self, channel, claimedJobs, waitingItems, isLeaving, rpcAddress, reachesObjectApi, checks, sections,
 		} = this.#parts;
 		this.#seq += 1;
 		return {
-			member: self, address: channel.address, rpcAddress: rpcAddress(), reachesObjectApi: reachesObjectApi(), keepsOrigins: true, startedAt: this.#startedAt, seq: this.#seq, isLeaving: isLeaving(), loads: this.#loads(), outcomes: this.#outcomesDue(), ...this.#crashesDue(), failedRuns: this.#failedRunsDue(), accountUsage: this.#accountUsageDue(), checks: checks(), jobs: claimedJobs(), waiting: waitingItems(),
+			member: self, address: channel.address, rpcAddress: rpcAddress(), reachesObjectApi: reachesObjectApi(), keepsOrigins: true, startedAt: this.#startedAt, seq: this.#seq, isLeaving: isLeaving(), loads: this.#loads(), outcomes: this.#outcomesDue(), ...this.#crashesDue(), failedRuns: this.#failedRunsDue(), accountUsage: this.#accountUsageDue(), checks: checks(), jobs: claimedJobs(), waiting: waitingItems(), ...Object.assign({}, ...sections.map(section => section())) as PeerSections,
 		};
 	}
 
--- a/src/gateway/peers/peer-state.ts
+++ b/src/gateway/peers/peer-state.ts
@@ -2,9 +2,12 @@
 The state that the processes of the gateway announce to each other: how many requests each has in flight at each replica, and which batch jobs it runs. It is sent again after each change and at regular intervals, so that nothing depends on a single message, and a peer that sends none is considered terminated.
 */
 import type {AccountUsage} from '../accounts/account-usage.js';
+import type {SharedDemand} from '../admission/shared-demand.js';
 import type {WaitingCounts} from '../batch/batch-policy.js';
 import type {FailedRun} from '../batch/failed-runs.js';
+import type {SharedForecast} from '../batch/shared-forecast.js';
 import type {OutcomeCounts} from '../contacts/recent-outcomes.js';
+import type {SharedPace} from '../placement/shared-pace.js';
 import type {ContentDigest} from '../quarantine/content-digest.js';
 import type {Crash} from '../quarantine/crash-history.js';
 import type {AnnouncedPartCrash, ClearedPart} from '../quarantine/part-quarantine.js';
@@ -32,8 +35,15 @@
 /** Items of one route that wait for a slot at one process. */
 export type SharedWaiting = WaitingCounts & {readonly route: string};
 
+/** Sections of the state that single components contribute and read; none is in each message. */
+export type PeerSections = {
+	readonly paces?: readonly SharedPace[];
+	readonly demand?: readonly SharedDemand[];
+	readonly forecasts?: readonly SharedForecast[];
+};
+
 /** The complete state of one process. */
-export type PeerState = {
+export type PeerState = PeerSections & {
 	readonly member: MemberName;
 	/** `ip:port` at which it receives its peers' state. */
 	readonly address: string;
--- a/src/gateway/replica-choice.ts
+++ b/src/gateway/placement/replica-choice.ts
@@ -3,10 +3,10 @@
 
 The peers' loads are some ten milliseconds old. During a burst of calls to many processes, the least loaded replica is the same for all of them, and all would send there before they receive each other's announcements: calls would wait at one replica while slots stay free at others. Each process therefore chooses the best of a random sample of replicas; the more processes there are, the smaller the sample.
 */
-import {rankMembers} from '../common/rendezvous.js';
-import type {RandomSource} from '../common/services.js';
-import type {Replica} from './replica.js';
-import type {MemberName, ReplicaId} from './types.js';
+import {rankMembers} from '../../common/rendezvous.js';
+import type {RandomSource} from '../../common/services.js';
+import type {Replica} from '../replica.js';
+import type {MemberName, ReplicaId} from '../types.js';
 
 /** Criteria of a choice besides the replicas' load. */
 export type ChoiceContext = {
--- a/src/gateway/service-times.steps.ts
+++ b/src/gateway/placement/service-times.steps.ts
@@ -3,11 +3,11 @@
 */
 import assert from 'node:assert/strict';
 import {Given, Then} from '@cucumber/cucumber';
-import {branded} from '../common/ids.js';
-import type {TestWorld} from '../common/testing/test-world.js';
-import {Replica} from './replica.js';
+import {branded} from '../../common/ids.js';
+import type {TestWorld} from '../../common/testing/test-world.js';
+import {Replica} from '../replica.js';
+import type {GatewayServiceName, ReplicaId, SoftwareVersion} from '../types.js';
 import {ServiceTimes} from './service-times.js';
-import type {GatewayServiceName, ReplicaId, SoftwareVersion} from './types.js';
 
 type TimesWorld = TestWorld & {
 	times: ServiceTimes;
--- a/src/gateway/service-times.ts
+++ b/src/gateway/placement/service-times.ts
@@ -3,9 +3,9 @@
 
 When calls arrive faster than slots become free for longer than callers wait, each further call waits in an engine's queue until its deadline. It delays calls that could still be served, and its caller gets no answer before the time-out. A caller that is refused at once, with the time after which to retry, can retry or do without.
 */
-import {ExpectedTime} from './contacts/expected-time.js';
-import type {Replica} from './replica.js';
-import type {GatewayServiceName} from './types.js';
+import {ExpectedTime} from '../contacts/expected-time.js';
+import type {Replica} from '../replica.js';
+import type {GatewayServiceName} from '../types.js';
 
 /** With fewer calls, the mean is not representative of a service. */
 const minCalls = 10;
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -43,6 +43,8 @@
 	refuseKeysAfterMs: durationMs().optional(),
 	/** Calls of a client account beyond its rate limit that are tolerated in a window; they compensate for the delay of announcements between processes. */
 	rateLimitTolerance: countOf(0),
+	/** Parts of the platform's interface that are in force, by the platform's names; the adapter derives {@link GatewayFeatures} from them. */
+	contracts: z.array(z.string()).default([]),
 	/** The results of a finished job can be read until this many milliseconds after its submission. */
 	resultsKeptMs: durationMs(86_400_000),
 	/** Number of disks that may be lost at once; a job that the object API does not accept is stored by one keeper more than that. */
--- a/src/gateway/testing/grey-failure-model.ts
+++ b/src/gateway/testing/grey-failure-model.ts
@@ -5,7 +5,7 @@
 */
 import {branded} from '../../common/ids.js';
 import type {RandomSource} from '../../common/services.js';
-import {chooseForOnline} from '../replica-choice.js';
+import {chooseForOnline} from '../placement/replica-choice.js';
 import {Replica} from '../replica.js';
 import type {GatewayServiceName, ReplicaId, SoftwareVersion} from '../types.js';
 
--- a/src/gateway/testing/wave-model.ts
+++ b/src/gateway/testing/wave-model.ts
@@ -5,7 +5,7 @@
 */
 import type {RandomSource} from '../../common/services.js';
 import {branded} from '../../common/ids.js';
-import {chooseForOnline} from '../replica-choice.js';
+import {chooseForOnline} from '../placement/replica-choice.js';
 import {Replica} from '../replica.js';
 import type {
 	GatewayServiceName, MemberName, ReplicaId, SoftwareVersion,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -48,7 +48,7 @@
 	readonly kind: RouteKind;
 	/** Milliseconds within which a call gets its final answer in any case. */
 	readonly timeoutMs: number;
-	/** Latency target of an answer, in milliseconds. */
+	/** Latency target in milliseconds: of the first event on routes of kind `stream`, of the answer on others. 0 if operators have declared none. */
 	readonly latencyTargetMs: number;
 	/** Maximum number of replicas that run one call; for a batch item, maximum number of failed runs. */
 	readonly maxRuns: number;
@@ -80,11 +80,31 @@
 	readonly rateLimit?: RateLimit;
 };
 
+/** What the model engines of a service can do. */
+export type EngineTraits = {
+	/** Number of requests that an engine runs at once. */
+	readonly slots: number;
+	/** Number of tokens that fit into the memory of one engine. */
+	readonly memoryTokens: number;
+	/** Bytes that one token of a run occupies, and that a copy of the run transfers. */
+	readonly bytesPerToken: number;
+	/** Number of tokens that an engine generates for each event of a stream. */
+	readonly tokensPerEvent: number;
+	/** Whether a run's memory can be moved to another replica. */
+	readonly canMoveRuns: boolean;
+	/** Whether a run's memory can be copied to another replica as it grows. */
+	readonly canBackUpRuns: boolean;
+	/** Milliseconds for which a copy is kept after its last part has arrived. */
+	readonly copiesKeptMs: number;
+};
+
 /** A service that is the target of routes. */
 export type GatewayService = {
 	readonly name: GatewayServiceName;
 	/** Maximum number of connections that one replica accepts, from all processes together. */
 	readonly maxConnections: number;
+	/** Omitted for a service without model engines. */
+	readonly engine?: EngineTraits;
 };
 
 /** Limits on callers' requests. */
@@ -129,6 +149,14 @@
 	readonly tokens: number;
 };
 
+/** Numbers of tokens of a request, as its caller stated them. A missing or invalid number is omitted. */
+export type RequestSize = {
+	readonly promptTokens?: number;
+	readonly maxOutputTokens?: number;
+	/** The caller's estimate of the output: right at the median, but often far off. */
+	readonly expectedOutputTokens?: number;
+};
+
 /** The fields of a caller's headers that the gateway reads. */
 export type CallFields = {
 	/** Unique for each attempt of a caller. Empty if the caller sent none. */
@@ -143,6 +171,8 @@
 	readonly resumedId?: string;
 	/** The prompt in order, the widest shared part first. */
 	readonly promptParts: readonly PromptPart[];
+	/** Omitted if the caller stated no size. */
+	readonly size?: RequestSize;
 };
 
 /** The API key of a call. `unusable`: the header is present, but does not contain exactly one key. */
@@ -187,3 +217,9 @@
 	/** @param headers - Lower-case names. */
 	readAnswer(status: number, headers: NodeJS.Dict<string | string[]>): AnswerFields;
 };
+
+/** Features that are in force besides those that the operators' configuration declares. */
+export type GatewayFeatures = {
+	/** Callers may ask for more than there are slots for a while, and are to be admitted by their latency targets. */
+	readonly admitsByTarget: boolean;
+};
