Runs of streams that may not be repeated go on from a copy if their replica ends

Engines can send a run's memory to another replica as it grows.

Ruled out: running the call anew (it may have run), copies across failure domains (13 MB a stream), moves from draining replicas (they finish what they run).

Change: src/gateway/continuity chooses a holder in the same domain and of the same version; after a crash or loss of power the run goes on there, once, unless the request may be the cause. Switched on by the setting continuesRuns and engines that offer copies.

Failed tries: the check whether the request is suspected was made after its own crash had been recorded, so no copy was ever used (found by the feature).

--- a/src/gateway/calls/attempt.ts
+++ b/src/gateway/calls/attempt.ts
@@ -99,10 +99,12 @@
 	#isSent = false;
 	#isOver = false;
 	#isFramed = true;
+	#canFailOver: boolean;
 	#refusal: AttemptEnd | undefined;
 
 	constructor(parts: AttemptParts) {
 		this.#parts = parts;
+		this.#canFailOver = parts.timeouts.canFailOver;
 	}
 
 	get isOver(): boolean {
@@ -123,6 +125,18 @@
 		this.#send();
 	}
 
+	/** From now on, a replica that cannot be reached ends the attempt: the call can continue elsewhere. */
+	allowFailOver(): void {
+		if (this.#canFailOver) {
+			return;
+		}
+
+		this.#canFailOver = true;
+		clearTimeout(this.#inactivityTimer);
+		this.#inactivityTimer = undefined;
+		this.#restartInactivityTimer();
+	}
+
 	/** Stops reading until `resume`, so that a slow caller does not fill this process's memory. */
 	pause(): void {
 		this.#controller?.pause();
@@ -197,8 +211,8 @@
 			return;
 		}
 
-		const {timeouts: {silenceMs, canFailOver}, reachability: {probeAfterMs}} = this.#parts;
-		const stepMs = canFailOver ? Math.min(probeAfterMs, silenceMs) : silenceMs;
+		const {timeouts: {silenceMs}, reachability: {probeAfterMs}} = this.#parts;
+		const stepMs = this.#canFailOver ? Math.min(probeAfterMs, silenceMs) : silenceMs;
 		this.#inactivityTimer = setTimeout(() => {
 			this.#inactiveMs += stepMs;
 			// Data that arrived during a pause of this process is handled first.
--- a/src/gateway/calls/caller-answer.ts
+++ b/src/gateway/calls/caller-answer.ts
@@ -14,6 +14,8 @@
 export type ForwardingOptions = {
 	/** Whether another run may follow one that broke off. */
 	readonly isRepeatable: boolean;
+	/** Whether a run that broke off may go on from a copy. */
+	readonly isContinued?: boolean;
 	/** Whether the answer is a series of events. */
 	readonly isStream: boolean;
 	/** Id of the last event that the caller received in an earlier call. */
@@ -46,6 +48,8 @@
 export class CallerAnswer {
 	readonly #res: ServerResponse;
 	readonly #isRepeatable: boolean;
+	/** Whether further events may follow those of a run that broke off. */
+	readonly #mayGoOn: boolean;
 	readonly #isStream: boolean;
 	/** Id of the event after which the caller asked to resume; 0 if it did not. */
 	readonly #firstEventId: number;
@@ -79,9 +83,10 @@
 		none: () => false,
 	};
 
-	constructor(res: ServerResponse, {isRepeatable, isStream, lastEventId = 0}: ForwardingOptions) {
+	constructor(res: ServerResponse, {isRepeatable, isContinued = false, isStream, lastEventId = 0}: ForwardingOptions) {
 		this.#res = res;
 		this.#isRepeatable = isRepeatable;
+		this.#mayGoOn = isRepeatable || isContinued;
 		this.#isStream = isStream;
 		this.#firstEventId = lastEventId;
 		this.#framer = new EventFramer(lastEventId);
@@ -99,7 +104,7 @@
 
 	/** Id of the last event that was sent to the caller; `undefined` unless the call is a resumable stream. */
 	get lastEventId(): number | undefined {
-		return this.#isStream && this.#isRepeatable ? this.#framer.lastId : undefined;
+		return this.#isStream && this.#mayGoOn ? this.#framer.lastId : undefined;
 	}
 
 	/** Whether the caller was sent an event that a later run continues. */
@@ -174,7 +179,7 @@
 
 	/** Whether the caller is sent events that a later run may continue. */
 	get #isResumable(): boolean {
-		return this.#isRepeatable && this.#hasEvents;
+		return this.#mayGoOn && this.#hasEvents;
 	}
 
 	get #hasEvents(): boolean {
@@ -183,7 +188,7 @@
 
 	#modeFor({headers}: AnswerHead): ForwardingMode {
 		if (this.#hasEvents) {
-			return this.#isRepeatable ? 'events' : 'stream';
+			return this.#mayGoOn ? 'events' : 'stream';
 		}
 
 		const length = Number(headers['content-length'] ?? Number.NaN);
--- a/src/gateway/calls/online-call.ts
+++ b/src/gateway/calls/online-call.ts
@@ -13,7 +13,8 @@
 import {TrackedContent} from '../quarantine/tracked-content.js';
 import type {Announcement} from '../streams/origin-announcer.js';
 import {StreamBinding} from '../streams/stream-binding.js';
-import type {CallFields, GatewayRoute} from '../types.js';
+import type {CallFields, CopySource, GatewayRoute} from '../types.js';
+import {RunContinuation} from '../continuity/run-continuation.js';
 import {CallerAnswer} from './caller-answer.js';
 import {
 	Attempt, type AnswerHead, type AttemptEnd, type CallMessage,
@@ -61,6 +62,7 @@
 	readonly #isRepeatable: boolean;
 	readonly #content: TrackedContent;
 	readonly #binding: StreamBinding;
+	readonly #continuation: RunContinuation;
 	/** Bytes of the first events, held back until the stream's origin is stored by peers. */
 	#unannounced: Buffer[] = [];
 	#versionTimer: NodeJS.Timeout | undefined;
@@ -83,6 +85,10 @@
 	/** Whether the call's replica had a free slot when the call was sent. */
 	#hadFreeSlot = false;
 	#lastEnd: AttemptEnd['kind'] | undefined;
+	/** Whether the current run goes on from the copy of another one: if it cannot, the call must not be run anew. */
+	#isContinuing = false;
+	/** Whether a replica had ended during a run of the call when the last run ended. */
+	#wasSuspected = false;
 	/** Whether a connection of the call was unresponsive: other kept-alive connections may be too, even those to other replicas. */
 	#needsNewConnection = false;
 
@@ -92,7 +98,7 @@
 			this.#offer();
 		},
 		refused: (_end, replica) => {
-			if (replica.total <= replica.record.slots) {
+			if (replica.total <= replica.record.slots && !this.#isContinuing) {
 				this.#recordOutcome(replica, true);
 			}
 
@@ -137,12 +143,16 @@
 		const {route, fields} = call;
 		this.#log = new CallLog(parts, route, fields);
 		this.#isRepeatable = traitsByKind[route.kind].isRepeatable(route);
-		this.#answer = new CallerAnswer(call.res, {isRepeatable: this.#isRepeatable, isStream: traitsByKind[route.kind].isStream, lastEventId: fields.lastEventId});
+		const service = chooseService(route, parts.random);
+		this.#continuation = new RunContinuation(parts, {route, service, fields});
+		this.#answer = new CallerAnswer(call.res, {
+			isRepeatable: this.#isRepeatable, isContinued: this.#continuation.isCopied, isStream: traitsByKind[route.kind].isStream, lastEventId: fields.lastEventId,
+		});
 		this.#content = new TrackedContent(parts, 'online', {content: {...call.message, host: route.host}, promptParts: () => fields.promptParts});
 		this.#binding = new StreamBinding({
 			origins: parts.streamOrigins, route, fields, caller: call.caller.identity,
 		});
-		this.#offers = new ReplicaOffers(parts, {service: chooseService(route, parts.random), binding: this.#binding, isRepeatable: this.#isRepeatable});
+		this.#offers = new ReplicaOffers(parts, {service, binding: this.#binding, isRepeatable: this.#isRepeatable});
 		this.#timeLimitMs = Math.min(route.timeoutMs, fields.timeLeftMs ?? Infinity);
 		this.#timer = setTimeout(() => {
 			// An answer that arrived during a pause of this process is read first.
@@ -239,6 +249,11 @@
 			return;
 		}
 
+		if (this.#isContinuing) {
+			this.#fail('the run could not go on from its copy');
+			return;
+		}
+
 		const heldMs = this.#content.claimRun();
 		if (heldMs > 0) {
 			this.#giveUp('quarantined', heldMs);
@@ -279,7 +294,7 @@
 		this.#offer();
 	}
 
-	#send({replica, connection}: OfferedReplica, timeLeftMs: number) {
+	#send({replica, connection}: OfferedReplica, timeLeftMs: number, copyFrom?: CopySource) {
 		const {loads, dialect, reachability, clock} = this.#parts;
 		const {fields, message} = this.#call;
 		this.#log.routed({replica, attempt: this.#offers.count, resumeAfter: this.#answer.lastEventId});
@@ -303,6 +318,8 @@
 				timeLeftMs: fields.timeLeftMs === undefined ? undefined : timeLeftMs,
 				lastEventId: this.#resumeAfter,
 				caller: this.#call.caller.identity,
+				copyTo: copyFrom ? undefined : this.#continuation.chooseCopyAddress(replica, this.#offers.candidates),
+				copyFrom,
 			},
 			timeouts: {silenceMs: this.#isRepeatable ? repeatableSilenceTimeoutMs : this.#timeLimitMs, canFailOver: this.#isRepeatable},
 			isEligible: () => isEligible(this.#parts, replica),
@@ -369,6 +386,7 @@
 		this.#answer.forward(bytes, this.#attempt);
 		if (this.#answer.hasEvents) {
 			this.#binding.noteEvent();
+			this.#allowContinuation();
 		}
 
 		if (!this.#answer.isInOrder) {
@@ -377,10 +395,18 @@
 		}
 	}
 
+	/** Before the first event, there is no copy to go on from, and the answer of a replica that cannot be reached may still arrive. */
+	#allowContinuation() {
+		if (this.#continuation.hasCopy) {
+			this.#attempt?.allowFailOver();
+		}
+	}
+
 	#onEnd(end: AttemptEnd, replica: Replica) {
 		this.#releaseSlot?.();
 		this.#releaseSlot = undefined;
 		this.#lastEnd = end.kind;
+		this.#wasSuspected = this.#content.isSuspected;
 		if (end.kind !== 'complete') {
 			this.#unannounced = [];
 		}
@@ -423,7 +449,28 @@
 			return;
 		}
 
-		this.#fail(reason);
+		void this.#continueOrFail(replica, reason);
+	}
+
+	/** A replica that has only lost the connection may still work on the run, which must not go on at another one meanwhile. */
+	async #continueOrFail(replica: Replica, reason: string) {
+		const mayContinue = this.#continuation.hasCopy && this.#answer.hasEvents && this.#answer.canResume;
+		const isHarmless = !this.#wasSuspected && (this.#content.isWellUnderWay || this.#lastEnd === 'cutOff');
+		const copy = mayContinue && isHarmless && await this.#parts.reachability.hasEnded(replica)
+			? this.#continuation.takeCopy(this.#answer.lastEventId ?? 0)
+			: undefined;
+		if (this.#hasEnded) {
+			return;
+		}
+
+		const connection = copy && this.#parts.connectionPools.acquire(copy.holder, this.#needsNewConnection);
+		if (!copy || !connection) {
+			this.#fail(reason);
+			return;
+		}
+
+		this.#isContinuing = true;
+		this.#send({replica: copy.holder, connection}, this.#timeLimitMs - this.#elapsedMs(), copy.source);
 	}
 
 	/** Runs at replicas that have terminated do not count towards the route's limit. Otherwise a crash could fail a stream that can still be resumed. */
@@ -477,7 +524,7 @@
 			this.#content.noteCompleted({isFramed: this.#runHead?.isFramed === true});
 		}
 
-		if (this.#hadFreeSlot && status < 300 && this.#runs === 0) {
+		if (this.#hadFreeSlot && status < 300 && this.#runs === 0 && !this.#isContinuing) {
 			this.#parts.serviceTimes.recordDuration(this.#offers.service, this.#parts.clock.now() - this.#sentAt);
 		}
 
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -313,7 +313,7 @@
 		});
 		const serviceTimes = new ServiceTimes();
 		this.#server = new FrontServer({
-			board, directory, replicaFreshness, configFreshness: freshnessOf('GatewayConfig', configFeed, settings.configMs), loads, connectionPools: this.#connectionPools, reachability, quarantine, partQuarantine, streamOrigins: this.#streamOrigins, serviceTimes, admission: new DeadlineAdmission({serviceTimes, ranks: new CallRanks(clock), clock}), dialect, clock, random, log, metrics, processCount, failureDomain, jobCalls,
+			board, directory, replicaFreshness, configFreshness: freshnessOf('GatewayConfig', configFeed, settings.configMs), loads, connectionPools: this.#connectionPools, reachability, quarantine, partQuarantine, streamOrigins: this.#streamOrigins, serviceTimes, admission: new DeadlineAdmission({serviceTimes, ranks: new CallRanks(clock), clock}), dialect, clock, random, log, metrics, processCount, failureDomain, continuesRuns: settings.continuesRuns, jobCalls,
 			gate: new CallerGate({
 				board, dialect, limits: rateLimits, clock, log, metrics, configConfirmedAt: () => this.#checks.lastConfirmedAt('GatewayConfig'), staleAfterMs: settings.refuseKeysAfterMs,
 			}),
--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -20,6 +20,8 @@
 	accountUnreadable: {number: 706, level: 'error', text: 'client account cannot be read or shares a key; its calls are refused'},
 	/** Fields: id, replica, status and contentType (of this run's own answer; status 0 without one), isFramed, softwareVersion, resumeAfter, lastEventId (last event sent to the caller), outcome. */
 	rerunEnded: {number: 707, level: 'info', text: 'second or later run of a call ended'},
+	/** Fields: id, holder (the replica with the copy), isUsable (whether it takes work), lastEventId (last event sent to the caller), online (calls in flight there). */
+	copyTaken: {number: 760, level: 'info', text: 'run is to go on from its copy'},
 	/** Fields: version, routes, services, accounts. */
 	configInForce: {number: 710, level: 'info', text: 'configuration in force'},
 	/** Fields: name, reason. */
--- a/src/gateway/parts.ts
+++ b/src/gateway/parts.ts
@@ -38,6 +38,8 @@
 	readonly metrics: Metrics;
 	/** Number of gateway processes that send to the replicas, including this one. */
 	readonly processCount: () => number;
+	/** Whether runs that may not be repeated are copied, to go on at another replica if theirs ends. */
+	readonly continuesRuns: boolean;
 	/** Failure domain of this process. */
 	readonly failureDomain: string;
 };
--- a/src/gateway/quarantine/tracked-content.ts
+++ b/src/gateway/quarantine/tracked-content.ts
@@ -111,6 +111,11 @@
 		return !this.#progress.isWellUnderWay && this.heldMs > 0;
 	}
 
+	/** Whether its current run has been answered for so long that it cannot be the cause if its replica crashes. */
+	get isWellUnderWay(): boolean {
+		return this.#progress.isWellUnderWay;
+	}
+
 	/** To be called before it is sent. @returns For how many more milliseconds it is not to be sent; 0 where it may be. */
 	claimRun(): number {
 		if (this.#isTrialDue) {
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -43,6 +43,8 @@
 	refuseKeysAfterMs: durationMs().optional(),
 	/** Calls of a client account beyond its rate limit that are tolerated in a window; they compensate for the delay of announcements between processes. */
 	rateLimitTolerance: countOf(0),
+	/** Whether runs of streams that may not be repeated are copied to a second replica, where engines offer it, and go on there if theirs ends. */
+	continuesRuns: z.boolean().default(false),
 	/** Parts of the platform's interface that are in force, by the platform's names; the adapter derives {@link GatewayFeatures} from them. */
 	contracts: z.array(z.string()).default([]),
 	/** The results of a finished job can be read until this many milliseconds after its submission. */
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -184,6 +184,14 @@
 	readonly account?: ClientAccountName;
 };
 
+/** The copy of a run from which another one goes on. */
+export type CopySource = {
+	/** `ip:port` of the replica that keeps it. */
+	readonly address: string;
+	/** The request whose run was copied. */
+	readonly requestId: string;
+};
+
 /** The fields that the gateway adds to a caller's headers for one attempt at a replica. */
 export type AttemptFields = {
 	readonly requestId: string;
@@ -191,6 +199,10 @@
 	readonly replica: ReplicaId;
 	readonly timeLeftMs?: number;
 	readonly lastEventId?: number;
+	/** `ip:port` of the replica to which the run's memory is copied as it grows. */
+	readonly copyTo?: string;
+	/** The copy from which the run goes on. */
+	readonly copyFrom?: CopySource;
 	/** If given, the caller's key is not forwarded to the replica, and only the gateway sets the account's name. */
 	readonly caller?: CallerIdentity;
 };
