Replicas' paces are learned from streams and announced; choices go by expected time

Cause: placement compared only requests in flight over slots, so that calls were sent to replicas two and a half times as slow as to fast ones.

Change: each start of a replica has a pace (fast and slow moving mean of the time between events, from own streams and peers' news); RelativePaces gives the factor against the weighted median of its service, exactly 1 within 0.8 to 1.25 and where nothing is known. chooseForOnline and chooseForBatch add (factor - 1) times what is lost at a slow replica, 0 for equal ones.

--- a/src/gateway/batch/batch-runner.ts
+++ b/src/gateway/batch/batch-runner.ts
@@ -14,6 +14,7 @@
 import {isEligible} from '../replica-eligibility.js';
 import type {ObjectFeed} from '../object-feed.js';
 import {itemsToPreempt} from '../placement/replica-choice.js';
+import type {RelativePaces} from '../placement/relative-paces.js';
 import type {ReplicaDirectory} from '../replica-directory.js';
 import {announcementDelayMs} from '../peers/peer-announcer.js';
 import type {SharedWaiting} from '../peers/peer-state.js';
@@ -74,6 +75,7 @@
 	readonly log: EventLog;
 	readonly metrics: Metrics;
 	readonly failureDomain: string;
+	readonly paces: RelativePaces;
 };
 
 /** An item that waits for a slot. */
--- a/src/gateway/batch/item-run.ts
+++ b/src/gateway/batch/item-run.ts
@@ -9,6 +9,7 @@
 } from '../calls/attempt.js';
 import type {AttemptReachability} from '../contacts/replica-reachability.js';
 import {EventFramer, isEventStream} from '../calls/event-framer.js';
+import {StreamPace} from '../placement/stream-pace.js';
 import type {ReplicaConnection} from '../replica-connection-pool.js';
 import type {Replica} from '../replica.js';
 import type {CallDialect, CallerIdentity} from '../types.js';
@@ -74,6 +75,7 @@
 	readonly replica: Replica;
 	readonly #parts: ItemRunParts;
 	readonly #attempt: Attempt;
+	readonly #pace: StreamPace;
 	readonly #framer: EventFramer;
 	readonly #parser = createParser({
 		onEvent: event => {
@@ -94,6 +96,7 @@
 		} = parts;
 		this.#parts = parts;
 		this.replica = replica;
+		this.#pace = new StreamPace(replica.pace, clock);
 		this.#resumedAfter = events.length;
 		this.#framer = new EventFramer(events.length);
 		this.#attempt = new Attempt({
@@ -141,6 +144,7 @@
 	#onBytes(bytes: Buffer) {
 		if (this.#isStream) {
 			this.#parts.onChunk();
+			this.#pace.noteChunk(bytes);
 		}
 
 		if (this.#isStream && !this.#hasStrayEvent) {
--- a/src/gateway/batch/slot-finder.steps.ts
+++ b/src/gateway/batch/slot-finder.steps.ts
@@ -12,6 +12,7 @@
 import {PeerTable} from '../peers/peer-table.js';
 import {Quarantine} from '../quarantine/quarantine.js';
 import {testPartQuarantine} from '../testing/part-quarantines.js';
+import {RelativePaces} from '../placement/relative-paces.js';
 import {ReplicaDirectory} from '../replica-directory.js';
 import type {ReplicaConnectionPools} from '../replica-connection-pools.js';
 import type {
@@ -54,7 +55,7 @@
 		self: branded<MemberName>('front-1'), directory, loads: new LoadBoard(), quarantine: new Quarantine({clock, log}), partQuarantine: testPartQuarantine(clock), clock, log,
 	});
 	this.finder = new SlotFinder({
-		directory, connectionPools: {} as unknown as ReplicaConnectionPools, peers: this.peers, clock, random: new SeededRandom(1), failureDomain: 'hall',
+		directory, connectionPools: {} as unknown as ReplicaConnectionPools, peers: this.peers, clock, random: new SeededRandom(1), failureDomain: 'hall', paces: new RelativePaces({replicasOf: name => directory.takingWork(name), clock}),
 	});
 });
 
--- a/src/gateway/batch/slot-finder.ts
+++ b/src/gateway/batch/slot-finder.ts
@@ -4,6 +4,7 @@
 import type {Clock, RandomSource} from '../../common/services.js';
 import type {PeerTable} from '../peers/peer-table.js';
 import {chooseForBatch} from '../placement/replica-choice.js';
+import type {RelativePaces} from '../placement/relative-paces.js';
 import type {ReplicaConnection} from '../replica-connection-pool.js';
 import type {ReplicaDirectory} from '../replica-directory.js';
 import type {ReplicaConnectionPools} from '../replica-connection-pools.js';
@@ -39,6 +40,7 @@
 	readonly clock: Clock;
 	readonly random: RandomSource;
 	readonly failureDomain: string;
+	readonly paces: RelativePaces;
 };
 
 const noneTried: ReadonlySet<never> = new Set();
@@ -72,7 +74,7 @@
 
 	/** @returns Nothing if no replica has a slot to spare, or no connection is left to the one that has. */
 	findSlot(item: SlotRequest, estimate: RunEstimate): FoundSlot | undefined {
-		const {clock, random, failureDomain, connectionPools} = this.#parts;
+		const {clock, random, failureDomain, connectionPools, paces} = this.#parts;
 		const all = this.#replicasOf(item.route);
 		const replicas = ofVersion(all, item.softwareVersion);
 		const areTried = (some: readonly Replica[]) => some.every(({record}) => item.failedReplicas.has(record.id));
@@ -82,7 +84,7 @@
 
 		const tried = areTried(replicas) ? noneTried : item.failedReplicas;
 		const replica = chooseForBatch(replicas, this.#reserveFor(item, estimate), {
-			now: clock.now(), random, failureDomain, tried, processCount: this.processCount, canFailOver: true,
+			now: clock.now(), random, failureDomain, tried, processCount: this.processCount, canFailOver: true, paces,
 		});
 		const connection = replica && connectionPools.acquire(replica, item.needsNewConnection);
 		return replica && connection && {replica, connection};
--- a/src/gateway/calls/call-log.ts
+++ b/src/gateway/calls/call-log.ts
@@ -14,6 +14,8 @@
 	/** Number of the offer, from 1. */
 	readonly attempt: number;
 	readonly resumeAfter: number | undefined;
+	/** Expected time until its first token, in milliseconds. */
+	readonly expectedMs: number;
 };
 
 /** How a run after the first one ended. */
@@ -52,10 +54,13 @@
 	}
 
 	/** The call is sent to a replica. */
-	routed({replica, attempt, resumeAfter}: RoutedCall): void {
+	routed({replica, attempt, resumeAfter, expectedMs}: RoutedCall): void {
+		const {paces, clock, metrics} = this.#parts;
+		metrics.timing('gateway.expectedFirstToken', expectedMs);
+		const paceAgeMs = replica.pace.ageMs(clock.now());
 		const {requestId, resumedId} = this.#fields;
 		this.#parts.log.emit(gatewayEvents.callRouted, {
-			id: requestId, route: this.#route.name, replica: replica.record.id, softwareVersion: replica.record.softwareVersion, resumedId, online: replica.allOnline, batch: replica.allBatch, attempt, resumeAfter, ...registrationAge(this.#parts, replica),
+			id: requestId, route: this.#route.name, replica: replica.record.id, softwareVersion: replica.record.softwareVersion, resumedId, online: replica.allOnline, batch: replica.allBatch, attempt, resumeAfter, expectedMs: Math.round(expectedMs), pace: Number(paces.factorOf(replica).toFixed(2)), paceAgeMs: paceAgeMs === Infinity ? undefined : Math.round(paceAgeMs), ...registrationAge(this.#parts, replica),
 		});
 	}
 
--- a/src/gateway/calls/caller-answer.ts
+++ b/src/gateway/calls/caller-answer.ts
@@ -174,15 +174,16 @@
 
 	/** Whether the caller is sent events that a later run may continue. */
 	get #isResumable(): boolean {
-		return this.#isRepeatable && this.#hasEvents;
+		return this.#isRepeatable && this.isEventStream;
 	}
 
-	get #hasEvents(): boolean {
+	/** Whether the answer is a series of events. */
+	get isEventStream(): boolean {
 		return this.#isStream && this.#head !== undefined && isEventStream(this.#head);
 	}
 
 	#modeFor({headers}: AnswerHead): ForwardingMode {
-		if (this.#hasEvents) {
+		if (this.isEventStream) {
 			return this.#isRepeatable ? 'events' : 'stream';
 		}
 
--- a/src/gateway/calls/online-call.ts
+++ b/src/gateway/calls/online-call.ts
@@ -8,6 +8,7 @@
 import type {Disposable} from '../../common/services.js';
 import type {AdmittedCaller} from '../accounts/caller-gate.js';
 import {isEligible} from '../replica-eligibility.js';
+import {StreamPace} from '../placement/stream-pace.js';
 import type {GatewayParts} from '../parts.js';
 import type {Replica} from '../replica.js';
 import {TrackedContent} from '../quarantine/tracked-content.js';
@@ -73,6 +74,8 @@
 	/** The event after which the current run was asked to resume. */
 	#resumeAfter: number | undefined;
 	#releaseSlot: (() => void) | undefined;
+	/** The pace of the current run. */
+	#pace: StreamPace | undefined;
 	/** Number of runs that count towards the route's limit. */
 	#runs = 0;
 	/** Whether any replica may have started to run the call. */
@@ -282,7 +285,10 @@
 	#send({replica, connection}: OfferedReplica, timeLeftMs: number) {
 		const {loads, dialect, reachability, clock} = this.#parts;
 		const {fields, message} = this.#call;
-		this.#log.routed({replica, attempt: this.#offers.count, resumeAfter: this.#answer.lastEventId});
+		this.#log.routed({
+			replica, attempt: this.#offers.count, resumeAfter: this.#answer.lastEventId, expectedMs: this.#parts.serviceTimes.expectedFirstTokenMs(this.#offers.service, replica, fields.size),
+		});
+		this.#pace = new StreamPace(replica.pace, clock);
 		this.#runHead = undefined;
 		this.#binding.noteRun(replica);
 		this.#content.noteSent();
@@ -312,6 +318,7 @@
 					this.#answer.begin(head);
 				},
 				onBytes: bytes => {
+					this.#observe(bytes, replica);
 					this.#onBytes(bytes);
 				},
 				onEnd: end => {
@@ -322,6 +329,19 @@
 		this.#attempt.start();
 	}
 
+	/** What the bytes of a stream show about its replica. */
+	#observe(bytes: Buffer, replica: Replica) {
+		if (this.#runStatus >= 300 || !this.#answer.isEventStream) {
+			return;
+		}
+
+		if (this.#hadFreeSlot && this.#firstByteMs === 0) {
+			this.#parts.serviceTimes.recordFirstToken(replica, this.#parts.clock.now() - this.#sentAt, this.#call.fields.size);
+		}
+
+		this.#pace?.noteChunk(bytes);
+	}
+
 	#onBytes(bytes: Buffer) {
 		this.#firstByteMs ||= this.#elapsedMs();
 		if (this.#runStatus < 300) {
@@ -367,6 +387,10 @@
 
 	#forward(bytes: Buffer) {
 		this.#answer.forward(bytes, this.#attempt);
+		if (this.#call.res.writableNeedDrain) {
+			this.#pace?.notePause();
+		}
+
 		if (this.#answer.hasEvents) {
 			this.#binding.noteEvent();
 		}
@@ -478,7 +502,7 @@
 		}
 
 		if (this.#hadFreeSlot && status < 300 && this.#runs === 0) {
-			this.#parts.serviceTimes.recordDuration(this.#offers.service, this.#parts.clock.now() - this.#sentAt);
+			this.#parts.serviceTimes.recordDuration(this.#offers.service, this.#parts.clock.now() - this.#sentAt, this.#parts.paces.factorOf(replica));
 		}
 
 		this.#end(status, 'answered');
--- a/src/gateway/calls/replica-offers.ts
+++ b/src/gateway/calls/replica-offers.ts
@@ -116,9 +116,9 @@
 	}
 
 	#choose(): Replica | undefined {
-		const {clock, random, failureDomain, processCount} = this.#parts;
+		const {clock, random, failureDomain, processCount, paces} = this.#parts;
 		return chooseForOnline(this.candidates, {
-			now: clock.now(), random, failureDomain, tried: this.#tried, processCount: processCount(), canFailOver: this.#isRepeatable,
+			now: clock.now(), random, failureDomain, tried: this.#tried, processCount: processCount(), canFailOver: this.#isRepeatable, paces,
 		});
 	}
 }
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -63,6 +63,8 @@
 import {RegistrationController} from './registration-controller.js';
 import {ReplicaDirectory} from './replica-directory.js';
 import {ReplicaConnectionPools} from './replica-connection-pools.js';
+import {PaceNews} from './placement/pace-news.js';
+import {RelativePaces} from './placement/relative-paces.js';
 import {ServiceTimes} from './placement/service-times.js';
 import {
 	originsKeptMethod, originsMethod, type OriginsKept, type OriginsMessage,
@@ -195,6 +197,8 @@
 		const board = this.#board;
 		const directory = this.#directory;
 		const loads = this.#loads;
+		const paces = new RelativePaces({replicasOf: service => directory.takingWork(service), clock});
+		const paceNews = new PaceNews({directory, clock});
 		const quarantine = new Quarantine({clock, log});
 		this.#quarantine = quarantine;
 		const partQuarantine = new PartQuarantine({
@@ -241,6 +245,7 @@
 		peers.onState(state => {
 			failedRuns.addReceived(state.failedRuns ?? []);
 			rateLimits.receiveUsage(state, account => board.rateLimit(account));
+			paceNews.receive(state);
 		});
 		const registrations = new RegistrationController({
 			directory, feed: replicaFeed, records, clock, log, drainMs: settings.drainMs,
@@ -284,7 +289,7 @@
 			self, jobIndex, peers, clock, log, isLeaving, membersFirstLoadedAt: () => this.#registry.firstLoadedAt,
 		});
 		this.#runner = new BatchRunner({
-			self, api, feed: recordFeed, jobIndex, contents, peers, rpc, claims, failedRuns, board, directory, replicaFreshness, loads, connectionPools: this.#connectionPools, reachability, quarantine, partQuarantine, dialect, itemHeaders, clock, random, log, metrics, failureDomain,
+			self, api, feed: recordFeed, jobIndex, contents, peers, rpc, claims, failedRuns, board, directory, replicaFreshness, loads, connectionPools: this.#connectionPools, reachability, quarantine, partQuarantine, dialect, itemHeaders, clock, random, log, metrics, failureDomain, paces,
 		});
 		this.#retention = new BatchRetention({
 			self, api, jobIndex, peers, clock, log, resultRetentionMs: settings.resultsKeptMs,
@@ -293,7 +298,7 @@
 			self, quarantine, partQuarantine, feed: quarantineFeed, api, peers, clock, log,
 		});
 		this.#announcer = new PeerAnnouncer({
-			self, channel: this.#channel, peers, directory, loads, quarantine, partQuarantine, failedRuns, rateLimits, sections: [], checks: () => this.#checks.announcement(), clock, isLeaving, memberAddresses: () => this.#registry.addresses, claimedJobs: () => claims.claimed, waitingItems: () => this.#runner.waiting, rpcAddress: () => this.#rpcServer.address, reachesObjectApi: () => api.isDirect,
+			self, channel: this.#channel, peers, directory, loads, quarantine, partQuarantine, failedRuns, rateLimits, sections: [() => paceNews.section()], checks: () => this.#checks.announcement(), clock, isLeaving, memberAddresses: () => this.#registry.addresses, claimedJobs: () => claims.claimed, waitingItems: () => this.#runner.waiting, rpcAddress: () => this.#rpcServer.address, reachesObjectApi: () => api.isDirect,
 		});
 		this.#checks = new SharedChecks({
 			self,
@@ -311,9 +316,9 @@
 		this.#readiness = new Readiness({
 			lifecycle: this.#lifecycle, board, directory, log,
 		});
-		const serviceTimes = new ServiceTimes();
+		const serviceTimes = new ServiceTimes(paces);
 		this.#server = new FrontServer({
-			board, directory, replicaFreshness, configFreshness: freshnessOf('GatewayConfig', configFeed, settings.configMs), loads, connectionPools: this.#connectionPools, reachability, quarantine, partQuarantine, streamOrigins: this.#streamOrigins, serviceTimes, admission: new DeadlineAdmission({serviceTimes, ranks: new CallRanks(clock), clock}), dialect, clock, random, log, metrics, processCount, failureDomain, jobCalls,
+			board, directory, replicaFreshness, configFreshness: freshnessOf('GatewayConfig', configFeed, settings.configMs), loads, connectionPools: this.#connectionPools, reachability, quarantine, partQuarantine, streamOrigins: this.#streamOrigins, serviceTimes, paces, admission: new DeadlineAdmission({serviceTimes, ranks: new CallRanks(clock), clock}), dialect, clock, random, log, metrics, processCount, failureDomain, jobCalls,
 			gate: new CallerGate({
 				board, dialect, limits: rateLimits, clock, log, metrics, configConfirmedAt: () => this.#checks.lastConfirmedAt('GatewayConfig'), staleAfterMs: settings.refuseKeysAfterMs,
 			}),
--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -4,7 +4,7 @@
 import type {EventDefinition} from '../common/types.js';
 
 export const gatewayEvents = {
-	/** Fields: id, route, replica, softwareVersion, resumedId (the caller's attempt that brought the first event), online, batch (in flight there), attempt, resumeAfter, heardMs (age of the cached registrations), missedMs (how long the replica's own has been missing). */
+	/** Fields: id, route, replica, softwareVersion, resumedId (the caller's attempt that brought the first event), online, batch (in flight there), attempt, resumeAfter, expectedMs (until the first token), pace (time of a request there relative to the usual one), paceAgeMs (since an event of the replica was last observed), heardMs (age of the cached registrations), missedMs (how long the replica's own has been missing). */
 	callRouted: {number: 700, level: 'info', text: 'replica chosen for a call'},
 	/** Fields: id, replica, kind, reason or status, content, promptParts (all but the last), chunks and answeringMs (of the answer received). */
 	attemptFailed: {number: 701, level: 'info', text: 'attempt at a replica ended without a complete answer'},
--- a/src/gateway/parts.ts
+++ b/src/gateway/parts.ts
@@ -13,6 +13,7 @@
 import type {Quarantine} from './quarantine/quarantine.js';
 import type {ReplicaDirectory} from './replica-directory.js';
 import type {ReplicaConnectionPools} from './replica-connection-pools.js';
+import type {RelativePaces} from './placement/relative-paces.js';
 import type {ServiceTimes} from './placement/service-times.js';
 import type {StreamOrigins} from './streams/stream-origins.js';
 import type {CallDialect} from './types.js';
@@ -27,6 +28,7 @@
 	readonly connectionPools: ReplicaConnectionPools;
 	readonly reachability: ReplicaReachability;
 	readonly serviceTimes: ServiceTimes;
+	readonly paces: RelativePaces;
 	readonly admission: AdmissionControl;
 	readonly quarantine: Quarantine;
 	readonly partQuarantine: PartQuarantine;
--- a/src/gateway/placement/replica-choice.ts
+++ b/src/gateway/placement/replica-choice.ts
@@ -7,6 +7,7 @@
 import type {RandomSource} from '../../common/services.js';
 import type {Replica} from '../replica.js';
 import type {MemberName, ReplicaId} from '../types.js';
+import type {RelativePaces} from './relative-paces.js';
 
 /** Criteria of a choice besides the replicas' load. */
 export type ChoiceContext = {
@@ -21,6 +22,8 @@
 	readonly processCount: number;
 	/** Whether a failed run may be continued at another replica. */
 	readonly canFailOver: boolean;
+	/** By default, all replicas count as equally fast. */
+	readonly paces?: Pick<RelativePaces, 'factorOf'>;
 };
 
 /**
@@ -47,6 +50,22 @@
 /** Random cost that decides among equal replicas: processes with the same view must not all choose the same one. */
 const jitter = 0.04;
 
+/**
+The time that a call needs until its first token at a free slot, as a share of the time for which it occupies the slot. A slow replica reads the prompt slowly, too.
+*/
+const readingShare = 0.3;
+
+/** Deviation of the replica's pace from the usual one: 0 for equal replicas, whose costs are thus exactly those of their loads. */
+const slownessOf = (replica: Replica, {paces}: ChoiceContext): number => (paces?.factorOf(replica) ?? 1) - 1;
+
+/**
+What a call loses at a replica by its pace: the reading of the prompt, and the wait for a slot where all are in use, which the load expresses at the usual pace. Free slots are not counted by pace: requests stay longer in those of a slow replica, so that an equal load already gives it fewer.
+*/
+const slownessCost = (replica: Replica, occupied: number, context: ChoiceContext): number => {
+	const {slots} = replica.record;
+	return slownessOf(replica, context) * (readingShare + (Math.max(0, occupied + 1 - slots) / slots));
+};
+
 /**
 Size of the sample: each replica is in the samples of about two processes at a time, and each sample has at least three replicas. With few processes, a sample contains nearly all replicas, and the choice is nearly optimal (replica-choice.feature).
 */
@@ -63,9 +82,9 @@
 const onlineCost = (replica: Replica, context: ChoiceContext): number => {
 	const {failureDomain, random} = context;
 	const {slots} = replica.record;
-	const load = (replica.allOnline + (batchWeight * replica.allBatch)) / slots;
+	const occupied = replica.allOnline + (batchWeight * replica.allBatch);
 	const distance = replica.record.failureDomain === failureDomain ? 0 : otherDomainCost / slots;
-	return load + distance + failureCost(replica, context) + (random.next() * jitter / slots);
+	return (occupied / slots) + distance + failureCost(replica, context) + (random.next() * jitter / slots) + slownessCost(replica, occupied, context);
 };
 
 const cheapest = (replicas: readonly Replica[], cost: (replica: Replica) => number): Replica | undefined => {
@@ -93,6 +112,9 @@
 	return cheapest(sampleOf(available.length > 0 ? available : untried, context), replica => onlineCost(replica, context));
 };
 
+/** An item finds a free slot wherever it is sent, and ends sooner at a fast replica. */
+const batchCost = (replica: Replica, context: ChoiceContext): number => replica.total + (failureCost(replica, context) * replica.record.slots) + (context.random.next() * jitter) + (slownessOf(replica, context) * (replica.total + 1));
+
 /**
 Chooses a replica for a batch item.
 
@@ -104,7 +126,7 @@
 		&& !replica.isFull(context.now)
 		&& !context.tried.has(replica.record.id)
 		&& replica.total < Math.max(1, replica.record.slots - reserve));
-	return cheapest(sampleOf(open, context), replica => replica.total + (failureCost(replica, context) * replica.record.slots) + (context.random.next() * jitter));
+	return cheapest(sampleOf(open, context), replica => batchCost(replica, context));
 };
 
 /**
--- a/src/gateway/replica.ts
+++ b/src/gateway/replica.ts
@@ -2,6 +2,7 @@
 One start of a replica as this process sees it: its registration, the requests in flight on it, and whether recent connections to it failed. A replica that restarts under its id is represented by a new object: neither the counts nor the backoff of the earlier start apply to it.
 */
 import {RecentOutcomes} from './contacts/recent-outcomes.js';
+import {ReplicaPace} from './placement/replica-pace.js';
 import type {MemberName, ReplicaRecord} from './types.js';
 
 /** Requests in flight at a replica. */
@@ -29,6 +30,8 @@
 	record: ReplicaRecord;
 	/** Recent outcomes of requests of this process and its peers. */
 	readonly outcomes = new RecentOutcomes();
+	/** How fast it generates, as far as the streams of this process and its peers show. */
+	readonly pace = new ReplicaPace();
 	/** Times at which data was last received from it on any connection, and at which a probe connection last succeeded; in milliseconds on the monotonic clock. */
 	heardAt = -Infinity;
 	probeSucceededAt = -Infinity;
