Between complete announcements, fronts send only what has changed

Cause: each front sent its whole state to all peers up to 25 times a second, with every replica that had its requests, whether or not its count had changed. At 18 fronts that is most of what passes between failure domains. Change: complete states go out every 250 ms, and at once when a peer joins or the process leaves; in between, gateway.stateChanges lists the counts that differ from the last complete state, with their values, to peers that state that they read it (readsChanges). Others get complete states as before. What was listed once is listed until the next complete state, so a lost change is repeated by the next one, and a count that is back at its earlier value is right too. Crashes, failed runs and outcomes are repeated with complete states.

--- a/src/common/message-validators.ts
+++ b/src/common/message-validators.ts
@@ -21,6 +21,35 @@
 	jobId: isNonEmptyString, chunk: isNonNegativeInteger, inputName: isNonEmptyString, results: isNonEmptyString, fileId: isNonEmptyString, endpoint: isNonEmptyString, model: isNonEmptyString, account: isNonEmptyString, share: isNonNegativeNumber, fence: isNonNegativeInteger, expiresInMs: isNonNegativeNumber, isolate: isBoolean, round: isNonNegativeInteger,
 });
 
+const areSharedLoads = listOf(objectOf({
+	replica: isNonEmptyString, startedAt: optional(Number.isSafeInteger), online: isNonNegativeInteger, batch: isNonNegativeInteger,
+}));
+const areJobs = listOf(isNonEmptyString);
+const areWaiting = listOf(objectOf({route: isNonEmptyString, timely: isNonNegativeInteger, late: isNonNegativeInteger}));
+
+/** Sections of a gateway process's state that only some messages contain. */
+const stateSections = {
+	outcomes: optional(listOf(objectOf({
+		replica: isNonEmptyString, startedAt: optional(Number.isSafeInteger), requests: isNonNegativeNumber, failures: isNonNegativeNumber,
+	}))),
+	crashes: optional(listOf(objectOf({content: isNonEmptyString, start: isNonEmptyString}))),
+	acquitted: optional(listOf(isNonEmptyString)),
+	partCrashes: optional(listOf(objectOf({
+		start: isNonEmptyString, parts: listOf(isNonEmptyString), seenBy: isNonEmptyString, agoMs: isNonNegativeNumber,
+	}))),
+	clearedParts: optional(listOf(objectOf({part: isNonEmptyString, agoMs: isNonNegativeNumber}))),
+	failedRuns: optional(areFailedRuns),
+	accountUsage: optional(listOf(objectOf({account: isNonEmptyString, admitted: Number.isSafeInteger, asked: isNonNegativeInteger}))),
+	checks: optional(listOf(objectOf({kind: isNonEmptyString, changedAt: isNonNegativeInteger, ageMs: isNonNegativeNumber}))),
+	paces: optional(listOf(objectOf({
+		replica: isNonEmptyString, startedAt: optional(Number.isSafeInteger), msPerEvent: isNonNegativeNumber, events: isNonNegativeNumber,
+	}))),
+	demand: optional(listOf(objectOf({
+		service: isNonEmptyString, owner: isNonEmptyString, running: isNonNegativeInteger, perSecond: isNonNegativeNumber,
+	}))),
+	forecasts: optional(listOf(objectOf({service: isNonEmptyString, perSecond: listOf(isNonNegativeNumber)}))),
+};
+
 /** Validators of all methods between nodes that take parameters. */
 export const messageValidators: Readonly<Record<string, FieldValidator>> = {
 	'config.changes': objectOf({
@@ -38,20 +67,10 @@
 	'gateway.objectCall': objectOf({operation: oneOf('get', 'create', 'update', 'remove', 'list', 'watch'), kind: isNonEmptyString}),
 	'gateway.takeOver': objectOf({job: isNonEmptyString, items: listOf(isItemProgress), results: listOf(isItemResult)}),
 	'gateway.state': objectOf({
-		member: isNonEmptyString, address: isNonEmptyString, rpcAddress: isNonEmptyString, reachesObjectApi: isBoolean, keepsOrigins: optional(isBoolean), startedAt: isNonNegativeNumber, seq: isNonNegativeInteger, isLeaving: isBoolean, loads: listOf(objectOf({
-			replica: isNonEmptyString, startedAt: optional(Number.isSafeInteger), online: isNonNegativeInteger, batch: isNonNegativeInteger,
-		})), outcomes: optional(listOf(objectOf({
-			replica: isNonEmptyString, startedAt: optional(Number.isSafeInteger), requests: isNonNegativeNumber, failures: isNonNegativeNumber,
-		}))), crashes: optional(listOf(objectOf({content: isNonEmptyString, start: isNonEmptyString}))), acquitted: optional(listOf(isNonEmptyString)), partCrashes: optional(listOf(objectOf({
-			start: isNonEmptyString, parts: listOf(isNonEmptyString), seenBy: isNonEmptyString, agoMs: isNonNegativeNumber,
-		}))), clearedParts: optional(listOf(objectOf({part: isNonEmptyString, agoMs: isNonNegativeNumber}))), failedRuns: optional(areFailedRuns), accountUsage: optional(listOf(objectOf({account: isNonEmptyString, admitted: Number.isSafeInteger, asked: isNonNegativeInteger}))), checks: optional(listOf(objectOf({kind: isNonEmptyString, changedAt: isNonNegativeInteger, ageMs: isNonNegativeNumber}))), jobs: listOf(isNonEmptyString), waiting: optional(listOf(objectOf({route: isNonEmptyString, timely: isNonNegativeInteger, late: isNonNegativeInteger}))),
-		paces: optional(listOf(objectOf({
-			replica: isNonEmptyString, startedAt: optional(Number.isSafeInteger), msPerEvent: isNonNegativeNumber, events: isNonNegativeNumber,
-		}))),
-		demand: optional(listOf(objectOf({
-			service: isNonEmptyString, owner: isNonEmptyString, running: isNonNegativeInteger, perSecond: isNonNegativeNumber,
-		}))),
-		forecasts: optional(listOf(objectOf({service: isNonEmptyString, perSecond: listOf(isNonNegativeNumber)}))),
+		...stateSections, member: isNonEmptyString, address: isNonEmptyString, rpcAddress: isNonEmptyString, failureDomain: optional(isString), reachesObjectApi: isBoolean, keepsOrigins: optional(isBoolean), readsChanges: optional(isBoolean), startedAt: isNonNegativeNumber, seq: isNonNegativeInteger, isLeaving: isBoolean, loads: areSharedLoads, jobs: areJobs, waiting: optional(areWaiting),
+	}),
+	'gateway.stateChanges': objectOf({
+		...stateSections, member: isNonEmptyString, startedAt: isNonNegativeNumber, seq: isNonNegativeInteger, isLeaving: optional(isBoolean), reachesObjectApi: optional(isBoolean), loads: areSharedLoads, jobs: optional(areJobs), waiting: optional(areWaiting),
 	}),
 	'agent.load': objectOf({cacheSince: optional(isNonNegativeInteger)}),
 	'ledger.revoke': objectOf({key: attemptKey, issuedAt: isNonNegativeNumber, deadlineInMs: Number.isFinite}),
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -53,6 +53,7 @@
 import {peerServer} from './peers/peer-server.js';
 import {PeerTable} from './peers/peer-table.js';
 import {SharedChecks} from './peers/shared-checks.js';
+import {stateChangesMethod, type StateChanges} from './peers/state-changes.js';
 import {PartQuarantine} from './quarantine/part-quarantine.js';
 import type {PartKey} from './quarantine/prompt-part-keys.js';
 import {Quarantine} from './quarantine/quarantine.js';
@@ -249,6 +250,9 @@
 			[peerStateMethod](state: PeerState) {
 				peers.receive(state);
 			},
+			[stateChangesMethod](changes: StateChanges) {
+				peers.receiveChanges(changes);
+			},
 			[originsMethod]: (message: OriginsMessage) => {
 				this.#streamOrigins.receive(message);
 			},
@@ -293,7 +297,7 @@
 			self, quarantine, partQuarantine, feed: quarantineFeed, api, peers, clock, log,
 		});
 		this.#announcer = new PeerAnnouncer({
-			self, channel: this.#channel, peers, directory, loads, quarantine, partQuarantine, failedRuns, rateLimits, sections: [], checks: () => this.#checks.announcement(), clock, isLeaving, memberAddresses: () => this.#registry.addresses, claimedJobs: () => claims.claimed, waitingItems: () => this.#runner.waiting, rpcAddress: () => this.#rpcServer.address, reachesObjectApi: () => api.isDirect,
+			self, failureDomain, channel: this.#channel, peers, directory, loads, quarantine, partQuarantine, failedRuns, rateLimits, sections: [], checks: () => this.#checks.announcement(), clock, isLeaving, memberAddresses: () => this.#registry.addresses, claimedJobs: () => claims.claimed, waitingItems: () => this.#runner.waiting, rpcAddress: () => this.#rpcServer.address, reachesObjectApi: () => api.isDirect,
 		});
 		this.#checks = new SharedChecks({
 			self,
--- a/src/gateway/peers/peer-announcer.ts
+++ b/src/gateway/peers/peer-announcer.ts
@@ -1,5 +1,7 @@
 /**
-Announces this process's state to its peers, such as its requests in flight: soon after each change, and at least several times a second.
+Announces this process's state to its peers, such as its requests in flight. The complete state is sent several times a second; in between, each change soon follows in a short message. Peers of a build that doesn't read changes are sent the complete state in their place.
+
+A change lists all counts that differ from the last complete state, with their values: whatever a lost message contained is in the next one, and at the latest in the next complete state.
 */
 import type {Clock, Disposable} from '../../common/services.js';
 import type {DatagramChannel} from '../../io/datagram-channel.js';
@@ -15,6 +17,7 @@
 import {
 	peerStateMethod, type PeerSections, type PeerState, type SharedLoad, type SharedOutcomes, type SharedWaiting,
 } from './peer-state.js';
+import {AnnouncedState, stateChangesMethod, type TransientSections} from './state-changes.js';
 import type {PeerTable} from './peer-table.js';
 import type {FeedCheck} from './shared-checks.js';
 
@@ -33,28 +36,20 @@
 */
 export const announcementDelayMs = (peers: number): number => Math.max(minDelayMs, delayPerPeerMs * peers);
 
-/** Interval between announcements without a change, in milliseconds. */
-const heartbeatMs = 250;
-
-/** Crashes are announced at once and repeated at this interval, in milliseconds: a request that crashes replicas arrives at another process within a tenth of a second, and single messages are lost. */
-const crashesIntervalMs = 250;
-
-/** Failed runs of items are announced soon and repeated at this interval, in milliseconds; an item's next run starts 200 ms after the failed one. */
-const failedRunsIntervalMs = 250;
+/** Interval between announcements of the complete state, in milliseconds; with or without a change. */
+export const heartbeatMs = 250;
 
 /** Interval at which the usage of rate-limited accounts is announced, in milliseconds: near a limit, calls that have not been announced yet are admitted twice. */
 const accountUsageIntervalMs = 100;
 
-/** Interval at which outcomes are announced, in milliseconds, and only for replicas where a request failed: they decay over seconds, and in each message they would double its size while half of the replicas fail occasionally. */
-const outcomesIntervalMs = 250;
-
 /** Rounds to hundredths to keep messages short; smaller differences affect no decision. */
 const rounded = ({requests, failures}: OutcomeCounts): OutcomeCounts => ({requests: Math.round(100 * requests) / 100, failures: Math.round(100 * failures) / 100});
 
 /** Dependencies of the announcer. */
 export type AnnouncerParts = {
 	readonly self: MemberName;
-	readonly channel: DatagramChannel;
+	readonly failureDomain?: string;
+	readonly channel: Pick<DatagramChannel, 'address' | 'send'>;
 	readonly peers: PeerTable;
 	readonly directory: ReplicaDirectory;
 	readonly loads: LoadBoard;
@@ -82,13 +77,18 @@
 	readonly #startedAt: number;
 	#seq = 0;
 	#pendingAt = 0;
-	#outcomesAnnouncedAt = -Infinity;
-	#crashesAnnouncedAt = -Infinity;
-	#failedRunsAnnouncedAt = -Infinity;
+	/** Crashes are announced at once and repeated with each complete state: a request that crashes replicas arrives at another process within a tenth of a second, and single messages are lost. */
+	#areCrashesDue = true;
+	/** Failed runs of items are announced soon and repeated with each complete state; an item's next run starts 200 ms after the failed one. */
+	#areFailedRunsDue = true;
 	#accountUsageAnnouncedAt = -Infinity;
 	#pending: NodeJS.Timeout | undefined;
 	#heartbeat: NodeJS.Timeout | undefined;
 	#isDisposed = false;
+	/** The last complete state sent, to which later changes refer. */
+	#announced: AnnouncedState | undefined;
+	/** Whether the next message is a complete state. */
+	#isStateDue = true;
 
 	constructor(parts: AnnouncerParts) {
 		this.#parts = parts;
@@ -99,18 +99,19 @@
 		});
 		[parts.quarantine, parts.partQuarantine].forEach(quarantine => {
 			quarantine.onAnnouncementDue(() => {
-				this.#crashesAnnouncedAt = -Infinity;
+				this.#areCrashesDue = true;
 				this.#announceWithin(urgentDelayMs);
 			});
 		});
 		parts.failedRuns.onAnnouncementDue(() => {
-			this.#failedRunsAnnouncedAt = -Infinity;
+			this.#areFailedRunsDue = true;
 			this.#announceWithin(announcementDelayMs(parts.peers.live.length));
 		});
 		parts.peers.onMembership(() => {
 			parts.quarantine.reannounce();
 			parts.partQuarantine.reannounce();
 			// A peer that has just joined must soon receive the list of jobs that this process runs.
+			this.#isStateDue = true;
 			this.#announceWithin(announcementDelayMs(parts.peers.live.length));
 		});
 	}
@@ -118,13 +119,15 @@
 	/** Starts announcing. */
 	start(): void {
 		this.#heartbeat = setInterval(() => {
+			this.#isStateDue = true;
 			this.#send();
 		}, heartbeatMs);
 		this.#send();
 	}
 
-	/** Sends an announcement within the minimum gathering time. */
+	/** Sends the complete state within the minimum gathering time. */
 	announceSoon(): void {
+		this.#isStateDue = true;
 		this.#announceWithin(minDelayMs);
 	}
 
@@ -155,43 +158,63 @@
 	#send() {
 		clearTimeout(this.#pending);
 		this.#pending = undefined;
-		this.#heartbeat?.refresh();
 		const {channel, peers, memberAddresses} = this.#parts;
-		// Under load every message is caused by a change and the heartbeat never fires, so unresponsive peers are removed with each message. A terminated peer would otherwise keep its jobs until the load ends.
+		// Under load, the heartbeat is late; a terminated peer would keep its jobs for as long.
 		peers.removeUnresponsive();
-		const addresses = new Set([...memberAddresses(), ...peers.live.map(({state}) => state.address)]);
+		const state = this.#state();
+		const {live} = peers;
+		const readers = this.#isStateDue || this.#announced === undefined ? [] : live.filter(peer => peer.state.readsChanges === true);
+		if (this.#announced !== undefined && readers.length > 0) {
+			channel.send(readers.map(peer => peer.state.address), stateChangesMethod, this.#announced.changesTo(state));
+		}
+
+		const isRead = new Set(readers);
+		const others = live.filter(peer => !isRead.has(peer)).map(peer => peer.state.address);
+		const addresses = new Set(this.#isStateDue ? [...memberAddresses(), ...others] : others);
 		addresses.delete(channel.address);
-		channel.send([...addresses], peerStateMethod, this.#state());
+		channel.send([...addresses], peerStateMethod, state);
+		if (this.#isStateDue) {
+			this.#isStateDue = false;
+			this.#announced = new AnnouncedState(state);
+			this.#heartbeat?.refresh();
+		}
 	}
 
 	#state(): PeerState {
 		const {
-			self, channel, claimedJobs, waitingItems, isLeaving, rpcAddress, reachesObjectApi, checks, sections,
+			self, failureDomain, channel, claimedJobs, waitingItems, isLeaving, rpcAddress, reachesObjectApi,
 		} = this.#parts;
 		this.#seq += 1;
 		return {
-			member: self, address: channel.address, rpcAddress: rpcAddress(), reachesObjectApi: reachesObjectApi(), keepsOrigins: true, startedAt: this.#startedAt, seq: this.#seq, isLeaving: isLeaving(), loads: this.#loads(), outcomes: this.#outcomesDue(), ...this.#crashesDue(), failedRuns: this.#failedRunsDue(), accountUsage: this.#accountUsageDue(), checks: checks(), jobs: claimedJobs(), waiting: waitingItems(), ...Object.assign({}, ...sections.map(section => section())) as PeerSections,
+			member: self, address: channel.address, rpcAddress: rpcAddress(), failureDomain, reachesObjectApi: reachesObjectApi(), keepsOrigins: true, readsChanges: true, startedAt: this.#startedAt, seq: this.#seq, isLeaving: isLeaving(), loads: this.#loads(), jobs: claimedJobs(), waiting: waitingItems(), ...this.#sectionsDue(),
+		};
+	}
+
+	/** What only some messages contain. */
+	#sectionsDue(): TransientSections {
+		const {checks, sections} = this.#parts;
+		return {
+			outcomes: this.#outcomesDue(), ...this.#crashesDue(), failedRuns: this.#failedRunsDue(), accountUsage: this.#accountUsageDue(), checks: this.#isStateDue ? checks() : undefined, ...Object.assign({}, ...sections.map(section => section())) as PeerSections,
 		};
 	}
 
 	#crashesDue(): Partial<CrashAnnouncement> & PartAnnouncement {
-		const {quarantine, partQuarantine, clock} = this.#parts;
-		if (clock.now() - this.#crashesAnnouncedAt < crashesIntervalMs) {
+		if (!this.#isStateDue && !this.#areCrashesDue) {
 			return {};
 		}
 
-		this.#crashesAnnouncedAt = clock.now();
+		const {quarantine, partQuarantine} = this.#parts;
+		this.#areCrashesDue = false;
 		return {...(quarantine.hasAnnouncement ? quarantine.announcement() : {}), ...partQuarantine.announcement()};
 	}
 
 	#failedRunsDue(): readonly FailedRun[] | undefined {
-		const {failedRuns, clock} = this.#parts;
-		if (clock.now() - this.#failedRunsAnnouncedAt < failedRunsIntervalMs) {
+		if (!this.#isStateDue && !this.#areFailedRunsDue) {
 			return undefined;
 		}
 
-		this.#failedRunsAnnouncedAt = clock.now();
-		return failedRuns.announcement();
+		this.#areFailedRunsDue = false;
+		return this.#parts.failedRuns.announcement();
 	}
 
 	#accountUsageDue(): readonly AccountUsage[] | undefined {
@@ -205,13 +228,13 @@
 		return usage.length === 0 ? undefined : usage;
 	}
 
+	/** With complete states only, and only for replicas where a request failed: they decay over seconds, and in each message they would double its size while half of the replicas fail occasionally. */
 	#outcomesDue(): SharedOutcomes[] | undefined {
-		const now = this.#parts.clock.now();
-		if (now - this.#outcomesAnnouncedAt < outcomesIntervalMs) {
+		if (!this.#isStateDue) {
 			return undefined;
 		}
 
-		this.#outcomesAnnouncedAt = now;
+		const now = this.#parts.clock.now();
 		return [...this.#parts.directory.all]
 			.filter(({outcomes}) => outcomes.failureShare(now) > 0)
 			.map(({record, outcomes}) => ({replica: record.id, startedAt: record.startedAt, ...rounded(outcomes.ownCounts(now))}));
--- a/src/gateway/peers/peer-state.ts
+++ b/src/gateway/peers/peer-state.ts
@@ -1,5 +1,5 @@
 /**
-The state that the processes of the gateway announce to each other: how many requests each has in flight at each replica, and which batch jobs it runs. It is sent again after each change and at regular intervals, so that nothing depends on a single message, and a peer that sends none is considered terminated.
+The state that the processes of the gateway announce to each other: how many requests each has in flight at each replica, and which batch jobs it runs. It is sent at regular intervals, and what has changed in between, so that nothing depends on a single message, and a peer that sends none is considered terminated.
 */
 import type {AccountUsage} from '../accounts/account-usage.js';
 import type {SharedDemand} from '../admission/shared-demand.js';
@@ -53,6 +53,10 @@
 	readonly reachesObjectApi: boolean;
 	/** Whether it keeps the origins of streams for its peers; processes of earlier versions keep none. */
 	readonly keepsOrigins?: boolean;
+	/** Whether it reads changes of its peers' states; processes of earlier versions are sent each state completely. */
+	readonly readsChanges?: boolean;
+	/** The failure domain of its VM; processes of earlier versions state none. */
+	readonly failureDomain?: string;
 	/** When the process started, in milliseconds of its wall clock: a restart begins with a new sequence. */
 	readonly startedAt: number;
 	/** Grows with each message of one start. */
--- a/src/gateway/peers/peer-table.ts
+++ b/src/gateway/peers/peer-table.ts
@@ -10,6 +10,7 @@
 import type {ReplicaDirectory} from '../replica-directory.js';
 import type {BatchJobId, MemberName, ReplicaId} from '../types.js';
 import type {PeerState, SharedLoad} from './peer-state.js';
+import {withChanges, type StateChanges} from './state-changes.js';
 
 /** A peer sends at least every 250 ms. After this many milliseconds without a message, either four messages in a row were lost or the peer has terminated. */
 const unresponsiveAfterMs = 1200;
@@ -88,9 +89,7 @@
 
 		this.#peers.set(state.member, {state, lastSeenAt: clock.now(), jobs: new Set(state.jobs)});
 		this.#applyLoads(state, previous?.state);
-		this.#applyOutcomes(state);
-		this.#applyCrashes(state);
-		this.#events.emit('state', state);
+		this.#applySections(state);
 		if (!previous) {
 			log.emit(gatewayEvents.peerJoined, {peer: state.member, address: state.address});
 		}
@@ -100,6 +99,21 @@
 		}
 	}
 
+	/** Applies changes of a known peer's state. Those that a later message has overtaken are ignored, and so are those of a start whose complete state has not been received: it follows soon. */
+	receiveChanges(changes: StateChanges): void {
+		const known = this.#peers.get(changes.member);
+		if (known?.state.startedAt !== changes.startedAt || changes.seq <= known.state.seq) {
+			return;
+		}
+
+		const state = withChanges(known.state, changes);
+		this.#peers.set(state.member, {state, lastSeenAt: this.#parts.clock.now(), jobs: changes.jobs ? new Set(changes.jobs) : known.jobs});
+		changes.loads.forEach(load => {
+			this.#applyLoad(state.member, load);
+		});
+		this.#applySections(state);
+	}
+
 	/** Removes unresponsive peers. To be called regularly. */
 	removeUnresponsive(): void {
 		const {clock, log} = this.#parts;
@@ -125,6 +139,12 @@
 		this.#checkedAt = now;
 	}
 
+	#applySections(state: PeerState) {
+		this.#applyOutcomes(state);
+		this.#applyCrashes(state);
+		this.#events.emit('state', state);
+	}
+
 	#applyOutcomes({member, outcomes = []}: PeerState) {
 		const {directory, clock} = this.#parts;
 		outcomes.forEach(({replica: id, startedAt, ...counts}) => {
--- a/src/io/malformed-messages.feature
+++ b/src/io/malformed-messages.feature
@@ -14,6 +14,8 @@
       | config.changes | {"node":"x","since":"a","waitMs":0}                          |
       | batch.renew    | {"shard":"0","fence":null,"round":1,"expiresInMs":1,"keep":[]} |
       | attempt.cancel | {"key":null}                                                 |
+      | gateway.stateChanges | {"member":"x","startedAt":1,"seq":2,"loads":[{"replica":"r"}]} |
+      | gateway.stateChanges | {"member":"x","startedAt":1,"seq":2}                    |
 
   Scenario: A valid message
     Given a node that offers "config.changes"
