Bytes by cause and failure domain are a metric

Cause: the price of bytes between failure domains couldn't be accounted for by cause. The domain is looked up when metrics are read, so a message costs an addition. Calls of the store aren't counted: its domain isn't known.

--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -72,6 +72,7 @@
 import {findOriginMethod, StreamOrigins, type OriginQuery} from './streams/stream-origins.js';
 import {VersionHistory} from './streams/version-history.js';
 import type {FrontSettings} from './settings.js';
+import {TrafficMeter} from './traffic-meter.js';
 import type {CallDialect, GatewayFeatures, MemberName} from './types.js';
 
 /** What the adapter of a platform provides. */
@@ -170,6 +171,7 @@
 	readonly #checks: SharedChecks;
 	readonly #registry: MemberRegistry;
 	readonly #registrar: MemberRegistrar;
+	readonly #traffic: TrafficMeter;
 	readonly #connectionPools: ReplicaConnectionPools;
 	readonly #peers: PeerTable;
 	readonly #jobIndex: JobIndex;
@@ -211,7 +213,17 @@
 			clock, log, tolerance: settings.rateLimitTolerance, registeredCount: () => this.#registry.addresses.length, livePeers: () => peers.names,
 		});
 		const http = new HttpClient();
-		const rpc = new RpcClient(http);
+		const countBytes = (cause: string, address: string, bytes: number) => {
+			this.#traffic.add(cause, address, bytes);
+		};
+
+		this.#traffic = new TrafficMeter({
+			failureDomain, metrics, domains: () => new Map([
+				...peers.live.flatMap(({state}) => [state.address, state.rpcAddress].map(address => [address, state.failureDomain] as const)),
+				...[...directory.all].map(({record}) => [record.address, record.failureDomain] as const),
+			]),
+		});
+		const rpc = new RpcClient(http, countBytes);
 		const direct = new MeteredObjectApi(adapter.api, metrics, clock);
 		const api = new ObjectRelay({
 			direct, rpc, clock, random, log, peerAddresses: () => peers.live.filter(({state}) => state.reachesObjectApi).map(({state}) => state.rpcAddress),
@@ -259,7 +271,7 @@
 			[originsKeptMethod]: (kept: OriginsKept) => {
 				this.#streamOrigins.receiveKept(kept);
 			},
-		});
+		}, countBytes);
 		this.#registry = new MemberRegistry(memberFeed, clock);
 		this.#registrar = new MemberRegistrar({
 			self, api, clock, log,
@@ -276,7 +288,13 @@
 		});
 		const processCount = () => peers.processCount;
 		this.#connectionPools = new ReplicaConnectionPools({
-			board, directory, clock, processCount,
+			board,
+			directory,
+			clock,
+			processCount,
+			onTransfer(address, bytes) {
+				countBytes('replica', address, bytes);
+			},
 		});
 		const reachability = new ReplicaReachability({
 			directory, clock, log, dial,
@@ -412,6 +430,7 @@
 	}
 
 	#recordGauges() {
+		this.#traffic.report();
 		const metrics = this.#metrics;
 		const now = this.#clock.now();
 		metrics.gauge('gateway.callsUnderWay', this.#server.activeCalls);
--- a/src/gateway/replica-connection-pool.ts
+++ b/src/gateway/replica-connection-pool.ts
@@ -50,6 +50,7 @@
 		});
 		this.#client.once('disconnect', () => {
 			this.#isClosed = true;
+			pool.onTransfer(this.#socketWatch.takeTransferredBytes());
 			pool.removeConnection(this);
 		});
 	}
@@ -75,6 +76,7 @@
 	/** Frees the connection for another request, after a complete and valid answer. */
 	release(): void {
 		this.#isNew = false;
+		this.#pool.onTransfer(this.#socketWatch.takeTransferredBytes());
 		this.#pool.returnToPool(this);
 	}
 
@@ -97,6 +99,8 @@
 
 /** The pool of one replica. */
 export class ReplicaConnectionPool implements Disposable {
+	/** Called with bytes sent and received, when a request or a connection ends. */
+	readonly onTransfer: (bytes: number) => void;
 	readonly #address: string;
 	readonly #clock: Clock;
 	readonly #all = new Set<ReplicaConnection>();
@@ -105,9 +109,10 @@
 	#closesWhenIdle = false;
 
 	/** @param address - `ip:port`. */
-	constructor(address: string, clock: Clock) {
+	constructor(address: string, clock: Clock, onTransfer: (bytes: number) => void = () => undefined) {
 		this.#address = address;
 		this.#clock = clock;
+		this.onTransfer = onTransfer;
 	}
 
 	/** Number of connections that are open or being established. */
--- a/src/gateway/replica-connection-pools.ts
+++ b/src/gateway/replica-connection-pools.ts
@@ -21,6 +21,8 @@
 	readonly clock: Clock;
 	/** Number of gateway processes that send to the replicas, including this one. */
 	readonly processCount: () => number;
+	/** Called with the address of a replica and bytes sent to it and received from it. */
+	readonly onTransfer?: (address: string, bytes: number) => void;
 };
 
 /** The connection pools of all replicas. */
@@ -67,7 +69,10 @@
 			return existing;
 		}
 
-		const pool = new ReplicaConnectionPool(record.address, this.#parts.clock);
+		const {clock, onTransfer} = this.#parts;
+		const pool = new ReplicaConnectionPool(record.address, clock, bytes => {
+			onTransfer?.(record.address, bytes);
+		});
 		this.#pools.set(record.id, pool);
 		return pool;
 	}
--- a/src/io/datagram-channel.ts
+++ b/src/io/datagram-channel.ts
@@ -11,6 +11,9 @@
 import {exitCodes} from './exit-codes.js';
 import type {StartError} from './program.js';
 
+/** Called with the method, the address and the size of each datagram that is sent. */
+export type SentListener = (method: string, address: string, bytes: number) => void;
+
 /** Handles the parameters of a notification after their validation. */
 export type NotificationHandler = (params: never) => void;
 
@@ -29,12 +32,14 @@
 export class DatagramChannel implements Disposable {
 	readonly #socket: Socket = createSocket('udp4');
 	readonly #handlers: Readonly<Record<string, NotificationHandler>>;
+	readonly #onSent: SentListener;
 	#address = '';
 	#rejectedCount = 0;
 
 	/** @param handlers - Handlers by method name. */
-	constructor(handlers: Readonly<Record<string, NotificationHandler>>) {
+	constructor(handlers: Readonly<Record<string, NotificationHandler>>, onSent: SentListener = () => undefined) {
 		this.#handlers = handlers;
+		this.#onSent = onSent;
 		this.#socket.on('message', bytes => {
 			this.#receive(bytes);
 		});
@@ -83,6 +88,7 @@
 			const target = parseAddress(address);
 			if (target) {
 				this.#socket.send(bytes, target.port, target.host, () => undefined);
+				this.#onSent(method, address, bytes.length);
 			}
 		});
 	}
--- a/src/io/rpc-client.ts
+++ b/src/io/rpc-client.ts
@@ -1,6 +1,7 @@
 /**
 JSON-RPC 2.0 client for calls between processes of the fleet, over HTTP POST to `/rpc`.
 */
+import {Buffer} from 'node:buffer';
 import {
 	JSONRPCClient, type JSONRPCParams, type JSONRPCRequest, type JSONRPCResponse,
 } from 'json-rpc-2.0';
@@ -19,16 +20,21 @@
 /** Why a call has no result. `rejected`: the callee returned an error. */
 export type RpcFailure = HttpFailure | {readonly kind: 'rejected'; readonly reason: string};
 
+/** Called with the method, the address and the size of each request and of each answer whose size is stated. */
+export type TransferListener = (method: string, address: string, bytes: number) => void;
+
 /** A call in progress. The library replaces a send failure by its own error, so the original failure is stored here. */
 type Call = {readonly target: RpcTarget; failure?: HttpFailure};
 
 /** Calls methods of other processes over JSON-RPC. */
 export class RpcClient {
 	readonly #http: HttpClient;
+	readonly #onTransfer: TransferListener;
 	readonly #client: JSONRPCClient<Call>;
 
-	constructor(http: HttpClient) {
+	constructor(http: HttpClient, onTransfer: TransferListener = () => undefined) {
 		this.#http = http;
+		this.#onTransfer = onTransfer;
 		this.#client = new JSONRPCClient<Call>(async (payload, call) => {
 			const answer = await this.#post(payload as JSONRPCRequest, call.target);
 			answer
@@ -57,8 +63,10 @@
 	}
 
 	async #post(payload: JSONRPCRequest, target: RpcTarget): Promise<Either<HttpFailure, JSONRPCResponse>> {
+		const body = JSON.stringify(payload);
+		this.#onTransfer(payload.method, target.address, Buffer.byteLength(body));
 		const sent = await this.#http.send({
-			...target, method: 'POST', path: '/rpc', headers: {'content-type': 'application/json'}, body: JSON.stringify(payload), responseTimeoutMs: 2 * target.timeoutMs,
+			...target, method: 'POST', path: '/rpc', headers: {'content-type': 'application/json'}, body, responseTimeoutMs: 2 * target.timeoutMs,
 		});
 		if (sent.isLeft()) {
 			const failure = sent.extract();
@@ -70,7 +78,9 @@
 			return Left(failure);
 		}
 
-		return this.#read(sent.extract() as HttpResponse, payload);
+		const res = sent.extract() as HttpResponse;
+		this.#onTransfer(payload.method, target.address, Number(res.headers['content-length'] ?? 0));
+		return this.#read(res, payload);
 	}
 
 	// After a VM was replaced, an unrelated server may respond at its address, even with JSON. Passing on a response without the id of the call would leave the call and its caller pending forever.
--- a/src/io/socket-watch.ts
+++ b/src/io/socket-watch.ts
@@ -12,16 +12,26 @@
 export class SocketWatch {
 	#socket: Socket | undefined;
 	#hasFailed = false;
+	#countedBytes = 0;
 
 	/** @param socket - Socket of the new connection; it must stay writable after the server has closed its side (`allowHalfOpen`). `null` if the connection could not be established. */
 	track(socket: Socket | null): void {
 		this.#socket = socket ?? undefined;
 		this.#hasFailed = false;
+		this.#countedBytes = 0;
 		socket?.once('error', () => {
 			this.#hasFailed = true;
 		});
 	}
 
+	/** @returns Bytes sent and received on the connection since the last call. */
+	takeTransferredBytes(): number {
+		const {bytesRead = 0, bytesWritten = 0} = this.#socket ?? {};
+		const bytes = bytesRead + bytesWritten - this.#countedBytes;
+		this.#countedBytes += bytes;
+		return bytes;
+	}
+
 	/** Whether the server reset the connection instead of closing it. Must be called at the end of a response, before the socket is used otherwise. The check is a write, which fails immediately on a connection that was reset and succeeds on one that was closed. */
 	async wasReset(): Promise<boolean> {
 		const socket = this.#socket;
