--- a/src/io/prometheus-metrics.ts
+++ b/src/io/prometheus-metrics.ts
@@ -2,9 +2,10 @@
 Exposes metrics over HTTP on a separate address, in the Prometheus text exposition format.
 */
 import {createServer, type Server, type ServerResponse} from 'node:http';
-import {
-	Counter, Gauge, Histogram, Registry,
-} from 'prom-client';
+import Counter from 'prom-client/lib/counter.js';
+import Gauge from 'prom-client/lib/gauge.js';
+import Histogram from 'prom-client/lib/histogram.js';
+import Registry from 'prom-client/lib/registry.js';
 import type {Disposable, Metrics} from '../common/services.js';
 import {parseAddress} from './address.js';
 
