A program's script is named by a hash of its text, and its starter is a module

Cause: the starter was the same file for every build, so that two builds could not be told apart by their programs, and a build that is moved into a folder of its own (old and new builds side by side) did not start; a package.json in target/ made every file there a script.

Failed try not made: one file that holds both; a megabyte would be scanned at each start.

--- a/scripts/build.js
+++ b/scripts/build.js
@@ -4,8 +4,9 @@
 On the platform a process is charged its work in full after a restart, and all processes may restart at once. Their programs are therefore bundled as scripts with V8's compiled code beside them, so that a start neither parses nor compiles. V8 takes that code only under the options that it was compiled with, which `deploy/system.toml` names.
 */
 import {execFileSync} from 'node:child_process';
+import {createHash} from 'node:crypto';
 import {
-	chmod, copyFile, rm, writeFile,
+	chmod, rename, rm, writeFile,
 } from 'node:fs/promises';
 import {existsSync, readFileSync} from 'node:fs';
 import process from 'node:process';
@@ -38,6 +39,9 @@
 // A program without a main module yet is left out; the features of each program ask for its bundle by name.
 const present = Object.fromEntries(Object.entries(programs).filter(([, main]) => existsSync(main)));
 
+/** Length of the hash in the name of a script, in hexadecimal digits. */
+const hashLength = 16;
+
 /** The options of Node.js with which the platform runs a program; none for one that it does not run. */
 const runOptions = name => {
 	const line = readFileSync('deploy/system.toml', 'utf8').split('\n').find(text => text.startsWith('run = ') && text.includes(`target/${name}.js`));
@@ -46,9 +50,12 @@
 
 /** The parts of a program that starts from compiled code: the starter under its name, its script and the code of it. */
 const addCompiledCode = async name => {
-	await copyFile('scripts/start-compiled.cjs', `${outdir}/${name}.js`);
+	const text = readFileSync(`${outdir}/${name}.script.js`);
+	const program = `${name}-${createHash('sha256').update(text).digest('hex').slice(0, hashLength)}`;
+	await rename(`${outdir}/${name}.script.js`, `${outdir}/${program}.script.js`);
+	await writeFile(`${outdir}/${name}.js`, readFileSync('scripts/start-compiled.js', 'utf8').replace('\'PROGRAM\'', `'${program}'`));
 	// Options that the shell of the build gives to Node.js would be part of the code's key.
-	execFileSync(process.execPath, [...runOptions(name), 'scripts/compile.cjs', `${outdir}/${name}.script.js`], {env: {}, stdio: 'inherit'});
+	execFileSync(process.execPath, [...runOptions(name), 'scripts/compile.cjs', `${outdir}/${program}.script.js`], {env: {}, stdio: 'inherit'});
 };
 
 const common = {
@@ -86,7 +93,6 @@
 await rm(outdir, {recursive: true, force: true});
 await build({...common, ...(isForPlatform ? scripts : modules)});
 if (isForPlatform) {
-	await writeFile(`${outdir}/package.json`, '{"type": "commonjs"}\n');
 	await Promise.all(Object.keys(present).map(async name => addCompiledCode(name)));
 }
 
