News of replicas that cannot be reached; calls that cannot fail over find them out too

Each of 18 fronts finds a replica out by calls of its own, and one that waits without another way to go checked nothing until its time was up.

Ruled out: running such a call anew (it may have run); excluding a replica by a peer's news alone (the peer may be cut off).

Change: every attempt without a byte checks whether its replica can be reached; who finds one out tells the peers for 300 ms, and each checks for itself.

--- a/src/common/message-validators.ts
+++ b/src/common/message-validators.ts
@@ -48,6 +48,7 @@
 		service: isNonEmptyString, owner: isNonEmptyString, running: isNonNegativeInteger, perSecond: isNonNegativeNumber,
 	}))),
 	forecasts: optional(listOf(objectOf({service: isNonEmptyString, perSecond: listOf(isNonNegativeNumber)}))),
+	unreachable: optional(listOf(objectOf({replica: isNonEmptyString, startedAt: optional(Number.isSafeInteger)}))),
 };
 
 /** Validators of all methods between nodes that take parameters. */
--- a/src/gateway/calls/attempt.ts
+++ b/src/gateway/calls/attempt.ts
@@ -127,14 +127,7 @@
 
 	/** From now on, a replica that cannot be reached ends the attempt: the call can continue elsewhere. */
 	allowFailOver(): void {
-		if (this.#canFailOver) {
-			return;
-		}
-
 		this.#canFailOver = true;
-		clearTimeout(this.#inactivityTimer);
-		this.#inactivityTimer = undefined;
-		this.#restartInactivityTimer();
 	}
 
 	/** Stops reading until `resume`, so that a slow caller does not fill this process's memory. */
@@ -212,7 +205,7 @@
 		}
 
 		const {timeouts: {silenceMs}, reachability: {probeAfterMs}} = this.#parts;
-		const stepMs = this.#canFailOver ? Math.min(probeAfterMs, silenceMs) : silenceMs;
+		const stepMs = Math.min(probeAfterMs, silenceMs);
 		this.#inactivityTimer = setTimeout(() => {
 			this.#inactiveMs += stepMs;
 			// Data that arrived during a pause of this process is handled first.
@@ -242,9 +235,10 @@
 		return this.#inactiveMs >= ms || (this.#inactiveMs >= minRunningShare * ms && elapsedMs >= ms);
 	}
 
+	/** Checked for a call that cannot fail over, too: its replica must get no further calls. */
 	async #checkReachability() {
 		const isReachable = await this.#parts.reachability.isReachable();
-		if (!isReachable && this.#inactiveMs > 0) {
+		if (!isReachable && this.#inactiveMs > 0 && this.#canFailOver) {
 			this.#abort({kind: 'cutOff', reason: `no byte within ${Math.round(this.#inactiveMs)} ms, and no connection can be made`});
 		}
 	}
--- a/src/gateway/contacts/replica-reachability.steps.ts
+++ b/src/gateway/contacts/replica-reachability.steps.ts
@@ -11,7 +11,7 @@
 import type {GatewayServiceName, ReplicaId, SoftwareVersion} from '../types.js';
 import {ReplicaReachability} from './replica-reachability.js';
 
-type ReachabilityWorld = TestWorld & {
+export type ReachabilityWorld = TestWorld & {
 	reachability: ReplicaReachability;
 	directory: ReplicaDirectory;
 	now: number;
--- a/src/gateway/contacts/replica-reachability.ts
+++ b/src/gateway/contacts/replica-reachability.ts
@@ -5,6 +5,7 @@
 
 Therefore the connect timeout is derived from observed connect times, and a replica that exceeds it gets no requests until a connection of the process's own, for which no caller waits, succeeds. A request without a byte for longer than usual checks whether its replica can be reached: any byte from the replica shows that, or else a connection that is established for the check.
 */
+import {EventEmitter} from 'node:events';
 import type {Clock, Disposable, EventLog} from '../../common/services.js';
 import {gatewayEvents} from '../log-events.js';
 import type {Replica} from '../replica.js';
@@ -57,6 +58,7 @@
 	readonly #checks = new Map<Replica, Promise<boolean>>();
 	readonly #endChecks = new Map<Replica, Promise<boolean>>();
 	readonly #retries = new Map<Replica, NodeJS.Timeout>();
+	readonly #events = new EventEmitter();
 
 	constructor(parts: ReplicaReachabilityParts) {
 		this.#parts = parts;
@@ -89,11 +91,28 @@
 		};
 	}
 
-	/** Records that no connection to the replica could be established: it gets no requests until one can. */
+	/** Records that a request of this process could not reach the replica: it gets no requests until a connection can be established. */
 	noteUnreachable(replica: Replica): void {
-		replica.noteUnreachable();
-		if (!this.#retries.has(replica)) {
-			this.#scheduleRetry(replica, firstRetryMs);
+		const isNew = !this.#retries.has(replica);
+		this.#exclude(replica);
+		if (isNew) {
+			this.#events.emit('unreachable', replica);
+		}
+	}
+
+	/** Calls the listener when a request of this process has found a replica unreachable. */
+	onUnreachable(listener: (replica: Replica) => void): void {
+		this.#events.on('unreachable', listener);
+	}
+
+	/** Checks a replica that a peer could not reach. It gets no requests if it cannot be reached from here either. */
+	checkNow(replica: Replica): void {
+		const {clock} = this.#parts;
+		const isKnown = this.#retries.has(replica) || clock.now() - replica.probeSucceededAt < recheckAfterMs;
+		if (!isKnown && !this.#checks.has(replica)) {
+			this.#checks.set(replica, this.#check(replica, () => {
+				this.#exclude(replica);
+			}));
 		}
 	}
 
@@ -112,6 +131,13 @@
 		});
 	}
 
+	#exclude(replica: Replica) {
+		replica.noteUnreachable();
+		if (!this.#retries.has(replica)) {
+			this.#scheduleRetry(replica, firstRetryMs);
+		}
+	}
+
 	#connectTimeoutMs(replica: Replica): number {
 		return this.#connectTimesOf(replica).limitMs(connectBounds);
 	}
@@ -132,12 +158,14 @@
 			return true;
 		}
 
-		const ongoing = this.#checks.get(replica) ?? this.#check(replica);
+		const ongoing = this.#checks.get(replica) ?? this.#check(replica, () => {
+			this.noteUnreachable(replica);
+		});
 		this.#checks.set(replica, ongoing);
 		return ongoing;
 	}
 
-	async #check(replica: Replica): Promise<boolean> {
+	async #check(replica: Replica, onUnreachable: () => void): Promise<boolean> {
 		const {clock, log, dial} = this.#parts;
 		const limitMs = this.#connectTimeoutMs(replica);
 		const silentMs = clock.now() - replica.heardAt;
@@ -149,7 +177,7 @@
 		if (isReachable) {
 			replica.probeSucceededAt = clock.now();
 		} else {
-			this.noteUnreachable(replica);
+			onUnreachable();
 		}
 
 		return isReachable;
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -36,6 +36,7 @@
 import {ConfigBoard} from './config-board.js';
 import {ConfigController} from './config-controller.js';
 import {ReplicaReachability} from './contacts/replica-reachability.js';
+import {UnreachableNews} from './contacts/unreachable-news.js';
 import {FeedFreshness} from './feed-freshness.js';
 import {FrontServer} from './front-server.js';
 import {KeeperPool} from './keeping/keeper-pool.js';
@@ -259,6 +260,7 @@
 			failedRuns.addReceived(state.failedRuns ?? []);
 			rateLimits.receiveUsage(state, account => board.rateLimit(account));
 			paceNews.receive(state);
+			unreachableNews.receive(state);
 		});
 		const registrations = new RegistrationController({
 			directory, feed: replicaFeed, records, clock, log, drainMs: settings.drainMs,
@@ -304,6 +306,11 @@
 		const reachability = new ReplicaReachability({
 			directory, clock, log, dial,
 		});
+		const unreachableNews = new UnreachableNews({
+			reachability, directory, clock, announce: () => {
+				this.#announcer.announceSoon();
+			},
+		});
 		const contents = new ContentStore(api);
 		const jobIndex = new JobIndex(recordFeed);
 		this.#jobIndex = jobIndex;
@@ -320,7 +327,7 @@
 			self, quarantine, partQuarantine, feed: quarantineFeed, api, peers, clock, log,
 		});
 		this.#announcer = new PeerAnnouncer({
-			self, failureDomain, channel: this.#channel, peers, directory, loads, quarantine, partQuarantine, failedRuns, rateLimits, sections: [() => paceNews.section()], checks: () => this.#checks.announcement(), clock, isLeaving, memberAddresses: () => this.#registry.addresses, claimedJobs: () => claims.claimed, waitingItems: () => this.#runner.waiting, rpcAddress: () => this.#rpcServer.address, reachesObjectApi: () => api.isDirect,
+			self, failureDomain, channel: this.#channel, peers, directory, loads, quarantine, partQuarantine, failedRuns, rateLimits, sections: [() => paceNews.section(), () => unreachableNews.section()], checks: () => this.#checks.announcement(), clock, isLeaving, memberAddresses: () => this.#registry.addresses, claimedJobs: () => claims.claimed, waitingItems: () => this.#runner.waiting, rpcAddress: () => this.#rpcServer.address, reachesObjectApi: () => api.isDirect,
 		});
 		this.#checks = new SharedChecks({
 			self,
@@ -364,7 +371,7 @@
 			res.writeHead(this.#readiness.isReady ? 200 : 503, {'content-length': '0'});
 			res.end();
 		});
-		this.#owned = [this.#retention, this.#quarantineRecords, this.#runner, this.#announcer, this.#registrar, registrations, this.#checks, progress, ...this.#feeds, reachability, this.#connectionPools, this.#server, this.#streamOrigins, this.#channel, this.#rpcServer, api, http, this.#metrics, this.#lifecycle];
+		this.#owned = [this.#retention, this.#quarantineRecords, this.#runner, this.#announcer, this.#registrar, registrations, this.#checks, unreachableNews, progress, ...this.#feeds, reachability, this.#connectionPools, this.#server, this.#streamOrigins, this.#channel, this.#rpcServer, api, http, this.#metrics, this.#lifecycle];
 	}
 
 	get addresses(): Readonly<Record<string, string>> {
--- a/src/gateway/peers/peer-state.ts
+++ b/src/gateway/peers/peer-state.ts
@@ -7,6 +7,7 @@
 import type {FailedRun} from '../batch/failed-runs.js';
 import type {SharedForecast} from '../batch/shared-forecast.js';
 import type {OutcomeCounts} from '../contacts/recent-outcomes.js';
+import type {SharedUnreachable} from '../contacts/unreachable-news.js';
 import type {SharedPace} from '../placement/shared-pace.js';
 import type {ContentDigest} from '../quarantine/content-digest.js';
 import type {Crash} from '../quarantine/crash-history.js';
@@ -40,6 +41,7 @@
 	readonly paces?: readonly SharedPace[];
 	readonly demand?: readonly SharedDemand[];
 	readonly forecasts?: readonly SharedForecast[];
+	readonly unreachable?: readonly SharedUnreachable[];
 };
 
 /** The complete state of one process. */
