--- a/src/gateway/batch/job-run.ts
+++ b/src/gateway/batch/job-run.ts
@@ -35,6 +35,10 @@
 	firstStartedAt: number | undefined;
 	/** The total milliseconds of its runs here. */
 	ranMs: number;
+	/** How often a run here was cut for an online call. */
+	timesCut: number;
+	/** Since when its run has been let finish although a call needs its slot, in milliseconds on the monotonic clock. */
+	sparedSince: number | undefined;
 };
 
 /** After a run that did not succeed, milliseconds until the next one: a replica that fails at once must not be retried without a delay. */
@@ -256,5 +260,7 @@
 		trackedContent: undefined,
 		firstStartedAt: undefined,
 		ranMs: 0,
+		timesCut: 0,
+		sparedSince: undefined,
 	};
 };
--- a/src/gateway/batch/job-runs.ts
+++ b/src/gateway/batch/job-runs.ts
@@ -2,7 +2,7 @@
 The jobs that this process runs. A run is opened for each job that it has claimed and closed with the claim; a shutdown hands the jobs over to peers, and jobs of peers that shut down are taken over.
 */
 import type {Clock, Disposable} from '../../common/services.js';
-import type {BatchJobId} from '../types.js';
+import type {BatchJobId, ClientAccountName} from '../types.js';
 import type {JobIndex} from './job-index.js';
 import type {ContentStore} from './content-store.js';
 import type {FailedRuns} from './failed-runs.js';
@@ -44,6 +44,18 @@
 		return [...this.#runs.values()];
 	}
 
+	/** Numbers of items that are running here, by the account that owns them. */
+	get runningByAccount(): ReadonlyMap<ClientAccountName | undefined, number> {
+		const counts = new Map<ClientAccountName | undefined, number>();
+		this.all.forEach(({job, running}) => {
+			if (running.length > 0) {
+				const account = job?.record.account;
+				counts.set(account, (counts.get(account) ?? 0) + running.length);
+			}
+		});
+		return counts;
+	}
+
 	/**
 	Opens a run for each claimed job and closes the runs of jobs that are no longer claimed.
 
--- a/src/gateway/batch/slot-finder.steps.ts
+++ b/src/gateway/batch/slot-finder.steps.ts
@@ -54,7 +54,7 @@
 		self: branded<MemberName>('front-1'), directory, loads: new LoadBoard(), quarantine: new Quarantine({clock, log}), partQuarantine: testPartQuarantine(clock), clock, log,
 	});
 	this.finder = new SlotFinder({
-		directory, connectionPools: {} as unknown as ReplicaConnectionPools, peers: this.peers, clock, random: new SeededRandom(1), failureDomain: 'hall',
+		directory, connectionPools: {} as unknown as ReplicaConnectionPools, peers: this.peers, waves: {of: () => undefined}, clock, random: new SeededRandom(1), failureDomain: 'hall',
 	});
 });
 
--- a/src/gateway/batch/slot-finder.ts
+++ b/src/gateway/batch/slot-finder.ts
@@ -9,10 +9,14 @@
 import type {ReplicaConnectionPools} from '../replica-connection-pools.js';
 import type {Replica} from '../replica.js';
 import {ofVersion} from '../streams/stream-binding.js';
-import type {GatewayRoute, ReplicaId, SoftwareVersion} from '../types.js';
+import type {
+	ClientAccountName, GatewayRoute, ReplicaId, SoftwareVersion,
+} from '../types.js';
 import {
 	slotAllowance, reservedSlots, slackMs, type RunEstimate, type WaitingCounts, type WaitingItem,
 } from './batch-policy.js';
+import type {WaveForecasts} from './wave-forecasts.js';
+import {slotsAhead, type Occupancy} from './wave-plan.js';
 
 /** A slot at a replica, with the connection to use. */
 export type FoundSlot = {
@@ -23,6 +27,8 @@
 /** An item that needs a slot, with the criteria for the replica. */
 export type SlotRequest = WaitingItem & {
 	readonly route: GatewayRoute;
+	/** The account that owns the item, if there are accounts. */
+	readonly account?: ClientAccountName;
 	/** Replicas that have failed the item. It is tried elsewhere; otherwise one faulty replica would use up all the runs that its route allows, and the item would be given up for good. */
 	readonly failedReplicas: ReadonlySet<ReplicaId>;
 	/** The version of the replicas that may continue its text; `undefined` if it has none. */
@@ -36,6 +42,7 @@
 	readonly directory: ReplicaDirectory;
 	readonly connectionPools: ReplicaConnectionPools;
 	readonly peers: PeerTable;
+	readonly waves: Pick<WaveForecasts, 'of'>;
 	readonly clock: Clock;
 	readonly random: RandomSource;
 	readonly failureDomain: string;
@@ -70,6 +77,21 @@
 		return slotAllowance(free, {own, all: this.#totalWaiting(first.route, own)}, this.#parts.random.next());
 	}
 
+	/**
+	How the slots of a route's replicas are used; `itemSlots` is the number that items occupy or may occupy.
+
+	@param own - How many items of the route wait at this process.
+	*/
+	occupancy(route: GatewayRoute, own: WaitingCounts): Occupancy & {readonly itemSlots: number} {
+		const replicas = this.#replicasOf(route);
+		const {timely, late} = this.#totalWaiting(route, own);
+		return {
+			items: replicas.reduce((sum, {allBatch}) => sum + allBatch, 0),
+			waiting: timely + late,
+			itemSlots: replicas.reduce((sum, {record, allOnline}) => sum + Math.max(0, record.slots - allOnline), 0),
+		};
+	}
+
 	/** @returns Nothing if no replica has a slot to spare, or no connection is left to the one that has. */
 	findSlot(item: SlotRequest, estimate: RunEstimate): FoundSlot | undefined {
 		const {clock, random, failureDomain, connectionPools} = this.#parts;
@@ -81,7 +103,8 @@
 		}
 
 		const tried = areTried(replicas) ? noneTried : item.failedReplicas;
-		const replica = chooseForBatch(replicas, this.#reserveFor(item, estimate), {
+		const beforeWave = replicas.filter(one => this.#hasSlotAhead(one));
+		const replica = chooseForBatch(beforeWave, this.#reserveFor(item, estimate), {
 			now: clock.now(), random, failureDomain, tried, processCount: this.processCount, canFailOver: true,
 		});
 		const connection = replica && connectionPools.acquire(replica, item.needsNewConnection);
@@ -98,6 +121,12 @@
 		return reservedSlots(slackMs(item, estimate, this.#parts.clock.wall()));
 	}
 
+	/** Whether the first calls of a foreseen wave find their slots there although an item begins. */
+	#hasSlotAhead(replica: Replica): boolean {
+		const ahead = slotsAhead(replica, this.#parts.waves.of(replica.record.service));
+		return ahead === 0 || replica.total + ahead < replica.record.slots;
+	}
+
 	#replicasOf({targets}: GatewayRoute): readonly Replica[] {
 		return targets.filter(({weight}) => weight > 0).flatMap(({service}) => this.#parts.directory.takingWork(service));
 	}
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -26,13 +26,15 @@
 import {RateLimits} from './accounts/rate-limits.js';
 import {JobIndex} from './batch/job-index.js';
 import {BatchRetention} from './batch/batch-retention.js';
-import {BatchRunner, type ItemHeaderBuilder} from './batch/batch-runner.js';
+import {BatchRunner} from './batch/batch-runner.js';
 import {ContentStore} from './batch/content-store.js';
 import {FailedRuns} from './batch/failed-runs.js';
+import type {ItemHeaderBuilder} from './batch/item-sender.js';
 import {JobClaims} from './batch/job-claims.js';
 import {takeOverMethod, type JobHandover, type JobHandoverAnswer} from './batch/job-handover.js';
 import {JobIntake} from './batch/job-intake.js';
 import {JobReader} from './batch/job-reader.js';
+import {WaveForecasts} from './batch/wave-forecasts.js';
 import {ConfigBoard} from './config-board.js';
 import {ConfigController} from './config-controller.js';
 import {ReplicaReachability} from './contacts/replica-reachability.js';
@@ -238,7 +240,11 @@
 		new ConfigController({
 			board, feed: configFeed, records, log,
 		});
+		const waves = new WaveForecasts({
+			board, directory, loads, peers, clock, metrics,
+		});
 		peers.onState(state => {
+			waves.receive(state);
 			failedRuns.addReceived(state.failedRuns ?? []);
 			rateLimits.receiveUsage(state, account => board.rateLimit(account));
 		});
@@ -284,7 +290,7 @@
 			self, jobIndex, peers, clock, log, isLeaving, membersFirstLoadedAt: () => this.#registry.firstLoadedAt,
 		});
 		this.#runner = new BatchRunner({
-			self, api, feed: recordFeed, jobIndex, contents, peers, rpc, claims, failedRuns, board, directory, replicaFreshness, loads, connectionPools: this.#connectionPools, reachability, quarantine, partQuarantine, dialect, itemHeaders, clock, random, log, metrics, failureDomain,
+			self, api, feed: recordFeed, jobIndex, contents, peers, rpc, claims, failedRuns, board, directory, replicaFreshness, loads, connectionPools: this.#connectionPools, reachability, quarantine, partQuarantine, waves, dialect, itemHeaders, clock, random, log, metrics, failureDomain,
 		});
 		this.#retention = new BatchRetention({
 			self, api, jobIndex, peers, clock, log, resultRetentionMs: settings.resultsKeptMs,
@@ -293,7 +299,7 @@
 			self, quarantine, partQuarantine, feed: quarantineFeed, api, peers, clock, log,
 		});
 		this.#announcer = new PeerAnnouncer({
-			self, channel: this.#channel, peers, directory, loads, quarantine, partQuarantine, failedRuns, rateLimits, sections: [], checks: () => this.#checks.announcement(), clock, isLeaving, memberAddresses: () => this.#registry.addresses, claimedJobs: () => claims.claimed, waitingItems: () => this.#runner.waiting, rpcAddress: () => this.#rpcServer.address, reachesObjectApi: () => api.isDirect,
+			self, channel: this.#channel, peers, directory, loads, quarantine, partQuarantine, failedRuns, rateLimits, sections: [() => waves.announcement()], checks: () => this.#checks.announcement(), clock, isLeaving, memberAddresses: () => this.#registry.addresses, claimedJobs: () => claims.claimed, waitingItems: () => this.#runner.waiting, rpcAddress: () => this.#rpcServer.address, reachesObjectApi: () => api.isDirect,
 		});
 		this.#checks = new SharedChecks({
 			self,
--- a/src/gateway/load-board.ts
+++ b/src/gateway/load-board.ts
@@ -29,6 +29,10 @@
 	@returns Releases the slot; a second call has no effect.
 	*/
 	acquireSlot(replica: Replica, kind: LoadKind): () => void {
+		if (kind === 'online') {
+			this.#events.emit('online', replica);
+		}
+
 		this.#add(replica, kind, 1);
 		let isHeld = true;
 		return () => {
@@ -44,6 +48,11 @@
 		this.#events.emit('peers', replica);
 	}
 
+	/** Calls the listener with the replica of each online call that this process sends. */
+	onOnlineCall(listener: (replica: Replica) => void): void {
+		this.#events.on('online', listener);
+	}
+
 	/** Calls the listener when this process's own count at a replica has changed. */
 	onLocalChange(listener: (replica: Replica) => void): void {
 		this.#events.on('own', listener);
--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -96,6 +96,10 @@
 	originsUnconfirmed: {number: 746, level: 'info', text: 'peer did not confirm the origins of streams'},
 	/** Fields: job, item, events (dropped), softwareVersion (that generated them), blockedMs. */
 	itemRestarted: {number: 747, level: 'info', text: 'batch item is run from the start, since no replica of its version has a slot'},
+	/** Fields: job, item, runMs (that it still has to run), dueInMs, msToRise (0 within a wave) and msToFall (of the foreseen wave), sureness and ageMs (of the forecast). */
+	itemHeld: {number: 760, level: 'info', text: 'batch item waits until a foreseen wave of online calls is over'},
+	/** Fields: job, item, replica, cause (calls or foreseen), events, timesCut (before), online (calls in flight there), slots, msToRise, sureness and ageMs (of the forecast, if there is one). */
+	itemCut: {number: 761, level: 'info', text: 'run of a batch item cut for online calls'},
 	/** Fields: parts (one of them is the cause), crashes (at different moments), isCertain, trials, heldMs, replicas (starts of those that crashed, and the trials). */
 	partQuarantined: {number: 748, level: 'warn', text: 'prompt parts quarantined: replicas have crashed at the beginning of answers to requests with them'},
 	/** Fields: part, reason. */
--- a/src/gateway/placement/replica-choice.steps.ts
+++ b/src/gateway/placement/replica-choice.steps.ts
@@ -6,13 +6,13 @@
 import type {TestWorld} from '../../common/testing/test-world.js';
 import {branded} from '../../common/ids.js';
 import {SeededRandom} from '../../io/seeded-random.js';
+import {itemsToPreempt} from '../batch/preemption.js';
 import {Replica} from '../replica.js';
 import {simulateGreyFailure, type GreyFailure, type GreyFailureOutcome} from '../testing/grey-failure-model.js';
 import {WaveModel, type AddedReplicasOutcome, type Wave} from '../testing/wave-model.js';
 import type {
 	GatewayServiceName, MemberName, ReplicaId, SoftwareVersion,
 } from '../types.js';
-import {itemsToPreempt} from './replica-choice.js';
 
 type ChoiceWorld = TestWorld & {
 	fleet: Pick<Wave, 'processes' | 'replicas' | 'slots'>;
--- a/src/gateway/placement/replica-choice.ts
+++ b/src/gateway/placement/replica-choice.ts
@@ -3,10 +3,9 @@
 
 The peers' loads are some ten milliseconds old. During a burst of calls to many processes, the least loaded replica is the same for all of them, and all would send there before they receive each other's announcements: calls would wait at one replica while slots stay free at others. Each process therefore chooses the best of a random sample of replicas; the more processes there are, the smaller the sample.
 */
-import {rankMembers} from '../../common/rendezvous.js';
 import type {RandomSource} from '../../common/services.js';
 import type {Replica} from '../replica.js';
-import type {MemberName, ReplicaId} from '../types.js';
+import type {ReplicaId} from '../types.js';
 
 /** Criteria of a choice besides the replicas' load. */
 export type ChoiceContext = {
@@ -106,20 +105,3 @@
 		&& replica.total < Math.max(1, replica.record.slots - reserve));
 	return cheapest(sampleOf(open, context), replica => replica.total + (failureCost(replica, context) * replica.record.slots) + (context.random.next() * jitter));
 };
-
-/**
-Number of its own items that a process preempts at a replica, so that all processes together preempt exactly the excess over the slots.
-
-All processes see about the same load and receive the announcement of an online call at about the same time. If each preempted its share, rounded up, every one of them would preempt an item for a single call: one call to a full replica would leave it half empty, and items that lack only a few events would be preempted repeatedly. Therefore all processes rank the owners of items at the replica identically, and the first ones preempt.
-*/
-export const itemsToPreempt = (replica: Replica, self: MemberName): number => {
-	const excess = replica.total - replica.record.slots;
-	if (excess <= 0 || replica.batch === 0) {
-		return 0;
-	}
-
-	const ranked = rankMembers(replica.record.id, [self, ...replica.peersWithItems.map(([peer]) => peer)]);
-	const higherRanked = new Set(ranked.slice(0, ranked.indexOf(self)));
-	const preemptedByOthers = replica.peersWithItems.filter(([peer]) => higherRanked.has(peer)).reduce((sum, [, items]) => sum + items, 0);
-	return Math.min(replica.batch, Math.max(0, excess - preemptedByOthers));
-};
