--- a/src/gateway/batch/demand-pattern.ts
+++ b/src/gateway/batch/demand-pattern.ts
@@ -81,13 +81,13 @@
 The rises and falls that the pattern foresees, in order of time.
 
 @param from - Number of counts after the end of the series at which to begin.
-@returns Those of two repeats.
+@returns Those of three repeats: the last one, the current one and the next.
 */
 export const foreseenEdges = (series: readonly number[], {lag}: DemandPattern, from: number): readonly Edge[] => {
 	const middle = meanOf(series.slice(-lag));
 	const isHigh = (place: number) => foreseen(series, lag, series.length + place) > middle;
 	// Single counts scatter: the level has changed if two counts in a row say so.
-	const levels = Array.from({length: (2 * lag) + 2}, (_, i) => isHigh(from - 1 + i));
+	const levels = Array.from({length: (3 * lag) + 2}, (_, i) => isHigh(from - 1 + i));
 	let level = levels[0]!;
 	return levels.flatMap((high, i) => {
 		if (i === 0 || high === level || levels[i + 1] !== high) {
--- a/src/gateway/batch/preemption.ts
+++ b/src/gateway/batch/preemption.ts
@@ -19,10 +19,10 @@
 };
 
 /** A run with less than this left is let finish, in milliseconds: a call whose slot is freed by a cut waits nearly as long for the announcement, the cut and the prompt. */
-const nearEndMs = 150;
+const nearEndMs = 100;
 
 /** The longest time for which a run is let finish, in milliseconds: by then its text is longer than estimated. */
-const maxSparedMs = 300;
+const maxSparedMs = 150;
 
 /** Runs beyond this share of an item's events are preempted only if no other is left. */
 const lastPart = 0.9;
--- a/src/gateway/batch/wave-plan.ts
+++ b/src/gateway/batch/wave-plan.ts
@@ -47,14 +47,17 @@
 /** Reserve of an item that waits to its due time, as a share of the time that it is expected to take: no wave and no run is exactly as long as the ones before. */
 const dueMargin = 0.25;
 
+/** Items wait only if what waits and runs needs at most this share of the slots that the calm leaves: the first calls after a wave still hold some. */
+const roomyShare = 0.85;
+
 /** Time before a wave in which slots become free one after the other, in milliseconds: the wave is foreseen to within two periods. */
-const freeingMs = 400;
+const freeingMs = 300;
 
 /** Time after the expected beginning of a wave for which slots are kept free, in milliseconds: calls fill slots for about as long as one of them takes. */
-const fillingMs = 1000;
+const fillingMs = 800;
 
 /** The share of the slots by which a wave's demand rises that is kept free ahead of the calls: those that come while a cut takes effect. */
-const aheadShare = 0.25;
+const aheadShare = 0.15;
 
 /** How often an item is cut that has to run for `runMs` and begins `untilCutMs` before a wave. */
 const cutsOf = (runMs: number, untilCutMs: number, calmMs: number): number => Math.max(0, Math.ceil((runMs - untilCutMs) / Math.max(1, calmMs)));
@@ -80,7 +83,7 @@
 	} = forecast;
 	const isKeptThroughWave = items < slots - waveSlots;
 	const isCutMoreOften = cutsOf(item.runMs, isHigh ? 0 : msToRise, calmMs) > cutsOf(item.runMs, calmMs, calmMs);
-	return !isKeptThroughWave && isCutMoreOften && waiting + items <= slots - calmSlots && isOnTimeLater(item, forecast);
+	return !isKeptThroughWave && isCutMoreOften && waiting + items <= roomyShare * (slots - calmSlots) && isOnTimeLater(item, forecast);
 };
 
 const waveShare = ({isHigh, msToRise, msSinceRise = Infinity}: WaveForecast): number => {
