--- a/src/common/message-validators.ts
+++ b/src/common/message-validators.ts
@@ -49,7 +49,7 @@
 			replica: isNonEmptyString, startedAt: optional(Number.isSafeInteger), msPerEvent: isNonNegativeNumber, events: isNonNegativeNumber,
 		}))),
 		demand: optional(listOf(objectOf({
-			service: isNonEmptyString, owner: isNonEmptyString, running: isNonNegativeInteger, perSecond: isNonNegativeNumber,
+			service: isNonEmptyString, owner: isNonEmptyString, rank: optional(isNonNegativeNumber), running: isNonNegativeInteger, perSecond: isNonNegativeNumber,
 		}))),
 		forecasts: optional(listOf(objectOf({service: isNonEmptyString, perSecond: listOf(isNonNegativeNumber)}))),
 	}),
--- a/src/ctl/explain/log-story.feature
+++ b/src/ctl/explain/log-story.feature
@@ -12,6 +12,11 @@
       | a call to replicas that were full       | 4     | ended as refused                               |
       | a call that took longer than its route  | 2     | the time of its route                          |
       | a call that could not get a place in its time | 1 | would not have got a place in its time |
+      | a call that would have been late        | 2     | a slot was expected in 210 ms, 3 ms after it came, with a target of 300 ms |
+      | a call over its account's share of scarce slots | 2 | slots were scarce, and account acme had its share of them; |
+      | a call over its account's share of scarce slots | 2 | its owner had 12 calls in flight over all processes, and a share of 11; |
+      | an outranked call whose caller came back | 2    | calls of a higher rank than its 1 competed; its caller had been refused before; told to come back after 700 ms |
+      | a call that found the waiting line full | 2     | too many calls waited at this process |
       | a call that is held back                | 1     | replicas have ended under requests with the same content, c0ffee |
       | a call with a quarantined prompt part   | 1     | requests with the same prompt parts, part-a1, part-b2 |
       | a call whose run was aborted for one    | 2     | requests with the same prompt parts, part-b2, before its own replica could |
--- a/src/ctl/explain/log-story.steps.ts
+++ b/src/ctl/explain/log-story.steps.ts
@@ -18,7 +18,7 @@
 });
 
 const {
-	attemptFailed, callEnded, callerRefused, callRejected, callRouted, itemRunEnded, jobClaimChanged, jobSubmitted, resultsCommitted,
+	admissionDecided, attemptFailed, callEnded, callerRefused, callRejected, callRouted, itemRunEnded, jobClaimChanged, jobSubmitted, resultsCommitted,
 } = gatewayEvents;
 const routed = (at: number) => line(at, 'front-1', callRouted, {
 	id: 'c1', route: 'r', replica: 'i-7', attempt: 1,
@@ -26,6 +26,12 @@
 const ended = (at: number, fields: Record<string, unknown>) => line(at, 'front-1', callEnded, {
 	id: 'c1', route: 'r', elapsedMs: 80, ...fields,
 });
+const shed = (reason: string, fields: Record<string, unknown>) => [
+	line(0, 'front-1', admissionDecided, {
+		id: 'c1', route: 'r', outcome: 'refused', reason, rank: 0, waitMs: 210, elapsedMs: 3, targetMs: 300, running: 12, retryAfterMs: 700, ...fields,
+	}),
+	ended(1, {status: 503, reason}),
+];
 const submitted = (outcome: string) => line(0, 'front-1', jobSubmitted, {
 	id: 'j1', items: 2, tokens: 400, waitingTokens: 900, cap: 1000, outcome,
 });
@@ -50,6 +56,10 @@
 		ended(3, {status: 503, reason: 'full'}),
 	],
 	'a call that could not get a place in its time': [ended(0, {status: 503, reason: 'hopeless'})],
+	'a call that would have been late': shed('overdue', {}),
+	'a call over its account\'s share of scarce slots': shed('overShare', {account: 'acme', share: 11}),
+	'an outranked call whose caller came back': shed('overdue', {rank: 1, isOutranked: true, isReturned: true}),
+	'a call that found the waiting line full': shed('lineFull', {}),
 	'a call that is held back': [ended(0, {status: 503, reason: 'quarantined', content: 'c0ffee'})],
 	'a call with a quarantined prompt part': [ended(0, {
 		status: 503, reason: 'quarantined', content: 'c0ffee', heldParts: ['part-a1', 'part-b2'],
--- a/src/ctl/explain/log-story.ts
+++ b/src/ctl/explain/log-story.ts
@@ -39,6 +39,25 @@
 
 const partNames = ({heldParts}: LogLine['fields']): string => ((heldParts ?? []) as readonly string[]).join(', ');
 
+/** A call's admission decision, from the line that tells its inputs. */
+const admissionText = (lines: readonly LogLine[], why: string): string => {
+	const {fields = {}} = last(lines, gatewayEvents.admissionDecided) ?? {};
+	const {waitMs, elapsedMs, targetMs, share, running, retryAfterMs, isReturned, isOutranked, rank} = fields;
+	return [
+		`refused with 503, not run: ${why}`,
+		`a slot was expected in ${String(waitMs)} ms, ${String(elapsedMs)} ms after it came, with a target of ${String(targetMs)} ms for its first event`,
+		...(share === undefined ? [] : [`its owner had ${String(running)} calls in flight over all processes, and a share of ${String(share)}`]),
+		...(isOutranked === true ? [`calls of a higher rank than its ${String(rank)} competed`] : []),
+		...(isReturned === true ? ['its caller had been refused before'] : []),
+		`told to come back after ${String(retryAfterMs)} ms`,
+	].join('; ');
+};
+
+const ownerOf = (lines: readonly LogLine[]): string => {
+	const {account, route} = last(lines, gatewayEvents.admissionDecided)?.fields ?? {};
+	return account === undefined ? `route ${textOf(route)}` : `account ${textOf(account)}`;
+};
+
 /** What a call's final answer came of, by its reason. */
 const callReasons: Readonly<Record<string, Explain>> = {
 	answered: (_lines, {fields}) => Number(fields.status) < 400
@@ -46,6 +65,9 @@
 		: `the replica itself answered ${String(fields.status)}`,
 	noReplica: () => 'refused with 503, not run: no replica of the service was registered and taking work',
 	full: lines => `refused with 503, not run: every replica that was asked declined or could not be reached; ${attemptText(last(lines, gatewayEvents.attemptFailed))}`,
+	overdue: lines => admissionText(lines, 'its first event would have been late, in the room of calls that could be on time'),
+	overShare: lines => admissionText(lines, `slots were scarce, and ${ownerOf(lines)} had its share of them`),
+	lineFull: lines => admissionText(lines, 'it could not be on time at once, and too many calls waited at this process'),
 	hopeless: () => 'refused with 503, not run: so many calls were in flight at every replica of the service that it would not have got a place in its time',
 	quarantined: (_lines, {fields}) => fields.heldParts === undefined
 		? `refused with 503, not run: replicas have ended under requests with the same content, ${String(fields.content)}; the lines with this content (events 740 and 741) tell which`
--- a/src/gateway/admission/shared-demand.ts
+++ b/src/gateway/admission/shared-demand.ts
@@ -8,6 +8,8 @@
 	readonly service: GatewayServiceName;
 	/** Name of the account or route. */
 	readonly owner: string;
+	/** Priority rank of the calls; 0 is the highest, and assumed if it is missing. */
+	readonly rank?: number;
 	/** Calls in flight at replicas. */
 	readonly running: number;
 	/** Calls a second that arrived recently, admitted or not. */
--- a/src/gateway/calls/online-call.ts
+++ b/src/gateway/calls/online-call.ts
@@ -68,6 +68,8 @@
 	readonly #timeLimitMs: number;
 	#attempt: Attempt | undefined;
 	#admission: Disposable | undefined;
+	/** Whether the call waits for its admission; it has not been offered to any replica then. */
+	#isAwaitingAdmission = false;
 	/** Head of the current run's answer, once received. */
 	#runHead: AnswerHead | undefined;
 	/** The event after which the current run was asked to resume. */
@@ -208,11 +210,13 @@
 	}
 
 	#begin() {
-		const {route, caller, fields, arrivedAt} = this.#call;
+		const {route, caller, fields, message, arrivedAt} = this.#call;
 		const {service} = this.#offers;
+		this.#isAwaitingAdmission = true;
 		this.#admission = this.#parts.admission.request({
-			id: fields.requestId, route, service, account: caller.account, size: fields.size, arrivedAt, timeLimitMs: this.#timeLimitMs, candidates: () => this.#offers.candidates,
+			id: fields.requestId, route, service, account: caller.account, size: fields.size, bodyBytes: message.body?.length, arrivedAt, timeLimitMs: this.#timeLimitMs, candidates: () => this.#offers.candidates,
 		}, outcome => {
+			this.#isAwaitingAdmission = false;
 			if (outcome.kind === 'refused') {
 				this.#refuse(outcome.reason, outcome.retryAfterMs);
 				return;
@@ -526,6 +530,11 @@
 			return;
 		}
 
+		if (this.#isAwaitingAdmission) {
+			this.#refuse('hopeless', retryDelaysMs.full);
+			return;
+		}
+
 		this.#attempt?.dispose();
 		if (this.#answer.hasBegun) {
 			this.#cut('time is up within the answer');
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -22,7 +22,9 @@
 import {RpcClient} from '../io/rpc-client.js';
 import {CallRanks} from './accounts/call-ranks.js';
 import {CallerGate} from './accounts/caller-gate.js';
+import {admitsByTarget} from './admission/admits-by-target.js';
 import {DeadlineAdmission} from './admission/deadline-admission.js';
+import {TargetAdmission} from './admission/target-admission.js';
 import {RateLimits} from './accounts/rate-limits.js';
 import {JobIndex} from './batch/job-index.js';
 import {BatchRetention} from './batch/batch-retention.js';
@@ -71,7 +73,9 @@
 import {findOriginMethod, StreamOrigins, type OriginQuery} from './streams/stream-origins.js';
 import {VersionHistory} from './streams/version-history.js';
 import type {FrontSettings} from './settings.js';
-import type {CallDialect, GatewayFeatures, MemberName} from './types.js';
+import type {
+	CallDialect, ClientAccountName, GatewayFeatures, MemberName,
+} from './types.js';
 
 /** What the adapter of a platform provides. */
 export type FrontAdapter = {
@@ -180,6 +184,7 @@
 	readonly #streamOrigins: StreamOrigins;
 	readonly #versionHistory: VersionHistory;
 	readonly #readiness: Readiness;
+	readonly #admission: TargetAdmission;
 	readonly #server: FrontServer;
 	readonly #readyServer: Server;
 	readonly #owned: readonly Disposable[];
@@ -188,7 +193,9 @@
 		this.#settings = settings;
 		this.#clock = clock;
 		this.#droppedLines = droppedLines;
-		const {records, dialect, jobCalls, itemHeaders} = adapter;
+		const {
+			records, dialect, jobCalls, itemHeaders, features,
+		} = adapter;
 		const self = branded<MemberName>(settings.name);
 		const {failureDomain} = settings;
 		const metrics = this.#metrics;
@@ -271,6 +278,15 @@
 			channel: this.#channel, rpc, holders: new OriginHolders(peers), history: this.#versionHistory, clock, log, metrics,
 		});
 		const processCount = () => peers.processCount;
+		const serviceTimes = new ServiceTimes();
+		const ranks = new CallRanks(clock);
+		const admission = new TargetAdmission({
+			otherwise: new DeadlineAdmission({serviceTimes, ranks, clock}), isByTarget: (route, service) => admitsByTarget(features, route, board.service(service)), serviceTimes, ranks, replicasOf: service => directory.takingWork(service), weightOf: owner => board.rateLimit(branded<ClientAccountName>(owner))?.perSecond, clock, random, log, metrics,
+		});
+		this.#admission = admission;
+		peers.onState(state => {
+			admission.receive(state);
+		});
 		this.#connectionPools = new ReplicaConnectionPools({
 			board, directory, clock, processCount,
 		});
@@ -293,7 +309,7 @@
 			self, quarantine, partQuarantine, feed: quarantineFeed, api, peers, clock, log,
 		});
 		this.#announcer = new PeerAnnouncer({
-			self, channel: this.#channel, peers, directory, loads, quarantine, partQuarantine, failedRuns, rateLimits, sections: [], checks: () => this.#checks.announcement(), clock, isLeaving, memberAddresses: () => this.#registry.addresses, claimedJobs: () => claims.claimed, waitingItems: () => this.#runner.waiting, rpcAddress: () => this.#rpcServer.address, reachesObjectApi: () => api.isDirect,
+			self, channel: this.#channel, peers, directory, loads, quarantine, partQuarantine, failedRuns, rateLimits, sections: [() => admission.announcement()], checks: () => this.#checks.announcement(), clock, isLeaving, memberAddresses: () => this.#registry.addresses, claimedJobs: () => claims.claimed, waitingItems: () => this.#runner.waiting, rpcAddress: () => this.#rpcServer.address, reachesObjectApi: () => api.isDirect,
 		});
 		this.#checks = new SharedChecks({
 			self,
@@ -311,9 +327,8 @@
 		this.#readiness = new Readiness({
 			lifecycle: this.#lifecycle, board, directory, log,
 		});
-		const serviceTimes = new ServiceTimes();
 		this.#server = new FrontServer({
-			board, directory, replicaFreshness, configFreshness: freshnessOf('GatewayConfig', configFeed, settings.configMs), loads, connectionPools: this.#connectionPools, reachability, quarantine, partQuarantine, streamOrigins: this.#streamOrigins, serviceTimes, admission: new DeadlineAdmission({serviceTimes, ranks: new CallRanks(clock), clock}), dialect, clock, random, log, metrics, processCount, failureDomain, jobCalls,
+			board, directory, replicaFreshness, configFreshness: freshnessOf('GatewayConfig', configFeed, settings.configMs), loads, connectionPools: this.#connectionPools, reachability, quarantine, partQuarantine, streamOrigins: this.#streamOrigins, serviceTimes, admission: this.#admission, dialect, clock, random, log, metrics, processCount, failureDomain, jobCalls,
 			gate: new CallerGate({
 				board, dialect, limits: rateLimits, clock, log, metrics, configConfirmedAt: () => this.#checks.lastConfirmedAt('GatewayConfig'), staleAfterMs: settings.refuseKeysAfterMs,
 			}),
@@ -337,7 +352,7 @@
 			res.writeHead(this.#readiness.isReady ? 200 : 503, {'content-length': '0'});
 			res.end();
 		});
-		this.#owned = [this.#retention, this.#quarantineRecords, this.#runner, this.#announcer, this.#registrar, registrations, this.#checks, progress, ...this.#feeds, reachability, this.#connectionPools, this.#server, this.#streamOrigins, this.#channel, this.#rpcServer, api, http, this.#metrics, this.#lifecycle];
+		this.#owned = [this.#retention, this.#quarantineRecords, this.#runner, this.#announcer, this.#registrar, registrations, this.#checks, progress, ...this.#feeds, reachability, this.#connectionPools, this.#server, this.#admission, this.#streamOrigins, this.#channel, this.#rpcServer, api, http, this.#metrics, this.#lifecycle];
 	}
 
 	get addresses(): Readonly<Record<string, string>> {
@@ -411,6 +426,8 @@
 		const metrics = this.#metrics;
 		const now = this.#clock.now();
 		metrics.gauge('gateway.callsUnderWay', this.#server.activeCalls);
+		metrics.gauge('gateway.waitingCalls', this.#admission.waiting);
+		metrics.gauge('gateway.scarceServices', this.#admission.scarceServices);
 		metrics.gauge('gateway.places', this.#loads.online, {kind: 'online'});
 		metrics.gauge('gateway.places', this.#loads.batch, {kind: 'batch'});
 		metrics.gauge('gateway.peers', this.#peers.live.length);
