--- a/src/gateway/admission/fair-shares.ts
+++ b/src/gateway/admission/fair-shares.ts
@@ -12,7 +12,7 @@
 };
 
 /** The part of the slots that remains for all less urgent ranks while a more urgent one could use every slot. */
-const keptForLowerRanks = 0.1;
+const keptForLowerRanks = 0.05;
 
 /**
 The water level: an owner may have the level times its weight.
@@ -41,10 +41,10 @@
 export const levelsByRank = (slots: number, claims: readonly Claim[]): ReadonlyMap<number, number> => {
 	const ranks = [...new Set(claims.map(({rank}) => rank))].toSorted((a, b) => a - b);
 	let left = slots;
-	return new Map(ranks.map(rank => {
+	return new Map(ranks.map((rank, i) => {
 		const own = claims.filter(claim => claim.rank === rank);
 		const kept = Math.min(demandOf(claims.filter(claim => claim.rank > rank)), left * keptForLowerRanks);
-		const level = waterLevel(left - kept, own);
+		const level = i === 0 && own.length === 1 ? Infinity : waterLevel(left - kept, own);
 		left = Math.max(kept, left - demandOf(own));
 		return [rank, level];
 	}));
--- a/src/gateway/admission/least-shares.ts
+++ b/src/gateway/admission/least-shares.ts
@@ -9,6 +9,9 @@
 /** Fewer arrivals a second than this do not compete. */
 const competingPerSecond = 0.5;
 
+/** Calls that found free slots count towards the least share of those that arrive after them, up to this number. */
+const maxDebt = 5;
+
 type RankCounts = {readonly arrived: RateMeter; readonly begun: RateMeter; credit: number};
 
 /** The ranks of one service at this process. Times are milliseconds on the monotonic clock. */
@@ -26,12 +29,17 @@
 	noteBegun(rank: number, now: number): void {
 		const counts = this.#countsOf(rank);
 		counts.begun.note(1, now);
-		counts.credit = Math.max(0, counts.credit - 1);
+		counts.credit = Math.max(-maxDebt, counts.credit - 1);
+	}
+
+	/** Whether a more urgent rank competes for the slots. */
+	hasRival(rank: number, now: number): boolean {
+		return this.#above(rank).some(({arrived}) => arrived.perSecond(now) >= competingPerSecond);
 	}
 
-	/** Whether a more urgent rank competes, and the rank has not earned a call of its least share. */
-	isOutranked(rank: number, now: number): boolean {
-		return this.#above(rank).some(({arrived}) => arrived.perSecond(now) >= competingPerSecond) && this.#countsOf(rank).credit < 1;
+	/** Whether the rank's next call is part of its least share. */
+	hasEarned(rank: number): boolean {
+		return this.#countsOf(rank).credit >= 1;
 	}
 
 	#above(rank: number): readonly RankCounts[] {
--- a/src/gateway/admission/retry-delay.ts
+++ b/src/gateway/admission/retry-delay.ts
@@ -7,6 +7,8 @@
 	readonly now: number;
 	/** Until the call would have been on time, if nothing else arrived. */
 	readonly excessMs: number;
+	/** Whether more calls arrive than finish, so that nobody knows when there is room. */
+	readonly isDemandHigh: boolean;
 	/** Between two calls of this process that the replicas finish. */
 	readonly gapMs: number;
 	/** Until the caller's time is up. */
@@ -29,15 +31,12 @@
 /** The share of the finished calls' room that is promised to returning callers; the rest is for new ones. */
 const promisedRoom = 0.5;
 
-/** Random part of a delay: processes do not know each other's promises. */
-const spreadShare = 0.5;
-
-/** See the module's head. Callers for whom no room is left to promise are spread over the second half of the longest delay. */
-export const retryDelay = ({now, excessMs, gapMs, leftMs, promisedUntil, draw}: RetryView): RetryDelay => {
+/** See the module's head. Callers to whom no room can be promised come back as late as they honour, spread over the second half of that time: the overload is then most likely over, and their target counts anew. */
+export const retryDelay = ({now, excessMs, isDemandHigh, gapMs, leftMs, promisedUntil, draw}: RetryView): RetryDelay => {
 	const longestMs = Math.max(0, leftMs * honouredShare);
 	const roomAt = Math.max(now + Math.max(minDelayMs, excessMs), promisedUntil + (gapMs / promisedRoom));
-	const delayMs = (roomAt - now) * (1 + (spreadShare * draw));
-	return delayMs <= longestMs
+	const delayMs = roomAt - now + (draw * gapMs / promisedRoom);
+	return delayMs <= longestMs && !isDemandHigh
 		? {retryAfterMs: delayMs, promisedUntil: roomAt}
 		: {retryAfterMs: longestMs * (1 + draw) / 2, promisedUntil};
 };
--- a/src/gateway/admission/service-shares.ts
+++ b/src/gateway/admission/service-shares.ts
@@ -10,8 +10,8 @@
 	readonly slots: number;
 	/** Mean time for which a call occupies a slot, in milliseconds. */
 	readonly runMs: number;
-	/** Wait for a slot, in milliseconds, with which a call is still on time. */
-	readonly tolerableWaitMs: number;
+	/** Wait for a slot, in milliseconds, that shares allow for. */
+	readonly queuedMs: number;
 	/** By {@link demandKey}. */
 	readonly totals: ReadonlyMap<string, OwnerDemand>;
 	/** An owner's declared calls a second; `undefined` without a declaration. */
@@ -27,15 +27,17 @@
 	readonly finishedPerSecond: number;
 	/** Calls a second that arrive, over all processes. */
 	readonly arrivingPerSecond: number;
+	readonly #inFlightS: number;
 	readonly #levels: ReadonlyMap<number, number>;
 	readonly #totals: ReadonlyMap<string, OwnerDemand>;
 	readonly #weights: ReadonlyMap<string, number>;
 
-	constructor({slots, runMs, tolerableWaitMs, totals, weightOf}: ShareInputs) {
+	constructor({slots, runMs, queuedMs, totals, weightOf}: ShareInputs) {
 		const owners = [...totals];
 		const declared = owners.map(([, {owner}]) => weightOf(owner)).filter(weight => weight !== undefined);
 		const usual = declared.length === 0 ? 1 : declared.reduce((sum, weight) => sum + weight, 0) / declared.length;
-		const inFlightMs = runMs + tolerableWaitMs;
+		const inFlightMs = runMs + queuedMs;
+		this.#inFlightS = inFlightMs / 1000;
 		this.#totals = totals;
 		this.#weights = new Map(owners.map(([key, {owner}]) => [key, weightOf(owner) ?? usual]));
 		this.finishedPerSecond = slots * 1000 / runMs;
@@ -54,6 +56,11 @@
 		return Math.max(1, (this.#levels.get(rank) ?? Infinity) * (this.#weights.get(demandKey(owner, rank)) ?? 1));
 	}
 
+	/** Whether the owner asks for more than its share. */
+	isPressing(owner: string, rank: number): boolean {
+		return (this.#totals.get(demandKey(owner, rank))?.perSecond ?? 0) * this.#inFlightS > this.shareOf(owner, rank);
+	}
+
 	/** Calls of the owner that the peers have in flight. */
 	peersRunning(owner: string, rank: number): number {
 		return this.#totals.get(demandKey(owner, rank))?.running ?? 0;
--- a/src/gateway/admission/target-admission.ts
+++ b/src/gateway/admission/target-admission.ts
@@ -7,17 +7,18 @@
 	Clock, Disposable, EventLog, Metrics, RandomSource,
 } from '../../common/services.js';
 import type {CallRanks} from '../accounts/call-ranks.js';
-import {ExpectedTime} from '../contacts/expected-time.js';
 import {gatewayEvents} from '../log-events.js';
 import type {PeerState} from '../peers/peer-state.js';
+import {sampleSizeOf} from '../placement/replica-choice.js';
 import type {ServiceTimes} from '../placement/service-times.js';
 import type {Replica} from '../replica.js';
 import type {GatewayRoute, GatewayServiceName} from '../types.js';
 import type {AdmissionControl, AdmissionOutcome, AdmissionRequest} from './admission-control.js';
 import {
-	decideAdmission, excessMs, longestHoldMs, tolerableWaitMs, type AdmissionView,
+	decideAdmission, excessMs, longestHoldMs, queuedMs, type AdmissionView,
 } from './admission-policy.js';
 import {DemandBoard} from './demand-board.js';
+import {expectedWaitMs} from './expected-wait.js';
 import {LeastShares} from './least-shares.js';
 import {retryDelay} from './retry-delay.js';
 import {ReturnedCallers} from './returned-callers.js';
@@ -35,6 +36,8 @@
 	readonly ranks: CallRanks;
 	/** Replicas of a service that take work. */
 	readonly replicasOf: (service: GatewayServiceName) => readonly Replica[];
+	/** Number of processes that send to the replicas, including this one. */
+	readonly processCount: () => number;
 	/** An owner's declared calls a second. */
 	readonly weightOf: (owner: string) => number | undefined;
 	readonly clock: Clock;
@@ -59,8 +62,11 @@
 const announceEveryMs = 200;
 const announcedForMs = 2000;
 
-/** With fewer calls, the mean run time is not representative of a service. */
-const minRuns = 10;
+/** An overload is lasting after this long, in milliseconds: longer than refused callers stay away. */
+const lastingMs = 2000;
+
+/** An overload is over when all calls have found free slots for this long, in milliseconds. */
+const calmAfterMs = 500;
 
 /** Assumed time between two calls that the replicas finish, in milliseconds, until it is known. */
 const usualGapMs = 20;
@@ -68,12 +74,12 @@
 type ServiceState = {
 	readonly trend: WaitTrend;
 	readonly leastShares: LeastShares;
-	/** Of calls that found a free slot. */
-	readonly runTime: ExpectedTime;
 	shares: ServiceShares | undefined;
 	sharedAt: number;
 	promisedUntil: number;
 	isScarce: boolean;
+	/** Since when more calls arrive than finish, in milliseconds on the monotonic clock. */
+	overloadedSince: number | undefined;
 };
 
 type Candidate = {
@@ -85,9 +91,7 @@
 	readonly bytes: number;
 	readonly onDecided: (outcome: AdmissionOutcome) => void;
 	isWaiting: boolean;
-	/** When it began, in milliseconds on the monotonic clock. */
-	begunAt: number | undefined;
-	hasFoundFreeSlot: boolean;
+	isRunning: boolean;
 };
 
 type Assessment = {
@@ -135,7 +139,7 @@
 		this.#board.noteArrival(service, owner, rank, now);
 		this.#stateOf(service).leastShares.noteArrival(rank, now);
 		const candidate: Candidate = {
-			call, owner, rank, isReturned: this.#returned.isReturned(route.name, timeLimitMs, now), arrivedAt, bytes: bodyBytes, onDecided, isWaiting: false, begunAt: undefined, hasFoundFreeSlot: false,
+			call, owner, rank, isReturned: this.#returned.isReturned(route.name, timeLimitMs, now), arrivedAt, bytes: bodyBytes, onDecided, isWaiting: false, isRunning: false,
 		};
 		this.#decide(candidate);
 		return {
@@ -199,15 +203,14 @@
 			this.#report(candidate, assessment, {outcome: decision.kind === 'late' ? 'late' : 'waited'});
 		}
 
-		this.#begin(candidate, assessment.view.waitMs);
+		this.#begin(candidate);
 	}
 
-	#begin(candidate: Candidate, waitMs: number) {
+	#begin(candidate: Candidate) {
 		const {call: {service}, owner, rank, onDecided} = candidate;
 		const now = this.#parts.clock.now();
 		this.#leaveLine(candidate);
-		candidate.begunAt = now;
-		candidate.hasFoundFreeSlot = waitMs === 0;
+		candidate.isRunning = true;
 		this.#board.noteRunning(service, owner, rank, 1);
 		this.#stateOf(service).leastShares.noteBegun(rank, now);
 		onDecided({kind: 'admitted'});
@@ -234,7 +237,7 @@
 		const {view} = assessment;
 		const state = this.#stateOf(candidate.call.service);
 		const {retryAfterMs, promisedUntil} = retryDelay({
-			now: clock.now(), excessMs: excessMs(view), gapMs: this.#gapMs(state), leftMs: view.leftMs, promisedUntil: state.promisedUntil, draw: random.next(),
+			now: clock.now(), excessMs: excessMs(view), isDemandHigh: state.shares?.isDemandHigh ?? false, gapMs: this.#gapMs(state), leftMs: view.leftMs, promisedUntil: state.promisedUntil, draw: random.next(),
 		});
 		state.promisedUntil = promisedUntil;
 		this.#leaveLine(candidate);
@@ -249,18 +252,15 @@
 
 	/** The call has ended, or its caller has left. */
 	#leave(candidate: Candidate) {
-		const {call: {service}, owner, rank, begunAt, hasFoundFreeSlot} = candidate;
+		const {call: {service}, owner, rank, isRunning} = candidate;
 		this.#leaveLine(candidate);
 		this.#stopTimerIfIdle();
-		if (begunAt === undefined) {
+		if (!isRunning) {
 			return;
 		}
 
-		candidate.begunAt = undefined;
+		candidate.isRunning = false;
 		this.#board.noteRunning(service, owner, rank, -1);
-		if (hasFoundFreeSlot) {
-			this.#stateOf(service).runTime.observe(this.#parts.clock.now() - begunAt);
-		}
 	}
 
 	#stopTimerIfIdle() {
@@ -271,36 +271,50 @@
 	}
 
 	#assess({call, owner, rank, isReturned, arrivedAt}: Candidate): Assessment {
-		const {clock, serviceTimes} = this.#parts;
+		const {clock, serviceTimes, processCount} = this.#parts;
 		const {service, route: {latencyTargetMs: targetMs}, timeLimitMs} = call;
 		const now = clock.now();
 		const state = this.#stateOf(service);
-		const waitMs = serviceTimes.waitMs(service, call.candidates());
+		const replicas = call.candidates();
+		const waitMs = expectedWaitMs(replicas, replica => serviceTimes.waitMs(service, [replica]), sampleSizeOf(replicas.length, processCount()));
 		const isShrinking = state.trend.note(waitMs, now);
 		const shares = waitMs > 0 ? this.#sharesOf(service, targetMs, now) : undefined;
 		const share = shares?.shareOf(owner, rank) ?? Infinity;
 		const running = (shares?.peersRunning(owner, rank) ?? 0) + this.#board.ownRunning(service, owner, rank);
 		state.isScarce = waitMs > 0 && (!isShrinking || shares?.isDemandHigh !== false);
+		this.#noteOverload(state, shares, now);
+		const hasRival = state.isScarce && state.leastShares.hasRival(rank, now);
+		const hasEarned = state.leastShares.hasEarned(rank);
 		return {
 			share,
 			running,
 			view: {
-				waitMs, elapsedMs: now - arrivedAt, leftMs: arrivedAt + timeLimitMs - now, targetMs, isReturned, isOutranked: state.isScarce && state.leastShares.isOutranked(rank, now), shareUsed: running / share, isScarce: state.isScarce,
+				waitMs, elapsedMs: now - arrivedAt, leftMs: arrivedAt + timeLimitMs - now, targetMs, isReturned, isOutranked: hasRival && !hasEarned, hasLeastShare: hasRival && hasEarned, isPressing: shares?.isPressing(owner, rank) ?? false, isLasting: state.overloadedSince !== undefined && now - state.overloadedSince > lastingMs, shareUsed: running / share, isScarce: state.isScarce,
 			},
 		};
 	}
 
+	/** Single calls find a free slot during an overload, too. */
+	#noteOverload(state: ServiceState, shares: ServiceShares | undefined, now: number) {
+		if (shares?.isDemandHigh) {
+			state.overloadedSince ??= now;
+		} else if (shares ?? now - state.trend.pressedAt > calmAfterMs) {
+			state.overloadedSince = undefined;
+		}
+	}
+
 	/** `undefined` until the service's run time is known. */
 	#sharesOf(service: GatewayServiceName, targetMs: number, now: number): ServiceShares | undefined {
-		const {replicasOf, weightOf} = this.#parts;
+		const {replicasOf, weightOf, serviceTimes} = this.#parts;
 		const state = this.#stateOf(service);
-		if (state.runTime.observations < minRuns || now - state.sharedAt < sharesKeptMs) {
+		const runMs = serviceTimes.meanMs(service);
+		if (runMs === undefined || now - state.sharedAt < sharesKeptMs) {
 			return state.shares;
 		}
 
 		state.sharedAt = now;
 		state.shares = new ServiceShares({
-			slots: replicasOf(service).reduce((sum, {record: {slots}}) => sum + slots, 0), runMs: state.runTime.meanMs, tolerableWaitMs: tolerableWaitMs(targetMs), totals: this.#board.totals(service, now), weightOf,
+			slots: replicasOf(service).reduce((sum, {record: {slots}}) => sum + slots, 0), runMs, queuedMs: queuedMs(targetMs), totals: this.#board.totals(service, now), weightOf,
 		});
 		return state.shares;
 	}
@@ -318,14 +332,14 @@
 		const {log, metrics, clock} = this.#parts;
 		const ageMs = this.#board.ageMs(clock.now());
 		log.emit(gatewayEvents.admissionDecided, {
-			id, route: route.name, account: account?.name, rank, ...outcome, waitMs: Math.round(view.waitMs), elapsedMs: Math.round(view.elapsedMs), targetMs: view.targetMs, isReturned, isOutranked: view.isOutranked, isScarce: view.isScarce, share: share === Infinity ? undefined : Math.round(share), running, demandAgeMs: ageMs === undefined ? undefined : Math.round(ageMs),
+			id, route: route.name, account: account?.name, rank, ...outcome, waitMs: Math.round(view.waitMs), elapsedMs: Math.round(view.elapsedMs), targetMs: view.targetMs, isReturned, isOutranked: view.isOutranked, isScarce: view.isScarce, isPressing: view.isPressing, isLasting: view.isLasting, share: share === Infinity ? undefined : Math.round(share), running, demandAgeMs: ageMs === undefined ? undefined : Math.round(ageMs),
 		});
 		metrics.count('gateway.admissions', 1, {route: route.name, outcome: outcome.reason ?? outcome.outcome});
 	}
 
 	#stateOf(service: GatewayServiceName): ServiceState {
 		const state = this.#services.get(service) ?? {
-			trend: new WaitTrend(), leastShares: new LeastShares(), runTime: new ExpectedTime(), shares: undefined, sharedAt: -Infinity, promisedUntil: 0, isScarce: false,
+			trend: new WaitTrend(), leastShares: new LeastShares(), shares: undefined, sharedAt: -Infinity, promisedUntil: 0, isScarce: false, overloadedSince: undefined,
 		};
 		this.#services.set(service, state);
 		return state;
--- a/src/gateway/admission/wait-trend.ts
+++ b/src/gateway/admission/wait-trend.ts
@@ -12,9 +12,12 @@
 export class WaitTrend {
 	#meanMs = 0;
 	#notedAt = -Infinity;
+	#pressedAt = -Infinity;
 
 	/** When a call last found no free slot. */
-	pressedAt = -Infinity;
+	get pressedAt(): number {
+		return this.#pressedAt;
+	}
 
 	/** @returns Whether the wait is shrinking. */
 	note(waitMs: number, now: number): boolean {
@@ -22,7 +25,7 @@
 		this.#meanMs += (waitMs - this.#meanMs) * (1 - Math.exp((this.#notedAt - now) / memoryMs));
 		this.#notedAt = now;
 		if (waitMs > 0) {
-			this.pressedAt = now;
+			this.#pressedAt = now;
 		}
 
 		return isShrinking;
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -281,7 +281,7 @@
 		const serviceTimes = new ServiceTimes();
 		const ranks = new CallRanks(clock);
 		const admission = new TargetAdmission({
-			otherwise: new DeadlineAdmission({serviceTimes, ranks, clock}), isByTarget: (route, service) => admitsByTarget(features, route, board.service(service)), serviceTimes, ranks, replicasOf: service => directory.takingWork(service), weightOf: owner => board.rateLimit(branded<ClientAccountName>(owner))?.perSecond, clock, random, log, metrics,
+			otherwise: new DeadlineAdmission({serviceTimes, ranks, clock}), isByTarget: (route, service) => admitsByTarget(features, route, board.service(service)), serviceTimes, ranks, replicasOf: service => directory.takingWork(service), processCount, weightOf: owner => board.rateLimit(branded<ClientAccountName>(owner))?.perSecond, clock, random, log, metrics,
 		});
 		this.#admission = admission;
 		peers.onState(state => {
--- a/src/gateway/placement/replica-choice.ts
+++ b/src/gateway/placement/replica-choice.ts
@@ -53,8 +53,10 @@
 const viewersPerReplica = 2;
 const minSampleSize = 3;
 
+export const sampleSizeOf = (replicas: number, processCount: number): number => Math.max(minSampleSize, Math.ceil(viewersPerReplica * replicas / processCount));
+
 const sampleOf = (replicas: readonly Replica[], {processCount, random}: ChoiceContext): readonly Replica[] => {
-	const sampleSize = Math.max(minSampleSize, Math.ceil(viewersPerReplica * replicas.length / processCount));
+	const sampleSize = sampleSizeOf(replicas.length, processCount);
 	return sampleSize >= replicas.length
 		? replicas
 		: Array.from({length: sampleSize}, () => replicas[Math.floor(random.next() * replicas.length)]!);
--- a/src/gateway/placement/service-times.ts
+++ b/src/gateway/placement/service-times.ts
@@ -21,6 +21,12 @@
 		this.#times.set(service, time);
 	}
 
+	/** @returns Mean time for which a call occupies a slot, in milliseconds; `undefined` if too few calls were recorded. */
+	meanMs(service: GatewayServiceName): number | undefined {
+		const time = this.#times.get(service);
+		return time && time.observations >= minCalls ? time.meanMs : undefined;
+	}
+
 	/**
 	Milliseconds until a call gets a slot, at the replica with the shortest wait. Batch items are not counted, since online calls preempt them. 0 if too few calls were recorded or no replica is given: the call is then to be tried.
 	*/
--- a/src/gateway/testing/scarcity-model.ts
+++ b/src/gateway/testing/scarcity-model.ts
@@ -151,14 +151,17 @@
 
 	#newState(): Pick<Process, 'times' | 'admission'> {
 		const clock = this.#clock;
-		const {random, accounts, rule = 'target'} = this.#load;
+		const load = this.#load;
+		const {random, accounts, rule = 'target'} = load;
 		const times = new ServiceTimes();
 		const ranks = new CallRanks(clock);
 		const weights = new Map(accounts.map(({name, weight}) => [name, weight]));
 		const otherwise = new DeadlineAdmission({serviceTimes: times, ranks, clock});
-		const admission = rule === 'deadline' ? otherwise : new TargetAdmission({
-			otherwise, isByTarget: () => true, serviceTimes: times, ranks, replicasOf: () => this.#processes[0]!.replicas, weightOf: owner => weights.get(owner), clock, random, log: {emit: () => undefined}, metrics: {count: () => undefined, gauge: () => undefined, timing: () => undefined},
-		});
+		const admission = rule === 'deadline'
+			? otherwise
+			: new TargetAdmission({
+				otherwise, isByTarget: () => true, serviceTimes: times, ranks, replicasOf: () => this.#processes[0]!.replicas, processCount: () => load.processes, weightOf: owner => weights.get(owner), clock, random, log: {emit: () => undefined}, metrics: {count: () => undefined, gauge: () => undefined, timing: () => undefined},
+			});
 		return {times, admission};
 	}
 
