--- a/src/ctl/explain/log-story.ts
+++ b/src/ctl/explain/log-story.ts
@@ -46,7 +46,7 @@
 	return [
 		`refused with 503, not run: ${why}`,
 		`a slot was expected in ${String(waitMs)} ms, ${String(elapsedMs)} ms after it came, with a target of ${String(targetMs)} ms for its first event`,
-		...(share === undefined ? [] : [`its owner had ${String(running)} calls in flight over all processes, and a share of ${String(share)}`]),
+		...(share === undefined ? [] : [`its owner had ${String(running)} calls in flight over all processes, and a share of ${String(Number(share))}`]),
 		...(isOutranked === true ? [`calls of a higher rank than its ${String(rank)} competed`] : []),
 		...(isReturned === true ? ['its caller had been refused before'] : []),
 		`told to come back after ${String(retryAfterMs)} ms`,
--- a/src/gateway/admission/target-admission.ts
+++ b/src/gateway/admission/target-admission.ts
@@ -7,6 +7,7 @@
 	Clock, Disposable, EventLog, Metrics, RandomSource,
 } from '../../common/services.js';
 import type {CallRanks} from '../accounts/call-ranks.js';
+import {ExpectedTime} from '../contacts/expected-time.js';
 import {gatewayEvents} from '../log-events.js';
 import type {PeerState} from '../peers/peer-state.js';
 import {sampleSizeOf} from '../placement/replica-choice.js';
@@ -68,12 +69,22 @@
 /** An overload is over when all calls have found free slots for this long, in milliseconds. */
 const calmAfterMs = 500;
 
+/**
+Assumed time for which a call occupies a slot, in milliseconds, until it is known. A process that starts into an overload sees no call find a free slot: if it let all calls begin until it knew, nothing would be on time for as long. With free slots calls begin in any case.
+*/
+const assumedRunMs = 1000;
+
+/** Calls that waited before the estimate from them is used. */
+const minQueuedRuns = 5;
+
 /** Assumed time between two calls that the replicas finish, in milliseconds, until it is known. */
 const usualGapMs = 20;
 
 type ServiceState = {
 	readonly trend: WaitTrend;
 	readonly leastShares: LeastShares;
+	/** Estimated from calls that waited, for as long as no call has found a free slot. */
+	readonly queuedRuns: ExpectedTime;
 	shares: ServiceShares | undefined;
 	sharedAt: number;
 	promisedUntil: number;
@@ -92,6 +103,9 @@
 	readonly onDecided: (outcome: AdmissionOutcome) => void;
 	isWaiting: boolean;
 	isRunning: boolean;
+	begunAt: number;
+	/** Calls in flight for each slot when it began, at least 1. */
+	crowding: number;
 };
 
 type Assessment = {
@@ -100,6 +114,12 @@
 	readonly running: number;
 };
 
+const crowdingOf = (replicas: readonly Replica[]): number => {
+	const slots = replicas.reduce((sum, {record}) => sum + record.slots, 0);
+	const online = replicas.reduce((sum, {allOnline}) => sum + allOnline, 0);
+	return Math.max(1, (online + 1) / Math.max(1, slots));
+};
+
 /** See the module's head. */
 export class TargetAdmission implements AdmissionControl, Disposable {
 	readonly #parts: TargetAdmissionParts;
@@ -139,7 +159,7 @@
 		this.#board.noteArrival(service, owner, rank, now);
 		this.#stateOf(service).leastShares.noteArrival(rank, now);
 		const candidate: Candidate = {
-			call, owner, rank, isReturned: this.#returned.isReturned(route.name, timeLimitMs, now), arrivedAt, bytes: bodyBytes, onDecided, isWaiting: false, isRunning: false,
+			call, owner, rank, isReturned: this.#returned.isReturned(route.name, timeLimitMs, now), arrivedAt, bytes: bodyBytes, onDecided, isWaiting: false, isRunning: false, begunAt: 0, crowding: 1,
 		};
 		this.#decide(candidate);
 		return {
@@ -211,6 +231,8 @@
 		const now = this.#parts.clock.now();
 		this.#leaveLine(candidate);
 		candidate.isRunning = true;
+		candidate.begunAt = now;
+		candidate.crowding = crowdingOf(candidate.call.candidates());
 		this.#board.noteRunning(service, owner, rank, 1);
 		this.#stateOf(service).leastShares.noteBegun(rank, now);
 		onDecided({kind: 'admitted'});
@@ -252,7 +274,7 @@
 
 	/** The call has ended, or its caller has left. */
 	#leave(candidate: Candidate) {
-		const {call: {service}, owner, rank, isRunning} = candidate;
+		const {call: {service}, owner, rank, isRunning, begunAt, crowding} = candidate;
 		this.#leaveLine(candidate);
 		this.#stopTimerIfIdle();
 		if (!isRunning) {
@@ -261,6 +283,8 @@
 
 		candidate.isRunning = false;
 		this.#board.noteRunning(service, owner, rank, -1);
+		// By Little's law, calls spend as many times their run time at a replica as there are calls for each slot.
+		this.#stateOf(service).queuedRuns.observe((this.#parts.clock.now() - begunAt) / crowding);
 	}
 
 	#stopTimerIfIdle() {
@@ -271,12 +295,12 @@
 	}
 
 	#assess({call, owner, rank, isReturned, arrivedAt}: Candidate): Assessment {
-		const {clock, serviceTimes, processCount} = this.#parts;
+		const {clock, processCount} = this.#parts;
 		const {service, route: {latencyTargetMs: targetMs}, timeLimitMs} = call;
 		const now = clock.now();
 		const state = this.#stateOf(service);
 		const replicas = call.candidates();
-		const waitMs = expectedWaitMs(replicas, replica => serviceTimes.waitMs(service, [replica]), sampleSizeOf(replicas.length, processCount()));
+		const waitMs = expectedWaitMs(replicas, this.#waitOf(service), sampleSizeOf(replicas.length, processCount()));
 		const isShrinking = state.trend.note(waitMs, now);
 		const shares = waitMs > 0 ? this.#sharesOf(service, targetMs, now) : undefined;
 		const share = shares?.shareOf(owner, rank) ?? Infinity;
@@ -294,6 +318,22 @@
 		};
 	}
 
+	/** @returns Milliseconds until a call gets a slot at a replica. */
+	#waitOf(service: GatewayServiceName): (replica: Replica) => number {
+		const {serviceTimes} = this.#parts;
+		if (serviceTimes.meanMs(service) !== undefined) {
+			return replica => serviceTimes.waitMs(service, [replica]);
+		}
+
+		const runMs = this.#unknownRunMs(service);
+		return ({allOnline, record: {slots}}) => Math.max(0, allOnline + 1 - slots) * runMs / slots;
+	}
+
+	#unknownRunMs(service: GatewayServiceName): number {
+		const {queuedRuns} = this.#stateOf(service);
+		return queuedRuns.observations < minQueuedRuns ? assumedRunMs : queuedRuns.meanMs;
+	}
+
 	/** Single calls find a free slot during an overload, too. */
 	#noteOverload(state: ServiceState, shares: ServiceShares | undefined, now: number) {
 		if (shares?.isDemandHigh) {
@@ -303,15 +343,15 @@
 		}
 	}
 
-	/** `undefined` until the service's run time is known. */
-	#sharesOf(service: GatewayServiceName, targetMs: number, now: number): ServiceShares | undefined {
+	#sharesOf(service: GatewayServiceName, targetMs: number, now: number): ServiceShares {
 		const {replicasOf, weightOf, serviceTimes} = this.#parts;
 		const state = this.#stateOf(service);
-		const runMs = serviceTimes.meanMs(service);
-		if (runMs === undefined || now - state.sharedAt < sharesKeptMs) {
+		if (state.shares && now - state.sharedAt < sharesKeptMs) {
 			return state.shares;
 		}
 
+		const runMs = serviceTimes.meanMs(service) ?? this.#unknownRunMs(service);
+
 		state.sharedAt = now;
 		state.shares = new ServiceShares({
 			slots: replicasOf(service).reduce((sum, {record: {slots}}) => sum + slots, 0), runMs, queuedMs: queuedMs(targetMs), totals: this.#board.totals(service, now), weightOf,
@@ -339,7 +379,7 @@
 
 	#stateOf(service: GatewayServiceName): ServiceState {
 		const state = this.#services.get(service) ?? {
-			trend: new WaitTrend(), leastShares: new LeastShares(), shares: undefined, sharedAt: -Infinity, promisedUntil: 0, isScarce: false, overloadedSince: undefined,
+			trend: new WaitTrend(), leastShares: new LeastShares(), queuedRuns: new ExpectedTime(), shares: undefined, sharedAt: -Infinity, promisedUntil: 0, isScarce: false, overloadedSince: undefined,
 		};
 		this.#services.set(service, state);
 		return state;
--- a/src/gateway/testing/scarcity-model.ts
+++ b/src/gateway/testing/scarcity-model.ts
@@ -72,7 +72,7 @@
 };
 
 type Caller = {readonly account: AccountLoad; readonly outcome: AccountOutcome | undefined; readonly until: number; readonly isReturned: boolean};
-type Process = {readonly name: MemberName; readonly replicas: readonly Replica[]; times: ServiceTimes; admission: AdmissionControl & Partial<Pick<TargetAdmission, 'poll' | 'announcement' | 'receive' | 'dispose'>>};
+type Process = {readonly name: MemberName; readonly replicas: readonly Replica[]; times: ServiceTimes; admission: AdmissionControl & Partial<Pick<TargetAdmission, 'waiting' | 'poll' | 'announcement' | 'receive' | 'dispose'>>};
 type Engine = {running: number; readonly queue: Array<() => void>};
 
 export const modelTargetMs = 300;
@@ -84,7 +84,7 @@
 const announceEveryMs = 40;
 const runSpread = 0.4;
 const service = branded<GatewayServiceName>('engines');
-const route: GatewayRoute = {
+export const modelRoute: GatewayRoute = {
 	name: 'assist', host: 'h', pathPrefix: '/', kind: 'stream', timeoutMs: timeLimitMs, latencyTargetMs: modelTargetMs, maxRuns: 2, isResumable: true, isAnonymous: false, priority: 0, targets: [{service, weight: 1}],
 };
 
@@ -121,6 +121,8 @@
 		if (this.#load.restartAt !== undefined) {
 			this.#at(this.#load.restartAt, () => {
 				this.#processes.forEach(process => {
+					// Calls that wait at a process end with it.
+					this.#undecided -= process.admission.waiting ?? 0;
 					process.admission.dispose?.();
 					Object.assign(process, this.#newState());
 				});
@@ -201,7 +203,7 @@
 		const process = this.#processes[account.isAtFirstProcess ? 0 : Math.floor(this.#load.random.next() * this.#processes.length)]!;
 		this.#undecided += 1;
 		const admission = process.admission.request({
-			id: '', route, service, account: {
+			id: '', route: modelRoute, service, account: {
 				name: branded<ClientAccountName>(account.name), accountKeys: [], priority: account.priority,
 			}, arrivedAt, timeLimitMs: caller.until - arrivedAt, candidates: () => process.replicas,
 		}, outcome => {
