--- a/src/common/message-validators.ts
+++ b/src/common/message-validators.ts
@@ -45,7 +45,7 @@
 		replica: isNonEmptyString, startedAt: optional(Number.isSafeInteger), msPerEvent: isNonNegativeNumber, events: isNonNegativeNumber,
 	}))),
 	demand: optional(listOf(objectOf({
-		service: isNonEmptyString, owner: isNonEmptyString, running: isNonNegativeInteger, perSecond: isNonNegativeNumber,
+		service: isNonEmptyString, owner: isNonEmptyString, rank: optional(isNonNegativeNumber), running: isNonNegativeInteger, perSecond: isNonNegativeNumber,
 	}))),
 	forecasts: optional(listOf(objectOf({service: isNonEmptyString, perSecond: listOf(isNonNegativeNumber)}))),
 	unreachable: optional(listOf(objectOf({replica: isNonEmptyString, startedAt: optional(Number.isSafeInteger)}))),
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -22,7 +22,9 @@
 import {RpcClient} from '../io/rpc-client.js';
 import {CallRanks} from './accounts/call-ranks.js';
 import {CallerGate} from './accounts/caller-gate.js';
+import {admitsByTarget} from './admission/admits-by-target.js';
 import {DeadlineAdmission} from './admission/deadline-admission.js';
+import {TargetAdmission} from './admission/target-admission.js';
 import {RateLimits} from './accounts/rate-limits.js';
 import {JobIndex} from './batch/job-index.js';
 import {BatchRetention} from './batch/batch-retention.js';
@@ -79,7 +81,9 @@
 import {VersionHistory} from './streams/version-history.js';
 import type {FrontSettings} from './settings.js';
 import {TrafficMeter} from './traffic-meter.js';
-import type {CallDialect, GatewayFeatures, MemberName} from './types.js';
+import type {
+	CallDialect, ClientAccountName, GatewayFeatures, MemberName,
+} from './types.js';
 
 /** What the adapter of a platform provides. */
 export type FrontAdapter = {
@@ -195,6 +199,7 @@
 	readonly #streamOrigins: StreamOrigins;
 	readonly #versionHistory: VersionHistory;
 	readonly #readiness: Readiness;
+	readonly #admission: TargetAdmission;
 	readonly #server: FrontServer;
 	readonly #readyServer: Server;
 	readonly #owned: readonly Disposable[];
@@ -203,7 +208,9 @@
 		this.#settings = settings;
 		this.#clock = clock;
 		this.#droppedLines = droppedLines;
-		const {records, dialect, jobCalls, itemHeaders} = adapter;
+		const {
+			records, dialect, jobCalls, itemHeaders, features,
+		} = adapter;
 		const self = branded<MemberName>(settings.name);
 		const {failureDomain} = settings;
 		const metrics = this.#metrics;
@@ -309,6 +316,15 @@
 			channel: this.#channel, rpc, holders: new OriginHolders(peers), history: this.#versionHistory, clock, log, metrics,
 		});
 		const processCount = () => peers.processCount;
+		const serviceTimes = new ServiceTimes(paces);
+		const ranks = new CallRanks(clock);
+		const admission = new TargetAdmission({
+			otherwise: new DeadlineAdmission({serviceTimes, ranks, clock}), isByTarget: (route, service) => admitsByTarget(features, route, board.service(service)), serviceTimes, ranks, replicasOf: service => directory.takingWork(service), processCount, weightOf: owner => board.rateLimit(branded<ClientAccountName>(owner))?.perSecond, clock, random, log, metrics,
+		});
+		this.#admission = admission;
+		peers.onState(state => {
+			admission.receive(state);
+		});
 		this.#connectionPools = new ReplicaConnectionPools({
 			board,
 			directory,
@@ -342,7 +358,7 @@
 			self, quarantine, partQuarantine, feed: quarantineFeed, api, peers, clock, log,
 		});
 		this.#announcer = new PeerAnnouncer({
-			self, failureDomain, channel: this.#channel, peers, directory, loads, quarantine, partQuarantine, failedRuns, rateLimits, sections: [() => paceNews.section(), () => unreachableNews.section(), () => waves.announcement()], checks: () => this.#checks.announcement(), clock, isLeaving, memberAddresses: () => this.#registry.addresses, claimedJobs: () => claims.claimed, waitingItems: () => this.#runner.waiting, rpcAddress: () => this.#rpcServer.address, reachesObjectApi: () => api.isDirect,
+			self, failureDomain, channel: this.#channel, peers, directory, loads, quarantine, partQuarantine, failedRuns, rateLimits, sections: [() => paceNews.section(), () => unreachableNews.section(), () => waves.announcement(), () => admission.announcement()], checks: () => this.#checks.announcement(), clock, isLeaving, memberAddresses: () => this.#registry.addresses, claimedJobs: () => claims.claimed, waitingItems: () => this.#runner.waiting, rpcAddress: () => this.#rpcServer.address, reachesObjectApi: () => api.isDirect,
 		});
 		this.#checks = new SharedChecks({
 			self,
@@ -360,9 +376,8 @@
 		this.#readiness = new Readiness({
 			lifecycle: this.#lifecycle, board, directory, log,
 		});
-		const serviceTimes = new ServiceTimes(paces);
 		this.#server = new FrontServer({
-			board, directory, firstRead: this.#firstRead, replicaFreshness, configFreshness: freshnessOf('GatewayConfig', configFeed, settings.configMs), loads, connectionPools: this.#connectionPools, reachability, quarantine, partQuarantine, streamOrigins: this.#streamOrigins, serviceTimes, paces, admission: new DeadlineAdmission({serviceTimes, ranks: new CallRanks(clock), clock}), dialect, clock, random, log, metrics, processCount, failureDomain, continuesRuns: settings.continuesRuns, jobCalls,
+			board, directory, firstRead: this.#firstRead, replicaFreshness, configFreshness: freshnessOf('GatewayConfig', configFeed, settings.configMs), loads, connectionPools: this.#connectionPools, reachability, quarantine, partQuarantine, streamOrigins: this.#streamOrigins, serviceTimes, paces, admission, dialect, clock, random, log, metrics, processCount, failureDomain, continuesRuns: settings.continuesRuns, jobCalls,
 			gate: new CallerGate({
 				board, dialect, limits: rateLimits, clock, log, metrics, configConfirmedAt: () => this.#checks.lastConfirmedAt('GatewayConfig'), staleAfterMs: settings.refuseKeysAfterMs,
 			}),
@@ -386,7 +401,7 @@
 			res.writeHead(this.#readiness.isReady ? 200 : 503, {'content-length': '0'});
 			res.end();
 		});
-		this.#owned = [this.#retention, this.#quarantineRecords, this.#runner, this.#announcer, this.#registrar, registrations, this.#checks, unreachableNews, progress, ...this.#feeds, reachability, this.#connectionPools, this.#server, this.#streamOrigins, this.#channel, this.#rpcServer, api, http, this.#metrics, this.#lifecycle];
+		this.#owned = [this.#retention, this.#quarantineRecords, this.#runner, this.#announcer, this.#registrar, registrations, this.#checks, unreachableNews, progress, ...this.#feeds, reachability, this.#connectionPools, this.#server, this.#admission, this.#streamOrigins, this.#channel, this.#rpcServer, api, http, this.#metrics, this.#lifecycle];
 	}
 
 	get addresses(): Readonly<Record<string, string>> {
@@ -472,6 +487,8 @@
 		const metrics = this.#metrics;
 		const now = this.#clock.now();
 		metrics.gauge('gateway.callsUnderWay', this.#server.activeCalls);
+		metrics.gauge('gateway.waitingCalls', this.#admission.waiting);
+		metrics.gauge('gateway.scarceServices', this.#admission.scarceServices);
 		metrics.gauge('gateway.places', this.#loads.online, {kind: 'online'});
 		metrics.gauge('gateway.places', this.#loads.batch, {kind: 'batch'});
 		metrics.gauge('gateway.peers', this.#peers.live.length);
--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -21,7 +21,7 @@
 	/** Fields: id, replica, status and contentType (of this run's own answer; status 0 without one), isFramed, softwareVersion, resumeAfter, lastEventId (last event sent to the caller), outcome. */
 	rerunEnded: {number: 707, level: 'info', text: 'second or later run of a call ended'},
 	/** Fields: id, holder (the replica with the copy), isUsable (whether it takes work), lastEventId (last event sent to the caller), online (calls in flight there). */
-	copyTaken: {number: 760, level: 'info', text: 'run is to go on from its copy'},
+	copyTaken: {number: 761, level: 'info', text: 'run is to go on from its copy'},
 	/** Fields: version, routes, services, accounts. */
 	configInForce: {number: 710, level: 'info', text: 'configuration in force'},
 	/** Fields: name, reason. */
@@ -99,15 +99,17 @@
 	/** Fields: job, item, events (dropped), softwareVersion (that generated them), blockedMs. */
 	itemRestarted: {number: 747, level: 'info', text: 'batch item is run from the start, since no replica of its version has a slot'},
 	/** Fields: job, item, runMs (that it still has to run), dueInMs, msToRise (0 within a wave) and msToFall (of the foreseen wave), sureness and ageMs (of the forecast). */
-	itemHeld: {number: 760, level: 'info', text: 'batch item waits until a foreseen wave of online calls is over'},
+	itemHeld: {number: 762, level: 'info', text: 'batch item waits until a foreseen wave of online calls is over'},
 	/** Fields: job, item, replica, cause (calls or foreseen), events, timesCut (before), online (calls in flight there), slots, msToRise, sureness and ageMs (of the forecast, if there is one). */
-	itemCut: {number: 761, level: 'info', text: 'run of a batch item cut for online calls'},
+	itemCut: {number: 763, level: 'info', text: 'run of a batch item cut for online calls'},
 	/** Fields: parts (one of them is the cause), crashes (at different moments), isCertain, trials, heldMs, replicas (starts of those that crashed, and the trials). */
 	partQuarantined: {number: 748, level: 'warn', text: 'prompt parts quarantined: replicas have crashed at the beginning of answers to requests with them'},
 	/** Fields: part, reason. */
 	partReleased: {number: 749, level: 'info', text: 'prompt part released from quarantine'},
 	/** Fields: parts. */
 	partTested: {number: 750, level: 'info', text: 'request sent as the test of quarantined prompt parts'},
+	/** Fields: id, route, account, rank, outcome (waited, late or refused), reason and retryAfterMs (of a refusal), waitMs (expected, for a slot), elapsedMs (since its arrival), targetMs, isReturned (its caller was refused before), isOutranked, isScarce, share and running (calls in flight that its owner may have and has, over all processes; no share if there is enough for all), demandAgeMs (of the oldest announcement that the share follows from). */
+	admissionDecided: {number: 760, level: 'info', text: 'call waited for its admission, began late or was refused'},
 	/** Fields: reason. */
 	handlerFailed: {number: 790, level: 'error', text: 'handler of a peer\'s call broke an invariant'},
 } as const satisfies Record<string, EventDefinition>;
--- a/src/gateway/peers/member-registrar.ts
+++ b/src/gateway/peers/member-registrar.ts
@@ -66,7 +66,7 @@
 			return true;
 		}
 
-		const updated = await api.update('Member', self, record, (found as StoredObject).version);
+		const updated = await api.update('Member', self, record, found.version);
 		return updated.isRight();
 	}
 
