A front reads what calls need first, takes connections then, and holds a call that comes before

Small fronts listened 0.25 to 0.3 s before they had a configuration.

A call that comes all the same is held for 75 ms at most. A member record of an earlier start is no longer read once more: the store shows it with the conflict (one call less a front and start).

--- /dev/null
+++ b/src/gateway/first-read.ts
@@ -0,0 +1,47 @@
+/**
+Whether the objects without which no call can be answered have been read for the first time: the configuration and the replicas' registrations. A process reads them before anything else at its start, takes connections when it has read them, and holds for a moment a call that comes before: the read usually takes a few milliseconds, and a refused caller tries once more at most.
+
+Invariant: once over, it stays over, also if the object API becomes unavailable.
+*/
+import {TimeLimit} from '../io/time-limit.js';
+import type {ObjectFeed} from './object-feed.js';
+
+/** The first read of several kinds of objects. */
+export class FirstRead {
+	readonly #missing: Set<ObjectFeed>;
+	readonly #over: Promise<void>;
+
+	/** @param feeds - Feeds of the kinds; their other subscribers must have subscribed before, so that what was read is in force when the read is over. */
+	constructor(feeds: readonly ObjectFeed[]) {
+		this.#missing = new Set(feeds);
+		this.#over = new Promise(resolve => {
+			feeds.forEach(feed => {
+				feed.onSnapshot(() => {
+					this.#missing.delete(feed);
+					if (this.isOver) {
+						resolve();
+					}
+				});
+			});
+		});
+	}
+
+	get isOver(): boolean {
+		return this.#missing.size === 0;
+	}
+
+	/** Resolves when the read is over, or after the given time in milliseconds, not counting pauses of this process. */
+	async within(ms: number): Promise<void> {
+		if (this.isOver) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			const limit = new TimeLimit(ms, resolve);
+			void this.#over.then(() => {
+				limit.dispose();
+				resolve();
+			});
+		});
+	}
+}
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -21,6 +21,7 @@
 import type {JobReader, JobReadError} from './batch/job-reader.js';
 import type {JobCall, JobCallDialect} from './job-calls.js';
 import type {FeedFreshness} from './feed-freshness.js';
+import type {FirstRead} from './first-read.js';
 import {gatewayEvents} from './log-events.js';
 import {OnlineCall} from './calls/online-call.js';
 import type {GatewayParts} from './parts.js';
@@ -34,6 +35,8 @@
 	readonly gate: CallerGate;
 	/** Freshness of the configuration. */
 	readonly configFreshness: FeedFreshness;
+	/** The first read of what a call needs. */
+	readonly firstRead: FirstRead;
 };
 
 /** Multiple of the configured idle time for which a connection is kept alive. Callers reuse connections that were idle for most of the configured time, and a call must not cross the close of its connection. */
@@ -48,6 +51,9 @@
 /** The largest request head that Node.js reads, in bytes; the configured bound may be lower. */
 const maxHeaderBytes = 65_536;
 
+/** Longest time for which a call that comes before the first read is held, in milliseconds: a quarter of the usual latency target, so that a refused caller can still be served in time by another process. */
+const notReadyHoldMs = 75;
+
 /** `retry-after` of a process without a configuration, in milliseconds; it receives one within a second of its start. */
 const notReadyRetryMs = 500;
 /** `retry-after` of a job over the quota of waiting tokens, in milliseconds. */
@@ -202,6 +208,13 @@
 			res.shouldKeepAlive = false;
 		}
 
+		if (!this.#parts.firstRead.isOver) {
+			await this.#parts.firstRead.within(notReadyHoldMs);
+			if (res.destroyed) {
+				return;
+			}
+		}
+
 		const jobCall = this.#parts.jobCalls.match(req);
 		if (jobCall) {
 			req.resume();
--- a/src/gateway/peers/member-registrar.ts
+++ b/src/gateway/peers/member-registrar.ts
@@ -57,8 +57,7 @@
 			return false;
 		}
 
-		const read = await api.get<MemberRecord>('Member', self);
-		const found = err.current ?? read.toMaybe().extractNullable();
+		const found = err.current ?? await this.#readOwn();
 		if (!found) {
 			return false;
 		}
@@ -70,4 +69,11 @@
 		const updated = await api.update('Member', self, record, (found as StoredObject).version);
 		return updated.isRight();
 	}
+
+	/** Needed only where the object API does not return the existing record with the conflict. */
+	async #readOwn(): Promise<StoredObject | undefined> {
+		const {self, api} = this.#parts;
+		const read = await api.get<MemberRecord>('Member', self);
+		return read.toMaybe().extract();
+	}
 }
