--- a/src/gateway/placement/pace-estimate.ts
+++ b/src/gateway/placement/pace-estimate.ts
@@ -26,6 +26,12 @@
 const maxSlowRatio = 1.5;
 const maxFastRatio = 3;
 
+/** A replica whose fast mean is in force for longer than any slow spell, in milliseconds, has changed its usual pace. */
+const lastingMs = 1000;
+
+/** A longer pause, in milliseconds, is a fault of a stream and no pace. */
+const maxMsPerEvent = 10_000;
+
 const between = (value: number, least: number, most: number): number => Math.min(most, Math.max(least, value));
 
 /** See the module's head. Times are milliseconds on the monotonic clock. */
@@ -34,6 +40,8 @@
 	#currentMs = 0;
 	#events = 0;
 	#at = -Infinity;
+	/** Since when the fast mean has been in force without interruption; `undefined` while it is not. */
+	#deviatesSince: number | undefined;
 
 	/** When an event was last observed. */
 	get observedAt(): number {
@@ -42,7 +50,7 @@
 
 	/** Records that `events` events came, `msPerEvent` apart. What is no such number is ignored. */
 	observe(msPerEvent: number, events: number, now: number): void {
-		if (!(msPerEvent > 0 && msPerEvent < Infinity && events > 0)) {
+		if (!(msPerEvent > 0 && msPerEvent <= maxMsPerEvent && events > 0)) {
 			return;
 		}
 
@@ -61,6 +69,7 @@
 
 		this.#events = Math.min(maxEvents, known + count);
 		this.#at = now;
+		this.#noteDeviation(now);
 	}
 
 	/** Number of events that the estimate stands for, decayed with their age. */
@@ -74,8 +83,19 @@
 			return undefined;
 		}
 
+		return this.#deviates && now - this.#at <= spellKnownMs ? this.#currentMs : this.#usualMs;
+	}
+
+	get #deviates(): boolean {
 		const ratio = this.#currentMs / this.#usualMs;
-		const isSpell = now - this.#at <= spellKnownMs && (ratio > spellRatio || ratio < 1 / spellRatio);
-		return isSpell ? this.#currentMs : this.#usualMs;
+		return ratio > spellRatio || ratio < 1 / spellRatio;
+	}
+
+	#noteDeviation(now: number) {
+		this.#deviatesSince = this.#deviates ? (this.#deviatesSince ?? now) : undefined;
+		if (this.#deviatesSince !== undefined && now - this.#deviatesSince > lastingMs) {
+			this.#usualMs = this.#currentMs;
+			this.#deviatesSince = undefined;
+		}
 	}
 }
--- a/src/gateway/placement/replica-choice.ts
+++ b/src/gateway/placement/replica-choice.ts
@@ -51,19 +51,19 @@
 const jitter = 0.04;
 
 /**
-The time that a call needs until its first token at a free slot, as a share of the time for which it occupies the slot. A slow replica reads the prompt slowly, too.
+Weight of the pace where a slot is free, in the unit of the load, which is the time for which a call occupies its slot: a slow replica reads the prompt and generates slowly. It is less than half of a replica's slots, so that calls go to a slow replica before they fill a fast one.
 */
-const readingShare = 0.3;
+const freeSlotWeight = 0.3;
 
 /** Deviation of the replica's pace from the usual one: 0 for equal replicas, whose costs are thus exactly those of their loads. */
 const slownessOf = (replica: Replica, {paces}: ChoiceContext): number => (paces?.factorOf(replica) ?? 1) - 1;
 
 /**
-What a call loses at a replica by its pace: the reading of the prompt, and the wait for a slot where all are in use, which the load expresses at the usual pace. Free slots are not counted by pace: requests stay longer in those of a slow replica, so that an equal load already gives it fewer.
+What a call loses at a replica by its pace: while it runs, and while it waits for a slot where all are in use, which the load expresses at the usual pace. Occupied slots are not counted by pace: requests stay longer in those of a slow replica, so that an equal load already gives it fewer calls. Where each replica served one request at a time, this would be the shortest expected delay (in flight + 1) x pace.
 */
 const slownessCost = (replica: Replica, occupied: number, context: ChoiceContext): number => {
 	const {slots} = replica.record;
-	return slownessOf(replica, context) * (readingShare + (Math.max(0, occupied + 1 - slots) / slots));
+	return slownessOf(replica, context) * (freeSlotWeight + (Math.max(0, occupied + 1 - slots) / slots));
 };
 
 /**
--- a/src/gateway/placement/replica-pace.feature
+++ b/src/gateway/placement/replica-pace.feature
@@ -100,6 +100,14 @@
     And "a" takes 30 ms for each of 12 events
     Then "a" counts as usual
 
+  Scenario: A first figure that is far off is corrected by own events
+    # A peer's only stream there was stalled. Nothing else is known that would bound the figure.
+    Given another replica "f"
+    When a peer announces 9000 ms and 64 events of "f"
+    And "a, b, c, d, e, f" take 30 ms for each of 50 events
+    And 1 s goes by
+    Then "f" counts as usual
+
   Scenario: An announcement stays small however many replicas have changed
     # It is sent within the message of the loads, to all peers.
     Given 500 other replicas whose streams bring an event every 30 ms
