--- a/src/gateway/batch/demand-pattern.ts
+++ b/src/gateway/batch/demand-pattern.ts
@@ -25,8 +25,8 @@
 /** The series must contain the repeat this many times. */
 const minRepeats = 2;
 
-/** Less than this share of what can repeat is no pattern. Chance alone reaches it in loads that switch between two levels at random (demand-pattern.feature). */
-const minSureness = 0.8;
+/** Less than this share of what can repeat is no pattern. Loads that switch between two levels at random reach it rarely (batch-waves.feature). */
+const minSureness = 0.88;
 
 /** The variance must be this many times what chance causes: otherwise the load is steady. */
 const minVarianceRatio = 2;
--- a/src/gateway/batch/wave-forecasts.ts
+++ b/src/gateway/batch/wave-forecasts.ts
@@ -30,6 +30,9 @@
 const mustHaveComeMs = 800;
 const minRiseShare = 0.3;
 
+/** A repeat counts as a pattern once this many forecasts in a row have found it, to within one period: by chance, a series resembles its past for a moment. */
+const minConfirmations = 10;
+
 /** The slots that calls occupy in the wave and in the calm are these quantiles of the last repeat. */
 const waveQuantile = 0.9;
 const calmQuantile = 0.1;
@@ -58,6 +61,8 @@
 	readonly #outlooks = new Map<GatewayServiceName, Outlook | undefined>();
 	/** The wave that is awaited at each service, as the time of its beginning. */
 	readonly #awaited = new Map<GatewayServiceName, number>();
+	/** The repeat that was found last at each service, and how often in a row. */
+	readonly #confirmations = new Map<GatewayServiceName, {readonly lag: number; readonly count: number}>();
 	#reviewedPeriod = -1;
 
 	constructor(parts: WaveForecastsParts) {
@@ -99,6 +104,7 @@
 		[...this.#outlooks.keys()].filter(service => !watched.has(service)).forEach(service => {
 			this.#outlooks.delete(service);
 			this.#awaited.delete(service);
+			this.#confirmations.delete(service);
 		});
 		watched.forEach(service => {
 			this.#reviewService(service);
@@ -127,11 +133,20 @@
 			return;
 		}
 
-		const outlook = outlookOf(this.#history.series(service, peers.live.length), slots, now);
+		const found = outlookOf(this.#history.series(service, peers.live.length), slots, now);
+		const outlook = this.#isConfirmed(service, found) ? found : undefined;
 		this.#outlooks.set(service, outlook);
 		this.#await(service, outlook, now);
 	}
 
+	#isConfirmed(service: GatewayServiceName, found: Outlook | undefined): boolean {
+		const before = this.#confirmations.get(service);
+		const lag = found?.pattern.lag ?? 0;
+		const count = before && found && Math.abs(before.lag - lag) <= 1 ? before.count + 1 : 0;
+		this.#confirmations.set(service, {lag, count});
+		return count >= minConfirmations;
+	}
+
 	/** Remembers the next wave until it has come, also if later forecasts would place it elsewhere. */
 	#await(service: GatewayServiceName, outlook: Outlook | undefined, now: number) {
 		const forecast = outlook && forecastAt(outlook, now);
