--- a/src/gateway/admission/demand-board.ts
+++ b/src/gateway/admission/demand-board.ts
@@ -78,7 +78,7 @@
 		this.#forgetIdle(now);
 		return [...this.#own.values()]
 			.map(({service, owner, rank, running, arrivals}) => ({
-				service, owner, rank, running, perSecond: Math.ceil(arrivals.perSecond(now) * roundedTo) / roundedTo,
+				service, owner, ...(rank !== 0 && {rank}), running, perSecond: Math.ceil(arrivals.perSecond(now) * roundedTo) / roundedTo,
 			}))
 			.toSorted((a, b) => (b.running - a.running) || (b.perSecond - a.perSecond))
 			.slice(0, maxAnnounced);
--- a/src/gateway/admission/target-admission.ts
+++ b/src/gateway/admission/target-admission.ts
@@ -60,7 +60,7 @@
 const sharesKeptMs = 50;
 
 /** Interval between announcements of demand, in milliseconds, and for how long after a call found no free slot it is announced: without scarcity nobody reads it. */
-const announceEveryMs = 200;
+const announceEveryMs = 250;
 const announcedForMs = 2000;
 
 /** An overload is lasting after this long, in milliseconds: longer than refused callers stay away. */
