--- a/src/gateway/calls/caller-answer.ts
+++ b/src/gateway/calls/caller-answer.ts
@@ -140,7 +140,7 @@
 
 	@param source - Paused while the caller does not read.
 	*/
-	forward(bytes: Buffer, source: Attempt | undefined): void {
+	forward(bytes: Buffer, source: Pick<Attempt, 'pause' | 'resume'> | undefined): void {
 		const forwarded = this.#forwarders[this.#mode](bytes);
 		if (forwarded.length > 0) {
 			this.#write(forwarded, source);
@@ -196,7 +196,7 @@
 		return this.#isRepeatable && length <= maxBufferedBytes ? 'held' : 'bytes';
 	}
 
-	#write(bytes: Buffer, source: Attempt | undefined) {
+	#write(bytes: Buffer, source: Pick<Attempt, 'pause' | 'resume'> | undefined) {
 		this.#writeHead();
 		if (!this.#res.write(bytes)) {
 			source?.pause();
--- /dev/null
+++ b/src/gateway/calls/final-answer.ts
@@ -0,0 +1,64 @@
+/**
+The gateway's own end of a call that no replica has answered completely: 503 if no replica can have run it, 502 or 504 if one may have, and a broken connection once part of an answer has been forwarded.
+*/
+import type {RateCredit} from '../accounts/rate-limits.js';
+import type {CallerAnswer} from './caller-answer.js';
+
+/** Dependencies. */
+export type FinalAnswerParts = {
+	readonly answer: CallerAnswer;
+	/** What the call has taken of its account's rate limit. */
+	readonly credit: RateCredit | undefined;
+	/** Called when the caller has got its answer; status 0 for a broken connection. */
+	readonly onEnd: (status: number, reason: string) => void;
+};
+
+/** See the module's head. */
+export class FinalAnswer {
+	readonly #parts: FinalAnswerParts;
+
+	constructor(parts: FinalAnswerParts) {
+		this.#parts = parts;
+	}
+
+	/** States that the call has not run and will not run. */
+	refuse(reason: string, retryDelayMs: number): void {
+		const {answer, credit} = this.#parts;
+		if (answer.hasBegun) {
+			this.cut(reason);
+			return;
+		}
+
+		credit?.refund();
+		this.#reply(503, reason, {'retry-after': String(Math.ceil(retryDelayMs) / 1000)});
+	}
+
+	/** States nothing of whether the call has run. */
+	fail(reason: string): void {
+		this.#replyOrCut(502, reason);
+	}
+
+	timeOut(): void {
+		this.#replyOrCut(504, this.#parts.answer.hasBegun ? 'time is up within the answer' : 'time is up');
+	}
+
+	/** Part of the answer has been forwarded; only a broken connection shows the caller that the rest will not follow. */
+	cut(reason: string): void {
+		this.#parts.answer.cut();
+		this.#parts.onEnd(0, reason);
+	}
+
+	#replyOrCut(status: number, reason: string) {
+		if (this.#parts.answer.hasBegun) {
+			this.cut(reason);
+			return;
+		}
+
+		this.#reply(status, reason);
+	}
+
+	#reply(status: number, reason: string, headers: Readonly<Record<string, string>> = {}) {
+		this.#parts.answer.reply(status, headers);
+		this.#parts.onEnd(status, reason);
+	}
+}
--- a/src/gateway/calls/online-call.ts
+++ b/src/gateway/calls/online-call.ts
@@ -7,24 +7,23 @@
 import type {ServerResponse} from 'node:http';
 import type {Disposable} from '../../common/services.js';
 import type {AdmittedCaller} from '../accounts/caller-gate.js';
-import {isEligible} from '../replica-eligibility.js';
-import {StreamPace} from '../placement/stream-pace.js';
+import {RunContinuation} from '../continuity/run-continuation.js';
 import type {GatewayParts} from '../parts.js';
-import type {Replica} from '../replica.js';
 import {TrackedContent} from '../quarantine/tracked-content.js';
-import type {Announcement} from '../streams/origin-announcer.js';
+import type {Replica} from '../replica.js';
 import {StreamBinding} from '../streams/stream-binding.js';
 import type {CallFields, CopySource, GatewayRoute} from '../types.js';
-import {RunContinuation} from '../continuity/run-continuation.js';
-import {CallerAnswer} from './caller-answer.js';
-import {
-	Attempt, type AnswerHead, type AttemptEnd, type CallMessage,
-} from './attempt.js';
+import type {AttemptEnd, CallMessage} from './attempt.js';
 import {CallLog} from './call-log.js';
 import {chooseService, traitsByKind} from './call-traits.js';
+import {CallerAnswer} from './caller-answer.js';
+import {FinalAnswer} from './final-answer.js';
+import {HeldEvents} from './held-events.js';
 import {
 	ReplicaOffers, versionRetryMs, type NoReplicaReason, type OfferedReplica,
 } from './replica-offers.js';
+import {ReplicaRun} from './replica-run.js';
+import {RunSuccession} from './run-succession.js';
 
 /** A caller's call that has been received completely. */
 export type ArrivedCall = {
@@ -60,40 +59,24 @@
 	readonly #offers: ReplicaOffers;
 	readonly #log: CallLog;
 	readonly #answer: CallerAnswer;
+	readonly #final: FinalAnswer;
 	readonly #isRepeatable: boolean;
 	readonly #content: TrackedContent;
 	readonly #binding: StreamBinding;
 	readonly #continuation: RunContinuation;
-	/** Bytes of the first events, held back until the stream's origin is stored by peers. */
-	#unannounced: Buffer[] = [];
+	readonly #held: HeldEvents;
+	readonly #succession: RunSuccession;
 	#versionTimer: NodeJS.Timeout | undefined;
 	readonly #timer: NodeJS.Timeout;
 	readonly #timeLimitMs: number;
-	#attempt: Attempt | undefined;
+	/** The current run, or the last one. */
+	#run: ReplicaRun | undefined;
 	#admission: Disposable | undefined;
 	/** Whether the call waits for its admission; it has not been offered to any replica then. */
 	#isAwaitingAdmission = false;
-	/** Head of the current run's answer, once received. */
-	#runHead: AnswerHead | undefined;
-	/** The event after which the current run was asked to resume. */
-	#resumeAfter: number | undefined;
-	#releaseSlot: (() => void) | undefined;
-	/** The pace of the current run. */
-	#pace: StreamPace | undefined;
-	/** Number of runs that count towards the route's limit. */
-	#runs = 0;
-	/** Whether any replica may have started to run the call. */
-	#mayHaveRun = false;
 	#hasEnded = false;
 	#firstByteMs = 0;
-	#sentAt = 0;
-	/** Whether the call's replica had a free slot when the call was sent. */
-	#hadFreeSlot = false;
 	#lastEnd: AttemptEnd['kind'] | undefined;
-	/** Whether the current run goes on from the copy of another one: if it cannot, the call must not be run anew. */
-	#isContinuing = false;
-	/** Whether a replica had ended during a run of the call when the last run ended. */
-	#wasSuspected = false;
 	/** Whether a connection of the call was unresponsive: other kept-alive connections may be too, even those to other replicas. */
 	#needsNewConnection = false;
 
@@ -103,7 +86,7 @@
 			this.#offer();
 		},
 		refused: (_end, replica) => {
-			if (replica.total <= replica.record.slots && !this.#isContinuing) {
+			if (replica.total <= replica.record.slots && !this.#succession.isContinuing) {
 				this.#recordOutcome(replica, true);
 			}
 
@@ -130,7 +113,7 @@
 		},
 		complete: (_end, replica) => {
 			replica.noteAnswer();
-			this.#forwardHeldBack();
+			this.#held.forwardAll();
 			if (!this.#hasEnded) {
 				void this.#handleEndOfAnswer(replica);
 			}
@@ -153,10 +136,23 @@
 		this.#answer = new CallerAnswer(call.res, {
 			isRepeatable: this.#isRepeatable, isContinued: this.#continuation.isCopied, isStream: traitsByKind[route.kind].isStream, lastEventId: fields.lastEventId,
 		});
+		this.#final = new FinalAnswer({
+			answer: this.#answer, credit: call.caller.credit, onEnd: (status, reason) => {
+				this.#end(status, reason);
+			},
+		});
 		this.#content = new TrackedContent(parts, 'online', {content: {...call.message, host: route.host}, promptParts: () => fields.promptParts});
 		this.#binding = new StreamBinding({
 			origins: parts.streamOrigins, route, fields, caller: call.caller.identity,
 		});
+		this.#succession = new RunSuccession(parts, {
+			route, isRepeatable: this.#isRepeatable, answer: this.#answer, content: this.#content, continuation: this.#continuation,
+		});
+		this.#held = new HeldEvents({
+			clock: parts.clock, metrics: parts.metrics, isCurrent: run => run === this.#run && !this.#hasEnded, forward: bytes => {
+				this.#forward(bytes);
+			},
+		});
 		this.#offers = new ReplicaOffers(parts, {service, binding: this.#binding, isRepeatable: this.#isRepeatable});
 		this.#timeLimitMs = Math.min(route.timeoutMs, fields.timeLeftMs ?? Infinity);
 		this.#timer = setTimeout(() => {
@@ -187,12 +183,12 @@
 
 	/** Aborts a run that is likely to crash its replica. To be called when prompt parts have been quarantined. */
 	abortIfHeld(): void {
-		if (this.#hasEnded || !this.#attempt || this.#attempt.isOver || !this.#content.mayCrashReplica) {
+		if (this.#hasEnded || !this.#run || this.#run.isOver || !this.#content.mayCrashReplica) {
 			return;
 		}
 
-		this.#attempt.dispose();
-		this.#fail('a part of its prompt was quarantined during its run');
+		this.#run.dispose();
+		this.#final.fail('a part of its prompt was quarantined during its run');
 	}
 
 	/** Ends the call at once, without an answer or a log line. */
@@ -214,7 +210,7 @@
 		}
 
 		if (found.kind === 'unknown') {
-			this.#refuse('versionUnknown', retryDelaysMs.versionUnknown);
+			this.#final.refuse('versionUnknown', retryDelaysMs.versionUnknown);
 			return;
 		}
 
@@ -231,7 +227,7 @@
 		}, outcome => {
 			this.#isAwaitingAdmission = false;
 			if (outcome.kind === 'refused') {
-				this.#refuse(outcome.reason, outcome.retryAfterMs);
+				this.#final.refuse(outcome.reason, outcome.retryAfterMs);
 				return;
 			}
 
@@ -244,7 +240,7 @@
 
 	/** 0 until the current run has answered. */
 	get #runStatus(): number {
-		return this.#runHead?.status ?? 0;
+		return this.#run?.status ?? 0;
 	}
 
 	#elapsedMs(): number {
@@ -256,8 +252,8 @@
 			return;
 		}
 
-		if (this.#isContinuing) {
-			this.#fail('the run could not go on from its copy');
+		if (this.#succession.isContinuing) {
+			this.#final.fail('the run could not go on from its copy');
 			return;
 		}
 
@@ -301,69 +297,50 @@
 		this.#offer();
 	}
 
-	#send({replica, connection}: OfferedReplica, timeLeftMs: number, copyFrom?: CopySource) {
-		const {loads, dialect, reachability, clock} = this.#parts;
-		const {fields, message} = this.#call;
+	#send(offered: OfferedReplica, timeLeftMs: number, copyFrom?: CopySource) {
+		const {replica} = offered;
+		const {fields, message, caller} = this.#call;
+		const {service, count, candidates} = this.#offers;
 		this.#log.routed({
-			replica, attempt: this.#offers.count, resumeAfter: this.#answer.lastEventId, expectedMs: this.#parts.serviceTimes.expectedFirstTokenMs(this.#offers.service, replica, fields.size),
+			replica, attempt: count, resumeAfter: this.#answer.lastEventId, expectedMs: this.#parts.serviceTimes.expectedFirstTokenMs(service, replica, fields.size),
 		});
-		this.#pace = new StreamPace(replica.pace, clock);
-		this.#runHead = undefined;
 		this.#binding.noteRun(replica);
 		this.#content.noteSent();
 		const {lastEventId = 0} = this.#answer;
-		this.#resumeAfter = lastEventId > 0 ? lastEventId : fields.lastEventId;
-		this.#sentAt = clock.now();
-		this.#hadFreeSlot = replica.total < replica.record.slots;
-		this.#releaseSlot = loads.acquireSlot(replica, 'online');
-		this.#attempt = new Attempt({
-			connection,
-			reachability: reachability.of(replica),
-			clock,
-			dialect,
+		const run = new ReplicaRun(this.#parts, {
+			offered,
+			service,
 			message,
+			size: fields.size,
 			fields: {
 				requestId: fields.requestId,
 				replica: replica.record.id,
 				timeLeftMs: fields.timeLeftMs === undefined ? undefined : timeLeftMs,
-				lastEventId: this.#resumeAfter,
-				caller: this.#call.caller.identity,
-				copyTo: copyFrom ? undefined : this.#continuation.chooseCopyAddress(replica, this.#offers.candidates),
+				lastEventId: lastEventId > 0 ? lastEventId : fields.lastEventId,
+				caller: caller.identity,
+				copyTo: copyFrom ? undefined : this.#continuation.chooseCopyAddress(replica, candidates),
 				copyFrom,
 			},
 			timeouts: {silenceMs: this.#isRepeatable ? repeatableSilenceTimeoutMs : this.#timeLimitMs, canFailOver: this.#isRepeatable},
-			isEligible: () => isEligible(this.#parts, replica),
+			isFirst: this.#firstByteMs === 0,
+			isEventStream: () => this.#answer.isEventStream,
 			listener: {
 				onHead: head => {
-					this.#runHead = head;
 					this.#answer.begin(head);
 				},
 				onBytes: bytes => {
-					this.#observe(bytes, replica);
-					this.#onBytes(bytes);
+					this.#onBytes(bytes, run);
 				},
 				onEnd: end => {
-					this.#onEnd(end, replica);
+					this.#onEnd(end, run);
 				},
 			},
 		});
-		this.#attempt.start();
-	}
-
-	/** What the bytes of a stream show about its replica. */
-	#observe(bytes: Buffer, replica: Replica) {
-		if (this.#runStatus >= 300 || !this.#answer.isEventStream) {
-			return;
-		}
-
-		if (this.#hadFreeSlot && this.#firstByteMs === 0) {
-			this.#parts.serviceTimes.recordFirstToken(replica, this.#parts.clock.now() - this.#sentAt, this.#call.fields.size);
-		}
-
-		this.#pace?.noteChunk(bytes);
+		this.#run = run;
+		run.start();
 	}
 
-	#onBytes(bytes: Buffer) {
+	#onBytes(bytes: Buffer, run: ReplicaRun) {
 		this.#firstByteMs ||= this.#elapsedMs();
 		if (this.#runStatus < 300) {
 			this.#content.noteChunk();
@@ -371,72 +348,39 @@
 
 		const announcement = this.#binding.pendingAnnouncement;
 		if (announcement) {
-			this.#holdBack(bytes, announcement);
+			this.#held.hold(bytes, run, announcement);
 			return;
 		}
 
 		this.#forward(bytes);
 	}
 
-	/** If only this process knew the version of the caller's events, the stream could not be resumed after its failure. */
-	#holdBack(bytes: Buffer, {settled}: Announcement) {
-		this.#unannounced.push(bytes);
-		if (this.#unannounced.length > 1) {
-			return;
-		}
-
-		const attempt = this.#attempt;
-		attempt?.pause();
-		const startedAt = this.#parts.clock.now();
-		void settled.then(() => {
-			this.#parts.metrics.timing('gateway.originWait', this.#parts.clock.now() - startedAt);
-			if (this.#attempt === attempt && !this.#hasEnded) {
-				// Resuming may deliver further bytes at once.
-				this.#forwardHeldBack();
-				attempt?.resume();
-			}
-		});
-	}
-
-	#forwardHeldBack() {
-		const heldBack = this.#unannounced;
-		this.#unannounced = [];
-		heldBack.forEach(bytes => {
-			this.#forward(bytes);
-		});
-	}
-
 	#forward(bytes: Buffer) {
-		this.#answer.forward(bytes, this.#attempt);
+		this.#answer.forward(bytes, this.#run);
 		if (this.#call.res.writableNeedDrain) {
-			this.#pace?.notePause();
+			this.#run?.notePause();
 		}
 
 		if (this.#answer.hasEvents) {
 			this.#binding.noteEvent();
-			this.#allowContinuation();
 		}
 
-		if (!this.#answer.isInOrder) {
-			this.#attempt?.dispose();
-			this.#cut('an event of the stream is missing or came twice');
+		// Before the first event, there is no copy to go on from, and the answer of a replica that cannot be reached may still arrive.
+		if (this.#answer.hasEvents && this.#continuation.hasCopy) {
+			this.#run?.allowFailOver();
 		}
-	}
 
-	/** Before the first event, there is no copy to go on from, and the answer of a replica that cannot be reached may still arrive. */
-	#allowContinuation() {
-		if (this.#continuation.hasCopy) {
-			this.#attempt?.allowFailOver();
+		if (!this.#answer.isInOrder) {
+			this.#run?.dispose();
+			this.#final.cut('an event of the stream is missing or came twice');
 		}
 	}
 
-	#onEnd(end: AttemptEnd, replica: Replica) {
-		this.#releaseSlot?.();
-		this.#releaseSlot = undefined;
+	#onEnd(end: AttemptEnd, {replica, head, resumeAfter}: ReplicaRun) {
 		this.#lastEnd = end.kind;
-		this.#wasSuspected = this.#content.isSuspected;
+		this.#succession.noteEnd();
 		if (end.kind !== 'complete') {
-			this.#unannounced = [];
+			this.#held.discard();
 		}
 
 		if (end.kind !== 'complete' && end.kind !== 'dropped') {
@@ -445,7 +389,7 @@
 
 		if (this.#offers.count > 1) {
 			this.#log.rerunEnded({
-				replica, head: this.#runHead, resumeAfter: this.#resumeAfter, lastEventId: this.#answer.lastEventId, end,
+				replica, head, resumeAfter, lastEventId: this.#answer.lastEventId, end,
 			});
 		}
 
@@ -469,10 +413,9 @@
 
 	/** The replica may have run the call, and its answer is incomplete. */
 	#handleBrokenRun(replica: Replica, reason = 'the replica broke off') {
-		this.#mayHaveRun = true;
-		this.#countRun(replica);
+		this.#succession.noteBroken(replica);
 		this.#answer.discardUnsent();
-		if (this.#canRerun()) {
+		if (this.#succession.canRerun) {
 			this.#offer();
 			return;
 		}
@@ -480,41 +423,25 @@
 		void this.#continueOrFail(replica, reason);
 	}
 
-	/** A replica that has only lost the connection may still work on the run, which must not go on at another one meanwhile. */
 	async #continueOrFail(replica: Replica, reason: string) {
-		const mayContinue = this.#continuation.hasCopy && this.#answer.hasEvents && this.#answer.canResume;
-		const isHarmless = !this.#wasSuspected && (this.#content.isWellUnderWay || this.#lastEnd === 'cutOff');
-		const copy = mayContinue && isHarmless && await this.#parts.reachability.hasEnded(replica)
-			? this.#continuation.takeCopy(this.#answer.lastEventId ?? 0)
-			: undefined;
+		const copy = await this.#succession.takeCopy(replica, this.#lastEnd);
 		if (this.#hasEnded) {
 			return;
 		}
 
 		const connection = copy && this.#parts.connectionPools.acquire(copy.holder, this.#needsNewConnection);
 		if (!copy || !connection) {
-			this.#fail(reason);
+			this.#final.fail(reason);
 			return;
 		}
 
-		this.#isContinuing = true;
+		this.#succession.noteContinued();
 		this.#send({replica: copy.holder, connection}, this.#timeLimitMs - this.#elapsedMs(), copy.source);
 	}
 
-	/** Runs at replicas that have terminated do not count towards the route's limit. Otherwise a crash could fail a stream that can still be resumed. */
-	#countRun(replica: Replica) {
-		if (this.#parts.directory.get(replica.record.id) === replica) {
-			this.#runs += 1;
-		}
-	}
-
-	#canRerun(): boolean {
-		return this.#isRepeatable && this.#answer.canResume && this.#runs < this.#call.route.maxRuns;
-	}
-
 	/** The system closes the connections of a process that has crashed in the regular way, so an answer without a length may have ended with its replica. */
 	async #handleEndOfAnswer(replica: Replica) {
-		const isCutShort = this.#runHead?.isFramed === false && await this.#parts.reachability.hasEnded(replica);
+		const isCutShort = this.#run?.head?.isFramed === false && await this.#parts.reachability.hasEnded(replica);
 		if (this.#hasEnded) {
 			return;
 		}
@@ -538,9 +465,8 @@
 		}
 
 		if (status >= 500 && !this.#answer.hasBegun && this.#isRepeatable) {
-			this.#mayHaveRun = true;
-			this.#countRun(replica);
-			if (this.#canRerun() && this.#offers.hasOther) {
+			this.#succession.noteBroken(replica);
+			if (this.#succession.canRerun && this.#offers.hasOther) {
 				this.#answer.discardUnsent();
 				this.#offer();
 				return;
@@ -549,11 +475,11 @@
 
 		this.#answer.finish();
 		if (status < 300) {
-			this.#content.noteCompleted({isFramed: this.#runHead?.isFramed === true});
+			this.#content.noteCompleted({isFramed: this.#run?.head?.isFramed === true});
 		}
 
-		if (this.#hadFreeSlot && status < 300 && this.#runs === 0 && !this.#isContinuing) {
-			this.#parts.serviceTimes.recordDuration(this.#offers.service, this.#parts.clock.now() - this.#sentAt, this.#parts.paces.factorOf(replica));
+		if (status < 300 && this.#succession.isFirstRun) {
+			this.#run?.recordDuration();
 		}
 
 		this.#end(status, 'answered');
@@ -561,39 +487,12 @@
 
 	/** The call is offered to no further replica. A refusal states that the call has not run, so it is not used once any replica may have run it, even if that replica has terminated since. */
 	#giveUp(reason: GiveUpReason, retryDelayMs: number) {
-		if (this.#mayHaveRun) {
-			this.#fail(reason === 'quarantined' ? 'it has ended the replicas that ran it' : 'no replica is left for another run');
-			return;
-		}
-
-		this.#refuse(reason, retryDelayMs);
-	}
-
-	#refuse(reason: string, retryDelayMs: number) {
-		if (this.#answer.hasBegun) {
-			this.#cut(reason);
+		if (this.#succession.mayHaveRun) {
+			this.#final.fail(reason === 'quarantined' ? 'it has ended the replicas that ran it' : 'no replica is left for another run');
 			return;
 		}
 
-		this.#call.caller.credit?.refund();
-		this.#answer.reply(503, {'retry-after': String(Math.ceil(retryDelayMs) / 1000)});
-		this.#end(503, reason);
-	}
-
-	#fail(reason: string) {
-		if (this.#answer.hasBegun) {
-			this.#cut(reason);
-			return;
-		}
-
-		this.#answer.reply(502);
-		this.#end(502, reason);
-	}
-
-	/** Part of the answer has been forwarded; only a broken connection shows the caller that the rest will not follow. */
-	#cut(reason: string) {
-		this.#answer.cut();
-		this.#end(0, reason);
+		this.#final.refuse(reason, retryDelayMs);
 	}
 
 	#timeOut() {
@@ -602,18 +501,12 @@
 		}
 
 		if (this.#isAwaitingAdmission) {
-			this.#refuse('hopeless', retryDelaysMs.full);
-			return;
-		}
-
-		this.#attempt?.dispose();
-		if (this.#answer.hasBegun) {
-			this.#cut('time is up within the answer');
+			this.#final.refuse('hopeless', retryDelaysMs.full);
 			return;
 		}
 
-		this.#answer.reply(504);
-		this.#end(504, 'time is up');
+		this.#run?.dispose();
+		this.#final.timeOut();
 	}
 
 	#onCallerClose() {
@@ -624,7 +517,7 @@
 
 	#end(status: number, reason: string) {
 		this.#log.ended({
-			status, reason, elapsedMs: this.#elapsedMs(), firstByteMs: this.#firstByteMs, offers: this.#offers.count, runs: this.#runs, lastEnd: this.#lastEnd, content: this.#content.computedDigest, heldParts: this.#content.heldParts,
+			status, reason, elapsedMs: this.#elapsedMs(), firstByteMs: this.#firstByteMs, offers: this.#offers.count, runs: this.#succession.runs, lastEnd: this.#lastEnd, content: this.#content.computedDigest, heldParts: this.#content.heldParts,
 		});
 		this.#close();
 	}
@@ -634,6 +527,6 @@
 		clearTimeout(this.#timer);
 		clearTimeout(this.#versionTimer);
 		this.#admission?.dispose();
-		this.#attempt?.dispose();
+		this.#run?.dispose();
 	}
 }
