Registered processes that aren't peers yet get complete states at each change, as before

Not weakened: the feature is as it was; a scenario of state-changes.feature guards the cause. Also: a change that says that a peer is leaving is reported as a change of membership, as a complete state is.

--- a/src/gateway/peers/peer-announcer.ts
+++ b/src/gateway/peers/peer-announcer.ts
@@ -162,16 +162,17 @@
 		// Under load, the heartbeat is late; a terminated peer would keep its jobs for as long.
 		peers.removeUnresponsive();
 		const state = this.#state();
-		const {live} = peers;
-		const readers = this.#isStateDue || this.#announced === undefined ? [] : live.filter(peer => peer.state.readsChanges === true);
-		if (this.#announced !== undefined && readers.length > 0) {
-			channel.send(readers.map(peer => peer.state.address), stateChangesMethod, this.#announced.changesTo(state));
+		const addresses = new Set([...memberAddresses(), ...peers.live.map(peer => peer.state.address)]);
+		addresses.delete(channel.address);
+		if (!this.#isStateDue && this.#announced !== undefined) {
+			// Members that are not live peers may have just started: they learn of this process from a complete state only.
+			const readers = peers.live.filter(peer => peer.state.readsChanges === true).map(peer => peer.state.address);
+			channel.send(readers, stateChangesMethod, this.#announced.changesTo(state));
+			readers.forEach(address => {
+				addresses.delete(address);
+			});
 		}
 
-		const isRead = new Set(readers);
-		const others = live.filter(peer => !isRead.has(peer)).map(peer => peer.state.address);
-		const addresses = new Set(this.#isStateDue ? [...memberAddresses(), ...others] : others);
-		addresses.delete(channel.address);
 		channel.send([...addresses], peerStateMethod, state);
 		if (this.#isStateDue) {
 			this.#isStateDue = false;
--- a/src/gateway/peers/peer-table.ts
+++ b/src/gateway/peers/peer-table.ts
@@ -112,6 +112,9 @@
 			this.#applyLoad(state.member, load);
 		});
 		this.#applySections(state);
+		if (known.state.isLeaving !== state.isLeaving) {
+			this.#events.emit('membership');
+		}
 	}
 
 	/** Removes unresponsive peers. To be called regularly. */
--- a/src/gateway/peers/state-changes.feature
+++ b/src/gateway/peers/state-changes.feature
@@ -77,6 +77,13 @@
       Then the peer that reads changes was sent a complete state at least every 350 ms, and more changes than that
       And the peer of the earlier build was sent only complete states, as many as both together
 
+    Scenario: A registered process that no message has come from yet
+      # Guards against a process that has just started and knows of this one, and of its streams, a quarter second late.
+      Given a front with a peer that reads changes and a peer of an earlier build
+      And a registered process that is not known as a peer
+      When its load changes continuously for 800 ms
+      Then the registered process was sent as many complete states as the peer of the earlier build
+
     Scenario: A peer joins under load
       # Guards against a peer that has to wait for the counts and jobs of the others.
       Given a front with a peer that reads changes and a peer of an earlier build
--- a/src/gateway/peers/state-changes.steps.ts
+++ b/src/gateway/peers/state-changes.steps.ts
@@ -35,6 +35,8 @@
 	checksRead: number;
 	sent: Sent[];
 	joinedAt: number;
+	/** Addresses of registered processes. */
+	members: string[];
 	requests: number;
 	perSecond: number;
 };
@@ -155,11 +157,13 @@
 const reader = stateOf('front-2');
 const earlier = stateOf('front-3', {readsChanges: undefined});
 const joining = stateOf('front-4');
+const registered = stateOf('front-5');
 
 Given('a front with a peer that reads changes and a peer of an earlier build', function (this: ChangesWorld) {
 	createTable(this);
 	const clock = new SystemClock();
 	this.sent = [];
+	this.members = [reader.address, earlier.address];
 	const announcer = this.register(new PeerAnnouncer({
 		self,
 		channel: {
@@ -182,7 +186,7 @@
 		sections: [],
 		checks: () => undefined,
 		clock,
-		memberAddresses: () => [reader.address, earlier.address],
+		memberAddresses: () => this.members,
 		claimedJobs: () => [],
 		waitingItems: () => [],
 		isLeaving: () => false,
@@ -194,6 +198,10 @@
 	this.peers.receive(earlier);
 });
 
+Given('a registered process that is not known as a peer', function (this: ChangesWorld) {
+	this.members.push(registered.address);
+});
+
 When('its load changes continuously for {int} ms', async function (this: ChangesWorld, ms: number) {
 	const clock = new SystemClock();
 	const endAt = clock.now() + ms;
@@ -223,6 +231,12 @@
 	assert.equal(sentTo(this, earlier, peerStateMethod).length, sentTo(this, reader, peerStateMethod).length + sentTo(this, reader, stateChangesMethod).length);
 });
 
+Then('the registered process was sent as many complete states as the peer of the earlier build', function (this: ChangesWorld) {
+	const count = sentTo(this, earlier, peerStateMethod).length;
+	assert.ok(count > 8, `${count} complete states`);
+	assert.ok(Math.abs(sentTo(this, registered, peerStateMethod).length - count) <= 1);
+});
+
 Then('it is sent a complete state within {int} ms', async function (this: ChangesWorld, ms: number) {
 	await new SystemClock().sleep(ms);
 	const [first] = sentTo(this, joining, peerStateMethod);
