--- a/src/gateway/first-read.ts
+++ b/src/gateway/first-read.ts
@@ -1,5 +1,5 @@
 /**
-Whether the objects without which no call can be answered have been read for the first time: the configuration and the replicas' registrations. A process reads them before anything else at its start, takes connections when it has read them, and holds for a moment a call that comes before: the read usually takes a few milliseconds, and a refused caller tries once more at most.
+Whether the objects without which no call can be answered have been read for the first time: the configuration and the replicas' registrations. A call that comes before is held for a moment: the read usually takes a few milliseconds, and a refused caller tries once more at most.
 
 Invariant: once over, it stays over, also if the object API becomes unavailable.
 */
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -150,9 +150,6 @@
 /** Time until the load balancer stops sending new connections, in milliseconds. It checks readiness once a second and removes a process after two refusals; connections until then are served. */
 const balancerRemovalMs = 2600;
 
-/** Longest time for which a start waits for the first read before it takes connections, in milliseconds. A caller that is refused a connection tries another process at once; if the object API is unavailable, callers must be told that their calls did not run. */
-const firstReadLimitMs = 400;
-
 /** Reserve of the shutdown time when requests in progress are aborted, in milliseconds: enough to write the last log lines. */
 const exitMarginMs = 400;
 
@@ -167,9 +164,6 @@
 	readonly #directory = new ReplicaDirectory();
 	readonly #loads = new LoadBoard();
 	readonly #feeds: readonly ObjectFeed[];
-	/** Those that calls do not need; they are read after the others. */
-	readonly #laterFeeds: ReadonlySet<ObjectFeed>;
-	readonly #firstRead: FirstRead;
 	readonly #channel: DatagramChannel;
 	readonly #rpcServer: HttpServer;
 	readonly #announcer: PeerAnnouncer;
@@ -240,7 +234,6 @@
 		const memberFeed = feedOf('Member');
 		const quarantineFeed = feedOf('Quarantine');
 		this.#feeds = [configFeed, replicaFeed, recordFeed, memberFeed, quarantineFeed];
-		this.#laterFeeds = new Set([recordFeed]);
 
 		// eslint-disable-next-line no-new -- it subscribes to the feed, which keeps it alive.
 		new ConfigController({
@@ -253,7 +246,6 @@
 		const registrations = new RegistrationController({
 			directory, feed: replicaFeed, records, clock, log, drainMs: settings.drainMs,
 		});
-		this.#firstRead = new FirstRead([configFeed, replicaFeed]);
 		this.#channel = new DatagramChannel({
 			[peerStateMethod](state: PeerState) {
 				peers.receive(state);
@@ -322,7 +314,7 @@
 		});
 		const serviceTimes = new ServiceTimes();
 		this.#server = new FrontServer({
-			board, directory, firstRead: this.#firstRead, replicaFreshness, configFreshness: freshnessOf('GatewayConfig', configFeed, settings.configMs), loads, connectionPools: this.#connectionPools, reachability, quarantine, partQuarantine, streamOrigins: this.#streamOrigins, serviceTimes, admission: new DeadlineAdmission({serviceTimes, ranks: new CallRanks(clock), clock}), dialect, clock, random, log, metrics, processCount, failureDomain, jobCalls,
+			board, directory, firstRead: new FirstRead([configFeed, replicaFeed]), replicaFreshness, configFreshness: freshnessOf('GatewayConfig', configFeed, settings.configMs), loads, connectionPools: this.#connectionPools, reachability, quarantine, partQuarantine, streamOrigins: this.#streamOrigins, serviceTimes, admission: new DeadlineAdmission({serviceTimes, ranks: new CallRanks(clock), clock}), dialect, clock, random, log, metrics, processCount, failureDomain, jobCalls,
 			gate: new CallerGate({
 				board, dialect, limits: rateLimits, clock, log, metrics, configConfirmedAt: () => this.#checks.lastConfirmedAt('GatewayConfig'), staleAfterMs: settings.refuseKeysAfterMs,
 			}),
@@ -354,31 +346,34 @@
 		return {callers: this.#server.address, peers: this.#channel.address, ready: formatAddress({host: address, port})};
 	}
 
-	/** Reads what calls need and meets the peers, then takes connections, or tells callers to come again if the object API does not answer. The process may become ready some time later. */
+	/** Starts to listen and to follow the object API. The process may become ready some time later. */
 	async start(): Promise<Either<StartError, Front>> {
-		const {listen, peerListen, metricsListen} = this.#settings;
-		this.#startFeeds(feed => !this.#laterFeeds.has(feed));
-		const bound = await Promise.all([this.#channel.listen(peerListen), this.#rpcServer.listen(peerListen), this.#listenForReadiness()]);
-		this.#announcer.start();
-		void this.#registrar.register({address: this.#channel.address, role: 'front'});
-		await this.#firstRead.within(firstReadLimitMs);
-		const outcomes = [...bound, await this.#server.listen(listen)];
-		const failed = outcomes.find(outcome => outcome.isLeft());
+		const {listen, readyListen, peerListen, metricsListen} = this.#settings;
+		const bound = [await this.#server.listen(listen), await this.#channel.listen(peerListen), await this.#rpcServer.listen(peerListen)];
+		const failed = bound.find(outcome => outcome.isLeft());
 		if (failed) {
 			return failed.map(() => this);
 		}
 
+		const ready = parseAddress(readyListen);
+		await new Promise<void>(resolve => {
+			this.#readyServer.listen({host: ready?.host, port: ready?.port}, resolve);
+		});
 		if (metricsListen) {
 			this.#metrics.serve(metricsListen, () => {
 				this.#recordGauges();
 			});
 		}
 
-		this.#startFeeds(feed => this.#laterFeeds.has(feed));
+		this.#feeds.forEach(feed => {
+			feed.start();
+		});
+		this.#announcer.start();
 		this.#checks.start();
 		this.#runner.start();
 		this.#retention.start();
 		this.#quarantineRecords.start();
+		void this.#registrar.register({address: this.#channel.address, role: 'front'});
 		this.#lifecycle.send('started');
 		return Right(this);
 	}
@@ -413,20 +408,6 @@
 		return 2 * names.length > this.#registry.addresses.length ? rankMembers(part, names).indexOf(names[0]!) : undefined;
 	}
 
-	#startFeeds(isChosen: (feed: ObjectFeed) => boolean) {
-		this.#feeds.filter(feed => isChosen(feed)).forEach(feed => {
-			feed.start();
-		});
-	}
-
-	async #listenForReadiness(): Promise<Either<StartError, string>> {
-		const {host, port} = parseAddress(this.#settings.readyListen) ?? {};
-		await new Promise<void>(resolve => {
-			this.#readyServer.listen({host, port}, resolve);
-		});
-		return Right(this.#settings.readyListen);
-	}
-
 	#recordGauges() {
 		const metrics = this.#metrics;
 		const now = this.#clock.now();
