--- a/src/gateway/calls/final-answer.ts
+++ b/src/gateway/calls/final-answer.ts
@@ -3,6 +3,10 @@
 */
 import type {RateCredit} from '../accounts/rate-limits.js';
 import type {CallerAnswer} from './caller-answer.js';
+import type {NoReplicaReason} from './replica-offers.js';
+
+/** Why a call is offered to no further replica. */
+export type GiveUpReason = NoReplicaReason | 'quarantined';
 
 /** Dependencies. */
 export type FinalAnswerParts = {
@@ -21,6 +25,16 @@
 		this.#parts = parts;
 	}
 
+	/** Ends a call that is offered to no further replica. A refusal states that the call has not run, so it is not used once any replica may have run it, even if that replica has terminated since. */
+	giveUp(reason: GiveUpReason, retryDelayMs: number, mayHaveRun: boolean): void {
+		if (mayHaveRun) {
+			this.fail(reason === 'quarantined' ? 'it has ended the replicas that ran it' : 'no replica is left for another run');
+			return;
+		}
+
+		this.refuse(reason, retryDelayMs);
+	}
+
 	/** States that the call has not run and will not run. */
 	refuse(reason: string, retryDelayMs: number): void {
 		const {answer, credit} = this.#parts;
--- a/src/gateway/calls/online-call.ts
+++ b/src/gateway/calls/online-call.ts
@@ -4,38 +4,27 @@
 The gateway answers 503 only if no replica can have run the call. Once a replica may have run it, the answer is 502, or 504 when the time is up. Once part of an answer has been forwarded, the connection is closed instead, so that the caller cannot mistake the answer for a complete one.
 */
 import type {Buffer} from 'node:buffer';
-import type {ServerResponse} from 'node:http';
 import type {Disposable} from '../../common/services.js';
-import type {AdmittedCaller} from '../accounts/caller-gate.js';
 import {RunContinuation} from '../continuity/run-continuation.js';
 import type {GatewayParts} from '../parts.js';
 import {TrackedContent} from '../quarantine/tracked-content.js';
 import type {Replica} from '../replica.js';
 import {StreamBinding} from '../streams/stream-binding.js';
-import type {CallFields, CopySource, GatewayRoute} from '../types.js';
-import type {AttemptEnd, CallMessage} from './attempt.js';
+import type {CopySource} from '../types.js';
+import type {ArrivedCall} from './arrived-call.js';
+import type {AttemptEnd} from './attempt.js';
+import {CallAdmission} from './call-admission.js';
 import {CallLog} from './call-log.js';
 import {chooseService, traitsByKind} from './call-traits.js';
 import {CallerAnswer} from './caller-answer.js';
 import {FinalAnswer} from './final-answer.js';
 import {HeldEvents} from './held-events.js';
 import {
-	ReplicaOffers, versionRetryMs, type NoReplicaReason, type OfferedReplica,
+	ReplicaOffers, versionRetryMs, type OfferedReplica,
 } from './replica-offers.js';
 import {ReplicaRun} from './replica-run.js';
 import {RunSuccession} from './run-succession.js';
 
-/** A caller's call that has been received completely. */
-export type ArrivedCall = {
-	readonly route: GatewayRoute;
-	readonly caller: AdmittedCaller;
-	readonly fields: CallFields;
-	readonly message: CallMessage;
-	/** When its head had been received, in milliseconds on the monotonic clock. */
-	readonly arrivedAt: number;
-	readonly res: ServerResponse;
-};
-
 /** A repeatable call is sent to another replica if no byte arrives for this long, in milliseconds. A queue at an engine clears within about one run, 0.8 s; callers abandon a stream after 2 s. */
 const repeatableSilenceTimeoutMs = 1200;
 
@@ -47,9 +36,6 @@
 /** The longest delay of a rerun by the check whether the previous replica has terminated, in milliseconds: several round trips within a region. */
 const maxCrashCheckMs = 25;
 
-/** Why a call is offered to no further replica. */
-type GiveUpReason = NoReplicaReason | 'quarantined';
-
 type EndHandlers = {readonly [K in AttemptEnd['kind']]: (end: Extract<AttemptEnd, {kind: K}>, replica: Replica) => void};
 
 /** A call under way. */
@@ -58,6 +44,7 @@
 	readonly #call: ArrivedCall;
 	readonly #offers: ReplicaOffers;
 	readonly #log: CallLog;
+	readonly #admission: CallAdmission;
 	readonly #answer: CallerAnswer;
 	readonly #final: FinalAnswer;
 	readonly #isRepeatable: boolean;
@@ -71,9 +58,6 @@
 	readonly #timeLimitMs: number;
 	/** The current run, or the last one. */
 	#run: ReplicaRun | undefined;
-	#admission: Disposable | undefined;
-	/** Whether the call waits for its admission; it has not been offered to any replica then. */
-	#isAwaitingAdmission = false;
 	#hasEnded = false;
 	#firstByteMs = 0;
 	#lastEnd: AttemptEnd['kind'] | undefined;
@@ -130,6 +114,7 @@
 		this.#call = call;
 		const {route, fields} = call;
 		this.#log = new CallLog(parts, route, fields);
+		this.#admission = new CallAdmission(parts.admission);
 		this.#isRepeatable = traitsByKind[route.kind].isRepeatable(route);
 		const service = chooseService(route, parts.random);
 		this.#continuation = new RunContinuation(parts, {route, service, fields});
@@ -169,7 +154,7 @@
 	/** Sends the call to its first replica. A call that is held back, or cannot get a slot in time, is refused at once. */
 	start(): void {
 		if (!this.#content.canBeSent) {
-			this.#giveUp('quarantined', this.#content.heldMs);
+			this.#final.giveUp('quarantined', this.#content.heldMs, this.#succession.mayHaveRun);
 			return;
 		}
 
@@ -219,13 +204,7 @@
 	}
 
 	#begin() {
-		const {route, caller, fields, message, arrivedAt} = this.#call;
-		const {service} = this.#offers;
-		this.#isAwaitingAdmission = true;
-		this.#admission = this.#parts.admission.request({
-			id: fields.requestId, route, service, account: caller.account, size: fields.size, isResumed: fields.isResumed, bodyBytes: message.body?.length, arrivedAt, timeLimitMs: this.#timeLimitMs, candidates: () => this.#offers.candidates,
-		}, outcome => {
-			this.#isAwaitingAdmission = false;
+		this.#admission.request(this.#call, this.#offers, this.#timeLimitMs, outcome => {
 			if (outcome.kind === 'refused') {
 				this.#final.refuse(outcome.reason, outcome.retryAfterMs);
 				return;
@@ -233,9 +212,6 @@
 
 			this.#offer();
 		});
-		if (this.#hasEnded) {
-			this.#admission.dispose();
-		}
 	}
 
 	/** 0 until the current run has answered. */
@@ -259,7 +235,7 @@
 
 		const heldMs = this.#content.claimRun();
 		if (heldMs > 0) {
-			this.#giveUp('quarantined', heldMs);
+			this.#final.giveUp('quarantined', heldMs, this.#succession.mayHaveRun);
 			return;
 		}
 
@@ -281,7 +257,7 @@
 		}
 
 		const reason = this.#offers.noReplicaReason;
-		this.#giveUp(reason, retryDelaysMs[reason]);
+		this.#final.giveUp(reason, retryDelaysMs[reason], this.#succession.mayHaveRun);
 	}
 
 	/** Tries the replicas of the version again after a pause. */
@@ -485,22 +461,12 @@
 		this.#end(status, 'answered');
 	}
 
-	/** The call is offered to no further replica. A refusal states that the call has not run, so it is not used once any replica may have run it, even if that replica has terminated since. */
-	#giveUp(reason: GiveUpReason, retryDelayMs: number) {
-		if (this.#succession.mayHaveRun) {
-			this.#final.fail(reason === 'quarantined' ? 'it has ended the replicas that ran it' : 'no replica is left for another run');
-			return;
-		}
-
-		this.#final.refuse(reason, retryDelayMs);
-	}
-
 	#timeOut() {
 		if (this.#hasEnded) {
 			return;
 		}
 
-		if (this.#isAwaitingAdmission) {
+		if (this.#admission.isAwaited) {
 			this.#final.refuse('hopeless', retryDelaysMs.full);
 			return;
 		}
@@ -526,7 +492,7 @@
 		this.#hasEnded = true;
 		clearTimeout(this.#timer);
 		clearTimeout(this.#versionTimer);
-		this.#admission?.dispose();
+		this.#admission.dispose();
 		this.#run?.dispose();
 	}
 }
