Admission: the slots of replicas that serve nobody are not counted as room

Change: the expected wait and the room of a service are taken over usable replicas: reachable ones that do not fail most of their requests; all of them if none is left.

--- a/src/gateway/admission/target-admission.ts
+++ b/src/gateway/admission/target-admission.ts
@@ -12,6 +12,7 @@
 import type {PeerState} from '../peers/peer-state.js';
 import {sampleSizeOf} from '../placement/replica-choice.js';
 import type {ServiceTimes} from '../placement/service-times.js';
+import {usableReplicas} from '../placement/usable-replicas.js';
 import type {Replica} from '../replica.js';
 import type {GatewayRoute, GatewayServiceName} from '../types.js';
 import type {AdmissionControl, AdmissionOutcome, AdmissionRequest} from './admission-control.js';
@@ -233,7 +234,7 @@
 		this.#leaveLine(candidate);
 		candidate.isRunning = true;
 		candidate.begunAt = now;
-		candidate.crowding = crowdingOf(candidate.call.candidates());
+		candidate.crowding = crowdingOf(usableReplicas(candidate.call.candidates(), now));
 		this.#board.noteRunning(service, owner, rank, 1);
 		this.#stateOf(service).leastShares.noteBegun(rank, now);
 		onDecided({kind: 'admitted'});
@@ -300,7 +301,7 @@
 		const {service, route: {latencyTargetMs: targetMs}, timeLimitMs} = call;
 		const now = clock.now();
 		const state = this.#stateOf(service);
-		const replicas = call.candidates();
+		const replicas = usableReplicas(call.candidates(), now);
 		const waitMs = expectedWaitMs(replicas, this.#waitOf(service), sampleSizeOf(replicas.length, processCount()));
 		const isShrinking = state.trend.note(waitMs, now);
 		const shares = waitMs > 0 ? this.#sharesOf(service, targetMs, now) : undefined;
@@ -355,7 +356,7 @@
 
 		state.sharedAt = now;
 		state.shares = new ServiceShares({
-			slots: replicasOf(service).reduce((sum, {record: {slots}}) => sum + slots, 0), runMs, queuedMs: queuedMs(targetMs), totals: this.#board.totals(service, now), weightOf,
+			slots: usableReplicas(replicasOf(service), now).reduce((sum, {record: {slots}}) => sum + slots, 0), runMs, queuedMs: queuedMs(targetMs), totals: this.#board.totals(service, now), weightOf,
 		});
 		return state.shares;
 	}
