Read-through: what stood already is called, what was computed for nobody is gone

Replica starts that announcements name are looked up by ReplicaDirectory.getStart (three copies of the comparison), copies' holders by takesWork, findings of unreachable replicas are repeated by RepeatedAnnouncements (its own map before), a call's rank by rankOf, the services of a route by servicesOf, sums of slots and calls by slotsOf and onlineOf, ends of events by the framer's boundaries. Admission estimates run times from waiting calls only until they are known otherwise: both sums over all replicas went at each call. FinalAnswer asks itself whether the call may have run. ServiceTimes.leastFirstTokenMs, which only a step called, is gone; the step takes the least itself. Exchanges of paces and unreachable replicas are named announcements. Three long comments are shortened.

No behaviour is meant to change: no pattern, bound, check or expectation did. Two texts changed with their steps (unreachable-announcements.feature).

--- a/src/gateway/admission/admission-control.ts
+++ b/src/gateway/admission/admission-control.ts
@@ -27,6 +27,9 @@
 	readonly candidates: () => readonly Replica[];
 };
 
+/** The priority rank of a call: its account's, or else its route's; 0 is the highest. */
+export const rankOf = ({account, route}: Pick<AdmissionRequest, 'account' | 'route'>): number => account?.priority ?? route.priority;
+
 /** `refused`: the call is not to be sent to any replica; its caller may retry after `retryAfterMs`. */
 export type AdmissionOutcome = {readonly kind: 'admitted'} | {readonly kind: 'refused'; readonly reason: string; readonly retryAfterMs: number};
 
--- a/src/gateway/admission/deadline-admission.ts
+++ b/src/gateway/admission/deadline-admission.ts
@@ -4,7 +4,9 @@
 import type {Clock, Disposable} from '../../common/services.js';
 import type {CallRanks} from '../accounts/call-ranks.js';
 import type {ServiceTimes} from '../placement/service-times.js';
-import type {AdmissionControl, AdmissionOutcome, AdmissionRequest} from './admission-control.js';
+import {
+	rankOf, type AdmissionControl, type AdmissionOutcome, type AdmissionRequest,
+} from './admission-control.js';
 
 /** Dependencies of the control. */
 export type DeadlineAdmissionParts = {
@@ -31,9 +33,10 @@
 		return nothingHeld;
 	}
 
-	#decide({service, route, account, arrivedAt, timeLimitMs, candidates}: AdmissionRequest): AdmissionOutcome {
+	#decide(call: AdmissionRequest): AdmissionOutcome {
+		const {service, arrivedAt, timeLimitMs, candidates} = call;
 		const {serviceTimes, ranks, clock} = this.#parts;
-		const rank = account?.priority ?? route.priority;
+		const rank = rankOf(call);
 		ranks.note(service, rank);
 		const waitMs = serviceTimes.waitMs(service, candidates());
 		const leftMs = (arrivedAt + timeLimitMs - clock.now()) * ranks.waitShareOf(service, rank);
--- a/src/gateway/admission/target-admission.ts
+++ b/src/gateway/admission/target-admission.ts
@@ -13,9 +13,11 @@
 import {sampleSizeOf} from '../placement/replica-choice.js';
 import type {ServiceTimes} from '../placement/service-times.js';
 import {usableReplicas} from '../placement/usable-replicas.js';
-import type {Replica} from '../replica.js';
+import {onlineOf, slotsOf, type Replica} from '../replica.js';
 import type {GatewayRoute, GatewayServiceName} from '../types.js';
-import type {AdmissionControl, AdmissionOutcome, AdmissionRequest} from './admission-control.js';
+import {
+	rankOf, type AdmissionControl, type AdmissionOutcome, type AdmissionRequest,
+} from './admission-control.js';
 import {
 	decideAdmission, excessMs, longestHoldMs, queuedMs, type AdmissionView,
 } from './admission-policy.js';
@@ -105,8 +107,8 @@
 	isWaiting: boolean;
 	isRunning: boolean;
 	begunAt: number;
-	/** Calls in flight for each slot when it began, at least 1. */
-	crowding: number;
+	/** Calls in flight for each slot when it began, at least 1; only where the service's run time was not known then. */
+	crowding: number | undefined;
 };
 
 type Assessment = {
@@ -115,11 +117,7 @@
 	readonly running: number;
 };
 
-const crowdingOf = (replicas: readonly Replica[]): number => {
-	const slots = replicas.reduce((sum, {record}) => sum + record.slots, 0);
-	const online = replicas.reduce((sum, {allOnline}) => sum + allOnline, 0);
-	return Math.max(1, (online + 1) / Math.max(1, slots));
-};
+const crowdingOf = (replicas: readonly Replica[]): number => Math.max(1, (onlineOf(replicas) + 1) / Math.max(1, slotsOf(replicas)));
 
 /** See the module's head. */
 export class TargetAdmission implements AdmissionControl, Disposable {
@@ -155,13 +153,13 @@
 		}
 
 		const now = clock.now();
-		const rank = account?.priority ?? route.priority;
+		const rank = rankOf(call);
 		const owner = account?.name ?? `route:${route.name}`;
 		ranks.note(service, rank);
 		this.#board.noteArrival(service, owner, rank, now);
 		this.#stateOf(service).leastShares.noteArrival(rank, now);
 		const candidate: Candidate = {
-			call, owner, rank, isReturned: this.#returned.isReturned(route.name, timeLimitMs, now), arrivedAt, bytes: bodyBytes, onDecided, isWaiting: false, isRunning: false, begunAt: 0, crowding: 1,
+			call, owner, rank, isReturned: this.#returned.isReturned(route.name, timeLimitMs, now), arrivedAt, bytes: bodyBytes, onDecided, isWaiting: false, isRunning: false, begunAt: 0, crowding: undefined,
 		};
 		this.#decide(candidate);
 		return {
@@ -229,12 +227,12 @@
 	}
 
 	#begin(candidate: Candidate) {
-		const {call: {service}, owner, rank, onDecided} = candidate;
+		const {call: {service, candidates}, owner, rank, onDecided} = candidate;
 		const now = this.#parts.clock.now();
 		this.#leaveLine(candidate);
 		candidate.isRunning = true;
 		candidate.begunAt = now;
-		candidate.crowding = crowdingOf(usableReplicas(candidate.call.candidates(), now));
+		candidate.crowding = this.#parts.serviceTimes.meanMs(service) === undefined ? crowdingOf(usableReplicas(candidates(), now)) : undefined;
 		this.#board.noteRunning(service, owner, rank, 1);
 		this.#stateOf(service).leastShares.noteBegun(rank, now);
 		onDecided({kind: 'admitted'});
@@ -285,8 +283,10 @@
 
 		candidate.isRunning = false;
 		this.#board.noteRunning(service, owner, rank, -1);
-		// By Little's law, calls spend as many times their run time at a replica as there are calls for each slot.
-		this.#stateOf(service).queuedRuns.observe((this.#parts.clock.now() - begunAt) / crowding);
+		if (crowding !== undefined) {
+			// By Little's law, calls spend as many times their run time at a replica as there are calls for each slot.
+			this.#stateOf(service).queuedRuns.observe((this.#parts.clock.now() - begunAt) / crowding);
+		}
 	}
 
 	#stopTimerIfIdle() {
@@ -353,10 +353,9 @@
 		}
 
 		const runMs = serviceTimes.meanMs(service) ?? this.#unknownRunMs(service);
-
 		state.sharedAt = now;
 		state.shares = new ServiceShares({
-			slots: usableReplicas(replicasOf(service), now).reduce((sum, {record: {slots}}) => sum + slots, 0), runMs, queuedMs: queuedMs(targetMs), totals: this.#board.totals(service, now), weightOf,
+			slots: slotsOf(usableReplicas(replicasOf(service), now)), runMs, queuedMs: queuedMs(targetMs), totals: this.#board.totals(service, now), weightOf,
 		});
 		return state.shares;
 	}
--- a/src/gateway/batch/slot-finder.ts
+++ b/src/gateway/batch/slot-finder.ts
@@ -9,6 +9,7 @@
 import type {ReplicaDirectory} from '../replica-directory.js';
 import type {ReplicaConnectionPools} from '../replica-connection-pools.js';
 import type {Replica} from '../replica.js';
+import {servicesOf} from '../route-table.js';
 import {ofVersion} from '../streams/stream-binding.js';
 import type {
 	ClientAccountName, GatewayRoute, ReplicaId, SoftwareVersion,
@@ -129,7 +130,7 @@
 		return ahead === 0 || replica.total + ahead < replica.record.slots;
 	}
 
-	#replicasOf({targets}: GatewayRoute): readonly Replica[] {
-		return targets.filter(({weight}) => weight > 0).flatMap(({service}) => this.#parts.directory.takingWork(service));
+	#replicasOf(route: GatewayRoute): readonly Replica[] {
+		return servicesOf(route).flatMap(service => this.#parts.directory.takingWork(service));
 	}
 }
--- a/src/gateway/batch/wave-forecasts.ts
+++ b/src/gateway/batch/wave-forecasts.ts
@@ -9,6 +9,8 @@
 import type {PeerState, PeerSections} from '../peers/peer-state.js';
 import type {PeerTable} from '../peers/peer-table.js';
 import type {ReplicaDirectory} from '../replica-directory.js';
+import {onlineOf, slotsOf} from '../replica.js';
+import {servicesOf} from '../route-table.js';
 import type {GatewayServiceName} from '../types.js';
 import {DemandHistory, periodMs, type DemandSeries} from './demand-history.js';
 import {
@@ -115,15 +117,15 @@
 		const routes = this.#parts.board.config?.routes ?? [];
 		return new Set(routes
 			.filter(({kind, batch}) => kind === 'batch' && (batch?.dueMs ?? 0) > 0)
-			.flatMap(({targets}) => targets.filter(({weight}) => weight > 0).map(({service}) => service)));
+			.flatMap(route => servicesOf(route)));
 	}
 
 	#reviewService(service: GatewayServiceName) {
 		const {peers, clock, metrics} = this.#parts;
 		const now = clock.now();
 		const replicas = this.#parts.directory.takingWork(service);
-		const inFlight = replicas.reduce((sum, {allOnline}) => sum + allOnline, 0);
-		const slots = replicas.reduce((sum, {record}) => sum + record.slots, 0);
+		const inFlight = onlineOf(replicas);
+		const slots = slotsOf(replicas);
 		this.#history.noteInFlight(service, inFlight);
 		if (this.#hasFailedToCome(service, inFlight, now)) {
 			metrics.count('gateway.wavesMissed', 1, {service});
--- a/src/gateway/batch/wave-holds.ts
+++ b/src/gateway/batch/wave-holds.ts
@@ -3,6 +3,7 @@
 */
 import type {Clock, EventLog, Metrics} from '../../common/services.js';
 import {gatewayEvents} from '../log-events.js';
+import {servicesOf} from '../route-table.js';
 import {remainingMs, type RunEstimate} from './batch-policy.js';
 import type {PendingItem} from './pending-items.js';
 import type {WaveForecasts} from './wave-forecasts.js';
@@ -37,7 +38,7 @@
 	@returns Those that may begin now.
 	*/
 	beginning(items: readonly PendingItem[], estimate: RunEstimate, occupancy: Occupancy): readonly PendingItem[] {
-		const service = items[0]?.route.targets.find(({weight}) => weight > 0)?.service;
+		const service = items[0] && servicesOf(items[0].route)[0];
 		const forecast = service && this.#parts.waves.of(service);
 		return forecast ? items.filter(item => !this.#holds(item, estimate, occupancy, forecast)) : items;
 	}
--- a/src/gateway/calls/event-framer.ts
+++ b/src/gateway/calls/event-framer.ts
@@ -18,7 +18,7 @@
 };
 
 /** Blank lines in each of the line-end conventions: the end of the preceding line, followed by their own. */
-const boundaries = ['\n\n', '\n\r\n', '\r\r'];
+export const eventBoundaries = ['\n\n', '\n\r\n', '\r\r'];
 
 const betweenEvents = /\n\n|\n\r\n|\r\r/v;
 
@@ -34,7 +34,7 @@
 const empty: Buffer = Buffer.alloc(0);
 
 /** Offset of the end of the last complete event; 0 if there is none. */
-const endOfEvents = (bytes: Buffer | string): number => Math.max(...boundaries.map(boundary => {
+const endOfEvents = (bytes: Buffer | string): number => Math.max(...eventBoundaries.map(boundary => {
 	const at = bytes.lastIndexOf(boundary);
 	return at === -1 ? 0 : at + boundary.length;
 }));
--- a/src/gateway/calls/final-answer.ts
+++ b/src/gateway/calls/final-answer.ts
@@ -13,6 +13,8 @@
 	readonly answer: CallerAnswer;
 	/** What the call has taken of its account's rate limit. */
 	readonly credit: RateCredit | undefined;
+	/** Whether any replica may have started to run the call. */
+	readonly mayHaveRun: () => boolean;
 	/** Called when the caller has got its answer; status 0 for a broken connection. */
 	readonly onEnd: (status: number, reason: string) => void;
 };
@@ -26,8 +28,8 @@
 	}
 
 	/** Ends a call that is offered to no further replica. A refusal states that the call has not run, so it is not used once any replica may have run it, even if that replica has terminated since. */
-	giveUp(reason: GiveUpReason, retryDelayMs: number, mayHaveRun: boolean): void {
-		if (mayHaveRun) {
+	giveUp(reason: GiveUpReason, retryDelayMs: number): void {
+		if (this.#parts.mayHaveRun()) {
 			this.fail(reason === 'quarantined' ? 'it has ended the replicas that ran it' : 'no replica is left for another run');
 			return;
 		}
--- a/src/gateway/calls/online-call.ts
+++ b/src/gateway/calls/online-call.ts
@@ -9,6 +9,7 @@
 import type {GatewayParts} from '../parts.js';
 import {TrackedContent} from '../quarantine/tracked-content.js';
 import type {Replica} from '../replica.js';
+import {servicesOf} from '../route-table.js';
 import {StreamBinding} from '../streams/stream-binding.js';
 import type {CopySource} from '../types.js';
 import type {ArrivedCall} from './arrived-call.js';
@@ -122,7 +123,7 @@
 			isRepeatable: this.#isRepeatable, isContinued: this.#continuation.isCopied, isStream: traitsByKind[route.kind].isStream, lastEventId: fields.lastEventId,
 		});
 		this.#final = new FinalAnswer({
-			answer: this.#answer, credit: call.caller.credit, onEnd: (status, reason) => {
+			answer: this.#answer, credit: call.caller.credit, mayHaveRun: () => this.#succession.mayHaveRun, onEnd: (status, reason) => {
 				this.#end(status, reason);
 			},
 		});
@@ -154,7 +155,7 @@
 	/** Sends the call to its first replica. A call that is held back, or cannot get a slot in time, is refused at once. */
 	start(): void {
 		if (!this.#content.canBeSent) {
-			this.#final.giveUp('quarantined', this.#content.heldMs, this.#succession.mayHaveRun);
+			this.#final.giveUp('quarantined', this.#content.heldMs);
 			return;
 		}
 
@@ -199,7 +200,7 @@
 			return;
 		}
 
-		this.#offers.service = this.#call.route.targets.find(({service, weight}) => weight > 0 && service === this.#binding.service)?.service ?? this.#offers.service;
+		this.#offers.service = servicesOf(this.#call.route).find(service => service === this.#binding.service) ?? this.#offers.service;
 		this.#begin();
 	}
 
@@ -235,7 +236,7 @@
 
 		const heldMs = this.#content.claimRun();
 		if (heldMs > 0) {
-			this.#final.giveUp('quarantined', heldMs, this.#succession.mayHaveRun);
+			this.#final.giveUp('quarantined', heldMs);
 			return;
 		}
 
@@ -257,7 +258,7 @@
 		}
 
 		const reason = this.#offers.noReplicaReason;
-		this.#final.giveUp(reason, retryDelaysMs[reason], this.#succession.mayHaveRun);
+		this.#final.giveUp(reason, retryDelaysMs[reason]);
 	}
 
 	/** Tries the replicas of the version again after a pause. */
--- a/src/gateway/calls/run-succession.ts
+++ b/src/gateway/calls/run-succession.ts
@@ -65,7 +65,7 @@
 		this.#wasSuspected = this.#call.content.isSuspected;
 	}
 
-	/** Records that the replica may have run the call, and that its answer is not the call's. Runs at replicas that have terminated do not count towards the route's limit. Otherwise a crash could fail a stream that can still be resumed. */
+	/** Records a run without a complete answer. Runs at terminated replicas do not count: a crash must not fail a stream that can still be resumed. */
 	noteBroken(replica: Replica): void {
 		this.#mayHaveRun = true;
 		if (this.#parts.directory.get(replica.record.id) === replica) {
--- a/src/gateway/contacts/unreachable-news.feature
+++ b/src/gateway/contacts/unreachable-announcements.feature
@@ -1,10 +1,10 @@
-Feature: News of replicas that cannot be reached
+Feature: Announcements of replicas that cannot be reached
   A replica loses its power. Each process would find that out by calls of its own, which wait in vain; the first one that
   does tells the others.
 
   Background:
     Given replica "r1" is known
-    And news of unreachable replicas are exchanged
+    And unreachable replicas are announced between processes
 
   Scenario: A peer could not reach a replica
     # Guards against calls that each process sends to a replica that a peer knows to be gone.
@@ -33,7 +33,7 @@
     And 0 connections were tried
 
   Scenario: A finding of this process
-    # Guards against a single lost message that leaves the peers without the news.
+    # Guards against a single lost message that leaves the peers without the finding.
     When a connection to "r1" was not established in time
     Then "r1" is announced at once, and again after 250 ms
     And nothing is announced after 400 ms
--- a/src/gateway/continuity/copy-policy.steps.ts
+++ b/src/gateway/continuity/copy-policy.steps.ts
@@ -7,9 +7,8 @@
 import type {TestWorld} from '../../common/testing/test-world.js';
 import {SeededRandom} from '../../io/seeded-random.js';
 import {Replica} from '../replica.js';
-import type {
-	EngineTraits, GatewayServiceName, ReplicaId, RouteKind, SoftwareVersion,
-} from '../types.js';
+import {registrationOf} from '../testing/registrations.js';
+import type {EngineTraits, RouteKind, SoftwareVersion} from '../types.js';
 import {chooseHolder, isCopied} from './copy-policy.js';
 
 type CopyWorld = TestWorld & {
@@ -20,9 +19,7 @@
 };
 
 const replicaOf = (id: string, {domain = 'a', version = 'v1', calls = 0} = {}): Replica => {
-	const replica = new Replica({
-		id: branded<ReplicaId>(id), service: branded<GatewayServiceName>('engines'), address: '', failureDomain: domain, softwareVersion: branded<SoftwareVersion>(version), slots: 8, isDraining: false,
-	});
+	const replica = new Replica({...registrationOf(id), failureDomain: domain, softwareVersion: branded<SoftwareVersion>(version)});
 	replica.online = calls;
 	return replica;
 };
--- a/src/gateway/continuity/run-continuation.ts
+++ b/src/gateway/continuity/run-continuation.ts
@@ -64,7 +64,7 @@
 		const {clock, log, directory, metrics} = this.#parts;
 		const holder = this.#holder;
 		this.#holder = undefined;
-		const isUsable = holder !== undefined && !holder.isBackedOff(clock.now()) && directory.takingWork(holder.record.service).includes(holder);
+		const isUsable = holder !== undefined && !holder.isBackedOff(clock.now()) && directory.takesWork(holder);
 		if (holder) {
 			log.emit(gatewayEvents.copyTaken, {
 				id: this.#requestId, holder: holder.record.id, isUsable, lastEventId, online: holder.allOnline,
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -40,7 +40,7 @@
 import {ConfigBoard} from './config-board.js';
 import {ConfigController} from './config-controller.js';
 import {ReplicaReachability} from './contacts/replica-reachability.js';
-import {UnreachableNews} from './contacts/unreachable-news.js';
+import {UnreachableAnnouncements} from './contacts/unreachable-announcements.js';
 import {FeedFreshness} from './feed-freshness.js';
 import {FirstRead} from './first-read.js';
 import {FrontServer} from './front-server.js';
@@ -70,7 +70,7 @@
 import {RegistrationController} from './registration-controller.js';
 import {ReplicaDirectory} from './replica-directory.js';
 import {ReplicaConnectionPools} from './replica-connection-pools.js';
-import {PaceNews} from './placement/pace-news.js';
+import {PaceAnnouncements} from './placement/pace-announcements.js';
 import {RelativePaces} from './placement/relative-paces.js';
 import {ServiceTimes} from './placement/service-times.js';
 import {
@@ -212,7 +212,7 @@
 		const directory = this.#directory;
 		const loads = this.#loads;
 		const paces = new RelativePaces({replicasOf: service => directory.takingWork(service), clock});
-		const paceNews = new PaceNews({directory, clock});
+		const paceAnnouncements = new PaceAnnouncements({directory, clock});
 		const quarantine = new Quarantine({clock, log});
 		this.#quarantine = quarantine;
 		const partQuarantine = new PartQuarantine({
@@ -271,10 +271,11 @@
 		});
 		peers.onState(state => {
 			waves.receive(state);
+			this.#admission.receive(state);
 			failedRuns.addReceived(state.failedRuns ?? []);
 			rateLimits.receiveUsage(state, account => board.rateLimit(account));
-			paceNews.receive(state);
-			unreachableNews.receive(state);
+			paceAnnouncements.receive(state);
+			unreachableAnnouncements.receive(state);
 		});
 		const registrations = new RegistrationController({
 			directory, feed: replicaFeed, records, clock, log, drainMs: settings.drainMs,
@@ -314,9 +315,6 @@
 			otherwise: new DeadlineAdmission({serviceTimes, ranks, clock}), isByTarget: (route, service) => admitsByTarget(features, route, board.service(service)), serviceTimes, ranks, replicasOf: service => directory.takingWork(service), processCount, weightOf: owner => board.rateLimit(branded<ClientAccountName>(owner))?.perSecond, clock, random, log, metrics,
 		});
 		this.#admission = admission;
-		peers.onState(state => {
-			admission.receive(state);
-		});
 		this.#connectionPools = new ReplicaConnectionPools({
 			board,
 			directory,
@@ -329,7 +327,7 @@
 		const reachability = new ReplicaReachability({
 			directory, clock, log, dial,
 		});
-		const unreachableNews = new UnreachableNews({
+		const unreachableAnnouncements = new UnreachableAnnouncements({
 			reachability, directory, clock, announce: () => {
 				this.#announcer.announceSoon();
 			},
@@ -350,7 +348,7 @@
 			self, quarantine, partQuarantine, feed: quarantineFeed, api, peers, clock, log,
 		});
 		this.#announcer = new PeerAnnouncer({
-			self, failureDomain, channel: this.#channel, peers, directory, loads, quarantine, partQuarantine, failedRuns, rateLimits, sections: [() => paceNews.section(), () => unreachableNews.section(), () => waves.announcement(), () => admission.announcement()], checks: () => this.#checks.announcement(), clock, isLeaving, memberAddresses: () => this.#registry.addresses, claimedJobs: () => claims.claimed, waitingItems: () => this.#runner.waiting, rpcAddress: () => this.#rpcServer.address, reachesObjectApi: () => api.isDirect,
+			self, failureDomain, channel: this.#channel, peers, directory, loads, quarantine, partQuarantine, failedRuns, rateLimits, sections: [() => paceAnnouncements.section(), () => unreachableAnnouncements.section(), () => waves.announcement(), () => admission.announcement()], checks: () => this.#checks.announcement(), clock, isLeaving, memberAddresses: () => this.#registry.addresses, claimedJobs: () => claims.claimed, waitingItems: () => this.#runner.waiting, rpcAddress: () => this.#rpcServer.address, reachesObjectApi: () => api.isDirect,
 		});
 		this.#checks = new SharedChecks({
 			self,
@@ -393,7 +391,7 @@
 			res.writeHead(this.#readiness.isReady ? 200 : 503, {'content-length': '0'});
 			res.end();
 		});
-		this.#owned = [this.#retention, this.#quarantineRecords, this.#runner, this.#announcer, this.#registrar, registrations, this.#checks, unreachableNews, progress, ...this.#feeds, reachability, this.#connectionPools, this.#server, this.#admission, this.#streamOrigins, this.#channel, this.#rpcServer, api, http, this.#metrics, this.#lifecycle];
+		this.#owned = [this.#retention, this.#quarantineRecords, this.#runner, this.#announcer, this.#registrar, registrations, this.#checks, unreachableAnnouncements, progress, ...this.#feeds, reachability, this.#connectionPools, this.#server, this.#admission, this.#streamOrigins, this.#channel, this.#rpcServer, api, http, this.#metrics, this.#lifecycle];
 	}
 
 	get addresses(): Readonly<Record<string, string>> {
--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -108,7 +108,7 @@
 	partReleased: {number: 749, level: 'info', text: 'prompt part released from quarantine'},
 	/** Fields: parts. */
 	partTested: {number: 750, level: 'info', text: 'request sent as the test of quarantined prompt parts'},
-	/** Fields: id, route, account, rank, outcome (waited, late or refused), reason and retryAfterMs (of a refusal), waitMs (expected, for a slot), elapsedMs (since its arrival), targetMs, isReturned (its caller was refused before), isOutranked, isScarce, share and running (calls in flight that its owner may have and has, over all processes; no share if there is enough for all), demandAgeMs (of the oldest announcement that the share follows from). */
+	/** Fields: id, route, account, rank, outcome (waited, late or refused), reason and retryAfterMs (of a refusal), waitMs (expected, for a slot), elapsedMs (since its arrival), targetMs, isReturned, isOutranked, isScarce, share and running (calls in flight that its owner may have and has), demandAgeMs (oldest announcement behind the share). */
 	admissionDecided: {number: 760, level: 'info', text: 'call waited for its admission, began late or was refused'},
 	/** Fields: reason. */
 	handlerFailed: {number: 790, level: 'error', text: 'handler of a peer\'s call broke an invariant'},
--- a/src/gateway/peers/peer-state.ts
+++ b/src/gateway/peers/peer-state.ts
@@ -7,7 +7,7 @@
 import type {FailedRun} from '../batch/failed-runs.js';
 import type {SharedForecast} from '../batch/shared-forecast.js';
 import type {OutcomeCounts} from '../contacts/recent-outcomes.js';
-import type {SharedUnreachable} from '../contacts/unreachable-news.js';
+import type {SharedUnreachable} from '../contacts/unreachable-announcements.js';
 import type {SharedPace} from '../placement/shared-pace.js';
 import type {ContentDigest} from '../quarantine/content-digest.js';
 import type {Crash} from '../quarantine/crash-history.js';
--- a/src/gateway/peers/peer-table.ts
+++ b/src/gateway/peers/peer-table.ts
@@ -151,10 +151,7 @@
 	#applyOutcomes({member, outcomes = []}: PeerState) {
 		const {directory, clock} = this.#parts;
 		outcomes.forEach(({replica: id, startedAt, ...counts}) => {
-			const replica = directory.get(id);
-			if (replica?.record.startedAt === startedAt) {
-				replica?.outcomes.receivePeerCounts(member, counts, clock.now());
-			}
+			directory.getStart(id, startedAt)?.outcomes.receivePeerCounts(member, counts, clock.now());
 		});
 	}
 
--- a/src/gateway/peers/repeated-announcements.ts
+++ b/src/gateway/peers/repeated-announcements.ts
@@ -3,20 +3,25 @@
 */
 import type {Clock} from '../../common/services.js';
 
-/** How long an entry is announced, in milliseconds: in about eight messages. */
-const announcedForMs = 2000;
+/** How long an entry is announced by default, in milliseconds: in about eight messages. */
+const usualDurationMs = 2000;
 
 /** See the module's head. An entry that is set again is announced for the whole time again. */
 export class RepeatedAnnouncements<K, V> {
 	readonly #clock: Pick<Clock, 'now'>;
 	readonly #most: number;
+	readonly #durationMs: number;
 	/** The newest entry comes last. */
 	readonly #entries = new Map<K, {readonly value: V; readonly at: number}>();
 
-	/** @param most - Maximum number of entries in one message; the newest ones are announced. */
-	constructor(clock: Pick<Clock, 'now'>, most: number) {
+	/**
+	@param most - Maximum number of entries in one message; the newest ones are announced.
+	@param durationMs - How long an entry is announced.
+	*/
+	constructor(clock: Pick<Clock, 'now'>, most: number, durationMs = usualDurationMs) {
 		this.#clock = clock;
 		this.#most = most;
+		this.#durationMs = durationMs;
 	}
 
 	/** Whether there is certainly nothing to announce. */
@@ -47,7 +52,7 @@
 
 	/** What is to be announced now. */
 	current(): readonly V[] {
-		const since = this.#clock.now() - announcedForMs;
+		const since = this.#clock.now() - this.#durationMs;
 		this.#entries.forEach(({at}, key) => {
 			if (at < since) {
 				this.#entries.delete(key);
--- a/src/gateway/placement/pace-news.ts
+++ b/src/gateway/placement/pace-announcements.ts
@@ -1,5 +1,5 @@
 /**
-The news of replicas' paces between the processes of the gateway: what this process's streams show and its peers cannot know yet, and what peers have told. An announcement for another start of a replica is ignored.
+Exchanges the paces of replicas between the processes of the gateway: announces what this process's streams show and its peers cannot know yet, and applies what peers announce. An announcement for another start of a replica is ignored.
 */
 import type {Clock} from '../../common/services.js';
 import type {PeerSections, PeerState} from '../peers/peer-state.js';
@@ -11,18 +11,18 @@
 /** Maximum number of replicas in one announcement, about 1 KB; the others follow with the next. */
 const maxFigures = 12;
 
-/** Dependencies of the news. */
-export type PaceNewsParts = {
-	readonly directory: Pick<ReplicaDirectory, 'all' | 'get'>;
+/** Dependencies of the exchange. */
+export type PaceAnnouncementsParts = {
+	readonly directory: Pick<ReplicaDirectory, 'all' | 'getStart'>;
 	readonly clock: Pick<Clock, 'now'>;
 };
 
 /** See the module's head. */
-export class PaceNews {
-	readonly #parts: PaceNewsParts;
+export class PaceAnnouncements {
+	readonly #parts: PaceAnnouncementsParts;
 	#announcedAt = -Infinity;
 
-	constructor(parts: PaceNewsParts) {
+	constructor(parts: PaceAnnouncementsParts) {
 		this.#parts = parts;
 	}
 
@@ -36,11 +36,11 @@
 
 		this.#announcedAt = now;
 		const due = [...directory.all]
-			.map(replica => ({replica, untold: replica.pace.untold(now)}))
-			.filter(({untold}) => untold > 0)
-			.toSorted((a, b) => a.untold === b.untold ? 0 : b.untold - a.untold)
+			.map(replica => ({replica, unannounced: replica.pace.unannounced(now)}))
+			.filter(({unannounced}) => unannounced > 0)
+			.toSorted((a, b) => a.unannounced === b.unannounced ? 0 : b.unannounced - a.unannounced)
 			.slice(0, maxFigures);
-		const paces = due.map(({replica: {record, pace}}) => ({replica: record.id, startedAt: record.startedAt, ...pace.tell(now)}));
+		const paces = due.map(({replica: {record, pace}}) => ({replica: record.id, startedAt: record.startedAt, ...pace.announce(now)}));
 		return paces.length === 0 ? {} : {paces};
 	}
 
@@ -48,10 +48,7 @@
 	receive({paces = []}: Pick<PeerState, 'paces'>): void {
 		const now = this.#parts.clock.now();
 		paces.forEach(({replica: id, startedAt, ...figure}) => {
-			const replica = this.#parts.directory.get(id);
-			if (replica?.record.startedAt === startedAt) {
-				replica?.pace.receive(figure, now);
-			}
+			this.#parts.directory.getStart(id, startedAt)?.pace.receive(figure, now);
 		});
 	}
 }
--- a/src/gateway/placement/replica-pace.steps.ts
+++ b/src/gateway/placement/replica-pace.steps.ts
@@ -9,7 +9,7 @@
 import type {TestWorld} from '../../common/testing/test-world.js';
 import {ReplicaDirectory} from '../replica-directory.js';
 import type {GatewayServiceName, ReplicaId, SoftwareVersion} from '../types.js';
-import {PaceNews} from './pace-news.js';
+import {PaceAnnouncements} from './pace-announcements.js';
 import {RelativePaces} from './relative-paces.js';
 import type {ReplicaPace} from './replica-pace.js';
 import type {SharedPace} from './shared-pace.js';
@@ -19,7 +19,7 @@
 	now: number;
 	clock: Clock;
 	directory: ReplicaDirectory;
-	news: PaceNews;
+	exchange: PaceAnnouncements;
 	stream: StreamPace | undefined;
 	announced: readonly SharedPace[];
 };
@@ -53,8 +53,8 @@
 
 const factorOf = ({directory, clock}: Pick<PaceWorld, 'directory' | 'clock'>, id: string): number => new RelativePaces({replicasOf: name => directory.takingWork(name), clock}).factorOf(directory.get(branded<ReplicaId>(id))!);
 
-const receive = ({news}: PaceWorld, id: string, startedAt: number, figure: Pick<SharedPace, 'msPerEvent' | 'events'>) => {
-	news.receive({paces: [{replica: branded<ReplicaId>(id), startedAt, ...figure}]});
+const receive = ({exchange}: PaceWorld, id: string, startedAt: number, figure: Pick<SharedPace, 'msPerEvent' | 'events'>) => {
+	exchange.receive({paces: [{replica: branded<ReplicaId>(id), startedAt, ...figure}]});
 };
 
 Given('replicas {string} whose streams bring an event every {int} ms', function (this: PaceWorld, ids: string, ms: number) {
@@ -62,7 +62,7 @@
 	this.stream = undefined;
 	this.clock = {now: () => this.now, wall: () => this.now, sleep: async () => undefined};
 	this.directory = new ReplicaDirectory();
-	this.news = new PaceNews({directory: this.directory, clock: this.clock});
+	this.exchange = new PaceAnnouncements({directory: this.directory, clock: this.clock});
 	namesIn(ids).forEach(id => {
 		putReplica(this.directory, id);
 	});
@@ -114,7 +114,7 @@
 	assert.ok(factor >= least && factor <= most, String(factor));
 });
 
-const announcedBy = ({news}: PaceWorld): readonly SharedPace[] => news.section().paces ?? [];
+const announcedBy = ({exchange}: PaceWorld): readonly SharedPace[] => exchange.section().paces ?? [];
 
 Then('the announcement names {string}', function (this: PaceWorld, ids: string) {
 	this.announced = announcedBy(this);
@@ -134,7 +134,7 @@
 	[...this.directory.all].forEach(({record}) => {
 		directory.put(record);
 	});
-	new PaceNews({directory, clock: this.clock}).receive({paces: this.announced});
+	new PaceAnnouncements({directory, clock: this.clock}).receive({paces: this.announced});
 	assert.ok(factorOf({directory, clock: this.clock}, id) > 1.4);
 });
 
--- a/src/gateway/placement/replica-pace.ts
+++ b/src/gateway/placement/replica-pace.ts
@@ -1,15 +1,15 @@
 /**
 What is known of the pace of one start of a replica: from this process's own streams, and from its peers' announcements as well. It belongs to the `Replica` object, so it is forgotten with that start.
 
-A process announces what its own streams show only where its peers cannot know it yet: the pace differs from what was last told, by whichever process, or that is long ago. Processes that see the same thus stay silent, and a lost message is made up for by the next process whose own streams show something else.
+A process announces what its own streams show only where it differs from the last announcement, by whichever process, or where that is long ago. Processes that observe the same thus send nothing, and a lost message is made up for by the next process whose streams show something else.
 */
 import {maxEvents, PaceEstimate} from './pace-estimate.js';
 
-/** A relative difference that peers are told at once; smaller ones affect hardly any decision. */
-const toldDifference = 0.15;
+/** A relative difference that is announced at once; smaller ones affect hardly any decision. */
+const announcedDifference = 0.15;
 
-/** Age after which a pace is told again, in milliseconds: within the half-life of what peers know. */
-const tellAgainMs = 3000;
+/** Age after which a pace is announced again, in milliseconds: within the half-life of an observation. */
+const announceAgainMs = 3000;
 
 /** Own events that are older than this, in milliseconds, say nothing new about a replica. */
 const recentMs = 500;
@@ -26,8 +26,8 @@
 export class ReplicaPace {
 	readonly #own = new PaceEstimate();
 	readonly #all = new PaceEstimate();
-	#toldMs = 0;
-	#toldAt = -Infinity;
+	#announcedMs = 0;
+	#announcedAt = -Infinity;
 
 	/** Records events of one of this process's own streams. */
 	observe(msPerEvent: number, events: number, now: number): void {
@@ -39,8 +39,8 @@
 	receive({msPerEvent, events}: PaceFigure, now: number): void {
 		if (msPerEvent > 0 && events > 0) {
 			this.#all.observe(msPerEvent, Math.min(events, maxEvents), now);
-			this.#toldMs = msPerEvent;
-			this.#toldAt = now;
+			this.#announcedMs = msPerEvent;
+			this.#announcedAt = now;
 		}
 	}
 
@@ -59,26 +59,26 @@
 		return now - this.#all.observedAt;
 	}
 
-	/** Relative difference between what own streams show and what was last told; 0 if there is nothing to tell, `Infinity` if that was told long ago. */
-	untold(now: number): number {
+	/** Relative difference between what own streams show and what was last announced; 0 if there is nothing to announce, `Infinity` if that was long ago. */
+	unannounced(now: number): number {
 		const ownMs = this.#own.msPerEvent(now);
 		if (ownMs === undefined || now - this.#own.observedAt > recentMs) {
 			return 0;
 		}
 
-		if (now - this.#toldAt > tellAgainMs) {
+		if (now - this.#announcedAt > announceAgainMs) {
 			return Infinity;
 		}
 
-		const difference = Math.abs((ownMs / this.#toldMs) - 1);
-		return difference > toldDifference ? difference : 0;
+		const difference = Math.abs((ownMs / this.#announcedMs) - 1);
+		return difference > announcedDifference ? difference : 0;
 	}
 
-	/** What own streams show, which then counts as told. */
-	tell(now: number): PaceFigure {
+	/** What own streams show, which then counts as announced. */
+	announce(now: number): PaceFigure {
 		const msPerEvent = this.#own.msPerEvent(now) ?? 0;
-		this.#toldMs = msPerEvent;
-		this.#toldAt = now;
+		this.#announcedMs = msPerEvent;
+		this.#announcedAt = now;
 		return {msPerEvent: Number(rounded(msPerEvent, 0.1).toFixed(1)), events: Math.ceil(this.#own.events(now))};
 	}
 }
--- a/src/gateway/placement/service-times.steps.ts
+++ b/src/gateway/placement/service-times.steps.ts
@@ -61,5 +61,5 @@
 
 Then('a further call with {string} tokens expects its first token after {int} ms', function (this: TimesWorld, tokens: string, ms: number) {
 	const size = tokens === '' ? undefined : {promptTokens: Number(tokens)};
-	assert.equal(Math.round(this.times.leastFirstTokenMs(service, this.replicas, size)), ms);
+	assert.equal(Math.round(Math.min(...this.replicas.map(replica => this.times.expectedFirstTokenMs(service, replica, size)))), ms);
 });
--- a/src/gateway/placement/service-times.ts
+++ b/src/gateway/placement/service-times.ts
@@ -85,11 +85,6 @@
 		return this.#waitMsAt(service, replica) + this.#readingMsAt(service, replica, size);
 	}
 
-	/** The least of the expected times to the first token, in milliseconds; 0 if too few calls were recorded or no replica is given. */
-	leastFirstTokenMs(service: GatewayServiceName, replicas: readonly Replica[], size?: RequestSize): number {
-		return replicas.length === 0 ? 0 : Math.min(...replicas.map(replica => this.expectedFirstTokenMs(service, replica, size)));
-	}
-
 	/** An engine serves in order of arrival, and the slots of a full one become free one after the other. */
 	#waitMsAt(service: GatewayServiceName, replica: Replica): number {
 		const time = this.#times.get(service)?.call;
--- a/src/gateway/placement/stream-pace.ts
+++ b/src/gateway/placement/stream-pace.ts
@@ -3,14 +3,12 @@
 */
 import type {Buffer} from 'node:buffer';
 import type {Clock} from '../../common/services.js';
+import {eventBoundaries} from '../calls/event-framer.js';
 import type {ReplicaPace} from './replica-pace.js';
 
 /** Chunks that arrive within this time, in milliseconds, are counted together: they have waited in a buffer, and the gaps between them say nothing. */
 const minSpanMs = 12;
 
-/** Ends of events, in the line ends that occur; each is searched for only if the one before it does not occur. */
-const eventEnds = ['\n\n', '\n\r\n', '\r\r'];
-
 const countOf = (bytes: Buffer, end: string): number => {
 	let count = 0;
 	let at = bytes.indexOf(end);
@@ -22,8 +20,8 @@
 	return count;
 };
 
-/** Number of events that end within the bytes. */
-export const countEvents = (bytes: Buffer): number => eventEnds.reduce((count, end) => count > 0 ? count : countOf(bytes, end), 0);
+/** Number of events that end within the bytes. Each kind of line end is searched for only if the one before it does not occur. */
+export const countEvents = (bytes: Buffer): number => eventBoundaries.reduce((count, end) => count > 0 ? count : countOf(bytes, end), 0);
 
 /** See the module's head. */
 export class StreamPace {
--- a/src/gateway/replica-directory.ts
+++ b/src/gateway/replica-directory.ts
@@ -36,6 +36,12 @@
 		return this.#byId.get(id);
 	}
 
+	/** The replica, if its current start is this one; see `ReplicaRecord.startedAt`. What peers announce of another start does not concern it. */
+	getStart(id: ReplicaId, startedAt: number | undefined): Replica | undefined {
+		const replica = this.#byId.get(id);
+		return replica?.record.startedAt === startedAt ? replica : undefined;
+	}
+
 	/** Replicas of a service that accept new work. The array is replaced at each change, never modified. */
 	takingWork(service: GatewayServiceName): readonly Replica[] {
 		return this.#byService.get(service) ?? [];
--- a/src/gateway/replica.ts
+++ b/src/gateway/replica.ts
@@ -115,3 +115,9 @@
 		this.#backoffUntil = 0;
 	}
 }
+
+/** Number of slots of all the replicas. */
+export const slotsOf = (replicas: readonly Replica[]): number => replicas.reduce((sum, {record: {slots}}) => sum + slots, 0);
+
+/** Number of online calls in flight at all the replicas. */
+export const onlineOf = (replicas: readonly Replica[]): number => replicas.reduce((sum, {allOnline}) => sum + allOnline, 0);
--- a/src/gateway/route-table.ts
+++ b/src/gateway/route-table.ts
@@ -1,7 +1,7 @@
 /**
 The routes of one configuration, by host and path. Among the routes of a host, the one with the longest matching path prefix is used.
 */
-import type {GatewayConfig, GatewayRoute} from './types.js';
+import type {GatewayConfig, GatewayRoute, GatewayServiceName} from './types.js';
 
 const longestFirst = (a: GatewayRoute, b: GatewayRoute): number => b.pathPrefix.length - a.pathPrefix.length;
 
@@ -11,6 +11,9 @@
 /** The path without its query. */
 const pathOf = (target: string): string => target.split('?', 1)[0] ?? target;
 
+/** The services that get calls of the route. */
+export const servicesOf = ({targets}: Pick<GatewayRoute, 'targets'>): GatewayServiceName[] => targets.filter(({weight}) => weight > 0).map(({service}) => service);
+
 /** Finds the route of a call. Immutable: each configuration has its own table. */
 export class RouteTable {
 	readonly #byHost: ReadonlyMap<string, readonly GatewayRoute[]>;
--- a/src/gateway/testing/wave-model.ts
+++ b/src/gateway/testing/wave-model.ts
@@ -6,7 +6,7 @@
 import type {RandomSource} from '../../common/services.js';
 import {branded} from '../../common/ids.js';
 import {chooseForOnline} from '../placement/replica-choice.js';
-import {PaceNews} from '../placement/pace-news.js';
+import {PaceAnnouncements} from '../placement/pace-announcements.js';
 import {RelativePaces} from '../placement/relative-paces.js';
 import {Replica} from '../replica.js';
 import type {
@@ -104,7 +104,7 @@
 	readonly #waits: number[] = [];
 	readonly #outcomesAnnouncedAt: number[];
 	readonly #paces: readonly RelativePaces[];
-	readonly #news: readonly PaceNews[];
+	readonly #paceAnnouncements: readonly PaceAnnouncements[];
 	readonly #callsOfFirstSecond = {atAdded: 0, elsewhere: 0};
 	#maxAtAdded = 0;
 	#now = 0;
@@ -117,7 +117,7 @@
 		})));
 		const clock = {now: () => this.#now};
 		this.#paces = this.#views.map(view => new RelativePaces({replicasOf: () => view, clock}));
-		this.#news = this.#views.map(view => new PaceNews({directory: {all: view, get: id => view.find(({record}) => record.id === id)}, clock}));
+		this.#paceAnnouncements = this.#views.map(view => new PaceAnnouncements({directory: {all: view, getStart: id => view.find(({record}) => record.id === id)}, clock}));
 		this.#outcomesAnnouncedAt = Array.from({length: processes}, () => 0);
 		this.#running = Array.from({length: replicas}, () => 0);
 		this.#queues = Array.from({length: replicas}, () => []);
@@ -289,9 +289,9 @@
 			return;
 		}
 
-		const section = this.#news[process]!.section();
-		this.#news.filter((_, other) => other !== process && random.next() >= pace.lostAnnouncements).forEach(news => {
-			news.receive(section);
+		const section = this.#paceAnnouncements[process]!.section();
+		this.#paceAnnouncements.filter((_, other) => other !== process && random.next() >= pace.lostAnnouncements).forEach(exchange => {
+			exchange.receive(section);
 		});
 	}
 
