--- a/review/lib/fleet.js
+++ b/review/lib/fleet.js
@@ -35,11 +35,14 @@
 export const streamRoute = {
 	name: 'alert', hostname: host, pathPrefix: '/alert/', kind: 'stream', timeoutMs: 5000, sloMs: 300, maxAttempts: 2, priority: 0, resumable: true, sticky: true, gapTargetMs: 200, service: 'engines',
 };
+export const deskRoute = {
+	name: 'lookup', hostname: host, pathPrefix: '/lookup/', kind: 'safe', timeoutMs: 4000, sloMs: 386, maxAttempts: 2, priority: 1, service: 'desk',
+};
 
 export const configOf = (version, routes) => ({
 	version,
 	routes,
-	services: [{name: 'engines', healthPath: '/healthz', maxConns: 150}],
+	services: [{name: 'engines', healthPath: '/healthz', maxConns: 150}, {name: 'desk', healthPath: '/healthz', maxConns: 96}],
 	limits: {
 		maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 5000, idleTimeoutMs: 10_000,
 	},
@@ -62,26 +65,47 @@
 	return {command: field('run').split(' '), template: readFileSync(path.join(root, field('template')), 'utf8')};
 };
 
-/** Ports that were free a moment ago. */
-const freePorts = async count => {
-	const servers = await Promise.all(Array.from({length: count}, async () => new Promise(resolve => {
-		const server = createServer();
-		server.listen(0, '127.0.0.1', () => {
-			resolve(server);
+/** Below the ports that the system gives to outgoing connections, so that none of these takes a port between its choice and its use. */
+const firstPort = 15_000;
+const portCount = 16_000;
+const chosenPorts = new Set();
+
+const isFree = async port => new Promise(resolve => {
+	const server = createServer();
+	server.once('error', () => {
+		resolve(false);
+	});
+	server.listen(port, '127.0.0.1', () => {
+		server.close(() => {
+			resolve(true);
 		});
-	})));
-	const ports = servers.map(server => server.address().port);
-	await Promise.all(servers.map(async server => new Promise(resolve => {
-		server.close(resolve);
-	})));
-	return ports;
+	});
+});
+
+const freePort = async () => {
+	for (;;) {
+		const port = firstPort + Math.floor(Math.random() * portCount);
+		if (!chosenPorts.has(port) && await isFree(port)) {
+			chosenPorts.add(port);
+			return port;
+		}
+	}
 };
 
+const freePorts = async count => Promise.all(Array.from({length: count}, async () => freePort()));
+
 export class Fleet {
 	store = new Store();
 	replicas = [];
+	/** Replicas of the plain service. */
+	desks = [];
 	fronts = new Map();
+	/** How often each front has ended by itself. */
+	ownEnds = new Map();
 	#processes = new Map();
+	#settings = new Map();
+	#restartDelayMs;
+	#isDisposed = false;
 	#dir = mkdtempSync(path.join(tmpdir(), 'citronyard-review-'));
 	#record;
 	#startedAt = performance.now();
@@ -105,7 +129,7 @@
 	}
 
 	/** Starts the store, the replicas, and then three fronts and three keepers, one of each in a zone. */
-	async start({routes, replicas = 2, slots = 8, events = 171, gapMs = 30}) {
+	async start({routes, replicas = 2, slots = 8, events = 171, gapMs = 30, desks = []}) {
 		this.storeAddress = await this.store.listen();
 		for (let i = 1; i <= replicas; i += 1) {
 			const replica = await new Replica({
@@ -117,6 +141,14 @@
 			this.store.write('servers', `i-${i}`, replica.entry);
 		}
 
+		for (const [i, options] of desks.entries()) {
+			const desk = await new Replica({
+				id: `d-${i + 1}`, service: 'desk', zone: zones[i % zones.length], slots: 6, workMs: 85, ...options,
+			}).listen();
+			this.desks.push(desk);
+			this.store.write('servers', `d-${i + 1}`, desk.entry);
+		}
+
 		this.store.write('config', 'main', configOf(1, routes));
 		for (const zone of zones) {
 			await this.startFront(`front-${zone}`, zone);
@@ -135,9 +167,15 @@
 	async startFront(name, zone) {
 		const [listen, ready, peer, metrics] = await freePorts(4);
 		this.fronts.set(name, {listen: `127.0.0.1:${listen}`, ready: `127.0.0.1:${ready}`});
-		this.#spawn('front', name, {
+		this.#settings.set(name, {
 			...this.#fields(name, zone), listen: {front: `127.0.0.1:${listen}`, ready: `127.0.0.1:${ready}`}, portRange: [peer, metrics],
 		});
+		this.#spawn('front', name, this.#settings.get(name));
+	}
+
+	/** Restarts each front that ends by itself after a short delay, as the platform does. */
+	keepFrontsRunning(delayMs) {
+		this.#restartDelayMs = delayMs;
 	}
 
 	/** Sends a signal to a process that this fleet has started. */
@@ -172,13 +210,14 @@
 	}
 
 	async dispose() {
+		this.#isDisposed = true;
 		this.#killAll();
 		await Promise.all([...this.#processes.values()].map(async child => child.exitCode === null && child.signalCode === null
 			? new Promise(resolve => {
 				child.once('exit', resolve);
 			})
 			: undefined));
-		this.replicas.forEach(replica => {
+		[...this.replicas, ...this.desks].forEach(replica => {
 			replica.dispose();
 		});
 		this.store.dispose();
@@ -220,15 +259,23 @@
 		child.stderr.pipe(log);
 		child.once('exit', (code, signal) => {
 			this.note(`${name} has ended (${signal ?? code})`);
+			if (this.#restartDelayMs !== undefined && !this.#isDisposed && signal === null) {
+				this.ownEnds.set(name, (this.ownEnds.get(name) ?? 0) + 1);
+				setTimeout(() => {
+					if (!this.#isDisposed) {
+						this.#spawn(role, name, fields);
+					}
+				}, this.#restartDelayMs);
+			}
 		});
 		this.#processes.set(name, child);
 	}
 }
 
-/** Sends a call on a new connection. Status 0: no answer. */
-export const call = async (address, {method = 'POST', path: target, id, headers = {}, body = '', timeoutMs = 4000}) => new Promise(resolve => {
+/** Sends a call, on a new connection unless an agent is given. Status 0: no answer. */
+export const call = async (address, {method = 'POST', path: target, id, headers = {}, body = '', timeoutMs = 4000, agent = false}) => new Promise(resolve => {
 	const req = request(`http://${address}${target}`, {
-		method, agent: false, headers: {host, ...(id && {'x-citronyard-request-id': id}), ...headers},
+		method, agent, headers: {host, ...(id && {'x-citronyard-request-id': id}), ...headers},
 	}, res => {
 		const chunks = [];
 		res.on('data', chunk => {
--- a/review/lib/replica.js
+++ b/review/lib/replica.js
@@ -1,5 +1,5 @@
 /**
-A stand-in for a model replica, as the pages describe it: it runs as many requests as it has slots, queues a few more, streams numbered events, resumes after `Last-Event-Id`, and drops a request when its connection closes.
+A stand-in for a replica, as the pages describe it: it runs as many requests as it has slots, queues a few more, streams numbered events, resumes after `Last-Event-Id`, and drops a request when its connection closes. A replica of a plain service answers after some work instead.
 */
 import {createServer} from 'node:http';
 import {setTimeout as pause} from 'node:timers/promises';
@@ -18,7 +18,7 @@
 		});
 	});
 
-	/** @param options - `id`, `service`, `zone`, `slots`, `events` of a stream, `gapMs` between them, and `onRun`. */
+	/** @param options - `id`, `service`, `zone`, `slots`, `events` of a stream, `gapMs` between them, and `onRun`. A plain service has `workMs` and, for each run, `extraHeaders`. */
 	constructor(options) {
 		this.#options = options;
 	}
@@ -92,11 +92,20 @@
 		this.#running += 1;
 		run.ranAt = performance.now();
 		this.#options.onRun?.(run);
-		await this.#stream(res, head, run, () => hasLeft);
+		await (this.#options.workMs === undefined ? this.#stream(res, head, run, () => hasLeft) : this.#answer(res, head, run));
 		this.#running -= 1;
 		this.#queue.shift()?.();
 	}
 
+	async #answer(res, head, run) {
+		const {workMs, extraHeaders = () => ({})} = this.#options;
+		await pause(workMs);
+		const body = Buffer.from(`answer to ${run.request}`);
+		res.writeHead(200, {...head, ...extraHeaders(run), 'content-type': 'text/plain', 'content-length': String(body.length)});
+		res.end(body);
+		run.ended = true;
+	}
+
 	async #stream(res, head, run, hasLeft) {
 		const {events, gapMs} = this.#options;
 		res.writeHead(200, {...head, 'content-type': 'text/event-stream'});
