--- a/review/3/case.js
+++ b/review/3/case.js
@@ -45,12 +45,12 @@
 			const {status, reason} = await call(fleet.fronts.get(front).listen, {
 				method: 'GET', path: `/lookup/${id}`, id, agent,
 			});
+			fleet.note(`${front}: GET /lookup/${id} on a ${isKept ? 'kept' : 'new'} connection: ${status || `no answer, ${reason}`}`);
 			served += status === 200 ? 1 : 0;
 			if (status === 0) {
 				cut.push({
 					id, front, isKept, reason,
 				});
-				fleet.note(`${front}: ${id} on a ${isKept ? 'kept' : 'new'} connection has no answer: ${reason}`);
 			}
 
 			isKept = status === 200;
--- a/review/lib/fleet.js
+++ b/review/lib/fleet.js
@@ -137,9 +137,7 @@
 		this.storeAddress = await this.store.listen();
 		for (let i = 1; i <= replicas; i += 1) {
 			const replica = await new Replica({
-				id: `i-${i}`, service: 'engines', zone: zones[(i - 1) % zones.length], slots, events, gapMs, dataOf, onRun: run => {
-					this.note(`replica i-${i} runs ${run.request}${run.after > 0 ? ` after event ${run.after}` : ''}`);
-				},
+				id: `i-${i}`, service: 'engines', zone: zones[(i - 1) % zones.length], slots, events, gapMs, dataOf, onRun: this.#noteRun(`i-${i}`),
 			}).listen();
 			this.replicas.push(replica);
 			this.store.write('servers', `i-${i}`, replica.entry);
@@ -147,7 +145,7 @@
 
 		for (const [i, options] of desks.entries()) {
 			const desk = await new Replica({
-				id: `d-${i + 1}`, service: 'desk', zone: zones[i % zones.length], slots: 6, workMs: 85, ...options,
+				id: `d-${i + 1}`, service: 'desk', zone: zones[i % zones.length], slots: 6, workMs: 85, onRun: this.#noteRun(`d-${i + 1}`), ...options,
 			}).listen();
 			this.desks.push(desk);
 			this.store.write('servers', `d-${i + 1}`, desk.entry);
@@ -237,6 +235,12 @@
 		});
 	}
 
+	#noteRun(replica) {
+		return ({request, after}) => {
+			this.note(`replica ${replica} runs ${request}${after > 0 ? ` after event ${after}` : ''}`);
+		};
+	}
+
 	async #startKeeper(name, zone) {
 		const [peer, metrics] = await freePorts(2);
 		const dataFolder = path.join(this.#dir, name);
