--- a/review/2/case.js
+++ b/review/2/case.js
@@ -1,100 +1,76 @@
 /**
-Two batch jobs are accepted at two fronts at about the same time, while the store is slow. Both fit: together with what waits already they take a little more than the limit of waiting tokens, within `quotaOverage`. Then the store is calm, and clients read both jobs at all fronts. The larger one is sent once more, as other clients do, and read again.
+The limit of waiting tokens is almost reached. A client ends one of the batch jobs at a front; the store does not answer the write of that end, and makes it late. Meanwhile another client sends the front a batch job of the same size, for which there is room without the one that was ended. Then the store is calm, and all fronts are asked for the accepted job. At last the front that accepted it is stopped as planned and started again, and all are asked once more.
 */
 import {setTimeout as pause} from 'node:timers/promises';
 import {
 	batchRoute, bounds, isTroubled, results, runCase, streamRoute, submission,
 } from '../lib/fleet.js';
 
-/** `platform_slow` of the site: answers take 60 times as long, for 4.5 s; the sheet states 4 ms. */
-const slowAnswerMs = 240;
-const slowMs = 4500;
-const usualAnswerMs = 4;
+/** `platform_lost` with `late`: a write is not answered, and made 1 to 6 s later. */
+const lateMs = 2000;
 
 /** The store is calm for longer than `contactMs`, so all fronts are in touch. */
-const calmMs = bounds.contactMs + 500;
+const calmMs = bounds.contactMs + 1000;
 
-/** 748,000 tokens that wait already, of as many items as there are slots. */
-const waiting = [
-	{id: 'a1b2c3d4e5f60001', items: 50, tokens: 7480},
-	{id: 'a1b2c3d4e5f60002', items: 50, tokens: 7480},
-];
-/** 1,200,000 tokens: with those, 352,000 below the limit of 2,300,000. */
-const large = {id: 'a1b2c3d4e5f60003', items: 200, tokens: 6000};
-/** 380,000 tokens: with all others, 28,000 above the limit and 202,000 below the limit with its overage. */
-const small = {id: 'a1b2c3d4e5f60004', items: 190, tokens: 2000};
+/** 46,800 tokens: the sheet's largest job, of items of the usual size. */
+const job = number => ({id: `d1b2c3d4e5f6${String(number).padStart(4, '0')}`, items: 24, tokens: 1950});
 
-/** How long the client of the large job is ahead of the other one. */
-const aheadMs = 150;
+/** 2,293,200 tokens: no other job fits under the limit of 2,300,000 until one of these has ended. */
+const waiting = Array.from({length: 49}, (_, i) => job(i));
+const ended = waiting[20];
+const accepted = job(100);
 
-/** The time that the results which were read have to come again, in milliseconds. */
-const comeAgainMs = 15_000;
+const endOf = ({id}) => ({method: 'DELETE', path: `/citronyard/lots/${id}`});
 
 await runCase(import.meta.dirname, async fleet => {
 	await fleet.start({routes: [batchRoute, streamRoute], replicas: 13});
 	const [a, b, c] = fleet.names;
-	const acceptedAt = new Map();
-	const violations = [];
-	const submit = async (front, size) => {
-		const {status} = await fleet.call(front, submission(size.id, size));
-		if (status === 202) {
-			acceptedAt.set(size.id, fleet.now);
-		}
-	};
+	const answers = await Promise.all(waiting.map(async (one, i) => fleet.call(fleet.names[i % 3], submission(one.id, one))));
+	if (answers.some(({status}) => status !== 202)) {
+		throw new Error('a job that waits was not accepted');
+	}
 
-	/** Reads a job from its start at a front. */
-	const read = async (front, {id}) => {
-		const {status, body} = await fleet.call(front, results(id));
-		if (status === 404 || status === 410) {
-			violations.push(`LOST: ${fleet.now - acceptedAt.get(id)} ms after its 202, ${front} answers ${status} for job ${id}`);
+	await pause(1000);
+	let lost = 0;
+	fleet.store.loseWrite = ({name}) => {
+		if (!isTroubled || name !== `end-${ended.id}` || lost > 0) {
+			return undefined;
 		}
 
-		const page = status === 200 ? JSON.parse(body) : {results: []};
-		fleet.note(`${front}: job ${id} has ${page.results.length} results from position 0 on`);
-		return page.results;
+		lost += 1;
+		fleet.note(`the store does not answer the write of ${name}, and makes it ${lateMs} ms later`);
+		return lateMs;
 	};
 
-	await Promise.all(waiting.map(async one => submit(c, one)));
-	await pause(1000);
-	if (isTroubled) {
-		fleet.store.answerMs = slowAnswerMs;
-		fleet.note(`the store's answers take ${slowAnswerMs} ms`);
+	const ending = fleet.call(a, endOf(ended));
+	await pause(100);
+	const {status} = await fleet.call(a, submission(accepted.id, accepted));
+	const acceptedAt = fleet.now;
+	if (status !== 202) {
+		throw new Error(`the job was answered ${status}`);
 	}
 
-	await pause(500);
-	const submitted = submit(b, large);
-	await pause(aheadMs);
-	await Promise.all([submitted, submit(a, small)]);
-	await pause(slowMs - 1500);
-	fleet.store.answerMs = usualAnswerMs;
-	fleet.note('the store is as usual');
-	await pause(calmMs);
-	if (!acceptedAt.has(large.id)) {
-		throw new Error('the large job was not accepted');
+	const {status: endStatus} = await ending;
+	if (endStatus !== 200) {
+		await fleet.call(b, endOf(ended));
 	}
 
-	for (const job of [...waiting, small, large].filter(({id}) => acceptedAt.has(id))) {
-		await Promise.all([a, b, c].map(async front => read(front, job)));
-	}
-
-	let listed = [];
-	await fleet.until('the large job has results', async () => {
-		listed = await read(b, large);
-		return listed.length > 0;
-	}, 20_000);
-	const again = await fleet.call(a, submission(large.id, large));
-	if (again.status !== 202) {
-		await fleet.call(b, submission(large.id, large));
-	}
-
-	await pause(comeAgainMs);
-	for (const front of [a, b, c]) {
-		const found = await read(front, large);
-		const missing = listed.filter(({id}, i) => found[i]?.id !== id);
-		if (missing.length > 0) {
-			violations.push(`LOST: ${missing.length} of the ${listed.length} results that were read of job ${large.id} do not come again at ${front}, ${comeAgainMs} ms after it was sent once more`);
+	await pause(lateMs + calmMs);
+	const violations = [];
+	const ask = async when => {
+		for (const front of [a, b, c]) {
+			const answer = await fleet.call(front, results(accepted.id));
+			if (answer.status === 404 || answer.status === 410) {
+				violations.push(`LOST: ${when}, ${fleet.now - acceptedAt} ms after its 202, ${front} answers ${answer.status} for job ${accepted.id}`);
+			}
 		}
-	}
+	};
 
+	await ask('all fronts in touch');
+	fleet.keepFrontsRunning(1000);
+	fleet.signal(a, 'SIGTERM');
+	fleet.note(`${a} gets SIGTERM`);
+	await pause((bounds.graceS * 1000) + 3000 + calmMs);
+	await ask(`after the planned stop of ${a}`);
 	return violations;
 });
