Results: sizes in bytes of what is stored, so that text outside ASCII is listed

The writer bounded pages by output.length; a page of Bengali was up to three times the object API's limit, was refused as too large and written again unchanged every 200 ms.

Ruled out: items that don't end (the replicas' records have each once), readers (no page exists). The test double's own limit was in characters.

--- a/src/common/testing/fake-object-api.ts
+++ b/src/common/testing/fake-object-api.ts
@@ -4,6 +4,7 @@
 import {EventEmitter} from 'node:events';
 import {Left, Right, type Either} from 'purify-ts/Either';
 import {branded, type Revision} from '../ids.js';
+import {jsonBytes} from '../json-size.js';
 import type {ObjectApi} from '../services.js';
 import type {
 	ApiError, ListQuery, ObjectKind, ObjectPage, StoredObject, WatchBatch, WatchEvent,
@@ -12,7 +13,7 @@
 type Answer<T> = Either<ApiError, T>;
 
 const defaultPageSize = 500;
-const valueLimitBytes = 1_000_000;
+const defaultValueLimitBytes = 1_000_000;
 
 /** Values are copied when stored and returned, as they would be on a network. */
 const copyOf = <T>(value: T): T => structuredClone(value);
@@ -22,6 +23,9 @@
 	/** While true, every call fails as `unavailable` and changes nothing. */
 	down = false;
 
+	/** The largest value that is stored, in bytes of JSON. */
+	valueLimitBytes = defaultValueLimitBytes;
+
 	/** Runs before each call takes effect, so that a test can insert another writer's change. */
 	beforeCall: ((call: string, kind: ObjectKind, name: string) => void | Promise<void>) | undefined;
 
@@ -130,8 +134,8 @@
 	}
 
 	#put<T>(kind: ObjectKind, name: string, value: T): Answer<StoredObject<T>> {
-		if (JSON.stringify(value).length > valueLimitBytes) {
-			return Left({kind: 'tooLarge', limitBytes: valueLimitBytes});
+		if (jsonBytes(value) > this.valueLimitBytes) {
+			return Left({kind: 'tooLarge', limitBytes: this.valueLimitBytes});
 		}
 
 		const stored = copyOf(value);
--- a/src/gateway/batch/batch-job.ts
+++ b/src/gateway/batch/batch-job.ts
@@ -26,6 +26,7 @@
 	readonly #items: ReadonlyMap<BatchItemId, ItemSummary>;
 	readonly #committed = new Set<BatchItemId>();
 	readonly #results: CommittedResult[] = [];
+	readonly #partContents: string[] = [];
 	readonly #handoverContents: string[] = [];
 	readonly #handoverRecords: string[] = [];
 	#pageCount = 0;
@@ -55,9 +56,9 @@
 		return this.#pageCount;
 	}
 
-	/** Names of the contents of its pages. */
+	/** Names of the contents of its pages, and of the parts of its results. */
 	get pageContents(): readonly string[] {
-		return [...new Set(this.#results.map(({content}) => content))];
+		return [...new Set([...this.#results.map(({content}) => content), ...this.#partContents])];
 	}
 
 	/** Names of its handover records. */
@@ -106,12 +107,13 @@
 
 	@returns Whether it was added; any other page has been added before or is not a page of this job.
 	*/
-	addPage({number, results, content}: PageRecord): boolean {
+	addPage({number, results, content, parts = []}: PageRecord): boolean {
 		if (number !== this.#pageCount) {
 			return false;
 		}
 
 		this.#pageCount += 1;
+		this.#partContents.push(...parts);
 		results.forEach(result => {
 			this.#add({...result, content});
 		});
--- a/src/gateway/batch/batch-records.ts
+++ b/src/gateway/batch/batch-records.ts
@@ -76,12 +76,29 @@
 	readonly results: readonly ResultSummary[];
 	/** The name of its {@link PageContent}. */
 	readonly content: string;
+	/** Names of the {@link TextContent}s of a result that is too large for one content. */
+	readonly parts?: readonly string[];
 };
 
+/** A result whose output is stored in parts. */
+export type SplitResult = ResultSummary & {
+	/** Names of its {@link TextContent}s, in order. */
+	readonly outputParts: readonly string[];
+};
+
+/** A result as it is stored. */
+export type StoredResult = ItemResult | SplitResult;
+
 /** The results of a page in full, in the same order. */
 export type PageContent = {
 	readonly type: 'results';
-	readonly results: readonly ItemResult[];
+	readonly results: readonly StoredResult[];
+};
+
+/** A part of an output. */
+export type TextContent = {
+	readonly type: 'text';
+	readonly text: string;
 };
 
 /** The job was ended by its caller. */
@@ -116,7 +133,7 @@
 };
 
 /** Any content. */
-export type BatchContent = JobContent | PageContent | HandoverContent;
+export type BatchContent = JobContent | PageContent | TextContent | HandoverContent;
 
 /** Any record of a batch job. */
 export type BatchRecord = JobRecord | PageRecord | EndRecord | HandoverRecord;
@@ -128,19 +145,23 @@
 		job: isNonEmptyString, account: optional(isNonEmptyString), route: isNonEmptyString, host: isNonEmptyString, target: isNonEmptyString, submittedAt: isNonNegativeNumber, maxWaitingTokens: isNonNegativeNumber, isRoomy: isBoolean, items: listOf(objectOf({id: isNonEmptyString, tokens: isNonNegativeNumber})), content: isNonEmptyString,
 	}),
 	page: objectOf({
-		job: isNonEmptyString, number: isNonNegativeInteger, results: listOf(objectOf({id: isNonEmptyString, state})), content: isNonEmptyString,
+		job: isNonEmptyString, number: isNonNegativeInteger, results: listOf(objectOf({id: isNonEmptyString, state})), content: isNonEmptyString, parts: optional(listOf(isNonEmptyString)),
 	}),
 	end: objectOf({job: isNonEmptyString}),
 	handover: objectOf({job: isNonEmptyString, content: isNonEmptyString}),
 };
 
+const isWholeResult = objectOf({id: isNonEmptyString, state, output: isString});
+const isSplitResult = objectOf({id: isNonEmptyString, state, outputParts: listOf(isNonEmptyString)});
+
 const contentTests: Readonly<Record<BatchContent['type'], FieldValidator>> = {
 	items: objectOf({
 		items: listOf(objectOf({
 			id: isNonEmptyString, path: isNonEmptyString, headers: Array.isArray, body: isString, tokens: isNonNegativeNumber,
 		})),
 	}),
-	results: objectOf({results: listOf(objectOf({id: isNonEmptyString, state, output: isString}))}),
+	results: objectOf({results: listOf(result => isWholeResult(result) || isSplitResult(result))}),
+	text: objectOf({text: isString}),
 	progress: objectOf({
 		items: listOf(isItemProgress),
 	}),
--- a/src/gateway/batch/content-store.ts
+++ b/src/gateway/batch/content-store.ts
@@ -4,33 +4,55 @@
 import {randomUUID} from 'node:crypto';
 import {Left, Right, type Either} from 'purify-ts/Either';
 import {errorOf} from '../../common/error-of.js';
+import {jsonBytes} from '../../common/json-size.js';
 import type {ObjectApi} from '../../common/services.js';
 import type {ApiError} from '../../common/types.js';
 import type {BatchJobId} from '../types.js';
 import {readContent, type BatchContent} from './batch-records.js';
 
-/** The size limit of the cache, in characters: some hundred results, a small part of the memory that a front may use. */
-const maxCachedCharacters = 6_000_000;
+/** The size limit of the cache, in bytes of memory: some hundred results, a small part of the memory that a front may use. */
+const maxCachedBytes = 12_000_000;
+
+/** The most memory that one unit of a string's length takes, in bytes. */
+const memoryBytesPerUnit = 2;
+
+/** The largest value that the object API stores unless its settings say otherwise, in bytes. */
+const defaultValueBytes = 1_048_576;
+
+/** What the object API adds to a content: its name, its kind and the fields of its metadata, in bytes. */
+const metadataBytes = 1024;
 
 type CachedContent = {readonly content: BatchContent; readonly size: number};
 
-const textSizes: {readonly [K in BatchContent['type']]: (content: Extract<BatchContent, {type: K}>) => number} = {
-	items: ({items}) => items.reduce((sum, {body}) => sum + body.length, 0),
-	results: ({results}) => results.reduce((sum, {output}) => sum + output.length, 0),
-	progress: ({items}) => items.reduce((sum, {events}) => sum + events.reduce((length, event) => length + event.length, 0), 0),
+const lengthOf = (texts: readonly string[]): number => texts.reduce((sum, text) => sum + text.length, 0);
+
+const textLengths: {readonly [K in BatchContent['type']]: (content: Extract<BatchContent, {type: K}>) => number} = {
+	items: ({items}) => lengthOf(items.map(({body}) => body)),
+	results: ({results}) => lengthOf(results.map(result => 'output' in result ? result.output : '')),
+	text: ({text}) => lengthOf([text]),
+	progress: ({items}) => lengthOf(items.flatMap(({events}) => events)),
 };
 
-const sizeOf = (content: BatchContent): number => (textSizes[content.type] as (content: BatchContent) => number)(content);
+const memoryOf = (content: BatchContent): number => memoryBytesPerUnit * (textLengths[content.type] as (content: BatchContent) => number)(content);
 
 /** See the module's head. */
 export class ContentStore {
+	/** The maximum size of a content, in bytes of JSON. */
+	readonly maxBytes: number;
 	readonly #api: ObjectApi;
 	/** In the order of last use, the least recently used first. */
 	readonly #cache = new Map<string, CachedContent>();
 	#size = 0;
 
-	constructor(api: ObjectApi) {
+	/** @param maxValueBytes - The largest value that the object API stores, in bytes. */
+	constructor(api: ObjectApi, maxValueBytes = defaultValueBytes) {
 		this.#api = api;
+		this.maxBytes = maxValueBytes - metadataBytes;
+	}
+
+	/** Whether a content is small enough for the object API, whether that can be reached or not. */
+	fits(content: BatchContent): boolean {
+		return jsonBytes(content) <= this.maxBytes;
 	}
 
 	/** Generates a name that no other process uses. */
@@ -84,10 +106,10 @@
 
 	#addToCache(name: string, content: BatchContent) {
 		this.#evict(name);
-		const size = sizeOf(content);
+		const size = memoryOf(content);
 		this.#cache.set(name, {content, size});
 		this.#size += size;
-		while (this.#size > maxCachedCharacters && this.#cache.size > 1) {
+		while (this.#size > maxCachedBytes && this.#cache.size > 1) {
 			this.#evict(this.#cache.keys().next().value!);
 		}
 	}
--- a/src/gateway/batch/job-reader.ts
+++ b/src/gateway/batch/job-reader.ts
@@ -13,6 +13,7 @@
 import type {BatchJob} from './batch-job.js';
 import {recordNames, type EndRecord, type ItemResult} from './batch-records.js';
 import type {ContentStore} from './content-store.js';
+import {resultBytes, ResultStore} from './result-store.js';
 
 /** Why a request has no answer. */
 export type JobReadError = 'unknown' | 'unsure';
@@ -43,7 +44,7 @@
 	readonly log: EventLog;
 };
 
-/** The maximum size of an answer, in bytes of output; it holds one result at least. */
+/** The maximum size of an answer, in bytes of JSON; it holds one result at least. */
 const maxPageBytes = 900_000;
 
 /** If the object API has not answered for this long, in milliseconds, another process may have returned results that are not cached here. */
@@ -57,9 +58,11 @@
 /** See the module's head. */
 export class JobReader {
 	readonly #parts: ReaderParts;
+	readonly #resultStore: ResultStore;
 
 	constructor(parts: ReaderParts) {
 		this.#parts = parts;
+		this.#resultStore = new ResultStore(parts.contents);
 	}
 
 	/** @param caller - The caller, if there are accounts; jobs of other accounts are unknown to it. */
@@ -118,9 +121,8 @@
 		const available = results.slice(after);
 		let bytes = 0;
 		for (const {id, content} of available) {
-			const read = await this.#parts.contents.read('results', content);
-			const result = read.toMaybe().extract()?.results.find(candidate => candidate.id === id);
-			bytes += result?.output.length ?? 0;
+			const result = await this.#resultStore.read(content, id);
+			bytes += result ? resultBytes(result) : 0;
 			if (!result || (page.length > 0 && bytes > maxPageBytes)) {
 				break;
 			}
--- a/src/gateway/batch/result-writer.ts
+++ b/src/gateway/batch/result-writer.ts
@@ -5,6 +5,7 @@
 	Clock, Disposable, EventLog, ObjectApi,
 } from '../../common/services.js';
 import {errorOf} from '../../common/error-of.js';
+import type {ApiError} from '../../common/types.js';
 import {gatewayEvents} from '../log-events.js';
 import type {ObjectFeed} from '../object-feed.js';
 import type {BatchItemId, BatchJobId} from '../types.js';
@@ -12,6 +13,9 @@
 import type {BatchJob} from './batch-job.js';
 import {recordNames, type ItemResult, type PageRecord} from './batch-records.js';
 import type {ContentStore} from './content-store.js';
+import {
+	firstFitting, resultBytes, ResultStore, type StoredPage,
+} from './result-store.js';
 
 /** Dependencies of the writer. */
 export type ResultWriterParts = {
@@ -33,9 +37,12 @@
 /** The delay after a page that could not be written, in milliseconds. */
 const retryDelayMs = 200;
 
-/** The maximum size of a page, in bytes of output; it holds one result at least. The object API's limit is a megabyte including all names and escapes. */
+/** The maximum size of a page, in bytes of JSON; it holds one result at least. A larger one would take up a link for longer than readers wait. */
 const maxPageBytes = 600_000;
 
+/** The object API may accept less than its settings say. The size of pages is then halved, down to this many bytes. */
+const minPageBytes = 8192;
+
 /** A page that was written is received with the feed within this time, in milliseconds; after it the page is read explicitly. */
 const feedTimeoutMs = 400;
 
@@ -46,7 +53,11 @@
 	readonly #dueAt: (job: BatchJob) => number;
 	readonly #pending = new Map<BatchItemId, ItemResult>();
 	#writing: Promise<void> | undefined;
-	#lastContent: {readonly key: string; readonly name: string} | undefined;
+	readonly #resultStore: ResultStore;
+	/** The name under which the next page is written, also if the write is repeated. */
+	#nextContent: {readonly key: string; readonly name: string; stored?: StoredPage} | undefined;
+	#pageBytes: number;
+	#lastFailure: ApiError['kind'] | undefined;
 	#endGathering: (() => void) | undefined;
 	#isDisposed = false;
 	#isFlushing = false;
@@ -59,6 +70,8 @@
 		this.#parts = parts;
 		this.#job = job;
 		this.#dueAt = dueAt;
+		this.#resultStore = new ResultStore(parts.contents);
+		this.#pageBytes = Math.min(maxPageBytes, parts.contents.maxBytes);
 	}
 
 	/** Whether an item has a result that is not committed yet. */
@@ -156,14 +169,15 @@
 			return false;
 		}
 
-		const results = this.#nextResults();
-		const content = await this.#writeContent(job.id, results);
-		if (content === undefined) {
+		const results = firstFitting(this.pending, this.#pageBytes);
+		const stored = await this.#writeContent(job, results);
+		if (!stored) {
 			return false;
 		}
 
+		const {content, parts} = stored;
 		const page: PageRecord = {
-			type: 'page', job: job.id, number: job.pageCount, results: results.map(({id, state}) => ({id, state})), content,
+			type: 'page', job: job.id, number: job.pageCount, results: results.map(({id, state}) => ({id, state})), content, ...(parts.length > 0 && {parts}),
 		};
 		const created = await api.create('BatchRecord', recordNames.page(page.job, page.number), page);
 		const err = errorOf(created);
@@ -179,36 +193,42 @@
 		return feed.ensureLoaded(isReceived);
 	}
 
-	/** @returns The name of the content, or nothing if it could not be written. Results that were written before are not written again. */
-	async #writeContent(job: BatchJobId, results: readonly ItemResult[]): Promise<string | undefined> {
-		const {contents} = this.#parts;
+	/** @returns Where the results are stored, or nothing if they could not be written. Results that were written before are not written again. */
+	async #writeContent({id: job, pageCount}: BatchJob, results: readonly ItemResult[]): Promise<StoredPage | undefined> {
 		const key = results.map(({id}) => id).join(' ');
-		if (this.#lastContent?.key === key) {
-			return this.#lastContent.name;
+		if (this.#nextContent?.key !== key) {
+			this.#nextContent = {key, name: this.#parts.contents.newName(job)};
+		}
+
+		const content = this.#nextContent;
+		if (content.stored) {
+			return content.stored;
 		}
 
-		const name = contents.newName(job);
-		const written = await contents.write(name, {type: 'results', results});
-		if (written.isLeft()) {
+		const written = await this.#resultStore.write({job, name: content.name, results}, this.#pageBytes);
+		const err = errorOf(written);
+		if (err) {
+			this.#noteFailure(err, {job, page: pageCount, results});
 			return undefined;
 		}
 
-		this.#lastContent = {key, name};
-		return name;
+		this.#lastFailure = undefined;
+		content.stored = written.unsafeCoerce();
+		return content.stored;
 	}
 
-	#nextResults(): ItemResult[] {
-		let bytes = 0;
-		const results: ItemResult[] = [];
-		[...this.#pending.values()].every(result => {
-			bytes += result.output.length;
-			const fits = results.length === 0 || bytes <= maxPageBytes;
-			if (fits) {
-				results.push(result);
-			}
+	/** The same results are never too small for the object API if they were too large once, so the next page holds fewer. */
+	#noteFailure({kind}: ApiError, {job, page, results}: {readonly job: BatchJobId; readonly page: number; readonly results: readonly ItemResult[]}) {
+		if (kind !== this.#lastFailure) {
+			this.#lastFailure = kind;
+			this.#parts.log.emit(gatewayEvents.resultsCommitted, {
+				job, page, results: results.length, bytes: results.reduce((sum, result) => sum + resultBytes(result), 0), outcome: kind,
+			});
+		}
 
-			return fits;
-		});
-		return results;
+		if (kind === 'tooLarge') {
+			this.#pageBytes = Math.max(minPageBytes, Math.floor(this.#pageBytes / 2));
+			this.#nextContent = undefined;
+		}
 	}
 }
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -332,7 +332,7 @@
 				this.#announcer.announceSoon();
 			},
 		});
-		const contents = new ContentStore(api);
+		const contents = new ContentStore(api, settings.objectApi.maxValueBytes);
 		const jobIndex = new JobIndex(recordFeed);
 		this.#jobIndex = jobIndex;
 		const claims = new JobClaims({
--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -70,7 +70,7 @@
 	itemStarted: {number: 722, level: 'info', text: 'batch item sent to a replica'},
 	/** Fields: job, item, replica, outcome, events, reason, elapsedMs. */
 	itemRunEnded: {number: 723, level: 'info', text: 'run of a batch item ended'},
-	/** Fields: job, page, results, outcome. */
+	/** Fields: job, page, results, bytes (of results that could not be written), outcome. */
 	resultsCommitted: {number: 724, level: 'info', text: 'results of a batch job written'},
 	/** Fields: job, claimed. */
 	jobClaimChanged: {number: 725, level: 'info', text: 'batch job claimed or released by this process'},
