Batch jobs: admission by the records alone

The index counted what one front alone knew: ends before their records, and jobs that keepers hold for it. Ruled out: records that are missing elsewhere (all fronts have them), another order.

The decision counts records only now; a requested end stops its job at once and frees its tokens with the record, for which a new job that needs them waits. Any later record of a job shows that it was admitted.

--- a/src/gateway/batch/batch-job.ts
+++ b/src/gateway/batch/batch-job.ts
@@ -18,8 +18,6 @@
 	readonly record: JobRecord;
 	/** The object API's version at which the job was created. */
 	readonly revision: Revision;
-	/** Whether it fitted under the limit of waiting tokens when it was created. */
-	readonly isAdmitted: boolean;
 	/** Whether its record is not in the object API yet; nothing that refers to it may be written before. */
 	readonly isHeld: boolean;
 	readonly tokens: number;
@@ -31,12 +29,14 @@
 	readonly #handoverRecords: string[] = [];
 	#pageCount = 0;
 	#committedTokens = 0;
+	#isAdmitted: boolean;
 	#hasEnded = false;
+	#isEndRequested = false;
 
 	constructor(record: JobRecord, revision: Revision, {isAdmitted, isHeld = false}: {isAdmitted: boolean; isHeld?: boolean}) {
 		this.record = record;
 		this.revision = revision;
-		this.isAdmitted = isAdmitted;
+		this.#isAdmitted = isAdmitted;
 		this.isHeld = isHeld;
 		this.tokens = tokensOf(record.items);
 		this.#items = new Map(record.items.map(item => [item.id, item]));
@@ -46,6 +46,11 @@
 		return this.record.job;
 	}
 
+	/** Whether it fitted under the limit of waiting tokens when it was created, by the records that precede it. */
+	get isAdmitted(): boolean {
+		return this.#isAdmitted;
+	}
+
 	/** Its committed results, by position. */
 	get results(): readonly CommittedResult[] {
 		return this.#results;
@@ -66,20 +71,26 @@
 		return this.#handoverRecords;
 	}
 
+	/** Whether a record of its end exists. */
 	get hasEnded(): boolean {
 		return this.#hasEnded;
 	}
 
-	/** Whether the job was admitted, has not ended and lacks results. */
+	/** Whether the job was admitted, has not ended, was not asked to end here, and lacks results. */
 	get isOpen(): boolean {
-		return this.isAdmitted && !this.#hasEnded && this.#committed.size < this.#items.size;
+		return this.isAdmitted && !this.#hasEnded && !this.#isEndRequested && this.#committed.size < this.#items.size;
 	}
 
-	/** Tokens of its items that have no result; 0 if it was not admitted or has ended. */
+	/** Tokens of its items that have no result, by its records alone; 0 if it was not admitted or has ended. */
 	get waitingTokens(): number {
 		return this.isAdmitted && !this.#hasEnded ? this.tokens - this.#committedTokens : 0;
 	}
 
+	/** The part of its waiting tokens that become free once the record of its end exists. */
+	get endingTokens(): number {
+		return this.#isEndRequested ? this.waitingTokens : 0;
+	}
+
 	/** Names of the contents with the progress from processes that shut down. */
 	get handoverContents(): readonly string[] {
 		return this.#handoverContents;
@@ -98,10 +109,21 @@
 		return this.#committed.has(id);
 	}
 
+	/** Only admitted jobs have further records, so any of them shows that the job was admitted. */
+	admit(): void {
+		this.#isAdmitted = true;
+	}
+
+	/** The record of its end exists. */
 	end(): void {
 		this.#hasEnded = true;
 	}
 
+	/** Its caller has asked this process to end it; the record of the end may not exist yet. */
+	requestEnd(): void {
+		this.#isEndRequested = true;
+	}
+
 	/**
 	Adds a page if it is the next one.
 
--- a/src/gateway/batch/batch-records.ts
+++ b/src/gateway/batch/batch-records.ts
@@ -12,6 +12,9 @@
 } from '../types.js';
 import type {FailedRun} from './failed-runs.js';
 
+/** A process removes the record of a job that does not fit within about two seconds, and within a few more while the object API is slow. A record that exists for longer than this without a result, in milliseconds, was abandoned. */
+export const abandonedAfterMs = 10_000;
+
 /** One item as its caller submitted it. */
 export type BatchItem = {
 	readonly id: BatchItemId;
@@ -132,11 +135,21 @@
 	readonly items: readonly ItemProgress[];
 };
 
+/** Takes the place of a job's record while what belongs to the job is being removed, so that a process that reads the records meanwhile never finds the job without its pages. */
+export type RemovalRecord = {
+	readonly type: 'removal';
+	readonly job: BatchJobId;
+	/** Names of the contents to remove. */
+	readonly contents: readonly string[];
+	/** Names of the records to remove, without this one. */
+	readonly records: readonly string[];
+};
+
 /** Any content. */
 export type BatchContent = JobContent | PageContent | TextContent | HandoverContent;
 
 /** Any record of a batch job. */
-export type BatchRecord = JobRecord | PageRecord | EndRecord | HandoverRecord;
+export type BatchRecord = JobRecord | PageRecord | EndRecord | HandoverRecord | RemovalRecord;
 
 const state = oneOf('completed', 'errored');
 
@@ -149,6 +162,7 @@
 	}),
 	end: objectOf({job: isNonEmptyString}),
 	handover: objectOf({job: isNonEmptyString, content: isNonEmptyString}),
+	removal: objectOf({job: isNonEmptyString, contents: listOf(isNonEmptyString), records: listOf(isNonEmptyString)}),
 };
 
 const isWholeResult = objectOf({id: isNonEmptyString, state, output: isString});
--- a/src/gateway/batch/job-index.ts
+++ b/src/gateway/batch/job-index.ts
@@ -2,6 +2,8 @@
 The index of all batch jobs, built from the object API's records in the order of their versions; part of the blackboard.
 
 Whether a job fits under its account's limit of waiting tokens on its route is decided here, from the records that precede it, so every process reaches the same decision: two processes that accept jobs at the same moment need not consult each other, since each sees the other's job before or after its own. A job is neither run nor reported to its caller as accepted before its record has been received in this order.
+
+What only this process knows, a requested end or a job that keepers hold, has no part in that decision: a process that does not know it would decide otherwise.
 */
 import {EventEmitter} from 'node:events';
 import {branded, type Revision} from '../../common/ids.js';
@@ -10,7 +12,7 @@
 import type {BatchJobId, ClientAccountName} from '../types.js';
 import {BatchJob} from './batch-job.js';
 import {
-	readRecord, tokensOf, type BatchRecord, type EndRecord, type HandoverRecord, type JobRecord, type PageRecord,
+	readRecord, tokensOf, type BatchRecord, type EndRecord, type HandoverRecord, type JobRecord, type PageRecord, type RemovalRecord,
 } from './batch-records.js';
 
 const byVersion = (a: StoredObject, b: StoredObject): number => a.version - b.version;
@@ -31,8 +33,11 @@
 	readonly #jobs = new Map<BatchJobId, BatchJob>();
 	/** Jobs that this process accepted and that are not in the object API yet. */
 	readonly #heldJobs = new Map<BatchJobId, JobRecord>();
-	/** Jobs that ended before their record was in the object API. */
+	/** Jobs whose record of an end precedes their own. */
 	readonly #endedBeforeWritten = new Set<BatchJobId>();
+	/** Jobs that were asked to end here, until the record of the end is received. */
+	readonly #endRequested = new Set<BatchJobId>();
+	readonly #removals = new Map<BatchJobId, RemovalRecord>();
 	#hasLoaded = false;
 
 	readonly #appliers: Appliers = {
@@ -40,24 +45,34 @@
 			this.#addJob(record, revision);
 		},
 		page: (record: PageRecord) => {
-			this.#jobs.get(record.job)?.addPage(record);
+			const job = this.#admittedByRecord(record.job);
+			job?.addPage(record);
 		},
 		end: (record: EndRecord) => {
 			this.#end(record.job);
 		},
 		handover: (record: HandoverRecord, {name}: Origin) => {
-			this.#jobs.get(record.job)?.addHandover(record.content, name);
+			const job = this.#admittedByRecord(record.job);
+			job?.addHandover(record.content, name);
+		},
+		removal: (record: RemovalRecord) => {
+			this.#removals.set(record.job, record);
+			this.#forget(record.job);
 		},
 	};
 
 	constructor(feed: ObjectFeed) {
 		this.#events.setMaxListeners(0);
-		feed.onSnapshot(items => {
-			this.#applySnapshot(items);
+		feed.onSnapshot((items, version) => {
+			// Objects that were created during the list are received again, in their order, by the watch that follows.
+			this.#applySnapshot(items.filter(item => item.version <= version));
 		});
 		feed.onChanges(events => {
 			this.#applyChanges(events);
 		});
+		this.#events.on('inconsistent', () => {
+			feed.listAgain();
+		});
 	}
 
 	/** Whether the records have been read at least once. */
@@ -73,13 +88,23 @@
 		return this.#jobs.values();
 	}
 
+	/** Jobs whose objects are being removed. */
+	get removals(): readonly RemovalRecord[] {
+		return [...this.#removals.values()];
+	}
+
 	job(id: BatchJobId): BatchJob | undefined {
 		return this.#jobs.get(id);
 	}
 
-	/** Tokens of an account's accepted items on a route that have no result yet. Jobs without an account share one limit. */
+	/** Tokens of an account's accepted items on a route that have no result yet, those of held jobs included. Jobs without an account share one limit. */
 	waitingTokens(route: string, account?: ClientAccountName): number {
-		return [...this.#jobs.values()].reduce((sum, job) => job.record.route === route && job.record.account === account ? sum + job.waitingTokens : sum, 0);
+		return sumOf(this.#jobsOf(route, account).map(job => job.waitingTokens));
+	}
+
+	/** The part of {@link waitingTokens} that becomes free once the ends that were requested here are in the records. */
+	endingTokens(route: string, account?: ClientAccountName): number {
+		return sumOf(this.#jobsOf(route, account).map(job => job.endingTokens));
 	}
 
 	/** Calls the listener after records were applied, with the ids of the jobs that they affect. */
@@ -132,15 +157,17 @@
 		return [...this.#heldJobs.values()].reduce((sum, {items}) => sum + tokensOf(items), 0);
 	}
 
-	/** Marks a job as ended at its caller's request, before the record of its end is written. */
-	markEnded(id: BatchJobId): void {
-		this.#end(id);
+	/** Stops a job at its caller's request, before the record of its end is written. Its tokens become free with that record only. */
+	requestEnd(id: BatchJobId): void {
+		this.#endRequested.add(id);
+		this.#jobs.get(id)?.requestEnd();
 		this.#events.emit('change', new Set([id]));
 	}
 
 	#applySnapshot(items: readonly StoredObject[]) {
 		const previous = [...this.#jobs.keys()];
 		this.#jobs.clear();
+		this.#removals.clear();
 		const affected = items.toSorted(byVersion).flatMap(({name, value, version}) => this.#apply(value, {name, revision: version}));
 		// The snapshot does not contain held jobs.
 		this.#heldJobs.forEach(record => {
@@ -171,7 +198,8 @@
 			return [];
 		}
 
-		this.#jobs.delete(id);
+		this.#removals.delete(id);
+		this.#forget(id);
 		const held = this.#heldJobs.get(id);
 		if (held) {
 			this.#addHeldJob(held);
@@ -180,18 +208,49 @@
 		return [id];
 	}
 
+	/** Of a job that waits, nothing is removed. If one seems to, pages were removed while this process listed the records, and later jobs were judged without them. */
+	#forget(id: BatchJobId) {
+		const job = this.#jobs.get(id);
+		this.#jobs.delete(id);
+		this.#endRequested.delete(id);
+		if (job && !job.isHeld && job.waitingTokens > 0) {
+			this.#events.emit('inconsistent');
+		}
+	}
+
 	/** Held jobs are always admitted: they are accepted only with so much room left that the order of the records does not matter. */
 	#addHeldJob(record: JobRecord) {
-		this.#jobs.set(record.job, new BatchJob(record, heldRevision, {isAdmitted: true, isHeld: true}));
+		const job = new BatchJob(record, heldRevision, {isAdmitted: true, isHeld: true});
+		this.#jobs.set(record.job, job);
 		if (this.#endedBeforeWritten.has(record.job)) {
-			this.#jobs.get(record.job)?.end();
+			job.end();
+		}
+
+		this.#repeatRequestedEnd(job);
+	}
+
+	#repeatRequestedEnd(job: BatchJob) {
+		if (this.#endRequested.has(job.id)) {
+			job.requestEnd();
 		}
 	}
 
+	#jobsOf(route: string, account: ClientAccountName | undefined): BatchJob[] {
+		return [...this.#jobs.values()].filter(({record}) => record.route === route && record.account === account);
+	}
+
+	/** A job with further records was admitted, whatever the records that are left say: those that decided on it may have been removed. */
+	#admittedByRecord(id: BatchJobId): BatchJob | undefined {
+		const job = this.#jobs.get(id);
+		job?.admit();
+		return job;
+	}
+
 	/** The record of a held job's end may be in the object API before the job's own record. */
 	#end(id: BatchJobId) {
-		const job = this.#jobs.get(id);
+		const job = this.#admittedByRecord(id);
 		job?.end();
+		this.#endRequested.delete(id);
 		if (!job || job.isHeld) {
 			this.#endedBeforeWritten.add(id);
 		}
@@ -199,17 +258,31 @@
 
 	#addJob(record: JobRecord, revision: Revision) {
 		const {route, account, maxWaitingTokens, isRoomy, items} = record;
-		const otherWaitingTokens = this.waitingTokens(route, account) - (this.#heldJobs.has(record.job) ? tokensOf(items) : 0);
-		const isAdmitted = isRoomy || otherWaitingTokens + tokensOf(items) <= maxWaitingTokens;
+		if (this.#jobs.get(record.job)?.revision === revision) {
+			// Lists and watches overlap.
+			return;
+		}
+
+		const isAdmitted = isRoomy || this.#recordedTokens(route, account) + tokensOf(items) <= maxWaitingTokens;
 		if (!isAdmitted && this.#heldJobs.has(record.job)) {
 			// Another process found the job too large and is about to remove its record. A job that this process has accepted stays accepted, and keepers will write its record.
 			return;
 		}
 
 		this.#heldJobs.delete(record.job);
-		this.#jobs.set(record.job, new BatchJob(record, revision, {isAdmitted}));
+		const job = new BatchJob(record, revision, {isAdmitted});
+		this.#jobs.set(record.job, job);
 		if (this.#endedBeforeWritten.delete(record.job)) {
-			this.#jobs.get(record.job)?.end();
+			this.#admittedByRecord(record.job)?.end();
 		}
+
+		this.#repeatRequestedEnd(job);
+	}
+
+	/** Waiting tokens by the records alone. */
+	#recordedTokens(route: string, account: ClientAccountName | undefined): number {
+		return sumOf(this.#jobsOf(route, account).filter(({isHeld}) => !isHeld).map(job => job.waitingTokens));
 	}
 }
+
+const sumOf = (numbers: readonly number[]): number => numbers.reduce((sum, number) => sum + number, 0);
--- a/src/gateway/batch/job-intake.feature
+++ b/src/gateway/batch/job-intake.feature
@@ -35,3 +35,20 @@
     When "a" is submitted with 800 tokens
     Then the submission is "full"
     And no record of "a" exists
+
+  Scenario: Room that an end leaves whose record is late
+    # Guards against a job that is accepted here and unknown elsewhere: its record precedes that of the end that made room.
+    Given an intake with a limit of 10000 tokens
+    And a job of 9500 tokens waits
+    And the waiting job is asked to end here, and the record of its end is written 300 ms later
+    When "a" is submitted with 800 tokens
+    Then the submission is "accepted"
+    And the record of the end precedes that of "a"
+
+  Scenario: Room that an end leaves whose record is never written
+    Given an intake with a limit of 10000 tokens
+    And a job of 9500 tokens waits
+    And the waiting job is asked to end here, and the record of its end is not written
+    When "a" is submitted with 800 tokens
+    Then the submission is "full"
+    And no record of "a" exists
--- a/src/gateway/batch/job-intake.steps.ts
+++ b/src/gateway/batch/job-intake.steps.ts
@@ -94,6 +94,17 @@
 	};
 });
 
+Given('the waiting job is asked to end here, and the record of its end is written {int} ms later', function (this: IntakeWorld, delayMs: number) {
+	this.jobIndex.requestEnd(jobId('b'));
+	setTimeout(() => {
+		void this.api.create('BatchRecord', recordNames.end(jobId('b')), {type: 'end', job: jobId('b')});
+	}, delayMs);
+});
+
+Given('the waiting job is asked to end here, and the record of its end is not written', function (this: IntakeWorld) {
+	this.jobIndex.requestEnd(jobId('b'));
+});
+
 When('{string} is submitted with {int} tokens', async function (this: IntakeWorld, job: string, tokens: number) {
 	this.outcome = await this.intake.submit({
 		job: jobId(job), route: routeOf(this.limit), host: 'h', target: '/', items: [{
@@ -113,3 +124,8 @@
 Then('no record of {string} exists', function (this: IntakeWorld, job: string) {
 	assert.ok(!this.api.all('BatchRecord').some(({name}) => name === recordNames.job(jobId(job))));
 });
+
+Then('the record of the end precedes that of {string}', function (this: IntakeWorld, job: string) {
+	const versionOf = (record: string) => this.api.all('BatchRecord').find(({name}) => name === record)!.version;
+	assert.ok(versionOf(recordNames.end(jobId('b'))) < versionOf(recordNames.job(jobId(job))));
+});
--- a/src/gateway/batch/job-intake.ts
+++ b/src/gateway/batch/job-intake.ts
@@ -10,6 +10,7 @@
 import type {BatchJobId, ClientAccountName, GatewayRoute} from '../types.js';
 import type {HeldJob} from '../keeping/held-job.js';
 import type {KeeperPool} from '../keeping/keeper-pool.js';
+import type {BatchJob} from './batch-job.js';
 import type {JobIndex} from './job-index.js';
 import type {ContentStore} from './content-store.js';
 import {
@@ -57,6 +58,12 @@
 */
 const roomyShare = 0.5;
 
+/** Room that an end which was requested here leaves is awaited for this long, in milliseconds: a write whose answer is lost is repeated within it, and its caller has time left to try elsewhere. */
+const endTimeoutMs = 1500;
+
+/** The delay between two reads of the records that free room, in milliseconds. */
+const endPollMs = 100;
+
 const limitOf = ({route}: JobSubmission): number => route.batch?.maxWaitingTokens ?? 0;
 
 /** See the module's head. */
@@ -105,7 +112,26 @@
 			}
 		}
 
-		return this.#write(submission);
+		return await this.#hasRoomInRecords(submission) ? this.#write(submission) : 'full';
+	}
+
+	/** Waits until ends that were requested here are in the records: another process judges the new job by these alone, so the ends must precede it. */
+	async #hasRoomInRecords(submission: JobSubmission): Promise<boolean> {
+		const {clock, feed} = this.#parts;
+		const startedAt = clock.now();
+		const hasRoom = () => this.#roomAfter(submission) >= 0 || this.#endingTokens(submission) === 0;
+		while (!hasRoom() && clock.now() - startedAt < endTimeoutMs) {
+			await feed.sync();
+			if (!hasRoom()) {
+				await clock.sleep(endPollMs);
+			}
+		}
+
+		return hasRoom();
+	}
+
+	#endingTokens({route, account}: JobSubmission): number {
+		return this.#parts.jobIndex.endingTokens(route.name, account);
 	}
 
 	/** The outcome for a job that was accepted before: a retry, or the id of another account's job. */
@@ -114,7 +140,7 @@
 	}
 
 	#seemsToFit(submission: JobSubmission): boolean {
-		return this.#roomAfter(submission) >= 0;
+		return this.#roomAfter(submission) + this.#endingTokens(submission) >= 0;
 	}
 
 	/** Without a limit there is always room. Close to the limit, the order of the records decides. */
@@ -132,8 +158,8 @@
 
 	async #write(submission: JobSubmission): Promise<SubmissionOutcome> {
 		const {job} = submission;
-		const existing = this.#parts.jobIndex.job(job);
-		if (existing && !existing.isAdmitted) {
+		const {jobIndex, feed} = this.#parts;
+		if (isLeftover(jobIndex.job(job)) && await feed.sync() && isLeftover(jobIndex.job(job))) {
 			// Left by a process that could not remove it after refusing the job; the job gets a new position in the order.
 			const isRemoved = await this.#removeRecord(job);
 			if (!isRemoved) {
@@ -237,5 +263,8 @@
 	}
 }
 
+/** Whether a job has a record that was not admitted. */
+const isLeftover = (job: BatchJob | undefined): boolean => job?.isAdmitted === false;
+
 /** Refusals promise that the job will not run. */
 const isRefusal = (outcome: SubmissionOutcome): boolean => outcome === 'away' || outcome === 'full';
--- a/src/gateway/batch/job-reader.ts
+++ b/src/gateway/batch/job-reader.ts
@@ -137,7 +137,7 @@
 
 	async #end(job: BatchJobId): Promise<'ended' | JobReadError> {
 		// The job stops at once: its caller gains nothing from runs while the record is still to be written.
-		this.#parts.jobIndex.markEnded(job);
+		this.#parts.jobIndex.requestEnd(job);
 		if (await this.#writeEnd(job)) {
 			return 'ended';
 		}
@@ -181,8 +181,9 @@
 			return errorOf(read)?.kind === 'notFound' ? 'unknown' : 'unsure';
 		}
 
+		// A record that was not admitted is about to be removed, or replaced by the record of a job that keepers hold.
 		await feed.ensureLoaded(() => jobIndex.job(id) !== undefined);
-		return admitted(jobIndex.job(id)) ?? (jobIndex.job(id) ? 'unknown' : 'unsure');
+		return admitted(jobIndex.job(id)) ?? 'unsure';
 	}
 
 	async #isCacheFresh(): Promise<boolean> {
--- a/src/gateway/keeping/held-jobs.ts
+++ b/src/gateway/keeping/held-jobs.ts
@@ -5,7 +5,9 @@
 import type {
 	Clock, Disposable, EventLog, ObjectApi,
 } from '../../common/services.js';
-import {readRecord, recordNames, type JobRecord} from '../batch/batch-records.js';
+import {
+	abandonedAfterMs, readRecord, recordNames, type JobRecord,
+} from '../batch/batch-records.js';
 import {gatewayEvents} from '../log-events.js';
 import type {BatchJobId} from '../types.js';
 import type {HeldJob, HoldAnswer} from './held-job.js';
@@ -22,9 +24,6 @@
 /** While the object API is unavailable, milliseconds until the next attempt: every process must receive the jobs about a second after it is available again. */
 const retryDelayMs = 300;
 
-/** A process removes the record of a job that does not fit within about two seconds, and within a few more while the object API is slow. A record that exists for longer than this without a result, in milliseconds, was abandoned. */
-const abandonedAfterMs = 10_000;
-
 /** `waits`: another record of the job exists, and it is not certain yet that it stays. */
 type WriteOutcome = 'stands' | 'waits' | 'away';
 
--- a/src/gateway/object-feed.ts
+++ b/src/gateway/object-feed.ts
@@ -132,8 +132,8 @@
 		return this.#failures;
 	}
 
-	/** Calls the listener with all existing objects after a list. Objects that it does not contain have been removed. */
-	onSnapshot(listener: (items: readonly StoredObject[]) => void): void {
+	/** Calls the listener with all existing objects after a list, and the version as of which the list began. Objects that it does not contain have been removed. */
+	onSnapshot(listener: (items: readonly StoredObject[], version: Revision) => void): void {
 		this.#events.on('snapshot', listener);
 	}
 
@@ -189,6 +189,11 @@
 		return isLoaded();
 	}
 
+	/** Lists the objects again, since the last list can't have been of one moment. */
+	listAgain(): void {
+		void this.#list();
+	}
+
 	dispose(): void {
 		this.#isDisposed = true;
 	}
@@ -277,7 +282,7 @@
 		if (this.#revision === undefined || version === undefined || version >= this.#revision) {
 			this.#revision = version;
 			this.#advanceChangedAt(version);
-			this.#events.emit('snapshot', items);
+			this.#events.emit('snapshot', items, version);
 		}
 
 		return true;
--- a/src/gateway/streams/stream-origins.steps.ts
+++ b/src/gateway/streams/stream-origins.steps.ts
@@ -102,7 +102,7 @@
 			},
 			onSnapshot(listener) {
 				listed.push(() => {
-					listener([]);
+					listener([], branded(1));
 				});
 			},
 		},
