Retention: a job that is being removed never looks as if it waited

A process that lists the records within a removal found the job without its pages: open again, and later jobs refused for its tokens. The job's record is replaced first by one that lists what is left, and refused jobs that were left go before those by which they were judged. One more write for each removed job.

--- a/src/gateway/batch/batch-retention.ts
+++ b/src/gateway/batch/batch-retention.ts
@@ -1,18 +1,17 @@
 /**
-Removes the records and contents of batch jobs whose retention time is over. A job's own record is removed last: while it exists, the next process finds what is still to be removed.
+Removes the records and contents of batch jobs whose retention time is over. A job's own record is first replaced by one that lists what is to be removed, and is removed last: a process that reads the records meanwhile neither takes the job for one without results, nor loses sight of what is left.
 */
 import {errorOf} from '../../common/error-of.js';
 import {rankMembers} from '../../common/rendezvous.js';
 import type {
 	Clock, Disposable, EventLog, ObjectApi,
 } from '../../common/services.js';
-import type {ObjectKind} from '../../common/types.js';
 import {gatewayEvents} from '../log-events.js';
 import type {PeerTable} from '../peers/peer-table.js';
-import type {MemberName} from '../types.js';
+import type {BatchJobId, MemberName} from '../types.js';
 import type {JobIndex} from './job-index.js';
 import type {BatchJob} from './batch-job.js';
-import {recordNames} from './batch-records.js';
+import {abandonedAfterMs, recordNames, type RemovalRecord} from './batch-records.js';
 
 /** Dependencies and settings of the retention. */
 export type RetentionParts = {
@@ -32,16 +31,17 @@
 /** The wall clocks of two processes may differ by this much, in milliseconds. */
 const maxClockSkewMs = 5000;
 
-type Removal = {readonly kind: ObjectKind; readonly name: string};
-
-/** All objects that belong to a job, its own record last. */
-const removalsOf = (job: BatchJob): Removal[] => [
-	...[...job.pageContents, ...job.handoverContents, job.record.content].map(name => ({kind: 'BatchContent' as const, name})),
-	...Array.from({length: job.pageCount}, (_, number) => ({kind: 'BatchRecord' as const, name: recordNames.page(job.id, number)})),
-	...job.handoverRecords.map(name => ({kind: 'BatchRecord' as const, name})),
-	...(job.hasEnded ? [{kind: 'BatchRecord' as const, name: recordNames.end(job.id)}] : []),
-	{kind: 'BatchRecord' as const, name: recordNames.job(job.id)},
-];
+/** What belongs to a job, without its own record. */
+const removalOf = (job: BatchJob): RemovalRecord => ({
+	type: 'removal',
+	job: job.id,
+	contents: [...job.pageContents, ...job.handoverContents, job.record.content],
+	records: [
+		...Array.from({length: job.pageCount}, (_, number) => recordNames.page(job.id, number)),
+		...job.handoverRecords,
+		...(job.hasEnded ? [recordNames.end(job.id)] : []),
+	],
+});
 
 /** See the module's head. */
 export class BatchRetention implements Disposable {
@@ -66,9 +66,17 @@
 		}
 
 		this.#isSweeping = true;
-		const expired = [...this.#parts.jobIndex.all].filter(job => this.#isExpired(job) && this.#isAssigned(job));
-		for (const job of expired) {
-			await this.#remove(job);
+		const {jobIndex} = this.#parts;
+		for (const removal of jobIndex.removals.filter(({job}) => this.#isAssigned(job))) {
+			await this.#remove(removal);
+		}
+
+		for (const job of [...jobIndex.all].filter(one => this.#isAbandoned(one) && this.#isAssigned(one.id))) {
+			await this.#removeRefused(job);
+		}
+
+		for (const job of [...jobIndex.all].filter(one => this.#isRemovable(one) && this.#isAssigned(one.id))) {
+			await this.#beginRemoval(job);
 		}
 
 		this.#isSweeping = false;
@@ -83,15 +91,47 @@
 		return !job.isOpen && clock.wall() > job.record.submittedAt + resultRetentionMs + maxClockSkewMs;
 	}
 
-	#isAssigned({id}: BatchJob): boolean {
+	/** A job that was not admitted is removed by the process that refused it, within seconds. */
+	#isAbandoned({isAdmitted, record}: BatchJob): boolean {
+		return !isAdmitted && this.#parts.clock.wall() > record.submittedAt + abandonedAfterMs + maxClockSkewMs;
+	}
+
+	/** A later job that was not admitted would be found to fit by a process that reads the records without this one. */
+	#isRemovable(job: BatchJob): boolean {
+		return job.isAdmitted && this.#isExpired(job) && ![...this.#parts.jobIndex.all].some(({isAdmitted, revision}) => !isAdmitted && revision > job.revision);
+	}
+
+	#isAssigned(id: BatchJobId): boolean {
 		const {self, peers} = this.#parts;
 		return rankMembers(id, [self, ...peers.live.map(({state}) => state.member)])[0] === self;
 	}
 
+	async #removeRefused({id, revision, record}: BatchJob): Promise<void> {
+		const {api, log} = this.#parts;
+		const removed = await api.remove('BatchRecord', recordNames.job(id), revision);
+		if (removed.isRight()) {
+			await api.remove('BatchContent', record.content);
+			log.emit(gatewayEvents.jobRemoved, {job: id, reason: 'it was not admitted'});
+		}
+	}
+
+	/** The job is gone for all processes from here on; what is left is removed by whichever ranks first. */
+	async #beginRemoval(job: BatchJob): Promise<void> {
+		const removal = removalOf(job);
+		const replaced = await this.#parts.api.update('BatchRecord', recordNames.job(job.id), removal, job.revision);
+		if (replaced.isRight()) {
+			await this.#remove(removal);
+		}
+	}
+
 	/** An object that does not exist was removed by another process before. Any other failure ends this attempt; the next sweep continues. */
-	async #remove(job: BatchJob): Promise<void> {
+	async #remove({job, contents, records}: RemovalRecord): Promise<void> {
 		const {api, log} = this.#parts;
-		for (const {kind, name} of removalsOf(job)) {
+		const objects = [
+			...contents.map(name => ({kind: 'BatchContent', name} as const)),
+			...[...records, recordNames.job(job)].map(name => ({kind: 'BatchRecord', name} as const)),
+		];
+		for (const {kind, name} of objects) {
 			const removed = await api.remove(kind, name);
 			const err = errorOf(removed);
 			if (err && err.kind !== 'notFound') {
@@ -99,6 +139,6 @@
 			}
 		}
 
-		log.emit(gatewayEvents.jobRemoved, {job: job.id});
+		log.emit(gatewayEvents.jobRemoved, {job});
 	}
 }
