Jobs too large for the object API are refused while it is away, and block no keeper

While the object API was away, a front relayed nothing and had keepers hold a job that can never be written: accepted and lost; and the keeper stopped each round at it, so that no other held job was written either.

--- a/src/gateway/batch/job-intake.feature
+++ b/src/gateway/batch/job-intake.feature
@@ -52,3 +52,12 @@
     When "a" is submitted with 800 tokens
     Then the submission is "full"
     And no record of "a" exists
+
+  Scenario: A job that the object API can't store, while that is unavailable
+    # Guards against a job that is accepted, since keepers hold it, and can never be written.
+    Given an intake with a limit of 10000 tokens, and keepers that hold any job
+    And the object API is unavailable to the intake
+    When "a" is submitted with 800 tokens and a body of 1500000 bytes
+    Then the submission is "tooLarge"
+    When "b" is submitted with 800 tokens and a body of 1000 bytes
+    Then the submission is "accepted"
--- a/src/gateway/batch/job-intake.steps.ts
+++ b/src/gateway/batch/job-intake.steps.ts
@@ -50,17 +50,31 @@
 	};
 };
 
-Given('an intake with a limit of {int} tokens', async function (this: IntakeWorld, limit: number) {
-	this.api = new FakeObjectApi();
-	this.limit = limit;
-	const feed = this.register(new ObjectFeed({api: this.api, clock, log}, 'BatchRecord', {waitMs: 50, mayLag: false}));
-	this.jobIndex = new JobIndex(feed);
-	const metrics = this.register(new PrometheusMetrics());
+const willingKeepers: typeof noKeepers = {isSufficient: true, hold: async () => 'held'};
+
+const startIntake = async (world: IntakeWorld, limit: number, keeperPool: typeof noKeepers) => {
+	world.api = new FakeObjectApi();
+	world.limit = limit;
+	const feed = world.register(new ObjectFeed({api: world.api, clock, log}, 'BatchRecord', {waitMs: 50, mayLag: false}));
+	world.jobIndex = new JobIndex(feed);
+	const metrics = world.register(new PrometheusMetrics());
 	feed.start();
-	await until(() => this.jobIndex.hasLoaded, 'the records are loaded');
-	this.intake = new JobIntake({
-		api: this.api, feed, jobIndex: this.jobIndex, contents: new ContentStore(this.api), keeperPool: noKeepers, processCount: () => 1, clock, log, metrics,
+	await until(() => world.jobIndex.hasLoaded, 'the records are loaded');
+	world.intake = new JobIntake({
+		api: world.api, feed, jobIndex: world.jobIndex, contents: new ContentStore(world.api), keeperPool, processCount: () => 1, clock, log, metrics,
 	});
+};
+
+Given('an intake with a limit of {int} tokens', async function (this: IntakeWorld, limit: number) {
+	await startIntake(this, limit, noKeepers);
+});
+
+Given('an intake with a limit of {int} tokens, and keepers that hold any job', async function (this: IntakeWorld, limit: number) {
+	await startIntake(this, limit, willingKeepers);
+});
+
+Given('the object API is unavailable to the intake', function (this: IntakeWorld) {
+	this.api.down = true;
 });
 
 Given('another front writes a record of {string} with {int} tokens that does not fit, just before this one does', function (this: IntakeWorld, job: string, tokens: number) {
@@ -105,12 +119,18 @@
 	this.jobIndex.requestEnd(jobId('b'));
 });
 
+const submit = async ({intake, limit}: IntakeWorld, job: string, item: {readonly tokens: number; readonly body: string}): Promise<SubmissionOutcome> => intake.submit({
+	job: jobId(job), route: routeOf(limit), host: 'h', target: '/', items: [{
+		id: branded<BatchItemId>(`${job}-0`), path: '/', headers: [], ...item,
+	}],
+});
+
 When('{string} is submitted with {int} tokens', async function (this: IntakeWorld, job: string, tokens: number) {
-	this.outcome = await this.intake.submit({
-		job: jobId(job), route: routeOf(this.limit), host: 'h', target: '/', items: [{
-			id: branded<BatchItemId>(`${job}-0`), path: '/', headers: [], body: '', tokens,
-		}],
-	});
+	this.outcome = await submit(this, job, {tokens, body: ''});
+});
+
+When('{string} is submitted with {int} tokens and a body of {int} bytes', async function (this: IntakeWorld, job: string, tokens: number, bytes: number) {
+	this.outcome = await submit(this, job, {tokens, body: 'a'.repeat(bytes)});
 });
 
 Then('the submission is {string}', function (this: IntakeWorld, outcome: string) {
--- a/src/gateway/batch/job-intake.ts
+++ b/src/gateway/batch/job-intake.ts
@@ -90,12 +90,17 @@
 	}
 
 	async #submit(submission: JobSubmission): Promise<SubmissionOutcome> {
-		const {jobIndex, feed} = this.#parts;
+		const {jobIndex, feed, contents} = this.#parts;
 		const {job} = submission;
 		if (jobIndex.job(job)?.isAdmitted) {
 			return this.#outcomeOfAccepted(submission);
 		}
 
+		if (!contents.fits({type: 'items', items: submission.items})) {
+			// Keepers would hold it for ever.
+			return 'tooLarge';
+		}
+
 		if (!this.#seemsToFit(submission)) {
 			// The index may lag: results may have made room, or the job may have been accepted elsewhere.
 			const isCertain = await feed.sync();
--- a/src/gateway/keeping/held-jobs.feature
+++ b/src/gateway/keeping/held-jobs.feature
@@ -28,6 +28,14 @@
     And the keeper holds "b"
     Then the record of "b" is the keeper's
 
+  Scenario: A job that the object API refuses for good delays no other
+    # Guards against accepted jobs that are never written, since one that is too large is tried before them for ever.
+    Given a keeper's jobs
+    When the keeper holds "a" of 2000000 bytes
+    And the keeper holds "b"
+    Then the record of "b" is the keeper's
+    And "a" is still held, and was logged as refused once
+
   Scenario: The disk is full
     # The file's content does not fit. A start that found a part of it, or all of it with its sync failed, would
     # restore a job that the caller was told will never run.
--- a/src/gateway/keeping/held-jobs.steps.ts
+++ b/src/gateway/keeping/held-jobs.steps.ts
@@ -21,6 +21,7 @@
 	recordNames, type JobRecord, type PageRecord,
 } from '../batch/batch-records.js';
 import {Keeper} from '../keeper.js';
+import {gatewayEvents} from '../log-events.js';
 import {keeperSettingsSchema} from '../settings.js';
 import type {BatchItemId, BatchJobId} from '../types.js';
 import {holdJobMethod, type HeldJob, type HoldAnswer} from './held-job.js';
@@ -36,7 +37,13 @@
 	answer: HoldAnswer;
 };
 
-const log: EventLog = {emit: () => undefined};
+/** What was logged, by number of the event. */
+const logged: number[] = [];
+const log: EventLog = {
+	emit({number}) {
+		logged.push(number);
+	},
+};
 const clock = new SystemClock();
 const jobId = (name: string): BatchJobId => branded<BatchJobId>(name);
 const itemId = (name: string): BatchItemId => branded<BatchItemId>(`${name}-0`);
@@ -58,6 +65,7 @@
 const recordOf = ({api}: HoldingWorld, job: string): JobRecord | undefined => api.all<JobRecord>('BatchRecord').find(({name}) => name === recordNames.job(jobId(job)))?.value;
 
 const setUp = async (world: HoldingWorld) => {
+	logged.length = 0;
 	world.folder = await mkdtemp(path.join(tmpdir(), 'held-jobs-'));
 	world.register(async () => rm(world.folder, {recursive: true, force: true}));
 	world.api = new FakeObjectApi();
@@ -73,6 +81,23 @@
 	await this.api.create('BatchRecord', recordNames.job(jobId(job)), record(job, 'foreign', judgement === 'accepted'));
 });
 
+Given('a keeper\'s jobs', async function (this: HoldingWorld) {
+	await setUp(this);
+});
+
+When('the keeper holds {string} of {int} bytes', async function (this: HoldingWorld, job: string, bytes: number) {
+	const {record: held, content} = heldJob(job);
+	this.answer = await this.jobs.hold({record: held, content: {...content, items: content.items.map(item => ({...item, body: 'a'.repeat(bytes)}))}});
+});
+
+Then('{string} is still held, and was logged as refused once', async function (this: HoldingWorld, job: string) {
+	const before = this.api.calls.create;
+	await until(() => this.api.calls.create > before + 1, 'the keeper has tried again');
+	const remaining = await this.journal.load();
+	assert.deepEqual(remaining.map(({record: held}) => held.job), [jobId(job)]);
+	assert.equal(logged.filter(number => number === gatewayEvents.heldJobRefused.number).length, 1);
+});
+
 Given('a page of results of {string}', async function (this: HoldingWorld, job: string) {
 	const page: PageRecord = {
 		type: 'page', job: jobId(job), number: 0, results: [], content: 'text',
--- a/src/gateway/keeping/held-jobs.ts
+++ b/src/gateway/keeping/held-jobs.ts
@@ -24,7 +24,7 @@
 /** While the object API is unavailable, milliseconds until the next attempt: every process must receive the jobs about a second after it is available again. */
 const retryDelayMs = 300;
 
-/** `waits`: another record of the job exists, and it is not certain yet that it stays. */
+/** `waits`: another record of the job exists, and it is not certain yet that it stays; or the object API refuses the job for good, which an operator has to see to. */
 type WriteOutcome = 'stands' | 'waits' | 'away';
 
 /** See the module's head. */
@@ -33,6 +33,8 @@
 	readonly #jobs = new Map<string, HeldJob>();
 	/** When another record of the job was first found, in milliseconds on the monotonic clock, by content. */
 	readonly #blockedSince = new Map<string, number>();
+	/** Contents of jobs that the object API has refused. */
+	readonly #refused = new Set<string>();
 	#isDisposed = false;
 	#isWriting = false;
 
@@ -110,6 +112,11 @@
 	async #write({record, content}: HeldJob): Promise<WriteOutcome> {
 		const {api} = this.#parts;
 		const err = errorOf(await api.create('BatchContent', record.content, content));
+		if (err?.kind === 'tooLarge') {
+			this.#noteRefused(record);
+			return 'waits';
+		}
+
 		if (err && err.kind !== 'conflict') {
 			return 'away';
 		}
@@ -122,6 +129,14 @@
 		return errorOf(created)?.kind === 'conflict' ? this.#checkExisting(record) : 'away';
 	}
 
+	/** Logged once: the job stays on the disk, and delays no other. */
+	#noteRefused({job, content}: JobRecord) {
+		if (!this.#refused.has(content)) {
+			this.#refused.add(content);
+			this.#parts.log.emit(gatewayEvents.heldJobRefused, {id: job, reason: 'too large'});
+		}
+	}
+
 	/**
 	Another record of the job exists. One that belongs to the same acceptance, or was written as roomy, stays. For any other, the process that wrote it may have found the job too large; it then removes the record within two seconds and reports this to its caller. The job that is held here was accepted, and would be lost if the other record were taken for it.
 	*/
--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -90,6 +90,8 @@
 	heldJobRemovalFailed: {number: 736, level: 'error', text: 'file of a batch job that the object API has stored could not be removed'},
 	/** Fields: id. */
 	heldJobWritten: {number: 735, level: 'info', text: 'held batch job written to the object API'},
+	/** Fields: id, reason. */
+	heldJobRefused: {number: 764, level: 'error', text: 'held batch job is refused by the object API for good; it stays on disk'},
 	/** Fields: name, outcome. */
 	retirementAnswered: {number: 730, level: 'info', text: 'retirement request of a storage VM answered'},
 	/** Fields: id, resumedId, outcome (own, peer, inferred or unknown), softwareVersion, waitedMs. */
