Handovers: sent and stored in portions

A planned stop sent all progress of a job in one message and, without a peer, stored it as one object; beyond 8 MB or valueBytes nothing of it arrived and each text was generated again.

--- a/src/gateway/batch/job-handover.ts
+++ b/src/gateway/batch/job-handover.ts
@@ -3,6 +3,7 @@
 
 The progress is passed directly between processes, since the next one starts as soon as it has the job: written to the object API, it reached the next process only after that one had started each text from the beginning. When processes shut down one after the other, items then lost their progress each time, and their repeated runs took slots that others needed; and the object API may be unavailable. It is written there only if no peer accepts it.
 */
+import {jsonBytes} from '../../common/json-size.js';
 import {rankMembers} from '../../common/rendezvous.js';
 import type {Clock, EventLog, ObjectApi} from '../../common/services.js';
 import type {RpcClient} from '../../io/rpc-client.js';
@@ -67,20 +68,20 @@
 		}
 
 		const handover: JobHandover = {job: job.id, items: run.progress(), results: run.writer.pending};
-		const successor = await this.#sendToSuccessor(handover);
+		const portions = portionsOf(handover, this.#parts.contents.maxBytes);
+		const successor = await this.#sendToSuccessor(job.id, portions);
 		this.#parts.log.emit(gatewayEvents.jobHandedOver, {
 			job: job.id, to: successor, items: handover.items.length, results: handover.results.length,
 		});
 		if (successor === undefined && handover.items.length > 0) {
-			await Promise.race([this.#writeProgress(handover), this.#parts.clock.sleep(writeTimeoutMs)]);
+			await Promise.race([this.#writeProgress(portions), this.#parts.clock.sleep(writeTimeoutMs)]);
 		}
 	}
 
 	/** @returns The peer that has taken the job over. */
-	async #sendToSuccessor(handover: JobHandover): Promise<MemberName | undefined> {
-		for (const {state} of this.#successors(handover.job)) {
-			const answered = await this.#parts.rpc.call<JobHandoverAnswer>({address: state.rpcAddress, timeoutMs: takeOverTimeoutMs}, takeOverMethod, handover);
-			if (answered.map(({isTaken}) => isTaken).orDefault(false)) {
+	async #sendToSuccessor(job: BatchJobId, portions: readonly JobHandover[]): Promise<MemberName | undefined> {
+		for (const {state} of this.#successors(job)) {
+			if (await this.#sendAll(state.rpcAddress, portions)) {
 				return state.member;
 			}
 		}
@@ -88,19 +89,64 @@
 		return undefined;
 	}
 
+	/** @returns Whether the peer has taken all portions. One that has taken some of them keeps these. */
+	async #sendAll(address: string, portions: readonly JobHandover[]): Promise<boolean> {
+		for (const portion of portions) {
+			const answered = await this.#parts.rpc.call<JobHandoverAnswer>({address, timeoutMs: takeOverTimeoutMs}, takeOverMethod, portion);
+			if (!answered.map(({isTaken}) => isTaken).orDefault(false)) {
+				return false;
+			}
+		}
+
+		return true;
+	}
+
 	#successors(job: BatchJobId): Peer[] {
 		const staying = this.#parts.peers.live.filter(({state}) => !state.isLeaving);
 		const byName = new Map(staying.map(peer => [peer.state.member as string, peer]));
 		return rankMembers(job, [...byName.keys()]).slice(0, maxAskedPeers).map(name => byName.get(name)!);
 	}
 
-	async #writeProgress({job, items}: JobHandover) {
+	async #writeProgress(portions: readonly JobHandover[]) {
 		const {api, contents, self, clock} = this.#parts;
-		const content = contents.newName(job);
-		const written = await contents.write(content, {type: 'progress', items});
-		if (written.isRight()) {
-			const record: HandoverRecord = {type: 'handover', job, content};
-			await api.create('BatchRecord', recordNames.handover(job, `${self}-${clock.wall()}`), record);
+		const startedAt = clock.wall();
+		for (const [i, {job, items}] of portions.entries()) {
+			const content = contents.newName(job);
+			const written = await contents.write(content, {type: 'progress', items});
+			if (written.isRight()) {
+				const record: HandoverRecord = {type: 'handover', job, content};
+				await api.create('BatchRecord', recordNames.handover(job, `${self}-${startedAt}-${i}`), record);
+			}
 		}
 	}
 }
+
+type Portion = {readonly job: BatchJobId; readonly items: ItemProgress[]; readonly results: ItemResult[]};
+
+/** Splits a handover, so that each message and each content is within the limits of those that receive it. A text that alone exceeds them is left out, and generated again. */
+export const portionsOf = ({job, items, results}: JobHandover, maxBytes: number): readonly JobHandover[] => {
+	const portions: Portion[] = [{job, items: [], results: []}];
+	let bytes = 0;
+	const add = <T extends ItemProgress | ItemResult>(entry: T, listIn: (portion: Portion) => T[]) => {
+		const size = jsonBytes(entry);
+		if (size > maxBytes) {
+			return;
+		}
+
+		bytes += size;
+		if (bytes > maxBytes) {
+			portions.push({job, items: [], results: []});
+			bytes = size;
+		}
+
+		listIn(portions.at(-1)!).push(entry);
+	};
+
+	items.forEach(item => {
+		add(item, portion => portion.items);
+	});
+	results.forEach(result => {
+		add(result, portion => portion.results);
+	});
+	return portions;
+};
--- a/src/gateway/batch/job-run.feature
+++ b/src/gateway/batch/job-run.feature
@@ -58,3 +58,15 @@
     And the items are read
     Then item "a" waits with 10 events
     And item "b" waits with 20 events
+
+  Scenario Outline: A handover that exceeds one message is sent in portions: <count> times "<text>"
+    # Guards against a planned stop that loses all progress of a job, since its message or its stored form is too large.
+    When 40 items and 3 results with <count> times "<text>" each are split for messages of at most a megabyte
+    Then each portion has at most a megabyte, and together they have all items and results once
+
+    Examples:
+      | text   | count  |
+      | t      | 50000  |
+      | ট      | 50000  |
+      | \\u0001 | 50000  |
+      | t      | 1      |
--- a/src/gateway/batch/job-run.steps.ts
+++ b/src/gateway/batch/job-run.steps.ts
@@ -5,6 +5,7 @@
 import {Given, Then, When} from '@cucumber/cucumber';
 import {Right} from 'purify-ts/Either';
 import {branded} from '../../common/ids.js';
+import {jsonBytes} from '../../common/json-size.js';
 import type {Clock} from '../../common/services.js';
 import type {TestWorld} from '../../common/testing/test-world.js';
 import type {
@@ -15,6 +16,7 @@
 import type {ContentStore} from './content-store.js';
 import {FailedRuns, type FailedRunId} from './failed-runs.js';
 import type {ItemRun} from './item-run.js';
+import {portionsOf, type JobHandover} from './job-handover.js';
 import {JobRun, type ItemState} from './job-run.js';
 import type {ResultWriter} from './result-writer.js';
 
@@ -26,11 +28,13 @@
 	results: Map<BatchItemId, ItemResult>;
 	/** The states of items that were made to run here. */
 	states: Map<string, ItemState>;
+	portions: readonly JobHandover[];
 };
 
 const itemId = (name: string): BatchItemId => branded<BatchItemId>(name);
 const clock: Clock = {now: () => 0, wall: () => 0, sleep: async () => undefined};
 const route = {maxRuns: 3};
+const megabyte = 1_000_000;
 
 const eventsOf = (count: number, run = 'this run'): string[] => Array.from({length: count}, (_, i) => `event ${i + 1} of ${run}`);
 
@@ -160,3 +164,20 @@
 	assert.ok(waitingState(this, name));
 	assert.ok(this.failedRuns.of(itemId(name)).some(run => run.replica === branded<ReplicaId>(replica)));
 });
+
+When('40 items and 3 results with {int} times {string} each are split for messages of at most a megabyte', function (this: JobRunWorld, count: number, escapedText: string) {
+	const event = (JSON.parse(`"${escapedText}"`) as string).repeat(count);
+	this.portions = portionsOf({
+		job: branded<BatchJobId>('j1'),
+		items: Array.from({length: 40}, (_, i) => ({id: itemId(`i${i}`), events: [event], failedRuns: []})),
+		results: Array.from({length: 3}, (_, i) => ({id: itemId(`r${i}`), state: 'completed', output: event})),
+	}, megabyte);
+});
+
+Then('each portion has at most a megabyte, and together they have all items and results once', function (this: JobRunWorld) {
+	this.portions.forEach(({items, results}) => {
+		assert.ok([...items, ...results].reduce((sum, entry) => sum + jsonBytes(entry), 0) <= megabyte);
+	});
+	assert.deepEqual(this.portions.flatMap(({items}) => items.map(({id}) => id)), Array.from({length: 40}, (_, i) => itemId(`i${i}`)));
+	assert.deepEqual(this.portions.flatMap(({results}) => results.map(({id}) => id)), Array.from({length: 3}, (_, i) => itemId(`r${i}`)));
+});
