Programs: failed assertions are not worded from the source

A status line 'HTTP/1.1 099' fails an assertion of the HTTP library. To word its message, Node.js reads and parses the program's one long line: the review saw the front stand for 8.9 s.

--- a/scripts/build.js
+++ b/scripts/build.js
@@ -67,7 +67,9 @@
 	mainFields: ['module', 'main'],
 	external: ['unix-dgram'],
 	// HTTP/2 is spoken nowhere between the processes, and Node's module for it takes 2.5 MB in each that loads it. Undici expects that it may be missing. The log is written by the process itself, so pino's threads are left out too.
-	alias: {'node:http2': './scripts/no-http2.cjs', 'thread-stream': './scripts/no-threads.cjs'},
+	alias: {
+		'node:http2': './scripts/no-http2.cjs', 'thread-stream': './scripts/no-threads.cjs', 'node:assert': './scripts/plain-assert.cjs', assert: './scripts/plain-assert.cjs',
+	},
 	// The text of a program stays in memory; white space and comments are two fifths of it.
 	minifyWhitespace: true,
 	legalComments: 'none',
