One answer no longer ends a front

Its bytes were decoded as UTF-8 and encoded as Latin-1, which throws; and an error in one call's handling ended the process.

Bytes of a head are one character each from the replica to the caller. Timers, waits and listeners of a call, an item's run and a request run under a guard, which logs the error with its stack (791), counts it and ends that request alone. A request that no replica can be sent is refused or listed as errored; it was tried for ever before, and sound replicas were noted as unreachable.

--- a/src/gateway/batch/item-run.ts
+++ b/src/gateway/batch/item-run.ts
@@ -3,12 +3,15 @@
 */
 import {Buffer} from 'node:buffer';
 import {createParser, type EventSourceMessage} from 'eventsource-parser';
-import type {Clock, Disposable} from '../../common/services.js';
+import type {
+	Clock, Disposable, EventLog, Metrics,
+} from '../../common/services.js';
 import {
 	Attempt, type AnswerHead, type AttemptEnd, type AttemptTimeouts,
 } from '../calls/attempt.js';
 import type {AttemptReachability} from '../contacts/replica-reachability.js';
 import {EventFramer, isEventStream} from '../calls/event-framer.js';
+import {RequestGuard} from '../calls/request-guard.js';
 import {StreamPace} from '../placement/stream-pace.js';
 import type {ReplicaConnection} from '../replica-connection-pool.js';
 import type {Replica} from '../replica.js';
@@ -16,7 +19,7 @@
 import type {BatchItem} from './batch-records.js';
 
 /**
-The outcome of a run. `finished`: the text is complete. `failed`: the replica answered that the run failed. `hopeless`: it answered that the item can never succeed. `declined`: it did not run the item. `unreachable`: the item was not run, since no connection could be made. `misdirected`: it was not run, since another replica has the address. `lost`: the connection broke. `broken`: the replica became unresponsive, or sent unusable data. After `lost` and `broken`, the next run can resume from the text received so far. `cut`: this process cancelled the run.
+The outcome of a run. `finished`: the text is complete. `failed`: the replica answered that the run failed. `hopeless`: the item can never succeed, as the replica answered, or since it is no request that can be sent. `declined`: it did not run the item. `unreachable`: the item was not run, since no connection could be made. `misdirected`: it was not run, since another replica has the address. `lost`: the connection broke. `broken`: the replica became unresponsive, or sent unusable data. After `lost` and `broken`, the next run can resume from the text received so far. `cut`: this process cancelled the run.
 */
 export type ItemRunEnd = 'finished' | 'failed' | 'hopeless' | 'declined' | 'unreachable' | 'misdirected' | 'lost' | 'broken' | 'cut';
 
@@ -44,6 +47,8 @@
 	/** Whether the replica has ended since the item was sent. */
 	readonly hasReplicaEnded: () => Promise<boolean>;
 	readonly onEnd: ItemRunListener;
+	readonly log: EventLog;
+	readonly metrics: Metrics;
 };
 
 /** An engine may be full of online calls for a second or two; a run that receives no byte for longer than `silenceMs` has lost its replica or its connection. */
@@ -61,6 +66,7 @@
 
 const endsByAttempt: Readonly<Record<Exclude<AttemptEnd['kind'], 'complete'>, ItemRunEnd>> = {
 	notSent: 'unreachable',
+	unsendable: 'hopeless',
 	refused: 'declined',
 	misdirected: 'misdirected',
 	silent: 'broken',
@@ -89,6 +95,8 @@
 	/** Whether an event was received that does not follow the last one: it belongs to another run. */
 	#hasStrayEvent = false;
 	#hasEnded = false;
+	#isReported = false;
+	readonly #guard: RequestGuard;
 
 	constructor(parts: ItemRunParts) {
 		const {
@@ -99,6 +107,9 @@
 		this.#pace = new StreamPace(replica.pace, clock);
 		this.#resumedAfter = events.length;
 		this.#framer = new EventFramer(events.length);
+		this.#guard = new RequestGuard(parts, {kind: 'item', id: () => item.id}, () => {
+			this.#endByDefect();
+		});
 		this.#attempt = new Attempt({
 			connection,
 			reachability,
@@ -117,10 +128,14 @@
 					this.#head = head;
 				},
 				onBytes: bytes => {
-					this.#onBytes(bytes);
+					this.#guard.run(() => {
+						this.#onBytes(bytes);
+					});
 				},
 				onEnd: end => {
-					this.#onAttemptEnd(end);
+					this.#guard.run(() => {
+						this.#onAttemptEnd(end);
+					});
 				},
 			},
 		});
@@ -173,21 +188,35 @@
 
 		this.#hasEnded = true;
 		if (end.kind === 'complete') {
-			void this.#handleEndOfAnswer();
+			this.#guard.run(async () => this.#handleEndOfAnswer());
 			return;
 		}
 
-		this.#parts.onEnd(endsByAttempt[end.kind], 'reason' in end ? end.reason : end.kind);
+		this.#report(endsByAttempt[end.kind], 'reason' in end ? end.reason : end.kind);
 	}
 
 	/** The system closes the connections of a process that has crashed in the regular way, so an answer without a length may have ended with its replica. */
 	async #handleEndOfAnswer() {
 		if (this.#head?.isFramed === false && await this.#parts.hasReplicaEnded()) {
-			this.#parts.onEnd('lost', 'the replica ended with its answer');
+			this.#report('lost', 'the replica ended with its answer');
 			return;
 		}
 
-		this.#parts.onEnd(this.#endOfAnswer(), `status ${this.#head?.status ?? 0}`);
+		this.#report(this.#endOfAnswer(), `status ${this.#head?.status ?? 0}`);
+	}
+
+	/** Counts as a failed run: an item whose handling fails each time is given up in the end. */
+	#endByDefect() {
+		if (!this.#isReported) {
+			this.#hasEnded = true;
+			this.#attempt.dispose();
+			this.#report('failed', 'its handling broke an invariant');
+		}
+	}
+
+	#report(end: ItemRunEnd, reason: string) {
+		this.#isReported = true;
+		this.#parts.onEnd(end, reason);
 	}
 
 	#endOfAnswer(): ItemRunEnd {
--- a/src/gateway/batch/item-sender.ts
+++ b/src/gateway/batch/item-sender.ts
@@ -90,7 +90,7 @@
 	send(assigned: AssignedItem, connection: ReplicaConnection): void {
 		const {job, state, replica} = assigned;
 		const {
-			loads, reachability, dialect, itemHeaders, log, clock,
+			loads, reachability, dialect, itemHeaders, log, clock, metrics,
 		} = this.#parts;
 		if (state.events.length === 0) {
 			state.softwareVersion = replica.record.softwareVersion;
@@ -113,6 +113,8 @@
 			reachability: reachability.of(replica),
 			clock,
 			dialect,
+			log,
+			metrics,
 			isEligible: () => isEligible(this.#parts, replica),
 			headers: itemHeaders(job.record.host, item.id, item.headers),
 			events,
--- a/src/gateway/calls/attempt.ts
+++ b/src/gateway/calls/attempt.ts
@@ -4,10 +4,11 @@
 import type {Buffer} from 'node:buffer';
 import type {Dispatcher} from 'undici';
 import type {Clock, Disposable} from '../../common/services.js';
-import {isBeforeSending} from '../../io/http-client.js';
+import {isBeforeSending, isInvalidRequest} from '../../io/http-client.js';
 import type {AttemptReachability} from '../contacts/replica-reachability.js';
 import type {ReplicaConnection} from '../replica-connection-pool.js';
 import type {AnswerFields, AttemptFields, CallDialect} from '../types.js';
+import {headerStrings} from './header-bytes.js';
 
 /** The request as it is sent, identical for each attempt of a call. */
 export type CallMessage = {
@@ -22,8 +23,9 @@
 /** The head of a replica's answer. */
 export type AnswerHead = {
 	readonly status: number;
+	/** Decoded as UTF-8; see `reasonBytes`. */
 	readonly statusMessage: string;
-	/** Alternating names and values, as the replica sent them. */
+	/** Alternating names and values, as the replica sent them, with one character for each byte. */
 	readonly rawHeaders: string[];
 	/** Keyed by lower-case name. */
 	readonly headers: NodeJS.Dict<string | string[]>;
@@ -34,10 +36,11 @@
 /**
 How an attempt ended.
 
-`notSent`: no byte of the call can have reached the replica. `refused`: the replica states that it has not run the call. `misdirected`: the address belongs to another replica. `silent`, `cutOff` and `lost`: only the replica knows whether the call ran; `silent` means that the inactivity time-out expired, `cutOff` that the replica can no longer be reached. `outdated`: no byte was sent, because the replica may have left while the connection was being made. `complete`: the complete answer was received. `dropped`: the attempt was disposed of by this process.
+`notSent`: no byte of the call can have reached the replica. `unsendable`: the request is one that no replica can be sent. `refused`: the replica states that it has not run the call. `misdirected`: the address belongs to another replica. `silent`, `cutOff` and `lost`: only the replica knows whether the call ran; `silent` means that the inactivity time-out expired, `cutOff` that the replica can no longer be reached. `outdated`: no byte was sent, because the replica may have left while the connection was being made. `complete`: the complete answer was received. `dropped`: the attempt was disposed of by this process.
 */
 export type AttemptEnd
 	= | {readonly kind: 'notSent'; readonly reason: string}
+		| {readonly kind: 'unsendable'; readonly reason: string}
 		| {readonly kind: 'refused'; readonly status: number}
 		| {readonly kind: 'misdirected'}
 		| {readonly kind: 'silent'; readonly reason: string}
@@ -84,8 +87,6 @@
 /** Share of the inactivity time-out in which this process must have been running. The rest may have passed in pauses of the process, during which the replica could have answered. */
 const minRunningShare = 1 / 2;
 
-const toStrings = (headers: unknown): string[] => (headers as readonly Buffer[]).map(String);
-
 /** A single attempt: started once, and over after its listener's `onEnd`. */
 export class Attempt implements Disposable {
 	readonly #parts: AttemptParts;
@@ -178,7 +179,7 @@
 				this.#restartInactivityTimer();
 			},
 			onResponseStart: (controller, status, answerHeaders, statusMessage) => {
-				this.#onHead(status, answerHeaders, toStrings(controller.rawHeaders), statusMessage ?? '');
+				this.#onHead(status, answerHeaders, headerStrings(controller.rawHeaders as unknown as Buffer[]), statusMessage ?? '');
 			},
 			onResponseData: (_controller, bytes) => {
 				this.#onBytes(bytes);
@@ -326,6 +327,11 @@
 
 	#onError(err: Error) {
 		const reason = (err as {code?: string}).code ?? err.message;
+		if (!this.#isSent && isInvalidRequest(err)) {
+			this.#abort({kind: 'unsendable', reason: err.message});
+			return;
+		}
+
 		this.#abort(this.#isSent && !isBeforeSending(err) ? {kind: 'lost', reason} : {kind: 'notSent', reason});
 	}
 
--- a/src/gateway/calls/caller-answer.ts
+++ b/src/gateway/calls/caller-answer.ts
@@ -9,6 +9,7 @@
 import type {ServerResponse} from 'node:http';
 import type {AnswerHead, Attempt} from './attempt.js';
 import {EventFramer, isEventStream, EventBoundaryTracker} from './event-framer.js';
+import {reasonBytes} from './header-bytes.js';
 
 /** What determines how a call's answer is forwarded. */
 export type ForwardingOptions = {
@@ -209,7 +210,7 @@
 	#writeHead() {
 		if (!this.hasBegun && this.#head) {
 			const {status, statusMessage, rawHeaders} = this.#head;
-			this.#res.writeHead(status, statusMessage, withoutHeaders(rawHeaders, this.#isResumable ? removedEventStreamHeaders : removedHeaders));
+			this.#res.writeHead(status, reasonBytes(statusMessage), withoutHeaders(rawHeaders, this.#isResumable ? removedEventStreamHeaders : removedHeaders));
 		}
 	}
 }
--- a/src/gateway/calls/final-answer.ts
+++ b/src/gateway/calls/final-answer.ts
@@ -49,6 +49,21 @@
 		this.#reply(503, reason, {'retry-after': String(Math.ceil(retryDelayMs) / 1000)});
 	}
 
+	/** The request is one that no replica can be sent. */
+	reject(reason: string): void {
+		this.#parts.credit?.refund();
+		this.#replyOrCut(400, reason);
+	}
+
+	/** Ends the call after an error in its handling, in whatever state the answer is. */
+	abandon(): void {
+		try {
+			this.fail('its handling broke an invariant');
+		} catch {
+			this.cut('its handling broke an invariant, and no answer could be written');
+		}
+	}
+
 	/** States nothing of whether the call has run. */
 	fail(reason: string): void {
 		this.#replyOrCut(502, reason);
--- a/src/gateway/calls/online-call.ts
+++ b/src/gateway/calls/online-call.ts
@@ -24,6 +24,7 @@
 	ReplicaOffers, versionRetryMs, type OfferedReplica,
 } from './replica-offers.js';
 import {ReplicaRun} from './replica-run.js';
+import {RequestGuard} from './request-guard.js';
 import {RunSuccession} from './run-succession.js';
 
 /** A repeatable call is sent to another replica if no byte arrives for this long, in milliseconds. A queue at an engine clears within about one run, 0.8 s; callers abandon a stream after 2 s. */
@@ -54,6 +55,7 @@
 	readonly #continuation: RunContinuation;
 	readonly #held: HeldEvents;
 	readonly #succession: RunSuccession;
+	readonly #guard: RequestGuard;
 	#versionTimer: NodeJS.Timeout | undefined;
 	readonly #timer: NodeJS.Timeout;
 	readonly #timeLimitMs: number;
@@ -70,6 +72,9 @@
 			this.#parts.reachability.noteUnreachable(replica);
 			this.#offer();
 		},
+		unsendable: ({reason}) => {
+			this.#final.reject(reason);
+		},
 		refused: (_end, replica) => {
 			if (replica.total <= replica.record.slots && !this.#succession.isContinuing) {
 				this.#recordOutcome(replica, true);
@@ -94,13 +99,13 @@
 		},
 		lost: (_end, replica) => {
 			this.#recordOutcome(replica, true);
-			void this.#handleLostConnection(replica);
+			this.#guard.run(async () => this.#handleLostConnection(replica));
 		},
 		complete: (_end, replica) => {
 			replica.noteAnswer();
 			this.#held.forwardAll();
 			if (!this.#hasEnded) {
-				void this.#handleEndOfAnswer(replica);
+				this.#guard.run(async () => this.#handleEndOfAnswer(replica));
 			}
 		},
 		outdated: (_end, replica) => {
@@ -115,6 +120,9 @@
 		this.#call = call;
 		const {route, fields} = call;
 		this.#log = new CallLog(parts, route, fields);
+		this.#guard = new RequestGuard(parts, {kind: 'call', id: () => fields.requestId}, () => {
+			this.#endByDefect();
+		});
 		this.#admission = new CallAdmission(parts.admission);
 		this.#isRepeatable = traitsByKind[route.kind].isRepeatable(route);
 		const service = chooseService(route, parts.random);
@@ -144,42 +152,62 @@
 		this.#timer = setTimeout(() => {
 			// An answer that arrived during a pause of this process is read first.
 			setImmediate(() => {
-				this.#timeOut();
+				this.#guard.run(() => {
+					this.#timeOut();
+				});
 			});
 		}, Math.max(0, this.#timeLimitMs - this.#elapsedMs()));
 		call.res.once('close', () => {
-			this.#onCallerClose();
+			this.#guard.run(() => {
+				this.#onCallerClose();
+			});
 		});
 	}
 
 	/** Sends the call to its first replica. A call that is held back, or cannot get a slot in time, is refused at once. */
 	start(): void {
+		this.#guard.run(async () => this.#start());
+	}
+
+	/** Aborts a run that is likely to crash its replica. To be called when prompt parts have been quarantined. */
+	abortIfHeld(): void {
+		this.#guard.run(() => {
+			if (this.#hasEnded || !this.#run || this.#run.isOver || !this.#content.mayCrashReplica) {
+				return;
+			}
+
+			this.#run.dispose();
+			this.#final.fail('a part of its prompt was quarantined during its run');
+		});
+	}
+
+	/** Ends the call at once, without an answer or a log line. */
+	dispose(): void {
+		this.#close();
+	}
+
+	async #start() {
 		if (!this.#content.canBeSent) {
 			this.#final.giveUp('quarantined', this.#content.heldMs);
 			return;
 		}
 
 		if (this.#binding.isResumed) {
-			void this.#startResumed();
+			await this.#startResumed();
 			return;
 		}
 
 		this.#begin();
 	}
 
-	/** Aborts a run that is likely to crash its replica. To be called when prompt parts have been quarantined. */
-	abortIfHeld(): void {
-		if (this.#hasEnded || !this.#run || this.#run.isOver || !this.#content.mayCrashReplica) {
+	/** The caller is told nothing that may be false: whether the call has run isn't known. */
+	#endByDefect() {
+		if (this.#hasEnded) {
 			return;
 		}
 
-		this.#run.dispose();
-		this.#final.fail('a part of its prompt was quarantined during its run');
-	}
-
-	/** Ends the call at once, without an answer or a log line. */
-	dispose(): void {
-		this.#close();
+		this.#run?.dispose();
+		this.#final.abandon();
 	}
 
 	async #startResumed() {
@@ -206,12 +234,14 @@
 
 	#begin() {
 		this.#admission.request(this.#call, this.#offers, this.#timeLimitMs, outcome => {
-			if (outcome.kind === 'refused') {
-				this.#final.refuse(outcome.reason, outcome.retryAfterMs);
-				return;
-			}
+			this.#guard.run(() => {
+				if (outcome.kind === 'refused') {
+					this.#final.refuse(outcome.reason, outcome.retryAfterMs);
+					return;
+				}
 
-			this.#offer();
+				this.#offer();
+			});
 		});
 	}
 
@@ -241,7 +271,7 @@
 		}
 
 		if (!this.#parts.replicaFreshness.isFresh) {
-			void this.#offerWhenFresh();
+			this.#guard.run(async () => this.#offerWhenFresh());
 			return;
 		}
 
@@ -265,7 +295,9 @@
 	#offerLater() {
 		this.#offers.startNextRound();
 		this.#versionTimer = setTimeout(() => {
-			this.#offer();
+			this.#guard.run(() => {
+				this.#offer();
+			});
 		}, versionRetryMs);
 	}
 
@@ -303,13 +335,19 @@
 			isEventStream: () => this.#answer.isEventStream,
 			listener: {
 				onHead: head => {
-					this.#answer.begin(head);
+					this.#guard.run(() => {
+						this.#answer.begin(head);
+					});
 				},
 				onBytes: bytes => {
-					this.#onBytes(bytes, run);
+					this.#guard.run(() => {
+						this.#onBytes(bytes, run);
+					});
 				},
 				onEnd: end => {
-					this.#onEnd(end, run);
+					this.#guard.run(() => {
+						this.#onEnd(end, run);
+					});
 				},
 			},
 		});
@@ -397,7 +435,7 @@
 			return;
 		}
 
-		void this.#continueOrFail(replica, reason);
+		this.#guard.run(async () => this.#continueOrFail(replica, reason));
 	}
 
 	async #continueOrFail(replica: Replica, reason: string) {
@@ -437,7 +475,7 @@
 	#finish(replica: Replica) {
 		const status = this.#runStatus;
 		if (!this.#answer.isComplete) {
-			void this.#handleLostConnection(replica, 'the run did not finish the stream');
+			this.#guard.run(async () => this.#handleLostConnection(replica, 'the run did not finish the stream'));
 			return;
 		}
 
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -24,6 +24,7 @@
 import type {FirstRead} from './first-read.js';
 import {gatewayEvents} from './log-events.js';
 import {OnlineCall} from './calls/online-call.js';
+import {RequestGuard} from './calls/request-guard.js';
 import type {GatewayParts} from './parts.js';
 import type {BatchJobId, CallFields, GatewayRoute} from './types.js';
 
@@ -89,6 +90,16 @@
 	res.end(body);
 };
 
+/** Whatever was being done for the request, no other answer has been sent. */
+const endByDefect = (res: ServerResponse) => {
+	if (res.headersSent) {
+		res.destroy();
+		return;
+	}
+
+	sendEmpty(res, 500);
+};
+
 type JobHandlers = {readonly [K in JobCall['kind']]: (call: Extract<JobCall, {kind: K}>, res: ServerResponse, caller: Caller) => Promise<void>};
 
 /** A call whose body was received. */
@@ -139,7 +150,10 @@
 	constructor(parts: FrontServerParts) {
 		this.#parts = parts;
 		this.#server = createServer({keepAliveTimeout: defaultIdleMs, requestTimeout: 0, maxHeaderSize: maxHeaderBytes}, (req, res) => {
-			void this.#serve(req, res);
+			const guard = new RequestGuard(parts, {kind: 'request', id: () => parts.dialect.readCall(req.headers).requestId}, () => {
+				endByDefect(res);
+			});
+			guard.run(async () => this.#serve(req, res));
 		});
 		parts.board.onChange(({limits}) => {
 			this.#server.keepAliveTimeout = Math.max(defaultIdleMs, keepAliveFactor * limits.idleTimeoutMs);
--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -112,6 +112,8 @@
 	partTested: {number: 750, level: 'info', text: 'request sent as the test of quarantined prompt parts'},
 	/** Fields: id, route, account, rank, outcome (waited, late or refused), reason and retryAfterMs (of a refusal), waitMs (expected, for a slot), elapsedMs (since its arrival), targetMs, isReturned, isOutranked, isScarce, share and running (calls in flight that its owner may have and has), demandAgeMs (oldest announcement behind the share). */
 	admissionDecided: {number: 760, level: 'info', text: 'call waited for its admission, began late or was refused'},
+	/** Fields: kind (call, item or request), id, reason, stack. */
+	requestDefect: {number: 791, level: 'error', text: 'handling of a request broke an invariant; the request was ended alone'},
 	/** Fields: reason. */
 	handlerFailed: {number: 790, level: 'error', text: 'handler of a peer\'s call broke an invariant'},
 } as const satisfies Record<string, EventDefinition>;
--- a/src/io/http-client.ts
+++ b/src/io/http-client.ts
@@ -52,12 +52,17 @@
 const connectTimeoutMs = 1000;
 const keepAliveMs = 15_000;
 
-// Undici could not connect, or rejected the request itself, for instance because of an unsupported header.
-const notSentCodes = new Set(['UND_ERR_CONNECT_TIMEOUT', 'UND_ERR_INVALID_ARG', 'UND_ERR_NOT_SUPPORTED']);
+// Undici rejected the request itself, for instance because of an unsupported header.
+const invalidRequestCodes = new Set(['UND_ERR_INVALID_ARG', 'UND_ERR_NOT_SUPPORTED']);
+
+const notSentCodes = new Set(['UND_ERR_CONNECT_TIMEOUT', ...invalidRequestCodes]);
 
 // Errors of the operating system count only for these system calls: a "host unreachable" from a router can also close a connection on which the request was sent, and the request would then be reported as not run.
 const connectSyscalls = new Set(['connect', 'bind']);
 
+/** Whether the request can be sent to no server, so the error tells nothing of this one. */
+export const isInvalidRequest = (err: unknown): boolean => invalidRequestCodes.has((err as {code?: string}).code ?? '');
+
 /** Whether an error proves that no byte of the request was sent. */
 export const isBeforeSending = (err: unknown): boolean => {
 	const {code, syscall} = err as {code?: string; syscall?: string};
