Items under which replicas crash run again within 1.5 s of calm

Items lay untouched for up to a minute beside idle replicas after bursts of crashes. Held back by two safeguards: contents (10 s after three crashes, doubling), and prompt parts, whose one test counts as failed until it succeeds, also if it was refused. Ruled out: no free slot (the search for one isn't reached).

Items are never the cause of a crash, so they have short pauses of their own, and their crashes count against no call. A test without a verdict is taken back, as are those of terminated processes; replicas that end in a burst accuse no part.

--- a/bench/poison-requests.benchmark.ts
+++ b/bench/poison-requests.benchmark.ts
@@ -41,7 +41,7 @@
 	for (let call = 0; call < calls; call += 1) {
 		quarantine.heldMs(contentDigest({
 			host: 'boards.example', method: 'POST', target: `/alert/${call}`, body,
-		}), 'online');
+		}));
 	}
 
 	return (performance.now() - startedAt) / calls * microsPerMs;
--- a/src/common/message-validators.ts
+++ b/src/common/message-validators.ts
@@ -38,6 +38,7 @@
 		start: isNonEmptyString, parts: listOf(isNonEmptyString), seenBy: isNonEmptyString, agoMs: isNonNegativeNumber,
 	}))),
 	clearedParts: optional(listOf(objectOf({part: isNonEmptyString, agoMs: isNonNegativeNumber}))),
+	withdrawnTrials: optional(listOf(isNonEmptyString)),
 	failedRuns: optional(areFailedRuns),
 	accountUsage: optional(listOf(objectOf({account: isNonEmptyString, admitted: Number.isSafeInteger, asked: isNonNegativeInteger}))),
 	checks: optional(listOf(objectOf({kind: isNonEmptyString, changedAt: isNonNegativeInteger, ageMs: isNonNegativeNumber}))),
--- a/src/gateway/batch/batch-runner.ts
+++ b/src/gateway/batch/batch-runner.ts
@@ -16,6 +16,7 @@
 import {announcementDelayMs} from '../peers/peer-announcer.js';
 import type {SharedWaiting} from '../peers/peer-state.js';
 import type {PeerTable} from '../peers/peer-table.js';
+import type {ItemPauses} from '../quarantine/item-pauses.js';
 import type {PartQuarantine} from '../quarantine/part-quarantine.js';
 import type {Quarantine} from '../quarantine/quarantine.js';
 import type {ReplicaConnectionPools} from '../replica-connection-pools.js';
@@ -59,6 +60,7 @@
 	readonly reachability: ReplicaReachability;
 	readonly quarantine: Quarantine;
 	readonly partQuarantine: PartQuarantine;
+	readonly itemPauses: ItemPauses;
 	readonly waves: WaveForecasts;
 	readonly dialect: CallDialect;
 	readonly itemHeaders: ItemHeaderBuilder;
@@ -124,9 +126,6 @@
 		loads.onPeerChange(replica => {
 			this.#onLoadChange(replica);
 		});
-		parts.partQuarantine.onHeld(() => {
-			this.#abortHeld();
-		});
 		jobIndex.onChange(() => {
 			this.#reviewClaims();
 			this.#scheduleFill();
@@ -187,16 +186,6 @@
 		this.#scheduleFill();
 	}
 
-	/** Aborts runs that are likely to crash their replicas. */
-	#abortHeld() {
-		this.#runs.all
-			.flatMap(run => run.running)
-			.filter(({trackedContent}) => trackedContent?.mayCrashReplica)
-			.forEach(({run}) => {
-				run?.dispose();
-			});
-	}
-
 	#scheduleFill() {
 		const now = this.#parts.clock.now();
 		this.#fillTimer ??= setTimeout(() => {
@@ -260,7 +249,7 @@
 	/** @returns Whether a slot was found. */
 	#tryStart(item: PendingItem): boolean {
 		const {state} = item;
-		if ((state.trackedContent?.claimRun() ?? 0) > 0) {
+		if (state.tracked?.canBeSent === false) {
 			return false;
 		}
 
--- a/src/gateway/batch/item-sender.ts
+++ b/src/gateway/batch/item-sender.ts
@@ -64,11 +64,11 @@
 	};
 
 	readonly #onTrackedEnd: Readonly<Partial<Record<ItemRunEnd, (state: ItemState, replica: Replica) => void>>> = {
-		finished({trackedContent}) {
-			trackedContent?.noteCompleted({isFramed: true});
+		finished({tracked}) {
+			tracked?.noteCompleted();
 		},
-		lost({trackedContent}, replica) {
-			void trackedContent?.noteConnectionLost(replica);
+		lost({tracked}, replica) {
+			void tracked?.noteConnectionLost(replica);
 		},
 	};
 
@@ -105,7 +105,7 @@
 		state.firstStartedAt ??= startedAt;
 		state.sparedSince = undefined;
 		const eventsBefore = events.length;
-		state.trackedContent?.noteSent();
+		state.tracked?.noteSent();
 		state.run = new ItemRun({
 			item,
 			replica,
@@ -120,7 +120,7 @@
 			events,
 			caller: this.#callerOf(job),
 			onChunk() {
-				state.trackedContent?.noteChunk();
+				state.tracked?.noteChunk();
 			},
 			hasReplicaEnded: async () => reachability.hasEnded(replica),
 			onEnd: (end, reason) => {
--- a/src/gateway/batch/job-run.ts
+++ b/src/gateway/batch/job-run.ts
@@ -6,7 +6,7 @@
 import type {
 	BatchItemId, GatewayRoute, ReplicaId, SoftwareVersion,
 } from '../types.js';
-import type {TrackedContent} from '../quarantine/tracked-content.js';
+import type {TrackedItem} from '../quarantine/tracked-item.js';
 import type {BatchJob} from './batch-job.js';
 import type {BatchItem, ItemProgress} from './batch-records.js';
 import type {ContentStore} from './content-store.js';
@@ -30,7 +30,7 @@
 	/** The outcome of its last run here. */
 	lastEnd: ItemRunEnd | undefined;
 	/** Created when the item is first considered for a slot. */
-	trackedContent: TrackedContent | undefined;
+	tracked: TrackedItem | undefined;
 	/** When its first run here started, in milliseconds on the monotonic clock. */
 	firstStartedAt: number | undefined;
 	/** The total milliseconds of its runs here. */
@@ -257,7 +257,7 @@
 		notBefore: 0,
 		run: undefined,
 		lastEnd: undefined,
-		trackedContent: undefined,
+		tracked: undefined,
 		firstStartedAt: undefined,
 		ranMs: 0,
 		timesCut: 0,
--- a/src/gateway/batch/pending-items.ts
+++ b/src/gateway/batch/pending-items.ts
@@ -2,7 +2,7 @@
 The items of a job that wait for a slot, with what decides on their turn: by which route they are sent, when they are due, at which replicas they have failed. Items that can never be sent again are given up here.
 */
 import {Buffer} from 'node:buffer';
-import {TrackedContent, type TrackedContentParts} from '../quarantine/tracked-content.js';
+import {TrackedItem, type TrackedItemParts} from '../quarantine/tracked-item.js';
 import type {CallDialect} from '../types.js';
 import type {BatchJob} from './batch-job.js';
 import type {FailedRuns} from './failed-runs.js';
@@ -19,20 +19,20 @@
 };
 
 /** Dependencies of the search. */
-export type PendingItemsParts = TrackedContentParts & {
+export type PendingItemsParts = TrackedItemParts & {
 	readonly failedRuns: FailedRuns;
 	readonly dialect: CallDialect;
 };
 
-const track = (parts: PendingItemsParts, {record}: BatchJob, state: ItemState): TrackedContent => {
+const track = (parts: PendingItemsParts, {record}: BatchJob, state: ItemState): TrackedItem => {
 	const {path, body, headers} = state.item;
-	state.trackedContent ??= new TrackedContent(parts, 'batch', {
+	state.tracked ??= new TrackedItem(parts, {
 		content: {
 			host: record.host, method: itemMethod, target: path, body: Buffer.from(body, 'base64'),
 		},
 		promptParts: () => parts.dialect.readCall(Object.fromEntries(headers.map(([name, value]) => [name.toLowerCase(), value]))).promptParts,
 	});
-	return state.trackedContent;
+	return state.tracked;
 };
 
 /** @returns The items of the job that may be sent now. */
--- a/src/gateway/calls/online-call.ts
+++ b/src/gateway/calls/online-call.ts
@@ -135,7 +135,7 @@
 				this.#end(status, reason);
 			},
 		});
-		this.#content = new TrackedContent(parts, 'online', {content: {...call.message, host: route.host}, promptParts: () => fields.promptParts});
+		this.#content = new TrackedContent(parts, {content: {...call.message, host: route.host}, promptParts: () => fields.promptParts});
 		this.#binding = new StreamBinding({
 			origins: parts.streamOrigins, route, fields, caller: call.caller.identity,
 		});
@@ -533,5 +533,6 @@
 		clearTimeout(this.#versionTimer);
 		this.#admission.dispose();
 		this.#run?.dispose();
+		this.#content.noteOver();
 	}
 }
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -60,6 +60,7 @@
 import {PeerTable} from './peers/peer-table.js';
 import {SharedChecks} from './peers/shared-checks.js';
 import {stateChangesMethod, type StateChanges} from './peers/state-changes.js';
+import {ItemPauses} from './quarantine/item-pauses.js';
 import {PartQuarantine} from './quarantine/part-quarantine.js';
 import type {PartKey} from './quarantine/prompt-part-keys.js';
 import {Quarantine} from './quarantine/quarantine.js';
@@ -339,7 +340,7 @@
 			self, jobIndex, peers, clock, log, isLeaving, membersFirstLoadedAt: () => this.#registry.firstLoadedAt,
 		});
 		this.#runner = new BatchRunner({
-			self, api, feed: recordFeed, jobIndex, contents, peers, rpc, claims, failedRuns, board, directory, replicaFreshness, loads, connectionPools: this.#connectionPools, reachability, quarantine, partQuarantine, waves, dialect, itemHeaders, clock, random, log, metrics, failureDomain, paces,
+			self, api, feed: recordFeed, jobIndex, contents, peers, rpc, claims, failedRuns, board, directory, replicaFreshness, loads, connectionPools: this.#connectionPools, reachability, quarantine, partQuarantine, itemPauses: new ItemPauses(clock), waves, dialect, itemHeaders, clock, random, log, metrics, failureDomain, paces,
 		});
 		this.#retention = new BatchRetention({
 			self, api, jobIndex, peers, clock, log, resultRetentionMs: settings.resultsKeptMs,
--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -110,6 +110,8 @@
 	partReleased: {number: 749, level: 'info', text: 'prompt part released from quarantine'},
 	/** Fields: parts. */
 	partTested: {number: 750, level: 'info', text: 'request sent as the test of quarantined prompt parts'},
+	/** Fields: trial. */
+	partTestWithdrawn: {number: 751, level: 'info', text: 'test of quarantined prompt parts has shown nothing; another request may test them'},
 	/** Fields: id, route, account, rank, outcome (waited, late or refused), reason and retryAfterMs (of a refusal), waitMs (expected, for a slot), elapsedMs (since its arrival), targetMs, isReturned, isOutranked, isScarce, share and running (calls in flight that its owner may have and has), demandAgeMs (oldest announcement behind the share). */
 	admissionDecided: {number: 760, level: 'info', text: 'call waited for its admission, began late or was refused'},
 	/** Fields: kind (call, item or request), id, reason, stack. */
--- a/src/gateway/peers/peer-state.ts
+++ b/src/gateway/peers/peer-state.ts
@@ -11,7 +11,7 @@
 import type {SharedPace} from '../placement/shared-pace.js';
 import type {ContentDigest} from '../quarantine/content-digest.js';
 import type {Crash} from '../quarantine/crash-history.js';
-import type {AnnouncedPartCrash, ClearedPart} from '../quarantine/part-quarantine.js';
+import type {AnnouncedPartCrash, ClearedPart, PartTrial} from '../quarantine/part-quarantine.js';
 import type {
 	BatchJobId, MemberName, ReplicaId,
 } from '../types.js';
@@ -77,6 +77,8 @@
 	readonly partCrashes?: readonly AnnouncedPartCrash[];
 	/** Prompt parts that were in requests when replicas ended, and have been in sound runs since. */
 	readonly clearedParts?: readonly ClearedPart[];
+	/** Tests of prompt parts that have shown nothing. */
+	readonly withdrawnTrials?: readonly PartTrial[];
 	/** Its runs of batch items that failed recently; repeated several times, and not in each message. */
 	readonly failedRuns?: readonly FailedRun[];
 	/** Usage of rate-limited client accounts whose calls it received recently; not in each message. */
--- a/src/gateway/peers/peer-table.ts
+++ b/src/gateway/peers/peer-table.ts
@@ -126,6 +126,7 @@
 		unresponsive.forEach(({state, lastSeenAt}) => {
 			log.emit(gatewayEvents.peerUnresponsive, {peer: state.member, silentMs: Math.round(now - lastSeenAt)});
 			this.#peers.delete(state.member);
+			this.#parts.partQuarantine.withdrawTrialsOf(state.member);
 			this.#applyLoads({...state, loads: []}, state);
 		});
 		if (unresponsive.length > 0) {
@@ -155,10 +156,11 @@
 		});
 	}
 
-	#applyCrashes({crashes = [], acquitted = [], partCrashes = [], clearedParts = []}: PeerState) {
+	#applyCrashes({crashes = [], acquitted = [], partCrashes = [], clearedParts = [], withdrawnTrials = []}: PeerState) {
 		const {quarantine, partQuarantine} = this.#parts;
 		partQuarantine.receiveCrashes(partCrashes);
 		partQuarantine.receiveCleared(clearedParts);
+		partQuarantine.receiveWithdrawn(withdrawnTrials);
 		quarantine.receiveCrashes(crashes);
 		quarantine.receiveCleared(acquitted);
 	}
--- a/src/gateway/quarantine/part-evidence.ts
+++ b/src/gateway/quarantine/part-evidence.ts
@@ -1,6 +1,8 @@
 /**
 Finds the prompt parts that crash replicas, from the parts of the requests that were at the beginning of their answers when replicas crashed. Pure: it reads no clock and sends nothing.
 
+Replicas that end beside others under which no part came twice are no evidence against a part: they end whatever they run.
+
 The method is group testing: the part that explains the most crashes is a culprit, its crashes are taken from all other parts, and so on with what is left. A part that was in a sound run is cleared of all crashes so far.
 */
 import type {MemberName} from '../types.js';
@@ -39,6 +41,16 @@
 /** Crashes within this time of the first one, in milliseconds, count as one: replicas that end together have a common cause, which is no request. */
 const simultaneousMs = 50;
 
+/** Crashes this far apart at most, in milliseconds, belong to one burst. */
+const burstWindowMs = 500;
+
+/** Number, and share, of the replicas that end within a burst and had no part that came twice. */
+const minUnattributed = 2;
+const minUnattributedShare = 0.2;
+
+/** Maximum number of ended replicas that are remembered; a burst has some dozen. */
+const maxStarts = 500;
+
 /** Number of crashes after which a part is a culprit. */
 const minCrashes = 2;
 
@@ -73,6 +85,8 @@
 
 const withoutTrials = (entries: Entries): Entries => new Map([...entries].filter(([start]) => !isTrial(start)));
 
+const without = (entries: Entries, starts: ReadonlySet<ReplicaStart>): Entries => new Map([...entries].filter(([start]) => !starts.has(start)));
+
 const hasSameStarts = (a: Entries, b: Entries): boolean => a.size === b.size && [...a.keys()].every(start => b.has(start));
 
 /** See the module's head. Times are milliseconds on the monotonic clock. */
@@ -81,6 +95,8 @@
 	readonly #byPart = new Map<PartKey, Map<ReplicaStart, CrashEntry>>();
 	/** Crashes that a part has been cleared of: their announcements may still arrive. */
 	readonly #clearedOf = new Map<PartKey, ReadonlySet<ReplicaStart>>();
+	/** When each replica ended, whatever it ran; the last one comes last. */
+	readonly #endedAt = new Map<ReplicaStart, number>();
 	/** Found when they are first needed after a change. */
 	#culprits: readonly Culprit[] | undefined = [];
 	#version = 0;
@@ -110,8 +126,14 @@
 		return this.#byPart.get(part) ?? new Map<ReplicaStart, CrashEntry>();
 	}
 
+	/** Whether the end of the replica is recorded, with or without parts. */
+	hasEnd(start: ReplicaStart): boolean {
+		return this.#endedAt.has(start);
+	}
+
 	/** @returns The parts for which the crash was not recorded yet. */
 	record({start, parts, seenBy}: PartCrash, at: number): readonly PartKey[] {
+		this.#recordEnd(start, at);
 		const added = parts.filter(part => !this.entriesOf(part).has(start) && !this.#clearedOf.get(part)?.has(start));
 		added.forEach(part => {
 			this.#add(part, start, {at, seenBy});
@@ -136,6 +158,21 @@
 		this.#culprits = undefined;
 	}
 
+	/** Deletes a trial, which does not count again. */
+	withdraw(trial: ReplicaStart): void {
+		this.#byPart.forEach((entries, part) => {
+			if (entries.delete(trial)) {
+				this.#clearedOf.set(part, new Set([...this.#clearedOf.get(part) ?? [], trial]));
+			}
+		});
+		this.#culprits = undefined;
+	}
+
+	/** Trials that a process has started. */
+	trialsOf(process: MemberName): readonly ReplicaStart[] {
+		return [...new Set([...this.#byPart.values()].flatMap(entries => [...entries].filter(([start, {seenBy}]) => isTrial(start) && seenBy === process).map(([start]) => start)))];
+	}
+
 	/** Parts whose last crash or trial was before the given time. */
 	lastBefore(time: number): readonly PartKey[] {
 		return [...this.#byPart].filter(([, entries]) => [...entries.values()].every(({at}) => at < time)).map(([part]) => part);
@@ -152,8 +189,28 @@
 		this.#version += 1;
 	}
 
+	#recordEnd(start: ReplicaStart, at: number) {
+		if (!isTrial(start) && !this.#endedAt.has(start)) {
+			this.#endedAt.set(start, at);
+			deleteOldest(this.#endedAt, maxStarts);
+			this.#culprits = undefined;
+		}
+	}
+
+	/** Replicas that ended in a burst, whatever they ran. */
+	#findBursts(): ReadonlySet<ReplicaStart> {
+		const repeated = new Set([...this.#byPart.values()].filter(entries => countCrashes(withoutTrials(entries)) >= minCrashes).flatMap(entries => [...entries.keys()]));
+		const ends = [...this.#endedAt].toSorted(([, a], [, b]) => a - b);
+		return new Set(ends.filter(([, at]) => {
+			const near = ends.filter(([, other]) => Math.abs(other - at) <= burstWindowMs);
+			const unattributed = near.filter(([start]) => !repeated.has(start)).length;
+			return unattributed >= minUnattributed && unattributed >= minUnattributedShare * near.length;
+		}).map(([start]) => start));
+	}
+
 	#findCulprits(): readonly Culprit[] {
-		const unexplained = new Map([...this.#byPart].filter(([, entries]) => entries.size >= minCrashes).map(([part, entries]) => [part, withoutTrials(entries)]));
+		const bursts = this.#findBursts();
+		const unexplained = new Map([...this.#byPart].filter(([, entries]) => entries.size >= minCrashes).map(([part, entries]) => [part, without(withoutTrials(entries), bursts)]));
 		const suspects = this.#countSuspects();
 		const culprits: Culprit[] = [];
 		let next = likeliest(unexplained);
--- a/src/gateway/quarantine/part-quarantine.feature
+++ b/src/gateway/quarantine/part-quarantine.feature
@@ -98,6 +98,30 @@
     And "front-3" joins
     Then requests with the parts "a bad" are held back at all fronts
 
+  Scenario: A test that has shown nothing is taken back
+    # Guards against a part that is held back for a minute and longer, since its one test was refused or cancelled.
+    Given a replica crashes during requests with the parts "b" of "front-1"
+    And another replica crashes during requests with the parts "b" of "front-1"
+    When the time moves on by 3000 ms
+    And a request with the parts "b" is sent as a test at "front-1"
+    And the test at "front-1" ends without a verdict
+    And the time moves on by 3000 ms
+    Then a request with the parts "b" would be sent as a test at "front-1"
+
+  Scenario: The process that tests a part terminates
+    Given a replica crashes during requests with the parts "b" of "front-1"
+    And another replica crashes during requests with the parts "b" of "front-1"
+    When the time moves on by 3000 ms
+    And a request with the parts "b" is sent as a test at "front-1"
+    And "front-1" terminates
+    And the time moves on by 4000 ms
+    Then a request with the parts "b" would be sent as a test at "front-2"
+
+  Scenario: Replicas that end in a burst, whatever they run
+    # Guards against prompt parts of sound calls that are held back since they were in flight at some of the replicas.
+    When 6 volleys of 5 replicas end, 400 ms apart, of which 3 had requests with the part "a" of "front-1"
+    Then requests with the parts "a" may be sent at both fronts
+
   Scenario Outline: <parts> crashing part(s) among the calls of <fronts> fronts
     # The aims: five replicas a part, three requests later than 3 s after the fifth crash, and no sound request refused for long.
     Given <parts> crashing parts at 15 requests a second each, among the calls of <fronts> fronts
--- a/src/gateway/quarantine/part-quarantine.steps.ts
+++ b/src/gateway/quarantine/part-quarantine.steps.ts
@@ -11,7 +11,7 @@
 } from '../testing/part-crash-model.js';
 import {registrationOf} from '../testing/registrations.js';
 import type {MemberName} from '../types.js';
-import {PartQuarantine, type PartAnnouncement} from './part-quarantine.js';
+import {PartQuarantine, type PartAnnouncement, type PartTrial} from './part-quarantine.js';
 import {partKeysOf, type PartKey} from './prompt-part-keys.js';
 
 type PartsWorld = {
@@ -21,6 +21,7 @@
 	announcements: PartAnnouncement[];
 	load: Omit<PartLoad, 'random'>;
 	outcomes: readonly PartOutcome[];
+	trial: PartTrial;
 };
 
 const seeds = [1, 2, 3, 4, 5];
@@ -28,14 +29,17 @@
 /** Longer than the time within which crashes count as one, in milliseconds. */
 const betweenCrashesMs = 100;
 
+const betweenVolleysMs = 400;
+
 /** @param parts - Ids of parts, separated by spaces; the request's own part is added. */
 const keysOf = (parts: string): readonly PartKey[] => partKeysOf([...parts.split(' '), 'own'].map(id => ({id, tokens: 1})));
 
 const exchange = ({fronts}: PartsWorld, announcements: readonly PartAnnouncement[]) => {
-	announcements.forEach(({partCrashes = [], clearedParts = []}) => {
+	announcements.forEach(({partCrashes = [], clearedParts = [], withdrawnTrials = []}) => {
 		fronts.forEach(front => {
 			front.receiveCrashes(partCrashes);
 			front.receiveCleared(clearedParts);
+			front.receiveWithdrawn(withdrawnTrials);
 		});
 	});
 };
@@ -120,10 +124,34 @@
 });
 
 When('a request with the parts {string} is sent as a test at {string}', function (this: PartsWorld, parts: string, front: string) {
-	this.fronts.get(front)!.startTrial(keysOf(parts));
+	this.trial = this.fronts.get(front)!.startTrial(keysOf(parts));
+	announce(this);
+});
+
+When('the test at {string} ends without a verdict', function (this: PartsWorld, front: string) {
+	this.fronts.get(front)!.withdrawTrial(this.trial);
 	announce(this);
 });
 
+When('{string} terminates', function (this: PartsWorld, name: string) {
+	this.fronts.delete(name);
+	this.fronts.forEach(front => {
+		front.withdrawTrialsOf(branded<MemberName>(name));
+	});
+});
+
+When('6 volleys of 5 replicas end, 400 ms apart, of which 3 had requests with the part {string} of {string}', function (this: PartsWorld, part: string, front: string) {
+	crash(this, front, []);
+	Array.from({length: 6}).forEach(() => {
+		this.now += betweenVolleysMs;
+		[[part], [part], [part], [], []].forEach(parts => {
+			this.crashed += 1;
+			this.fronts.get(front)!.noteCrash(parts.flatMap(one => keysOf(one)), registrationOf(`r${this.crashed}`));
+		});
+		announce(this);
+	});
+});
+
 Then('requests with the parts {string} may be sent at both fronts', function (this: PartsWorld, parts: string) {
 	assert.deepEqual(heldMsOf(this, parts), [0, 0]);
 });
--- a/src/gateway/quarantine/part-quarantine.ts
+++ b/src/gateway/quarantine/part-quarantine.ts
@@ -40,8 +40,12 @@
 export type PartAnnouncement = {
 	readonly partCrashes?: readonly AnnouncedPartCrash[];
 	readonly clearedParts?: readonly ClearedPart[];
+	readonly withdrawnTrials?: readonly PartTrial[];
 };
 
+/** One request that tests parts. */
+export type PartTrial = ReplicaStart;
+
 /** How long parts are held back that may not be the cause, in milliseconds; the replicas that crashed are back after that. */
 const uncertainHoldMs = 2500;
 
@@ -79,12 +83,14 @@
 	#loggedParts = new Set<PartKey>();
 	readonly #announcedCrashes: RepeatedAnnouncements<ReplicaStart, TimedCrash>;
 	readonly #announcedCleared: RepeatedAnnouncements<PartKey, {readonly part: PartKey; readonly at: number}>;
+	readonly #announcedWithdrawn: RepeatedAnnouncements<PartTrial, PartTrial>;
 	#trials = 0;
 
 	constructor(parts: PartQuarantineParts) {
 		this.#parts = parts;
 		this.#announcedCrashes = new RepeatedAnnouncements(parts.clock, maxAnnounced);
 		this.#announcedCleared = new RepeatedAnnouncements(parts.clock, maxAnnounced);
+		this.#announcedWithdrawn = new RepeatedAnnouncements(parts.clock, maxAnnounced);
 	}
 
 	/** Whether crashes are recorded for any part. While there are none, no part of a request is needed. */
@@ -137,16 +143,39 @@
 	}
 
 	/** Records that a request with these parts is sent as their test. They are held back as if it had failed until it has succeeded: the process that sends it may be killed. */
-	startTrial(parts: readonly PartKey[]): void {
+	startTrial(parts: readonly PartKey[]): PartTrial {
 		const {self, clock, log} = this.#parts;
 		const tested = this.heldPartsOf(parts);
 		this.#trials += 1;
 		const trial = trialStart(self, `${Math.round(clock.wall())}-${this.#trials}`);
 		log.emit(gatewayEvents.partTested, {parts: tested});
 		this.#review(this.#record({start: trial, parts: tested, seenBy: self}, clock.now()));
+		return trial;
+	}
+
+	/** Takes a trial back that has shown nothing, so that another request can test its parts. */
+	withdrawTrial(trial: PartTrial): void {
+		this.#evidence.withdraw(trial);
+		this.#announcedCrashes.update(crash => crash.start === trial ? undefined : crash);
+		this.#announcedWithdrawn.set(trial, trial);
+		this.#parts.log.emit(gatewayEvents.partTestWithdrawn, {trial});
+		this.#events.emit('announcementDue');
+	}
+
+	/** Takes back the trials of a process that has terminated: nobody knows what they have shown. */
+	withdrawTrialsOf(process: MemberName): void {
+		this.receiveWithdrawn(this.#evidence.trialsOf(process));
+	}
+
+	/** Takes back trials that another process has withdrawn. */
+	receiveWithdrawn(trials: readonly PartTrial[]): void {
+		trials.forEach(trial => {
+			this.#evidence.withdraw(trial);
+			this.#announcedCrashes.update(crash => crash.start === trial ? undefined : crash);
+		});
 	}
 
-	/** Records that a replica has crashed at the beginning of its answer to a request with these parts. */
+	/** Records that a replica has crashed at the beginning of its answer to a request with these parts; without parts, that it has ended whatever it ran. */
 	noteCrash(parts: readonly PartKey[], replica: ReplicaRecord): void {
 		const {self, clock} = this.#parts;
 		this.#review(this.#record({start: startOf(replica), parts: parts.slice(0, maxPartsOfCrash), seenBy: self}, clock.now()));
@@ -181,7 +210,7 @@
 
 		this.#announcedCrashes.update(crash => {
 			const parts = crash.parts.filter(other => other !== part);
-			return parts.length > 0 ? {...crash, parts} : undefined;
+			return parts.length > 0 || crash.parts.length === 0 ? {...crash, parts} : undefined;
 		});
 		if (wasHeld) {
 			this.#parts.log.emit(gatewayEvents.partReleased, {part, reason});
@@ -239,9 +268,11 @@
 		const withAge = <T extends {readonly at: number}>({at, ...announced}: T) => ({...announced, agoMs: Math.max(0, Math.round(now - at))});
 		const crashes = this.#announcedCrashes.current().map(crash => withAge(crash));
 		const cleared = this.#announcedCleared.current().map(part => withAge(part));
+		const withdrawn = this.#announcedWithdrawn.current();
 		return {
 			partCrashes: crashes.length > 0 ? crashes : undefined,
 			clearedParts: cleared.length > 0 ? cleared : undefined,
+			withdrawnTrials: withdrawn.length > 0 ? withdrawn : undefined,
 		};
 	}
 
@@ -268,8 +299,9 @@
 
 	/** Records and announces what this process has seen. */
 	#record(crash: PartCrash, at: number): readonly PartKey[] {
+		const isNewEnd = !this.#evidence.hasEnd(crash.start);
 		const added = this.#evidence.record(crash, at);
-		if (added.length > 0) {
+		if (added.length > 0 || isNewEnd) {
 			this.#announce([{...crash, parts: added, at}]);
 			this.#events.emit('announcementDue');
 		}
--- a/src/gateway/quarantine/quarantine-records.steps.ts
+++ b/src/gateway/quarantine/quarantine-records.steps.ts
@@ -54,7 +54,7 @@
 	});
 };
 
-const isHeld = (world: RecordsWorld, name: string): boolean => processOf(world, name).quarantine.heldMs(content, 'online') > 0;
+const isHeld = (world: RecordsWorld, name: string): boolean => processOf(world, name).quarantine.heldMs(content) > 0;
 
 const recordsIn = ({api}: RecordsWorld) => api.all('Quarantine').filter(({name}) => name === content);
 
--- a/src/gateway/quarantine/quarantine.feature
+++ b/src/gateway/quarantine/quarantine.feature
@@ -6,12 +6,12 @@
     Given a request during which 2 replicas have crashed
     Then it may be sent
     When another replica crashes during it
-    Then it is held back for 30 seconds as a call and for 10 as an item
+    Then it is held back for 30 seconds
 
   Scenario: Crashes count whichever process sent the request
     Given a request during which 1 replica has crashed
     When a peer announces 2 other replicas that crashed during it
-    Then it is held back for 30 seconds as a call and for 10 as an item
+    Then it is held back for 30 seconds
 
   Scenario: A crash counts once, however many processes detected it
     Given a request during which 2 replicas have crashed
@@ -21,7 +21,7 @@
   Scenario: A replica that restarts under its id can crash again
     Given a request during which 2 replicas have crashed
     When another start of one of these replicas crashes during it
-    Then it is held back for 30 seconds as a call and for 10 as an item
+    Then it is held back for 30 seconds
 
   Scenario: It is tried again, less often each time
     # The fault may have been fixed at the replicas; a caller that retries forever must not crash one every half minute.
@@ -29,7 +29,7 @@
     When the clock moves on by 30 seconds
     Then it may be sent
     When another replica crashes during it
-    Then it is held back for 60 seconds as a call and for 20 as an item
+    Then it is held back for 60 seconds
 
   Scenario: A completed run clears a request
     Given a request during which 2 replicas have crashed
--- a/src/gateway/quarantine/quarantine.ts
+++ b/src/gateway/quarantine/quarantine.ts
@@ -5,7 +5,6 @@
 */
 import {EventEmitter} from 'node:events';
 import type {Clock, EventLog} from '../../common/services.js';
-import type {LoadKind} from '../load-board.js';
 import {gatewayEvents} from '../log-events.js';
 import {RepeatedAnnouncements} from '../peers/repeated-announcements.js';
 import type {ReplicaRecord} from '../types.js';
@@ -36,9 +35,9 @@
 /**
 How long a request is held back after its last crash, in milliseconds; the time doubles with each further crash. Afterwards it is tried again, since it may not be the cause: three replicas that end at once for another reason may all have been running the same popular request. One completed run clears it.
 
-A client that keeps repeating a request that crashes replicas ends four of them in the five minutes after that, instead of several in a second; a popular request that is held back wrongly is unavailable for half a minute. An item of a batch job is due within some tens of seconds, and is tried sooner.
+A client that keeps repeating a request that crashes replicas ends four of them in the five minutes after that, instead of several in a second; a popular request that is held back wrongly is unavailable for half a minute.
 */
-const initialHoldMs: Readonly<Record<LoadKind, number>> = {online: 30_000, batch: 10_000};
+const initialHoldMs = 30_000;
 
 /** The longest time for which a request is held back, in milliseconds. */
 const maxHoldMs = 3_600_000;
@@ -98,14 +97,14 @@
 		this.#events.on('cleared', listener);
 	}
 
-	/** @returns For how many more milliseconds a request is not to be sent; 0 where it may be. */
-	heldMs(content: ContentDigest, kind: LoadKind): number {
+	/** @returns For how many more milliseconds a call is not to be sent; 0 where it may be. */
+	heldMs(content: ContentDigest): number {
 		const crashes = this.#history.countOf(content);
 		if (crashes < crashThreshold) {
 			return 0;
 		}
 
-		const holdMs = Math.min(maxHoldMs, initialHoldMs[kind] * (2 ** (crashes - crashThreshold)));
+		const holdMs = Math.min(maxHoldMs, initialHoldMs * (2 ** (crashes - crashThreshold)));
 		return Math.max(0, this.#history.lastCrashAt(content) + holdMs - this.#parts.clock.now());
 	}
 
@@ -207,7 +206,7 @@
 	#record(crash: Crash, at: number): boolean {
 		const isNew = this.#history.record(crash, at);
 		const {content} = crash;
-		const heldMs = this.heldMs(content, 'online');
+		const heldMs = this.heldMs(content);
 		if (isNew && heldMs > 0) {
 			this.#held.add(content);
 			this.#parts.log.emit(gatewayEvents.contentQuarantined, {content, crashes: this.#history.countOf(content), heldMs: Math.round(heldMs)});
--- a/src/gateway/quarantine/tracked-content.ts
+++ b/src/gateway/quarantine/tracked-content.ts
@@ -1,14 +1,13 @@
 /**
-Applies the quarantine to one request over all its runs: tells whether it may be sent, and records the crashes and completions of its runs.
+Applies the quarantine to one call over all its runs: tells whether it may be sent, and records the crashes and completions of its runs.
 */
 import type {Clock, EventLog} from '../../common/services.js';
 import type {ReplicaReachability} from '../contacts/replica-reachability.js';
-import type {LoadKind} from '../load-board.js';
 import {gatewayEvents} from '../log-events.js';
 import type {Replica} from '../replica.js';
 import type {PromptPart} from '../types.js';
 import {contentDigest, type ContentDigest, type RequestContent} from './content-digest.js';
-import type {PartQuarantine} from './part-quarantine.js';
+import type {PartQuarantine, PartTrial} from './part-quarantine.js';
 import {partKeysOf, type PartKey} from './prompt-part-keys.js';
 import type {Quarantine} from './quarantine.js';
 import {RunProgress} from './run-progress.js';
@@ -46,19 +45,20 @@
 /** See the module's head. */
 export class TrackedContent {
 	readonly #parts: TrackedContentParts;
-	readonly #kind: LoadKind;
 	readonly #request: TrackedRequest;
 	readonly #progress: RunProgress;
 	#digest: ContentDigest | undefined;
 	#partKeys: readonly PartKey[] | undefined;
-	/** Whether it is being sent to test the parts by which it was held back. */
-	#isTrial = false;
+	/** Set while it is being sent to test the parts by which it was held back. */
+	#trial: PartTrial | undefined;
+	/** Connections of which it is not known yet whether their replicas have ended. */
+	#pendingChecks = 0;
+	#isOver = false;
 	/** The crashes that were recorded when its parts were last reported as sound. */
 	#reportedVersion = 0;
 
-	constructor(parts: TrackedContentParts, kind: LoadKind, request: TrackedRequest) {
+	constructor(parts: TrackedContentParts, request: TrackedRequest) {
 		this.#parts = parts;
-		this.#kind = kind;
 		this.#request = request;
 		this.#progress = new RunProgress(parts.clock);
 	}
@@ -90,7 +90,7 @@
 	/** For how many more milliseconds the request is not to be sent; 0 where it may be. */
 	get heldMs(): number {
 		const {partQuarantine} = this.#parts;
-		const partsHeldMs = partQuarantine.hasSuspects && !this.#isTrial ? partQuarantine.heldMs(this.partKeys) : 0;
+		const partsHeldMs = partQuarantine.hasSuspects && !this.#trial ? partQuarantine.heldMs(this.partKeys) : 0;
 		return Math.max(this.#contentHeldMs, partsHeldMs);
 	}
 
@@ -119,8 +119,7 @@
 	/** To be called before it is sent. @returns For how many more milliseconds it is not to be sent; 0 where it may be. */
 	claimRun(): number {
 		if (this.#isTrialDue) {
-			this.#isTrial = true;
-			this.#parts.partQuarantine.startTrial(this.partKeys);
+			this.#trial = this.#parts.partQuarantine.startTrial(this.partKeys);
 		}
 
 		return this.heldMs;
@@ -149,9 +148,20 @@
 	/** Records that its connection broke during a run. Resolves once it is known whether the replica has ended. */
 	async noteConnectionLost(replica: Replica): Promise<void> {
 		const run = this.#currentRun;
-		if (await this.#parts.reachability.hasEnded(replica)) {
+		this.#pendingChecks += 1;
+		const hasEnded = await this.#parts.reachability.hasEnded(replica);
+		this.#pendingChecks -= 1;
+		if (hasEnded) {
 			this.#noteCrash(replica, run);
 		}
+
+		this.#withdrawUndecided();
+	}
+
+	/** Records that it will not be sent again. */
+	noteOver(): void {
+		this.#isOver = true;
+		this.#withdrawUndecided();
 	}
 
 	/** Records that the replica has ended during a run, if that is known already. */
@@ -173,12 +183,12 @@
 
 	get #contentHeldMs(): number {
 		const {quarantine} = this.#parts;
-		return quarantine.hasSuspects ? quarantine.heldMs(this.digest, this.#kind) : 0;
+		return quarantine.hasSuspects ? quarantine.heldMs(this.digest) : 0;
 	}
 
 	get #isTrialDue(): boolean {
 		const {partQuarantine} = this.#parts;
-		return !this.#isTrial && partQuarantine.hasSuspects && this.#contentHeldMs === 0 && partQuarantine.isTrialDue(this.partKeys);
+		return !this.#trial && partQuarantine.hasSuspects && this.#contentHeldMs === 0 && partQuarantine.isTrialDue(this.partKeys);
 	}
 
 	/** The next run may have begun when it is known how this one ended. */
@@ -189,14 +199,23 @@
 	#noteCrash({record}: Replica, {fields, suspects}: RunOfRequest) {
 		const {quarantine, partQuarantine, log} = this.#parts;
 		log.emit(gatewayEvents.replicaTerminated, {replica: record.id, ...fields});
-		this.#isTrial = false;
+		this.#trial = undefined;
 		quarantine.noteCrash(this.digest, record);
 		partQuarantine.noteCrash(suspects, record);
 	}
 
+	/** A trial that was refused, misdirected or cancelled has shown nothing; otherwise its parts would stay held back as if it had failed. */
+	#withdrawUndecided() {
+		if (this.#trial && this.#isOver && this.#pendingChecks === 0) {
+			this.#parts.partQuarantine.withdrawTrial(this.#trial);
+			this.#trial = undefined;
+		}
+	}
+
 	#reportSound() {
 		const {partQuarantine} = this.#parts;
 		partQuarantine.noteSound(this.partKeys);
+		this.#trial = undefined;
 		this.#reportedVersion = partQuarantine.version;
 	}
 }
--- a/src/gateway/testing/part-crash-model.ts
+++ b/src/gateway/testing/part-crash-model.ts
@@ -11,7 +11,9 @@
 import {registrationOf} from './registrations.js';
 
 /** The part of a quarantine that the model drives. */
-export type PartTable = Pick<PartQuarantine, 'heldMs' | 'isTrialDue' | 'startTrial' | 'noteCrash' | 'noteSound' | 'version'>;
+export type PartTable = Pick<PartQuarantine, 'heldMs' | 'isTrialDue' | 'noteCrash' | 'noteSound' | 'version'> & {
+	readonly startTrial: (parts: readonly PartKey[]) => unknown;
+};
 
 /** The simulated load. */
 export type PartLoad = {
