Bytes without end are bounded in heads, events, items and answers of the store

Calls were bounded by time alone, items not at all. A head has 64 KiB in all, an event 1 MiB, an item's text as many events as it has tokens, answers of the store and of peers 32 MiB; an answer to an item that is no stream ends after 2.5 s. The connection is closed, the run counts against the replica, and the next one goes on.

--- a/src/gateway/batch/item-run.ts
+++ b/src/gateway/batch/item-run.ts
@@ -19,9 +19,9 @@
 import type {BatchItem} from './batch-records.js';
 
 /**
-The outcome of a run. `finished`: the text is complete. `failed`: the replica answered that the run failed. `hopeless`: the item can never succeed, as the replica answered, or since it is no request that can be sent. `declined`: it did not run the item. `unreachable`: the item was not run, since no connection could be made. `misdirected`: it was not run, since another replica has the address. `lost`: the connection broke. `broken`: the replica became unresponsive, or sent unusable data. After `lost` and `broken`, the next run can resume from the text received so far. `cut`: this process cancelled the run.
+The outcome of a run. `finished`: the text is complete. `failed`: the replica answered that the run failed. `hopeless`: the item can never succeed, as the replica answered, or since it is no request that can be sent. `declined`: it did not run the item. `unreachable`: the item was not run, since no connection could be made. `misdirected`: it was not run, since another replica has the address. `lost`: the connection broke. `broken`: the replica became unresponsive, or sent unusable data. `endless`: it sent more than an item can have, so that the text is worth nothing. After `lost` and `broken`, the next run can resume from the text received so far. `cut`: this process cancelled the run.
 */
-export type ItemRunEnd = 'finished' | 'failed' | 'hopeless' | 'declined' | 'unreachable' | 'misdirected' | 'lost' | 'broken' | 'cut';
+export type ItemRunEnd = 'finished' | 'failed' | 'hopeless' | 'declined' | 'unreachable' | 'misdirected' | 'lost' | 'broken' | 'endless' | 'cut';
 
 /** Called once, at the end of a run. */
 export type ItemRunListener = (end: ItemRunEnd, reason: string) => void;
@@ -54,6 +54,16 @@
 /** An engine may be full of online calls for a second or two; a run that receives no byte for longer than `silenceMs` has lost its replica or its connection. */
 const timeouts: AttemptTimeouts = {silenceMs: 2500, canFailOver: true};
 
+/** Bytes may arrive for this long, in milliseconds, without an event being complete: comments, or an event without an end. */
+const maxEventGapMs = 10_000;
+
+/** The text of an answer that is no stream is of no use, and is received for this long at most, in milliseconds, and up to this many bytes. */
+const otherAnswerMs = 2500;
+const maxOtherAnswerBytes = 1_048_576;
+
+/** The maximum size of an item's text, in characters: more than an answer can list. */
+const maxTextLength = 4_194_304;
+
 const lineEnd = /\r\n?/gv;
 
 /** The HTTP method with which every item is sent. */
@@ -96,6 +106,10 @@
 	#hasStrayEvent = false;
 	#hasEnded = false;
 	#isReported = false;
+	#textLength: number;
+	#otherBytes = 0;
+	/** Ends an answer that goes on without bringing the item further. */
+	#progressTimer: NodeJS.Timeout | undefined;
 	readonly #guard: RequestGuard;
 
 	constructor(parts: ItemRunParts) {
@@ -106,6 +120,7 @@
 		this.replica = replica;
 		this.#pace = new StreamPace(replica.pace, clock);
 		this.#resumedAfter = events.length;
+		this.#textLength = events.reduce((sum, event) => sum + event.length, 0);
 		this.#framer = new EventFramer(events.length);
 		this.#guard = new RequestGuard(parts, {kind: 'item', id: () => item.id}, () => {
 			this.#endByDefect();
@@ -126,6 +141,7 @@
 			listener: {
 				onHead: head => {
 					this.#head = head;
+					this.#awaitProgress();
 				},
 				onBytes: bytes => {
 					this.#guard.run(() => {
@@ -157,24 +173,77 @@
 	}
 
 	#onBytes(bytes: Buffer) {
-		if (this.#isStream) {
-			this.#parts.onChunk();
-			this.#pace.noteChunk(bytes);
+		if (!this.#isStream) {
+			this.#discard(bytes);
+			return;
 		}
 
-		if (this.#isStream && !this.#hasStrayEvent) {
+		this.#parts.onChunk();
+		this.#pace.noteChunk(bytes);
+
+		if (!this.#hasStrayEvent) {
 			// After a lone CR the parser waits for the next character, and would never emit the last event.
 			this.#parser.feed(this.#framer.feed(bytes).toString().replaceAll(lineEnd, '\n'));
 		}
+
+		if (this.#framer.isEventTooLong) {
+			this.#endEarly('broken', 'an event without an end');
+		}
+	}
+
+	#discard(bytes: Buffer) {
+		this.#otherBytes += bytes.length;
+		if (this.#otherBytes > maxOtherAnswerBytes) {
+			this.#endEarly(this.#endOfAnswer(), `status ${this.#head?.status ?? 0} without an end`);
+		}
+	}
+
+	/** Starts to wait for the next event, or for the end of an answer that is no stream. */
+	#awaitProgress() {
+		clearTimeout(this.#progressTimer);
+		this.#progressTimer = setTimeout(() => {
+			this.#guard.run(() => {
+				this.#endEarly(this.#isStream ? 'broken' : this.#endOfAnswer(), 'the answer goes on without bringing the item further');
+			});
+		}, this.#isStream ? maxEventGapMs : otherAnswerMs);
+	}
+
+	/** Closes the connection, so that the replica stops its work at once. */
+	#endEarly(end: ItemRunEnd, reason: string) {
+		if (this.#hasEnded) {
+			return;
+		}
+
+		this.#hasEnded = true;
+		this.#attempt.dispose();
+		this.#report(end, reason);
 	}
 
 	/** The ids of events count from 1 without gaps. */
 	#onEvent({id, data}: EventSourceMessage) {
+		if (this.#hasEnded) {
+			return;
+		}
+
 		const {events} = this.#parts;
 		this.#hasStrayEvent ||= Number(id) !== events.length + 1;
-		if (!this.#hasStrayEvent) {
-			events.push(data);
+		if (this.#hasStrayEvent) {
+			return;
 		}
+
+		events.push(data);
+		this.#textLength += data.length;
+		this.#progressTimer?.refresh();
+		if (this.#isTextTooLong) {
+			events.length = 0;
+			this.#endEarly('endless', 'more events or text than an item can have');
+		}
+	}
+
+	/** An event brings one token at least, and an item states its tokens, those of its prompt included. */
+	get #isTextTooLong(): boolean {
+		const {item: {tokens}, events} = this.#parts;
+		return this.#textLength > maxTextLength || (tokens > 0 && events.length > tokens);
 	}
 
 	get #isStream(): boolean {
@@ -216,6 +285,7 @@
 
 	#report(end: ItemRunEnd, reason: string) {
 		this.#isReported = true;
+		clearTimeout(this.#progressTimer);
 		this.#parts.onEnd(end, reason);
 	}
 
--- a/src/gateway/batch/item-sender.ts
+++ b/src/gateway/batch/item-sender.ts
@@ -61,6 +61,9 @@
 		declined: replica => {
 			replica.noteFull(this.#parts.clock.now());
 		},
+		endless: replica => {
+			replica.noteFailure(this.#parts.clock.now());
+		},
 	};
 
 	readonly #onTrackedEnd: Readonly<Partial<Record<ItemRunEnd, (state: ItemState, replica: Replica) => void>>> = {
--- a/src/gateway/batch/job-run.ts
+++ b/src/gateway/batch/job-run.ts
@@ -43,7 +43,7 @@
 
 /** After a run that did not succeed, milliseconds until the next one: a replica that fails at once must not be retried without a delay. */
 const retryDelaysMs: Readonly<Partial<Record<ItemRunEnd, number>>> = {
-	failed: 200, declined: 150, unreachable: 100, misdirected: 100, lost: 50, broken: 50,
+	failed: 200, endless: 200, declined: 150, unreachable: 100, misdirected: 100, lost: 50, broken: 50,
 };
 
 /** Dependencies of a run. */
@@ -136,7 +136,7 @@
 			return;
 		}
 
-		if (end === 'failed') {
+		if (end === 'failed' || end === 'endless') {
 			this.#parts.failedRuns.addOwn(state.item.id, replica);
 		}
 
--- a/src/gateway/calls/attempt.ts
+++ b/src/gateway/calls/attempt.ts
@@ -84,6 +84,9 @@
 
 const misdirectedStatus = 421;
 
+/** Maximum size of the text of a refusal, which nobody reads, in bytes. */
+const maxDiscardedBytes = 65_536;
+
 /** Share of the inactivity time-out in which this process must have been running. The rest may have passed in pauses of the process, during which the replica could have answered. */
 const minRunningShare = 1 / 2;
 
@@ -102,6 +105,7 @@
 	#isFramed = true;
 	#canFailOver: boolean;
 	#refusal: AttemptEnd | undefined;
+	#discardedBytes = 0;
 
 	constructor(parts: AttemptParts) {
 		this.#parts = parts;
@@ -144,6 +148,11 @@
 		this.#restartInactivityTimer();
 	}
 
+	/** Ends the attempt as one whose answer was lost, since what the replica sends cannot be used. */
+	breakOff(reason: string): void {
+		this.#abort({kind: 'lost', reason});
+	}
+
 	/** Closes the connection, so that the replica stops its work at once. */
 	dispose(): void {
 		this.#abort({kind: 'dropped'});
@@ -281,7 +290,12 @@
 	}
 
 	#onBytes(bytes: Buffer) {
-		if (this.#isOver || this.#refusal) {
+		if (this.#isOver) {
+			return;
+		}
+
+		if (this.#refusal) {
+			this.#discard(bytes);
 			return;
 		}
 
@@ -289,6 +303,14 @@
 		this.#parts.listener.onBytes(bytes);
 	}
 
+	/** The connection of a refusal can carry the next call, unless its text does not end. */
+	#discard(bytes: Buffer) {
+		this.#discardedBytes += bytes.length;
+		if (this.#discardedBytes > maxDiscardedBytes) {
+			this.#abort({kind: 'lost', reason: 'a refusal without an end'});
+		}
+	}
+
 	#onActivity() {
 		this.#parts.reachability.noteBytes();
 		this.#restartInactivityTimer();
--- a/src/gateway/calls/caller-answer.ts
+++ b/src/gateway/calls/caller-answer.ts
@@ -118,6 +118,11 @@
 		return this.#mode !== 'events' || this.#framer.isInOrder;
 	}
 
+	/** Whether the run sends an event that does not end. */
+	get isEventTooLong(): boolean {
+		return this.#mode === 'events' && this.#framer.isEventTooLong;
+	}
+
 	/** Whether the run that ended without an error completes the caller's answer. It does not if it ended within an event, or if the caller has part of a stream and the run answered something else. */
 	get isComplete(): boolean {
 		return this.#completeness[this.#mode]();
--- a/src/gateway/calls/event-framer.ts
+++ b/src/gateway/calls/event-framer.ts
@@ -72,11 +72,15 @@
 /** Stands in for a longer text: one character for a field or for a comment, then the line ends at the end of the text. */
 const abridged = (rest: string): string => (fieldPattern.test(rest) ? 'd' : ':') + rest.slice(-boundaryTailLength).replace(/^[\s\S]*[^\r\n]/v, '');
 
+/** Maximum size of one event, in bytes: as much as an answer that lists results may have. */
+export const maxEventBytes = 1_048_576;
+
 /** Splits one stream across all its runs. */
 export class EventFramer {
 	readonly #firstId: number;
 	/** Chunks that arrived after the last complete event. Joining them on each arrival would make the cost of an event of many chunks quadratic in its length. */
 	#pending: Buffer[] = [];
+	#pendingBytes = 0;
 	/** The last bytes of these chunks, in which a boundary may have started. */
 	#boundaryTail: Buffer = empty;
 	#lastId: number;
@@ -106,6 +110,11 @@
 		return this.#isNumbered;
 	}
 
+	/** Whether an event has become longer than any may be. */
+	get isEventTooLong(): boolean {
+		return this.#pendingBytes > maxEventBytes;
+	}
+
 	/** The bytes that arrived after the last complete event. */
 	get remainder(): Buffer {
 		return Buffer.concat(this.#pending);
@@ -127,6 +136,7 @@
 		const searched = this.#boundaryTail.length > 0 ? Buffer.concat([this.#boundaryTail, bytes]) : bytes;
 		const end = endOfEvents(searched);
 		this.#pending.push(bytes);
+		this.#pendingBytes += bytes.length;
 		if (end === 0) {
 			this.#boundaryTail = searched.subarray(-boundaryTailLength);
 			return empty;
@@ -146,6 +156,7 @@
 
 	#setRemainder(rest: Buffer) {
 		this.#pending = rest.length > 0 ? [rest] : [];
+		this.#pendingBytes = rest.length;
 		this.#boundaryTail = rest.subarray(-boundaryTailLength);
 	}
 
--- a/src/gateway/calls/online-call.ts
+++ b/src/gateway/calls/online-call.ts
@@ -385,6 +385,11 @@
 			this.#run?.allowFailOver();
 		}
 
+		if (this.#answer.isEventTooLong) {
+			this.#run?.breakOff('an event without an end');
+			return;
+		}
+
 		if (!this.#answer.isInOrder) {
 			this.#run?.dispose();
 			this.#final.cut('an event of the stream is missing or came twice');
--- a/src/gateway/calls/replica-run.ts
+++ b/src/gateway/calls/replica-run.ts
@@ -131,6 +131,11 @@
 		}
 	}
 
+	/** See `Attempt`. */
+	breakOff(reason: string): void {
+		this.#attempt.breakOff(reason);
+	}
+
 	/** Closes the connection, so that the replica stops its work at once. */
 	dispose(): void {
 		this.#attempt.dispose();
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -118,6 +118,9 @@
 const registrationPaceMs = 200;
 const maxRegistrationPaceMs = 600;
 
+/** Maximum size of a peer's answer, in bytes: more than a page of objects with all names and escapes. */
+const maxAnswerBytes = 33_554_432;
+
 /** Pause before the next watch of job records, in milliseconds. Many are written each second; what is needed sooner is read explicitly. */
 const recordPaceMs = 250;
 
@@ -228,7 +231,7 @@
 		const rateLimits = new RateLimits({
 			clock, log, tolerance: settings.rateLimitTolerance, registeredCount: () => this.#registry.addresses.length, livePeers: () => peers.names,
 		});
-		const http = new HttpClient();
+		const http = new HttpClient({maxResponseBytes: maxAnswerBytes});
 		const countBytes = (cause: string, address: string, bytes: number) => {
 			this.#traffic.add(cause, address, bytes);
 		};
--- a/src/gateway/replica-connection-pool.ts
+++ b/src/gateway/replica-connection-pool.ts
@@ -16,6 +16,11 @@
 /** Undici's connect time-out; the attempt has a shorter one with exact timing. */
 const undiciConnectTimeoutMs = 5000;
 
+/** Maximum size of an answer's head, interim answers included, in bytes; header lines may have a quarter of it. */
+const maxHeadBytes = 65_536;
+
+const lowestFinalStatus = 200;
+
 /** Sockets stay writable after the replica has ended the connection, so that a reset can still be detected. */
 const connect = buildConnector({timeout: undiciConnectTimeoutMs, allowH2: false, allowHalfOpen: true});
 
@@ -70,7 +75,22 @@
 	}
 
 	dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
-		this.#client.dispatch(options, handler);
+		this.#client.dispatch(options, {
+			...handler,
+			onRequestStart: (controller, context) => {
+				this.#socketWatch.expectHead(maxHeadBytes, () => {
+					controller.abort(new Error(`the head of the answer is longer than ${maxHeadBytes} bytes`));
+				});
+				handler.onRequestStart?.(controller, context);
+			},
+			onResponseStart: (controller, status, ...head) => {
+				if (status >= lowestFinalStatus) {
+					this.#socketWatch.expectNoHead();
+				}
+
+				handler.onResponseStart?.(controller, status, ...head);
+			},
+		});
 	}
 
 	/** Frees the connection for another request, after a complete and valid answer. */
--- a/src/io/http-client.ts
+++ b/src/io/http-client.ts
@@ -88,11 +88,22 @@
 
 const codeOf = (err: unknown) => (err as {code?: string}).code ?? '';
 
+/** Limits of a client. */
+export type HttpClientOptions = {
+	/** The maximum size of a response's body, in bytes; a longer one fails and its connection is closed. Unlimited by default. */
+	readonly maxResponseBytes?: number;
+};
+
 /** Sends requests over pooled keep-alive connections. */
 export class HttpClient implements Disposable {
 	readonly #pools = new Map<string, Agent>();
+	readonly #limits: {readonly maxResponseSize?: number};
 	#disposed = false;
 
+	constructor({maxResponseBytes}: HttpClientOptions = {}) {
+		this.#limits = maxResponseBytes === undefined ? {} : {maxResponseSize: maxResponseBytes};
+	}
+
 	/**
 	Sends a request and waits for the head of the response.
 
@@ -129,7 +140,7 @@
 		};
 
 		req.signal?.addEventListener('abort', forwardAbort, {once: true});
-		const dispatcher = req.fresh ? new WatchedClient(`http://${req.address}`, dispatcherOptions) : this.#poolFor(req.address);
+		const dispatcher = req.fresh ? new WatchedClient(`http://${req.address}`, {...dispatcherOptions, ...this.#limits}) : this.#poolFor(req.address);
 		try {
 			const res = await request.call(dispatcher, {
 				origin: `http://${req.address}`,
@@ -184,7 +195,7 @@
 			return existing;
 		}
 
-		const pool = new Agent(poolOptions);
+		const pool = new Agent({...poolOptions, ...this.#limits});
 		this.#pools.set(address, pool);
 		return pool;
 	}
--- a/src/io/socket-watch.ts
+++ b/src/io/socket-watch.ts
@@ -13,15 +13,37 @@
 	#socket: Socket | undefined;
 	#hasFailed = false;
 	#countedBytes = 0;
+	/** The number of bytes read above which the head of a response is too long, while one is awaited. */
+	#headLimit = Infinity;
+	#onHeadTooLong: (() => void) | undefined;
 
 	/** @param socket - Socket of the new connection; it must stay writable after the server has closed its side (`allowHalfOpen`). `null` if the connection could not be established. */
 	track(socket: Socket | null): void {
 		this.#socket = socket ?? undefined;
 		this.#hasFailed = false;
 		this.#countedBytes = 0;
+		this.expectNoHead();
 		socket?.once('error', () => {
 			this.#hasFailed = true;
 		});
+		socket?.on('readable', () => {
+			this.#checkHead();
+		});
+	}
+
+	/**
+	Bounds the head of the next response, interim responses included. The parser's own bound covers header lines only: a reason phrase, or a series of interim responses, may go on for ever.
+
+	@param onTooLong - Called at most once, if more bytes were read before {@link expectNoHead} is called.
+	*/
+	expectHead(maxBytes: number, onTooLong: () => void): void {
+		this.#headLimit = (this.#socket?.bytesRead ?? 0) + maxBytes;
+		this.#onHeadTooLong = onTooLong;
+	}
+
+	/** The head has been received, or is no longer awaited. */
+	expectNoHead(): void {
+		this.#headLimit = Infinity;
 	}
 
 	/** @returns Bytes sent and received on the connection since the last call. */
@@ -45,4 +67,18 @@
 			});
 		});
 	}
+
+	/** What has been read may include the head and a long part of the body, so the parser gets it first. */
+	#checkHead() {
+		if ((this.#socket?.bytesRead ?? 0) <= this.#headLimit) {
+			return;
+		}
+
+		setImmediate(() => {
+			if ((this.#socket?.bytesRead ?? 0) > this.#headLimit) {
+				this.expectNoHead();
+				this.#onHeadTooLong?.();
+			}
+		});
+	}
 }
