Job records: watches that may lag confirm nothing

One front polls the records for all every 700 ms now, as it did for configuration and registrations; an empty answer needs a confirmation of the last 950 ms. batch-jobs.feature, both scenarios with lagging watches, fail on.

--- a/src/gateway/batch/job-reader.ts
+++ b/src/gateway/batch/job-reader.ts
@@ -42,13 +42,15 @@
 	readonly contents: ContentStore;
 	readonly clock: Clock;
 	readonly log: EventLog;
+	/** When the records were last confirmed to be current, by this process or a peer, in milliseconds on the monotonic clock. */
+	readonly confirmedAt: () => number;
 };
 
 /** The maximum size of an answer, in bytes of JSON; it holds one result at least. */
 const maxPageBytes = 900_000;
 
-/** If the object API has not answered for this long, in milliseconds, another process may have returned results that are not cached here. */
-const maxCacheAgeMs = 2500;
+/** If the records have not been confirmed for this long, in milliseconds, another process may have returned results that are not cached here. */
+const maxCacheAgeMs = 950;
 
 /** A record of a job's end that could not be written is retried for this long, in milliseconds, even though the caller was told that the end is uncertain. */
 const endWriteTimeoutMs = 20_000;
@@ -187,8 +189,8 @@
 	}
 
 	async #isCacheFresh(): Promise<boolean> {
-		const {feed, clock} = this.#parts;
-		return clock.now() - feed.currentAsOf < maxCacheAgeMs || feed.sync();
+		const {feed, clock, confirmedAt} = this.#parts;
+		return clock.now() - confirmedAt() < maxCacheAgeMs || feed.sync();
 	}
 }
 
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -135,6 +135,9 @@
 const checkMs = ({catchUpMs, objectApi: {timeoutMs}}: FrontSettings, changeMs: number) =>
 	Math.max(minWatchMs, Math.min(catchUpMs - timeoutMs - catchUpMarginMs, changeMs - timeoutMs - changeMarginMs));
 
+/** Interval of the shared checks of job records, in milliseconds. Their watches may be answered by a copy that is seconds old, but a result that was read at one process must be known at all within a second, and items of an ended job must not begin for longer than a few. */
+const recordCheckMs = 700;
+
 /** Longest time that a call takes to reach its replica after it was sent, in milliseconds. */
 const deliveryMs = 100;
 
@@ -362,6 +365,9 @@
 			feeds: [
 				{kind: 'GatewayConfig', feed: configFeed, intervalMs: checkMs(settings, settings.configMs)},
 				{kind: 'Registration', feed: replicaFeed, intervalMs: checkMs(settings, settings.drainMs)},
+				{
+					kind: 'BatchRecord', feed: recordFeed, intervalMs: recordCheckMs, lagMs: 2 * recordPaceMs,
+				},
 			],
 			announce: () => {
 				this.#announcer.announceSoon();
@@ -387,7 +393,7 @@
 				keeperPool: new KeeperPool({rpc, keeperAddresses: () => this.#registry.keeperAddresses, toleratedLosses: settings.toleratedLosses}),
 			}),
 			reader: new JobReader({
-				api, feed: recordFeed, jobIndex, contents, clock, log,
+				api, feed: recordFeed, jobIndex, contents, clock, log, confirmedAt: () => this.#checks.lastConfirmedAt('BatchRecord'),
 			}),
 		});
 		this.#readyServer = createServer((req, res) => {
--- a/src/gateway/object-feed.ts
+++ b/src/gateway/object-feed.ts
@@ -122,7 +122,12 @@
 		return this.#lastAnswerAt;
 	}
 
-	/** All changes made before this time have been received; milliseconds on the monotonic clock. An answer that was read late, after a pause of this process, counts from the time at which it can have arrived at the earliest. */
+	/** Whether watches may be answered by a lagging copy, so that they do not confirm that the objects are current. */
+	get mayLag(): boolean {
+		return this.#options.mayLag;
+	}
+
+	/** All changes made before this time have been received; milliseconds on the monotonic clock. Answers that may come from a lagging copy do not count. An answer that was read late, after a pause of this process, counts from the time at which it can have arrived at the earliest. */
 	get currentAsOf(): number {
 		return this.#currentAsOf;
 	}
@@ -241,7 +246,7 @@
 		return batch.caseOf({
 			Left: err => this.#handleError(err),
 			Right: changes => {
-				this.#apply(changes, since, this.#earliestAnswerAt(startedAt));
+				this.#apply(changes, since, mayLag ? -Infinity : this.#earliestAnswerAt(startedAt));
 				return true;
 			},
 		});
@@ -291,7 +296,7 @@
 	/**
 	Ignores an answer that another one has overtaken: its further changes are returned by the next watch, and a removal in it could undo a later creation under the same name.
 
-	@param earliestAt - Earliest time at which the answer can have been given, in milliseconds on the monotonic clock.
+	@param earliestAt - Earliest time at which the answer can have been given, in milliseconds on the monotonic clock; `-Infinity` if it may lag.
 	@returns Whether the state covers the answer.
 	*/
 	#apply({events, version}: WatchBatch, since: Revision, earliestAt: number): boolean {
--- a/src/gateway/peers/shared-checks.ts
+++ b/src/gateway/peers/shared-checks.ts
@@ -25,6 +25,8 @@
 	readonly feed: ObjectFeed;
 	/** Milliseconds after the last confirmation, here or at a peer, until a poll is due. */
 	readonly intervalMs: number;
+	/** Milliseconds within which its watch usually delivers a change that a peer announces; 150 by default. */
+	readonly lagMs?: number;
 };
 
 /** Dependencies of the checks. */
@@ -43,7 +45,7 @@
 const maxDelayedRank = 3;
 
 /** A process's own watch delivers a change at about the time at which a peer announces it; if it has not after this long, in milliseconds, the change is polled for. */
-const lagTimeoutMs = 150;
+const defaultLagMs = 150;
 
 /** Pause after a failed poll, in milliseconds. */
 const retryMs = 250;
@@ -112,7 +114,8 @@
 	readonly #options: {readonly delayMs: () => number; readonly announce: () => void};
 	/** When a peer last confirmed that this process lacks no change. */
 	#peerConfirmedAt = -Infinity;
-	#behindSince: number | undefined;
+	/** The announced change that this process lacks, and since when. */
+	#missing: {readonly changedAt: Revision; readonly since: number} | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	#isDisposed = false;
 
@@ -146,9 +149,9 @@
 			return;
 		}
 
-		if (this.#behindSince === undefined) {
-			this.#behindSince = now;
-			this.#schedule(lagTimeoutMs);
+		if (this.#missing === undefined) {
+			this.#missing = {changedAt, since: now};
+			this.#schedule(this.#lagMs);
 		}
 	}
 
@@ -167,6 +170,10 @@
 	}
 
 	async #pollIfDue() {
+		if ((this.#checked.feed.revision ?? 0) >= (this.#missing?.changedAt ?? Infinity)) {
+			this.#missing = undefined;
+		}
+
 		const dueInMs = this.#dueAt() - this.#clock.now();
 		if (dueInMs > 0) {
 			this.#schedule(dueInMs);
@@ -174,7 +181,7 @@
 		}
 
 		const {feed, intervalMs} = this.#checked;
-		this.#behindSince = undefined;
+		this.#missing = undefined;
 		const isKnown = await feed.sync();
 		if (isKnown) {
 			this.#options.announce();
@@ -183,11 +190,15 @@
 		this.#schedule(isKnown ? intervalMs : retryMs);
 	}
 
+	get #lagMs(): number {
+		return this.#checked.lagMs ?? defaultLagMs;
+	}
+
 	#dueAt(): number {
 		const {feed, intervalMs} = this.#checked;
-		const behindDueAt = this.#behindSince === undefined ? Infinity : this.#behindSince + lagTimeoutMs;
-		if (!feed.isWatching) {
-			// The feed is about to make its own next call.
+		const behindDueAt = this.#missing === undefined ? Infinity : this.#missing.since + this.#lagMs;
+		if (!feed.isWatching && !feed.mayLag) {
+			// The feed is about to make its own next call, which confirms its objects.
 			return this.#clock.now() + retryMs;
 		}
 
