Job index: waiting tokens are summed by differences

Judging each of 10,000 records by a sum over all jobs grows with their square; a process that starts reads them all.

--- a/src/gateway/batch/job-index.ts
+++ b/src/gateway/batch/job-index.ts
@@ -11,6 +11,7 @@
 import type {ObjectFeed} from '../object-feed.js';
 import type {BatchJobId, ClientAccountName} from '../types.js';
 import {BatchJob} from './batch-job.js';
+import {WaitingLedger, type TokenOwner} from './waiting-ledger.js';
 import {
 	readRecord, tokensOf, type BatchRecord, type EndRecord, type HandoverRecord, type JobRecord, type PageRecord, type RemovalRecord,
 } from './batch-records.js';
@@ -31,6 +32,8 @@
 export class JobIndex {
 	readonly #events = new EventEmitter();
 	readonly #jobs = new Map<BatchJobId, BatchJob>();
+	/** Waiting tokens by the records alone. */
+	readonly #ledger = new WaitingLedger();
 	/** Jobs that this process accepted and that are not in the object API yet. */
 	readonly #heldJobs = new Map<BatchJobId, JobRecord>();
 	/** Jobs whose record of an end precedes their own. */
@@ -45,15 +48,19 @@
 			this.#addJob(record, revision);
 		},
 		page: (record: PageRecord) => {
-			const job = this.#admittedByRecord(record.job);
-			job?.addPage(record);
+			this.#change(record.job, job => {
+				job.admit();
+				job.addPage(record);
+			});
 		},
 		end: (record: EndRecord) => {
 			this.#end(record.job);
 		},
 		handover: (record: HandoverRecord, {name}: Origin) => {
-			const job = this.#admittedByRecord(record.job);
-			job?.addHandover(record.content, name);
+			this.#change(record.job, job => {
+				job.admit();
+				job.addHandover(record.content, name);
+			});
 		},
 		removal: (record: RemovalRecord) => {
 			this.#removals.set(record.job, record);
@@ -99,12 +106,12 @@
 
 	/** Tokens of an account's accepted items on a route that have no result yet, those of held jobs included. Jobs without an account share one limit. */
 	waitingTokens(route: string, account?: ClientAccountName): number {
-		return sumOf(this.#jobsOf(route, account).map(job => job.waitingTokens));
+		return this.#ledger.of({route, account}) + sumOf(this.#ownedBy(this.#heldJobs.keys(), {route, account}).map(job => job.waitingTokens));
 	}
 
 	/** The part of {@link waitingTokens} that becomes free once the ends that were requested here are in the records. */
 	endingTokens(route: string, account?: ClientAccountName): number {
-		return sumOf(this.#jobsOf(route, account).map(job => job.endingTokens));
+		return sumOf(this.#ownedBy(this.#endRequested, {route, account}).map(job => job.endingTokens));
 	}
 
 	/** Calls the listener after records were applied, with the ids of the jobs that they affect. */
@@ -167,6 +174,7 @@
 	#applySnapshot(items: readonly StoredObject[]) {
 		const previous = [...this.#jobs.keys()];
 		this.#jobs.clear();
+		this.#ledger.clear();
 		this.#removals.clear();
 		const affected = items.toSorted(byVersion).flatMap(({name, value, version}) => this.#apply(value, {name, revision: version}));
 		// The snapshot does not contain held jobs.
@@ -211,7 +219,7 @@
 	/** Of a job that waits, nothing is removed. If one seems to, pages were removed while this process listed the records, and later jobs were judged without them. */
 	#forget(id: BatchJobId) {
 		const job = this.#jobs.get(id);
-		this.#jobs.delete(id);
+		this.#drop(id);
 		this.#endRequested.delete(id);
 		if (job && !job.isHeld && job.waitingTokens > 0) {
 			this.#events.emit('inconsistent');
@@ -221,7 +229,7 @@
 	/** Held jobs are always admitted: they are accepted only with so much room left that the order of the records does not matter. */
 	#addHeldJob(record: JobRecord) {
 		const job = new BatchJob(record, heldRevision, {isAdmitted: true, isHeld: true});
-		this.#jobs.set(record.job, job);
+		this.#put(job);
 		if (this.#endedBeforeWritten.has(record.job)) {
 			job.end();
 		}
@@ -229,41 +237,67 @@
 		this.#repeatRequestedEnd(job);
 	}
 
+	#put(job: BatchJob) {
+		this.#drop(job.id);
+		this.#jobs.set(job.id, job);
+		this.#count(job, job.waitingTokens);
+	}
+
+	#drop(id: BatchJobId) {
+		const job = this.#jobs.get(id);
+		if (job) {
+			this.#count(job, -job.waitingTokens);
+			this.#jobs.delete(id);
+		}
+	}
+
+	/** Applies a record of a job. Any of them shows that the job was admitted, whatever the records that are left say: those that decided on it may have been removed. */
+	#change(id: BatchJobId, apply: (job: BatchJob) => void) {
+		const job = this.#jobs.get(id);
+		if (job) {
+			const before = job.waitingTokens;
+			apply(job);
+			this.#count(job, job.waitingTokens - before);
+		}
+	}
+
+	/** A held job is in no record. */
+	#count({record, isHeld}: BatchJob, tokens: number) {
+		if (!isHeld) {
+			this.#ledger.add(record, tokens);
+		}
+	}
+
 	#repeatRequestedEnd(job: BatchJob) {
 		if (this.#endRequested.has(job.id)) {
 			job.requestEnd();
 		}
 	}
 
-	#jobsOf(route: string, account: ClientAccountName | undefined): BatchJob[] {
-		return [...this.#jobs.values()].filter(({record}) => record.route === route && record.account === account);
-	}
-
-	/** A job with further records was admitted, whatever the records that are left say: those that decided on it may have been removed. */
-	#admittedByRecord(id: BatchJobId): BatchJob | undefined {
-		const job = this.#jobs.get(id);
-		job?.admit();
-		return job;
+	#ownedBy(ids: Iterable<BatchJobId>, {route, account}: TokenOwner): BatchJob[] {
+		return [...ids].map(id => this.#jobs.get(id)).filter(job => job?.record.route === route && job.record.account === account) as BatchJob[];
 	}
 
 	/** The record of a held job's end may be in the object API before the job's own record. */
 	#end(id: BatchJobId) {
-		const job = this.#admittedByRecord(id);
-		job?.end();
+		this.#change(id, job => {
+			job.admit();
+			job.end();
+		});
 		this.#endRequested.delete(id);
-		if (!job || job.isHeld) {
+		if (this.#jobs.get(id)?.isHeld !== false) {
 			this.#endedBeforeWritten.add(id);
 		}
 	}
 
 	#addJob(record: JobRecord, revision: Revision) {
-		const {route, account, maxWaitingTokens, isRoomy, items} = record;
+		const {maxWaitingTokens, isRoomy, items} = record;
 		if (this.#jobs.get(record.job)?.revision === revision) {
 			// Lists and watches overlap.
 			return;
 		}
 
-		const isAdmitted = isRoomy || this.#recordedTokens(route, account) + tokensOf(items) <= maxWaitingTokens;
+		const isAdmitted = isRoomy || this.#ledger.of(record) + tokensOf(items) <= maxWaitingTokens;
 		if (!isAdmitted && this.#heldJobs.has(record.job)) {
 			// Another process found the job too large and is about to remove its record. A job that this process has accepted stays accepted, and keepers will write its record.
 			return;
@@ -271,18 +305,13 @@
 
 		this.#heldJobs.delete(record.job);
 		const job = new BatchJob(record, revision, {isAdmitted});
-		this.#jobs.set(record.job, job);
+		this.#put(job);
 		if (this.#endedBeforeWritten.delete(record.job)) {
-			this.#admittedByRecord(record.job)?.end();
+			this.#end(record.job);
 		}
 
 		this.#repeatRequestedEnd(job);
 	}
-
-	/** Waiting tokens by the records alone. */
-	#recordedTokens(route: string, account: ClientAccountName | undefined): number {
-		return sumOf(this.#jobsOf(route, account).filter(({isHeld}) => !isHeld).map(job => job.waitingTokens));
-	}
 }
 
 const sumOf = (numbers: readonly number[]): number => numbers.reduce((sum, number) => sum + number, 0);
