--- a/src/gateway/batch/item-run.ts
+++ b/src/gateway/batch/item-run.ts
@@ -143,16 +143,12 @@
 					this.#head = head;
 					this.#awaitProgress();
 				},
-				onBytes: bytes => {
-					this.#guard.run(() => {
-						this.#onBytes(bytes);
-					});
-				},
-				onEnd: end => {
-					this.#guard.run(() => {
-						this.#onAttemptEnd(end);
-					});
-				},
+				onBytes: this.#guard.wrap(bytes => {
+					this.#onBytes(bytes);
+				}),
+				onEnd: this.#guard.wrap(end => {
+					this.#onAttemptEnd(end);
+				}),
 			},
 		});
 	}
@@ -201,11 +197,9 @@
 	/** Starts to wait for the next event, or for the end of an answer that is no stream. */
 	#awaitProgress() {
 		clearTimeout(this.#progressTimer);
-		this.#progressTimer = setTimeout(() => {
-			this.#guard.run(() => {
-				this.#endEarly(this.#isStream ? 'broken' : this.#endOfAnswer(), 'the answer goes on without bringing the item further');
-			});
-		}, this.#isStream ? maxEventGapMs : otherAnswerMs);
+		this.#progressTimer = setTimeout(this.#guard.wrap(() => {
+			this.#endEarly(this.#isStream ? 'broken' : this.#endOfAnswer(), 'the answer goes on without bringing the item further');
+		}), this.#isStream ? maxEventGapMs : otherAnswerMs);
 	}
 
 	/** Closes the connection, so that the replica stops its work at once. */
--- a/src/gateway/calls/online-call.ts
+++ b/src/gateway/calls/online-call.ts
@@ -151,17 +151,13 @@
 		this.#timeLimitMs = Math.min(route.timeoutMs, fields.timeLeftMs ?? Infinity);
 		this.#timer = setTimeout(() => {
 			// An answer that arrived during a pause of this process is read first.
-			setImmediate(() => {
-				this.#guard.run(() => {
-					this.#timeOut();
-				});
-			});
+			setImmediate(this.#guard.wrap(() => {
+				this.#timeOut();
+			}));
 		}, Math.max(0, this.#timeLimitMs - this.#elapsedMs()));
-		call.res.once('close', () => {
-			this.#guard.run(() => {
-				this.#onCallerClose();
-			});
-		});
+		call.res.once('close', this.#guard.wrap(() => {
+			this.#onCallerClose();
+		}));
 	}
 
 	/** Sends the call to its first replica. A call that is held back, or cannot get a slot in time, is refused at once. */
@@ -233,16 +229,14 @@
 	}
 
 	#begin() {
-		this.#admission.request(this.#call, this.#offers, this.#timeLimitMs, outcome => {
-			this.#guard.run(() => {
-				if (outcome.kind === 'refused') {
-					this.#final.refuse(outcome.reason, outcome.retryAfterMs);
-					return;
-				}
+		this.#admission.request(this.#call, this.#offers, this.#timeLimitMs, this.#guard.wrap(outcome => {
+			if (outcome.kind === 'refused') {
+				this.#final.refuse(outcome.reason, outcome.retryAfterMs);
+				return;
+			}
 
-				this.#offer();
-			});
-		});
+			this.#offer();
+		}));
 	}
 
 	/** 0 until the current run has answered. */
@@ -294,11 +288,9 @@
 	/** Tries the replicas of the version again after a pause. */
 	#offerLater() {
 		this.#offers.startNextRound();
-		this.#versionTimer = setTimeout(() => {
-			this.#guard.run(() => {
-				this.#offer();
-			});
-		}, versionRetryMs);
+		this.#versionTimer = setTimeout(this.#guard.wrap(() => {
+			this.#offer();
+		}), versionRetryMs);
 	}
 
 	async #offerWhenFresh() {
@@ -334,21 +326,15 @@
 			isFirst: this.#firstByteMs === 0,
 			isEventStream: () => this.#answer.isEventStream,
 			listener: {
-				onHead: head => {
-					this.#guard.run(() => {
-						this.#answer.begin(head);
-					});
-				},
-				onBytes: bytes => {
-					this.#guard.run(() => {
-						this.#onBytes(bytes, run);
-					});
-				},
-				onEnd: end => {
-					this.#guard.run(() => {
-						this.#onEnd(end, run);
-					});
-				},
+				onHead: this.#guard.wrap(head => {
+					this.#answer.begin(head);
+				}),
+				onBytes: this.#guard.wrap(bytes => {
+					this.#onBytes(bytes, run);
+				}),
+				onEnd: this.#guard.wrap(end => {
+					this.#onEnd(end, run);
+				}),
 			},
 		});
 		this.#run = run;
--- a/src/gateway/calls/request-guard.ts
+++ b/src/gateway/calls/request-guard.ts
@@ -42,6 +42,13 @@
 		}
 	}
 
+	/** @returns A function that runs the work under the guard, for listeners and timers. */
+	wrap<Arguments extends unknown[]>(work: (...args: Arguments) => void | Promise<void>): (...args: Arguments) => void {
+		return (...args) => {
+			this.run(async () => work(...args));
+		};
+	}
+
 	#handle(err: unknown) {
 		const {log, metrics} = this.#parts;
 		const {message, stack} = err instanceof Error ? err : new Error(String(err));
@@ -49,6 +56,10 @@
 			kind: this.#request.kind, id: this.#request.id(), reason: message, stack,
 		});
 		metrics.count('gateway.requestDefects', 1, {kind: this.#request.kind});
-		this.#endRequest();
+		try {
+			this.#endRequest();
+		} catch (err_) {
+			log.emit(gatewayEvents.requestDefect, {kind: this.#request.kind, id: this.#request.id(), reason: `it could not be ended: ${String(err_)}`});
+		}
 	}
 }
