--- a/src/gateway/batch/batch-retention.ts
+++ b/src/gateway/batch/batch-retention.ts
@@ -75,8 +75,12 @@
 			await this.#removeRefused(job);
 		}
 
-		for (const job of [...jobIndex.all].filter(one => this.#isRemovable(one) && this.#isAssigned(one.id))) {
-			await this.#beginRemoval(job);
+		const lastRefused = [...jobIndex.all].reduce((last, {isAdmitted, revision}) => isAdmitted ? last : Math.max(last, revision), 0);
+		for (const job of [...jobIndex.all].filter(one => this.#isExpired(one) && this.#isAssigned(one.id))) {
+			// A later job that was not admitted would be found to fit by a process that reads the records without this one.
+			if (job.isAdmitted && job.revision > lastRefused) {
+				await this.#beginRemoval(job);
+			}
 		}
 
 		this.#isSweeping = false;
@@ -96,11 +100,6 @@
 		return !isAdmitted && this.#parts.clock.wall() > record.submittedAt + abandonedAfterMs + maxClockSkewMs;
 	}
 
-	/** A later job that was not admitted would be found to fit by a process that reads the records without this one. */
-	#isRemovable(job: BatchJob): boolean {
-		return job.isAdmitted && this.#isExpired(job) && ![...this.#parts.jobIndex.all].some(({isAdmitted, revision}) => !isAdmitted && revision > job.revision);
-	}
-
 	#isAssigned(id: BatchJobId): boolean {
 		const {self, peers} = this.#parts;
 		return rankMembers(id, [self, ...peers.live.map(({state}) => state.member)])[0] === self;
--- a/src/gateway/batch/result-writer.ts
+++ b/src/gateway/batch/result-writer.ts
@@ -217,7 +217,7 @@
 		return content.stored;
 	}
 
-	/** The same results are never too small for the object API if they were too large once, so the next page holds fewer. */
+	/** Results that were too large once are refused each time, so the next page holds fewer. */
 	#noteFailure({kind}: ApiError, {job, page, results}: {readonly job: BatchJobId; readonly page: number; readonly results: readonly ItemResult[]}) {
 		if (kind !== this.#lastFailure) {
 			this.#lastFailure = kind;
--- a/src/gateway/calls/request-guard.ts
+++ b/src/gateway/calls/request-guard.ts
@@ -42,10 +42,14 @@
 		}
 	}
 
-	/** @returns A function that runs the work under the guard, for listeners and timers. */
-	wrap<Arguments extends unknown[]>(work: (...args: Arguments) => void | Promise<void>): (...args: Arguments) => void {
+	/** @returns A function that runs the work under the guard, for listeners and timers. The work must not be asynchronous: listeners are called for each chunk of a stream. */
+	wrap<Arguments extends unknown[]>(work: (...args: Arguments) => void): (...args: Arguments) => void {
 		return (...args) => {
-			this.run(async () => work(...args));
+			try {
+				work(...args);
+			} catch (err) {
+				this.#handle(err);
+			}
 		};
 	}
 
