--- a/src/gateway/batch/batch-records.ts
+++ b/src/gateway/batch/batch-records.ts
@@ -12,7 +12,7 @@
 } from '../types.js';
 import type {FailedRun} from './failed-runs.js';
 
-/** A process removes the record of a job that does not fit within about two seconds, and within a few more while the object API is slow. A record that exists for longer than this without a result, in milliseconds, was abandoned. */
+/** A record of a job that was not admitted is removed within seconds by the process that wrote it. One that exists for longer than this, in milliseconds, was abandoned. */
 export const abandonedAfterMs = 10_000;
 
 /** One item as its caller submitted it. */
--- a/src/gateway/calls/event-framer.ts
+++ b/src/gateway/calls/event-framer.ts
@@ -73,7 +73,7 @@
 const abridged = (rest: string): string => (fieldPattern.test(rest) ? 'd' : ':') + rest.slice(-boundaryTailLength).replace(/^[\s\S]*[^\r\n]/v, '');
 
 /** Maximum size of one event, in bytes: as much as an answer that lists results may have. */
-export const maxEventBytes = 1_048_576;
+const maxEventBytes = 1_048_576;
 
 /** Splits one stream across all its runs. */
 export class EventFramer {
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -135,7 +135,7 @@
 const checkMs = ({catchUpMs, objectApi: {timeoutMs}}: FrontSettings, changeMs: number) =>
 	Math.max(minWatchMs, Math.min(catchUpMs - timeoutMs - catchUpMarginMs, changeMs - timeoutMs - changeMarginMs));
 
-/** Interval of the shared checks of job records, in milliseconds. Their watches may be answered by a copy that is seconds old, but a result that was read at one process must be known at all within a second, and items of an ended job must not begin for longer than a few. */
+/** Interval of the shared checks of job records, in milliseconds: a result that was read at one process must be known at all within a second, although watches may lag by several. */
 const recordCheckMs = 700;
 
 /** Longest time that a call takes to reach its replica after it was sent, in milliseconds. */
