--- a/review/4/case.js
+++ b/review/4/case.js
@@ -54,7 +54,7 @@
 const startEngine = async engine => {
 	const {id, port} = engine;
 	engine.child = await fleet.startReplica({
-		id, port, parts, gapMs,
+		id, port, parts, gapMs, isUnframed: true,
 	}, line => {
 		fleet.record(`${id}: ${line}`);
 		const begun = /^runs (?<call>\S+)/v.exec(line)?.groups.call;
--- a/review/lib-2/crashing-replica.js
+++ b/review/lib-2/crashing-replica.js
@@ -1,7 +1,7 @@
 /**
-A stand-in for a replica as a process of its own, so that it can be killed: `node crashing-replica.js '{"id": …, "port": …, "parts": …, "gapMs": …}'`.
+A stand-in for a replica as a process of its own, so that it can be killed: `node crashing-replica.js '{"id": …, "port": …, "parts": …, "gapMs": …, "isUnframed": …}'`.
 
-Its answers have neither a length nor chunks and end with their connection. Under `/desk/` an answer is a text, elsewhere a stream of numbered events. It writes a line for each run that it begins and for each that it completes.
+If they are unframed, its answers have neither a length nor chunks and end with their connection. Under `/desk/` an answer is a text, elsewhere a stream of numbered events. It writes a line for each run that it begins and for each that it completes.
 */
 import {createServer} from 'node:http';
 import process from 'node:process';
@@ -9,7 +9,9 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {partOf} from './answer-parts.js';
 
-const {id: instance, port, parts, gapMs} = JSON.parse(process.argv[2]);
+const {
+	id: instance, port, parts, gapMs, isUnframed,
+} = JSON.parse(process.argv[2]);
 
 const report = line => {
 	process.stdout.write(`${line}\n`);
@@ -27,9 +29,9 @@
 
 	const first = Number(req.headers['last-event-id'] ?? 0) + 1;
 	report(`runs ${id} from part ${first}`);
-	res.useChunkedEncodingByDefault = false;
+	res.useChunkedEncodingByDefault = !isUnframed;
 	res.writeHead(200, {
-		'content-type': req.url.startsWith('/desk/') ? 'text/plain' : 'text/event-stream', 'x-citronyard-request-id': id, 'x-citronyard-response-stamp': `stamp.${instance}`, connection: 'close',
+		'content-type': req.url.startsWith('/desk/') ? 'text/plain' : 'text/event-stream', 'x-citronyard-request-id': id, 'x-citronyard-response-stamp': `stamp.${instance}`, ...(isUnframed && {connection: 'close'}),
 	});
 	for (let part = first; part <= parts && !res.destroyed; part += 1) {
 		res.write(partOf(req.url, id, part));
--- a/review/lib-2/fleet.js
+++ b/review/lib-2/fleet.js
@@ -58,10 +58,10 @@
 	return {run: valueOf('run').split(' '), template: readFileSync(valueOf('template'), 'utf8')};
 };
 
-/** Calls a process over HTTP on a new connection. Status 0: the connection broke before an answer. */
-export const call = async (address, {method = 'GET', target, headers = {}, body = ''}) => new Promise(resolve => {
+/** Calls a process over HTTP, on a new connection unless an agent is given. Status 0: the connection broke before an answer. */
+export const call = async (address, {method = 'GET', target, headers = {}, body = '', agent = false}) => new Promise(resolve => {
 	const req = request(`http://${address}${target}`, {
-		method, agent: false, headers: {host, ...headers, 'content-length': Buffer.byteLength(body)},
+		method, agent, headers: {host, ...headers, 'content-length': Buffer.byteLength(body)},
 	}, res => {
 		const chunks = [];
 		res.on('data', chunk => {
