--- a/review/4/case.js
+++ b/review/4/case.js
@@ -18,7 +18,7 @@
 
 const replicaCount = 6;
 const parts = 3;
-const streamMs = 40;
+const streamMs = 90;
 const deskMs = 300;
 const deskCallers = 6;
 const streamsEveryMs = 100;
