Front: a call that would be cut off by the end of its front is refused, and kept connections are ended in order

Cause: nothing compared the time that a call may take with the time that is left. Whatever came on a connection was taken in until the end, and calls that waited (for admission, a fresh configuration, their version, a rerun) began at any time. Connections that became idle after closeIdleConnections had been called once stayed open, since the heads of answers under way at the signal had promised to keep them.

Ruled out: the callers (heads without Connection: close had been sent before the signal); closing the connections as the whole fix (a call that crosses the close is read all the same).

At the end, what is unanswered gets 503 if it has not run, else 502 or 504. The time counts from the signal, as far as a suspended process can know it.

--- a/src/gateway/calls/call-log.ts
+++ b/src/gateway/calls/call-log.ts
@@ -95,6 +95,10 @@
 			id: this.#fields.requestId, route: name, ...end, elapsedMs: roundedMs, firstByteMs: Math.round(firstByteMs),
 		});
 		metrics.count('gateway.calls', 1, {kind, status: String(end.status)});
+		if (end.reason === 'shutdown') {
+			metrics.count('gateway.callsEndedByShutdown', 1, {status: String(end.status)});
+		}
+
 		metrics.timing('gateway.call', roundedMs, {kind});
 		metrics.timing('gateway.firstByte', firstByteMs, {kind});
 	}
--- a/src/gateway/calls/online-call.ts
+++ b/src/gateway/calls/online-call.ts
@@ -177,12 +177,43 @@
 		});
 	}
 
+	/** Refuses a call that waits and cannot be served any more before this process ends. To be called repeatedly while it shuts down. */
+	refuseIfHopeless(): void {
+		this.#guard.run(() => {
+			if (!this.#hasEnded && this.#admission.isAwaited && !this.#mayBegin()) {
+				this.#final.refuse('shutdown', 0);
+			}
+		});
+	}
+
+	/** Ends the call because this process ends. */
+	abortForShutdown(): void {
+		this.#guard.run(() => {
+			if (this.#hasEnded) {
+				return;
+			}
+
+			const isRunning = this.#run?.isOver === false;
+			this.#run?.dispose();
+			if (isRunning) {
+				this.#final.fail('shutdown');
+			} else {
+				this.#final.giveUp('shutdown', 0);
+			}
+		});
+	}
+
 	/** Ends the call at once, without an answer or a log line. */
 	dispose(): void {
 		this.#close();
 	}
 
 	async #start() {
+		if (!this.#mayBegin()) {
+			this.#final.refuse('shutdown', 0);
+			return;
+		}
+
 		if (!this.#content.canBeSent) {
 			this.#final.giveUp('quarantined', this.#content.heldMs);
 			return;
@@ -248,6 +279,15 @@
 		return this.#parts.clock.now() - this.#call.arrivedAt;
 	}
 
+	/** Whether a run that begins now can be expected to end before this process does. */
+	#mayBegin(isRecoverable = this.#isRepeatable): boolean {
+		const {shutdown, serviceTimes} = this.#parts;
+		const {arrivedAt} = this.#call;
+		return shutdown.mayBegin({
+			callArrivedAt: arrivedAt, callEndsAt: arrivedAt + this.#timeLimitMs, isRecoverable, usualMs: serviceTimes.meanMs(this.#offers.service),
+		});
+	}
+
 	#offer() {
 		if (this.#hasEnded) {
 			return;
@@ -258,6 +298,11 @@
 			return;
 		}
 
+		if (!this.#mayBegin()) {
+			this.#final.giveUp('shutdown', 0);
+			return;
+		}
+
 		const heldMs = this.#content.claimRun();
 		if (heldMs > 0) {
 			this.#final.giveUp('quarantined', heldMs);
@@ -435,7 +480,7 @@
 			return;
 		}
 
-		const connection = copy && this.#parts.connectionPools.acquire(copy.holder, this.#needsNewConnection);
+		const connection = copy && this.#mayBegin(true) ? this.#parts.connectionPools.acquire(copy.holder, this.#needsNewConnection) : undefined;
 		if (!copy || !connection) {
 			this.#final.fail(reason);
 			return;
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -13,6 +13,7 @@
 import {exitCodes} from '../io/exit-codes.js';
 import type {StartError} from '../io/program.js';
 import {readBody, type BodyFailure} from '../io/read-body.js';
+import {canRespond, ServerConnections} from '../io/server-connections.js';
 import {branded} from '../common/ids.js';
 import type {
 	AdmittedCaller, Caller, CallerGate, CallHead, GateRefusal,
@@ -57,6 +58,16 @@
 
 /** `retry-after` of a process without a configuration, in milliseconds; it receives one within a second of its start. */
 const notReadyRetryMs = 500;
+
+/** Interval at which calls that wait are checked for whether they can still be served before the shutdown ends, in milliseconds. */
+const hopelessCheckMs = 100;
+
+/** Time for the last answers of a shutdown to be sent, in milliseconds. */
+const lastAnswersMs = 100;
+
+/** Part of the time until the process ends that a request for results does not wait for, in milliseconds: the read before and the answer after it take some of it. */
+const readReserveMs = 1000;
+
 /** `retry-after` of a job over the quota of waiting tokens, in milliseconds. */
 const quotaRetryMs = 1000;
 /** `retry-after` of a job that cannot be stored because the object API is unavailable, in milliseconds. */
@@ -114,12 +125,16 @@
 export class FrontServer implements Disposable {
 	readonly #parts: FrontServerParts;
 	readonly #server: Server;
+	readonly #connections: ServerConnections;
 	readonly #calls = new Set<OnlineCall>();
-	#isShuttingDown = false;
+	/** Responses to requests that have begun to take effect. */
+	readonly #begun = new WeakSet<ServerResponse>();
+	#hopelessCheck: NodeJS.Timeout | undefined;
 
 	readonly #jobHandlers: JobHandlers = {
 		results: async (call, res, {identity}) => {
-			const page = await this.#parts.reader.results(call, identity);
+			const {reader, shutdown} = this.#parts;
+			const page = await reader.results({...call, waitMs: Math.min(call.waitMs, Math.max(0, shutdown.leftMs - readReserveMs))}, identity);
 			if (typeof page === 'string') {
 				this.#sendReadFailure(res, call, page);
 				return;
@@ -155,6 +170,7 @@
 			});
 			guard.run(async () => this.#serve(req, res));
 		});
+		this.#connections = new ServerConnections(this.#server);
 		parts.board.onChange(({limits}) => {
 			this.#server.keepAliveTimeout = Math.max(defaultIdleMs, keepAliveFactor * limits.idleTimeoutMs);
 			this.#server.headersTimeout = limits.headerTimeoutMs;
@@ -190,36 +206,54 @@
 		});
 	}
 
+	/** Number of open connections of callers. */
+	get connectionCount(): number {
+		return this.#connections.size;
+	}
+
 	/** Asks each caller to close its connection after the next answer on it. */
-	disableKeepAlive(): void {
-		this.#isShuttingDown = true;
+	announceClose(): void {
+		this.#connections.announceClose();
 	}
 
-	/** Accepts no more connections, closes idle ones, and resolves once the last call has ended. */
+	/** Accepts no more connections, closes those that become idle, and resolves once the last one is closed. Calls that wait and have become hopeless are refused meanwhile. */
 	async close(): Promise<void> {
-		this.#isShuttingDown = true;
-		const closed = new Promise<void>(resolve => {
-			this.#server.close(() => {
-				resolve();
+		this.#hopelessCheck = setInterval(() => {
+			this.#calls.forEach(call => {
+				call.refuseIfHopeless();
 			});
+		}, hopelessCheckMs);
+		await this.#connections.close();
+		clearInterval(this.#hopelessCheck);
+	}
+
+	/** Answers what is unanswered, since the process ends: 503 if it has certainly not run. Resolves once the answers were sent. */
+	async abortCalls(): Promise<void> {
+		this.#calls.forEach(call => {
+			call.abortForShutdown();
 		});
-		this.#server.closeIdleConnections();
-		await closed;
+		this.#connections.openResponses.forEach(res => {
+			sendEmpty(res, this.#begun.has(res) ? 504 : 503, 0);
+		});
+		if (this.#connections.size > 0) {
+			await this.#parts.clock.sleep(lastAnswersMs);
+		}
 	}
 
 	dispose(): void {
+		clearInterval(this.#hopelessCheck);
 		this.#calls.forEach(call => {
 			call.dispose();
 		});
-		this.#server.close();
-		this.#server.closeAllConnections();
+		this.#connections.dispose();
 	}
 
 	async #serve(req: IncomingMessage, res: ServerResponse) {
 		const arrivedAt = this.#parts.clock.now();
 		res.on('error', () => undefined);
-		if (this.#isShuttingDown) {
-			res.shouldKeepAlive = false;
+		if (!canRespond(req)) {
+			req.socket.destroy();
+			return;
 		}
 
 		if (!this.#parts.firstRead.isOver) {
@@ -231,7 +265,7 @@
 
 		const jobCall = this.#parts.jobCalls.match(req);
 		if (jobCall) {
-			req.resume();
+			await this.#skipBody(req, res);
 			await this.#answerJobCall(jobCall, req, res);
 			return;
 		}
@@ -242,6 +276,7 @@
 
 		const route = this.#routeOf(req);
 		if (!route) {
+			await this.#skipBody(req, res);
 			this.#rejectUnrouted(req, res);
 			return;
 		}
@@ -249,7 +284,7 @@
 		const admitted = this.#parts.gate.admit(this.#headOf(req), route);
 		const refusal = errorOf(admitted);
 		if (refusal) {
-			req.resume();
+			await this.#skipBody(req, res);
 			this.#sendRefusal(res, refusal);
 			return;
 		}
@@ -263,6 +298,12 @@
 			return;
 		}
 
+		if (res.headersSent) {
+			// Refused at the end of a shutdown.
+			caller.credit?.refund();
+			return;
+		}
+
 		const body = read.unsafeCoerce();
 		const fields = this.#parts.dialect.readCall(req.headers);
 		if (route.kind === 'batch') {
@@ -277,6 +318,15 @@
 		});
 	}
 
+	/** Before an answer after which the connection closes, the body is read: unread bytes would reset the connection, and the answer could be lost. */
+	async #skipBody(req: IncomingMessage, res: ServerResponse) {
+		if (res.shouldKeepAlive) {
+			req.resume();
+		} else {
+			await readBody(req, 0);
+		}
+	}
+
 	#headOf(req: IncomingMessage): CallHead {
 		return {id: this.#parts.dialect.readCall(req.headers).requestId, headers: req.rawHeaders};
 	}
@@ -287,8 +337,8 @@
 
 	/** Answers 503 before a configuration was received, since the owner of a job cannot be determined without one. */
 	async #answerJobCall(call: JobCall, req: IncomingMessage, res: ServerResponse) {
-		const {board, gate} = this.#parts;
-		if (!board.config) {
+		const {board, gate, shutdown} = this.#parts;
+		if (!board.config || !shutdown.mayServeJobRequest) {
 			this.#sendReadFailure(res, call, 'unsure');
 			return;
 		}
@@ -300,6 +350,7 @@
 			return;
 		}
 
+		this.#begun.add(res);
 		await (this.#jobHandlers[call.kind] as (call: JobCall, res: ServerResponse, caller: Caller) => Promise<void>)(call, res, caller.unsafeCoerce());
 	}
 
@@ -345,7 +396,15 @@
 	}
 
 	async #submit(req: IncomingMessage, res: ServerResponse, {route, caller, fields, body}: ReceivedCall) {
-		const {intake, jobCalls, log} = this.#parts;
+		const {intake, jobCalls, log, shutdown} = this.#parts;
+		if (!shutdown.mayServeJobRequest) {
+			log.emit(gatewayEvents.callRejected, {
+				id: fields.requestId, host: req.headers.host, target: req.url, status: 503, reason: 'shutdown',
+			});
+			sendEmpty(res, 503, 0);
+			return;
+		}
+
 		const items = jobCalls.readItems(body.toString('utf8'));
 		if (items.isLeft() || fields.requestId === '') {
 			log.emit(gatewayEvents.callRejected, {
@@ -355,6 +414,7 @@
 			return;
 		}
 
+		this.#begun.add(res);
 		const outcome = await intake.submit({
 			job: branded<BatchJobId>(fields.requestId), account: caller.account?.name, route, host: req.headers.host ?? '', target: req.url ?? '', items: items.unsafeCoerce(),
 		});
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -46,6 +46,7 @@
 import {FrontServer} from './front-server.js';
 import {KeeperPool} from './keeping/keeper-pool.js';
 import type {JobCallDialect} from './job-calls.js';
+import {gatewayEvents} from './log-events.js';
 import {LoadBoard} from './load-board.js';
 import {MeteredObjectApi} from './metered-object-api.js';
 import {ObjectFeed, type FeedOptions} from './object-feed.js';
@@ -81,6 +82,7 @@
 import {findOriginMethod, StreamOrigins, type OriginQuery} from './streams/stream-origins.js';
 import {VersionHistory} from './streams/version-history.js';
 import type {FrontSettings} from './settings.js';
+import {balancerRemovalMs, ShutdownWindow} from './shutdown-window.js';
 import {TrafficMeter} from './traffic-meter.js';
 import type {
 	CallDialect, ClientAccountName, GatewayFeatures, MemberName,
@@ -165,16 +167,14 @@
 	} as const satisfies Partial<Record<ObjectKind, FeedOptions>>;
 };
 
-/** Time until the load balancer stops sending new connections, in milliseconds. It checks readiness once a second and removes a process after two refusals; connections until then are served. */
-const balancerRemovalMs = 2600;
-
-/** Reserve of the shutdown time when requests in progress are aborted, in milliseconds: enough to write the last log lines. */
+/** Reserve of the shutdown time when requests in progress are aborted, in milliseconds: enough to send the last answers and to write the last log lines. */
 const exitMarginMs = 400;
 
 /** The front process. */
 export class Front implements RunningProgram {
 	readonly #settings: FrontSettings;
 	readonly #clock: Clock;
+	readonly #log: EventLog;
 	readonly #droppedLines: () => number;
 	readonly #lifecycle = new NodeLifecycle();
 	readonly #metrics = new PrometheusMetrics();
@@ -201,6 +201,7 @@
 	readonly #versionHistory: VersionHistory;
 	readonly #readiness: Readiness;
 	readonly #admission: TargetAdmission;
+	readonly #shutdown: ShutdownWindow;
 	readonly #server: FrontServer;
 	readonly #readyServer: Server;
 	readonly #owned: readonly Disposable[];
@@ -208,10 +209,12 @@
 	constructor(settings: FrontSettings, {log, clock, random, droppedLines = () => 0}: FrontServices, adapter: FrontAdapter) {
 		this.#settings = settings;
 		this.#clock = clock;
+		this.#log = log;
 		this.#droppedLines = droppedLines;
 		const {
 			records, dialect, jobCalls, itemHeaders, features,
 		} = adapter;
+		this.#shutdown = new ShutdownWindow(clock);
 		const self = branded<MemberName>(settings.name);
 		const {failureDomain} = settings;
 		const metrics = this.#metrics;
@@ -377,7 +380,7 @@
 			lifecycle: this.#lifecycle, board, directory, log,
 		});
 		this.#server = new FrontServer({
-			board, directory, firstRead: new FirstRead([configFeed, replicaFeed]), replicaFreshness, configFreshness: freshnessOf('GatewayConfig', configFeed, settings.configMs), loads, connectionPools: this.#connectionPools, reachability, quarantine, partQuarantine, streamOrigins: this.#streamOrigins, serviceTimes, paces, admission, dialect, clock, random, log, metrics, processCount, failureDomain, continuesRuns: settings.continuesRuns, jobCalls,
+			board, directory, firstRead: new FirstRead([configFeed, replicaFeed]), replicaFreshness, configFreshness: freshnessOf('GatewayConfig', configFeed, settings.configMs), loads, connectionPools: this.#connectionPools, reachability, quarantine, partQuarantine, streamOrigins: this.#streamOrigins, serviceTimes, paces, admission, shutdown: this.#shutdown, dialect, clock, random, log, metrics, processCount, failureDomain, continuesRuns: settings.continuesRuns, jobCalls,
 			gate: new CallerGate({
 				board, dialect, limits: rateLimits, clock, log, metrics, configConfirmedAt: () => this.#checks.lastConfirmedAt('GatewayConfig'), staleAfterMs: settings.refuseKeysAfterMs,
 			}),
@@ -441,19 +444,28 @@
 		return Right(this);
 	}
 
-	/** Shuts down gracefully: jobs are handed over to peers at once, and connections close as their answers end. Calls are cut off only when the shutdown time is over. */
-	async drain(): Promise<void> {
-		const startedAt = this.#clock.now();
+	/**
+	Shuts down gracefully: jobs are handed over to peers at once, and connections close as their answers end. Calls are aborted only when the shutdown time is over.
+
+	@param requestedAt - When the shutdown was requested, in milliseconds on the monotonic clock.
+	*/
+	async drain(requestedAt = this.#clock.now()): Promise<void> {
+		const durationMs = this.#settings.shutdownMs - exitMarginMs;
+		const endsAt = this.#clock.now() + durationMs;
 		this.#lifecycle.send('drain');
-		this.#server.disableKeepAlive();
+		this.#shutdown.begin(requestedAt, durationMs);
+		this.#server.announceClose();
+		this.#logShutdown('removal');
 		this.#announcer.announceSoon();
 		this.#streamOrigins.handOver();
 		const handedOver = this.#runner.handOver().then(() => {
 			this.#announcer.announceSoon();
 		});
-		await this.#clock.sleep(balancerRemovalMs);
-		const leftMs = this.#settings.shutdownMs - exitMarginMs - (this.#clock.now() - startedAt);
-		await Promise.race([Promise.all([this.#server.close(), handedOver]), this.#clock.sleep(leftMs)]);
+		await this.#clock.sleep(requestedAt + balancerRemovalMs - this.#clock.now());
+		this.#logShutdown('closing');
+		await Promise.race([Promise.all([this.#server.close(), handedOver]), this.#clock.sleep(endsAt - this.#clock.now())]);
+		this.#logShutdown('end');
+		await this.#server.abortCalls();
 		this.#lifecycle.send('drained');
 	}
 
@@ -465,6 +477,12 @@
 		});
 	}
 
+	#logShutdown(phase: 'removal' | 'closing' | 'end') {
+		this.#log.emit(gatewayEvents.shutdownPhase, {
+			phase, calls: this.#server.activeCalls, connections: this.#server.connectionCount, leftMs: Math.round(this.#shutdown.leftMs),
+		});
+	}
+
 	/** A process that is partitioned from most of its peers would not receive the announcement of another's test. */
 	#trialRank(part: PartKey): number | undefined {
 		const names = [branded<MemberName>(this.#settings.name), ...this.#peers.names];
--- a/src/gateway/parts.ts
+++ b/src/gateway/parts.ts
@@ -15,6 +15,7 @@
 import type {ReplicaConnectionPools} from './replica-connection-pools.js';
 import type {RelativePaces} from './placement/relative-paces.js';
 import type {ServiceTimes} from './placement/service-times.js';
+import type {ShutdownWindow} from './shutdown-window.js';
 import type {StreamOrigins} from './streams/stream-origins.js';
 import type {CallDialect} from './types.js';
 
@@ -33,6 +34,7 @@
 	readonly quarantine: Quarantine;
 	readonly partQuarantine: PartQuarantine;
 	readonly streamOrigins: Pick<StreamOrigins, 'announce' | 'find'>;
+	readonly shutdown: ShutdownWindow;
 	readonly dialect: CallDialect;
 	readonly clock: Clock;
 	readonly random: RandomSource;
--- a/src/io/http-server.ts
+++ b/src/io/http-server.ts
@@ -10,6 +10,7 @@
 import {parseAddress} from './address.js';
 import {exitCodes} from './exit-codes.js';
 import type {StartError} from './program.js';
+import {canRespond, ServerConnections} from './server-connections.js';
 
 /** Result of matching a request against a route. */
 export type RouteMatch = {
@@ -45,9 +46,9 @@
 /** Serves a routing table. */
 export class HttpServer implements Disposable {
 	readonly #server: Server;
+	readonly #connections: ServerConnections;
 	readonly #routes: readonly Route[];
 	readonly #fallbacks: Fallbacks;
-	#draining = false;
 	#host = '';
 
 	constructor(routes: readonly Route[], fallbacks: Fallbacks) {
@@ -56,6 +57,7 @@
 		this.#server = createServer((req, res) => {
 			void this.#dispatch(req, res);
 		});
+		this.#connections = new ServerConnections(this.#server);
 		this.#server.keepAliveTimeout = keepAliveTimeoutMs;
 		this.#server.requestTimeout = requestTimeoutMs;
 	}
@@ -86,29 +88,22 @@
 
 	/** Adds `connection: close` to all further responses, so that load balancers move to other servers without an interrupted request. */
 	announceClose(): void {
-		this.#draining = true;
+		this.#connections.announceClose();
 	}
 
-	/** Stops accepting connections and resolves when the last response has ended. */
+	/** Stops accepting connections, closes each one once it is idle, and resolves when the last one is closed. */
 	async close(): Promise<void> {
-		this.announceClose();
-		const closed = new Promise<void>(resolve => {
-			this.#server.close(() => {
-				resolve();
-			});
-		});
-		this.#server.closeIdleConnections();
-		await closed;
+		await this.#connections.close();
 	}
 
 	dispose(): void {
-		this.#server.close();
-		this.#server.closeAllConnections();
+		this.#connections.dispose();
 	}
 
 	async #dispatch(req: IncomingMessage, res: ServerResponse) {
-		if (this.#draining) {
-			res.setHeader('connection', 'close');
+		if (!canRespond(req)) {
+			req.socket.destroy();
+			return;
 		}
 
 		const url = this.#parseUrl(req);
--- a/src/io/program-run.ts
+++ b/src/io/program-run.ts
@@ -5,6 +5,7 @@
 import type {Either} from 'purify-ts/Either';
 import {exitCodes, type ExitCode} from './exit-codes.js';
 import {platformEvents} from './log-events.js';
+import {PauseWatch} from './pause-watch.js';
 import {type RunningProgram} from './program.js';
 import {type OwnedServices} from './program-services.js';
 import type {SettingsError} from './settings-error.js';
@@ -12,24 +13,24 @@
 import type {CommonSettings} from './settings-schemas.js';
 import {version} from './version.js';
 
-const keepAliveMs = 3_600_000;
-
 const stopSignals = ['SIGTERM', 'SIGINT'] as const;
 
 /** The daemon that runs in this process. */
 export class ProgramRun {
 	readonly #services: OwnedServices;
 	#running: RunningProgram | undefined;
-	#stopping = false;
+	/** When the shutdown was requested, at the earliest; in milliseconds on the monotonic clock. */
+	#stopRequestedAt: number | undefined;
 	#hasFatalError = false;
 	#reload: SettingsReload<CommonSettings> | undefined;
-	/** Keeps the event loop alive until the daemon is stopped, also while only unreferenced timers, such as those of a retry, are pending. */
-	readonly #keepAlive = setInterval(() => undefined, keepAliveMs);
+	/** Also keeps the event loop alive until the daemon is stopped, while only unreferenced timers, such as those of a retry, are pending. */
+	readonly #pauses: PauseWatch;
 	readonly #onSignal: (signal: NodeJS.Signals) => void;
 
 	/** @param services - Closed when the run ends. */
 	constructor(services: OwnedServices) {
 		this.#services = services;
+		this.#pauses = new PauseWatch(services.clock);
 		this.#onSignal = signal => {
 			this.#stop(signal);
 		};
@@ -72,8 +73,8 @@
 		this.#running = running;
 		this.#services.log.emit(platformEvents.programStarted, {version, pid: process.pid, addresses: running.addresses ?? {}});
 		// A signal received during the start was only recorded.
-		if (this.#stopping) {
-			void this.#drain(running);
+		if (this.#stopRequestedAt !== undefined) {
+			void this.#drain(running, this.#stopRequestedAt);
 		}
 	}
 
@@ -91,28 +92,28 @@
 		stopSignals.forEach(signal => {
 			process.off(signal, this.#onSignal);
 		});
-		clearInterval(this.#keepAlive);
+		this.#pauses.dispose();
 		this.#reload?.dispose();
 		this.#running?.dispose();
 		await this.#services.close();
 	}
 
 	#stop(signal: NodeJS.Signals): void {
-		if (this.#stopping) {
+		if (this.#stopRequestedAt !== undefined) {
 			this.#services.log.emit(platformEvents.shutdownCutShort, {signal});
 			void this.#exit(exitCodes.ok);
 			return;
 		}
 
-		this.#stopping = true;
+		this.#stopRequestedAt = this.#pauses.earliest;
 		this.#services.log.emit(platformEvents.drainStarted, {signal});
 		if (this.#running) {
-			void this.#drain(this.#running);
+			void this.#drain(this.#running, this.#stopRequestedAt);
 		}
 	}
 
-	async #drain(running: RunningProgram): Promise<void> {
-		await running.drain();
+	async #drain(running: RunningProgram, requestedAt: number): Promise<void> {
+		await running.drain(requestedAt);
 		this.#services.log.emit(platformEvents.programStopped);
 		await this.#exit(exitCodes.ok);
 	}
--- a/src/io/program.ts
+++ b/src/io/program.ts
@@ -42,8 +42,12 @@
 	readonly addresses?: Readonly<Record<string, string>>;
 	/** Applies changed settings at run time; settings that require a restart are ignored. */
 	reload?(settings: unknown): void;
-	/** Stops accepting work and resolves when all work in progress is complete. */
-	drain(): Promise<void>;
+	/**
+	Stops accepting work and resolves when all work in progress is complete.
+
+	@param requestedAt - The earliest moment at which the shutdown can have been requested, in milliseconds on the monotonic clock. It is earlier than the call if the process was paused, or still starting.
+	*/
+	drain(requestedAt: number): Promise<void>;
 	/** Releases all resources immediately. Called after `drain`, or without it on a violated invariant. */
 	dispose(): void;
 };
