Programs: a repeated SIGTERM does not interrupt the graceful shutdown

Cause: any second stop signal ended the process at once. That is meant for a person at a terminal. Now SIGINT alone does it (the existing scenario holds unchanged); another SIGTERM is logged (event 109).

Evidence: the new scenario of program.feature fails with the program-run.ts before (event 105, no "work done"), and passes now.

--- a/src/io/log-events.ts
+++ b/src/io/log-events.ts
@@ -15,7 +15,7 @@
 	startFailed: {number: 103, level: 'error', text: 'program could not start'},
 	/** Fields: reason, stack. */
 	invariantBroken: {number: 104, level: 'error', text: 'invariant violated; stopping the process'},
-	/** Fields: signal. A second signal was received during the graceful shutdown. */
+	/** Fields: signal. SIGINT was received during the graceful shutdown. */
 	shutdownCutShort: {number: 105, level: 'warn', text: 'graceful shutdown cut short by a second signal'},
 	/** Fields: cause, path. */
 	settingsReloaded: {number: 106, level: 'info', text: 'settings reloaded'},
@@ -23,4 +23,6 @@
 	settingsRefused: {number: 107, level: 'error', text: 'changed settings rejected; the previous settings remain in force'},
 	/** Fields: lines (dropped since the last such event), sinceStart. */
 	linesDropped: {number: 108, level: 'warn', text: 'log lines dropped because the reader of the log is too slow'},
+	/** Fields: signal. */
+	stopRepeated: {number: 109, level: 'info', text: 'graceful shutdown is in progress already; the signal changes nothing'},
 } as const satisfies Record<string, EventDefinition>;
--- a/src/io/program-run.ts
+++ b/src/io/program-run.ts
@@ -1,5 +1,5 @@
 /**
-Manages the lifecycle of a daemon from start to exit. SIGTERM and SIGINT start a graceful shutdown; a violated invariant (an uncaught error) stops the process immediately.
+Manages the lifecycle of a daemon from start to exit. SIGTERM and SIGINT start a graceful shutdown, which SIGINT interrupts; a violated invariant (an uncaught error) stops the process immediately.
 */
 import process from 'node:process';
 import type {Either} from 'purify-ts/Either';
@@ -100,8 +100,7 @@
 
 	#stop(signal: NodeJS.Signals): void {
 		if (this.#stopRequestedAt !== undefined) {
-			this.#services.log.emit(platformEvents.shutdownCutShort, {signal});
-			void this.#exit(exitCodes.ok);
+			this.#handleRepeated(signal);
 			return;
 		}
 
@@ -112,6 +111,17 @@
 		}
 	}
 
+	/** Supervisors may repeat SIGTERM, and kill a process that takes too long; SIGINT comes from a person who does not want to wait. */
+	#handleRepeated(signal: NodeJS.Signals): void {
+		if (signal === 'SIGTERM') {
+			this.#services.log.emit(platformEvents.stopRepeated, {signal});
+			return;
+		}
+
+		this.#services.log.emit(platformEvents.shutdownCutShort, {signal});
+		void this.#exit(exitCodes.ok);
+	}
+
 	async #drain(running: RunningProgram, requestedAt: number): Promise<void> {
 		await running.drain(requestedAt);
 		this.#services.log.emit(platformEvents.programStopped);
--- a/src/io/program.feature
+++ b/src/io/program.feature
@@ -39,6 +39,14 @@
     Then the daemon exited with 0
     And the daemon logged events "100, 101, 105"
 
+  Scenario: A repeated SIGTERM does not interrupt the graceful shutdown
+    # Guards against calls that are cut off because a supervisor asks for a stop twice.
+    Given a daemon that "lingers" has started
+    When the daemon receives "SIGTERM"
+    And the daemon receives "SIGTERM" once event 101 is logged
+    Then the daemon printed "work done" and exited with 0
+    And the daemon logged events "100, 101, 109, 102"
+
   Scenario: A violated invariant stops the process
     Given a daemon that "breaks" has started
     When the daemon receives "SIGTERM"
--- a/src/io/testing/sample-program.ts
+++ b/src/io/testing/sample-program.ts
@@ -18,7 +18,7 @@
 	tries: countOf(2),
 	timeoutMs: durationMs(1000),
 	/** Behaviour of the program at its start and drain. */
-	behaviour: z.enum(['drains', 'floods', 'hangs', 'breaks', 'cannotStart']).default('drains'),
+	behaviour: z.enum(['drains', 'lingers', 'floods', 'hangs', 'breaks', 'cannotStart']).default('drains'),
 });
 
 type Behaviour = z.infer<typeof schema>['behaviour'];
@@ -27,10 +27,21 @@
 const floodLines = 40_000;
 const floodEvent: EventDefinition = {number: 999, level: 'info', text: 'a line that is long enough to fill the buffer of the log when it is repeated'};
 
+/** How long work in progress takes that a stop waits for, in milliseconds. */
+const lingerMs = 1000;
+
 const drains: Readonly<Record<Behaviour, () => Promise<void>>> = {
 	async drains() {
 		process.stdout.write('work done\n');
 	},
+	async lingers() {
+		return new Promise(resolve => {
+			setTimeout(() => {
+				process.stdout.write('work done\n');
+				resolve();
+			}, lingerMs);
+		});
+	},
 	async floods() {
 		process.stdout.write('work done\n');
 	},
