A connection that ends while its answer is paused no longer ends the process

Cause: the HTTP library asserts that its parser is not paused when a connection ends, fails or closes whose answer ends with it. HeldEvents pauses, CallerAnswer pauses for slow callers, and so does every body that the HTTP client's user reads slowly; an error in an event of a socket is outside of every guard.

Change: PausableSocket is paused below the library, whose parser is never paused. PausableResponse queues what has been parsed already, with its end, and asks whether the connection was reset when the answer ends, for replicas' connections and the HTTP client alike (it stood in two places). An error that the library throws in an event of a socket ends that connection, is logged (792) and counted. The attempt no longer asks for a reset itself: its test now gets it as the connection reports it, as an error, and the seeded test holds the whole chain.

--- a/src/gateway/calls/attempt.steps.ts
+++ b/src/gateway/calls/attempt.steps.ts
@@ -27,7 +27,6 @@
 
 /** A connection that is driven by the test and records what is done to it. */
 class FakeConnection implements AttemptConnection {
-	isReset = false;
 	isNew = true;
 	readonly done: string[] = [];
 	handler!: Dispatcher.DispatchHandler;
@@ -44,10 +43,6 @@
 		this.handler = handler;
 	}
 
-	async wasReset(): Promise<boolean> {
-		return this.isReset;
-	}
-
 	release(): void {
 		this.done.push('released');
 	}
@@ -70,6 +65,11 @@
 		this.handler.onResponseStart?.(this.controller, status, headers);
 	}
 
+	/** Like the connection pool, reports the reset of an answer without a length as an error. */
+	reset(): void {
+		this.handler.onResponseError?.(this.controller, new Error('reset within an answer without a length'));
+	}
+
 	end(): void {
 		this.handler.onResponseEnd?.(this.controller, {});
 	}
@@ -171,8 +171,7 @@
 
 When('an answer without a length arrives and its connection is reset', function (this: AttemptWorld) {
 	this.attemptConnection.answer(200, {'call-id': 'c1'});
-	this.attemptConnection.isReset = true;
-	this.attemptConnection.end();
+	this.attemptConnection.reset();
 });
 
 Then('it ended once, as {string}', async function (this: AttemptWorld, kind: AttemptEnd['kind']) {
--- a/src/gateway/calls/attempt.ts
+++ b/src/gateway/calls/attempt.ts
@@ -66,7 +66,7 @@
 };
 
 /** The part of a replica's connection that an attempt uses. */
-export type AttemptConnection = Pick<ReplicaConnection, 'isNew' | 'dispatch' | 'wasReset' | 'release' | 'discard' | 'closeIdleSiblings'>;
+export type AttemptConnection = Pick<ReplicaConnection, 'isNew' | 'dispatch' | 'release' | 'discard' | 'closeIdleSiblings'>;
 
 /** Dependencies and parameters of an attempt. */
 export type AttemptParts = {
@@ -102,7 +102,6 @@
 	#controller: Dispatcher.DispatchController | undefined;
 	#isSent = false;
 	#isOver = false;
-	#isFramed = true;
 	#canFailOver: boolean;
 	#refusal: AttemptEnd | undefined;
 	#discardedBytes = 0;
@@ -271,9 +270,8 @@
 			return;
 		}
 
-		this.#isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 		this.#parts.listener.onHead({
-			status, statusMessage, rawHeaders, headers, isFramed: this.#isFramed,
+			status, statusMessage, rawHeaders, headers, isFramed: headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined,
 		});
 	}
 
@@ -321,25 +319,7 @@
 			return;
 		}
 
-		if (this.#isFramed) {
-			this.#complete();
-		} else {
-			void this.#endUnframed();
-		}
-	}
-
-	/** Whether an answer without a length is complete shows only in the way in which its connection ended. */
-	async #endUnframed() {
-		const wasReset = await this.#parts.connection.wasReset();
-		if (this.#isOver) {
-			return;
-		}
-
-		if (wasReset) {
-			this.#abort({kind: 'lost', reason: 'reset within an answer without a length'});
-		} else {
-			this.#complete();
-		}
+		this.#complete();
 	}
 
 	#complete() {
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -333,6 +333,10 @@
 			onTransfer(address, bytes) {
 				countBytes('replica', address, bytes);
 			},
+			onDefect(address, {message, stack}) {
+				log.emit(gatewayEvents.connectionDefect, {address, reason: message, stack});
+				metrics.count('gateway.connectionDefects');
+			},
 		});
 		const reachability = new ReplicaReachability({
 			directory, clock, log, dial,
--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -118,6 +118,8 @@
 	requestDefect: {number: 791, level: 'error', text: 'handling of a request broke an invariant; the request was ended alone'},
 	/** Fields: phase (removal: until the balancer has removed this process; closing: connections are closed as they become idle; end: what is unanswered is aborted), calls (in progress), connections, leftMs (until the end). */
 	shutdownPhase: {number: 765, level: 'info', text: 'shutdown has reached a phase'},
+	/** Fields: address (of the replica), reason, stack. */
+	connectionDefect: {number: 792, level: 'error', text: 'HTTP library broke an invariant on a connection to a replica; the connection was ended alone'},
 	/** Fields: reason. */
 	handlerFailed: {number: 790, level: 'error', text: 'handler of a peer\'s call broke an invariant'},
 } as const satisfies Record<string, EventDefinition>;
--- a/src/gateway/replica-connection-pool.ts
+++ b/src/gateway/replica-connection-pool.ts
@@ -1,10 +1,11 @@
 /**
-Pool of kept-alive connections to one replica, with one request at a time on each. The HTTP library's own pool is not used, because the handling of a request depends on its connection: whether it is new, whether other connections to the replica became unresponsive, and whether its socket failed during an answer without a length.
+Pool of kept-alive connections to one replica, with one request at a time on each. The HTTP library's own pool is not used, because the handling of a request depends on its connection: whether it is new, and whether other connections to the replica became unresponsive.
 */
-import buildConnector from 'undici/lib/core/connect.js';
 import Client from 'undici/lib/dispatcher/client.js';
 import type {Dispatcher} from 'undici';
 import type {Clock, Disposable} from '../common/services.js';
+import {PausableResponse} from '../io/pausable-response.js';
+import {connectorOf} from '../io/pausable-socket.js';
 import {SocketWatch} from '../io/socket-watch.js';
 
 /** Idle time after which a connection is closed if the replica announces none, in milliseconds; below the 5 s for which Node's and most other servers keep an idle connection. */
@@ -13,16 +14,15 @@
 /** Subtracted from the idle time that the replica announces, in milliseconds, so that a request is not sent while the replica closes the connection. */
 const idleMarginMs = 1000;
 
-/** Undici's connect time-out; the attempt has a shorter one with exact timing. */
-const undiciConnectTimeoutMs = 5000;
+/** Time limit of a connection, in milliseconds; the attempt has a shorter one. */
+const connectTimeoutMs = 5000;
 
 /** Maximum size of an answer's head, interim answers included, in bytes; header lines may have a quarter of it. */
 const maxHeadBytes = 65_536;
 
 const lowestFinalStatus = 200;
 
-/** Sockets stay writable after the replica has ended the connection, so that a reset can still be detected. */
-const connect = buildConnector({timeout: undiciConnectTimeoutMs, allowH2: false, allowHalfOpen: true});
+const connect = connectorOf(connectTimeoutMs);
 
 /** One connection, established or being established. It carries one request at a time. */
 export class ReplicaConnection implements Disposable {
@@ -30,7 +30,7 @@
 	idleSince = Infinity;
 	readonly #client: Client;
 	readonly #pool: ReplicaConnectionPool;
-	readonly #socketWatch = new SocketWatch();
+	readonly #socketWatch: SocketWatch;
 	#isClosed = false;
 	#isNew = true;
 
@@ -40,6 +40,9 @@
 	*/
 	constructor(address: string, pool: ReplicaConnectionPool) {
 		this.#pool = pool;
+		this.#socketWatch = new SocketWatch(err => {
+			pool.listener.onDefect?.(err);
+		});
 		this.#client = new Client(`http://${address}`, {
 			connect: (options, callback) => {
 				connect(options, (...outcome) => {
@@ -55,7 +58,7 @@
 		});
 		this.#client.once('disconnect', () => {
 			this.#isClosed = true;
-			pool.onTransfer(this.#socketWatch.takeTransferredBytes());
+			pool.listener.onTransfer?.(this.#socketWatch.takeTransferredBytes());
 			pool.removeConnection(this);
 		});
 	}
@@ -69,13 +72,8 @@
 		return this.#isNew;
 	}
 
-	/** Whether the replica reset the connection instead of ending it. To be called at the end of an answer without a length, before anything else happens to the socket. */
-	async wasReset(): Promise<boolean> {
-		return this.#socketWatch.wasReset();
-	}
-
 	dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
-		this.#client.dispatch(options, {
+		this.#client.dispatch(options, new PausableResponse({
 			...handler,
 			onRequestStart: (controller, context) => {
 				this.#socketWatch.expectHead(maxHeadBytes, () => {
@@ -90,13 +88,13 @@
 
 				handler.onResponseStart?.(controller, status, ...head);
 			},
-		});
+		}, options.method, this.#socketWatch));
 	}
 
 	/** Frees the connection for another request, after a complete and valid answer. */
 	release(): void {
 		this.#isNew = false;
-		this.#pool.onTransfer(this.#socketWatch.takeTransferredBytes());
+		this.#pool.listener.onTransfer?.(this.#socketWatch.takeTransferredBytes());
 		this.#pool.returnToPool(this);
 	}
 
@@ -117,10 +115,17 @@
 	}
 }
 
+/** Learns what happens on the connections of a pool. */
+export type ConnectionListener = {
+	/** Called with bytes sent and received, when a request or a connection ends. */
+	readonly onTransfer?: (bytes: number) => void;
+	/** Called with an error of the HTTP library that has ended a connection. */
+	readonly onDefect?: (err: Error) => void;
+};
+
 /** The pool of one replica. */
 export class ReplicaConnectionPool implements Disposable {
-	/** Called with bytes sent and received, when a request or a connection ends. */
-	readonly onTransfer: (bytes: number) => void;
+	readonly listener: ConnectionListener;
 	readonly #address: string;
 	readonly #clock: Clock;
 	readonly #all = new Set<ReplicaConnection>();
@@ -129,10 +134,10 @@
 	#closesWhenIdle = false;
 
 	/** @param address - `ip:port`. */
-	constructor(address: string, clock: Clock, onTransfer: (bytes: number) => void = () => undefined) {
+	constructor(address: string, clock: Clock, listener: ConnectionListener = {}) {
 		this.#address = address;
 		this.#clock = clock;
-		this.onTransfer = onTransfer;
+		this.listener = listener;
 	}
 
 	/** Number of connections that are open or being established. */
--- a/src/gateway/replica-connection-pools.ts
+++ b/src/gateway/replica-connection-pools.ts
@@ -23,6 +23,8 @@
 	readonly processCount: () => number;
 	/** Called with the address of a replica and bytes sent to it and received from it. */
 	readonly onTransfer?: (address: string, bytes: number) => void;
+	/** Called with the address of a replica and an error of the HTTP library that has ended a connection to it. */
+	readonly onDefect?: (address: string, err: Error) => void;
 };
 
 /** The connection pools of all replicas. */
@@ -69,9 +71,14 @@
 			return existing;
 		}
 
-		const {clock, onTransfer} = this.#parts;
-		const pool = new ReplicaConnectionPool(record.address, clock, bytes => {
-			onTransfer?.(record.address, bytes);
+		const {clock, onTransfer, onDefect} = this.#parts;
+		const pool = new ReplicaConnectionPool(record.address, clock, {
+			onTransfer(bytes) {
+				onTransfer?.(record.address, bytes);
+			},
+			onDefect(err) {
+				onDefect?.(record.address, err);
+			},
 		});
 		this.#pools.set(record.id, pool);
 		return pool;
--- a/src/io/http-client.ts
+++ b/src/io/http-client.ts
@@ -12,7 +12,8 @@
 import {Left, Right, type Either} from 'purify-ts/Either';
 import type {Disposable} from '../common/services.js';
 import {TimeLimit} from './time-limit.js';
-import {WatchedClient} from './watched-client.js';
+import {connectTimeoutCode} from './pausable-socket.js';
+import {WatchedClient, type WatchedClientOptions} from './watched-client.js';
 
 /** Why there is no response. */
 export type HttpFailure = {
@@ -55,7 +56,7 @@
 // Undici rejected the request itself, for instance because of an unsupported header.
 const invalidRequestCodes = new Set(['UND_ERR_INVALID_ARG', 'UND_ERR_NOT_SUPPORTED']);
 
-const notSentCodes = new Set(['UND_ERR_CONNECT_TIMEOUT', ...invalidRequestCodes]);
+const notSentCodes = new Set([connectTimeoutCode, ...invalidRequestCodes]);
 
 // Errors of the operating system count only for these system calls: a "host unreachable" from a router can also close a connection on which the request was sent, and the request would then be reported as not run.
 const connectSyscalls = new Set(['connect', 'bind']);
@@ -70,7 +71,7 @@
 };
 
 const dispatcherOptions = {
-	connect: {timeout: connectTimeoutMs, allowHalfOpen: true},
+	connectTimeoutMs,
 	keepAliveTimeout: keepAliveMs,
 	// Both limits are enforced by own timers: those of undici have a resolution of one second, and a stream may pause for longer than any body timeout.
 	headersTimeout: 0,
@@ -83,7 +84,7 @@
 
 const poolOptions = {
 	...dispatcherOptions,
-	factory: (origin: string | URL, options: object) => new Pool(origin, {...options, factory: (url, clientOptions) => new WatchedClient(url, clientOptions)}),
+	factory: (origin: string | URL, options: object) => new Pool(origin, {...options, factory: (url, clientOptions) => new WatchedClient(url, clientOptions as WatchedClientOptions)}),
 };
 
 const codeOf = (err: unknown) => (err as {code?: string}).code ?? '';
--- a/src/io/socket-watch.ts
+++ b/src/io/socket-watch.ts
@@ -1,24 +1,31 @@
 /**
-Tracks the socket of a connection and detects whether it was reset, to verify the end of a response with neither a `content-length` nor chunked encoding: such a response is complete if its connection was closed, and truncated if it was reset.
+Watches the socket of a connection: its reads, its errors, and whether it was reset, to verify the end of a response with neither a `content-length` nor chunked encoding: such a response is complete if its connection was closed, and truncated if it was reset.
 
 Undici treats such a response as complete even when its connection is reset. A reset that arrives together with the last bytes is not even reported: Node reads the bytes, sees that the other side has closed, and emits an ordinary end without checking the socket error. The caller would receive a truncated response as a complete one.
 */
-import type {Socket} from 'node:net';
+import type {PausableSocket} from './pausable-socket.js';
 
 /** Ignored by a server after a response; the connection carries no further request. */
 const probeBytes = '\r\n';
 
-/** Detects a reset of a connection. */
+/** Watches the socket of one connection. */
 export class SocketWatch {
-	#socket: Socket | undefined;
+	readonly #onDefect: (err: Error) => void;
+	#socket: PausableSocket | undefined;
 	#hasFailed = false;
 	#countedBytes = 0;
 	/** The number of bytes read above which the head of a response is too long, while one is awaited. */
 	#headLimit = Infinity;
 	#onHeadTooLong: (() => void) | undefined;
+	#failResponse: ((err: Error) => void) | undefined;
 
-	/** @param socket - Socket of the new connection; it must stay writable after the server has closed its side (`allowHalfOpen`). `null` if the connection could not be established. */
-	track(socket: Socket | null): void {
+	/** @param onDefect - Called with an error that the HTTP library has thrown while it handled an event of the socket. */
+	constructor(onDefect: (err: Error) => void = () => undefined) {
+		this.#onDefect = onDefect;
+	}
+
+	/** @param socket - Socket of the new connection; `null` if it could not be established. */
+	track(socket: PausableSocket | null): void {
 		this.#socket = socket ?? undefined;
 		this.#hasFailed = false;
 		this.#countedBytes = 0;
@@ -29,6 +36,24 @@
 		socket?.on('readable', () => {
 			this.#checkHead();
 		});
+		socket?.onDefect(err => {
+			this.#onDefect(err);
+			this.#failResponse?.(err);
+		});
+	}
+
+	/** `undefined` until the connection has been established. */
+	get socket(): PausableSocket | undefined {
+		return this.#socket;
+	}
+
+	/**
+	The next response is awaited.
+
+	@param fail - Called if the connection ends because of an error in the HTTP library, which may then report nothing itself.
+	*/
+	beginResponse(fail: (err: Error) => void): void {
+		this.#failResponse = fail;
 	}
 
 	/**
--- a/src/io/undici-parts.d.ts
+++ b/src/io/undici-parts.d.ts
@@ -29,7 +29,3 @@
 
 	export default function request(this: Dispatcher, options: Dispatcher.RequestOptions): Promise<Dispatcher.ResponseData>;
 }
-
-declare module 'undici/lib/core/connect.js' {
-	export {buildConnector as default} from 'undici';
-}
