Jobs: 404 only where no keeper can hold the job; the front that accepted a job stores it itself

Cause: only keepers stored a held job, and other fronts took the store's 404 for proof that no such job exists.

Change: HeldJobSearch asks all registered keepers where the store has no such job; a job that one has, has just stored, or may have since it doesn't answer, gets 503. The front that accepted a job writes it as keepers do, at most once. Pages, bodies and ends find their jobs by the same way.

No call of the store is added: keepers are asked over their own connections.

--- a/src/gateway/batch/job-intake.steps.ts
+++ b/src/gateway/batch/job-intake.steps.ts
@@ -61,7 +61,7 @@
 	feed.start();
 	await until(() => world.jobIndex.hasLoaded, 'the records are loaded');
 	world.intake = new JobIntake({
-		api: world.api, feed, jobIndex: world.jobIndex, contents: new ContentStore(world.api), keeperPool, processCount: () => 1, clock, log, metrics,
+		api: world.api, feed, jobIndex: world.jobIndex, contents: new ContentStore(world.api), heldJobs: {add: () => undefined}, keeperPool, processCount: () => 1, clock, log, metrics,
 	});
 };
 
--- a/src/gateway/batch/job-intake.ts
+++ b/src/gateway/batch/job-intake.ts
@@ -9,6 +9,7 @@
 import type {ObjectFeed} from '../object-feed.js';
 import type {BatchJobId, ClientAccountName, GatewayRoute} from '../types.js';
 import type {HeldJob} from '../keeping/held-job.js';
+import type {HeldJobs} from '../keeping/held-jobs.js';
 import type {KeeperPool} from '../keeping/keeper-pool.js';
 import type {BatchJob} from './batch-job.js';
 import type {JobIndex} from './job-index.js';
@@ -40,6 +41,8 @@
 	readonly jobIndex: JobIndex;
 	readonly contents: ContentStore;
 	readonly keeperPool: Pick<KeeperPool, 'isSufficient' | 'hold'>;
+	/** Writes jobs that keepers hold, as they do: they may all be gone when the object API is back. */
+	readonly heldJobs: Pick<HeldJobs, 'add'>;
 	/** The number of processes that accept jobs, this one included. */
 	readonly processCount: () => number;
 	readonly clock: Clock;
@@ -200,7 +203,9 @@
 
 	/** Waits for whichever comes first: the record in the object API, or enough copies on the disks of keepers, which will write it there. */
 	async #writeOrHold(writing: Promise<JobWriteResult>, job: HeldJob): Promise<SubmissionOutcome> {
-		const {clock, keeperPool, jobIndex, contents} = this.#parts;
+		const {
+			clock, keeperPool, heldJobs, jobIndex, contents,
+		} = this.#parts;
 		const first = await Promise.race([writing, clock.sleep(holdAfterMs)]);
 		if (first && first.outcome !== 'away' && first.outcome !== 'uncertain') {
 			return this.#resolveOutcome(job.record, first);
@@ -210,6 +215,7 @@
 		if (held === 'held') {
 			contents.cache(job.record.content, job.content);
 			jobIndex.addHeld(job.record);
+			heldJobs.add(job);
 			return 'accepted';
 		}
 
--- a/src/gateway/batch/job-reader.ts
+++ b/src/gateway/batch/job-reader.ts
@@ -1,5 +1,5 @@
 /**
-Answers requests about batch jobs at any process. A job that is not in this process's index may still exist, so the object API is read before the job is reported as unknown; if it cannot be read, the answer is `unsure`.
+Answers requests about batch jobs at any process. A job that is not in this process's index may still exist, so the object API is read before the job is reported as unknown, and then keepers are asked, which may hold it; if it cannot be read, or a keeper may hold the job, the answer is `unsure`.
 */
 import {Buffer} from 'node:buffer';
 import {errorOf} from '../../common/error-of.js';
@@ -7,6 +7,7 @@
 	Clock, EventLog, ObjectApi,
 } from '../../common/services.js';
 import {gatewayEvents} from '../log-events.js';
+import type {HeldJobSearch} from '../keeping/held-job-search.js';
 import type {ObjectFeed} from '../object-feed.js';
 import type {BatchItemId, BatchJobId, CallerIdentity} from '../types.js';
 import type {JobIndex} from './job-index.js';
@@ -40,6 +41,7 @@
 	readonly feed: ObjectFeed;
 	readonly jobIndex: JobIndex;
 	readonly contents: ContentStore;
+	readonly heldJobSearch: Pick<HeldJobSearch, 'mayBeHeld'>;
 	readonly clock: Clock;
 	readonly log: EventLog;
 	/** When the records were last confirmed to be current, by this process or a peer, in milliseconds on the monotonic clock. */
@@ -172,7 +174,9 @@
 	}
 
 	async #findAny(id: BatchJobId): Promise<BatchJob | JobReadError> {
-		const {api, jobIndex, feed} = this.#parts;
+		const {
+			api, jobIndex, feed, heldJobSearch,
+		} = this.#parts;
 		const indexed = admitted(jobIndex.job(id));
 		if (indexed) {
 			return indexed;
@@ -180,7 +184,7 @@
 
 		const read = await api.get('BatchRecord', recordNames.job(id));
 		if (read.isLeft()) {
-			return errorOf(read)?.kind === 'notFound' ? 'unknown' : 'unsure';
+			return errorOf(read)?.kind === 'notFound' && !(await heldJobSearch.mayBeHeld(id)) ? 'unknown' : 'unsure';
 		}
 
 		// A record that was not admitted is about to be removed, or replaced by the record of a job that keepers hold.
--- a/src/gateway/batch/result-writer.steps.ts
+++ b/src/gateway/batch/result-writer.steps.ts
@@ -84,7 +84,7 @@
 		api: this.api, feed, jobIndex, contents: new ContentStore(this.api), clock: this.clock, log,
 	}, () => jobIndex.job(job), () => dueMs));
 	this.reader = new JobReader({
-		api: this.api, feed, jobIndex, contents: new ContentStore(this.api), clock: new SystemClock(), log, confirmedAt: () => feed.currentAsOf,
+		api: this.api, feed, jobIndex, contents: new ContentStore(this.api), heldJobSearch: {mayBeHeld: async () => false}, clock: new SystemClock(), log, confirmedAt: () => feed.currentAsOf,
 	});
 	this.outputs = new Map();
 });
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -44,7 +44,10 @@
 import {FeedFreshness} from './feed-freshness.js';
 import {FirstRead} from './first-read.js';
 import {FrontServer} from './front-server.js';
+import {HeldJobSearch} from './keeping/held-job-search.js';
+import {HeldJobs} from './keeping/held-jobs.js';
 import {KeeperPool} from './keeping/keeper-pool.js';
+import {noJournal} from './keeping/no-journal.js';
 import type {JobCallDialect} from './job-calls.js';
 import {gatewayEvents} from './log-events.js';
 import {LoadBoard} from './load-board.js';
@@ -349,6 +352,9 @@
 		const contents = new ContentStore(api, settings.objectApi.maxValueBytes);
 		const jobIndex = new JobIndex(recordFeed);
 		this.#jobIndex = jobIndex;
+		const heldJobs = new HeldJobs({
+			journal: noJournal, api, clock, log,
+		});
 		const claims = new JobClaims({
 			self, jobIndex, peers, clock, log, isLeaving, membersFirstLoadedAt: () => this.#registry.firstLoadedAt,
 		});
@@ -397,10 +403,14 @@
 				log,
 				metrics,
 				processCount,
+				heldJobs,
 				keeperPool: new KeeperPool({rpc, keeperAddresses: () => this.#registry.keeperAddresses, toleratedLosses: settings.toleratedLosses}),
 			}),
 			reader: new JobReader({
 				api, feed: recordFeed, jobIndex, contents, clock, log, confirmedAt: () => this.#checks.lastConfirmedAt('BatchRecord'),
+				heldJobSearch: new HeldJobSearch({
+					rpc, clock, toleratedLosses: settings.toleratedLosses, keeperAddresses: () => this.#registry.firstLoadedAt === undefined ? undefined : this.#registry.keeperAddresses,
+				}),
 			}),
 		});
 		this.#readyServer = createServer((req, res) => {
@@ -408,7 +418,7 @@
 			res.writeHead(this.#readiness.isReady ? 200 : 503, {'content-length': '0'});
 			res.end();
 		});
-		this.#owned = [this.#retention, this.#quarantineRecords, this.#runner, this.#announcer, this.#registrar, registrations, this.#checks, unreachableAnnouncements, progress, ...this.#feeds, reachability, this.#connectionPools, this.#server, this.#admission, this.#streamOrigins, this.#channel, this.#rpcServer, api, http, this.#metrics, this.#lifecycle];
+		this.#owned = [this.#retention, this.#quarantineRecords, this.#runner, this.#announcer, this.#registrar, registrations, this.#checks, unreachableAnnouncements, progress, ...this.#feeds, reachability, this.#connectionPools, this.#server, this.#admission, this.#streamOrigins, this.#channel, this.#rpcServer, heldJobs, api, http, this.#metrics, this.#lifecycle];
 	}
 
 	get addresses(): Readonly<Record<string, string>> {
--- a/src/gateway/keeper.ts
+++ b/src/gateway/keeper.ts
@@ -13,7 +13,9 @@
 import type {HttpServer} from '../io/http-server.js';
 import type {RunningProgram, StartError} from '../io/program.js';
 import {PrometheusMetrics} from '../io/prometheus-metrics.js';
-import {readHeldJob, holdJobMethod, type HoldAnswer} from './keeping/held-job.js';
+import {
+	findHeldJobMethod, holdJobMethod, readHeldJob, type FindHeldJobAnswer, type HoldAnswer,
+} from './keeping/held-job.js';
 import {HeldJobs} from './keeping/held-jobs.js';
 import {JobJournal} from './keeping/job-journal.js';
 import {gatewayEvents} from './log-events.js';
@@ -22,7 +24,7 @@
 import {peerServer} from './peers/peer-server.js';
 import type {RecordReaders} from './record-readers.js';
 import type {KeeperSettings} from './settings.js';
-import type {MemberName} from './types.js';
+import type {BatchJobId, MemberName} from './types.js';
 
 /** Dependencies of the keeper. */
 export type KeeperParts = {
@@ -49,6 +51,8 @@
 	readonly #held: HeldJobs;
 	readonly #server: HttpServer;
 	readonly #owned: readonly Disposable[];
+	/** Resolves once the jobs on the disk have been read. */
+	#loaded: Promise<void> | undefined;
 	#isRetiring = false;
 	#answeredVersion = branded<Revision>(0);
 
@@ -65,6 +69,7 @@
 		});
 		this.#server = peerServer({
 			[holdJobMethod]: async (value: unknown) => this.#hold(value),
+			[findHeldJobMethod]: async ({job}: {readonly job: BatchJobId}) => this.#find(job),
 		}, log);
 		this.#feed.onSnapshot(items => {
 			this.#isRetiring = false;
@@ -101,7 +106,8 @@
 			});
 		}
 
-		await this.#held.start();
+		this.#loaded = this.#held.start();
+		await this.#loaded;
 		this.#feed.start();
 		void this.#entry.register({address: this.#server.address, role: 'keeper'});
 		this.#lifecycle.send('started');
@@ -124,6 +130,11 @@
 		return job === undefined || this.#lifecycle.isLeaving || this.#isRetiring ? 'refused' : this.#held.hold(job);
 	}
 
+	async #find(job: BatchJobId): Promise<FindHeldJobAnswer> {
+		await this.#loaded;
+		return {isKnown: this.#held.knows(job)};
+	}
+
 	/**
 	Answers a retirement request for the VM that this process runs on, once no job is held.
 
--- a/src/gateway/keeping/held-job.ts
+++ b/src/gateway/keeping/held-job.ts
@@ -14,6 +14,12 @@
 /** The name of the method with which a front asks a keeper to hold a job. */
 export const holdJobMethod = 'gateway.holdJob';
 
+/** The name of the method with which a front asks a keeper whether it has a job. */
+export const findHeldJobMethod = 'gateway.findHeldJob';
+
+/** A keeper's answer: whether it holds the job, or has just stored it in the object API. */
+export type FindHeldJobAnswer = {readonly isKnown: boolean};
+
 /** A keeper's answer. `uncertain`: it does not hold the job, but may still have it on its disk, and write it to the object API after a restart. */
 export type HoldAnswer = 'held' | 'refused' | 'uncertain';
 
--- a/src/gateway/keeping/held-jobs.ts
+++ b/src/gateway/keeping/held-jobs.ts
@@ -1,5 +1,5 @@
 /**
-Holds jobs on a keeper's disk and writes them to the object API once it is available. Records are only ever created, so each keeper that holds a copy may write it, in any order and more than once.
+Holds jobs, on a keeper's disk or in the memory of the front that accepted them, and writes them to the object API once it is available. Records are only ever created, so each keeper that holds a copy may write it, in any order and more than once.
 */
 import {errorOf} from '../../common/error-of.js';
 import type {
@@ -15,7 +15,7 @@
 
 /** Dependencies of the holder. */
 export type HeldJobsParts = {
-	readonly journal: JobJournal;
+	readonly journal: Pick<JobJournal, 'load' | 'hold' | 'remove'>;
 	readonly api: ObjectApi;
 	readonly clock: Clock;
 	readonly log: EventLog;
@@ -24,6 +24,9 @@
 /** While the object API is unavailable, milliseconds until the next attempt: every process must receive the jobs about a second after it is available again. */
 const retryDelayMs = 300;
 
+/** A job is known for this long after it was written, in milliseconds: whoever asks may have read the object API just before. */
+const knownAfterWrittenMs = 10_000;
+
 /** `waits`: another record of the job exists, and it is not certain yet that it stays; or the object API refuses the job for good, which an operator has to see to. */
 type WriteOutcome = 'stands' | 'waits' | 'away';
 
@@ -35,6 +38,8 @@
 	readonly #blockedSince = new Map<string, number>();
 	/** Contents of jobs that the object API has refused. */
 	readonly #refused = new Set<string>();
+	/** When jobs were written, in milliseconds on the monotonic clock, oldest first. */
+	readonly #writtenAt = new Map<BatchJobId, number>();
 	#isDisposed = false;
 	#isWriting = false;
 
@@ -72,10 +77,28 @@
 		});
 	}
 
+	/** Holds a job that is on the disks of others. */
+	add(job: HeldJob): void {
+		this.#add(job);
+	}
+
+	/** Whether the job is held, or was written just now. */
+	knows(id: BatchJobId): boolean {
+		this.#forgetWritten();
+		return this.#writtenAt.has(id) || [...this.#jobs.values()].some(({record}) => record.job === id);
+	}
+
 	dispose(): void {
 		this.#isDisposed = true;
 	}
 
+	#forgetWritten() {
+		const since = this.#parts.clock.now() - knownAfterWrittenMs;
+		[...this.#writtenAt].filter(([, at]) => at < since).forEach(([id]) => {
+			this.#writtenAt.delete(id);
+		});
+	}
+
 	#add(job: HeldJob) {
 		this.#jobs.set(job.record.content, job);
 		if (!this.#isWriting) {
@@ -176,6 +199,8 @@
 			// After a restart it will be written once more, and found to exist.
 			log.emit(gatewayEvents.heldJobRemovalFailed, {id: record.job, reason: String(err)});
 		});
+		this.#forgetWritten();
+		this.#writtenAt.set(record.job, this.#parts.clock.now());
 		this.#jobs.delete(record.content);
 		this.#blockedSince.delete(record.content);
 		log.emit(gatewayEvents.heldJobWritten, {id: record.job});
