Front: half an answer whose replica was replaced during a pause does not look complete

Cause: the end was judged by whether the address accepts a connection now. What accepts it is another start.

Change: a replica of whose id or address another start is registered has ended, without a question to it; registrations that are too old to send work by are read first. Ordinary answers wait for nothing more.

--- a/src/gateway/calls/online-call.ts
+++ b/src/gateway/calls/online-call.ts
@@ -492,7 +492,7 @@
 
 	/** The system closes the connections of a process that has crashed in the regular way, so an answer without a length may have ended with its replica. */
 	async #handleEndOfAnswer(replica: Replica) {
-		const isCutShort = this.#run?.head?.isFramed === false && await this.#parts.reachability.hasEnded(replica);
+		const isCutShort = this.#run?.head?.isFramed === false && await this.#hasEndedReplica(replica);
 		if (this.#hasEnded) {
 			return;
 		}
@@ -508,6 +508,16 @@
 		this.#finish(replica);
 	}
 
+	/** After a pause of this process, what it knows of the replica is too old to tell: the replica may have ended meanwhile, and be back at its address. */
+	async #hasEndedReplica(replica: Replica): Promise<boolean> {
+		const {replicaFreshness, reachability} = this.#parts;
+		if (!replicaFreshness.isFresh) {
+			await replicaFreshness.refresh();
+		}
+
+		return reachability.hasEnded(replica);
+	}
+
 	#finish(replica: Replica) {
 		const status = this.#runStatus;
 		if (!this.#answer.isComplete) {
--- a/src/gateway/contacts/replica-reachability.ts
+++ b/src/gateway/contacts/replica-reachability.ts
@@ -117,9 +117,13 @@
 	}
 
 	/**
-	Whether a replica whose connection broke has ended: a terminated process accepts no new connection, one that only lost a connection does. Requests that break together share one check.
+	Whether a replica whose connection broke has ended: a terminated process accepts no new connection, one that only lost a connection does. A new start, or another replica, at its address accepts some, too. Requests that break together share one check.
 	*/
 	async hasEnded(replica: Replica): Promise<boolean> {
+		if (this.#parts.directory.isReplaced(replica)) {
+			return true;
+		}
+
 		const ongoing = this.#endChecks.get(replica) ?? this.#checkEnded(replica);
 		this.#endChecks.set(replica, ongoing);
 		return ongoing;
--- a/src/gateway/replica-directory.ts
+++ b/src/gateway/replica-directory.ts
@@ -52,6 +52,13 @@
 		return this.takingWork(replica.record.service).includes(replica);
 	}
 
+	/** Whether another start, or another replica at its address, has taken the replica's place: what answers there now says nothing about it. */
+	isReplaced(replica: Replica): boolean {
+		const {id, address} = replica.record;
+		const current = this.#byId.get(id);
+		return (current !== undefined && current !== replica) || [...this.#byId.values()].some(({record}) => record.address === address && record.id !== id);
+	}
+
 	/** Adds or updates a registration. */
 	put(record: ReplicaRecord): void {
 		const current = this.#byId.get(record.id);
