Tests: "A refusal after a part was run" waits until the entry has read a part

Traced: the replica was killed once its engine had made 6 tokens, in 30 ms; on a busy machine the entry had read none of them, and "unknown" was true (RunRecord notes a run with the first chunk). What is asserted is unchanged.

--- a/src/entry/service-calls.steps.ts
+++ b/src/entry/service-calls.steps.ts
@@ -155,12 +155,15 @@
 	assert.equal(this.relayed.runs(marker), times);
 });
 
+/** When an engine has made so many tokens, the entry has read the first of them: the processes of the fleet share one event loop. */
+const tokensUntilRead = 60;
+
 When('a generation begins at one replica, which is killed, and the other drains', async function (this: CallWorld) {
 	const res = fetch(`http://${this.relayed.fleet.entryAddress()}/v1/chat/completions`, {
 		method: 'POST', headers: {authorization}, body: JSON.stringify({model: modelName, messages: [{role: 'user', content: 'hello'}], max_tokens: 500}),
 	});
 	const {engines} = this.relayed.fleet;
-	await until(() => [...engines.values()].some(engine => engine.stats().tokens > 5));
+	await until(() => [...engines.values()].some(engine => engine.stats().tokens > tokensUntilRead));
 	const vm = routedVm(this);
 	const other = [...engines.keys()].find(name => name !== vm)!;
 	void this.relayed.fleet.agents.get(other)!.drain();
