Front: a call that its replica broke off while the front ended is not reported as not run

Found by reading the diff: at the end of a shutdown, a call whose run was over but whose replica was still being checked (25 ms after a broken connection, or the time of a connection at the end of an answer without a length) was answered 503, as not run, although a replica had begun it.

Cause: abortForShutdown went by whether a run was in progress, and by the succession, which learns of a broken run only after the check. It now refuses only if no run began, or the last one ended in a way that shows that its replica has not run the call.

--- a/src/gateway/calls/online-call.ts
+++ b/src/gateway/calls/online-call.ts
@@ -38,6 +38,9 @@
 /** The longest delay of a rerun by the check whether the previous replica has terminated, in milliseconds: several round trips within a region. */
 const maxCrashCheckMs = 25;
 
+/** Ends of an attempt at which its replica has certainly not run the call. */
+const notRunEnds: ReadonlySet<AttemptEnd['kind']> = new Set(['notSent', 'unsendable', 'refused', 'misdirected', 'outdated']);
+
 type EndHandlers = {readonly [K in AttemptEnd['kind']]: (end: Extract<AttemptEnd, {kind: K}>, replica: Replica) => void};
 
 /** A call under way. */
@@ -193,9 +196,9 @@
 				return;
 			}
 
-			const isRunning = this.#run?.isOver === false;
+			const isUndecided = this.#mayHaveRun;
 			this.#run?.dispose();
-			if (isRunning) {
+			if (isUndecided) {
 				this.#final.fail('shutdown');
 			} else {
 				this.#final.giveUp('shutdown', 0);
@@ -279,6 +282,11 @@
 		return this.#parts.clock.now() - this.#call.arrivedAt;
 	}
 
+	/** Whether the current run, or the last one, may have begun at its replica. It is over before its end is known to the succession, which may wait for a check of the replica. */
+	get #mayHaveRun(): boolean {
+		return this.#run !== undefined && !(this.#run.isOver && this.#lastEnd !== undefined && notRunEnds.has(this.#lastEnd));
+	}
+
 	/** Whether a run that begins now can be expected to end before this process does. */
 	#mayBegin(isRecoverable = this.#isRepeatable): boolean {
 		const {shutdown, serviceTimes} = this.#parts;
