Run succession: whether a call may have run is kept where runs begin and end

The end of a shutdown had its own reckoning of whether a call may have run, in OnlineCall, beside RunSuccession.mayHaveRun, which learnt of a broken run only after the check of its replica. The succession now notes the start of a run and the kind of its end, so what asks it (FinalAnswer, for every refusal) is right at any moment, and OnlineCall needs no twin.

"Calls whose replica breaks off while their front ends are not reported as not run" passes, and the scenarios on refusals, reruns and quarantine.

--- a/src/gateway/calls/online-call.ts
+++ b/src/gateway/calls/online-call.ts
@@ -38,9 +38,6 @@
 /** The longest delay of a rerun by the check whether the previous replica has terminated, in milliseconds: several round trips within a region. */
 const maxCrashCheckMs = 25;
 
-/** Ends of an attempt at which its replica has certainly not run the call. */
-const notRunEnds: ReadonlySet<AttemptEnd['kind']> = new Set(['notSent', 'unsendable', 'refused', 'misdirected', 'outdated']);
-
 type EndHandlers = {readonly [K in AttemptEnd['kind']]: (end: Extract<AttemptEnd, {kind: K}>, replica: Replica) => void};
 
 /** A call under way. */
@@ -196,13 +193,8 @@
 				return;
 			}
 
-			const isUndecided = this.#mayHaveRun;
 			this.#run?.dispose();
-			if (isUndecided) {
-				this.#final.fail('shutdown');
-			} else {
-				this.#final.giveUp('shutdown', 0);
-			}
+			this.#final.giveUp('shutdown', 0);
 		});
 	}
 
@@ -282,11 +274,6 @@
 		return this.#parts.clock.now() - this.#call.arrivedAt;
 	}
 
-	/** Whether the current run, or the last one, may have begun at its replica. It is over before its end is known to the succession, which may wait for a check of the replica. */
-	get #mayHaveRun(): boolean {
-		return this.#run !== undefined && !(this.#run.isOver && this.#lastEnd !== undefined && notRunEnds.has(this.#lastEnd));
-	}
-
 	/** Whether a run that begins now can be expected to end before this process does. */
 	#mayBegin(isRecoverable = this.#isRepeatable): boolean {
 		const {shutdown, serviceTimes} = this.#parts;
@@ -391,6 +378,7 @@
 			},
 		});
 		this.#run = run;
+		this.#succession.noteStart();
 		run.start();
 	}
 
@@ -437,7 +425,7 @@
 
 	#onEnd(end: AttemptEnd, {replica, head, resumeAfter}: ReplicaRun) {
 		this.#lastEnd = end.kind;
-		this.#succession.noteEnd();
+		this.#succession.noteEnd(end.kind);
 		if (end.kind !== 'complete') {
 			this.#held.discard();
 		}
--- a/src/gateway/calls/run-succession.ts
+++ b/src/gateway/calls/run-succession.ts
@@ -19,12 +19,17 @@
 	readonly continuation: RunContinuation;
 };
 
+/** Ends of an attempt at which its replica has certainly not run the call. */
+const notRunEnds: ReadonlySet<AttemptEnd['kind']> = new Set(['notSent', 'unsendable', 'refused', 'misdirected', 'outdated']);
+
 /** See the module's head. */
 export class RunSuccession {
 	readonly #parts: Pick<GatewayParts, 'directory' | 'reachability'>;
 	readonly #call: SucceedingRuns;
 	#runs = 0;
 	#mayHaveRun = false;
+	/** Whether a replica may be running the call now. */
+	#isUnderWay = false;
 	#isContinuing = false;
 	/** Whether a replica had ended during a run of the call when the last run ended. */
 	#wasSuspected = false;
@@ -41,7 +46,7 @@
 
 	/** Whether any replica may have started to run the call. */
 	get mayHaveRun(): boolean {
-		return this.#mayHaveRun;
+		return this.#mayHaveRun || this.#isUnderWay;
 	}
 
 	/** Whether the current run goes on from the copy of another one: if it cannot, the call must not be run anew. */
@@ -60,14 +65,20 @@
 		return isRepeatable && answer.canResume && this.#runs < route.maxRuns;
 	}
 
+	/** Records that a run begins. */
+	noteStart(): void {
+		this.#isUnderWay = true;
+	}
+
 	/** Records that a run has ended, before its own crash is recorded. */
-	noteEnd(): void {
+	noteEnd(kind: AttemptEnd['kind']): void {
+		this.#isUnderWay = false;
+		this.#mayHaveRun ||= !notRunEnds.has(kind);
 		this.#wasSuspected = this.#call.content.isSuspected;
 	}
 
 	/** Records a run without a complete answer. Runs at terminated replicas do not count: a crash must not fail a stream that can still be resumed. */
 	noteBroken(replica: Replica): void {
-		this.#mayHaveRun = true;
 		if (this.#parts.directory.get(replica.record.id) === replica) {
 			this.#runs += 1;
 		}
