Replica directory: a sound replica at a reused address does not count as ended

Found by reading the diff, in the mend of half an answer after a pause: any two registrations at one address made both replicas count as replaced. An address is used again some seconds after its replica has gone, while the registration of that one may still be there: the whole answers of the new replica, where they have neither a length nor chunks, would have counted as broken off, and its requests as ones that end replicas.

Cause: the question looked for any other registration. A list tells no order, so one that was only listed later, but started earlier, replaces nobody.

Both examples of the new outline failed before (a sound later replica counted as replaced, and an earlier one by a list's order).

--- a/src/gateway/replica-directory.feature
+++ b/src/gateway/replica-directory.feature
@@ -57,3 +57,25 @@
     When "r1" is registered as started at 9000
     And peer "front-2" announces 8 failures in 16 requests at "r1" started at 1000
     Then 0 % of the requests at "r1" are counted as failed
+
+  Scenario Outline: An address that two replicas are registered with: <case>
+    # Guards against a replica that counts as ended because the registration of an earlier one at its address has not
+    # been removed yet, and against one that seems to go on because a later one answers at its address.
+    When "r2" is registered at the same address, as started at <started>
+    Then "r1" has been replaced: <first>
+    And "r2" has been replaced: no
+
+    Examples:
+      | case                             | started | first |
+      | the later one is seen later      | 9000    | yes   |
+      | the later one was listed earlier | 400     | no    |
+
+  Scenario: The later replica at an address leaves
+    When "r2" is registered at the same address, as started at 9000
+    And the registration of "r2" ends
+    Then "r1" has been replaced: no
+
+  Scenario: Another start has been replaced, and the new one has not
+    When "r1" is registered as started at 9000
+    Then the earlier start of "r1" has been replaced: yes
+    And "r1" has been replaced: no
--- a/src/gateway/replica-directory.steps.ts
+++ b/src/gateway/replica-directory.steps.ts
@@ -12,6 +12,7 @@
 import {PeerTable} from './peers/peer-table.js';
 import {Quarantine} from './quarantine/quarantine.js';
 import {testPartQuarantine} from './testing/part-quarantines.js';
+import type {Replica} from './replica.js';
 import {ReplicaDirectory} from './replica-directory.js';
 import type {
 	GatewayServiceName, MemberName, ReplicaId, ReplicaRecord, SoftwareVersion,
@@ -19,6 +20,7 @@
 
 type DirectoryWorld = TestWorld & {
 	directory: ReplicaDirectory;
+	firstStart: Replica;
 	peers: PeerTable;
 	seq: number;
 	changes: string[];
@@ -49,6 +51,7 @@
 Given('replica {string} started at {int} is registered, with {int} own calls and {int} of peer {string}', function (this: DirectoryWorld, id: string, startedAt: number, own: number, others: number, peer: string) {
 	this.directory = new ReplicaDirectory();
 	this.directory.put(recordOf(id, startedAt));
+	this.firstStart = replicaOf(this, id);
 	this.changes = [];
 	this.directory.onChange(({change}) => {
 		this.changes.push(change);
@@ -74,6 +77,22 @@
 	this.directory.put(recordOf(id, startedAt));
 });
 
+When('{string} is registered at the same address, as started at {int}', function (this: DirectoryWorld, id: string, startedAt: number) {
+	this.directory.put(recordOf(id, startedAt));
+});
+
+When('the registration of {string} ends', function (this: DirectoryWorld, id: string) {
+	this.directory.remove(branded<ReplicaId>(id));
+});
+
+Then('{string} has been replaced: {word}', function (this: DirectoryWorld, id: string, expected: string) {
+	assert.equal(this.directory.isReplaced(replicaOf(this, id)), expected === 'yes');
+});
+
+Then('the earlier start of "r1" has been replaced: {word}', function (this: DirectoryWorld, expected: string) {
+	assert.equal(this.directory.isReplaced(this.firstStart), expected === 'yes');
+});
+
 When('the {int} own calls end', function (this: DirectoryWorld, _count: number) {
 	this.ends.forEach(end => {
 		end();
--- a/src/gateway/replica-directory.ts
+++ b/src/gateway/replica-directory.ts
@@ -21,6 +21,8 @@
 	readonly #events = new EventEmitter();
 	readonly #byId = new Map<ReplicaId, Replica>();
 	readonly #byService = new Map<GatewayServiceName, Replica[]>();
+	/** The replica that was seen last at each address. */
+	readonly #byAddress = new Map<string, Replica>();
 	/** Start times of earlier starts, by the id that a later start has taken over. */
 	readonly #endedStarts = new Map<ReplicaId, Set<number>>();
 
@@ -52,11 +54,12 @@
 		return this.takingWork(replica.record.service).includes(replica);
 	}
 
-	/** Whether another start, or another replica at its address, has taken the replica's place: what answers there now says nothing about it. */
+	/** Whether another start, or a later replica at its address, has taken the replica's place: what answers there now says nothing about it. A list tells no order, so a replica that was only listed later counts by its start. */
 	isReplaced(replica: Replica): boolean {
-		const {id, address} = replica.record;
-		const current = this.#byId.get(id);
-		return (current !== undefined && current !== replica) || [...this.#byId.values()].some(({record}) => record.address === address && record.id !== id);
+		const {id, address, startedAt = -Infinity} = replica.record;
+		const sameId = this.#byId.get(id) ?? replica;
+		const sameAddress = this.#byAddress.get(address) ?? replica;
+		return sameId !== replica || (sameAddress !== replica && (sameAddress.record.startedAt ?? Infinity) >= startedAt);
 	}
 
 	/** Adds or updates a registration. */
@@ -73,7 +76,9 @@
 		}
 
 		const before = current.record;
+		this.#leaveAddress(current);
 		current.record = record;
+		this.#byAddress.set(record.address, current);
 		this.#index(before.service);
 		this.#index(record.service);
 		this.#emitChange({replica: current, change: changeBetween(before, record)});
@@ -87,6 +92,7 @@
 		}
 
 		this.#byId.delete(id);
+		this.#leaveAddress(replica);
 		this.#endedStarts.delete(id);
 		this.#index(replica.record.service);
 		this.#emitChange({replica, change: 'left'});
@@ -100,6 +106,7 @@
 	#add(record: ReplicaRecord) {
 		const replica = new Replica(record);
 		this.#byId.set(record.id, replica);
+		this.#byAddress.set(record.address, replica);
 		this.#index(record.service);
 		this.#emitChange({replica, change: 'joined'});
 	}
@@ -119,11 +126,19 @@
 		}
 
 		this.#byId.delete(id);
+		this.#leaveAddress(current);
 		this.#index(current.record.service);
 		this.#emitChange({replica: current, change: 'restarted'});
 		this.#add(record);
 	}
 
+	#leaveAddress(replica: Replica) {
+		const {address} = replica.record;
+		if (this.#byAddress.get(address) === replica) {
+			this.#byAddress.delete(address);
+		}
+	}
+
 	#index(service: GatewayServiceName) {
 		const takingWork = [...this.#byId.values()].filter(({record}) => record.service === service && !record.isDraining);
 		this.#byService.set(service, takingWork);
