Replica connections use the watched client of the other HTTP requests

No change in behaviour. ReplicaConnection made its own client of the library, with the same connector, watch and pausable responses around it as WatchedClient; it now has a WatchedClient, whose watch it shares. One place fewer names an inner module of the library.

--- a/src/gateway/replica-connection-pool.ts
+++ b/src/gateway/replica-connection-pool.ts
@@ -1,12 +1,10 @@
 /**
 Pool of kept-alive connections to one replica, with one request at a time on each. The HTTP library's own pool is not used, because the handling of a request depends on its connection: whether it is new, and whether other connections to the replica became unresponsive.
 */
-import Client from 'undici/lib/dispatcher/client.js';
 import type {Dispatcher} from 'undici';
 import type {Clock, Disposable} from '../common/services.js';
-import {PausableResponse} from '../io/pausable-response.js';
-import {connectorOf} from '../io/pausable-socket.js';
 import {SocketWatch} from '../io/socket-watch.js';
+import {WatchedClient} from '../io/watched-client.js';
 
 /** Idle time after which a connection is closed if the replica announces none, in milliseconds; below the 5 s for which Node's and most other servers keep an idle connection. */
 const maxIdleMs = 4000;
@@ -22,13 +20,11 @@
 
 const lowestFinalStatus = 200;
 
-const connect = connectorOf(connectTimeoutMs);
-
 /** One connection, established or being established. It carries one request at a time. */
 export class ReplicaConnection implements Disposable {
 	/** Since when it has been idle, in milliseconds on the monotonic clock. */
 	idleSince = Infinity;
-	readonly #client: Client;
+	readonly #client: WatchedClient;
 	readonly #pool: ReplicaConnectionPool;
 	readonly #socketWatch: SocketWatch;
 	#isClosed = false;
@@ -43,19 +39,14 @@
 		this.#socketWatch = new SocketWatch(err => {
 			pool.listener.onDefect?.(err);
 		});
-		this.#client = new Client(`http://${address}`, {
-			connect: (options, callback) => {
-				connect(options, (...outcome) => {
-					this.#socketWatch.track(outcome[1]);
-					callback(...outcome);
-				});
-			},
+		this.#client = new WatchedClient(`http://${address}`, {
+			connectTimeoutMs,
 			pipelining: 1,
 			keepAliveTimeout: maxIdleMs,
 			keepAliveTimeoutThreshold: idleMarginMs,
 			headersTimeout: 0,
 			bodyTimeout: 0,
-		});
+		}, this.#socketWatch);
 		this.#client.once('disconnect', () => {
 			this.#isClosed = true;
 			pool.listener.onTransfer?.(this.#socketWatch.takeTransferredBytes());
@@ -73,7 +64,7 @@
 	}
 
 	dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): void {
-		this.#client.dispatch(options, new PausableResponse({
+		this.#client.dispatch(options, {
 			...handler,
 			onRequestStart: (controller, context) => {
 				this.#socketWatch.expectHead(maxHeadBytes, () => {
@@ -88,7 +79,7 @@
 
 				handler.onResponseStart?.(controller, status, ...head);
 			},
-		}, options.method, this.#socketWatch));
+		});
 	}
 
 	/** Frees the connection for another request, after a complete and valid answer. */
--- a/src/io/watched-client.ts
+++ b/src/io/watched-client.ts
@@ -18,8 +18,8 @@
 export class WatchedClient extends Client {
 	readonly #watch: SocketWatch;
 
-	constructor(url: string | URL, {connectTimeoutMs, ...options}: WatchedClientOptions) {
-		const watch = new SocketWatch();
+	/** @param watch - The watch of its connection's socket, for a caller that uses it too. */
+	constructor(url: string | URL, {connectTimeoutMs, ...options}: WatchedClientOptions, watch = new SocketWatch()) {
 		const connect = connectorOf(connectTimeoutMs);
 		super(url, {
 			...options,
