Server connections pass requests on themselves

No change in behaviour. FrontServer and HttpServer each began their handling with the same check that a response can still be sent.

--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -13,7 +13,7 @@
 import {exitCodes} from '../io/exit-codes.js';
 import type {StartError} from '../io/program.js';
 import {readBody, type BodyFailure} from '../io/read-body.js';
-import {canRespond, ServerConnections} from '../io/server-connections.js';
+import {ServerConnections} from '../io/server-connections.js';
 import {branded} from '../common/ids.js';
 import type {
 	AdmittedCaller, Caller, CallerGate, CallHead, GateRefusal,
@@ -164,13 +164,13 @@
 
 	constructor(parts: FrontServerParts) {
 		this.#parts = parts;
-		this.#server = createServer({keepAliveTimeout: defaultIdleMs, requestTimeout: 0, maxHeaderSize: maxHeaderBytes}, (req, res) => {
+		this.#server = createServer({keepAliveTimeout: defaultIdleMs, requestTimeout: 0, maxHeaderSize: maxHeaderBytes});
+		this.#connections = new ServerConnections(this.#server, (req, res) => {
 			const guard = new RequestGuard(parts, {kind: 'request', id: () => parts.dialect.readCall(req.headers).requestId}, () => {
 				endByDefect(res);
 			});
 			guard.run(async () => this.#serve(req, res));
 		});
-		this.#connections = new ServerConnections(this.#server);
 		parts.board.onChange(({limits}) => {
 			this.#server.keepAliveTimeout = Math.max(defaultIdleMs, keepAliveFactor * limits.idleTimeoutMs);
 			this.#server.headersTimeout = limits.headerTimeoutMs;
@@ -251,11 +251,6 @@
 	async #serve(req: IncomingMessage, res: ServerResponse) {
 		const arrivedAt = this.#parts.clock.now();
 		res.on('error', () => undefined);
-		if (!canRespond(req)) {
-			req.socket.destroy();
-			return;
-		}
-
 		if (!this.#parts.firstRead.isOver) {
 			await this.#parts.firstRead.within(notReadyHoldMs);
 			if (res.destroyed) {
--- a/src/io/http-server.ts
+++ b/src/io/http-server.ts
@@ -10,7 +10,7 @@
 import {parseAddress} from './address.js';
 import {exitCodes} from './exit-codes.js';
 import type {StartError} from './program.js';
-import {canRespond, ServerConnections} from './server-connections.js';
+import {ServerConnections} from './server-connections.js';
 
 /** Result of matching a request against a route. */
 export type RouteMatch = {
@@ -54,10 +54,10 @@
 	constructor(routes: readonly Route[], fallbacks: Fallbacks) {
 		this.#routes = routes;
 		this.#fallbacks = fallbacks;
-		this.#server = createServer((req, res) => {
+		this.#server = createServer();
+		this.#connections = new ServerConnections(this.#server, (req, res) => {
 			void this.#dispatch(req, res);
 		});
-		this.#connections = new ServerConnections(this.#server);
 		this.#server.keepAliveTimeout = keepAliveTimeoutMs;
 		this.#server.requestTimeout = requestTimeoutMs;
 	}
@@ -101,11 +101,6 @@
 	}
 
 	async #dispatch(req: IncomingMessage, res: ServerResponse) {
-		if (!canRespond(req)) {
-			req.socket.destroy();
-			return;
-		}
-
 		const url = this.#parseUrl(req);
 		const matchingRoutes = url ? this.#routes.filter(route => route.pattern.test(url.pathname)) : [];
 		const route = matchingRoutes.find(candidate => candidate.method === '*' || candidate.method === req.method);
--- a/src/io/server-connections.ts
+++ b/src/io/server-connections.ts
@@ -1,9 +1,11 @@
 /**
 The connections of an HTTP server, from their start to an orderly end. Node.js closes connections that are idle when the server is closed, and leaves open those that become idle later. It destroys them, too: a request that arrives in that moment is answered with a reset, which may overtake the end of the previous response.
 
-Here, a connection is ended only after it has been idle for a while, so that a request that follows a response at once still gets its own. Then only the sending side is closed: what the client sends meanwhile is read and discarded, until the client closes its side too.
+Here, a connection is ended only after it has been idle for a while, so that a request that follows a response at once still gets its own. Then only the sending side is closed: what the client sends meanwhile is read and discarded, until the client closes its side too. A request that is read then is passed on to nobody, since no response can be sent.
 */
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {
+	IncomingMessage, RequestListener, Server, ServerResponse,
+} from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
 import type {Disposable} from '../common/services.js';
 
@@ -30,14 +32,23 @@
 	#isCloseAnnounced = false;
 	#isEnding = false;
 
-	/** @param server - A server that does not listen yet. */
-	constructor(server: Server) {
+	/**
+	@param server - A server that does not listen yet, and has no listener of requests.
+	@param onRequest - Called with each request that can be answered.
+	*/
+	constructor(server: Server, onRequest: RequestListener) {
 		this.#server = server;
 		server.on('connection', socket => {
 			this.#track(socket);
 		});
-		server.prependListener('request', (req, res) => {
-			this.#onRequest(req, res);
+		server.on('request', (req, res) => {
+			if (req.socket.writableEnded) {
+				req.socket.destroy();
+				return;
+			}
+
+			this.#trackResponse(req, res);
+			onRequest(req, res);
 		});
 	}
 
@@ -96,7 +107,7 @@
 		}
 	}
 
-	#onRequest({socket}: IncomingMessage, res: ServerResponse) {
+	#trackResponse({socket}: IncomingMessage, res: ServerResponse) {
 		const connection = this.#connections.get(socket);
 		if (!connection) {
 			return;
@@ -151,6 +162,3 @@
 		}, closeTimeoutMs);
 	}
 }
-
-/** Whether a response to the request can still be sent: its connection has not been ended. */
-export const canRespond = ({socket}: IncomingMessage): boolean => !socket.writableEnded && !socket.destroyed;
