Fronts: jobs that they hold in an outage take a limited part of their memory

Keepers hold the same jobs on disks. Now 4 MB of them are held, and further ones are left to the keepers.

The new scenario of held-jobs.feature holds 2 jobs of 4; without the bound it held 4 and failed. A method that only called another one is gone.

--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -170,6 +170,9 @@
 	} as const satisfies Partial<Record<ObjectKind, FeedOptions>>;
 };
 
+/** The most that a front holds of jobs that it accepted while the object API was unavailable, in bytes; the keepers hold them all. */
+const maxHeldBytes = 4_000_000;
+
 /** Reserve of the shutdown time when requests in progress are aborted, in milliseconds: enough to send the last answers and to write the last log lines. */
 const exitMarginMs = 400;
 
@@ -353,7 +356,7 @@
 		const jobIndex = new JobIndex(recordFeed);
 		this.#jobIndex = jobIndex;
 		const heldJobs = new HeldJobs({
-			journal: noJournal, api, clock, log,
+			journal: noJournal, maxBytes: maxHeldBytes, api, clock, log,
 		});
 		const claims = new JobClaims({
 			self, jobIndex, peers, clock, log, isLeaving, membersFirstLoadedAt: () => this.#registry.firstLoadedAt,
--- a/src/gateway/keeping/held-jobs.feature
+++ b/src/gateway/keeping/held-jobs.feature
@@ -57,3 +57,13 @@
     When operators request that the keeper's VM be emptied
     Then the keeper refuses to hold "a"
     And the request is answered once the object API is available again
+
+  Scenario: A front without a disk holds a limited part of the jobs that it accepted
+    # Guards against a front whose memory fills during a long outage, with jobs that keepers hold as well.
+    Given a front's held jobs of at most 5000 bytes, and an object API that is unavailable
+    When jobs "a, b, c, d" of 2000 bytes each are added
+    Then 2 jobs are held
+    When the object API is available again to the front
+    Then the records of "a, b" are written, those of "c, d" are not, and nothing is held any more
+    When jobs "c, d" of 2000 bytes each are added
+    Then the records of "a, b, c, d" are written
--- a/src/gateway/keeping/held-jobs.steps.ts
+++ b/src/gateway/keeping/held-jobs.steps.ts
@@ -26,6 +26,7 @@
 import type {BatchItemId, BatchJobId} from '../types.js';
 import {holdJobMethod, type HeldJob, type HoldAnswer} from './held-job.js';
 import {HeldJobs} from './held-jobs.js';
+import {noJournal} from './no-journal.js';
 import {JobJournal} from './job-journal.js';
 
 type HoldingWorld = TestWorld & {
@@ -90,6 +91,44 @@
 	this.answer = await this.jobs.hold({record: held, content: {...content, items: content.items.map(item => ({...item, body: 'a'.repeat(bytes)}))}});
 });
 
+Given('a front\'s held jobs of at most {int} bytes, and an object API that is unavailable', function (this: HoldingWorld, maxBytes: number) {
+	this.api = new FakeObjectApi();
+	this.api.down = true;
+	this.jobs = this.register(new HeldJobs({
+		journal: noJournal, maxBytes, api: this.api, clock, log,
+	}));
+});
+
+const namesOf = (text: string): string[] => text.split(', ');
+
+When('jobs {string} of {int} bytes each are added', function (this: HoldingWorld, names: string, bytes: number) {
+	namesOf(names).forEach(name => {
+		const {record: held, content} = heldJob(name);
+		this.jobs.add({record: held, content: {...content, items: content.items.map(item => ({...item, body: 'a'.repeat(bytes)}))}});
+	});
+});
+
+Then('{int} jobs are held', function (this: HoldingWorld, count: number) {
+	assert.equal(this.jobs.size, count);
+});
+
+When('the object API is available again to the front', function (this: HoldingWorld) {
+	this.api.down = false;
+});
+
+const assertWritten = async (world: HoldingWorld, names: string) => {
+	await until(() => namesOf(names).every(name => recordOf(world, name) !== undefined) && world.jobs.size === 0, `${names} are written`);
+};
+
+Then('the records of {string} are written, those of {string} are not, and nothing is held any more', async function (this: HoldingWorld, written: string, others: string) {
+	await assertWritten(this, written);
+	assert.deepEqual(namesOf(others).filter(name => recordOf(this, name) !== undefined), []);
+});
+
+Then('the records of {string} are written', async function (this: HoldingWorld, names: string) {
+	await assertWritten(this, names);
+});
+
 Then('{string} is still held, and was logged as refused once', async function (this: HoldingWorld, job: string) {
 	const before = this.api.calls.create;
 	await until(() => this.api.calls.create > before + 1, 'the keeper has tried again');
--- a/src/gateway/keeping/held-jobs.ts
+++ b/src/gateway/keeping/held-jobs.ts
@@ -2,6 +2,7 @@
 Holds jobs, on a keeper's disk or in the memory of the front that accepted them, and writes them to the object API once it is available. Records are only ever created, so each keeper that holds a copy may write it, in any order and more than once.
 */
 import {errorOf} from '../../common/error-of.js';
+import {jsonBytes} from '../../common/json-size.js';
 import type {
 	Clock, Disposable, EventLog, ObjectApi,
 } from '../../common/services.js';
@@ -16,6 +17,8 @@
 /** Dependencies of the holder. */
 export type HeldJobsParts = {
 	readonly journal: Pick<JobJournal, 'load' | 'hold' | 'remove'>;
+	/** The most that is held, in bytes of JSON; further jobs are left to the others that hold them. Unlimited by default. */
+	readonly maxBytes?: number;
 	readonly api: ObjectApi;
 	readonly clock: Clock;
 	readonly log: EventLog;
@@ -40,6 +43,8 @@
 	readonly #refused = new Set<string>();
 	/** When jobs were written, in milliseconds on the monotonic clock, oldest first. */
 	readonly #writtenAt = new Map<BatchJobId, number>();
+	/** Bytes of JSON that are held, if they are limited. */
+	#bytes = 0;
 	#isDisposed = false;
 	#isWriting = false;
 
@@ -55,7 +60,7 @@
 	async start(): Promise<void> {
 		const jobs = await this.#parts.journal.load();
 		jobs.forEach(job => {
-			this.#add(job);
+			this.add(job);
 		});
 	}
 
@@ -71,15 +76,25 @@
 			},
 			Right: () => {
 				log.emit(gatewayEvents.jobHeld, {id, items: items.length});
-				this.#add(job);
+				this.add(job);
 				return 'held';
 			},
 		});
 	}
 
-	/** Holds a job that is on the disks of others. */
+	/** Holds a job that is on a disk already: this process's, or others'. */
 	add(job: HeldJob): void {
-		this.#add(job);
+		const bytes = this.#bytes + this.#sizeOf(job);
+		if (bytes > (this.#parts.maxBytes ?? Infinity)) {
+			return;
+		}
+
+		this.#bytes = bytes;
+		this.#jobs.set(job.record.content, job);
+		if (!this.#isWriting) {
+			this.#isWriting = true;
+			void this.#writeAll();
+		}
 	}
 
 	/** Whether the job is held, or was written just now. */
@@ -99,12 +114,8 @@
 		});
 	}
 
-	#add(job: HeldJob) {
-		this.#jobs.set(job.record.content, job);
-		if (!this.#isWriting) {
-			this.#isWriting = true;
-			void this.#writeAll();
-		}
+	#sizeOf({content}: HeldJob): number {
+		return this.#parts.maxBytes === undefined ? 0 : jsonBytes(content);
 	}
 
 	async #writeAll() {
@@ -202,6 +213,7 @@
 		this.#forgetWritten();
 		this.#writtenAt.set(record.job, this.#parts.clock.now());
 		this.#jobs.delete(record.content);
+		this.#bytes -= this.#sizeOf(job);
 		this.#blockedSince.delete(record.content);
 		log.emit(gatewayEvents.heldJobWritten, {id: record.job});
 	}
