Gateway: what the shutdown added reads shorter

No change in behaviour. The shutdown window stands with the calls that ask it; one default in place of three equal reasons; an attempt's end without a method for half of it; the comment of event 765 names the page that explains phases.

--- a/src/gateway/calls/attempt.ts
+++ b/src/gateway/calls/attempt.ts
@@ -319,10 +319,6 @@
 			return;
 		}
 
-		this.#complete();
-	}
-
-	#complete() {
 		this.#parts.connection.release();
 		this.#end(this.#refusal ?? {kind: 'complete'});
 	}
--- a/src/gateway/calls/final-answer.ts
+++ b/src/gateway/calls/final-answer.ts
@@ -8,11 +8,8 @@
 /** Why a call is offered to no further replica. */
 export type GiveUpReason = NoReplicaReason | 'quarantined' | 'shutdown';
 
-/** Why a call that may have run is not run again. */
-const failureReasons: Readonly<Record<GiveUpReason, string>> = {
-	versionGone: 'no replica is left for another run',
-	noReplica: 'no replica is left for another run',
-	full: 'no replica is left for another run',
+/** Why a call that may have run is not run again, unless no replica is left. */
+const failureReasons: Readonly<Partial<Record<GiveUpReason, string>>> = {
 	quarantined: 'it has ended the replicas that ran it',
 	shutdown: 'shutdown',
 };
@@ -39,7 +36,7 @@
 	/** Ends a call that is offered to no further replica. A refusal states that the call has not run, so it is not used once any replica may have run it, even if that replica has terminated since. */
 	giveUp(reason: GiveUpReason, retryDelayMs: number): void {
 		if (this.#parts.mayHaveRun()) {
-			this.fail(failureReasons[reason]);
+			this.fail(failureReasons[reason] ?? 'no replica is left for another run');
 			return;
 		}
 
--- a/src/gateway/shutdown-window.steps.ts
+++ b/src/gateway/calls/shutdown-window.steps.ts
@@ -3,7 +3,7 @@
 */
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
-import type {TestWorld} from '../common/testing/test-world.js';
+import type {TestWorld} from '../../common/testing/test-world.js';
 import {ShutdownWindow} from './shutdown-window.js';
 
 type WindowWorld = TestWorld & {
--- a/src/gateway/shutdown-window.ts
+++ b/src/gateway/calls/shutdown-window.ts
@@ -1,7 +1,7 @@
 /**
 The time that a process has left once it shuts down, and what may still begin in it. The rule for each phase, and why, is in docs/design/shutdown.md.
 */
-import type {Clock} from '../common/services.js';
+import type {Clock} from '../../common/services.js';
 
 /** Time until the load balancer stops sending new connections, in milliseconds. It checks readiness once a second and removes a process after two refusals; calls until then are served as before. */
 export const balancerRemovalMs = 2600;
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -37,6 +37,7 @@
 import {JobIntake} from './batch/job-intake.js';
 import {JobReader} from './batch/job-reader.js';
 import {WaveForecasts} from './batch/wave-forecasts.js';
+import {balancerRemovalMs, ShutdownWindow} from './calls/shutdown-window.js';
 import {ConfigBoard} from './config-board.js';
 import {ConfigController} from './config-controller.js';
 import {ReplicaReachability} from './contacts/replica-reachability.js';
@@ -85,7 +86,6 @@
 import {findOriginMethod, StreamOrigins, type OriginQuery} from './streams/stream-origins.js';
 import {VersionHistory} from './streams/version-history.js';
 import type {FrontSettings} from './settings.js';
-import {balancerRemovalMs, ShutdownWindow} from './shutdown-window.js';
 import {TrafficMeter} from './traffic-meter.js';
 import type {
 	CallDialect, ClientAccountName, GatewayFeatures, MemberName,
--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -116,7 +116,7 @@
 	admissionDecided: {number: 760, level: 'info', text: 'call waited for its admission, began late or was refused'},
 	/** Fields: kind (call, item or request), id, reason, stack. */
 	requestDefect: {number: 791, level: 'error', text: 'handling of a request broke an invariant; the request was ended alone'},
-	/** Fields: phase (removal: until the balancer has removed this process; closing: connections are closed as they become idle; end: what is unanswered is aborted), calls (in progress), connections, leftMs (until the end). */
+	/** Fields: phase (removal, closing or end; see docs/design/shutdown.md), calls (in progress), connections, leftMs. */
 	shutdownPhase: {number: 765, level: 'info', text: 'shutdown has reached a phase'},
 	/** Fields: address (of the replica), reason, stack. */
 	connectionDefect: {number: 792, level: 'error', text: 'HTTP library broke an invariant on a connection to a replica; the connection was ended alone'},
--- a/src/gateway/parts.ts
+++ b/src/gateway/parts.ts
@@ -5,6 +5,7 @@
 	Clock, EventLog, Metrics, RandomSource,
 } from '../common/services.js';
 import type {AdmissionControl} from './admission/admission-control.js';
+import type {ShutdownWindow} from './calls/shutdown-window.js';
 import type {ConfigBoard} from './config-board.js';
 import type {FeedFreshness} from './feed-freshness.js';
 import type {ReplicaReachability} from './contacts/replica-reachability.js';
@@ -15,7 +16,6 @@
 import type {ReplicaConnectionPools} from './replica-connection-pools.js';
 import type {RelativePaces} from './placement/relative-paces.js';
 import type {ServiceTimes} from './placement/service-times.js';
-import type {ShutdownWindow} from './shutdown-window.js';
 import type {StreamOrigins} from './streams/stream-origins.js';
 import type {CallDialect} from './types.js';
 
