--- a/src/gateway/calls/paused-answers.steps.ts
+++ b/src/gateway/calls/paused-answers.steps.ts
@@ -145,17 +145,21 @@
 	});
 });
 
+/** Starts a server of the planned answers. */
+const startServer = async (world: PausedWorld) => {
+	const server = serve(world.plans);
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	world.register(() => {
+		server.close();
+	});
+	world.address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+};
+
 Given('a server that draws the framing, size, pieces and end of each of {int} answers by seed {int}', async function (this: PausedWorld, count: number, seed: number) {
 	this.random = new SeededRandom(seed);
 	this.plans = Array.from({length: count}, () => drawAnswer(this.random));
-	const server = serve(this.plans);
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	this.register(() => {
-		server.close();
-	});
-	this.address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+	await startServer(this);
 });
 
 /** How long a reader pauses after a piece, in milliseconds; 0 for not at all. */
@@ -266,13 +270,7 @@
 	this.plans = this.plans.map(plan => ({
 		...plan, framing: 'length', end: 'inOrder', gapMs: 100, pieceBytes: Math.ceil(plan.body.length / 3),
 	}));
-	const server = serve(this.plans);
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	this.register(() => {
-		server.close();
-	});
-	this.address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+	await startServer(this);
 	const sockets: PausableSocket[] = [];
 	const {connect} = PausableSocket.prototype;
 	PausableSocket.prototype.connect = function (this: PausableSocket, ...args: unknown[]) {
