--- a/bench/program-process.ts
+++ b/bench/program-process.ts
@@ -15,8 +15,12 @@
 
 /** What to run. */
 export type ProgramCommand = {
-	/** The program's bundle below `dist/`, without `.js`. */
+	/** The program's bundle, without `.js`. */
 	readonly program: string;
+	/** The folder of the bundle; `dist` by default. */
+	readonly dir?: string;
+	/** Options of Node.js, before the bundle. */
+	readonly nodeOptions?: readonly string[];
 	readonly args: readonly string[];
 	/** Where its standard output and its errors go. */
 	readonly logFile: string;
@@ -44,11 +48,16 @@
 export class ProgramProcess {
 	/** Starts a program and waits until it has told where it listens. Rejects when it ends before, or takes 10 s. */
 	static async start(command: ProgramCommand): Promise<ProgramProcess> {
-		const program = new ProgramProcess(command);
+		const program = ProgramProcess.launch(command);
 		await program.#awaitAddress();
 		return program;
 	}
 
+	/** Starts a program without waiting for it. */
+	static launch(command: ProgramCommand): ProgramProcess {
+		return new ProgramProcess(command);
+	}
+
 	readonly ended: Promise<ProcessEnd>;
 	readonly #command: ProgramCommand;
 	readonly #child: ChildProcess;
@@ -57,8 +66,9 @@
 
 	private constructor(command: ProgramCommand) {
 		this.#command = command;
-		const output = openSync(command.logFile, 'w');
-		this.#child = spawn(process.execPath, [`dist/${command.program}.js`, ...command.args], {stdio: ['ignore', output, output]});
+		const {program, dir = 'dist', nodeOptions = [], args, logFile} = command;
+		const output = openSync(logFile, 'w');
+		this.#child = spawn(process.execPath, [...nodeOptions, `${dir}/${program}.js`, ...args], {stdio: ['ignore', output, output]});
 		closeSync(output);
 		running.add(this.#child);
 		this.ended = new Promise(resolve => {
