--- a/src/gateway/accounts/caller-gate.ts
+++ b/src/gateway/accounts/caller-gate.ts
@@ -3,6 +3,7 @@
 */
 import {Left, Right, type Either} from 'purify-ts/Either';
 import type {Clock, EventLog, Metrics} from '../../common/services.js';
+import type {CallOutcomes} from '../call-outcomes.js';
 import type {ConfigBoard} from '../config-board.js';
 import {gatewayEvents} from '../log-events.js';
 import type {
@@ -46,6 +47,7 @@
 	readonly clock: Clock;
 	readonly log: EventLog;
 	readonly metrics: Metrics;
+	readonly outcomes: CallOutcomes;
 	/** When the configuration was last confirmed to be current, in milliseconds on the monotonic clock. */
 	readonly configConfirmedAt: () => number;
 	/** Keys are rejected when the configuration has not been confirmed for this long, in milliseconds, since they may have been revoked. `undefined`: they stay valid. */
@@ -107,6 +109,7 @@
 		log.emit(gatewayEvents.callerRefused, {
 			id, account: account?.name, reason, status: refusal.status, retryAfterMs: refusal.retryAfterMs && Math.round(refusal.retryAfterMs), configVersion: board.config?.version,
 		});
+		this.#parts.outcomes.note(reason);
 		metrics.count('gateway.callersRefused', 1, {reason});
 		return Left(refusal);
 	}
--- a/src/gateway/calls/call-log.ts
+++ b/src/gateway/calls/call-log.ts
@@ -94,6 +94,7 @@
 		log.emit(gatewayEvents.callEnded, {
 			id: this.#fields.requestId, route: name, ...end, elapsedMs: roundedMs, firstByteMs: Math.round(firstByteMs),
 		});
+		this.#parts.outcomes.note(end.reason);
 		metrics.count('gateway.calls', 1, {kind, status: String(end.status)});
 		if (end.reason === 'shutdown') {
 			metrics.count('gateway.callsEndedByShutdown', 1, {status: String(end.status)});
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -26,6 +26,7 @@
 import {gatewayEvents} from './log-events.js';
 import {OnlineCall} from './calls/online-call.js';
 import {RequestGuard} from './calls/request-guard.js';
+import {noConfiguration} from './call-outcomes.js';
 import type {GatewayParts} from './parts.js';
 import type {BatchJobId, CallFields, GatewayRoute} from './types.js';
 
@@ -355,8 +356,12 @@
 
 	/** Answers 404, or 503 before a configuration was received, since the process cannot know then that a route does not exist. */
 	#rejectUnrouted(req: IncomingMessage, res: ServerResponse) {
-		const {board, dialect, log} = this.#parts;
+		const {board, dialect, log, outcomes} = this.#parts;
 		const status = board.config ? 404 : 503;
+		if (status === 503) {
+			outcomes.note(noConfiguration);
+		}
+
 		log.emit(gatewayEvents.callRejected, {
 			id: dialect.readCall(req.headers).requestId, host: req.headers.host, target: req.url, status, configVersion: board.config?.version,
 		});
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -38,6 +38,7 @@
 import {JobReader} from './batch/job-reader.js';
 import {WaveForecasts} from './batch/wave-forecasts.js';
 import {balancerRemovalMs, ShutdownWindow} from './calls/shutdown-window.js';
+import {CallOutcomes} from './call-outcomes.js';
 import {ConfigBoard} from './config-board.js';
 import {ConfigController} from './config-controller.js';
 import {ReplicaReachability} from './contacts/replica-reachability.js';
@@ -72,6 +73,7 @@
 import {QuarantineRecords} from './quarantine/quarantine-records.js';
 import {ReadProgress} from './read-progress.js';
 import {Readiness} from './readiness.js';
+import {ServiceMonitor} from './service-monitor.js';
 import type {RecordReaders} from './record-readers.js';
 import {RegistrationController} from './registration-controller.js';
 import {ReplicaDirectory} from './replica-directory.js';
@@ -206,6 +208,7 @@
 	readonly #streamOrigins: StreamOrigins;
 	readonly #versionHistory: VersionHistory;
 	readonly #readiness: Readiness;
+	readonly #monitor: ServiceMonitor;
 	readonly #admission: TargetAdmission;
 	readonly #shutdown: ShutdownWindow;
 	readonly #server: FrontServer;
@@ -390,12 +393,16 @@
 			},
 		});
 		this.#readiness = new Readiness({
-			lifecycle: this.#lifecycle, board, directory, log,
+			lifecycle: this.#lifecycle, board, directory,
+		});
+		const outcomes = new CallOutcomes();
+		this.#monitor = new ServiceMonitor({
+			readiness: this.#readiness, outcomes, board, directory, configFeed, replicaFeed, reachesObjectApi: () => api.isDirect, peerCount: () => peers.live.length, waitingCalls: () => admission.waiting, quarantinedCount: () => quarantine.held.length + partQuarantine.held.length, clock, log, metrics,
 		});
 		this.#server = new FrontServer({
-			board, directory, firstRead: new FirstRead([configFeed, replicaFeed]), replicaFreshness, configFreshness: freshnessOf('GatewayConfig', configFeed, settings.configMs), loads, connectionPools: this.#connectionPools, reachability, quarantine, partQuarantine, streamOrigins: this.#streamOrigins, serviceTimes, paces, admission, shutdown: this.#shutdown, dialect, clock, random, log, metrics, processCount, failureDomain, continuesRuns: settings.continuesRuns, jobCalls,
+			board, directory, firstRead: new FirstRead([configFeed, replicaFeed]), replicaFreshness, configFreshness: freshnessOf('GatewayConfig', configFeed, settings.configMs), loads, connectionPools: this.#connectionPools, reachability, quarantine, partQuarantine, streamOrigins: this.#streamOrigins, serviceTimes, paces, admission, shutdown: this.#shutdown, outcomes, dialect, clock, random, log, metrics, processCount, failureDomain, continuesRuns: settings.continuesRuns, jobCalls,
 			gate: new CallerGate({
-				board, dialect, limits: rateLimits, clock, log, metrics, configConfirmedAt: () => this.#checks.lastConfirmedAt('GatewayConfig'), staleAfterMs: settings.refuseKeysAfterMs,
+				board, dialect, limits: rateLimits, clock, log, metrics, outcomes, configConfirmedAt: () => this.#checks.lastConfirmedAt('GatewayConfig'), staleAfterMs: settings.refuseKeysAfterMs,
 			}),
 			intake: new JobIntake({
 				api,
@@ -421,7 +428,7 @@
 			res.writeHead(this.#readiness.isReady ? 200 : 503, {'content-length': '0'});
 			res.end();
 		});
-		this.#owned = [this.#retention, this.#quarantineRecords, this.#runner, this.#announcer, this.#registrar, registrations, this.#checks, unreachableAnnouncements, progress, ...this.#feeds, reachability, this.#connectionPools, this.#server, this.#admission, this.#streamOrigins, this.#channel, this.#rpcServer, heldJobs, api, http, this.#metrics, this.#lifecycle];
+		this.#owned = [this.#monitor, this.#retention, this.#quarantineRecords, this.#runner, this.#announcer, this.#registrar, registrations, this.#checks, unreachableAnnouncements, progress, ...this.#feeds, reachability, this.#connectionPools, this.#server, this.#admission, this.#streamOrigins, this.#channel, this.#rpcServer, heldJobs, api, http, this.#metrics, this.#lifecycle];
 	}
 
 	get addresses(): Readonly<Record<string, string>> {
@@ -458,6 +465,8 @@
 		this.#quarantineRecords.start();
 		void this.#registrar.register({address: this.#channel.address, role: 'front'});
 		this.#lifecycle.send('started');
+		this.#monitor.noteMilestone('listenMs');
+		this.#monitor.start();
 		return Right(this);
 	}
 
@@ -508,6 +517,7 @@
 
 	#recordGauges() {
 		this.#traffic.report();
+		this.#monitor.recordGauges();
 		const metrics = this.#metrics;
 		const now = this.#clock.now();
 		metrics.gauge('gateway.callsUnderWay', this.#server.activeCalls);
--- a/src/gateway/parts.ts
+++ b/src/gateway/parts.ts
@@ -5,6 +5,7 @@
 	Clock, EventLog, Metrics, RandomSource,
 } from '../common/services.js';
 import type {AdmissionControl} from './admission/admission-control.js';
+import type {CallOutcomes} from './call-outcomes.js';
 import type {ShutdownWindow} from './calls/shutdown-window.js';
 import type {ConfigBoard} from './config-board.js';
 import type {FeedFreshness} from './feed-freshness.js';
@@ -35,6 +36,7 @@
 	readonly partQuarantine: PartQuarantine;
 	readonly streamOrigins: Pick<StreamOrigins, 'announce' | 'find'>;
 	readonly shutdown: ShutdownWindow;
+	readonly outcomes: CallOutcomes;
 	readonly dialect: CallDialect;
 	readonly clock: Clock;
 	readonly random: RandomSource;
--- a/src/gateway/readiness.ts
+++ b/src/gateway/readiness.ts
@@ -1,10 +1,9 @@
 /**
 Whether this process accepts new connections: it needs a configuration and at least one replica, and must not be shutting down. Without a configuration, it could not distinguish a route that does not exist from one that it has not received yet.
 */
+import {EventEmitter} from 'node:events';
 import type {NodeLifecycle} from '../common/node-lifecycle.js';
-import type {EventLog} from '../common/services.js';
 import type {ConfigBoard} from './config-board.js';
-import {gatewayEvents} from './log-events.js';
 import type {ReplicaDirectory} from './replica-directory.js';
 
 /** Dependencies of the readiness check. */
@@ -12,29 +11,39 @@
 	readonly lifecycle: NodeLifecycle;
 	readonly board: ConfigBoard;
 	readonly directory: ReplicaDirectory;
-	readonly log: EventLog;
 };
 
 /** Why a process is not ready; empty when it is. */
 export type NotReadyReason = '' | 'leaving' | 'no configuration' | 'no replica';
 
-/** The readiness check; it logs each change. */
+/** The readiness check; it emits each change when it is next read. */
 export class Readiness {
 	readonly #parts: ReadinessParts;
-	#lastLoggedReason: NotReadyReason | undefined;
+	readonly #events = new EventEmitter();
+	#lastReason: NotReadyReason | undefined;
 
 	constructor(parts: ReadinessParts) {
 		this.#parts = parts;
 	}
 
 	get isReady(): boolean {
+		return this.reason === '';
+	}
+
+	/** Why the process is not ready; empty when it is. */
+	get reason(): NotReadyReason {
 		const reason = this.#reason();
-		if (reason !== this.#lastLoggedReason) {
-			this.#lastLoggedReason = reason;
-			this.#parts.log.emit(gatewayEvents.readinessChanged, {ready: reason === '', reason});
+		if (reason !== this.#lastReason) {
+			this.#lastReason = reason;
+			this.#events.emit('change', reason);
 		}
 
-		return reason === '';
+		return reason;
+	}
+
+	/** Calls the listener with the first reason that is read, and with each change. */
+	onChange(listener: (reason: NotReadyReason) => void): void {
+		this.#events.on('change', listener);
 	}
 
 	#reason(): NotReadyReason {
