Programs wait for an address that is still in use

Callers saw no service at all after a loss of all processes. Where an address was in use when a process started again, the process ended: with 69 for the callers' and peers' ports, with 70 for the readiness port, whose error nobody handled. Nothing starts a process that has ended by itself, so the service stayed away.

Class: a start that takes a passing state of its VM for final.

Fix: every listener (callers, readiness, peers by TCP and UDP, metrics) binds through one function, which tries again every 50 ms for EADDRINUSE and EADDRNOTAVAIL, up to 65 s, longer than the system keeps the port of a closed connection; other errors end the start at once. A front's listeners and its first reads no longer wait for each other. Event 110 tells the wait. Related: an error of accept, emitted by a listening server, had one listener by chance and would have ended the process the second time.

--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -6,11 +6,12 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {Left, Right, type Either} from 'purify-ts/Either';
+import type {Either} from 'purify-ts/Either';
 import {errorOf} from '../common/error-of.js';
 import type {Disposable} from '../common/services.js';
-import {formatAddress, parseAddress} from '../io/address.js';
-import {exitCodes} from '../io/exit-codes.js';
+import {formatAddress} from '../io/address.js';
+import type {AddressAwaited} from '../io/bind-address.js';
+import {listen} from '../io/listen.js';
 import type {StartError} from '../io/program.js';
 import {readBody, type BodyFailure} from '../io/read-body.js';
 import {ServerConnections} from '../io/server-connections.js';
@@ -194,17 +195,13 @@
 		return this.#calls.size;
 	}
 
-	/** @param address - `ip:port`; port 0 takes any free port. */
-	async listen(address: string): Promise<Either<StartError, string>> {
-		const {host, port} = parseAddress(address) ?? {host: '', port: 0};
-		return new Promise(resolve => {
-			this.#server.once('error', err => {
-				resolve(Left({exitCode: exitCodes.unavailable, message: `can not listen on ${address}: ${err.message}`}));
-			});
-			this.#server.listen({host, port, backlog: 1024}, () => {
-				resolve(Right(this.address));
-			});
-		});
+	/**
+	Waits for an address that is not available yet.
+
+	@param address - `ip:port`; port 0 takes any free port.
+	*/
+	async listen(address: string, onAwaited?: AddressAwaited): Promise<Either<StartError, string>> {
+		return listen(this.#server, address, onAwaited);
 	}
 
 	/** Number of open connections of callers. */
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -12,11 +12,14 @@
 	Clock, Disposable, EventLog, ObjectApi, RandomSource,
 } from '../common/services.js';
 import type {ObjectKind} from '../common/types.js';
-import {formatAddress, parseAddress} from '../io/address.js';
+import {formatAddress} from '../io/address.js';
+import type {AddressAwaited} from '../io/bind-address.js';
 import {DatagramChannel} from '../io/datagram-channel.js';
 import {dial} from '../io/dial.js';
 import {HttpClient} from '../io/http-client.js';
 import type {HttpServer} from '../io/http-server.js';
+import {listen as listenOn} from '../io/listen.js';
+import {platformEvents} from '../io/log-events.js';
 import type {RunningProgram, StartError} from '../io/program.js';
 import {PrometheusMetrics} from '../io/prometheus-metrics.js';
 import {RpcClient} from '../io/rpc-client.js';
@@ -439,25 +442,32 @@
 	/** Starts to listen and to follow the object API. The process may become ready some time later. */
 	async start(): Promise<Either<StartError, Front>> {
 		const {listen, readyListen, peerListen, metricsListen} = this.#settings;
-		const bound = [await this.#server.listen(listen), await this.#channel.listen(peerListen), await this.#rpcServer.listen(peerListen)];
-		const failed = bound.find(outcome => outcome.isLeft());
-		if (failed) {
-			return failed.map(() => this);
-		}
+		const onAwaited: AddressAwaited = (address, reason) => {
+			this.#log.emit(platformEvents.addressAwaited, {address, reason});
+		};
 
-		const ready = parseAddress(readyListen);
-		await new Promise<void>(resolve => {
-			this.#readyServer.listen({host: ready?.host, port: ready?.port}, resolve);
-		});
 		if (metricsListen) {
-			this.#metrics.serve(metricsListen, () => {
+			void this.#metrics.serve(metricsListen, () => {
 				this.#recordGauges();
-			});
+			}, onAwaited);
 		}
 
+		// What one address is waited for does not keep the others, or the first read, from beginning.
+		const listening = [
+			this.#server.listen(listen, onAwaited),
+			this.#channel.listen(peerListen, onAwaited),
+			this.#rpcServer.listen(peerListen, onAwaited),
+			listenOn(this.#readyServer, readyListen, onAwaited),
+		];
 		this.#feeds.forEach(feed => {
 			feed.start();
 		});
+		const outcomes: Array<Either<StartError, unknown>> = await Promise.all(listening);
+		const failed = outcomes.find(outcome => outcome.isLeft());
+		if (failed) {
+			return failed.map(() => this);
+		}
+
 		this.#announcer.start();
 		this.#checks.start();
 		this.#runner.start();
--- a/src/gateway/keeper.ts
+++ b/src/gateway/keeper.ts
@@ -10,7 +10,9 @@
 } from '../common/services.js';
 import {errorOf} from '../common/error-of.js';
 import type {ApiError, StoredObject} from '../common/types.js';
+import type {AddressAwaited} from '../io/bind-address.js';
 import type {HttpServer} from '../io/http-server.js';
+import {platformEvents} from '../io/log-events.js';
 import type {RunningProgram, StartError} from '../io/program.js';
 import {PrometheusMetrics} from '../io/prometheus-metrics.js';
 import {
@@ -95,15 +97,19 @@
 	/** Loads the jobs held on disk, and starts to accept others. */
 	async start(): Promise<Either<StartError, Keeper>> {
 		const {peerListen, metricsListen} = this.#settings;
-		const listening = await this.#server.listen(peerListen);
-		if (listening.isLeft()) {
-			return listening.map(() => this);
-		}
+		const onAwaited: AddressAwaited = (address, reason) => {
+			this.#parts.log.emit(platformEvents.addressAwaited, {address, reason});
+		};
 
 		if (metricsListen) {
-			this.#metrics.serve(metricsListen, () => {
+			void this.#metrics.serve(metricsListen, () => {
 				this.#metrics.gauge('gateway.heldJobs', this.#held.size);
-			});
+			}, onAwaited);
+		}
+
+		const listening = await this.#server.listen(peerListen, onAwaited);
+		if (listening.isLeft()) {
+			return listening.map(() => this);
 		}
 
 		this.#loaded = this.#held.start();
--- a/src/io/datagram-channel.ts
+++ b/src/io/datagram-channel.ts
@@ -4,11 +4,11 @@
 import {Buffer} from 'node:buffer';
 import {createSocket, type Socket} from 'node:dgram';
 import {createJSONRPCNotification, isJSONRPCRequest} from 'json-rpc-2.0';
-import {Left, Right, type Either} from 'purify-ts/Either';
+import type {Either} from 'purify-ts/Either';
 import {messageValidators} from '../common/message-validators.js';
 import type {Disposable} from '../common/services.js';
-import {formatAddress, parseAddress} from './address.js';
-import {exitCodes} from './exit-codes.js';
+import {formatAddress, parseAddress, type Address} from './address.js';
+import {bindAddress, type AddressAwaited} from './bind-address.js';
 import type {StartError} from './program.js';
 
 /** Called with the method, the address and the size of each datagram that is sent. */
@@ -55,21 +55,13 @@
 		return this.#rejectedCount;
 	}
 
-	/** @param address - `ip:port`; port 0 selects any free port. */
-	async listen(address: string): Promise<Either<StartError, string>> {
-		const {host, port} = parseAddress(address) ?? {host: '', port: 0};
-		return new Promise(resolve => {
-			this.#socket.once('error', err => {
-				resolve(Left({exitCode: exitCodes.unavailable, message: `can not listen on ${address}: ${err.message}`}));
-			});
-			this.#socket.bind({address: host, port}, () => {
-				// Once bound, an error concerns a single datagram whose receiver is unreachable; the receiver is detected by its missing notifications.
-				this.#socket.removeAllListeners('error');
-				this.#socket.on('error', () => undefined);
-				this.#address = formatAddress({host, port: this.#socket.address().port});
-				resolve(Right(this.#address));
-			});
-		});
+	/**
+	Waits for an address that is not available yet.
+
+	@param address - `ip:port`; port 0 selects any free port.
+	*/
+	async listen(address: string, onAwaited?: AddressAwaited): Promise<Either<StartError, string>> {
+		return bindAddress(address, async target => this.#bind(target), onAwaited);
 	}
 
 	/** Sends a notification to each address, without confirmation of delivery. */
@@ -97,6 +89,19 @@
 		this.#socket.close();
 	}
 
+	async #bind({host, port}: Address): Promise<string> {
+		return new Promise((resolve, reject) => {
+			this.#socket.once('error', reject);
+			this.#socket.bind({address: host, port}, () => {
+				// Once bound, an error concerns a single datagram whose receiver is unreachable; the receiver is detected by its missing notifications.
+				this.#socket.removeAllListeners('error');
+				this.#socket.on('error', () => undefined);
+				this.#address = formatAddress({host, port: this.#socket.address().port});
+				resolve(this.#address);
+			});
+		});
+	}
+
 	#receive(bytes: Buffer) {
 		const message = parseJson(bytes);
 		const method = isJSONRPCRequest(message) ? message.method : '';
--- a/src/io/http-server.ts
+++ b/src/io/http-server.ts
@@ -5,10 +5,11 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {Left, Right, type Either} from 'purify-ts/Either';
+import type {Either} from 'purify-ts/Either';
 import type {Disposable} from '../common/services.js';
 import {parseAddress} from './address.js';
-import {exitCodes} from './exit-codes.js';
+import type {AddressAwaited} from './bind-address.js';
+import {listen} from './listen.js';
 import type {StartError} from './program.js';
 import {ServerConnections} from './server-connections.js';
 
@@ -72,18 +73,16 @@
 		return `${this.#host}:${this.port}`;
 	}
 
-	/** @param address - `ip:port`; port 0 selects any free port. */
-	async listen(address: string): Promise<Either<ListenFailure, number>> {
-		const {host, port} = parseAddress(address) ?? {host: '', port: 0};
+	/**
+	Waits for an address that is not available yet.
+
+	@param address - `ip:port`; port 0 selects any free port.
+	*/
+	async listen(address: string, onAwaited?: AddressAwaited): Promise<Either<ListenFailure, number>> {
+		const {host} = parseAddress(address) ?? {host: ''};
 		this.#host = host.includes(':') ? `[${host}]` : host;
-		return new Promise(resolve => {
-			this.#server.once('error', err => {
-				resolve(Left({kind: 'listenFailed', exitCode: exitCodes.unavailable, message: `can not listen on ${address}: ${err.message}`}));
-			});
-			this.#server.listen({host, port, backlog: 1024}, () => {
-				resolve(Right(this.port));
-			});
-		});
+		const listening = await listen(this.#server, address, onAwaited);
+		return listening.bimap(err => ({kind: 'listenFailed', ...err}), () => this.port);
 	}
 
 	/** Adds `connection: close` to all further responses, so that load balancers move to other servers without an interrupted request. */
--- a/src/io/log-events.ts
+++ b/src/io/log-events.ts
@@ -25,4 +25,6 @@
 	linesDropped: {number: 108, level: 'warn', text: 'log lines dropped because the reader of the log is too slow'},
 	/** Fields: signal. */
 	stopRepeated: {number: 109, level: 'info', text: 'graceful shutdown is in progress already; the signal changes nothing'},
+	/** Fields: address, reason (the system's error code). */
+	addressAwaited: {number: 110, level: 'warn', text: 'address to listen on is not available; waiting for it'},
 } as const satisfies Record<string, EventDefinition>;
--- a/src/io/prometheus-metrics.ts
+++ b/src/io/prometheus-metrics.ts
@@ -7,7 +7,8 @@
 import Histogram from 'prom-client/lib/histogram.js';
 import Registry from 'prom-client/lib/registry.js';
 import type {Disposable, Metrics} from '../common/services.js';
-import {parseAddress} from './address.js';
+import type {AddressAwaited} from './bind-address.js';
+import {listen} from './listen.js';
 
 /** Upper bounds of the latency buckets in milliseconds: fine around first-token latencies (tens) and latency targets (hundreds), coarse up to the longest time limits. */
 const latencyBucketsMs = [5, 10, 25, 50, 75, 100, 150, 200, 300, 500, 750, 1000, 2000, 4000, 8000, 16_000];
@@ -52,21 +53,18 @@
 	}
 
 	/**
-	Serves the metrics at `/metrics`.
+	Serves the metrics at `/metrics`. A failure to serve them does not stop a process that serves callers.
 
-	@param address - `ip:port`.
+	@param address - `ip:port`; it is waited for if it is not available yet.
 	@param onRead - Called before each scrape, to update gauges.
 	*/
-	serve(address: string, onRead: () => void): void {
-		const {host, port} = parseAddress(address) ?? {host: '', port: 0};
+	async serve(address: string, onRead: () => void, onAwaited?: AddressAwaited): Promise<void> {
 		this.#server = createServer((_req, res) => {
 			onRead();
 			void this.#answer(res);
 		});
 		this.#server.unref();
-		// A failure to serve metrics must not stop a process that serves callers.
-		this.#server.on('error', () => undefined);
-		this.#server.listen({host, port});
+		await listen(this.#server, address, onAwaited);
 	}
 
 	dispose(): void {
