Object API calls: the time limit follows answers that come late

Callers saw 503 for every call after a loss of all, for as long as the store answered more slowly than 600 ms, or their processes could not read it faster. A running front serves from memory whatever the store does, so nothing showed before the loss; after it, each front gave up each read of the configuration at 600 ms, discarded the answer that came later, and began anew. Refused callers tried again at once, which kept a shared machine, and thereby the store, slow.

Class: a fixed time limit on work that is begun anew: slower than the limit means never.

Fix: one late call at a time is waited for, up to 5 s, though its caller has been told; if it is answered, the limit doubles, up to 5 s. Silence teaches nothing, so outages are detected as soon as before; fast answers bring the limit down again.

--- a/src/io/http-object-api.feature
+++ b/src/io/http-object-api.feature
@@ -26,3 +26,24 @@
     Given an object API that answers with status 200
     When a list is read from it
     Then the outcome of the read is "unavailable"
+
+  Scenario: An object API that answers later than the time limit is read nevertheless
+    # Guards against a process that never reads its configuration, since it discards each answer of a slow object API.
+    Given an object API that answers after 250 ms, and a time limit of 100 ms
+    When lists are read from it one after the other until one succeeds
+    Then one of the first 6 reads has succeeded
+
+  Scenario: Silence does not lengthen the time limit
+    # Guards against an outage that is detected later and later, since its calls are waited for.
+    Given an object API that answers with silence
+    And a time limit of 100 ms
+    When 4 lists are read from it
+    Then each read has failed within 250 ms
+
+  Scenario: The time limit is the usual one again after fast answers
+    # Guards against a lost call that is detected late because the object API was slow once.
+    Given an object API that answers after 250 ms, and a time limit of 100 ms
+    When lists are read from it one after the other until one succeeds
+    And it answers at once to 20 reads, and then not at all
+    And 1 list is read from it
+    Then each read has failed within 250 ms
