Keepers serve though a file of their disk cannot be read

Torn files were skipped already.

Now each unreadable file, or folder, is logged (768) and the keeper serves.

--- a/src/gateway/keeping/held-jobs.feature
+++ b/src/gateway/keeping/held-jobs.feature
@@ -67,3 +67,13 @@
     Then the records of "a, b" are written, those of "c, d" are not, and nothing is held any more
     When jobs "c, d" of 2000 bytes each are added
     Then the records of "a, b, c, d" are written
+
+  Scenario: A file that cannot be read keeps no keeper from serving
+    # Guards against a keeper that ends at each start because of one damaged file, so that no job can be held any more.
+    Given a keeper's disk with the held job "a", a torn file and one that cannot be read
+    When a keeper starts on that disk
+    Then its log has event 768 once
+    And the record of "a" is the keeper's
+    And it denies no job, since the unreadable file may hold it
+    When the keeper holds "b"
+    Then the answer is "held"
--- a/src/gateway/keeping/held-jobs.steps.ts
+++ b/src/gateway/keeping/held-jobs.steps.ts
@@ -132,7 +132,7 @@
 Then('{string} is still held, and was logged as refused once', async function (this: HoldingWorld, job: string) {
 	const before = this.api.calls.create;
 	await until(() => this.api.calls.create > before + 1, 'the keeper has tried again');
-	const remaining = await this.journal.load();
+	const {jobs: remaining} = await this.journal.load();
 	assert.deepEqual(remaining.map(({record: held}) => held.job), [jobId(job)]);
 	assert.equal(logged.filter(number => number === gatewayEvents.heldJobRefused.number).length, 1);
 });
@@ -210,7 +210,7 @@
 const assertWriter = async (world: HoldingWorld, job: string, writer: string) => {
 	await until(() => world.jobs.size === 0, 'nothing is held');
 	assert.equal(recordOf(world, job)?.content, `${writer}-${job}`);
-	const remaining = await world.journal.load();
+	const {jobs: remaining} = await world.journal.load();
 	assert.equal(remaining.length, 0);
 };
 
@@ -228,10 +228,32 @@
 
 Then('the answer is {string}, and the disk holds no job', async function (this: HoldingWorld, answer: HoldAnswer) {
 	assert.equal(this.answer, answer);
-	const remaining = await this.journal.load();
+	const {jobs: remaining} = await this.journal.load();
 	assert.equal(remaining.length, 0);
 });
 
 Then('the answer is {string}', function (this: HoldingWorld, answer: HoldAnswer) {
 	assert.equal(this.answer, answer);
 });
+
+Given('a keeper\'s disk with the held job {string}, a torn file and one that cannot be read', async function (this: HoldingWorld, job: string) {
+	await setUp(this);
+	await this.journal.load();
+	await this.journal.hold(heldJob(job));
+	const dir = path.join(this.folder, 'jobs');
+	await writeFile(path.join(dir, 'torn.json'), '{"record":{"job":');
+	// Reading a folder fails as reading damaged blocks does.
+	await mkdir(path.join(dir, 'unreadable.json'));
+});
+
+When('a keeper starts on that disk', async function (this: HoldingWorld) {
+	await this.jobs.start();
+});
+
+Then('its log has event {int} once', (number: number) => {
+	assert.equal(logged.filter(one => one === number).length, 1);
+});
+
+Then('it denies no job, since the unreadable file may hold it', function (this: HoldingWorld) {
+	assert.ok(this.jobs.knows(jobId('never-heard-of')));
+});
--- a/src/gateway/keeping/held-jobs.ts
+++ b/src/gateway/keeping/held-jobs.ts
@@ -47,6 +47,8 @@
 	#bytes = 0;
 	#isDisposed = false;
 	#isWriting = false;
+	/** Whether all files of the journal could be read. */
+	#isComplete = true;
 
 	constructor(parts: HeldJobsParts) {
 		this.#parts = parts;
@@ -58,7 +60,12 @@
 
 	/** Loads the jobs that were held before the process started, and begins to write them. */
 	async start(): Promise<void> {
-		const jobs = await this.#parts.journal.load();
+		const {journal, log} = this.#parts;
+		const {jobs, failures} = await journal.load();
+		this.#isComplete = failures.length === 0;
+		failures.forEach(reason => {
+			log.emit(gatewayEvents.heldJobUnreadable, {reason});
+		});
 		jobs.forEach(job => {
 			this.add(job);
 		});
@@ -97,10 +104,10 @@
 		}
 	}
 
-	/** Whether the job is held, or was written just now. */
+	/** Whether the job is held, or was written just now, or may be in a file that could not be read. */
 	knows(id: BatchJobId): boolean {
 		this.#forgetWritten();
-		return this.#writtenAt.has(id) || [...this.#jobs.values()].some(({record}) => record.job === id);
+		return !this.#isComplete || this.#writtenAt.has(id) || [...this.#jobs.values()].some(({record}) => record.job === id);
 	}
 
 	dispose(): void {
--- a/src/gateway/keeping/job-journal.ts
+++ b/src/gateway/keeping/job-journal.ts
@@ -6,7 +6,7 @@
 } from 'node:fs/promises';
 import path from 'node:path';
 import {EitherAsync} from 'purify-ts/EitherAsync';
-import type {Either} from 'purify-ts/Either';
+import {Either} from 'purify-ts/Either';
 import {readHeldJob, type HeldJob} from './held-job.js';
 
 const suffix = '.json';
@@ -20,6 +20,22 @@
 	readonly reason: string;
 };
 
+/** What a journal holds at the start of its process. */
+export type LoadedJobs = {
+	readonly jobs: readonly HeldJob[];
+	/** Why files, or the whole folder, could not be read. */
+	readonly failures: readonly string[];
+};
+
+/** @returns `undefined` for a torn file. */
+const parseJob = (text: string): HeldJob | undefined => {
+	try {
+		return readHeldJob(JSON.parse(text));
+	} catch {
+		return undefined;
+	}
+};
+
 /** See the module's head. */
 export class JobJournal {
 	readonly #dir: string;
@@ -29,12 +45,16 @@
 		this.#dir = dir;
 	}
 
-	/** @returns The jobs that were held before. Torn files are skipped, since no caller received a confirmation of their jobs. */
-	async load(): Promise<HeldJob[]> {
-		await mkdir(this.#dir, {recursive: true});
-		const names = await readdir(this.#dir);
-		const jobs = await Promise.all(names.filter(name => name.endsWith(suffix)).map(async name => this.#read(name)));
-		return jobs.filter(job => job !== undefined);
+	/** @returns The jobs that were held before, and why files could not be read. Torn files are skipped, since no caller received a confirmation of their jobs. */
+	async load(): Promise<LoadedJobs> {
+		try {
+			await mkdir(this.#dir, {recursive: true});
+			const names = await readdir(this.#dir);
+			const read = await Promise.all(names.filter(name => name.endsWith(suffix)).map(async name => this.#read(name)));
+			return {jobs: Either.rights(read).filter(job => job !== undefined), failures: Either.lefts(read)};
+		} catch (err) {
+			return {jobs: [], failures: [String(err)]};
+		}
 	}
 
 	/**
@@ -75,13 +95,9 @@
 		}
 	}
 
-	async #read(name: string): Promise<HeldJob | undefined> {
-		const text = await readFile(path.join(this.#dir, name), 'utf8');
-		try {
-			return readHeldJob(JSON.parse(text));
-		} catch {
-			return undefined;
-		}
+	async #read(name: string): Promise<Either<string, HeldJob | undefined>> {
+		const text = await EitherAsync(async () => readFile(path.join(this.#dir, name), 'utf8'));
+		return text.bimap(String, parseJob);
 	}
 
 	async #syncDir() {
--- a/src/gateway/keeping/no-journal.ts
+++ b/src/gateway/keeping/no-journal.ts
@@ -5,7 +5,7 @@
 import type {JobJournal} from './job-journal.js';
 
 export const noJournal: Pick<JobJournal, 'load' | 'hold' | 'remove'> = {
-	load: async () => [],
+	load: async () => ({jobs: [], failures: []}),
 	hold: async () => Right(undefined),
 	remove: async () => undefined,
 };
--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -88,6 +88,8 @@
 	jobHoldFailed: {number: 734, level: 'error', text: 'batch job could not be held on disk'},
 	/** Fields: id, reason. */
 	heldJobRemovalFailed: {number: 736, level: 'error', text: 'file of a batch job that the object API has stored could not be removed'},
+	/** Fields: reason. */
+	heldJobUnreadable: {number: 768, level: 'error', text: 'file of a held batch job could not be read; the process serves without it'},
 	/** Fields: id. */
 	heldJobWritten: {number: 735, level: 'info', text: 'held batch job written to the object API'},
 	/** Fields: id, reason. */
