--- a/src/common/json-depth.ts
+++ b/src/common/json-depth.ts
@@ -2,7 +2,7 @@
 Checks how deeply an external value is nested. `JSON.parse` accepts any depth, but `JSON.stringify` and most other traversals recurse, and overflow the stack at about ten thousand levels.
 */
 
-/** Maximum nesting of a caller's JSON. The deepest in use, schemas of tools, have about twenty levels. */
+/** Maximum nesting of JSON that others have written. The deepest in use, schemas of tools, have about twenty levels. */
 export const maxJsonDepth = 100;
 
 /**
--- a/src/io/rpc-route.ts
+++ b/src/io/rpc-route.ts
@@ -16,8 +16,9 @@
 const maxRpcBytes = 8_388_608;
 
 const answer = (res: ServerResponse, status: number, value: unknown) => {
+	const text = JSON.stringify(value);
 	res.writeHead(status, {'content-type': 'application/json'});
-	res.end(JSON.stringify(value));
+	res.end(text);
 };
 
 /**
