A member entry with port 0 ends no process

Each front announces its state to all member entries from a timer, and sending a datagram to port 0 throws ERR_SOCKET_BAD_PORT there: all fronts ended with 70, at each start again, for as long as the entry stood. Port 99999 was refused already.

--- a/src/gateway/peers/member-registry.ts
+++ b/src/gateway/peers/member-registry.ts
@@ -1,8 +1,9 @@
 /**
 Provides the addresses of the fronts and keepers by following the `Member` objects that each process writes into the object API. An address without a process costs only one datagram per announcement, so the records of removed VMs may stay for a while.
 */
-import {isNonEmptyString, objectOf, oneOf} from '../../common/field-validators.js';
+import {objectOf, oneOf} from '../../common/field-validators.js';
 import type {Clock} from '../../common/services.js';
+import {isPeerAddress} from '../../io/address.js';
 import type {ObjectFeed} from '../object-feed.js';
 
 /** The value of a `Member` object. */
@@ -15,7 +16,7 @@
 /** Fronts announce their state to each other; keepers hold jobs for them. */
 export type MemberRole = 'front' | 'keeper';
 
-const isRecord = objectOf({address: isNonEmptyString, role: oneOf('front', 'keeper')});
+const isRecord = objectOf({address: isPeerAddress, role: oneOf('front', 'keeper')});
 
 /** @returns The record, or `undefined` where the value is not a valid one. */
 export const readMember = (value: unknown): MemberRecord | undefined => isRecord(value) ? value as MemberRecord : undefined;
--- a/src/io/address.ts
+++ b/src/io/address.ts
@@ -22,6 +22,9 @@
 	return isNumber && Number(port) <= highestPort ? {host: v6 ?? v4 ?? '', port: Number(port)} : undefined;
 };
 
+/** Whether a value is an address that can be connected to. */
+export const isPeerAddress = (value: unknown): value is string => typeof value === 'string' && (parseAddress(value)?.port ?? 0) > 0;
+
 /**
 @returns `ip:port`, with brackets around an IPv6 address.
 */
--- a/src/io/datagram-channel.ts
+++ b/src/io/datagram-channel.ts
@@ -78,7 +78,8 @@
 
 		addresses.forEach(address => {
 			const target = parseAddress(address);
-			if (target) {
+			// Sending to port 0 throws.
+			if (target && target.port > 0) {
 				this.#socket.send(bytes, target.port, target.host, () => undefined);
 				this.#onSent(method, address, bytes.length);
 			}
