A front that is out of step infers no version

Where the origin of a stream is not known, the front infers its version if only one can have begun it. It took its registrations for current if they had been confirmed within 1.9 s to 2.9 s, but a stream begins at a new replica some ten milliseconds after it has registered. Without a name of the stream it did not even ask its peers.

Class: an age of knowledge is taken for its currency, in a question about what happened a moment ago.

Fix: an inference needs a read of the registrations that began after the question came up, by this front or by the peer that answers it; reads of one front begin 50 ms apart and are shared, and only streams of unknown origin wait for one, for 250 ms at most. A confirmation that a peer has announced does not count: it may have waited in the socket while the process stood still. If no read succeeds, the stream is refused at once as before.

--- a/src/gateway/streams/stream-origins.steps.ts
+++ b/src/gateway/streams/stream-origins.steps.ts
@@ -31,7 +31,7 @@
 	key, service, softwareVersion: branded<SoftwareVersion>(version), run, keepMs: 10_000,
 });
 
-const servedWithin = ({history}: OriginWorld, seconds: number): ServedVersions => history.within([service], 1000 * seconds);
+const servedWithin = ({history, now}: OriginWorld, seconds: number): ServedVersions => history.within([service], 1000 * seconds, now);
 
 Given('a fleet of {int} processes whose views lack {int} % of the others', function (this: OriginWorld, processes: number, percent: number) {
 	this.fleet = {processes, missingShare: percent / 100};
@@ -92,9 +92,13 @@
 	const listed: Array<() => void> = [];
 	this.now = 0;
 	this.confirmedAt = 0;
+	const confirmedAt = () => this.confirmedAt;
 	this.history = new VersionHistory({
 		directory,
 		feed: {
+			get currentAsOf() {
+				return confirmedAt();
+			},
 			onAnswer: listener => {
 				answered.push(() => {
 					listener(this.now);
@@ -105,10 +109,11 @@
 					listener([], branded(1));
 				});
 			},
+			syncOnNewConnection: async () => false,
 		},
-		confirmedAt: () => this.confirmedAt,
+		confirmedAt,
 		maxAgeMs,
-		clock: {now: () => this.now},
+		clock: {now: () => this.now, sleep: async () => undefined},
 	});
 	this.list = () => {
 		answered.forEach(answer => {
--- a/src/gateway/streams/stream-origins.ts
+++ b/src/gateway/streams/stream-origins.ts
@@ -52,8 +52,8 @@
 	readonly metrics: Metrics;
 };
 
-/** A peer that does not answer within this time, in milliseconds, is ignored: the caller is waiting for the next event of its stream. */
-const askTimeoutMs = 250;
+/** A peer that does not answer within this time, in milliseconds, is ignored: the caller is waiting for the next event of its stream. It is longer than a peer waits for its own read. */
+const askTimeoutMs = 300;
 
 /** The maximum number of origins whose holders are recorded; those of the oldest are dropped first. */
 const maxPlaced = 5000;
@@ -114,8 +114,9 @@
 	}
 
 	/** Answers a peer's query. */
-	answer({key, services, periodMs}: OriginQuery): OriginAnswer {
-		return {origin: key && this.#store.get(key), served: this.#parts.history.within(services, periodMs)};
+	async answer({key, services, periodMs}: OriginQuery): Promise<OriginAnswer> {
+		const origin = key && this.#store.get(key);
+		return origin ? {origin} : {served: await this.#parts.history.confirmedWithin(services, periodMs)};
 	}
 
 	/** Passes all origins on to other peers, for a shutdown. */
@@ -149,20 +150,21 @@
 	}
 
 	async #search(query: OriginQuery, spreadKey: string): Promise<FoundOrigin> {
-		const ownView = this.#parts.history.within(query.services, query.periodMs);
-		const inferred = query.key === undefined ? soleVersion([ownView]) : undefined;
+		const {key, services, periodMs} = query;
+		const ownView = this.#parts.history.confirmedWithin(services, periodMs);
+		const inferred = key === undefined ? soleVersion([await ownView]) : undefined;
 		if (inferred !== undefined) {
 			return {kind: 'inferred', softwareVersion: inferred};
 		}
 
-		const asked = this.#parts.holders.toAsk(query.key ?? spreadKey as StreamKey).map(async ({state: {rpcAddress}}) => this.#ask(rpcAddress, query));
+		const asked = this.#parts.holders.toAsk(key ?? spreadKey as StreamKey).map(async ({state: {rpcAddress}}) => this.#ask(rpcAddress, query));
 		const origin = await firstOrigin(asked);
 		if (origin) {
 			return {kind: 'peer', origin};
 		}
 
 		const answers = await Promise.all(asked);
-		const softwareVersion = soleVersion([ownView, ...answers.flatMap(({served}) => served ?? [])]);
+		const softwareVersion = soleVersion([await ownView, ...answers.flatMap(({served}) => served ?? [])]);
 		return softwareVersion === undefined ? {kind: 'unknown'} : {kind: 'inferred', softwareVersion};
 	}
 
@@ -172,7 +174,7 @@
 	}
 }
 
-/** @returns The version that all views agree on, if one of them is complete. */
+/** @returns The version that all views agree on, if one of them is complete and was confirmed since the search began. */
 const soleVersion = (views: readonly ServedVersions[]): SoftwareVersion | undefined => {
 	const versions = new Set(views.flatMap(({versions}) => versions));
 	return versions.size === 1 && views.some(({isComplete}) => isComplete) ? [...versions][0] : undefined;
