--- a/src/gateway/first-read.ts
+++ b/src/gateway/first-read.ts
@@ -6,13 +6,16 @@
 import {TimeLimit} from '../io/time-limit.js';
 import type {ObjectFeed} from './object-feed.js';
 
+/** What is used of a feed. */
+type FeedToRead = Pick<ObjectFeed, 'isUnreachable' | 'onSnapshot'>;
+
 /** The first read of several kinds of objects. */
 export class FirstRead {
-	readonly #missing: Set<ObjectFeed>;
+	readonly #missing: Set<FeedToRead>;
 	readonly #over: Promise<void>;
 
 	/** @param feeds - Feeds of the kinds; their other subscribers must have subscribed before, so that what was read is in force when the read is over. */
-	constructor(feeds: readonly ObjectFeed[]) {
+	constructor(feeds: readonly FeedToRead[]) {
 		this.#missing = new Set(feeds);
 		this.#over = new Promise(resolve => {
 			feeds.forEach(feed => {
@@ -30,9 +33,9 @@
 		return this.#missing.size === 0;
 	}
 
-	/** Resolves when the read is over, or after the given time in milliseconds, not counting pauses of this process. */
+	/** Resolves when the read is over, or after the given time in milliseconds, not counting pauses of this process. Resolves at once if a read has failed: the next attempt takes longer than a caller can be held, and each held call costs timers. */
 	async within(ms: number): Promise<void> {
-		if (this.isOver) {
+		if (this.isOver || [...this.#missing].some(({isUnreachable}) => isUnreachable)) {
 			return;
 		}
 
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -58,7 +58,7 @@
 /** Longest time for which a call that comes before the first read is held, in milliseconds: a quarter of the usual latency target, so that a refused caller can still be served in time by another process. */
 const notReadyHoldMs = 75;
 
-/** `retry-after` of a process without a configuration, in milliseconds; it receives one within a second of its start. */
+/** `retry-after` of a process without a configuration, in milliseconds; it receives one within a second of its start. All processes may start at once, so the callers that they refuse are spread over as long again. */
 const notReadyRetryMs = 500;
 
 /** Interval at which calls that wait are checked for whether they can still be served before the shutdown ends, in milliseconds. */
@@ -363,7 +363,11 @@
 			id: dialect.readCall(req.headers).requestId, host: req.headers.host, target: req.url, status, configVersion: board.config?.version,
 		});
 		req.resume();
-		sendEmpty(res, status, status === 503 ? notReadyRetryMs : undefined);
+		sendEmpty(res, status, status === 503 ? this.#notReadyDelayMs() : undefined);
+	}
+
+	#notReadyDelayMs(): number {
+		return Math.round(notReadyRetryMs * (1 + this.#parts.random.next()));
 	}
 
 	/** Sends no answer to a caller that disconnected within its body. */
@@ -424,6 +428,6 @@
 		this.#parts.log.emit(gatewayEvents.jobReadFailed, {
 			id: call.job, question: call.kind, status, reason,
 		});
-		sendEmpty(res, status, status === 503 ? notReadyRetryMs : undefined);
+		sendEmpty(res, status, status === 503 ? this.#notReadyDelayMs() : undefined);
 	}
 }
