--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -267,7 +267,7 @@
 		});
 		this.#rpcServer = peerServer({
 			[objectCallMethod]: async (call: ObjectCall) => answerObjectCall(direct, call),
-			[findOriginMethod]: (query: OriginQuery) => this.#streamOrigins.answer(query),
+			[findOriginMethod]: async (query: OriginQuery) => this.#streamOrigins.answer(query),
 			[takeOverMethod]: (handover: JobHandover): JobHandoverAnswer => ({isTaken: this.#runner.takeOver(handover)}),
 		}, log);
 		const options = feedOptions(settings);
