--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -452,7 +452,7 @@
 			}, onAwaited);
 		}
 
-		// What one address is waited for does not keep the others, or the first read, from beginning.
+		// Waiting for one address delays neither the others nor the first read.
 		const listening = [
 			this.#server.listen(listen, onAwaited),
 			this.#channel.listen(peerListen, onAwaited),
