Readiness: a process that still starts is not said to leave

Now the reason is 'starting', and ages of what was never read are infinite. service-monitor.feature, 'A process that still waits for an address is not said to leave', fails before ('leaving').

--- a/src/gateway/readiness.ts
+++ b/src/gateway/readiness.ts
@@ -14,7 +14,7 @@
 };
 
 /** Why a process is not ready; empty when it is. */
-export type NotReadyReason = '' | 'leaving' | 'no configuration' | 'no replica';
+export type NotReadyReason = '' | 'starting' | 'leaving' | 'no configuration' | 'no replica';
 
 /** The readiness check; it emits each change when it is next read. */
 export class Readiness {
@@ -48,10 +48,14 @@
 
 	#reason(): NotReadyReason {
 		const {lifecycle, board, directory} = this.#parts;
-		if (!lifecycle.isServing) {
+		if (lifecycle.isLeaving) {
 			return 'leaving';
 		}
 
+		if (!lifecycle.isServing) {
+			return 'starting';
+		}
+
 		if (!board.config) {
 			return 'no configuration';
 		}
--- a/src/gateway/service-monitor.feature
+++ b/src/gateway/service-monitor.feature
@@ -13,6 +13,15 @@
       | no replica       | 0        |
       |                  | 2        |
 
+  Scenario: A process that still waits for an address is not said to leave
+    # Guards against a start that looks like a shutdown, and knowledge that was never read that looks fresh.
+    Given a monitored process that still starts
+    When its metrics are read
+    Then its readiness changes are logged as:
+      | reason   | replicas |
+      | starting | 0        |
+    And the gauges "gateway.configHeardMs, gateway.replicasHeardMs" are infinite
+
   Scenario: The first served call logs the stages of the start
     # Guards against a slow start of which nobody can tell the slow part.
     Given a monitored process
--- a/src/gateway/service-monitor.steps.ts
+++ b/src/gateway/service-monitor.steps.ts
@@ -24,6 +24,8 @@
 	outcomes: CallOutcomes;
 	board: ConfigBoard;
 	directory: ReplicaDirectory;
+	monitor: ServiceMonitor;
+	gauges: Map<string, number>;
 	logged: Array<{readonly event: EventDefinition; readonly fields: LogFields}>;
 };
 
@@ -35,18 +37,17 @@
 
 const loggedAs = ({logged}: MonitorWorld, wanted: EventDefinition): LogFields[] => logged.filter(({event}) => event === wanted).map(({fields}) => fields);
 
-Given('a monitored process', function (this: MonitorWorld) {
-	this.logged = [];
-	this.outcomes = new CallOutcomes();
-	this.board = new ConfigBoard();
-	this.directory = new ReplicaDirectory();
-	const lifecycle = new NodeLifecycle();
-	lifecycle.send('started');
+const monitorProcess = (world: MonitorWorld, lifecycle: NodeLifecycle) => {
+	world.logged = [];
+	world.gauges = new Map();
+	world.outcomes = new CallOutcomes();
+	world.board = new ConfigBoard();
+	world.directory = new ReplicaDirectory();
 	const monitor = new ServiceMonitor({
-		readiness: new Readiness({lifecycle, board: this.board, directory: this.directory}),
-		outcomes: this.outcomes,
-		board: this.board,
-		directory: this.directory,
+		readiness: new Readiness({lifecycle, board: world.board, directory: world.directory}),
+		outcomes: world.outcomes,
+		board: world.board,
+		directory: world.directory,
 		configFeed: {heardAt: -Infinity},
 		replicaFeed: {heardAt: -Infinity},
 		reachesObjectApi: () => true,
@@ -55,15 +56,37 @@
 		quarantinedCount: () => 0,
 		clock: new SystemClock(),
 		log: {
-			emit: (event, fields = {}) => {
-				this.logged.push({event, fields});
+			emit(event, fields = {}) {
+				world.logged.push({event, fields});
 			},
 		},
-		metrics: new NoMetrics(),
+		metrics: Object.assign(new NoMetrics(), {
+			gauge(name: string, value: number) {
+				world.gauges.set(name, value);
+			},
+		}),
 	});
-	this.register(monitor);
-	this.register(lifecycle);
-	monitor.start();
+	world.monitor = world.register(monitor);
+	world.register(lifecycle);
+};
+
+Given('a monitored process', function (this: MonitorWorld) {
+	const lifecycle = new NodeLifecycle();
+	lifecycle.send('started');
+	monitorProcess(this, lifecycle);
+	this.monitor.start();
+});
+
+Given('a monitored process that still starts', function (this: MonitorWorld) {
+	monitorProcess(this, new NodeLifecycle());
+});
+
+When('its metrics are read', function (this: MonitorWorld) {
+	this.monitor.recordGauges();
+});
+
+Then('the gauges {string} are infinite', function (this: MonitorWorld, names: string) {
+	assert.deepEqual(names.split(', ').map(name => this.gauges.get(name)), names.split(', ').map(() => Infinity));
 });
 
 When('it receives a configuration', async function (this: MonitorWorld) {
--- a/src/gateway/service-monitor.ts
+++ b/src/gateway/service-monitor.ts
@@ -93,7 +93,7 @@
 		const {metrics, readiness} = this.#parts;
 		metrics.gauge('gateway.ready', readiness.reason === '' ? 1 : 0);
 		metrics.gauge('process.eventLoopDelayMs', this.#loopDelayMs);
-		const {configHeardMs = 0, replicasHeardMs = 0, backedOff, retained} = this.#state();
+		const {configHeardMs = Infinity, replicasHeardMs = Infinity, backedOff, retained} = this.#state();
 		metrics.gauge('gateway.configHeardMs', configHeardMs);
 		metrics.gauge('gateway.replicasHeardMs', replicasHeardMs);
 		metrics.gauge('gateway.replicasBackedOff', backedOff);
