One wait for a promise within a time limit

The store's calls had written again what the first read of a front did: a promise or a limit that does not count pauses. Both use withinLimit of time-limit.ts. No change in behaviour; http-object-api.feature and front-start.feature pass.

--- a/src/gateway/first-read.ts
+++ b/src/gateway/first-read.ts
@@ -3,7 +3,7 @@
 
 Invariant: once over, it stays over, also if the object API becomes unavailable.
 */
-import {TimeLimit} from '../io/time-limit.js';
+import {withinLimit} from '../io/time-limit.js';
 import type {ObjectFeed} from './object-feed.js';
 
 /** What is used of a feed. */
@@ -33,18 +33,10 @@
 		return this.#missing.size === 0;
 	}
 
-	/** Resolves when the read is over, or after the given time in milliseconds, not counting pauses of this process. Resolves at once if a read has failed: the next attempt takes longer than a caller can be held, and each held call costs timers. */
+	/** Resolves when the read is over or the time is up, in milliseconds. Resolves at once if a read has failed: the next attempt takes longer than a caller can be held. */
 	async within(ms: number): Promise<void> {
-		if (this.isOver || [...this.#missing].some(({isUnreachable}) => isUnreachable)) {
-			return;
+		if (!this.isOver && ![...this.#missing].some(({isUnreachable}) => isUnreachable)) {
+			await withinLimit(ms, this.#over);
 		}
-
-		await new Promise<void>(resolve => {
-			const limit = new TimeLimit(ms, resolve);
-			void this.#over.then(() => {
-				limit.dispose();
-				resolve();
-			});
-		});
 	}
 }
--- a/src/io/object-api-calls.ts
+++ b/src/io/object-api-calls.ts
@@ -5,7 +5,7 @@
 import type {ApiError} from '../common/types.js';
 import {AnswerTimeLimit} from './answer-time-limit.js';
 import type {HttpClient, HttpFailure, HttpResponse} from './http-client.js';
-import {TimeLimit} from './time-limit.js';
+import {withinLimit} from './time-limit.js';
 
 /** Address and time limit of the object API. */
 export type ObjectApiOptions = {
@@ -45,17 +45,6 @@
 /** The longest time limit of a call, in milliseconds, that late answers can bring about. */
 const longestLimitMs = 5000;
 
-/** @returns What the promise resolves with, or `undefined` if that takes longer than the limit in milliseconds, not counting pauses of this process. */
-const within = async <T>(limitMs: number, promise: Promise<T>): Promise<T | undefined> => new Promise(resolve => {
-	const limit = new TimeLimit(limitMs, () => {
-		resolve(undefined);
-	});
-	void promise.then(value => {
-		limit.dispose();
-		resolve(value);
-	});
-});
-
 const readText = async (res: HttpResponse): Promise<Either<HttpFailure, string>> => {
 	try {
 		return Right(await res.body.text());
@@ -114,7 +103,7 @@
 		const startedAt = performance.now();
 		const controller = new AbortController();
 		const head = this.#send(call, controller.signal);
-		const sent = await within(waitMs + limitMs, head);
+		const sent = await withinLimit(waitMs + limitMs, head);
 		if (!sent) {
 			void this.#learnFromLate(isCompleted(head), limitMs, controller);
 			return Left({kind: 'silent', reason: `no answer within ${waitMs + limitMs} ms`});
@@ -126,7 +115,7 @@
 
 		const res = sent.unsafeCoerce();
 		const body = readText(res);
-		const text = await within(limitMs, body);
+		const text = await withinLimit(limitMs, body);
 		if (!text) {
 			void this.#learnFromLate(body.then(late => late.isRight()), limitMs, controller);
 			return Left({kind: 'silent', reason: `the answer is incomplete after ${limitMs} ms`});
--- a/src/io/time-limit.ts
+++ b/src/io/time-limit.ts
@@ -49,3 +49,14 @@
 		}
 	}
 }
+
+/** @returns What the promise resolves with, or `undefined` if that takes longer than the limit in milliseconds, not counting pauses of this process. */
+export const withinLimit = async <T>(limitMs: number, promise: Promise<T>): Promise<T | undefined> => new Promise(resolve => {
+	const limit = new TimeLimit(limitMs, () => {
+		resolve(undefined);
+	});
+	void promise.then(value => {
+		limit.dispose();
+		resolve(value);
+	});
+});
