--- a/src/gateway/streams/stream-origins.feature
+++ b/src/gateway/streams/stream-origins.feature
@@ -40,6 +40,19 @@
     When 11 s pass and another stream begins
     Then 1 origin is kept
 
+  Scenario: The origin that a peer keeps is found without a read of the registrations
+    # Guards against a call of the object API for each stream that is resumed at another front.
+    Given a process whose peer keeps the origin of a stream at version "v1"
+    When the stream is resumed at the process
+    Then its version is found to be "v1"
+    And the registrations were read 0 times
+
+  Scenario: A stream that no peer knows costs one read of the registrations
+    # Guards against a version that is inferred from registrations that were read before the question came up.
+    Given a process whose peer keeps no origin
+    When the stream is resumed at the process
+    Then the registrations were read 1 time
+
   Scenario: A list of registrations after a gap begins a new history
     # Guards against a version that has come and gone unnoticed while the registrations could not be followed.
     Given a process that has followed the registrations of version "v1" for 20 s
--- a/src/gateway/streams/stream-origins.steps.ts
+++ b/src/gateway/streams/stream-origins.steps.ts
@@ -3,14 +3,20 @@
 */
 import assert from 'node:assert/strict';
 import {Given, Then, When} from '@cucumber/cucumber';
+import {Right} from 'purify-ts/Either';
 import {branded} from '../../common/ids.js';
 import type {TestWorld} from '../../common/testing/test-world.js';
+import {NoMetrics} from '../../io/no-metrics.js';
 import {SeededRandom} from '../../io/seeded-random.js';
+import {SystemClock} from '../../io/system-clock.js';
+import type {Peer, PeerTable} from '../peers/peer-table.js';
 import {ReplicaDirectory} from '../replica-directory.js';
 import {simulateOrigins, simulateVersionFromId, type OriginOutcome} from '../testing/origin-model.js';
 import type {GatewayServiceName, ReplicaId, SoftwareVersion} from '../types.js';
+import {OriginHolders} from './origin-holders.js';
 import {OriginStore} from './origin-store.js';
 import {streamKey, type AnnouncedOrigin} from './stream-origin.js';
+import {StreamOrigins, type FoundOrigin, type OriginAnswer} from './stream-origins.js';
 import {VersionHistory, type ServedVersions} from './version-history.js';
 
 type OriginWorld = TestWorld & {
@@ -21,6 +27,9 @@
 	history: VersionHistory;
 	confirmedAt: number;
 	list: () => void;
+	origins: StreamOrigins;
+	found: FoundOrigin;
+	reads: number;
 };
 
 const service = branded<GatewayServiceName>('engines');
@@ -153,3 +162,48 @@
 Then('it does not know which versions have served for {int} s', function (this: OriginWorld, seconds: number) {
 	assert.equal(servedWithin(this, seconds).isComplete, false);
 });
+
+/** A process with one peer, which answers each question alike. */
+const resumeWithPeer = (world: OriginWorld, answer: OriginAnswer) => {
+	world.reads = 0;
+	const peer = {
+		state: {
+			member: 'peer', rpcAddress: '127.0.0.1:1', startedAt: 1, keepsOrigins: true,
+		},
+	} as unknown as Peer;
+	const history = {
+		async confirmedWithin(): Promise<ServedVersions> {
+			world.reads += 1;
+			return {versions: [], isComplete: false};
+		},
+	};
+	world.origins = world.register(new StreamOrigins({
+		channel: {address: '127.0.0.1:2', send: () => undefined},
+		rpc: {call: async <T>() => Right(answer as T)},
+		holders: new OriginHolders({live: [peer], onMembership: () => undefined}),
+		history,
+		clock: new SystemClock(),
+		log: {emit: () => undefined},
+		metrics: new NoMetrics(),
+	}));
+};
+
+Given('a process whose peer keeps the origin of a stream at version {string}', function (this: OriginWorld, version: string) {
+	resumeWithPeer(this, {origin: originOf(1, version)});
+});
+
+Given('a process whose peer keeps no origin', function (this: OriginWorld) {
+	resumeWithPeer(this, {});
+});
+
+When('the stream is resumed at the process', async function (this: OriginWorld) {
+	this.found = await this.origins.find({key, services: [service], periodMs: 10_000}, 'call');
+});
+
+Then('its version is found to be {string}', function (this: OriginWorld, version: string) {
+	assert.equal(this.found.kind === 'peer' && this.found.origin.softwareVersion, version);
+});
+
+Then('the registrations were read {int} time(s)', function (this: OriginWorld, reads: number) {
+	assert.equal(this.reads, reads);
+});
--- a/src/gateway/streams/stream-origins.ts
+++ b/src/gateway/streams/stream-origins.ts
@@ -46,7 +46,7 @@
 	readonly channel: Pick<DatagramChannel, 'address' | 'send'>;
 	readonly rpc: Pick<RpcClient, 'call'>;
 	readonly holders: OriginHolders;
-	readonly history: VersionHistory;
+	readonly history: Pick<VersionHistory, 'confirmedWithin'>;
 	readonly clock: Clock;
 	readonly log: EventLog;
 	readonly metrics: Metrics;
@@ -114,9 +114,9 @@
 	}
 
 	/** Answers a peer's query. */
-	async answer({key, services, periodMs}: OriginQuery): Promise<OriginAnswer> {
-		const origin = key && this.#store.get(key);
-		return origin ? {origin} : {served: await this.#parts.history.confirmedWithin(services, periodMs)};
+	async answer(query: OriginQuery): Promise<OriginAnswer> {
+		const origin = query.key && this.#store.get(query.key);
+		return origin ? {origin} : {served: await this.#ownView(query)};
 	}
 
 	/** Passes all origins on to other peers, for a shutdown. */
@@ -150,9 +150,9 @@
 	}
 
 	async #search(query: OriginQuery, spreadKey: string): Promise<FoundOrigin> {
-		const {key, services, periodMs} = query;
-		const ownView = this.#parts.history.confirmedWithin(services, periodMs);
-		const inferred = key === undefined ? soleVersion([await ownView]) : undefined;
+		const {key} = query;
+		const viewWithoutKey = key === undefined ? await this.#ownView(query) : undefined;
+		const inferred = viewWithoutKey && soleVersion([viewWithoutKey]);
 		if (inferred !== undefined) {
 			return {kind: 'inferred', softwareVersion: inferred};
 		}
@@ -164,10 +164,15 @@
 		}
 
 		const answers = await Promise.all(asked);
-		const softwareVersion = soleVersion([await ownView, ...answers.flatMap(({served}) => served ?? [])]);
+		const ownView = viewWithoutKey ?? await this.#ownView(query);
+		const softwareVersion = soleVersion([ownView, ...answers.flatMap(({served}) => served ?? [])]);
 		return softwareVersion === undefined ? {kind: 'unknown'} : {kind: 'inferred', softwareVersion};
 	}
 
+	async #ownView({services, periodMs}: OriginQuery): Promise<ServedVersions> {
+		return this.#parts.history.confirmedWithin(services, periodMs);
+	}
+
 	async #ask(address: string, query: OriginQuery): Promise<OriginAnswer> {
 		const answered = await this.#parts.rpc.call<OriginAnswer>({address, timeoutMs: askTimeoutMs}, findOriginMethod, query);
 		return answered.orDefault({});
