--- a/src/gateway/accounts/caller-gate.ts
+++ b/src/gateway/accounts/caller-gate.ts
@@ -3,7 +3,7 @@
 */
 import {Left, Right, type Either} from 'purify-ts/Either';
 import type {Clock, EventLog, Metrics} from '../../common/services.js';
-import type {CallOutcomes} from '../call-outcomes.js';
+import type {CallOutcomes} from '../serving/call-outcomes.js';
 import type {ConfigBoard} from '../config-board.js';
 import {gatewayEvents} from '../log-events.js';
 import type {
--- a/src/gateway/calls/online-call.ts
+++ b/src/gateway/calls/online-call.ts
@@ -5,7 +5,7 @@
 */
 import type {Buffer} from 'node:buffer';
 import type {Disposable} from '../../common/services.js';
-import {answered} from '../call-outcomes.js';
+import {answered} from '../serving/call-outcomes.js';
 import {RunContinuation} from '../continuity/run-continuation.js';
 import type {GatewayParts} from '../parts.js';
 import {TrackedContent} from '../quarantine/tracked-content.js';
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -23,11 +23,11 @@
 import type {JobReader, JobReadError} from './batch/job-reader.js';
 import type {JobCall, JobCallDialect} from './job-calls.js';
 import type {FeedFreshness} from './feed-freshness.js';
-import type {FirstRead} from './first-read.js';
+import type {FirstRead} from './serving/first-read.js';
 import {gatewayEvents} from './log-events.js';
 import {OnlineCall} from './calls/online-call.js';
 import {RequestGuard} from './calls/request-guard.js';
-import {noConfiguration} from './call-outcomes.js';
+import {noConfiguration} from './serving/call-outcomes.js';
 import type {GatewayParts} from './parts.js';
 import type {BatchJobId, CallFields, GatewayRoute} from './types.js';
 
--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -58,7 +58,7 @@
 	peerJoined: {number: 716, level: 'info', text: 'peer joined'},
 	/** Fields: peer, silentMs. */
 	peerUnresponsive: {number: 717, level: 'warn', text: 'peer is unresponsive; other processes may claim its jobs'},
-	/** Fields: ready, reason, configVersion, configHeardMs and replicasHeardMs (since the object API last answered a read of them), replicas, draining, backedOff and retained (of the replicas), reachesObjectApi, peers, waitingCalls, quarantined, sinceStartMs. */
+	/** Fields: ready, reason, and the state of the service; see `ServiceMonitor`. */
 	readinessChanged: {number: 718, level: 'info', text: 'readiness changed'},
 	/** Fields: member, reason. */
 	memberWriteFailed: {number: 719, level: 'warn', text: 'own member record, by which peers find this process, could not be written'},
@@ -124,7 +124,7 @@
 	connectionDefect: {number: 792, level: 'error', text: 'HTTP library broke an invariant on a connection to a replica; the connection was ended alone'},
 	/** Fields: listenMs, configMs, replicasMs, readyMs, servedMs (since the process composed its parts). */
 	firstCallServed: {number: 766, level: 'info', text: 'first call served; stages of the start'},
-	/** Fields: reasons (calls by how they ended), cpuShare and loopDelayMs (of the last second), and those of 718. */
+	/** Fields: reasons (calls by how they ended), cpuShare and loopDelayMs (of the last second), and the state of the service. */
 	serviceImpaired: {number: 767, level: 'warn', text: 'many calls of the last second were not answered'},
 	/** Fields: reason. */
 	handlerFailed: {number: 790, level: 'error', text: 'handler of a peer\'s call broke an invariant'},
--- a/src/gateway/parts.ts
+++ b/src/gateway/parts.ts
@@ -5,7 +5,7 @@
 	Clock, EventLog, Metrics, RandomSource,
 } from '../common/services.js';
 import type {AdmissionControl} from './admission/admission-control.js';
-import type {CallOutcomes} from './call-outcomes.js';
+import type {CallOutcomes} from './serving/call-outcomes.js';
 import type {ShutdownWindow} from './calls/shutdown-window.js';
 import type {ConfigBoard} from './config-board.js';
 import type {FeedFreshness} from './feed-freshness.js';
--- a/src/gateway/first-read.ts
+++ b/src/gateway/serving/first-read.ts
@@ -3,8 +3,8 @@
 
 Invariant: once over, it stays over, also if the object API becomes unavailable.
 */
-import {withinLimit} from '../io/time-limit.js';
-import type {ObjectFeed} from './object-feed.js';
+import {withinLimit} from '../../io/time-limit.js';
+import type {ObjectFeed} from '../object-feed.js';
 
 /** What is used of a feed. */
 type FeedToRead = Pick<ObjectFeed, 'isUnreachable' | 'onSnapshot'>;
--- a/src/gateway/readiness.ts
+++ b/src/gateway/serving/readiness.ts
@@ -2,9 +2,9 @@
 Whether this process accepts new connections: it needs a configuration and at least one replica, and must not be shutting down. Without a configuration, it could not distinguish a route that does not exist from one that it has not received yet.
 */
 import {EventEmitter} from 'node:events';
-import type {NodeLifecycle} from '../common/node-lifecycle.js';
-import type {ConfigBoard} from './config-board.js';
-import type {ReplicaDirectory} from './replica-directory.js';
+import type {NodeLifecycle} from '../../common/node-lifecycle.js';
+import type {ConfigBoard} from '../config-board.js';
+import type {ReplicaDirectory} from '../replica-directory.js';
 
 /** Dependencies of the readiness check. */
 export type ReadinessParts = {
--- a/src/gateway/service-monitor.steps.ts
+++ b/src/gateway/serving/service-monitor.steps.ts
@@ -6,19 +6,19 @@
 import {
 	Given, Then, When, type DataTable,
 } from '@cucumber/cucumber';
-import type {TestWorld} from '../common/testing/test-world.js';
-import {until} from '../common/testing/until.js';
-import type {EventDefinition, LogFields} from '../common/types.js';
-import {NodeLifecycle} from '../common/node-lifecycle.js';
-import {NoMetrics} from '../io/no-metrics.js';
-import {SystemClock} from '../io/system-clock.js';
-import {CallOutcomes} from './call-outcomes.js';
-import {ConfigBoard} from './config-board.js';
-import {gatewayEvents} from './log-events.js';
-import {Readiness} from './readiness.js';
-import {ReplicaDirectory} from './replica-directory.js';
+import type {TestWorld} from '../../common/testing/test-world.js';
+import {until} from '../../common/testing/until.js';
+import type {EventDefinition, LogFields} from '../../common/types.js';
+import {NodeLifecycle} from '../../common/node-lifecycle.js';
+import {NoMetrics} from '../../io/no-metrics.js';
+import {SystemClock} from '../../io/system-clock.js';
+import {ConfigBoard} from '../config-board.js';
+import {gatewayEvents} from '../log-events.js';
+import {ReplicaDirectory} from '../replica-directory.js';
+import {registrationOf} from '../testing/registrations.js';
 import {ServiceMonitor} from './service-monitor.js';
-import {registrationOf} from './testing/registrations.js';
+import {Readiness} from './readiness.js';
+import {CallOutcomes} from './call-outcomes.js';
 
 type MonitorWorld = TestWorld & {
 	outcomes: CallOutcomes;
--- a/src/gateway/service-monitor.ts
+++ b/src/gateway/serving/service-monitor.ts
@@ -5,14 +5,14 @@
 import process from 'node:process';
 import type {
 	Clock, Disposable, EventLog, Metrics,
-} from '../common/services.js';
-import type {LogFields} from '../common/types.js';
-import {answered, type CallOutcomes} from './call-outcomes.js';
-import type {ConfigBoard} from './config-board.js';
-import {gatewayEvents} from './log-events.js';
-import type {ObjectFeed} from './object-feed.js';
+} from '../../common/services.js';
+import type {LogFields} from '../../common/types.js';
+import type {ConfigBoard} from '../config-board.js';
+import {gatewayEvents} from '../log-events.js';
+import type {ObjectFeed} from '../object-feed.js';
+import type {ReplicaDirectory} from '../replica-directory.js';
 import type {Readiness} from './readiness.js';
-import type {ReplicaDirectory} from './replica-directory.js';
+import {answered, type CallOutcomes} from './call-outcomes.js';
 
 /** Dependencies of the monitor. */
 export type ServiceMonitorParts = {
@@ -151,6 +151,7 @@
 		return Math.max(0, Math.round((this.#loopDelay.percentile(99) / 1_000_000) - loopResolutionMs));
 	}
 
+	/** The state of the service, as log lines tell it; `…HeardMs` is the time since the object API last answered a read. */
 	#state() {
 		const {
 			board, directory, configFeed, replicaFeed, reachesObjectApi, peerCount, waitingCalls, quarantinedCount, clock,
