Fronts reset new connections that wait too long to be accepted

Cause: Node.js 20 accepts one connection of a listening socket in a turn of its event loop. A front with little processor time takes 15 ms and more for a turn, so callers that come on new connections, all of them after a restart, wait in a queue of up to 1,024. Accepted in order, each has left or is about to when it is read; its retry stands in the queue again. A metastable failure: the load that began it is gone, the queue is not.

Ruled out: refusals that cost too much (60 tries of 0.4 to 1.6 ms are a part of the 243 ms a second), cold code (no recovery in 18 s).

Change: AcceptQueue knows that connections wait for as long as each turn accepts one. After 150 ms it closes the listening socket and opens it again: the system resets all that wait, at no cost, and their callers try another process at once.

--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -9,6 +9,7 @@
 import type {Either} from 'purify-ts/Either';
 import {errorOf} from '../common/error-of.js';
 import type {Disposable} from '../common/services.js';
+import {AcceptQueue} from '../io/accept-queue.js';
 import {formatAddress} from '../io/address.js';
 import type {AddressAwaited} from '../io/bind-address.js';
 import {listen} from '../io/listen.js';
@@ -128,6 +129,7 @@
 	readonly #parts: FrontServerParts;
 	readonly #server: Server;
 	readonly #connections: ServerConnections;
+	readonly #acceptQueue: AcceptQueue;
 	readonly #calls = new Set<OnlineCall>();
 	/** Responses to requests that have begun to take effect. */
 	readonly #begun = new WeakSet<ServerResponse>();
@@ -173,6 +175,10 @@
 			});
 			guard.run(async () => this.#serve(req, res));
 		});
+		this.#acceptQueue = new AcceptQueue(this.#server, waitedMs => {
+			parts.metrics.count('gateway.acceptQueueResets');
+			parts.log.emit(gatewayEvents.acceptQueueReset, {waitedMs: Math.round(waitedMs), calls: this.activeCalls, connections: this.connectionCount});
+		});
 		parts.board.onChange(({limits}) => {
 			this.#server.keepAliveTimeout = Math.max(defaultIdleMs, keepAliveFactor * limits.idleTimeoutMs);
 			this.#server.headersTimeout = limits.headerTimeoutMs;
@@ -221,6 +227,7 @@
 				call.refuseIfHopeless();
 			});
 		}, hopelessCheckMs);
+		this.#acceptQueue.dispose();
 		await this.#connections.close();
 		clearInterval(this.#hopelessCheck);
 	}
@@ -240,6 +247,7 @@
 
 	dispose(): void {
 		clearInterval(this.#hopelessCheck);
+		this.#acceptQueue.dispose();
 		this.#calls.forEach(call => {
 			call.dispose();
 		});
--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -124,6 +124,8 @@
 	connectionDefect: {number: 792, level: 'error', text: 'HTTP library broke an invariant on a connection to a replica; the connection was ended alone'},
 	/** Fields: listenMs, configMs, replicasMs, readyMs, servedMs (since the process composed its parts). */
 	firstCallServed: {number: 766, level: 'info', text: 'first call served; stages of the start'},
+	/** Fields: waitedMs (for which each turn of the event loop accepted one), calls, connections (open). */
+	acceptQueueReset: {number: 769, level: 'warn', text: 'connections waited too long to be accepted and were reset'},
 	/** Fields: reasons (calls by how they ended), cpuShare and loopDelayMs (of the last second), and the state of the service. */
 	serviceImpaired: {number: 767, level: 'warn', text: 'many calls of the last second were not answered'},
 	/** Fields: reason. */
