Accept queue: a pause of the process resets nobody; an attempt to listen that fails is repeated

The time of the first accepting turn counted, so one long turn (a pause, a collection) after a single accept reset all that had come meanwhile, though the process had time for them: 'Callers of a busy process' with all requests sent before the second accept had 1 of 200 answered in place of 8 and more. Time counts from the end of the first turn now, and over four turns at least.

An attempt to listen again that failed at once (no descriptors) was repeated without a pause, which would have stopped the event loop; a server that did listen by then would have been asked for ever.

--- a/src/io/accept-queue.steps.ts
+++ b/src/io/accept-queue.steps.ts
@@ -23,6 +23,9 @@
 	callers: Promise<readonly EndedCaller[]>;
 };
 
+/** Time for all callers of a rush to send their requests, in milliseconds. */
+const rushMs = 300;
+
 const callersFile = fileURLToPath(new URL('testing/connecting-callers.ts', import.meta.url));
 
 const send = async (world: QueueWorld, plan: Omit<ConnectingCallers, 'port'>): Promise<readonly EndedCaller[]> => {
@@ -57,7 +60,22 @@
 	await listen(this.server, '127.0.0.1:0');
 });
 
+Given('its next attempt to listen fails with {string}', function (this: QueueWorld, code: string) {
+	const {server} = this;
+	server.listen = () => {
+		Reflect.deleteProperty(server, 'listen');
+		setImmediate(() => {
+			server.emit('error', Object.assign(new Error(code), {code}));
+		});
+		return server;
+	};
+});
+
 When('{int} callers connect at once and send a request', async function (this: QueueWorld, number: number) {
+	// All requests have arrived before the second connection is accepted.
+	this.server.once('connection', () => {
+		busyFor(rushMs);
+	});
 	this.callers = send(this, {number, gapMs: 0});
 	await once(this.server, 'connection');
 });
--- a/src/io/accept-queue.ts
+++ b/src/io/accept-queue.ts
@@ -6,6 +6,7 @@
 Connections wait for as long as every turn of the loop accepts one. After a while, all that wait are reset: it costs this process nothing, and their callers can try another one at once.
 */
 import {Server as NetServer} from 'node:net';
+import {setTimeout as pause} from 'node:timers/promises';
 import type {Disposable} from '../common/services.js';
 import {formatAddress} from './address.js';
 import {listen} from './listen.js';
@@ -13,12 +14,19 @@
 /** Connections may wait in a row for this long, in milliseconds: half of the usual latency target, so that another process can still answer in time. */
 const longestWaitMs = 150;
 
+/** After fewer turns, the process has rather stood still for once than lacked time. */
+const leastTurns = 4;
+
+const retryMs = 50;
+
 /** See the module's head. */
 export class AcceptQueue implements Disposable {
 	readonly #server: NetServer;
 	readonly #onReset: (waitedMs: number) => void;
-	/** When the first of the turns that each accepted a connection began, in milliseconds of `performance.now()`. */
-	#waitingSince: number | undefined;
+	/** Turns in a row that each accepted a connection; 0 if nobody is known to wait. */
+	#turns = 0;
+	/** End of the first of them, in milliseconds of `performance.now()`. */
+	#waitingSince = 0;
 	#hasAccepted = false;
 	#isDisposed = false;
 
@@ -31,8 +39,8 @@
 		this.#onReset = onReset;
 		server.on('connection', () => {
 			this.#hasAccepted = true;
-			if (this.#waitingSince === undefined) {
-				this.#waitingSince = performance.now();
+			if (this.#turns === 0) {
+				this.#turns = 1;
 				this.#checkAfterTurn();
 			}
 		});
@@ -52,18 +60,24 @@
 
 	#check() {
 		if (!this.#hasAccepted || this.#isDisposed) {
-			this.#waitingSince = undefined;
+			this.#turns = 0;
 			return;
 		}
 
 		this.#hasAccepted = false;
-		const waitedMs = performance.now() - this.#waitingSince!;
-		if (waitedMs > longestWaitMs) {
-			this.#waitingSince = undefined;
+		const now = performance.now();
+		if (this.#turns === 1) {
+			this.#waitingSince = now;
+		}
+
+		const waitedMs = now - this.#waitingSince;
+		if (waitedMs > longestWaitMs && this.#turns >= leastTurns) {
+			this.#turns = 0;
 			void this.#reset(waitedMs);
 			return;
 		}
 
+		this.#turns += 1;
 		this.#checkAfterTurn();
 	}
 
@@ -80,14 +94,15 @@
 		await this.#listenAgain(formatAddress({host: bound.address, port: bound.port}));
 	}
 
+	/** An attempt may fail, for instance for lack of descriptors. */
 	async #listenAgain(address: string) {
-		let isListening = false;
-		while (!isListening && !this.#isDisposed) {
-			const listening = await listen(this.#server, address);
-			isListening = listening.isRight();
+		await listen(this.#server, address);
+		while (!this.#server.listening && !this.#isDisposed) {
+			await pause(retryMs);
+			await listen(this.#server, address);
 		}
 
-		if (isListening && this.#isDisposed) {
+		if (this.#isDisposed) {
 			NetServer.prototype.close.call(this.#server);
 		}
 	}
