Front: its address is known while the server listens again

A reset of the accept queue leaves the server without an address until it listens again, some 50 ms if that fails at first. Whoever asked for it then, as the log line of the start does, would have ended the process.

--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -5,12 +5,10 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import type {AddressInfo} from 'node:net';
 import type {Either} from 'purify-ts/Either';
 import {errorOf} from '../common/error-of.js';
 import type {Disposable} from '../common/services.js';
 import {AcceptQueue} from '../io/accept-queue.js';
-import {formatAddress} from '../io/address.js';
 import type {AddressAwaited} from '../io/bind-address.js';
 import {listen} from '../io/listen.js';
 import type {StartError} from '../io/program.js';
@@ -134,6 +132,8 @@
 	/** Responses to requests that have begun to take effect. */
 	readonly #begun = new WeakSet<ServerResponse>();
 	#hopelessCheck: NodeJS.Timeout | undefined;
+	/** The server has no address while it listens again; see {@link AcceptQueue}. */
+	#address = '';
 
 	readonly #jobHandlers: JobHandlers = {
 		results: async (call, res, {identity}) => {
@@ -190,10 +190,9 @@
 		});
 	}
 
-	/** `ip:port` that the server listens on. */
+	/** `ip:port` that the server listens on; empty before it does. */
 	get address(): string {
-		const {address, port} = this.#server.address() as AddressInfo;
-		return formatAddress({host: address, port});
+		return this.#address;
 	}
 
 	/** Number of online calls in progress. */
@@ -207,7 +206,10 @@
 	@param address - `ip:port`; port 0 takes any free port.
 	*/
 	async listen(address: string, onAwaited?: AddressAwaited): Promise<Either<StartError, string>> {
-		return listen(this.#server, address, onAwaited);
+		const listening = await listen(this.#server, address, onAwaited);
+		return listening.ifRight(bound => {
+			this.#address = bound;
+		});
 	}
 
 	/** Number of open connections of callers. */
