--- a/src/io/accept-queue.steps.ts
+++ b/src/io/accept-queue.steps.ts
@@ -2,18 +2,18 @@
 Steps for connections that wait to be accepted. The callers are in a process of their own, so that they are not delayed by the server.
 */
 import assert from 'node:assert/strict';
-import {fork, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
 import {createServer, type Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {setTimeout as pause} from 'node:timers/promises';
-import {fileURLToPath} from 'node:url';
 import {Given, Then, When} from '@cucumber/cucumber';
 import type {TestWorld} from '../common/testing/test-world.js';
 import {AcceptQueue} from './accept-queue.js';
 import {listen} from './listen.js';
 import {ServerConnections} from './server-connections.js';
 import type {ConnectingCallers, EndedCaller} from './testing/connecting-callers.js';
+import {forkModule} from './testing/fork-module.js';
+import {pauseProcess} from './testing/pause-process.js';
 
 type QueueWorld = TestWorld & {
 	server: Server;
@@ -26,10 +26,10 @@
 /** Time for all callers of a rush to send their requests, in milliseconds. */
 const rushMs = 300;
 
-const callersFile = fileURLToPath(new URL('testing/connecting-callers.ts', import.meta.url));
+const callersModule = new URL('testing/connecting-callers.ts', import.meta.url);
 
 const send = async (world: QueueWorld, plan: Omit<ConnectingCallers, 'port'>): Promise<readonly EndedCaller[]> => {
-	const child: ChildProcess = fork(callersFile, {execArgv: ['--import', 'tsx']});
+	const child = forkModule(callersModule);
 	world.register({
 		dispose() {
 			child.kill();
@@ -41,17 +41,10 @@
 	return ended;
 };
 
-const busyFor = (ms: number) => {
-	const until = performance.now() + ms;
-	while (performance.now() < until) {
-		// The event loop is kept busy.
-	}
-};
-
 Given('an HTTP server that takes {int} ms of its event loop for each request', async function (this: QueueWorld, ms: number) {
 	this.server = createServer();
 	this.connections = new ServerConnections(this.server, (_req, res) => {
-		busyFor(ms);
+		pauseProcess(ms);
 		res.end('here');
 	});
 	this.queue = new AcceptQueue(this.server, () => undefined);
@@ -74,7 +67,7 @@
 When('{int} callers connect at once and send a request', async function (this: QueueWorld, number: number) {
 	// All requests have arrived before the second connection is accepted.
 	this.server.once('connection', () => {
-		busyFor(rushMs);
+		pauseProcess(rushMs);
 	});
 	this.callers = send(this, {number, gapMs: 0});
 	await once(this.server, 'connection');
