One function logs an address that is waited for; processor time is read once a report

Found by reading: front and keeper wrote the same callback, and the monitor read the process's usage twice for one difference. Behaviour is the same.

--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -13,13 +13,12 @@
 } from '../common/services.js';
 import type {ObjectKind} from '../common/types.js';
 import {formatAddress} from '../io/address.js';
-import type {AddressAwaited} from '../io/bind-address.js';
+import {logAwaited} from '../io/bind-address.js';
 import {DatagramChannel} from '../io/datagram-channel.js';
 import {dial} from '../io/dial.js';
 import {HttpClient} from '../io/http-client.js';
 import type {HttpServer} from '../io/http-server.js';
 import {listen as listenOn} from '../io/listen.js';
-import {platformEvents} from '../io/log-events.js';
 import type {RunningProgram, StartError} from '../io/program.js';
 import {PrometheusMetrics} from '../io/prometheus-metrics.js';
 import {RpcClient} from '../io/rpc-client.js';
@@ -442,10 +441,7 @@
 	/** Starts to listen and to follow the object API. The process may become ready some time later. */
 	async start(): Promise<Either<StartError, Front>> {
 		const {listen, readyListen, peerListen, metricsListen} = this.#settings;
-		const onAwaited: AddressAwaited = (address, reason) => {
-			this.#log.emit(platformEvents.addressAwaited, {address, reason});
-		};
-
+		const onAwaited = logAwaited(this.#log);
 		if (metricsListen) {
 			void this.#metrics.serve(metricsListen, () => {
 				this.#recordGauges();
--- a/src/gateway/keeper.ts
+++ b/src/gateway/keeper.ts
@@ -10,9 +10,8 @@
 } from '../common/services.js';
 import {errorOf} from '../common/error-of.js';
 import type {ApiError, StoredObject} from '../common/types.js';
-import type {AddressAwaited} from '../io/bind-address.js';
+import {logAwaited} from '../io/bind-address.js';
 import type {HttpServer} from '../io/http-server.js';
-import {platformEvents} from '../io/log-events.js';
 import type {RunningProgram, StartError} from '../io/program.js';
 import {PrometheusMetrics} from '../io/prometheus-metrics.js';
 import {
@@ -97,10 +96,7 @@
 	/** Loads the jobs held on disk, and starts to accept others. */
 	async start(): Promise<Either<StartError, Keeper>> {
 		const {peerListen, metricsListen} = this.#settings;
-		const onAwaited: AddressAwaited = (address, reason) => {
-			this.#parts.log.emit(platformEvents.addressAwaited, {address, reason});
-		};
-
+		const onAwaited = logAwaited(this.#parts.log);
 		if (metricsListen) {
 			void this.#metrics.serve(metricsListen, () => {
 				this.#metrics.gauge('gateway.heldJobs', this.#held.size);
--- a/src/gateway/serving/service-monitor.ts
+++ b/src/gateway/serving/service-monitor.ts
@@ -46,6 +46,12 @@
 /** Ends that say nothing of this process's service: the caller has gone, or has used up what operators grant it. */
 const callersOwnEnds = new Set(['the caller left', 'limit']);
 
+/** Processor time of this process since its start, in milliseconds. */
+const cpuUsageMs = (): number => {
+	const {user, system} = process.cpuUsage();
+	return (user + system) / 1000;
+};
+
 const ageOf = (now: number, at: number): number | undefined => at === -Infinity ? undefined : Math.round(now - at);
 
 /** See the module's head. */
@@ -56,7 +62,7 @@
 	#milestones: Readonly<Record<string, number>> = {};
 	#timer: NodeJS.Timeout | undefined;
 	#reportedAt: number;
-	#cpuAtReport = process.cpuUsage();
+	#cpuMsAtReport = cpuUsageMs();
 	#isFirstServedLogged = false;
 
 	constructor(parts: ServiceMonitorParts) {
@@ -126,10 +132,10 @@
 	#report() {
 		const {outcomes, clock, log, metrics} = this.#parts;
 		const now = clock.now();
-		const cpu = process.cpuUsage(this.#cpuAtReport);
-		const cpuShare = (cpu.user + cpu.system) / 1000 / (now - this.#reportedAt);
+		const cpuMs = cpuUsageMs();
+		const cpuShare = (cpuMs - this.#cpuMsAtReport) / (now - this.#reportedAt);
 		this.#reportedAt = now;
-		this.#cpuAtReport = process.cpuUsage();
+		this.#cpuMsAtReport = cpuMs;
 		const counts = outcomes.take();
 		counts.forEach((count, reason) => {
 			metrics.count('gateway.callOutcomes', count, {reason});
--- a/src/io/bind-address.ts
+++ b/src/io/bind-address.ts
@@ -3,13 +3,20 @@
 */
 import {setTimeout as pause} from 'node:timers/promises';
 import {Left, Right, type Either} from 'purify-ts/Either';
+import type {EventLog} from '../common/services.js';
 import {parseAddress, type Address} from './address.js';
 import {exitCodes} from './exit-codes.js';
+import {platformEvents} from './log-events.js';
 import type {StartError} from './program.js';
 
 /** Called once, with the reason, if the address is not available at once. */
 export type AddressAwaited = (address: string, reason: string) => void;
 
+/** @returns What logs each address that is waited for. */
+export const logAwaited = (log: EventLog): AddressAwaited => (address, reason) => {
+	log.emit(platformEvents.addressAwaited, {address, reason});
+};
+
 /** Error codes of an address that another process, or the VM's start, may still free. */
 const transientCodes = new Set(['EADDRINUSE', 'EADDRNOTAVAIL']);
 
