Settings: memory and descriptors that a VM grants to a process

The platform tells both in each process's settings; the templates took neither over, so no limit could be derived from them. They are read and checked from now on, with defaults, and used by nothing yet.

--- a/src/io/settings-schemas.ts
+++ b/src/io/settings-schemas.ts
@@ -55,12 +55,24 @@
 	timeoutMs: durationMs(2000),
 });
 
+/** What the VM grants to one process. */
+export const machineLimitsSettings = z.strictObject({
+	/** Memory that the process may use, in megabytes of 1,000,000 bytes. */
+	memoryMb: z.number().positive().default(256),
+	/** File descriptors that the process may have open. */
+	maxDescriptors: countOf(4096),
+});
+
+/** See {@link machineLimitsSettings}. */
+export type MachineLimits = z.infer<typeof machineLimitsSettings>;
+
 /** Settings that all programs share; spread them into the `z.strictObject({…})` of a program. */
 export const commonSettings = {
 	/** The lowest level that is logged. */
 	logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
 	/** When absent, no metrics are sent. */
 	metrics: metricsSchema.optional(),
+	machineLimits: machineLimitsSettings.prefault({}),
 } as const;
 
 /** The common settings after validation. */
