--- a/scripts/judge-run.feature
+++ b/scripts/judge-run.feature
@@ -23,6 +23,8 @@
       |                    | 0      |                                                       | fails   | 0 passed, 0 failed |
       | a FAILED, b FAILED, c FAILED, d FAILED, e FAILED, f FAILED, g FAILED, h FAILED | 1 | a ~ x ~ 1, b ~ x ~ 2, c ~ x ~ 3, d ~ x ~ 4, e ~ x ~ 5, f ~ x ~ 6, g ~ x ~ 7, h ~ x ~ 8 | passes  | 0 passed, 8 failed |
       | a FAILED, b FAILED, c FAILED, d FAILED, e FAILED, f FAILED, g FAILED, h FAILED, i FAILED | 1 | a ~ x ~ 1, b ~ x ~ 2, c ~ x ~ 3, d ~ x ~ 4, e ~ x ~ 5, f ~ x ~ 6, g ~ x ~ 7, h ~ x ~ 8, i ~ x ~ 9 | fails   | 0 passed, 9 failed |
+      | a FAILED, b FAILED, c FAILED, d FAILED, e FAILED, f FAILED, g FAILED, h FAILED, crowd-1 FAILED, crowd-2 FAILED | 1 | a ~ x ~ 1, b ~ x ~ 2, c ~ x ~ 3, d ~ x ~ 4, e ~ x ~ 5, f ~ x ~ 6, g ~ x ~ 7, h ~ x ~ 8, crowd-1 ~ x ~ 9, crowd-2 ~ x ~ 9 | passes  | 0 passed, 10 failed |
+      | crowd-1 FAILED, crowd-2 FAILED | 1 | crowd-1 ~ x ~ 9 | fails | 0 passed, 2 failed |
 
   Scenario: What is passed over is printed
     Given a run of scenarios that ended as "b FAILED" with status 1
--- a/scripts/judge-run.steps.ts
+++ b/scripts/judge-run.steps.ts
@@ -20,7 +20,7 @@
 const resultOf = (part: string) => {
 	const [name, status] = part.split(' ');
 	return {
-		name, status, uri: 'x.feature', passed: status === 'PASSED',
+		name, status, uri: 'x.feature', passed: status === 'PASSED', isCrowd: name?.startsWith('crowd') === true,
 	};
 };
 
--- a/scripts/scenario-results.js
+++ b/scripts/scenario-results.js
@@ -3,7 +3,7 @@
 */
 
 /**
-@typedef {{name: string, uri: string, status: string, passed: boolean}} ScenarioResult
+@typedef {{name: string, uri: string, status: string, passed: boolean, isCrowd: boolean}} ScenarioResult
 */
 
 /**
@@ -17,6 +17,7 @@
 		uri: pickle.uri,
 		status,
 		passed: status === 'PASSED',
+		isCrowd: pickle.tags.some(({name}) => name === '@crowd'),
 	}));
 
 /**
