--- a/src/misbehaving-clients.steps.ts
+++ b/src/misbehaving-clients.steps.ts
@@ -92,11 +92,15 @@
 	await playCrowd(crowdForms(targets[program])[form], {address, connections, ms: crowdMs});
 });
 
-Then('the {word} lives, and has stayed within its VM\'s limits', function (this: CrowdWorld, program: Program) {
-	const {peakMemoryMb, peakDescriptors} = this.watches[program];
-	assert.ok(this.fleet.get(places[program].vm).isRunning);
-	assert.ok(peakMemoryMb <= this.memoryMb, `${Math.round(peakMemoryMb)} MB`);
-	assert.ok(peakDescriptors <= clientsShare * this.maxDescriptors, `${peakDescriptors} descriptors`);
+const programs: readonly Program[] = ['entry', 'agent'];
+
+programs.forEach(program => {
+	Then(`the ${program} lives, and has stayed within its VM's limits`, function (this: CrowdWorld) {
+		const {peakMemoryMb, peakDescriptors} = this.watches[program];
+		assert.ok(this.fleet.get(places[program].vm).isRunning);
+		assert.ok(peakMemoryMb <= this.memoryMb, `${Math.round(peakMemoryMb)} MB`);
+		assert.ok(peakDescriptors <= clientsShare * this.maxDescriptors, `${peakDescriptors} descriptors`);
+	});
 });
 
 Then('a caller\'s request is served', {timeout}, async function (this: CrowdWorld) {
