What clients may hold is bounded, for each connection and for all of a process

Seen: eight connections that send requests ahead end a front by lack of memory: at a path without a route, without a host, ordinary calls, streams, results of jobs; answers read or not. 300 bodies of 1 MB take 393 MB of 160. 1,000 connections take all descriptors, and with them the connections to replicas, store and peers. A keeper ends likewise at its peers' address. A stop under such a crowd does not end in order.

Cause: the HTTP library hands over all requests of a read at once, some 2,700 of the shortest, and looks at the bytes of answers that wait, not at their number. Each was begun at once, and nothing counted what all of them hold. Some answers (no host, an expectation) are the library's own and were seen by nobody. Nothing bounded connections.

Change, in one place for all servers on ServerConnections (callers, peers, entry, agent): - A connection has one request handled at a time; 64 may be unanswered. Beyond that it is closed, and what waits on it is not run: nothing was begun, so nothing has to be ended. - All connections: requests, bodies and large answers count toward a part of the VM's memory. A request that does not fit is refused with 503 before its body is read, a long one sooner than a short one. Bodies that exceed it together while they arrive give way, the largest first, with 503: a request whose body is incomplete has not been handled. - Connections: half of the descriptors for callers, an eighth for peers, and no more than heads of the configured size fit into memory. The oldest silent one, else the one idle for longest, gives way to a new one. - A body below 1 kB/s after 10 s is answered 408; an answer of which nothing is taken for 30 s ends with its connection; heads are bounded by the configured size. - Counted by reason (server.limits), gauged (server.heldBytes, server.connections), and logged with the client's address (111).

Ruled out: a pause of the library's parser in the midst of a read fails the connection; a stream between socket and library (parsing piece by piece) would cost each call a second stream; a pause by bytes is what the library has.

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -18,6 +18,8 @@
 	Clock, Disposable, EventLog, Metrics, ObjectApi, RandomSource,
 } from '../common/services.js';
 import {configAsker} from '../io/config-asker.js';
+import {clientLimitsOf} from '../io/client-limits.js';
+import {ClientLoad} from '../io/client-load.js';
 import {HttpClient} from '../io/http-client.js';
 import {HttpObjectApi} from '../io/http-object-api.js';
 import {HttpServer, type ListenFailure} from '../io/http-server.js';
@@ -71,6 +73,7 @@
 	readonly #batch: BatchWorker;
 	readonly #cache: CacheMirror | undefined;
 	readonly #cacheFollower: CacheFollower | undefined;
+	readonly #clientLoad: ClientLoad;
 	readonly #server: HttpServer;
 	readonly #config: ConfigTable;
 	readonly #follower: AgentConfigFollower;
@@ -105,6 +108,7 @@
 		this.#batch = this.#makeBatchWorker();
 		this.#follower = this.#makeFollower();
 		this.#reconciler = this.#makeReconciler();
+		this.#clientLoad = new ClientLoad({limits: clientLimitsOf(cfg.machineLimits), log, metrics});
 		this.#server = new HttpServer([...this.#attempts.routes, rpcRoute(this.#methods())], {
 			notFound(_req, res) {
 				res.writeHead(404).end();
@@ -115,7 +119,7 @@
 			broken(err) {
 				log.emit(agentEvents.handlerFailed, {reason: String(err)});
 			},
-		});
+		}, {load: this.#clientLoad, maxBodyBytes: () => cfg.limits.maxBodyBytes});
 	}
 
 	/** `ip:port` that it listens on. */
@@ -191,6 +195,7 @@
 		this.#attempts.dispose();
 		this.#runner.dispose();
 		this.#server.dispose();
+		this.#clientLoad.dispose();
 		this.#http.dispose();
 	}
 
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -15,6 +15,8 @@
 	Clock, Disposable, EventLog, Metrics, ObjectApi, RandomSource,
 } from '../common/services.js';
 import {configAsker, configChangesMethod} from '../io/config-asker.js';
+import {clientLimitsOf} from '../io/client-limits.js';
+import {ClientLoad} from '../io/client-load.js';
 import {HttpClient} from '../io/http-client.js';
 import {HttpObjectApi} from '../io/http-object-api.js';
 import {
@@ -77,6 +79,7 @@
 	readonly #frontend: OnlineFrontend;
 	readonly #shards: JobShards;
 	readonly #sweeper: ClaimSweeper;
+	readonly #clientLoad: ClientLoad;
 	readonly #server: HttpServer;
 	readonly #lifecycle = new NodeLifecycle();
 
@@ -95,7 +98,8 @@
 		this.#frontend = this.#makeFrontend();
 		this.#shards = this.#makeShards();
 		this.#sweeper = this.#makeSweeper();
-		this.#server = new HttpServer(this.#routes(), this.#fallbacks());
+		this.#clientLoad = new ClientLoad({limits: clientLimitsOf(cfg.machineLimits), log: services.log, metrics: services.metrics});
+		this.#server = new HttpServer(this.#routes(), this.#fallbacks(), {load: this.#clientLoad, maxBodyBytes: () => cfg.online.maxBodyBytes});
 	}
 
 	/** `ip:port` that it listens on. */
@@ -160,6 +164,7 @@
 		this.#follower.dispose();
 		this.#accounts.dispose();
 		this.#server.dispose();
+		this.#clientLoad.dispose();
 		this.#http.dispose();
 	}
 
--- a/src/entry/file-routes.ts
+++ b/src/entry/file-routes.ts
@@ -49,7 +49,7 @@
 	get routes(): Route[] {
 		return [
 			{
-				method: 'POST', pattern: /^\/v1\/files$/v, handle: async (req, res) => this.#withAccount(req, res, async account => this.#upload(account, req, res)),
+				method: 'POST', pattern: /^\/v1\/files$/v, isStreamed: true, handle: async (req, res) => this.#withAccount(req, res, async account => this.#upload(account, req, res)),
 			},
 			{
 				method: 'GET', pattern: /^\/v1\/files\/(?<id>[^\/]+)$/v, handle: async (req, res, {params}) => this.#withAccount(req, res, async account => this.#show(account, params.id ?? '', res)),
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -9,11 +9,13 @@
 import {errorOf} from '../common/error-of.js';
 import type {Disposable} from '../common/services.js';
 import {AcceptQueue} from '../io/accept-queue.js';
+import {holdMemory} from '../io/client-connection.js';
+import type {ClientLoad} from '../io/client-load.js';
 import type {AddressAwaited} from '../io/bind-address.js';
 import {listen} from '../io/listen.js';
 import type {StartError} from '../io/program.js';
 import {readBody, type BodyFailure} from '../io/read-body.js';
-import {ServerConnections} from '../io/server-connections.js';
+import {boundedServerOptions, largestHeadBytes, ServerConnections} from '../io/server-connections.js';
 import {branded} from '../common/ids.js';
 import type {
 	AdmittedCaller, Caller, CallerGate, CallHead, GateRefusal,
@@ -38,6 +40,8 @@
 	readonly gate: CallerGate;
 	/** Freshness of the configuration. */
 	readonly configFreshness: FeedFreshness;
+	/** What the clients of this process hold. */
+	readonly clientLoad: ClientLoad;
 	/** The first read of what a call needs. */
 	readonly firstRead: FirstRead;
 };
@@ -51,9 +55,6 @@
 /** Bound on a body until a configuration was received, so that it cannot fill this process's memory; in bytes. */
 const defaultBodyBytes = 4_194_304;
 
-/** The largest request head that Node.js reads, in bytes; the configured bound may be lower. */
-const maxHeaderBytes = 65_536;
-
 /** Longest time for which a call that comes before the first read is held, in milliseconds: a quarter of the usual latency target, so that a refused caller can still be served in time by another process. */
 const notReadyHoldMs = 75;
 
@@ -98,7 +99,13 @@
 };
 
 const sendBody = (res: ServerResponse, type: string, body: string | Buffer) => {
-	res.writeHead(200, {'content-type': type, 'content-length': String(Buffer.byteLength(body))});
+	const length = Buffer.byteLength(body);
+	if (!holdMemory(res, length)) {
+		sendEmpty(res, 503, unavailableRetryMs);
+		return;
+	}
+
+	res.writeHead(200, {'content-type': type, 'content-length': String(length)});
 	res.end(body);
 };
 
@@ -168,13 +175,15 @@
 
 	constructor(parts: FrontServerParts) {
 		this.#parts = parts;
-		this.#server = createServer({keepAliveTimeout: defaultIdleMs, requestTimeout: 0, maxHeaderSize: maxHeaderBytes});
-		this.#connections = new ServerConnections(this.#server, (req, res) => {
+		this.#server = createServer({
+			...boundedServerOptions, keepAliveTimeout: defaultIdleMs, requestTimeout: 0, maxHeaderSize: largestHeadBytes,
+		});
+		this.#connections = new ServerConnections(this.#server, (req, res, waitedMs) => {
 			const guard = new RequestGuard(parts, {kind: 'request', id: () => parts.dialect.readCall(req.headers).requestId}, () => {
 				endByDefect(res);
 			});
-			guard.run(async () => this.#serve(req, res));
-		});
+			guard.run(async () => this.#serve(req, res, waitedMs));
+		}, {load: parts.clientLoad, maxBodyBytes: () => this.#maxBodyBytes});
 		this.#acceptQueue = new AcceptQueue(this.#server, waitedMs => {
 			parts.metrics.count('gateway.acceptQueueResets');
 			parts.log.emit(gatewayEvents.acceptQueueReset, {waitedMs: Math.round(waitedMs), calls: this.activeCalls, connections: this.connectionCount});
@@ -182,6 +191,7 @@
 		parts.board.onChange(({limits}) => {
 			this.#server.keepAliveTimeout = Math.max(defaultIdleMs, keepAliveFactor * limits.idleTimeoutMs);
 			this.#server.headersTimeout = limits.headerTimeoutMs;
+			this.#connections.limitHeads(limits.maxHeaderBytes);
 		});
 		parts.partQuarantine.onHeld(() => {
 			this.#calls.forEach(call => {
@@ -256,8 +266,12 @@
 		this.#connections.dispose();
 	}
 
-	async #serve(req: IncomingMessage, res: ServerResponse) {
-		const arrivedAt = this.#parts.clock.now();
+	get #maxBodyBytes(): number {
+		return this.#parts.board.config?.limits.maxBodyBytes ?? defaultBodyBytes;
+	}
+
+	async #serve(req: IncomingMessage, res: ServerResponse, waitedMs: number) {
+		const arrivedAt = this.#parts.clock.now() - waitedMs;
 		res.on('error', () => undefined);
 		if (!this.#parts.firstRead.isOver) {
 			await this.#parts.firstRead.within(notReadyHoldMs);
@@ -293,7 +307,7 @@
 		}
 
 		const caller = admitted.unsafeCoerce();
-		const read = await readBody(req, this.#parts.board.config?.limits.maxBodyBytes ?? defaultBodyBytes);
+		const read = await readBody(req, this.#maxBodyBytes);
 		const failure = errorOf(read);
 		if (failure) {
 			caller.credit?.refund();
--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -14,6 +14,8 @@
 import type {ObjectKind} from '../common/types.js';
 import {formatAddress} from '../io/address.js';
 import {logAwaited} from '../io/bind-address.js';
+import {clientLimitsOf} from '../io/client-limits.js';
+import {ClientLoad} from '../io/client-load.js';
 import {DatagramChannel} from '../io/datagram-channel.js';
 import {dial} from '../io/dial.js';
 import {HttpClient} from '../io/http-client.js';
@@ -229,6 +231,7 @@
 		const self = branded<MemberName>(settings.name);
 		const {failureDomain} = settings;
 		const metrics = this.#metrics;
+		const clientLoad = new ClientLoad({limits: clientLimitsOf(settings.machineLimits), log, metrics});
 		const board = this.#board;
 		const directory = this.#directory;
 		const loads = this.#loads;
@@ -268,7 +271,7 @@
 			[objectCallMethod]: async (call: ObjectCall) => answerObjectCall(direct, call),
 			[findOriginMethod]: async (query: OriginQuery) => this.#streamOrigins.answer(query),
 			[takeOverMethod]: (handover: JobHandover): JobHandoverAnswer => ({isTaken: this.#runner.takeOver(handover)}),
-		}, log);
+		}, log, clientLoad);
 		const options = feedOptions(settings);
 		const progress = new ReadProgress(clock);
 		const feedOf = (kind: keyof typeof options) => new ObjectFeed({
@@ -402,7 +405,7 @@
 			readiness: this.#readiness, outcomes, board, directory, configFeed, replicaFeed, reachesObjectApi: () => api.isDirect, peerCount: () => peers.live.length, waitingCalls: () => admission.waiting, quarantinedCount: () => quarantine.held.length + partQuarantine.held.length, clock, log, metrics,
 		});
 		this.#server = new FrontServer({
-			board, directory, firstRead: new FirstRead([configFeed, replicaFeed]), replicaFreshness, configFreshness: freshnessOf('GatewayConfig', configFeed, settings.configMs), loads, connectionPools: this.#connectionPools, reachability, quarantine, partQuarantine, streamOrigins: this.#streamOrigins, serviceTimes, paces, admission, shutdown: this.#shutdown, outcomes, dialect, clock, random, log, metrics, processCount, failureDomain, continuesRuns: settings.continuesRuns, jobCalls,
+			board, clientLoad, directory, firstRead: new FirstRead([configFeed, replicaFeed]), replicaFreshness, configFreshness: freshnessOf('GatewayConfig', configFeed, settings.configMs), loads, connectionPools: this.#connectionPools, reachability, quarantine, partQuarantine, streamOrigins: this.#streamOrigins, serviceTimes, paces, admission, shutdown: this.#shutdown, outcomes, dialect, clock, random, log, metrics, processCount, failureDomain, continuesRuns: settings.continuesRuns, jobCalls,
 			gate: new CallerGate({
 				board, dialect, limits: rateLimits, clock, log, metrics, outcomes, configConfirmedAt: () => this.#checks.lastConfirmedAt('GatewayConfig'), staleAfterMs: settings.refuseKeysAfterMs,
 			}),
@@ -430,7 +433,7 @@
 			res.writeHead(this.#readiness.isReady ? 200 : 503, {'content-length': '0'});
 			res.end();
 		});
-		this.#owned = [this.#monitor, this.#retention, this.#quarantineRecords, this.#runner, this.#announcer, this.#registrar, registrations, this.#checks, unreachableAnnouncements, progress, ...this.#feeds, reachability, this.#connectionPools, this.#server, this.#admission, this.#streamOrigins, this.#channel, this.#rpcServer, heldJobs, api, http, this.#metrics, this.#lifecycle];
+		this.#owned = [this.#monitor, this.#retention, this.#quarantineRecords, this.#runner, this.#announcer, this.#registrar, registrations, this.#checks, unreachableAnnouncements, progress, ...this.#feeds, reachability, this.#connectionPools, this.#server, this.#admission, this.#streamOrigins, this.#channel, this.#rpcServer, heldJobs, api, http, this.#metrics, clientLoad, this.#lifecycle];
 	}
 
 	get addresses(): Readonly<Record<string, string>> {
--- a/src/gateway/keeper.ts
+++ b/src/gateway/keeper.ts
@@ -11,6 +11,8 @@
 import {errorOf} from '../common/error-of.js';
 import type {ApiError, StoredObject} from '../common/types.js';
 import {logAwaited} from '../io/bind-address.js';
+import {clientLimitsOf} from '../io/client-limits.js';
+import {ClientLoad} from '../io/client-load.js';
 import type {HttpServer} from '../io/http-server.js';
 import type {RunningProgram, StartError} from '../io/program.js';
 import {PrometheusMetrics} from '../io/prometheus-metrics.js';
@@ -50,6 +52,7 @@
 	readonly #feed: ObjectFeed;
 	readonly #entry: MemberRegistrar;
 	readonly #held: HeldJobs;
+	readonly #clientLoad: ClientLoad;
 	readonly #server: HttpServer;
 	readonly #owned: readonly Disposable[];
 	/** Resolves once the jobs on the disk have been read. */
@@ -61,6 +64,7 @@
 		this.#settings = settings;
 		this.#parts = parts;
 		const {api, clock, log} = parts;
+		this.#clientLoad = new ClientLoad({limits: clientLimitsOf(settings.machineLimits), log, metrics: this.#metrics});
 		this.#feed = new ObjectFeed(parts, 'Retirement', {waitMs: watchMs, mayLag: true});
 		this.#entry = new MemberRegistrar({
 			self: branded<MemberName>(settings.name), api, clock, log,
@@ -71,7 +75,7 @@
 		this.#server = peerServer({
 			[holdJobMethod]: async (value: unknown) => this.#hold(value),
 			[findHeldJobMethod]: async ({job}: {readonly job: BatchJobId}) => this.#find(job),
-		}, log);
+		}, log, this.#clientLoad);
 		this.#feed.onSnapshot(items => {
 			this.#isRetiring = false;
 			items.forEach(item => {
@@ -86,7 +90,7 @@
 				});
 			});
 		});
-		this.#owned = [this.#held, this.#entry, this.#feed, this.#server, this.#metrics, this.#lifecycle];
+		this.#owned = [this.#held, this.#entry, this.#feed, this.#server, this.#metrics, this.#clientLoad, this.#lifecycle];
 	}
 
 	get addresses(): Readonly<Record<string, string>> {
--- a/src/gateway/peers/peer-server.ts
+++ b/src/gateway/peers/peer-server.ts
@@ -2,12 +2,16 @@
 Creates the HTTP server at which a process accepts its peers' calls. It serves JSON-RPC and nothing else.
 */
 import type {EventLog} from '../../common/services.js';
+import type {ClientLoad} from '../../io/client-load.js';
 import {HttpServer} from '../../io/http-server.js';
 import {rpcRoute, type RpcMethods} from '../../io/rpc-route.js';
 import {gatewayEvents} from '../log-events.js';
 
-/** @param methods - The methods that peers may call, by name. */
-export const peerServer = (methods: RpcMethods, log: EventLog): HttpServer => new HttpServer([rpcRoute(methods)], {
+/**
+@param methods - The methods that peers may call, by name.
+@param load - What the clients of this process hold.
+*/
+export const peerServer = (methods: RpcMethods, log: EventLog, load: ClientLoad): HttpServer => new HttpServer([rpcRoute(methods)], {
 	notFound(_req, res) {
 		res.writeHead(404);
 		res.end();
@@ -19,4 +23,4 @@
 	broken(err) {
 		log.emit(gatewayEvents.handlerFailed, {reason: String(err)});
 	},
-});
+}, {load, role: 'peers'});
--- a/src/io/http-server.ts
+++ b/src/io/http-server.ts
@@ -11,7 +11,7 @@
 import type {AddressAwaited} from './bind-address.js';
 import {listen} from './listen.js';
 import type {StartError} from './program.js';
-import {ServerConnections} from './server-connections.js';
+import {boundedServerOptions, ServerConnections, type ServerBounds} from './server-connections.js';
 
 /** Result of matching a request against a route. */
 export type RouteMatch = {
@@ -25,6 +25,8 @@
 	/** An HTTP method, or `*` for all. */
 	readonly method: string;
 	readonly pattern: RegExp;
+	/** Whether `handle` reads the body as a stream; otherwise the server receives it, and `readBody` returns it. */
+	readonly isStreamed?: boolean;
 	readonly handle: (req: IncomingMessage, res: ServerResponse, match: RouteMatch) => Promise<void> | void;
 };
 
@@ -44,6 +46,9 @@
 // Time limit for receiving a request with its body; without it, requests that are never completed would be held forever.
 const requestTimeoutMs = 600_000;
 
+/** Bodies up to this size, in bytes, are received in any case: calls of peers are not bounded by settings. */
+const leastBodyBytes = 8_388_608;
+
 /** Serves a routing table. */
 export class HttpServer implements Disposable {
 	readonly #server: Server;
@@ -52,13 +57,13 @@
 	readonly #fallbacks: Fallbacks;
 	#host = '';
 
-	constructor(routes: readonly Route[], fallbacks: Fallbacks) {
+	constructor(routes: readonly Route[], fallbacks: Fallbacks, bounds: ServerBounds = {}) {
 		this.#routes = routes;
 		this.#fallbacks = fallbacks;
-		this.#server = createServer();
+		this.#server = createServer(boundedServerOptions);
 		this.#connections = new ServerConnections(this.#server, (req, res) => {
 			void this.#dispatch(req, res);
-		});
+		}, {...bounds, maxBodyBytes: () => Math.max(leastBodyBytes, bounds.maxBodyBytes?.() ?? 0), isStreamed: req => this.#isStreamed(req)});
 		this.#server.keepAliveTimeout = keepAliveTimeoutMs;
 		this.#server.requestTimeout = requestTimeoutMs;
 	}
@@ -99,6 +104,11 @@
 		this.#connections.dispose();
 	}
 
+	#isStreamed(req: IncomingMessage): boolean {
+		const pathname = this.#parseUrl(req)?.pathname ?? '';
+		return this.#routes.some(({isStreamed, method, pattern}) => isStreamed && method === req.method && pattern.test(pathname));
+	}
+
 	async #dispatch(req: IncomingMessage, res: ServerResponse) {
 		const url = this.#parseUrl(req);
 		const matchingRoutes = url ? this.#routes.filter(route => route.pattern.test(url.pathname)) : [];
--- a/src/io/log-events.ts
+++ b/src/io/log-events.ts
@@ -27,4 +27,6 @@
 	stopRepeated: {number: 109, level: 'info', text: 'graceful shutdown is in progress already; the signal changes nothing'},
 	/** Fields: address, reason (the system's error code). */
 	addressAwaited: {number: 110, level: 'warn', text: 'address to listen on is not available; waiting for it'},
+	/** Fields: reason, server, peer (address of the client), heldBytes (by all clients). */
+	limitMet: {number: 111, level: 'warn', text: 'client met a limit; its request was refused or its connection closed'},
 } as const satisfies Record<string, EventDefinition>;
--- a/src/io/rpc-route.ts
+++ b/src/io/rpc-route.ts
@@ -4,6 +4,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {JSONRPCErrorCode, JSONRPCErrorException, JSONRPCServer} from 'json-rpc-2.0';
 import {messageValidators} from '../common/message-validators.js';
+import {holdMemory, refuse} from './client-connection.js';
 import {readBody} from './read-body.js';
 import type {Route} from './http-server.js';
 
@@ -17,6 +18,11 @@
 
 const answer = (res: ServerResponse, status: number, value: unknown) => {
 	const text = JSON.stringify(value);
+	if (!holdMemory(res, text.length)) {
+		refuse(res, 503);
+		return;
+	}
+
 	res.writeHead(status, {'content-type': 'application/json'});
 	res.end(text);
 };
