Readiness and metrics: the bounds of all servers hold at their addresses, too

Seen: requests sent ahead at the metrics address ended fronts and keepers (8 and 64 connections); 1,000 connections without a byte took all descriptors at either address (1,037 of 600 open); a crowd at the readiness address ended a front in a play of the users.

Cause: these two servers had no keeper of their connections at all. They handled each request at once, however many a connection had sent, and shared no count with the others.

Change: both are made like the callers' server, with a small part of the descriptors and of the memory for heads, and drop bodies.

Evidence: the scenarios at both addresses, and three drawn crowds over all addresses of a front, failed before and pass.

--- a/src/gateway/front.ts
+++ b/src/gateway/front.ts
@@ -24,6 +24,7 @@
 import type {RunningProgram, StartError} from '../io/program.js';
 import {PrometheusMetrics} from '../io/prometheus-metrics.js';
 import {RpcClient} from '../io/rpc-client.js';
+import {boundedServerOptions, ServerConnections} from '../io/server-connections.js';
 import {CallRanks} from './accounts/call-ranks.js';
 import {CallerGate} from './accounts/caller-gate.js';
 import {admitsByTarget} from './admission/admits-by-target.js';
@@ -216,7 +217,9 @@
 	readonly #admission: TargetAdmission;
 	readonly #shutdown: ShutdownWindow;
 	readonly #server: FrontServer;
+	readonly #clientLoad: ClientLoad;
 	readonly #readyServer: Server;
+	readonly #readyConnections: ServerConnections;
 	readonly #owned: readonly Disposable[];
 
 	constructor(settings: FrontSettings, {log, clock, random, droppedLines = () => 0}: FrontServices, adapter: FrontAdapter) {
@@ -232,6 +235,7 @@
 		const {failureDomain} = settings;
 		const metrics = this.#metrics;
 		const clientLoad = new ClientLoad({limits: clientLimitsOf(settings.machineLimits), log, metrics});
+		this.#clientLoad = clientLoad;
 		const board = this.#board;
 		const directory = this.#directory;
 		const loads = this.#loads;
@@ -428,12 +432,12 @@
 				}),
 			}),
 		});
-		this.#readyServer = createServer((req, res) => {
-			req.resume();
+		this.#readyServer = createServer(boundedServerOptions);
+		this.#readyConnections = new ServerConnections(this.#readyServer, (_req, res) => {
 			res.writeHead(this.#readiness.isReady ? 200 : 503, {'content-length': '0'});
 			res.end();
-		});
-		this.#owned = [this.#monitor, this.#retention, this.#quarantineRecords, this.#runner, this.#announcer, this.#registrar, registrations, this.#checks, unreachableAnnouncements, progress, ...this.#feeds, reachability, this.#connectionPools, this.#server, this.#admission, this.#streamOrigins, this.#channel, this.#rpcServer, heldJobs, api, http, this.#metrics, clientLoad, this.#lifecycle];
+		}, {load: clientLoad, role: 'readiness', maxBodyBytes: () => 0});
+		this.#owned = [this.#monitor, this.#retention, this.#quarantineRecords, this.#runner, this.#announcer, this.#registrar, registrations, this.#checks, unreachableAnnouncements, progress, ...this.#feeds, reachability, this.#connectionPools, this.#server, this.#readyConnections, this.#admission, this.#streamOrigins, this.#channel, this.#rpcServer, heldJobs, api, http, this.#metrics, clientLoad, this.#lifecycle];
 	}
 
 	get addresses(): Readonly<Record<string, string>> {
@@ -446,9 +450,13 @@
 		const {listen, readyListen, peerListen, metricsListen} = this.#settings;
 		const onAwaited = logAwaited(this.#log);
 		if (metricsListen) {
-			void this.#metrics.serve(metricsListen, () => {
-				this.#recordGauges();
-			}, onAwaited);
+			void this.#metrics.serve(metricsListen, {
+				onRead: () => {
+					this.#recordGauges();
+				},
+				load: this.#clientLoad,
+				onAwaited,
+			});
 		}
 
 		// Waiting for one address delays neither the others nor the first read.
@@ -505,8 +513,6 @@
 	}
 
 	dispose(): void {
-		this.#readyServer.close();
-		this.#readyServer.closeAllConnections();
 		this.#owned.forEach(part => {
 			part.dispose();
 		});
--- a/src/gateway/keeper.ts
+++ b/src/gateway/keeper.ts
@@ -102,9 +102,13 @@
 		const {peerListen, metricsListen} = this.#settings;
 		const onAwaited = logAwaited(this.#parts.log);
 		if (metricsListen) {
-			void this.#metrics.serve(metricsListen, () => {
-				this.#metrics.gauge('gateway.heldJobs', this.#held.size);
-			}, onAwaited);
+			void this.#metrics.serve(metricsListen, {
+				onRead: () => {
+					this.#metrics.gauge('gateway.heldJobs', this.#held.size);
+				},
+				load: this.#clientLoad,
+				onAwaited,
+			});
 		}
 
 		const listening = await this.#server.listen(peerListen, onAwaited);
