Garbage is collected when a process comes close to its VM's memory

Cause: V8 collects by the limit of its heap, gigabytes on a large VM, and learns late of the memory of buffers. Clients made garbage faster than that. And of a connection that had been closed for its number of requests, the rest of the read was parsed, only to be dropped.

Change: while requests and bodies arrive, resident memory is read every 4 MB of them; above four fifths of the VM's memory, garbage is collected, for a fifth of the time at most. The parser of a connection that is closed stops. Setting the heap's limit at the start has no effect (tried: heap_size_limit stays), and an option of Node.js cannot come from settings.

--- a/src/io/client-connection.ts
+++ b/src/io/client-connection.ts
@@ -8,6 +8,9 @@
 import type {ClientLoad, LimitReason, LoadHolder} from './client-load.js';
 import {hasBody, receiveBody, type RequestBody} from './request-body.js';
 
+/** A socket of an HTTP server. The library's parser is not documented, and may be missing. */
+type HttpSocket = Socket & {readonly parser?: {pause(): void} | null};
+
 /** Handles a request. @param waitedMs - For how long it has waited for those before it, in milliseconds. */
 export type RequestHandler = (req: IncomingMessage, res: ServerResponse, waitedMs: number) => void;
 
@@ -65,7 +68,7 @@
 
 /** See the module's head. */
 export class ClientConnection implements LoadHolder {
-	readonly socket: Socket;
+	readonly socket: HttpSocket;
 	readonly #policy: ConnectionPolicy;
 	readonly #taken: TakenRequest[] = [];
 	#heldBytes = 0;
@@ -78,7 +81,7 @@
 	#bytesWritten = 0;
 	#progressAt = 0;
 
-	constructor(socket: Socket, policy: ConnectionPolicy) {
+	constructor(socket: HttpSocket, policy: ConnectionPolicy) {
 		this.socket = socket;
 		this.#policy = policy;
 	}
@@ -118,6 +121,7 @@
 
 	/** Accepts a request, refuses it, or closes the connection. */
 	take(req: IncomingMessage, res: ServerResponse, handle: RequestHandler): void {
+		this.#policy.load.noteReceived(requestBytes);
 		if (this.#isEnding) {
 			return;
 		}
@@ -171,6 +175,8 @@
 		this.#noteLimit(reason);
 		this.#isEnding = true;
 		this.socket.destroy();
+		// Requests that were received together with this one would be parsed otherwise, only to be dropped.
+		this.socket.parser?.pause();
 	}
 
 	/** To be called when the connection has been closed. */
@@ -243,7 +249,9 @@
 	#receiveBody(req: IncomingMessage, taken: () => TakenRequest): RequestBody | undefined {
 		return hasBody(req) && !this.#policy.isStreamed(req)
 			? receiveBody(req, this.#policy.maxBodyBytes(), {
-				onReceived: () => undefined,
+				onReceived: bytes => {
+					this.#policy.load.noteReceived(bytes);
+				},
 				onGrowth: bytes => {
 					this.#grow(taken(), bytes);
 				},
--- a/src/io/client-limits.ts
+++ b/src/io/client-limits.ts
@@ -10,6 +10,8 @@
 
 /** Limits of all servers of one process together, and of each. */
 export type ClientLimits = {
+	/** Memory that the VM grants to the process, in bytes. */
+	readonly memoryBytes: number;
 	/** Bytes that requests in progress may hold, over all servers. */
 	readonly heldBytes: number;
 	/** Descriptors for open connections, by server. */
@@ -46,6 +48,7 @@
 	const memoryBytes = 1_000_000 * memoryMb;
 	const clientBytes = Math.max(leastBytes, memoryBytes - ownBytes);
 	return {
+		memoryBytes,
 		heldBytes: Math.floor(heldShare * clientBytes),
 		connections: mapShares(descriptorShares, maxDescriptors),
 		headBytes: mapShares(headShares, headShare * clientBytes),
--- a/src/io/client-load.ts
+++ b/src/io/client-load.ts
@@ -6,6 +6,7 @@
 import type {Disposable, EventLog, Metrics} from '../common/services.js';
 import type {ClientLimits} from './client-limits.js';
 import {platformEvents} from './log-events.js';
+import {MemoryPressure} from './memory-pressure.js';
 
 /** A connection, as the load sees it. */
 export type LoadHolder = {
@@ -61,6 +62,7 @@
 	readonly #log: EventLog;
 	readonly #metrics: Metrics;
 	readonly #servers = new Set<LoadedServer>();
+	readonly #pressure: MemoryPressure;
 	readonly #timer: NodeJS.Timeout;
 	#heldBytes = 0;
 	#checks = 0;
@@ -69,6 +71,7 @@
 		this.limits = limits;
 		this.#log = log;
 		this.#metrics = metrics;
+		this.#pressure = new MemoryPressure(limits.memoryBytes);
 		this.#timer = setInterval(() => {
 			this.#check();
 		}, checkMs);
@@ -104,6 +107,11 @@
 		}
 	}
 
+	/** Notes that so many bytes were received, or allocated, whether they are held or not. */
+	noteReceived(bytes: number): void {
+		this.#pressure.note(bytes);
+	}
+
 	/** Counts and logs that a limit was met. @param peer - `ip:port` of the client. */
 	noteLimit(reason: LimitReason, server: string, peer: string): void {
 		this.#metrics.count('server.limits', 1, {reason, server});
