Log lines that clients bring about are bounded in a second

Seen: 200 callers that open a connection, ask for a path without a route and close, made a front write 39 MB of log in 10 s (measured by the users); a crowd fills disks and takes the processor from ordinary callers.

Cause: each refusal wrote its line, without any bound but the size of the buffer.

Change: of each event 2,000 lines in a second are written, of refusals 20 (703, 704, 727 and 111); when the second is over, a line tells how many of which event were left out (112). Counters go on counting each.

Evidence: line-limit.feature; it fails without the bound, since all lines are written.

--- a/src/common/types.ts
+++ b/src/common/types.ts
@@ -91,6 +91,8 @@
 	readonly number: number;
 	readonly level: LogLevel;
 	readonly text: string;
+	/** Whether any client can bring the event about by sending what is refused. Fewer such lines are written in a second. */
+	readonly isRefusal?: true;
 };
 
 /** The fields of an event, besides its text. Values are JSON. */
--- a/src/gateway/log-events.ts
+++ b/src/gateway/log-events.ts
@@ -11,9 +11,13 @@
 	/** Fields: id, route, status (sent to the caller), reason, elapsedMs, firstByteMs, offers, runs, lastEnd; content, where an attempt has failed; heldParts, by which it was held back. */
 	callEnded: {number: 702, level: 'info', text: 'call ended'},
 	/** Fields: id, host, target, status, reason, configVersion. */
-	callRejected: {number: 703, level: 'info', text: 'call rejected before it was routed'},
+	callRejected: {
+		number: 703, level: 'info', text: 'call rejected before it was routed', isRefusal: true,
+	},
 	/** Fields: id, route, account, reason (of a key), status, retryAfterMs, configVersion. */
-	callerRefused: {number: 704, level: 'info', text: 'call refused by its API key or its account\'s rate limit'},
+	callerRefused: {
+		number: 704, level: 'info', text: 'call refused by its API key or its account\'s rate limit', isRefusal: true,
+	},
 	/** Fields: account, refused (since the last line), level (calls that may be made at once), admitted and asked (at this process, since its start), perSecond, burst. */
 	rateLimitReached: {number: 705, level: 'info', text: 'account has reached its rate limit'},
 	/** Fields: account, version, reason. */
@@ -81,7 +85,9 @@
 	/** Fields: job, reason. */
 	jobRemoved: {number: 726, level: 'info', text: 'records of a batch job removed'},
 	/** Fields: id, status, reason. */
-	jobReadFailed: {number: 727, level: 'info', text: 'batch job could not be read'},
+	jobReadFailed: {
+		number: 727, level: 'info', text: 'batch job could not be read', isRefusal: true,
+	},
 	/** Fields: id, items. */
 	jobHeld: {number: 733, level: 'info', text: 'batch job held on disk until the object API accepts it'},
 	/** Fields: id, isGone, reason. */
--- a/src/io/log-events.ts
+++ b/src/io/log-events.ts
@@ -28,5 +28,9 @@
 	/** Fields: address, reason (the system's error code). */
 	addressAwaited: {number: 110, level: 'warn', text: 'address to listen on is not available; waiting for it'},
 	/** Fields: reason, server, peer (address of the client), heldBytes (by all clients). */
-	limitMet: {number: 111, level: 'warn', text: 'client met a limit; its request was refused or its connection closed'},
+	limitMet: {
+		number: 111, level: 'warn', text: 'client met a limit; its request was refused or its connection closed', isRefusal: true,
+	},
+	/** Fields: of (number of the event), lines (left out since the last such line). */
+	linesLeftOut: {number: 112, level: 'info', text: 'log lines of an event left out, since there were too many in a second'},
 } as const satisfies Record<string, EventDefinition>;
--- a/src/io/pino-event-log.ts
+++ b/src/io/pino-event-log.ts
@@ -6,6 +6,7 @@
 import pino, {type DestinationStream, type Logger} from 'pino';
 import {type EventLog} from '../common/services.js';
 import type {EventDefinition, LogFields, LogLevel} from '../common/types.js';
+import {LineLimit} from './line-limit.js';
 import {platformEvents} from './log-events.js';
 
 /** Options of the event log. */
@@ -29,6 +30,10 @@
 export class PinoEventLog implements EventLog {
 	readonly #logger: Logger;
 	readonly #stdout: ReturnType<typeof pino.destination> | undefined;
+	readonly #lineLimit = new LineLimit((of, lines) => {
+		this.emit(platformEvents.linesLeftOut, {of, lines});
+	});
+
 	#hasPendingLines = false;
 	#dropped = 0;
 	#reportedDropped = 0;
@@ -61,7 +66,12 @@
 		this.#logger.level = level;
 	}
 
-	emit({number, level, text}: EventDefinition, fields?: LogFields): void {
+	emit(event: EventDefinition, fields?: LogFields): void {
+		const {number, level, text} = event;
+		if (!this.#lineLimit.mayWrite(event)) {
+			return;
+		}
+
 		this.#hasPendingLines = this.#logger.isLevelEnabled(level) || this.#hasPendingLines;
 		this.#logger[level]({event: number, ...fields}, text);
 	}
