--- a/src/io/client-connection.ts
+++ b/src/io/client-connection.ts
@@ -83,6 +83,7 @@
 
 	constructor(socket: HttpSocket, policy: ConnectionPolicy) {
 		this.socket = socket;
+		connections.set(socket, this);
 		this.#policy = policy;
 	}
 
@@ -230,7 +231,6 @@
 			req, res, body: handle === refuseForMemory ? undefined : this.#receiveBody(req, () => taken), handle, takenAt: performance.now(), heldBytes: 0,
 		};
 		this.#taken.push(taken);
-		owners.set(res, this);
 		this.#grow(taken, bytes);
 		this.#policy.onTaken(res);
 		res.once('close', () => {
@@ -261,7 +261,6 @@
 
 	#handle(taken: TakenRequest) {
 		const {req, res, handle, takenAt} = taken;
-		this.#bytesWritten = this.socket.bytesWritten;
 		this.#progressAt = performance.now();
 		if (!res.headersSent) {
 			handle(req, res, this.#progressAt - takenAt);
@@ -304,14 +303,14 @@
 	}
 }
 
-const owners = new WeakMap<ServerResponse, ClientConnection>();
+const connections = new WeakMap<Socket, ClientConnection>();
 
 /**
 Notes that a request holds more memory until it has been answered and its answer was read, for instance for that answer.
 
 @returns Whether there is room for it.
 */
-export const holdMemory = (res: ServerResponse, bytes: number): boolean => owners.get(res)?.hold(res, bytes) ?? !res.destroyed;
+export const holdMemory = (res: ServerResponse, bytes: number): boolean => connections.get(res.req.socket)?.hold(res, bytes) ?? !res.destroyed;
 
 /** Refuses a request that has been taken while there was no memory for it. Its body is dropped. */
 const refuseForMemory: RequestHandler = (req, res) => {
--- a/src/io/request-body.ts
+++ b/src/io/request-body.ts
@@ -53,6 +53,11 @@
 			this.#finish(Left({kind: 'cut'}));
 		};
 
+		if (req.destroyed) {
+			onCut();
+			return;
+		}
+
 		req.on('data', (piece: Buffer) => {
 			this.#receive(piece);
 		});
@@ -147,7 +152,10 @@
 	}
 }
 
-const bodies = new WeakMap<IncomingMessage, RequestBody>();
+const bodyKey = Symbol('body');
+
+/** Kept with the request: an entry of a weak map for each request would make every collection of garbage slower. */
+type ReceivedRequest = IncomingMessage & {[bodyKey]?: RequestBody};
 
 /** Whether a request announces a body. */
 export const hasBody = ({headers}: IncomingMessage): boolean => headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
@@ -155,9 +163,9 @@
 /** Begins to receive the body of a request; {@link readBody} waits for it. */
 export const receiveBody = (req: IncomingMessage, limitBytes: number, listener?: BodyListener): RequestBody => {
 	const body = new RequestBody(req, limitBytes, listener);
-	bodies.set(req, body);
+	(req as ReceivedRequest)[bodyKey] = body;
 	return body;
 };
 
 /** The body that is being received, or has been. */
-export const receivedBody = (req: IncomingMessage): RequestBody | undefined => bodies.get(req);
+export const receivedBody = (req: IncomingMessage): RequestBody | undefined => (req as ReceivedRequest)[bodyKey];
