Requests that wait on a connection give way to short ones of others

Found by reading: the bound on memory counts each request that waits behind another, so sixteen connections with 64 requests each took all of it on the smallest VM, and every other caller was answered 503 for as long as they stayed. For a short request, the connections that hold more than its own give way now, largest first, if their body is incomplete or they have requests sent ahead; a single request that was received keeps its place. What a closed connection held is given back at once, and the body of a refused request is dropped while it waits, not only in its turn.

Evidence: 'A client that sends ahead holds most, and another client sends a short request' fails without it (503).

--- a/src/io/client-connection.ts
+++ b/src/io/client-connection.ts
@@ -6,7 +6,9 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {ClientLoad, LimitReason, LoadHolder} from './client-load.js';
-import {hasBody, receiveBody, type RequestBody} from './request-body.js';
+import {
+	hasBody, receivedBody, receiveBody, type RequestBody,
+} from './request-body.js';
 
 /** A socket of an HTTP server. The library's parser is not documented, and may be missing. */
 type HttpSocket = Socket & {readonly parser?: {pause(): void} | null};
@@ -91,8 +93,8 @@
 		return this.#heldBytes;
 	}
 
-	get isReceiving(): boolean {
-		return this.#receiving !== undefined;
+	get canGiveWay(): boolean {
+		return this.#receiving !== undefined || this.#taken.length > 1;
 	}
 
 	get unreadBytes(): number {
@@ -132,19 +134,16 @@
 			return;
 		}
 
-		const bytes = requestBytes + headBytesOf(req);
-		const isAdmitted = this.#policy.load.admits(bytes + this.#declaredBytes(req));
-		if (!isAdmitted) {
-			this.#noteLimit('memory');
+		const taken = this.#enqueue(req, res, handle);
+		if (this.#taken.length === 1) {
+			this.#handle(taken);
 		}
-
-		this.#enqueue(req, res, isAdmitted ? handle : refuseForMemory, bytes);
 	}
 
 	/** See {@link holdMemory}. */
 	hold(res: ServerResponse, bytes: number): boolean {
 		const taken = this.#taken.find(request => request.res === res);
-		if (!taken || !this.#policy.load.admits(bytes)) {
+		if (!taken || !this.#policy.load.admits(bytes, this)) {
 			return false;
 		}
 
@@ -152,10 +151,10 @@
 		return true;
 	}
 
-	/** Refuses the request whose body is being received; it has not been handled. */
+	/** Refuses the request whose body is being received; it has not been handled. A connection on which others wait, or whose answer is not read, is closed. */
 	giveWay(): void {
 		const receiving = this.#receiving;
-		if (!receiving) {
+		if (!receiving || this.#taken.length > 1) {
 			this.close('memory');
 			return;
 		}
@@ -174,13 +173,13 @@
 	/** Closes the connection because a limit was met. Requests that wait on it are not run. */
 	close(reason: LimitReason): void {
 		this.#noteLimit(reason);
-		this.#isEnding = true;
 		this.socket.destroy();
+		this.noteClosed();
 		// Requests that were received together with this one would be parsed otherwise, only to be dropped.
 		this.socket.parser?.pause();
 	}
 
-	/** To be called when the connection has been closed. */
+	/** Gives back what its requests hold. To be called when the connection has been closed. */
 	noteClosed(): void {
 		this.#isClosed = true;
 		this.#isEnding = true;
@@ -226,19 +225,25 @@
 		}
 	}
 
-	#enqueue(req: IncomingMessage, res: ServerResponse, handle: RequestHandler, bytes: number) {
+	#enqueue(req: IncomingMessage, res: ServerResponse, handle: RequestHandler): TakenRequest {
+		const {load, onTaken} = this.#policy;
+		const bytes = requestBytes + headBytesOf(req);
+		const isAdmitted = load.admits(bytes + this.#declaredBytes(req), this);
 		const taken: TakenRequest = {
-			req, res, body: handle === refuseForMemory ? undefined : this.#receiveBody(req, () => taken), handle, takenAt: performance.now(), heldBytes: 0,
+			req, res, body: this.#receiveBody(req, () => taken), handle: isAdmitted ? handle : refuseForMemory, takenAt: performance.now(), heldBytes: 0,
 		};
+		if (!isAdmitted) {
+			this.#noteLimit('memory');
+			taken.body?.discard();
+		}
+
 		this.#taken.push(taken);
 		this.#grow(taken, bytes);
-		this.#policy.onTaken(res);
+		onTaken(res);
 		res.once('close', () => {
 			this.#noteAnswered(taken);
 		});
-		if (this.#taken.length === 1) {
-			this.#handle(taken);
-		}
+		return taken;
 	}
 
 	/** Bytes that a body will hold, as far as its length is known. */
@@ -314,6 +319,6 @@
 
 /** Refuses a request that has been taken while there was no memory for it. Its body is dropped. */
 const refuseForMemory: RequestHandler = (req, res) => {
-	receiveBody(req, 0).discard();
+	(receivedBody(req) ?? receiveBody(req, 0)).discard();
 	refuse(res, 503, {'retry-after': retryAfterS});
 };
--- a/src/io/client-connections.feature
+++ b/src/io/client-connections.feature
@@ -78,6 +78,14 @@
       | long  | 30000 | it is refused with 503 and a time to retry   |
       | short | 1000  | its request is handled                       |
 
+  Scenario: A client that sends ahead holds most, and another client sends a short request
+    # Guards against clients that keep all others out by requests that wait on their connections.
+    Given a server that does not answer, whose process may hold 200000 bytes
+    When a client sends 12 requests ahead on one connection
+    And a client announces a body of 1000 bytes
+    Then its request is handled
+    And the first client's connection is closed, with 1 request handled
+
   Scenario: Bodies exceed the limit together while they are received
     # Guards against memory that grows with the number of bodies, and against a small body that gives way to a large one.
     Given a server that does not answer, whose process may hold 200000 bytes
--- a/src/io/client-connections.steps.ts
+++ b/src/io/client-connections.steps.ts
@@ -280,6 +280,11 @@
 	assert.equal(last(this).received, '');
 });
 
+Then('the first client\'s connection is closed, with 1 request handled', async function (this: ConnectionsWorld) {
+	await until(() => this.clients[0]!.isClosed, 'the connection is closed');
+	assert.deepEqual(this.handled, ['/0', '/announced']);
+});
+
 Then('the first one\'s body is still received', function (this: ConnectionsWorld) {
 	const [first] = this.clients;
 	assert.equal(first!.received, '');
--- a/src/io/client-load.ts
+++ b/src/io/client-load.ts
@@ -1,7 +1,7 @@
 /**
 What the clients of one process hold at all its servers together: requests that are unanswered, their bodies, and answers that are not read.
 
-A request that would exceed the limit is refused before its body is read, and one with a large body sooner than a short one. If bodies that are being received, or answers that are not read, exceed the limit together, the connection that holds most of it gives way. A request that has been received completely keeps its place, since it may run.
+A request that would exceed the limit is refused before its body is read, and one with a large body sooner than a short one. For a short one, and if bodies that are being received or answers that are not read exceed the limit, the connections give way that hold most: those with a body that is incomplete, with requests sent ahead, or with an unread answer. A single request that has been received completely keeps its place, since it may run.
 */
 import type {Disposable, EventLog, Metrics} from '../common/services.js';
 import type {ClientLimits} from './client-limits.js';
@@ -12,8 +12,8 @@
 export type LoadHolder = {
 	/** Bytes that its requests hold. */
 	readonly heldBytes: number;
-	/** Whether it can give way: its request has not been received completely. */
-	readonly isReceiving: boolean;
+	/** Whether it can give way: a request of it has not been received completely, or waits for the one before. */
+	readonly canGiveWay: boolean;
 	/** Bytes of its answers that the client has not read. */
 	readonly unreadBytes: number;
 	/** Ends what makes it hold so much. */
@@ -93,17 +93,26 @@
 		this.#servers.delete(server);
 	}
 
-	/** Whether a request may be taken that holds so many bytes, with its body. */
-	admits(bytes: number): boolean {
-		const share = bytes > shortRequestBytes ? longRequestShare : 1;
-		return this.#heldBytes + bytes <= share * this.limits.heldBytes;
+	/** Whether a connection may hold so many bytes more, for a request with its body or for an answer. For a short one, others that hold more give way. */
+	admits(bytes: number, asker?: LoadHolder): boolean {
+		if (bytes > shortRequestBytes) {
+			return this.#heldBytes + bytes <= longRequestShare * this.limits.heldBytes;
+		}
+
+		const excess = this.#heldBytes + bytes - this.limits.heldBytes;
+		if (excess > 0) {
+			const askerBytes = bytes + (asker?.heldBytes ?? 0);
+			this.#makeRoom(({canGiveWay, heldBytes}) => canGiveWay && heldBytes > askerBytes, ({heldBytes}) => heldBytes, excess);
+		}
+
+		return this.#heldBytes + bytes <= this.limits.heldBytes;
 	}
 
 	/** Notes that a connection holds more, or less. If this exceeds the limit, the connections that hold most give way, this one among them. */
 	note(bytes: number): void {
 		this.#heldBytes += bytes;
 		if (bytes > 0 && this.#heldBytes > this.limits.heldBytes) {
-			this.#makeRoom(({isReceiving}) => isReceiving, ({heldBytes}) => heldBytes, this.#heldBytes - this.limits.heldBytes);
+			this.#makeRoom(({canGiveWay}) => canGiveWay, ({heldBytes}) => heldBytes, this.#heldBytes - this.limits.heldBytes);
 		}
 	}
 
--- a/src/io/server-connections.ts
+++ b/src/io/server-connections.ts
@@ -245,7 +245,7 @@
 
 	#noteAnswered(connection: ClientConnection, res: ServerResponse) {
 		this.#responses.delete(res);
-		if (connection.unanswered > 0 || !this.#connections.has(connection.socket)) {
+		if (connection.unanswered > 0 || connection.socket.destroyed) {
 			return;
 		}
 
