What a connection that gives way itself held is forgotten

Found by reading: a request that closes its own connection, since it exceeds the bound, was entered among the open responses after its connection had been closed, and stayed there for ever. It is entered first now. 'A client alone holds too much by requests sent ahead' fails without it (one open response is left). An answer to a peer's call for which there is no memory ends its connection in place of 503: the call has been carried out.

--- a/src/io/client-connection.ts
+++ b/src/io/client-connection.ts
@@ -238,11 +238,12 @@
 		}
 
 		this.#taken.push(taken);
-		this.#grow(taken, bytes);
 		onTaken(res);
 		res.once('close', () => {
 			this.#noteAnswered(taken);
 		});
+		// This connection may give way itself.
+		this.#grow(taken, bytes);
 		return taken;
 	}
 
--- a/src/io/client-connections.feature
+++ b/src/io/client-connections.feature
@@ -86,6 +86,13 @@
     Then its request is handled
     And the first client's connection is closed, with 1 request handled
 
+  Scenario: A client alone holds too much by requests sent ahead
+    # Guards against what a closed connection held being counted, or its responses being kept, for ever.
+    Given a server that does not answer, whose process may hold 50000 bytes
+    When a client sends 5 requests ahead on one connection
+    Then the server closes its connection
+    And nothing is held any more
+
   Scenario: Bodies exceed the limit together while they are received
     # Guards against memory that grows with the number of bodies, and against a small body that gives way to a large one.
     Given a server that does not answer, whose process may hold 200000 bytes
--- a/src/io/client-connections.steps.ts
+++ b/src/io/client-connections.steps.ts
@@ -275,6 +275,12 @@
 	assert.match(client.received, /^retry-after: 1\r$/imv);
 });
 
+Then('nothing is held any more', async function (this: ConnectionsWorld) {
+	await until(() => this.connections.size === 0, 'the connection is gone');
+	assert.equal(this.load.heldBytes, 0);
+	assert.deepEqual(this.connections.openResponses, []);
+});
+
 Then('its request is handled', function (this: ConnectionsWorld) {
 	assert.ok(this.handled.includes('/announced'));
 	assert.equal(last(this).received, '');
--- a/src/io/rpc-route.ts
+++ b/src/io/rpc-route.ts
@@ -4,7 +4,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {JSONRPCErrorCode, JSONRPCErrorException, JSONRPCServer} from 'json-rpc-2.0';
 import {messageValidators} from '../common/message-validators.js';
-import {holdMemory, refuse} from './client-connection.js';
+import {holdMemory} from './client-connection.js';
 import {readBody} from './read-body.js';
 import type {Route} from './http-server.js';
 
@@ -19,7 +19,8 @@
 const answer = (res: ServerResponse, status: number, value: unknown) => {
 	const text = JSON.stringify(value);
 	if (!holdMemory(res, text.length)) {
-		refuse(res, 503);
+		// The method has been carried out: no status may say that it has not.
+		res.destroy();
 		return;
 	}
 
