The rest of a read is not parsed once its connection is closed

Cause: a read holds up to 1,800 requests, and all are kept until the connection's close is handled, once a turn of the event loop.

Change: the parser's listener returns what it returns for an upgrade, and the parser stops.

--- a/src/io/client-connection.ts
+++ b/src/io/client-connection.ts
@@ -11,7 +11,10 @@
 } from './request-body.js';
 
 /** A socket of an HTTP server. The library's parser is not documented, and may be missing. */
-type HttpSocket = Socket & {readonly parser?: {pause(): void} | null};
+type HttpSocket = Socket & {readonly parser?: {onIncoming: () => number} | null};
+
+/** What the parser's listener returns for a request after which it parses no more, as for an upgrade. */
+const endParsing = 2;
 
 /** Handles a request. @param waitedMs - For how long it has waited for those before it, in milliseconds. */
 export type RequestHandler = (req: IncomingMessage, res: ServerResponse, waitedMs: number) => void;
@@ -175,8 +178,7 @@
 		this.#noteLimit(reason);
 		this.socket.destroy();
 		this.noteClosed();
-		// Requests that were received together with this one would be parsed otherwise, only to be dropped.
-		this.socket.parser?.pause();
+		this.#stopParser();
 	}
 
 	/** Gives back what its requests hold. To be called when the connection has been closed. */
@@ -199,6 +201,14 @@
 		return last?.body?.isReceiving && !last.res.headersSent ? last : undefined;
 	}
 
+	/** Requests that were received together with the last one would be parsed otherwise, only to be dropped. A pause of the parser has no effect within a read. */
+	#stopParser() {
+		const {parser} = this.socket;
+		if (parser) {
+			parser.onIncoming = () => endParsing;
+		}
+	}
+
 	#endSlowBody(now: number) {
 		const receiving = this.#receiving;
 		if (!receiving) {
--- a/src/io/client-connections.feature
+++ b/src/io/client-connections.feature
@@ -21,6 +21,13 @@
     Then the server closes its connection
     And 1 request was handled
 
+  Scenario: A client sends many requests in one read
+    # Guards against requests that are parsed only to be dropped: they take memory and time, thousands a read.
+    Given a server that does not answer
+    When a client sends 1000 requests ahead on one connection
+    Then the server closes its connection
+    And at most 65 requests were parsed
+
   Scenario: A client leaves before its requests are handled
     # Guards against work that is begun for a client that has left.
     Given a server that takes 50 ms for each request
--- a/src/io/client-connections.steps.ts
+++ b/src/io/client-connections.steps.ts
@@ -36,6 +36,7 @@
 	load: ClientLoad;
 	connections: ServerConnections;
 	handled: string[];
+	parsed: number;
 	atOnce: number;
 	mostAtOnce: number;
 	bodies: Array<Buffer | 'tooLarge' | 'cut'>;
@@ -58,7 +59,11 @@
 	world.mostAtOnce = 0;
 	world.peakBytes = 0;
 	world.load = world.register(new ClientLoad({limits: {...defaultLimits, ...limits}, log: {emit: () => undefined}, metrics: new NoMetrics()}));
+	world.parsed = 0;
 	world.server = createServer(boundedServerOptions);
+	world.server.on('request', () => {
+		world.parsed += 1;
+	});
 	const handle = async (req: IncomingMessage, res: ServerResponse) => {
 		world.handled.push(req.url!);
 		world.atOnce += 1;
@@ -281,6 +286,10 @@
 	assert.deepEqual(this.connections.openResponses, []);
 });
 
+Then('at most {int} requests were parsed', function (this: ConnectionsWorld, count: number) {
+	assert.ok(this.parsed <= count, `${this.parsed} requests`);
+});
+
 Then('its request is handled', function (this: ConnectionsWorld) {
 	assert.ok(this.handled.includes('/announced'));
 	assert.equal(last(this).received, '');
