A datagram that is no message does not end a front

Seen: one datagram at the peers' UDP address that is not JSON, or is `null`, from any sender, ends a front with 104 (Cannot read properties of undefined, reading 'jsonrpc'). Found by a trial with datagrams of strangers.

Cause: isJSONRPCRequest of the library reads a property of whatever it is given; text that could not be parsed was passed to it as undefined.

Change: both parse an object first. A datagram that is none counts as rejected; a body is answered 400. Methods are looked up among the channel's own only.

--- a/src/io/datagram-channel.ts
+++ b/src/io/datagram-channel.ts
@@ -6,6 +6,7 @@
 import {createJSONRPCNotification, isJSONRPCRequest} from 'json-rpc-2.0';
 import type {Either} from 'purify-ts/Either';
 import {messageValidators} from '../common/message-validators.js';
+import {parseObject} from '../common/parse-object.js';
 import type {Disposable} from '../common/services.js';
 import {formatAddress, parseAddress, type Address} from './address.js';
 import {bindAddress, type AddressAwaited} from './bind-address.js';
@@ -20,14 +21,6 @@
 /** Close to the largest payload that UDP carries. The network layer fragments large datagrams, and one lost fragment loses the complete datagram. */
 const maxDatagramBytes = 65_000;
 
-const parseJson = (bytes: Buffer): unknown => {
-	try {
-		return JSON.parse(bytes.toString('utf8'));
-	} catch {
-		return undefined;
-	}
-};
-
 /** Sends and receives notifications. */
 export class DatagramChannel implements Disposable {
 	readonly #socket: Socket = createSocket('udp4');
@@ -104,14 +97,16 @@
 	}
 
 	#receive(bytes: Buffer) {
-		const message = parseJson(bytes);
-		const method = isJSONRPCRequest(message) ? message.method : '';
-		const params: unknown = isJSONRPCRequest(message) ? message.params : undefined;
-		if (!this.#handlers[method] || messageValidators[method]?.(params) !== true) {
+		// The library's check throws for what is no object.
+		const message = parseObject<object>(bytes.toString('utf8')).toMaybe().extract();
+		const method = message && isJSONRPCRequest(message) ? message.method : '';
+		const params: unknown = message && isJSONRPCRequest(message) ? message.params : undefined;
+		const handler = Object.hasOwn(this.#handlers, method) ? this.#handlers[method] : undefined;
+		if (!handler || messageValidators[method]?.(params) !== true) {
 			this.#rejectedCount += 1;
 			return;
 		}
 
-		this.#handlers[method](params as never);
+		handler(params as never);
 	}
 }
--- a/src/io/malformed-messages.feature
+++ b/src/io/malformed-messages.feature
@@ -17,6 +17,39 @@
       | gateway.stateChanges | {"member":"x","startedAt":1,"seq":2,"loads":[{"replica":"r"}]} |
       | gateway.stateChanges | {"member":"x","startedAt":1,"seq":2}                    |
 
+  Scenario Outline: A body that is no message: <body>
+    # Guards against a line in the log for each, and against an answer that says nothing.
+    Given a node that offers "attempt.cancel"
+    When it is sent '<body>'
+    Then it answers 400
+
+    Examples:
+      | body     |
+      | null     |
+      | [null]   |
+      | 5        |
+      | no JSON  |
+      |          |
+
+  Scenario Outline: A datagram that is no message: <bytes>
+    # Guards against a process that ends by one datagram of a stranger.
+    Given a channel that takes "gateway.state"
+    When it receives the datagram '<bytes>'
+    Then it has rejected 1 datagram, and goes on
+
+    Examples:
+      | bytes                                                          |
+      | no JSON                                                        |
+      |                                                                |
+      | null                                                           |
+      | 5                                                              |
+      | [null]                                                         |
+      | {}                                                             |
+      | {"jsonrpc":"2.0","method":"toString","params":{}}              |
+      | {"jsonrpc":"2.0","method":"gateway.state"}                     |
+      | {"jsonrpc":"2.0","method":"gateway.state","params":null}       |
+      | {"jsonrpc":"2.0","method":["gateway.state"],"params":{}}       |
+
   Scenario: A valid message
     Given a node that offers "config.changes"
     When it is called with '{"node":"x","since":0,"waitMs":0,"counts":[{"version":1,"nodes":1}]}'
--- a/src/io/malformed-messages.steps.ts
+++ b/src/io/malformed-messages.steps.ts
@@ -2,16 +2,27 @@
 Steps for the validation of RPC messages and VM lists.
 */
 import assert from 'node:assert/strict';
+import {createSocket} from 'node:dgram';
 import {Given, Then, When} from '@cucumber/cucumber';
 import type {Either} from 'purify-ts/Either';
 import type {TestWorld} from '../common/testing/test-world.js';
+import {until} from '../common/testing/until.js';
+import {parseAddress} from './address.js';
+import {DatagramChannel} from './datagram-channel.js';
 import {HttpClient} from './http-client.js';
 import {HttpServer, type Route} from './http-server.js';
 import {HttpVmList} from './http-vm-list.js';
 import {RpcClient} from './rpc-client.js';
 import {rpcRoute} from './rpc-route.js';
 
-type MessageWorld = TestWorld & {address: string; method: string; runs: number; answer: Either<unknown, unknown>};
+type MessageWorld = TestWorld & {
+	address: string;
+	method: string;
+	runs: number;
+	answer: Either<unknown, unknown>;
+	status: number;
+	channel: DatagramChannel;
+};
 
 const timeoutMs = 5000;
 
@@ -47,6 +58,38 @@
 	this.answer = await rpc.call({address: this.address, timeoutMs}, this.method, JSON.parse(params) as object);
 });
 
+When('it is sent {string}', async function (this: MessageWorld, body: string) {
+	const res = await fetch(`http://${this.address}/rpc`, {method: 'POST', body});
+	this.status = res.status;
+});
+
+Then('it answers {int}', function (this: MessageWorld, status: number) {
+	assert.equal(this.status, status);
+});
+
+Given('a channel that takes {string}', async function (this: MessageWorld, method: string) {
+	this.channel = this.register(new DatagramChannel({
+		[method]() {
+			assert.fail('the datagram was handled');
+		},
+	}));
+	await this.channel.listen('127.0.0.1:0');
+});
+
+When('it receives the datagram {string}', async function (this: MessageWorld, bytes: string) {
+	const {host, port} = parseAddress(this.channel.address)!;
+	const socket = createSocket('udp4');
+	this.register(() => {
+		socket.close();
+	});
+	socket.send(bytes, port, host);
+	await until(() => this.channel.refused > 0, 'the datagram is rejected');
+});
+
+Then('it has rejected {int} datagram, and goes on', function (this: MessageWorld, count: number) {
+	assert.equal(this.channel.refused, count);
+});
+
 When('the VM list returns {string}', async function (this: MessageWorld, body: string) {
 	await serve(this, {
 		method: 'GET',
--- a/src/io/rpc-route.ts
+++ b/src/io/rpc-route.ts
@@ -4,6 +4,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {JSONRPCErrorCode, JSONRPCErrorException, JSONRPCServer} from 'json-rpc-2.0';
 import {messageValidators} from '../common/message-validators.js';
+import {parseObject} from '../common/parse-object.js';
 import {holdMemory} from './client-connection.js';
 import {readBody} from './read-body.js';
 import type {Route} from './http-server.js';
@@ -51,6 +52,12 @@
 		async handle(req: IncomingMessage, res: ServerResponse) {
 			const body = await readBody(req, maxRpcBytes);
 			const text = body.map(bytes => bytes.toString('utf8')).orDefault('');
+			// The library throws for what is no object.
+			if (parseObject(text).isLeft()) {
+				answer(res, 400, {});
+				return;
+			}
+
 			const reply = await server.receiveJSON(text);
 			answer(res, 200, reply ?? {});
 		},
