Bounds on clients: one answer without a body, no second state, paths parsed once less

The front's own empty answer and that of a refused request were the same code twice; one function (sendWithoutBody) serves both. Whether a connection takes requests was kept in two fields that were always set together. Whether a body is read as a stream, which parses the path at entries, agents and peers' servers, was asked for each request, twice with a body; now once, and only if there is a body.

--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -9,7 +9,7 @@
 import {errorOf} from '../common/error-of.js';
 import type {Disposable} from '../common/services.js';
 import {AcceptQueue} from '../io/accept-queue.js';
-import {holdMemory} from '../io/client-connection.js';
+import {holdMemory, sendWithoutBody} from '../io/client-connection.js';
 import type {ClientLoad} from '../io/client-load.js';
 import type {AddressAwaited} from '../io/bind-address.js';
 import {listen} from '../io/listen.js';
@@ -90,12 +90,7 @@
 const failedReadStatus: Readonly<Record<JobReadError, number>> = {unknown: 404, unsure: 503};
 
 const sendEmpty = (res: ServerResponse, status: number, retryDelayMs?: number) => {
-	if (res.headersSent || res.destroyed) {
-		return;
-	}
-
-	res.writeHead(status, {'content-length': '0', ...(retryDelayMs !== undefined && {'retry-after': String(retryDelayMs / 1000)})});
-	res.end();
+	sendWithoutBody(res, status, retryDelayMs === undefined ? {} : {'retry-after': String(retryDelayMs / 1000)});
 };
 
 const sendBody = (res: ServerResponse, type: string, body: string | Buffer) => {
--- a/src/io/client-connection.ts
+++ b/src/io/client-connection.ts
@@ -63,8 +63,8 @@
 
 const headBytesOf = ({rawHeaders, url = ''}: IncomingMessage): number => rawHeaders.reduce((sum, text) => sum + text.length, url.length);
 
-/** Answers a request that has not been handled, unless it has been answered. */
-export const refuse = (res: ServerResponse, status: number, headers: Readonly<Record<string, string>> = {}) => {
+/** Answers a request without a body, unless it has been answered. */
+export const sendWithoutBody = (res: ServerResponse, status: number, headers: Readonly<Record<string, string>> = {}) => {
 	if (!res.headersSent && !res.destroyed) {
 		res.writeHead(status, {'content-length': '0', ...headers});
 		res.end();
@@ -77,8 +77,7 @@
 	readonly #policy: ConnectionPolicy;
 	readonly #taken: TakenRequest[] = [];
 	#heldBytes = 0;
-	/** No further request is taken. */
-	#isEnding = false;
+	/** No further request is taken or handled. */
 	#isClosed = false;
 	#idleSince = performance.now();
 	#bytesWhenIdle = 0;
@@ -128,7 +127,7 @@
 	/** Accepts a request, refuses it, or closes the connection. */
 	take(req: IncomingMessage, res: ServerResponse, handle: RequestHandler): void {
 		this.#policy.load.noteReceived(requestBytes);
-		if (this.#isEnding) {
+		if (this.#isClosed) {
 			return;
 		}
 
@@ -164,7 +163,7 @@
 
 		this.#noteLimit('memory');
 		receiving.body!.discard();
-		refuse(receiving.res, 503, {'retry-after': retryAfterS});
+		sendWithoutBody(receiving.res, 503, {'retry-after': retryAfterS});
 	}
 
 	/** Ends what makes no progress: a body that arrives too slowly, an answer that is not read. */
@@ -184,7 +183,6 @@
 	/** Gives back what its requests hold. To be called when the connection has been closed. */
 	noteClosed(): void {
 		this.#isClosed = true;
-		this.#isEnding = true;
 		this.#taken.splice(0).forEach(taken => {
 			this.#release(taken);
 			this.#policy.onAnswered(taken.res);
@@ -221,7 +219,7 @@
 			this.#noteLimit('slowBody');
 			body!.discard();
 			res.shouldKeepAlive = false;
-			refuse(res, 408);
+			sendWithoutBody(res, 408);
 		}
 	}
 
@@ -238,9 +236,10 @@
 	#enqueue(req: IncomingMessage, res: ServerResponse, handle: RequestHandler): TakenRequest {
 		const {load, onTaken} = this.#policy;
 		const bytes = requestBytes + headBytesOf(req);
-		const isAdmitted = load.admits(bytes + this.#declaredBytes(req), this);
+		const isReceivedHere = hasBody(req) && !this.#policy.isStreamed(req);
+		const isAdmitted = load.admits(bytes + (isReceivedHere ? this.#declaredBytes(req) : 0), this);
 		const taken: TakenRequest = {
-			req, res, body: this.#receiveBody(req, () => taken), handle: isAdmitted ? handle : refuseForMemory, takenAt: performance.now(), heldBytes: 0,
+			req, res, body: isReceivedHere ? this.#receiveBody(req, () => taken) : undefined, handle: isAdmitted ? handle : refuseForMemory, takenAt: performance.now(), heldBytes: 0,
 		};
 		if (!isAdmitted) {
 			this.#noteLimit('memory');
@@ -259,20 +258,18 @@
 
 	/** Bytes that a body will hold, as far as its length is known. */
 	#declaredBytes(req: IncomingMessage): number {
-		return this.#policy.isStreamed(req) ? 0 : Math.min(Number(req.headers['content-length'] ?? 0), this.#policy.maxBodyBytes());
+		return Math.min(Number(req.headers['content-length'] ?? 0), this.#policy.maxBodyBytes());
 	}
 
-	#receiveBody(req: IncomingMessage, taken: () => TakenRequest): RequestBody | undefined {
-		return hasBody(req) && !this.#policy.isStreamed(req)
-			? receiveBody(req, this.#policy.maxBodyBytes(), {
-				onReceived: bytes => {
-					this.#policy.load.noteReceived(bytes);
-				},
-				onGrowth: bytes => {
-					this.#grow(taken(), bytes);
-				},
-			})
-			: undefined;
+	#receiveBody(req: IncomingMessage, taken: () => TakenRequest): RequestBody {
+		return receiveBody(req, this.#policy.maxBodyBytes(), {
+			onReceived: bytes => {
+				this.#policy.load.noteReceived(bytes);
+			},
+			onGrowth: bytes => {
+				this.#grow(taken(), bytes);
+			},
+		});
 	}
 
 	#handle(taken: TakenRequest) {
@@ -331,5 +328,5 @@
 /** Refuses a request that has been taken while there was no memory for it. Its body is dropped. */
 const refuseForMemory: RequestHandler = (req, res) => {
 	(receivedBody(req) ?? receiveBody(req, 0)).discard();
-	refuse(res, 503, {'retry-after': retryAfterS});
+	sendWithoutBody(res, 503, {'retry-after': retryAfterS});
 };
--- a/src/io/server-connections.ts
+++ b/src/io/server-connections.ts
@@ -10,7 +10,7 @@
 } from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
 import type {Disposable} from '../common/services.js';
-import {ClientConnection, refuse, type RequestHandler} from './client-connection.js';
+import {ClientConnection, sendWithoutBody, type RequestHandler} from './client-connection.js';
 import {clientLimitsOf, type ServerRole} from './client-limits.js';
 import {ClientLoad, type LoadedServer, type LoadHolder} from './client-load.js';
 import {NoMetrics} from './no-metrics.js';
@@ -54,11 +54,11 @@
 
 const rejectWithoutHost: RequestHandler = (_req, res) => {
 	res.shouldKeepAlive = false;
-	refuse(res, 400);
+	sendWithoutBody(res, 400);
 };
 
 const rejectExpectation: RequestHandler = (_req, res) => {
-	refuse(res, 417);
+	sendWithoutBody(res, 417);
 };
 
 /** See the module's head. */
